--- /dev/null
+++ b/core/answer/answer.go
@@ -0,0 +1,68 @@
+// Package answer assembles one token stream from the attempts that produce
+// it, so that no token is lost or doubled.
+package answer
+
+import "errors"
+
+var (
+	// ErrGap means that a token is missing before the one that arrived.
+	ErrGap = errors.New("token stream has a gap")
+	// ErrStale means that the token belongs to an earlier attempt.
+	ErrStale = errors.New("token of a superseded attempt")
+)
+
+type (
+	// Token is one generated token with its position in the answer.
+	Token struct {
+		Offset int
+		Text   string
+		Last   bool
+	}
+
+	// Assembly tracks how much of one answer has been taken. It is not safe
+	// for concurrent use.
+	Assembly struct {
+		attempt int
+		next    int
+		done    bool
+	}
+)
+
+// Begin starts a new attempt and returns its number and the offset at which
+// it must resume. Tokens of earlier attempts are refused from then on.
+func (a *Assembly) Begin() (attempt, offset int) {
+	a.attempt++
+	return a.attempt, a.next
+}
+
+// Peek returns the number that the next attempt will have.
+func (a *Assembly) Peek() int {
+	return a.attempt + 1
+}
+
+// Accept decides whether a token of the given attempt extends the answer. It
+// returns false without error for a token that was already taken.
+func (a *Assembly) Accept(attempt int, token Token) (bool, error) {
+	if attempt != a.attempt {
+		return false, ErrStale
+	}
+	if token.Offset < a.next || a.done {
+		return false, nil
+	}
+	if token.Offset > a.next {
+		return false, ErrGap
+	}
+	a.next++
+	a.done = token.Last
+	return true, nil
+}
+
+// Next returns the offset of the next token.
+func (a *Assembly) Next() int {
+	return a.next
+}
+
+// Done reports whether the last token was taken.
+func (a *Assembly) Done() bool {
+	return a.done
+}
--- /dev/null
+++ b/core/claim/claim.go
@@ -0,0 +1,172 @@
+// Package claim decides which call with an idempotency key may run. A key once
+// granted is never granted again by anyone until its horizon has passed.
+package claim
+
+import (
+	"errors"
+	"time"
+)
+
+const (
+	// Granted lets the asker run the call.
+	Granted Outcome = iota + 1
+	// Running means that another request of this key runs.
+	Running
+	// Settled means that the call ran and its answer is stored.
+	Settled
+	// Unknown means that the call may have run and its answer is lost.
+	Unknown
+	// BodyMismatch means that the key came with another body before.
+	BodyMismatch
+	// Undecided means that this home cannot decide now; nothing was run.
+	Undecided
+)
+
+// ErrTableFull means that no more keys can be held until some expire.
+var ErrTableFull = errors.New("claim table is full")
+
+type (
+	// Outcome is the decision on one claim.
+	Outcome int
+
+	// Key is an idempotency key in its scope.
+	Key struct {
+		Workspace string
+		Service   string
+		Value     string
+	}
+
+	// Owner is one life of the daemon that runs the call.
+	Owner struct {
+		Host        string
+		Incarnation uint64
+	}
+
+	// Header is one header of a stored answer.
+	Header struct {
+		Name  string
+		Value string
+	}
+
+	// Answer is the stored outcome of a call.
+	Answer struct {
+		Status  int
+		Headers []Header
+		Body    []byte
+	}
+
+	// Grant is one key that was granted.
+	Grant struct {
+		Key       Key
+		BodyHash  uint64
+		RequestID string
+		Owner     Owner
+		GrantedAt time.Time
+		Horizon   time.Duration
+		Settled   bool
+		Unknown   bool
+		Answer    *Answer // nil when it is lost or too large to keep
+	}
+
+	// Table holds the grants of one home. It is not safe for concurrent use.
+	Table struct {
+		limit  int
+		grants map[Key]*Grant
+	}
+)
+
+// NewTable returns an empty table that holds at most limit keys.
+func NewTable(limit int) *Table {
+	return &Table{limit: limit, grants: map[Key]*Grant{}}
+}
+
+// Claim decides on one key. The returned grant is the one that holds the key.
+func (t *Table) Claim(now time.Time, wanted Grant) (Outcome, Grant, error) {
+	held, ok := t.grants[wanted.Key]
+	if ok && !held.expired(now) {
+		return held.outcome(wanted), *held, nil
+	}
+	if !ok && len(t.grants) >= t.limit {
+		t.expire(now)
+		if len(t.grants) >= t.limit {
+			return Undecided, Grant{}, ErrTableFull
+		}
+	}
+	wanted.GrantedAt = now
+	t.grants[wanted.Key] = &wanted
+	return Granted, wanted, nil
+}
+
+// Settle stores how the call of requestID ended. A settle of another request
+// than the holder's is ignored.
+func (t *Table) Settle(key Key, requestID string, answer *Answer, unknown bool) {
+	g, ok := t.grants[key]
+	if !ok || g.RequestID != requestID {
+		return
+	}
+	g.Settled = true
+	g.Unknown = unknown
+	g.Answer = answer
+}
+
+// Withdraw drops a grant whose call did not reach any backend server.
+func (t *Table) Withdraw(key Key, requestID string) {
+	if g, ok := t.grants[key]; ok && g.RequestID == requestID && !g.Settled {
+		delete(t.grants, key)
+	}
+}
+
+// Adopt takes in a grant of an earlier home. It never replaces a held one,
+// but completes it with a stored answer.
+func (t *Table) Adopt(g Grant) {
+	held, ok := t.grants[g.Key]
+	if !ok {
+		t.grants[g.Key] = &g
+		return
+	}
+	if held.RequestID == g.RequestID && g.Settled && !held.Settled {
+		*held = g
+	}
+}
+
+// Grants returns all grants that have not expired, in no order.
+func (t *Table) Grants(now time.Time) []Grant {
+	t.expire(now)
+	grants := make([]Grant, 0, len(t.grants))
+	for _, g := range t.grants {
+		grants = append(grants, *g)
+	}
+	return grants
+}
+
+// Len returns the number of held keys.
+func (t *Table) Len() int {
+	return len(t.grants)
+}
+
+func (t *Table) expire(now time.Time) {
+	for k, g := range t.grants {
+		if g.expired(now) {
+			delete(t.grants, k)
+		}
+	}
+}
+
+func (g *Grant) expired(now time.Time) bool {
+	return now.Sub(g.GrantedAt) > g.Horizon
+}
+
+func (g *Grant) outcome(wanted Grant) Outcome {
+	switch {
+	case g.BodyHash != wanted.BodyHash:
+		return BodyMismatch
+	case g.RequestID == wanted.RequestID:
+		return Granted
+	case g.Settled && g.Answer != nil:
+		return Settled
+	case g.Settled:
+		return Unknown
+	default:
+		return Running
+	}
+}
--- /dev/null
+++ b/core/refusal/refusal.go
@@ -0,0 +1,110 @@
+// Package refusal describes why a request was not answered and whether any of
+// it was run.
+package refusal
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+)
+
+const (
+	// RanNo means that no byte of the call reached a backend server.
+	RanNo Ran = "no"
+	// RanUnknown means that the call may have been run.
+	RanUnknown Ran = "unknown"
+)
+
+type (
+	// Ran says whether a refused request was run.
+	Ran string
+
+	// Kind is one reason to refuse, with its stable code and HTTP status.
+	Kind struct {
+		Code   string
+		Status int
+	}
+
+	// Refusal is the final answer to a request that gets no other.
+	Refusal struct {
+		Kind       Kind
+		Ran        Ran
+		Message    string
+		RetryAfter time.Duration // 0: sending it again is no use
+	}
+)
+
+var (
+	// InvalidRequest means that the request can't be understood.
+	InvalidRequest = Kind{"invalidRequest", http.StatusBadRequest}
+	// BodyTooLarge means that the body is over the profile's limit.
+	BodyTooLarge = Kind{"bodyTooLarge", http.StatusRequestEntityTooLarge}
+	// HeaderTooLong means that a header is over its limit.
+	HeaderTooLong = Kind{"headerTooLong", http.StatusRequestHeaderFieldsTooLarge}
+	// UnknownService means that no service of this name is bound.
+	UnknownService = Kind{"unknownService", http.StatusNotFound}
+	// UnknownModel means that no service serves the model.
+	UnknownModel = Kind{"unknownModel", http.StatusNotFound}
+	// UnknownWorkspace means that the caller's workspace is not configured.
+	UnknownWorkspace = Kind{"unknownWorkspace", http.StatusForbidden}
+	// MissingKey means that a call that may not be repeated has no key.
+	MissingKey = Kind{"missingIdempotencyKey", http.StatusBadRequest}
+	// KeyReused means that the key came with another body before.
+	KeyReused = Kind{"idempotencyKeyReused", http.StatusUnprocessableEntity}
+	// OutcomeUnknown means that the call may have run and its answer is lost.
+	OutcomeUnknown = Kind{"outcomeUnknown", http.StatusConflict}
+	// Overloaded means that the request would miss its targets.
+	Overloaded = Kind{"overloaded", http.StatusTooManyRequests}
+	// Unavailable means that no server can take the request now.
+	Unavailable = Kind{"unavailable", http.StatusServiceUnavailable}
+	// ShuttingDown means that this host takes no new requests.
+	ShuttingDown = Kind{"shuttingDown", http.StatusServiceUnavailable}
+	// ClaimUndecided means that nobody can tell now whether the key has run.
+	ClaimUndecided = Kind{"claimUndecided", http.StatusServiceUnavailable}
+	// CrashesServers means that requests like this one crash backend servers.
+	CrashesServers = Kind{"crashesServers", http.StatusUnprocessableEntity}
+	// BackendFailed means that a backend server failed and no retry is left.
+	BackendFailed = Kind{"backendFailed", http.StatusBadGateway}
+	// BackendTimeout means that a backend server did not answer in time.
+	BackendTimeout = Kind{"backendTimeout", http.StatusGatewayTimeout}
+)
+
+// Kinds returns all kinds, in the order of the reference page.
+func Kinds() []Kind {
+	return []Kind{
+		InvalidRequest, BodyTooLarge, HeaderTooLong, UnknownService, UnknownModel, UnknownWorkspace,
+		MissingKey, KeyReused, OutcomeUnknown, Overloaded, Unavailable, ShuttingDown, ClaimUndecided,
+		CrashesServers, BackendFailed, BackendTimeout,
+	}
+}
+
+// NotRun returns a refusal of a request that was not run.
+func NotRun(kind Kind, format string, args ...any) *Refusal {
+	return &Refusal{Kind: kind, Ran: RanNo, Message: fmt.Sprintf(format, args...)}
+}
+
+// MayHaveRun returns a refusal of a request that may have been run.
+func MayHaveRun(kind Kind, format string, args ...any) *Refusal {
+	return &Refusal{Kind: kind, Ran: RanUnknown, Message: fmt.Sprintf(format, args...)}
+}
+
+// After returns the refusal with the time after which to ask again.
+func (r *Refusal) After(wait time.Duration) *Refusal {
+	r.RetryAfter = wait
+	return r
+}
+
+// Error implements error.
+func (r *Refusal) Error() string {
+	return r.Message
+}
+
+// Of returns the refusal in err, or nil.
+func Of(err error) *Refusal {
+	var r *Refusal
+	if errors.As(err, &r) {
+		return r
+	}
+	return nil
+}
--- /dev/null
+++ b/core/slot/ledger.go
@@ -0,0 +1,196 @@
+// Package slot keeps the ledger of a decode server's memory slots at the
+// server's home: what was granted, to whom, and what the server reports.
+package slot
+
+import (
+	"errors"
+	"time"
+
+	"github.com/hickoryfront/hickoryfront/core/backend"
+)
+
+var (
+	// ErrFull means that the server has no free slot now.
+	ErrFull = errors.New("no free slot")
+	// ErrLeaving means that the server takes no new work.
+	ErrLeaving = errors.New("server is leaving")
+	// ErrUnknownServer means that the ledger does not hold the server.
+	ErrUnknownServer = errors.New("unknown server")
+)
+
+type (
+	// Holder is one life of the daemon that holds a reservation.
+	Holder struct {
+		Host        string
+		Incarnation uint64
+	}
+
+	// Reservation is one granted slot.
+	Reservation struct {
+		RequestID string
+		Holder    Holder
+		GrantedAt time.Time
+		Deadline  time.Time
+		KVBytes   uint64
+	}
+
+	// Ledger holds the slots of the servers whose home is this daemon. It is
+	// not safe for concurrent use.
+	Ledger struct {
+		servers map[string]*account
+	}
+
+	account struct {
+		server   backend.Server
+		granted  map[string]Reservation
+		reported backend.Load
+		leaving  bool
+	}
+)
+
+// New returns an empty ledger.
+func New() *Ledger {
+	return &Ledger{servers: map[string]*account{}}
+}
+
+// Track adds a server or updates its description.
+func (l *Ledger) Track(server backend.Server) {
+	a, ok := l.servers[server.ID]
+	if !ok {
+		a = &account{granted: map[string]Reservation{}}
+		l.servers[server.ID] = a
+	}
+	a.server = server
+	if server.State == backend.StateLeaving {
+		a.leaving = true
+	}
+}
+
+// Forget drops a server that is gone or whose home has moved. It returns the
+// reservations that were open.
+func (l *Ledger) Forget(serverID string) []Reservation {
+	a, ok := l.servers[serverID]
+	if !ok {
+		return nil
+	}
+	delete(l.servers, serverID)
+	open := make([]Reservation, 0, len(a.granted))
+	for _, r := range a.granted {
+		open = append(open, r)
+	}
+	return open
+}
+
+// Servers returns the ids of the tracked servers, in no order.
+func (l *Ledger) Servers() []string {
+	ids := make([]string, 0, len(l.servers))
+	for id := range l.servers {
+		ids = append(ids, id)
+	}
+	return ids
+}
+
+// SetLeaving marks a server that takes no new work.
+func (l *Ledger) SetLeaving(serverID string) {
+	if a, ok := l.servers[serverID]; ok {
+		a.leaving = true
+	}
+}
+
+// Observe takes in a load report of the server.
+func (l *Ledger) Observe(load backend.Load) {
+	a, ok := l.servers[load.ServerID]
+	if !ok || load.ObservedAt.Before(a.reported.ObservedAt) {
+		return
+	}
+	a.reported = load
+	if load.Leaving {
+		a.leaving = true
+	}
+}
+
+// Reserve grants one slot of the server until deadline. Granting the same
+// request again returns the reservation it already has.
+func (l *Ledger) Reserve(now time.Time, serverID string, r Reservation) error {
+	a, ok := l.servers[serverID]
+	if !ok {
+		return ErrUnknownServer
+	}
+	if _, again := a.granted[r.RequestID]; again {
+		return nil
+	}
+	if a.leaving {
+		return ErrLeaving
+	}
+	if a.free() <= 0 {
+		return ErrFull
+	}
+	r.GrantedAt = now
+	a.granted[r.RequestID] = r
+	return nil
+}
+
+// Force records a slot that a holder took without asking.
+func (l *Ledger) Force(now time.Time, serverID string, r Reservation) {
+	a, ok := l.servers[serverID]
+	if !ok {
+		return
+	}
+	r.GrantedAt = now
+	a.granted[r.RequestID] = r
+}
+
+// Release gives a slot back. Releasing twice is harmless.
+func (l *Ledger) Release(serverID, requestID string) {
+	if a, ok := l.servers[serverID]; ok {
+		delete(a.granted, requestID)
+	}
+}
+
+// Expired returns the reservations whose holder is gone or whose deadline has
+// passed, by server. They stay in the ledger until they are released.
+func (l *Ledger) Expired(now time.Time, alive func(Holder) bool) map[string][]Reservation {
+	expired := map[string][]Reservation{}
+	for id, a := range l.servers {
+		for _, r := range a.granted {
+			if now.After(r.Deadline) || !alive(r.Holder) {
+				expired[id] = append(expired[id], r)
+			}
+		}
+	}
+	return expired
+}
+
+// Load returns the digest that the home publishes for a server.
+func (l *Ledger) Load(now time.Time, serverID string) (backend.Load, bool) {
+	a, ok := l.servers[serverID]
+	if !ok {
+		return backend.Load{}, false
+	}
+	return backend.Load{
+		ServerID:       serverID,
+		ObservedAt:     now,
+		SlotsUsed:      a.used(),
+		SlotsTotal:     a.server.Slots,
+		PrefillBacklog: a.reported.PrefillBacklog,
+		Leaving:        a.leaving,
+	}, true
+}
+
+func (a *account) free() int {
+	return a.server.Slots - a.used()
+}
+
+// used is the larger of what was granted and what the server reported, with
+// the report corrected by what was granted after it was taken. The report
+// covers requests that the old scripts sent to the same server.
+func (a *account) used() int {
+	granted := len(a.granted)
+	sinceReport := 0
+	for _, r := range a.granted {
+		if r.GrantedAt.After(a.reported.ObservedAt) {
+			sinceReport++
+		}
+	}
+	return max(granted, a.reported.SlotsUsed+sinceReport)
+}
--- /dev/null
+++ b/hickory/internal/factory/factory.go
@@ -0,0 +1,114 @@
+// Package factory hands commands their streams, client and settings.
+package factory
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"os/user"
+
+	"github.com/google/subcommands"
+
+	"github.com/hickoryfront/hickoryfront/hickory/internal/adminapi"
+)
+
+const (
+	// EnvAddress names the daemon to ask.
+	EnvAddress = "HICKORY_ADDRESS"
+	// EnvToken holds the operators' token.
+	EnvToken = "HICKORY_TOKEN"
+	// EnvCA names the file of the certificate authority.
+	EnvCA = "HICKORY_CA"
+
+	programName = "hickory"
+)
+
+// ErrUsage marks a command line that can't be understood.
+var ErrUsage = errors.New("usage")
+
+type (
+	// Streams are the command's standard streams.
+	Streams struct {
+		In  io.Reader
+		Out io.Writer
+		Err io.Writer
+	}
+
+	// Factory hands commands what they depend on.
+	Factory struct {
+		Streams Streams
+		Getenv  func(string) string
+	}
+
+	// Command is one command with its flags bound to its options.
+	Command struct {
+		Streams Streams
+		Use     string
+		Short   string
+		Example string
+		Flags   func(*flag.FlagSet)
+		Run     func(ctx context.Context, args []string) error
+	}
+)
+
+// New returns the factory of the real program.
+func New() *Factory {
+	return &Factory{Streams: Streams{In: os.Stdin, Out: os.Stdout, Err: os.Stderr}, Getenv: os.Getenv}
+}
+
+// Client returns a client of the daemon that the environment names.
+func (f *Factory) Client() (*adminapi.Client, error) {
+	address := f.Getenv(EnvAddress)
+	if address == "" {
+		return nil, fmt.Errorf("no daemon is named; set %s, such as http://10.0.0.1:8081", EnvAddress)
+	}
+	return adminapi.New(address, f.Getenv(EnvToken), f.Getenv(EnvCA))
+}
+
+// Author returns the name under which changes are recorded.
+func (f *Factory) Author() string {
+	if current, err := user.Current(); err == nil {
+		return current.Username
+	}
+	return "unknown"
+}
+
+// Usagef returns an error of the command line.
+func Usagef(format string, args ...any) error {
+	return fmt.Errorf("%w: %s", ErrUsage, fmt.Sprintf(format, args...))
+}
+
+// Name implements subcommands.Command.
+func (c *Command) Name() string { return c.Use }
+
+// Synopsis implements subcommands.Command.
+func (c *Command) Synopsis() string { return c.Short }
+
+// Usage implements subcommands.Command.
+func (c *Command) Usage() string {
+	return c.Short + "\n\nExamples:\n" + c.Example + "\nFlags:\n"
+}
+
+// SetFlags implements subcommands.Command.
+func (c *Command) SetFlags(flags *flag.FlagSet) {
+	if c.Flags != nil {
+		c.Flags(flags)
+	}
+}
+
+// Execute implements subcommands.Command.
+func (c *Command) Execute(ctx context.Context, flags *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	err := c.Run(ctx, flags.Args())
+	switch {
+	case err == nil:
+		return subcommands.ExitSuccess
+	case errors.Is(err, ErrUsage):
+		fmt.Fprintf(c.Streams.Err, "%s: %v\n", programName, err)
+		return subcommands.ExitUsageError
+	}
+	fmt.Fprintf(c.Streams.Err, "%s: %v\n", programName, err)
+	return subcommands.ExitFailure
+}
--- /dev/null
+++ b/hickoryd/engine/client.go
@@ -0,0 +1,297 @@
+package engine
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/hickoryfront/hickoryfront/core/answer"
+	"github.com/hickoryfront/hickoryfront/core/backend"
+)
+
+const (
+	maxReplyBytes = 16 << 20
+	maxLineBytes  = 1 << 20
+	dialTimeout   = time.Second
+	dataPrefix    = "data: "
+)
+
+var (
+	// ErrFull means that the engine has no room for the request.
+	ErrFull = errors.New("engine is full")
+	// ErrLeaving means that the engine takes no new work.
+	ErrLeaving = errors.New("engine is leaving")
+	// ErrGone means that the KV cache or the request no longer exists.
+	ErrGone = errors.New("not held by the engine any more")
+	// ErrTransfer means that the KV cache could not be moved.
+	ErrTransfer = errors.New("KV transfer failed")
+	// ErrFenced means that the engine has taken a newer order.
+	ErrFenced = errors.New("order is older than the engine's newest")
+	// ErrInvalid means that the engine refused the request for good.
+	ErrInvalid = errors.New("engine refused the request")
+	// ErrBusy means that the weight store has no rate left.
+	ErrBusy = errors.New("weight store is busy")
+	// ErrNotSent means that no byte of the request reached the engine.
+	ErrNotSent = errors.New("engine not reached")
+	// ErrBroken means that the connection failed after the request was sent.
+	ErrBroken = errors.New("connection to the engine broke")
+)
+
+type (
+	// Client speaks to all engines. It is safe for concurrent use.
+	Client struct {
+		unary *http.Client
+	}
+
+	// Stream is one token stream. Every stream has a connection of its own,
+	// so that a silent connection is never used again.
+	Stream struct {
+		response *http.Response
+		lines    *bufio.Scanner
+		cancel   context.CancelFunc
+	}
+)
+
+// New returns a client.
+func New() *Client {
+	return &Client{unary: &http.Client{Transport: newTransport(false)}}
+}
+
+// Prefill computes the KV cache of a prompt.
+func (c *Client) Prefill(ctx context.Context, server backend.Server, request PrefillRequest) (PrefillReply, error) {
+	var reply PrefillReply
+	err := c.post(ctx, server.Address, PathPrefill, request, &reply)
+	return reply, err
+}
+
+// Decode starts a token stream.
+func (c *Client) Decode(ctx context.Context, server backend.Server, request DecodeRequest) (*Stream, error) {
+	return c.stream(ctx, server.Address, PathDecode, request)
+}
+
+// Resume continues the stream of a running request over a new connection.
+func (c *Client) Resume(ctx context.Context, server backend.Server, request ResumeRequest) (*Stream, error) {
+	return c.stream(ctx, server.Address, PathResume, request)
+}
+
+// Cancel ends a request. A nil error confirms that the engine does not run it
+// and holds none of its memory.
+func (c *Client) Cancel(ctx context.Context, server backend.Server, requestID string) error {
+	return c.post(ctx, server.Address, PathCancel, CancelRequest{RequestID: requestID}, nil)
+}
+
+// Requests lists the running requests of an engine.
+func (c *Client) Requests(ctx context.Context, address netip.AddrPort) ([]RequestInfo, error) {
+	var reply RequestsReply
+	err := c.get(ctx, address, PathRequests, nil, &reply)
+	return reply.Requests, err
+}
+
+// Load reads the load report of an engine.
+func (c *Client) Load(ctx context.Context, server backend.Server) (backend.Load, error) {
+	var reply LoadReply
+	if err := c.get(ctx, server.Address, PathLoad, nil, &reply); err != nil {
+		return backend.Load{}, err
+	}
+	return backend.Load{
+		ServerID:       server.ID,
+		ObservedAt:     reply.ObservedAt,
+		SlotsUsed:      reply.SlotsUsed,
+		SlotsTotal:     reply.SlotsTotal,
+		PrefillBacklog: time.Duration(reply.PrefillBacklogMS) * time.Millisecond,
+		Leaving:        reply.Leaving,
+	}, nil
+}
+
+// CacheEvents reads the cache events after a sequence number.
+func (c *Client) CacheEvents(ctx context.Context, address netip.AddrPort, after uint64) (CacheEventsReply, error) {
+	var reply CacheEventsReply
+	query := url.Values{"after": {strconv.FormatUint(after, 10)}}
+	err := c.get(ctx, address, PathCacheEvents, query, &reply)
+	return reply, err
+}
+
+// CacheSnapshot reads all cached blocks.
+func (c *Client) CacheSnapshot(ctx context.Context, address netip.AddrPort) (CacheSnapshotReply, error) {
+	var reply CacheSnapshotReply
+	err := c.get(ctx, address, PathCacheSnapshot, nil, &reply)
+	return reply, err
+}
+
+// Order gives an order.
+func (c *Client) Order(ctx context.Context, address netip.AddrPort, order OrderRequest) error {
+	return c.post(ctx, address, PathOrders, order, nil)
+}
+
+// State reads what an engine runs.
+func (c *Client) State(ctx context.Context, address netip.AddrPort) (StateReply, error) {
+	var reply StateReply
+	err := c.get(ctx, address, PathState, nil, &reply)
+	return reply, err
+}
+
+// Next returns the next token, or io.EOF when the stream ended.
+func (s *Stream) Next() (answer.Token, error) {
+	for s.lines.Scan() {
+		line := s.lines.Bytes()
+		if !bytes.HasPrefix(line, []byte(dataPrefix)) {
+			continue
+		}
+		var event TokenEvent
+		if err := json.Unmarshal(line[len(dataPrefix):], &event); err != nil {
+			return answer.Token{}, fmt.Errorf("%w: token event: %w", ErrBroken, err)
+		}
+		return answer.Token{Offset: event.Offset, Text: event.Text, Last: event.Last}, nil
+	}
+	if err := s.lines.Err(); err != nil {
+		return answer.Token{}, fmt.Errorf("%w: %w", ErrBroken, err)
+	}
+	return answer.Token{}, io.EOF
+}
+
+// Close drops the connection. It unblocks a waiting Next.
+func (s *Stream) Close() {
+	s.cancel()
+	s.response.Body.Close()
+}
+
+func (c *Client) stream(ctx context.Context, address netip.AddrPort, path string, body any) (*Stream, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	request, err := newRequest(ctx, http.MethodPost, address, path, nil, body)
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	client := &http.Client{Transport: newTransport(true)}
+	response, err := client.Do(request)
+	if err != nil {
+		cancel()
+		return nil, transportError(err)
+	}
+	if response.StatusCode != http.StatusOK {
+		defer cancel()
+		return nil, replyError(response)
+	}
+	lines := bufio.NewScanner(response.Body)
+	lines.Buffer(make([]byte, 0, 4096), maxLineBytes)
+	return &Stream{response: response, lines: lines, cancel: cancel}, nil
+}
+
+func (c *Client) post(ctx context.Context, address netip.AddrPort, path string, body, reply any) error {
+	request, err := newRequest(ctx, http.MethodPost, address, path, nil, body)
+	if err != nil {
+		return err
+	}
+	return c.do(request, reply)
+}
+
+func (c *Client) get(ctx context.Context, address netip.AddrPort, path string, query url.Values, reply any) error {
+	request, err := newRequest(ctx, http.MethodGet, address, path, query, nil)
+	if err != nil {
+		return err
+	}
+	return c.do(request, reply)
+}
+
+func (c *Client) do(request *http.Request, reply any) error {
+	response, err := c.unary.Do(request)
+	if err != nil {
+		return transportError(err)
+	}
+	if response.StatusCode != http.StatusOK {
+		return replyError(response)
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes))
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrBroken, err)
+	}
+	if reply == nil {
+		return nil
+	}
+	if err := json.Unmarshal(data, reply); err != nil {
+		return fmt.Errorf("%w: reply of %s: %w", ErrBroken, request.URL.Path, err)
+	}
+	return nil
+}
+
+func newRequest(ctx context.Context, method string, address netip.AddrPort, path string, query url.Values, body any) (*http.Request, error) {
+	var data []byte
+	if body != nil {
+		var err error
+		if data, err = json.Marshal(body); err != nil {
+			return nil, err
+		}
+	}
+	target := url.URL{Scheme: "http", Host: address.String(), Path: path, RawQuery: query.Encode()}
+	request, err := http.NewRequestWithContext(ctx, method, target.String(), bytes.NewReader(data))
+	if err != nil {
+		return nil, err
+	}
+	request.Header.Set("Content-Type", "application/json")
+	return request, nil
+}
+
+func newTransport(single bool) *http.Transport {
+	return &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxIdleConnsPerHost: 8,
+		IdleConnTimeout:     time.Minute,
+		DisableKeepAlives:   single,
+	}
+}
+
+func transportError(err error) error {
+	var dial *net.OpError
+	if errors.As(err, &dial) && dial.Op == "dial" {
+		return fmt.Errorf("%w: %w", ErrNotSent, err)
+	}
+	return fmt.Errorf("%w: %w", ErrBroken, err)
+}
+
+func replyError(response *http.Response) error {
+	defer response.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes))
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrBroken, err)
+	}
+	var reply ErrorReply
+	if err := json.Unmarshal(data, &reply); err != nil {
+		return fmt.Errorf("%w: status %d", ErrBroken, response.StatusCode)
+	}
+	if sentinel := errorOf(reply.Code); sentinel != nil {
+		return fmt.Errorf("%w: %s", sentinel, reply.Message)
+	}
+	return fmt.Errorf("%w: status %d: %s", ErrBroken, response.StatusCode, strings.TrimSpace(reply.Message))
+}
+
+func errorOf(code string) error {
+	switch code {
+	case CodeFull:
+		return ErrFull
+	case CodeLeaving:
+		return ErrLeaving
+	case CodeGone:
+		return ErrGone
+	case CodeTransfer:
+		return ErrTransfer
+	case CodeFenced:
+		return ErrFenced
+	case CodeInvalid:
+		return ErrInvalid
+	case CodeBusy:
+		return ErrBusy
+	}
+	return nil
+}
--- /dev/null
+++ b/hickoryd/internal/caller/caller.go
@@ -0,0 +1,416 @@
+// Package caller serves the callers over HTTP: completions in the OpenAI shape
+// and the plain services beside the engines.
+package caller
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/gin-gonic/gin"
+	"github.com/google/uuid"
+
+	"github.com/hickoryfront/hickoryfront/core/claim"
+	"github.com/hickoryfront/hickoryfront/core/config"
+	"github.com/hickoryfront/hickoryfront/core/refusal"
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/dispatch"
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/service"
+)
+
+const (
+	// HeaderWorkspace names the caller's workspace.
+	HeaderWorkspace = "X-Workspace"
+	// HeaderService names the service of a completion request.
+	HeaderService = "X-Service"
+	// HeaderKey is the caller's idempotency key.
+	HeaderKey = "Idempotency-Key"
+	// HeaderRequestID is the caller's own name for the request; it is echoed.
+	HeaderRequestID = "X-Request-Id"
+	// HeaderRan says on each refusal whether the request was run.
+	HeaderRan = "X-Request-Ran"
+
+	maxHeaderValue  = 256
+	maxUnboundBytes = 1 << 20
+)
+
+type (
+	// Models runs completion requests.
+	Models interface {
+		Run(ctx context.Context, request dispatch.ModelRequest, sink dispatch.Sink) error
+	}
+
+	// Plain runs calls of plain services.
+	Plain interface {
+		Run(ctx context.Context, request dispatch.PlainRequest) (claim.Answer, error)
+	}
+
+	// Legacy sends calls to the scripts that are being retired.
+	Legacy interface {
+		DoURL(ctx context.Context, target string, call service.Call) (claim.Answer, error)
+	}
+
+	// Config is the configuration in force.
+	Config interface {
+		Current() *config.Document
+	}
+
+	// Gate says whether new requests are taken.
+	Gate interface {
+		Refuse(now time.Time) *refusal.Refusal
+	}
+
+	// Recorder counts what callers experienced.
+	Recorder interface {
+		Completion(now time.Time, profile config.Profile, service string, timing Timing)
+		Call(now time.Time, profile config.Profile, service string, took time.Duration, ok bool)
+		Refused(service string, r *refusal.Refusal)
+	}
+
+	// Timing is what one completion looked like to its caller.
+	Timing struct {
+		FirstToken time.Duration
+		WorstGap   time.Duration
+		Whole      time.Duration
+		Tokens     int
+		OK         bool
+	}
+
+	// Handler serves callers. It is safe for concurrent use.
+	Handler struct {
+		models   Models
+		plain    Plain
+		legacy   Legacy
+		config   Config
+		gate     Gate
+		recorder Recorder
+		limit    int64
+		inFlight atomic.Int64
+	}
+
+	// call is what is common to all requests of callers.
+	call struct {
+		id        string
+		workspace string
+		service   config.Service
+		profile   config.Profile
+		body      []byte
+	}
+
+	errorBody struct {
+		Error errorDetail `json:"error"`
+	}
+
+	errorDetail struct {
+		Message string `json:"message"`
+		Type    string `json:"type"`
+		Code    string `json:"code"`
+	}
+)
+
+// New returns a handler that takes at most limit requests at once.
+func New(models Models, plain Plain, legacy Legacy, configuration Config, gate Gate, recorder Recorder, limit int) *Handler {
+	return &Handler{
+		models: models, plain: plain, legacy: legacy, config: configuration, gate: gate, recorder: recorder, limit: int64(limit),
+	}
+}
+
+// Routes adds the callers' paths to the engine.
+func (h *Handler) Routes(engine *gin.Engine) {
+	engine.POST("/v1/chat/completions", h.admitted(h.chat))
+	engine.POST("/v1/completions", h.admitted(h.text))
+	engine.GET("/v1/models", h.listModels)
+	engine.Any("/services/:service/*path", h.admitted(h.servePlain))
+	engine.NoRoute(func(c *gin.Context) {
+		h.refuse(c, "", refusal.NotRun(refusal.UnknownService, "no such path; see the API page for the paths that are served"))
+	})
+}
+
+// InFlight returns the number of requests being served.
+func (h *Handler) InFlight() int64 {
+	return h.inFlight.Load()
+}
+
+func (h *Handler) admitted(serve gin.HandlerFunc) gin.HandlerFunc {
+	return func(c *gin.Context) {
+		now := time.Now()
+		count := h.inFlight.Add(1)
+		defer h.inFlight.Add(-1)
+		if r := h.gate.Refuse(now); r != nil {
+			h.refuse(c, "", r)
+			return
+		}
+		if count > h.limit {
+			h.refuse(c, "", refusal.NotRun(refusal.Overloaded, "this host serves %d requests already", h.limit).After(time.Second))
+			return
+		}
+		serve(c)
+	}
+}
+
+func (h *Handler) chat(c *gin.Context) { h.complete(c, true) }
+func (h *Handler) text(c *gin.Context) { h.complete(c, false) }
+
+func (h *Handler) complete(c *gin.Context, chat bool) {
+	arrived := time.Now()
+	document := h.config.Current()
+	request, parsed, r := h.readCompletion(c, document, chat)
+	if r != nil {
+		h.refuse(c, request.service.Name, r)
+		return
+	}
+	if !request.service.Enabled {
+		h.forward(c, request, c.Request.URL.Path)
+		return
+	}
+	sink := newSink(c, request.id, parsed, arrived)
+	err := h.models.Run(c.Request.Context(), dispatch.ModelRequest{
+		ID: request.id, Workspace: request.workspace, Service: request.service, Profile: request.profile,
+		Prompt: parsed.prompt, MaxTokens: parsed.maxTokens, ArrivedAt: arrived,
+	}, sink)
+	if errors.Is(err, context.Canceled) {
+		return
+	}
+	h.recorder.Completion(time.Now(), request.profile, request.service.Name, sink.timing(time.Now(), err == nil))
+	if err != nil {
+		h.fail(c, request.service.Name, sink, err)
+		return
+	}
+	sink.finish(time.Now())
+}
+
+// fail ends an answer that could not be completed. Once a stream has begun its
+// status can't change, so the error is its last event.
+func (h *Handler) fail(c *gin.Context, serviceName string, sink *sink, err error) {
+	r := asRefusal(err)
+	if !sink.started {
+		h.refuse(c, serviceName, r)
+		return
+	}
+	h.recorder.Refused(serviceName, r)
+	sink.event(errorOf(r))
+}
+
+func (h *Handler) readCompletion(c *gin.Context, document *config.Document, chat bool) (call, parsedBody, *refusal.Refusal) {
+	request, r := h.readCaller(c, document)
+	if r != nil {
+		return request, parsedBody{}, r
+	}
+	body, r := readBody(c, largestBody(document))
+	if r != nil {
+		return request, parsedBody{}, r
+	}
+	parsed, err := parseBody(body, chat, math.MaxInt32)
+	if err != nil {
+		return request, parsed, refusal.NotRun(refusal.InvalidRequest, "%v", err)
+	}
+	request.body = body
+	if r = request.bindModel(document, c.GetHeader(HeaderService), parsed.model); r != nil {
+		return request, parsed, r
+	}
+	if int64(len(body)) > request.profile.MaxBodyBytes {
+		return request, parsed, tooLarge(request.profile.MaxBodyBytes)
+	}
+	if parsed, err = parseBody(body, chat, request.profile.MaxTokens); err != nil {
+		return request, parsed, refusal.NotRun(refusal.InvalidRequest, "%v", err)
+	}
+	return request, parsed, nil
+}
+
+func (h *Handler) readCaller(c *gin.Context, document *config.Document) (call, *refusal.Refusal) {
+	request := call{id: uuid.NewString(), workspace: c.GetHeader(HeaderWorkspace)}
+	for _, name := range []string{HeaderWorkspace, HeaderService, HeaderKey, HeaderRequestID} {
+		if len(c.GetHeader(name)) > maxHeaderValue {
+			return request, refusal.NotRun(refusal.HeaderTooLong, "header %s is over %d characters", name, maxHeaderValue)
+		}
+	}
+	if echoed := c.GetHeader(HeaderRequestID); echoed != "" {
+		c.Header(HeaderRequestID, echoed)
+	} else {
+		c.Header(HeaderRequestID, request.id)
+	}
+	if _, ok := document.Workspaces[request.workspace]; !ok {
+		return request, refusal.NotRun(refusal.UnknownWorkspace, "header %s: workspace %q is not configured", HeaderWorkspace, request.workspace)
+	}
+	return request, nil
+}
+
+// bindModel finds the service of a completion request.
+func (r *call) bindModel(document *config.Document, name, model string) *refusal.Refusal {
+	found, ok := document.ServiceForModel(model)
+	if name != "" {
+		found, ok = document.Services[name]
+		if !ok || found.Kind != config.ServiceModel {
+			return refusal.NotRun(refusal.UnknownService, "header %s: no model service %q is bound", HeaderService, name)
+		}
+		if found.Model != model {
+			return refusal.NotRun(refusal.UnknownModel, "service %q serves model %q, not %q", name, found.Model, model)
+		}
+	}
+	if !ok {
+		return refusal.NotRun(refusal.UnknownModel, "no service, or more than one, serves model %q; name the service in header %s", model, HeaderService)
+	}
+	r.service = found
+	r.profile = document.Profiles[found.Profile]
+	return nil
+}
+
+func (h *Handler) servePlain(c *gin.Context) {
+	started := time.Now()
+	document := h.config.Current()
+	request, r := h.readPlain(c, document)
+	if r != nil {
+		h.refuse(c, request.service.Name, r)
+		return
+	}
+	if !request.service.Enabled {
+		h.forward(c, request, c.Request.URL.Path)
+		return
+	}
+	key := c.GetHeader(HeaderKey)
+	repeatable := dispatch.IsRepeatable(request.profile, c.Request.Method)
+	if key == "" && !repeatable {
+		h.refuse(c, request.service.Name, refusal.NotRun(refusal.MissingKey, "%s calls of %q run at most once; send header %s", c.Request.Method, request.service.Name, HeaderKey))
+		return
+	}
+	result, err := h.plain.Run(c.Request.Context(), dispatch.PlainRequest{
+		ID: request.id, Workspace: request.workspace, Service: request.service, Profile: request.profile,
+		Key: key, BodyHash: bodyHash(c, request.body), Repeatable: repeatable, Call: serviceCall(c, request, c.Param("path")),
+	})
+	if errors.Is(err, context.Canceled) {
+		return
+	}
+	h.recorder.Call(time.Now(), request.profile, request.service.Name, time.Since(started), err == nil)
+	if err != nil {
+		h.refuse(c, request.service.Name, asRefusal(err))
+		return
+	}
+	writeAnswer(c, result)
+}
+
+func (h *Handler) readPlain(c *gin.Context, document *config.Document) (call, *refusal.Refusal) {
+	request, r := h.readCaller(c, document)
+	if r != nil {
+		return request, r
+	}
+	found, ok := document.Services[c.Param("service")]
+	if !ok || found.Kind != config.ServicePlain {
+		return request, refusal.NotRun(refusal.UnknownService, "no plain service %q is bound", c.Param("service"))
+	}
+	request.service = found
+	request.profile = document.Profiles[found.Profile]
+	request.body, r = readBody(c, request.profile.MaxBodyBytes)
+	return request, r
+}
+
+// forward passes a call of a disabled service to the scripts of its profile.
+func (h *Handler) forward(c *gin.Context, request call, path string) {
+	target := strings.TrimSuffix(request.profile.LegacyAddress, "/") + path
+	if c.Request.URL.RawQuery != "" {
+		target += "?" + c.Request.URL.RawQuery
+	}
+	result, err := h.legacy.DoURL(c.Request.Context(), target, serviceCall(c, request, path))
+	switch {
+	case errors.Is(err, service.ErrNotSent):
+		h.refuse(c, request.service.Name, refusal.NotRun(refusal.Unavailable, "the legacy address can't be reached").After(time.Second))
+	case err != nil:
+		h.refuse(c, request.service.Name, refusal.MayHaveRun(refusal.BackendFailed, "the legacy address failed: %v", err))
+	default:
+		writeAnswer(c, result)
+	}
+}
+
+func (h *Handler) listModels(c *gin.Context) {
+	type model struct {
+		ID     string `json:"id"`
+		Object string `json:"object"`
+	}
+	models := []model{}
+	seen := map[string]bool{}
+	for _, s := range h.config.Current().Services {
+		if s.Kind == config.ServiceModel && !seen[s.Model] {
+			seen[s.Model] = true
+			models = append(models, model{ID: s.Model, Object: "model"})
+		}
+	}
+	c.JSON(http.StatusOK, gin.H{"object": "list", "data": models})
+}
+
+func (h *Handler) refuse(c *gin.Context, serviceName string, r *refusal.Refusal) {
+	h.recorder.Refused(serviceName, r)
+	c.Header(HeaderRan, string(r.Ran))
+	if r.RetryAfter > 0 {
+		c.Header("Retry-After", strconv.Itoa(int(math.Ceil(r.RetryAfter.Seconds()))))
+	}
+	c.JSON(r.Kind.Status, errorOf(r))
+}
+
+func errorOf(r *refusal.Refusal) errorBody {
+	return errorBody{Error: errorDetail{Message: r.Message, Type: errorType(r.Kind.Status), Code: r.Kind.Code}}
+}
+
+func errorType(status int) string {
+	if status < http.StatusInternalServerError {
+		return "invalid_request_error"
+	}
+	return "server_error"
+}
+
+func asRefusal(err error) *refusal.Refusal {
+	if r := refusal.Of(err); r != nil {
+		return r
+	}
+	return refusal.MayHaveRun(refusal.BackendFailed, "%v", err)
+}
+
+func readBody(c *gin.Context, limit int64) ([]byte, *refusal.Refusal) {
+	data, err := io.ReadAll(io.LimitReader(c.Request.Body, limit+1))
+	if err != nil {
+		return nil, refusal.NotRun(refusal.InvalidRequest, "the body can't be read: %v", err)
+	}
+	if int64(len(data)) > limit {
+		return nil, tooLarge(limit)
+	}
+	return data, nil
+}
+
+func tooLarge(limit int64) *refusal.Refusal {
+	return refusal.NotRun(refusal.BodyTooLarge, "the body is over %d bytes", limit)
+}
+
+// largestBody bounds a body whose service is not known yet.
+func largestBody(document *config.Document) int64 {
+	limit := int64(maxUnboundBytes)
+	for _, p := range document.Profiles {
+		limit = max(limit, p.MaxBodyBytes)
+	}
+	return limit
+}
+
+func bodyHash(c *gin.Context, body []byte) uint64 {
+	digest := xxhash.New()
+	_, _ = digest.WriteString(c.Request.Method + " " + c.Request.URL.RequestURI() + "\n")
+	_, _ = digest.Write(body)
+	return digest.Sum64()
+}
+
+func serviceCall(c *gin.Context, request call, path string) service.Call {
+	return service.Call{
+		RequestID: request.id, Method: c.Request.Method, Path: path, RawQuery: c.Request.URL.RawQuery,
+		Header: c.Request.Header, Body: request.body,
+	}
+}
+
+func writeAnswer(c *gin.Context, result claim.Answer) {
+	for _, header := range result.Headers {
+		c.Writer.Header().Add(header.Name, header.Value)
+	}
+	c.Writer.WriteHeader(result.Status)
+	_, _ = c.Writer.Write(result.Body) // the caller may be gone
+}
--- /dev/null
+++ b/hickoryd/internal/dispatch/reserve.go
@@ -0,0 +1,47 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"github.com/hickoryfront/hickoryfront/core/backend"
+	"github.com/hickoryfront/hickoryfront/core/config"
+	"github.com/hickoryfront/hickoryfront/core/placement"
+	"github.com/hickoryfront/hickoryfront/core/prefix"
+)
+
+// reserve takes a slot on a decode server, waiting up to the profile's limit.
+func (r *run) reserve(ctx context.Context) (backend.Server, error) {
+	m := r.models
+	id := attemptID(r.request.ID, r.assembly.Peek())
+	deadline := r.request.ArrivedAt.Add(r.request.Profile.MaxWait)
+	for {
+		now := time.Now()
+		for _, server := range r.plan(now).Decode {
+			if err := m.slots.Reserve(ctx, now, server, id, reserveLifetime); err == nil {
+				return server, nil
+			}
+		}
+		if !now.Before(deadline) {
+			return backend.Server{}, errNoSlot
+		}
+		if err := wait(ctx, slotPollInterval); err != nil {
+			return backend.Server{}, err
+		}
+	}
+}
+
+func (r *run) plan(now time.Time) placement.Plan {
+	m := r.models
+	return m.policy.Plan(now, placement.Request{
+		ID:            r.request.ID,
+		Model:         r.request.Service.Model,
+		FailureDomain: m.failureDomain,
+		PromptTokens:  prefix.Tokens(r.request.Prompt),
+		MaxTokens:     r.request.MaxTokens,
+		PrefixHashes:  prefix.Hashes(r.request.Prompt),
+		ArrivedAt:     r.request.ArrivedAt,
+		Deadline:      r.request.ArrivedAt.Add(r.request.Profile.FirstTokenTarget),
+		Deferrable:    r.request.Profile.Class == config.ClassDeferrable,
+	}, m.directory.Candidates(r.request.Service.Model))
+}
--- /dev/null
+++ b/hickoryd/internal/home/convert.go
@@ -0,0 +1,136 @@
+package home
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/types/known/durationpb"
+	"google.golang.org/protobuf/types/known/timestamppb"
+
+	"github.com/hickoryfront/hickoryfront/core/claim"
+	"github.com/hickoryfront/hickoryfront/peerapi"
+)
+
+// KeyToWire converts a key.
+func KeyToWire(k claim.Key) *peerapi.Key {
+	return &peerapi.Key{Workspace: k.Workspace, Service: k.Service, Value: k.Value}
+}
+
+// KeyFromWire converts a key.
+func KeyFromWire(k *peerapi.Key) claim.Key {
+	return claim.Key{Workspace: k.GetWorkspace(), Service: k.GetService(), Value: k.GetValue()}
+}
+
+// AnswerToWire converts a stored answer. Nil stays nil.
+func AnswerToWire(a *claim.Answer) *peerapi.Answer {
+	if a == nil {
+		return nil
+	}
+	headers := make([]*peerapi.Header, 0, len(a.Headers))
+	for _, h := range a.Headers {
+		headers = append(headers, &peerapi.Header{Name: h.Name, Value: h.Value})
+	}
+	return &peerapi.Answer{Status: int32(a.Status), Headers: headers, Body: a.Body}
+}
+
+// AnswerFromWire converts a stored answer. Nil stays nil.
+func AnswerFromWire(a *peerapi.Answer) *claim.Answer {
+	if a == nil {
+		return nil
+	}
+	headers := make([]claim.Header, 0, len(a.GetHeaders()))
+	for _, h := range a.GetHeaders() {
+		headers = append(headers, claim.Header{Name: h.GetName(), Value: h.GetValue()})
+	}
+	return &claim.Answer{Status: int(a.GetStatus()), Headers: headers, Body: a.GetBody()}
+}
+
+// GrantToWire converts a grant.
+func GrantToWire(g claim.Grant) *peerapi.Grant {
+	return &peerapi.Grant{
+		Key:       KeyToWire(g.Key),
+		BodyHash:  g.BodyHash,
+		RequestId: g.RequestID,
+		Owner:     &peerapi.Host{Name: g.Owner.Host, Incarnation: g.Owner.Incarnation},
+		GrantedAt: timestamppb.New(g.GrantedAt),
+		Horizon:   durationpb.New(g.Horizon),
+		Settled:   g.Settled,
+		Unknown:   g.Unknown,
+		Answer:    AnswerToWire(g.Answer),
+	}
+}
+
+// GrantFromWire converts a grant.
+func GrantFromWire(g *peerapi.Grant) claim.Grant {
+	return claim.Grant{
+		Key:       KeyFromWire(g.GetKey()),
+		BodyHash:  g.GetBodyHash(),
+		RequestID: g.GetRequestId(),
+		Owner:     claim.Owner{Host: g.GetOwner().GetName(), Incarnation: g.GetOwner().GetIncarnation()},
+		GrantedAt: g.GetGrantedAt().AsTime(),
+		Horizon:   g.GetHorizon().AsDuration(),
+		Settled:   g.GetSettled(),
+		Unknown:   g.GetUnknown(),
+		Answer:    AnswerFromWire(g.GetAnswer()),
+	}
+}
+
+// GrantFromRequest returns the grant that a peer asks for.
+func GrantFromRequest(now time.Time, r *peerapi.ClaimRequest) claim.Grant {
+	return claim.Grant{
+		Key:       KeyFromWire(r.GetKey()),
+		BodyHash:  r.GetBodyHash(),
+		RequestID: r.GetRequestId(),
+		Owner:     claim.Owner{Host: r.GetClaimant().GetName(), Incarnation: r.GetClaimant().GetIncarnation()},
+		GrantedAt: now,
+		Horizon:   r.GetHorizon().AsDuration(),
+	}
+}
+
+// ClaimResponse returns the wire form of a decision.
+func ClaimResponse(outcome claim.Outcome, g claim.Grant) *peerapi.ClaimResponse {
+	return &peerapi.ClaimResponse{
+		Outcome:   outcomeToWire(outcome),
+		Owner:     &peerapi.Host{Name: g.Owner.Host, Incarnation: g.Owner.Incarnation},
+		RequestId: g.RequestID,
+		Answer:    AnswerToWire(g.Answer),
+	}
+}
+
+func grantFromResponse(wanted claim.Grant, r *peerapi.ClaimResponse) claim.Grant {
+	wanted.RequestID = r.GetRequestId()
+	wanted.Owner = claim.Owner{Host: r.GetOwner().GetName(), Incarnation: r.GetOwner().GetIncarnation()}
+	wanted.Answer = AnswerFromWire(r.GetAnswer())
+	return wanted
+}
+
+func outcomeToWire(o claim.Outcome) peerapi.ClaimResponse_Outcome {
+	switch o {
+	case claim.Granted:
+		return peerapi.ClaimResponse_OUTCOME_GRANTED
+	case claim.Running:
+		return peerapi.ClaimResponse_OUTCOME_RUNNING
+	case claim.Settled:
+		return peerapi.ClaimResponse_OUTCOME_SETTLED
+	case claim.Unknown:
+		return peerapi.ClaimResponse_OUTCOME_UNKNOWN
+	case claim.BodyMismatch:
+		return peerapi.ClaimResponse_OUTCOME_BODY_MISMATCH
+	}
+	return peerapi.ClaimResponse_OUTCOME_UNDECIDED
+}
+
+func outcomeFromWire(o peerapi.ClaimResponse_Outcome) claim.Outcome {
+	switch o {
+	case peerapi.ClaimResponse_OUTCOME_GRANTED:
+		return claim.Granted
+	case peerapi.ClaimResponse_OUTCOME_RUNNING:
+		return claim.Running
+	case peerapi.ClaimResponse_OUTCOME_SETTLED:
+		return claim.Settled
+	case peerapi.ClaimResponse_OUTCOME_UNKNOWN:
+		return claim.Unknown
+	case peerapi.ClaimResponse_OUTCOME_BODY_MISMATCH:
+		return claim.BodyMismatch
+	}
+	return claim.Undecided
+}
--- /dev/null
+++ b/hickoryd/internal/home/slots.go
@@ -0,0 +1,244 @@
+// Package home runs what this daemon is the home of: the slots of decode
+// servers and the claims of idempotency keys.
+package home
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/apex/log"
+
+	"github.com/hickoryfront/hickoryfront/core/backend"
+	"github.com/hickoryfront/hickoryfront/core/member"
+	"github.com/hickoryfront/hickoryfront/core/ring"
+	"github.com/hickoryfront/hickoryfront/core/slot"
+)
+
+const (
+	loadInterval = 200 * time.Millisecond
+	loadTimeout  = time.Second
+)
+
+// ErrNotHome means that another daemon is the home.
+var ErrNotHome = errors.New("not the home of this server")
+
+type (
+	// Membership is what homes need of the fleet.
+	Membership interface {
+		Self() member.Host
+		Ring(now time.Time) *ring.Ring
+		IsAlive(now time.Time, name string, incarnation uint64) bool
+	}
+
+	// Directory is what homes need of the backend servers.
+	Directory interface {
+		Servers() []backend.Server
+		ObserveRemote(load backend.Load)
+	}
+
+	// Engines is what the home of a slot needs of the engines.
+	Engines interface {
+		Load(ctx context.Context, server backend.Server) (backend.Load, error)
+	}
+
+	// Canceller ends requests at engines until they confirm.
+	Canceller interface {
+		Cancel(server backend.Server, requestID string, confirmed func())
+	}
+
+	// Slots is the ledger of the servers whose home is this daemon. It is
+	// safe for concurrent use.
+	Slots struct {
+		membership Membership
+		directory  Directory
+		engines    Engines
+		canceller  Canceller
+		logger     log.Interface
+		granted    *metrics.Counter
+		refused    *metrics.Counter
+		reclaimed  *metrics.Counter
+
+		mu         sync.Mutex
+		ledger     *slot.Ledger
+		servers    map[string]backend.Server
+		reclaiming map[string]bool // by request id
+	}
+)
+
+// NewSlots returns an empty ledger.
+func NewSlots(directory Directory, engines Engines, canceller Canceller, logger log.Interface, set *metrics.Set) *Slots {
+	return &Slots{
+		directory:  directory,
+		engines:    engines,
+		canceller:  canceller,
+		logger:     logger,
+		granted:    set.NewCounter(`hickoryfront_reservations_total{result="granted"}`),
+		refused:    set.NewCounter(`hickoryfront_reservations_total{result="refused"}`),
+		reclaimed:  set.NewCounter(`hickoryfront_reservations_reclaimed_total`),
+		ledger:     slot.New(),
+		servers:    map[string]backend.Server{},
+		reclaiming: map[string]bool{},
+	}
+}
+
+// Join sets the membership. It is called once, before Run.
+func (s *Slots) Join(membership Membership) {
+	s.membership = membership
+}
+
+// Reserve grants a slot. The errors are ErrNotHome and those of the ledger.
+func (s *Slots) Reserve(now time.Time, serverID string, r slot.Reservation) (backend.Load, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, ok := s.servers[serverID]; !ok {
+		return backend.Load{}, ErrNotHome
+	}
+	err := s.ledger.Reserve(now, serverID, r)
+	if err != nil {
+		s.refused.Inc()
+	} else {
+		s.granted.Inc()
+	}
+	load, _ := s.ledger.Load(now, serverID)
+	return load, err
+}
+
+// Force records a slot that was taken without asking.
+func (s *Slots) Force(now time.Time, serverID string, r slot.Reservation) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ledger.Force(now, serverID, r)
+}
+
+// Release gives a slot back.
+func (s *Slots) Release(serverID, requestID string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ledger.Release(serverID, requestID)
+}
+
+// LocalLoads returns the digests of the servers whose home is this daemon.
+func (s *Slots) LocalLoads(now time.Time) []backend.Load {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	loads := make([]backend.Load, 0, len(s.servers))
+	for id := range s.servers {
+		if load, ok := s.ledger.Load(now, id); ok {
+			loads = append(loads, load)
+		}
+	}
+	return loads
+}
+
+// ObserveRemote passes digests of other homes to the directory.
+func (s *Slots) ObserveRemote(load backend.Load) {
+	s.directory.ObserveRemote(load)
+}
+
+// Run follows the list and the engines' loads until ctx ends.
+func (s *Slots) Run(ctx context.Context) {
+	ticker := time.NewTicker(loadInterval)
+	defer ticker.Stop()
+	for {
+		s.adopt(time.Now())
+		s.readLoads(ctx)
+		s.reclaim(time.Now())
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// adopt tracks the servers whose home is this daemon and forgets the others.
+func (s *Slots) adopt(now time.Time) {
+	homes := s.membership.Ring(now)
+	self := s.membership.Self().Name
+	mine := map[string]backend.Server{}
+	for _, server := range s.directory.Servers() {
+		if server.Role != backend.RolePlain && homes.Home(server.ID) == self {
+			mine[server.ID] = server
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id := range s.servers {
+		if _, ok := mine[id]; !ok {
+			s.ledger.Forget(id)
+		}
+	}
+	for _, server := range mine {
+		s.ledger.Track(server)
+	}
+	s.servers = mine
+}
+
+func (s *Slots) readLoads(ctx context.Context) {
+	var group sync.WaitGroup
+	for _, server := range s.tracked() {
+		reader := loadReader{slots: s, server: server}
+		group.Go(func() { reader.run(ctx) })
+	}
+	group.Wait()
+}
+
+func (s *Slots) tracked() []backend.Server {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	servers := make([]backend.Server, 0, len(s.servers))
+	for _, server := range s.servers {
+		servers = append(servers, server)
+	}
+	return servers
+}
+
+// reclaim cancels the requests whose holder is dead or whose time is over.
+func (s *Slots) reclaim(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	alive := func(h slot.Holder) bool { return s.membership.IsAlive(now, h.Host, h.Incarnation) }
+	for serverID, reservations := range s.ledger.Expired(now, alive) {
+		for _, r := range reservations {
+			if s.reclaiming[r.RequestID] {
+				continue
+			}
+			s.reclaiming[r.RequestID] = true
+			s.reclaimed.Inc()
+			s.canceller.Cancel(s.servers[serverID], r.RequestID, s.released(serverID, r.RequestID))
+		}
+	}
+}
+
+func (s *Slots) released(serverID, requestID string) func() {
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.ledger.Release(serverID, requestID)
+		delete(s.reclaiming, requestID)
+	}
+}
+
+type loadReader struct {
+	slots  *Slots
+	server backend.Server
+}
+
+func (r loadReader) run(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	load, err := r.slots.engines.Load(ctx, r.server)
+	if err != nil {
+		return
+	}
+	r.slots.mu.Lock()
+	r.slots.ledger.Observe(load)
+	digest, ok := r.slots.ledger.Load(time.Now(), r.server.ID)
+	r.slots.mu.Unlock()
+	if ok {
+		r.slots.directory.ObserveRemote(digest)
+	}
+}
--- /dev/null
+++ b/hickoryd/internal/node/node.go
@@ -0,0 +1,270 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/apex/log"
+	"github.com/gin-gonic/gin"
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+
+	"github.com/hickoryfront/hickoryfront/core/claim"
+	"github.com/hickoryfront/hickoryfront/core/member"
+	"github.com/hickoryfront/hickoryfront/core/placement"
+	"github.com/hickoryfront/hickoryfront/hickoryd/engine"
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/backends"
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/caller"
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/configstore"
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/dispatch"
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/home"
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/operator"
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/peer"
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/peerserver"
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/service"
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/settings"
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/telemetry"
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/transport"
+	"github.com/hickoryfront/hickoryfront/hickoryd/platform"
+)
+
+const (
+	drainPollInterval = 50 * time.Millisecond
+	// balancerPeriod gives the balancer time to see that the host is not ready.
+	balancerPeriod = time.Second
+)
+
+type (
+	// Node is the running daemon.
+	Node struct {
+		settings     settings.Settings
+		logger       log.Interface
+		gate         *Gate
+		membership   *peer.Membership
+		registration *Registration
+		canceller    *dispatch.Canceller
+		pool         *peer.Pool
+		handler      *caller.Handler
+		callers      *httpServer
+		operators    *httpServer
+		peers        *peerServer
+		loops        []runner
+		drained      *DrainWatch
+
+		group sync.WaitGroup
+		stop  context.CancelFunc
+	}
+
+	// runner is a background activity that ends with its context.
+	runner interface {
+		Run(ctx context.Context)
+	}
+
+	parts struct {
+		fx.In
+		Settings     settings.Settings
+		Logger       log.Interface
+		Set          *metrics.Set
+		Security     transport.Security
+		Gate         *Gate
+		Membership   *peer.Membership
+		Registration *Registration
+		Canceller    *dispatch.Canceller
+		Pool         *peer.Pool
+		Store        *configstore.Store
+		Sync         *ConfigSync
+		Directory    *backends.Directory
+		Slots        *home.Slots
+		Caller       *caller.Handler
+		Operator     *operator.Handler
+		PeerServer   *peerserver.Server
+		Drain        *DrainWatch
+	}
+)
+
+// Options returns the wiring of a daemon. start is this life's incarnation.
+func Options(s settings.Settings, logger log.Interface, start time.Time) fx.Option {
+	return fx.Options(
+		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
+		fx.StopTimeout(s.Limits.ShutdownPeriod),
+		fx.Supply(s, s.TLS),
+		fx.Provide(
+			func() log.Interface { return logger },
+			func() member.Host { return hostOf(s, start) },
+			metrics.NewSet,
+			transport.Load,
+			newPlatform, newHostList, newPool, newDirectory, newSlots, newMembership, newClaims,
+			newStore, newRegistration, newGate, newSync, newCanceller, newModels, newPlain, newRouter,
+			newCaller, newOperator, newPeerService, newDrainWatch, newEngines, New,
+			telemetry.New, service.New,
+		),
+		fx.Invoke(join, register),
+	)
+}
+
+// New returns a daemon that listens but does not serve yet.
+func New(p parts) (*Node, error) {
+	gin.SetMode(gin.ReleaseMode)
+	n := &Node{
+		settings: p.Settings, logger: p.Logger, gate: p.Gate, membership: p.Membership, registration: p.Registration,
+		canceller: p.Canceller, pool: p.Pool, handler: p.Caller, drained: p.Drain,
+		loops: []runner{p.Directory, p.Slots, p.Membership, p.Store, p.Sync, p.Registration, p.Drain},
+	}
+	var err error
+	if n.callers, err = newHTTPServer(p.Settings.Listen.Caller, routes(p.Caller), p.Security, p.Logger); err != nil {
+		return nil, err
+	}
+	if n.operators, err = newHTTPServer(p.Settings.Listen.Operator, routes(p.Operator), p.Security, p.Logger); err != nil {
+		return nil, err
+	}
+	n.peers, err = newPeerServer(p.Settings.Listen.Peer, p.PeerServer, p.Security, p.Logger)
+	return n, err
+}
+
+// Start serves.
+func (n *Node) Start(context.Context) error {
+	ctx, stop := context.WithCancel(context.Background())
+	n.stop = stop
+	n.group.Go(n.callers.run)
+	n.group.Go(n.operators.run)
+	n.group.Go(n.peers.run)
+	for _, loop := range n.loops {
+		n.group.Go(func() { loop.Run(ctx) })
+	}
+	n.logger.WithField("caller", n.settings.Listen.Caller.String()).Info("serving")
+	return nil
+}
+
+// Stop lets requests in flight finish and then stops serving.
+func (n *Node) Stop(ctx context.Context) error {
+	n.logger.WithField("inFlight", n.handler.InFlight()).Info("draining")
+	n.gate.Drain()
+	sleep(ctx, balancerPeriod)
+	n.awaitIdle(ctx)
+	_ = n.callers.server.Shutdown(ctx)
+	n.canceller.Close(ctx)
+	n.registration.Close(ctx)
+	n.stop()
+	_ = n.operators.server.Shutdown(ctx)
+	n.peers.stop(ctx)
+	n.pool.Close()
+	n.group.Wait()
+	n.logger.Info("stopped")
+	return nil
+}
+
+func (n *Node) awaitIdle(ctx context.Context) {
+	for n.handler.InFlight() > 0 && ctx.Err() == nil {
+		sleep(ctx, drainPollInterval)
+	}
+	if cut := n.handler.InFlight(); cut > 0 {
+		n.logger.WithField("requests", cut).Error("shutdown period over, requests cut off")
+	}
+}
+
+func register(lifecycle fx.Lifecycle, n *Node) {
+	lifecycle.Append(fx.Hook{OnStart: n.Start, OnStop: n.Stop})
+}
+
+func join(slots *home.Slots, membership *peer.Membership) {
+	slots.Join(membership)
+}
+
+func routes(handler interface{ Routes(engine *gin.Engine) }) *gin.Engine {
+	router := gin.New()
+	router.Use(gin.Recovery())
+	router.ContextWithFallback = true
+	handler.Routes(router)
+	return router
+}
+
+func hostOf(s settings.Settings, start time.Time) member.Host {
+	return member.Host{
+		Name: s.Host.Name, Incarnation: uint64(start.UnixNano()), FailureDomain: s.Host.FailureDomain,
+		PeerAddress: s.Listen.Peer, OperatorAddress: s.Listen.Operator,
+	}
+}
+
+func newPlatform(s settings.Settings, set *metrics.Set) *platform.Client {
+	return platform.New(s.Platform.KV, s.Platform.Timeout, set)
+}
+
+func newHostList(s settings.Settings, set *metrics.Set) *platform.HostList {
+	return platform.NewHostList(s.Platform.HostList, s.Platform.Timeout, set)
+}
+
+func newPool(security transport.Security) *peer.Pool {
+	return peer.NewPool(security.PeerClient())
+}
+
+func newEngines() engines {
+	return engines{engine.New()}
+}
+
+func newDirectory(s settings.Settings, list *platform.HostList, logger log.Interface, set *metrics.Set) *backends.Directory {
+	return backends.New(list, s.Platform.HostListPoll, logger, set)
+}
+
+func newSlots(directory *backends.Directory, e engines, canceller *dispatch.Canceller, logger log.Interface, set *metrics.Set) *home.Slots {
+	return home.NewSlots(directory, e, canceller, logger, set)
+}
+
+func newMembership(s settings.Settings, self member.Host, pool *peer.Pool, slots *home.Slots, logger log.Interface, set *metrics.Set) *peer.Membership {
+	return peer.NewMembership(self, peer.Options{
+		Heartbeat: s.Peers.Heartbeat, Timeout: s.Peers.Timeout, Fanout: s.Peers.Fanout, Seeds: s.Peers.Seeds,
+	}, pool, slots, logger, set)
+}
+
+func newClaims(s settings.Settings) *home.Claims {
+	return home.NewClaims(s.Limits.Claims)
+}
+
+func newStore(kv *platform.Client, logger log.Interface, set *metrics.Set) *configstore.Store {
+	return configstore.New(kv, logger, set)
+}
+
+func newRegistration(s settings.Settings, kv *platform.Client, membership *peer.Membership, logger log.Interface) *Registration {
+	return NewRegistration(kv, membership, s.Platform.LeaseTTL, logger)
+}
+
+func newGate(s settings.Settings, store *configstore.Store, membership *peer.Membership, directory *backends.Directory) *Gate {
+	return NewGate(store, membership, directory, s.Peers.Isolation)
+}
+
+func newSync(store *configstore.Store, membership *peer.Membership, pool *peer.Pool, gate *Gate) *ConfigSync {
+	return NewConfigSync(store, membership, pool, gate)
+}
+
+func newCanceller(e engines, directory *backends.Directory, set *metrics.Set) *dispatch.Canceller {
+	return dispatch.NewCanceller(e, directory, set)
+}
+
+func newRouter(membership *peer.Membership, pool *peer.Pool, slots *home.Slots, claims *home.Claims) *home.Router {
+	return home.NewRouter(membership, pool, slots, claims)
+}
+
+func newModels(s settings.Settings, e engines, router *home.Router, directory *backends.Directory, canceller *dispatch.Canceller, set *metrics.Set) *dispatch.Models {
+	return dispatch.NewModels(s.Host.FailureDomain, placement.LeastLoaded{}, e, router, directory, canceller, set)
+}
+
+func newPlain(self member.Host, client *service.Client, directory *backends.Directory, router *home.Router) *dispatch.Plain {
+	return dispatch.NewPlain(claim.Owner{Host: self.Name, Incarnation: self.Incarnation}, client, directory, router)
+}
+
+func newCaller(s settings.Settings, models *dispatch.Models, plain *dispatch.Plain, client *service.Client, store *configstore.Store, gate *Gate, recorder *telemetry.Recorder) *caller.Handler {
+	return caller.New(models, plain, client, store, gate, recorder, s.Limits.Requests)
+}
+
+func newOperator(s settings.Settings, store *configstore.Store, membership *peer.Membership, directory *backends.Directory, gate *Gate, set *metrics.Set) *operator.Handler {
+	return operator.New(s.Auth.OperatorToken, store, membership, directory, gate, set)
+}
+
+func newPeerService(membership *peer.Membership, slots *home.Slots, claims *home.Claims, store *configstore.Store) *peerserver.Server {
+	return peerserver.New(membership, slots, claims, store)
+}
+
+func newDrainWatch(s settings.Settings, store *configstore.Store, shutdown fx.Shutdowner, logger log.Interface) *DrainWatch {
+	return NewDrainWatch(s.Host.Name, store, shutdown, logger)
+}
--- /dev/null
+++ b/hickoryd/internal/peer/convert.go
@@ -0,0 +1,79 @@
+package peer
+
+import (
+	"net/netip"
+	"time"
+
+	"google.golang.org/protobuf/types/known/durationpb"
+	"google.golang.org/protobuf/types/known/timestamppb"
+
+	"github.com/hickoryfront/hickoryfront/core/backend"
+	"github.com/hickoryfront/hickoryfront/core/member"
+	"github.com/hickoryfront/hickoryfront/peerapi"
+)
+
+// HostToWire converts a host. Addresses are sent as text.
+func HostToWire(h member.Host) *peerapi.Host {
+	return &peerapi.Host{
+		Name:            h.Name,
+		Incarnation:     h.Incarnation,
+		FailureDomain:   h.FailureDomain,
+		PeerAddress:     h.PeerAddress.String(),
+		OperatorAddress: h.OperatorAddress.String(),
+	}
+}
+
+// HostFromWire converts a host. Addresses that can't be parsed stay invalid.
+func HostFromWire(h *peerapi.Host) member.Host {
+	peerAddress, _ := netip.ParseAddrPort(h.GetPeerAddress())
+	operatorAddress, _ := netip.ParseAddrPort(h.GetOperatorAddress())
+	return member.Host{
+		Name:            h.GetName(),
+		Incarnation:     h.GetIncarnation(),
+		FailureDomain:   h.GetFailureDomain(),
+		PeerAddress:     peerAddress,
+		OperatorAddress: operatorAddress,
+	}
+}
+
+func stateToWire(now time.Time, s member.State) *peerapi.HostState {
+	return &peerapi.HostState{
+		Host:           HostToWire(s.Host),
+		ConfigRevision: s.ConfigRevision,
+		Draining:       s.Draining,
+		Age:            durationpb.New(max(0, now.Sub(s.LastSeen))),
+	}
+}
+
+func stateFromWire(now time.Time, s *peerapi.HostState) member.State {
+	return member.State{
+		Host:           HostFromWire(s.GetHost()),
+		ConfigRevision: s.GetConfigRevision(),
+		Draining:       s.GetDraining(),
+		LastSeen:       now.Add(-max(0, s.GetAge().AsDuration())),
+	}
+}
+
+// LoadToWire converts a load digest.
+func LoadToWire(l backend.Load) *peerapi.ServerLoad {
+	return &peerapi.ServerLoad{
+		ServerId:       l.ServerID,
+		SlotsUsed:      uint32(max(0, l.SlotsUsed)),
+		SlotsTotal:     uint32(max(0, l.SlotsTotal)),
+		PrefillBacklog: durationpb.New(l.PrefillBacklog),
+		ObservedAt:     timestamppb.New(l.ObservedAt),
+		Leaving:        l.Leaving,
+	}
+}
+
+// LoadFromWire converts a load digest.
+func LoadFromWire(l *peerapi.ServerLoad) backend.Load {
+	return backend.Load{
+		ServerID:       l.GetServerId(),
+		SlotsUsed:      int(l.GetSlotsUsed()),
+		SlotsTotal:     int(l.GetSlotsTotal()),
+		PrefillBacklog: l.GetPrefillBacklog().AsDuration(),
+		ObservedAt:     l.GetObservedAt().AsTime(),
+		Leaving:        l.GetLeaving(),
+	}
+}
--- /dev/null
+++ b/hickoryd/internal/peer/pool.go
@@ -0,0 +1,75 @@
+// Package peer speaks to the other daemons.
+package peer
+
+import (
+	"net/netip"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/keepalive"
+
+	"github.com/hickoryfront/hickoryfront/peerapi"
+)
+
+const (
+	keepaliveTime    = 10 * time.Second
+	keepaliveTimeout = 2 * time.Second
+	connectTimeout   = time.Second
+)
+
+// reconnect keeps the pause short: a daemon that starts is needed at once.
+var reconnect = backoff.Config{BaseDelay: 50 * time.Millisecond, Multiplier: 1.6, Jitter: 0.2, MaxDelay: time.Second}
+
+// Pool keeps one connection to each daemon. It is safe for concurrent use.
+type Pool struct {
+	credentials credentials.TransportCredentials
+
+	mu    sync.Mutex
+	conns map[netip.AddrPort]*grpc.ClientConn
+}
+
+// NewPool returns an empty pool.
+func NewPool(creds credentials.TransportCredentials) *Pool {
+	return &Pool{credentials: creds, conns: map[netip.AddrPort]*grpc.ClientConn{}}
+}
+
+// Client returns a client of the daemon at address.
+func (p *Pool) Client(address netip.AddrPort) (peerapi.PeerClient, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if conn, ok := p.conns[address]; ok {
+		return peerapi.NewPeerClient(conn), nil
+	}
+	conn, err := grpc.NewClient("passthrough:///"+address.String(),
+		grpc.WithTransportCredentials(p.credentials),
+		grpc.WithConnectParams(grpc.ConnectParams{Backoff: reconnect, MinConnectTimeout: connectTimeout}),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepaliveTime, Timeout: keepaliveTimeout}))
+	if err != nil {
+		return nil, err
+	}
+	p.conns[address] = conn
+	return peerapi.NewPeerClient(conn), nil
+}
+
+// Drop closes the connection to a daemon that is gone.
+func (p *Pool) Drop(address netip.AddrPort) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if conn, ok := p.conns[address]; ok {
+		conn.Close()
+		delete(p.conns, address)
+	}
+}
+
+// Close closes all connections.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, conn := range p.conns {
+		conn.Close()
+		delete(p.conns, address)
+	}
+}
--- /dev/null
+++ b/hickoryd/internal/peerserver/server.go
@@ -0,0 +1,151 @@
+// Package peerserver answers the other daemons.
+package peerserver
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"google.golang.org/protobuf/types/known/timestamppb"
+
+	"github.com/hickoryfront/hickoryfront/core/backend"
+	"github.com/hickoryfront/hickoryfront/core/claim"
+	"github.com/hickoryfront/hickoryfront/core/config"
+	"github.com/hickoryfront/hickoryfront/core/slot"
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/home"
+	"github.com/hickoryfront/hickoryfront/peerapi"
+)
+
+type (
+	// Membership answers heartbeats.
+	Membership interface {
+		Receive(now time.Time, request *peerapi.HeartbeatRequest) *peerapi.HeartbeatResponse
+	}
+
+	// Slots grants the slots of the servers whose home is this daemon.
+	Slots interface {
+		Reserve(now time.Time, serverID string, r slot.Reservation) (backend.Load, error)
+		Force(now time.Time, serverID string, r slot.Reservation)
+		Release(serverID, requestID string)
+	}
+
+	// Claims grants the keys whose home is this daemon.
+	Claims interface {
+		Claim(now time.Time, wanted claim.Grant) (claim.Outcome, claim.Grant, error)
+		Settle(key claim.Key, requestID string, answer *claim.Answer, unknown bool)
+		Withdraw(key claim.Key, requestID string)
+		Grants(now time.Time) []claim.Grant
+	}
+
+	// Config is the configuration in force.
+	Config interface {
+		Current() *config.Document
+	}
+
+	// Server implements the Peer service.
+	Server struct {
+		peerapi.UnimplementedPeerServer
+		membership Membership
+		slots      Slots
+		claims     Claims
+		config     Config
+	}
+)
+
+// New returns a server.
+func New(membership Membership, slots Slots, claims Claims, configuration Config) *Server {
+	return &Server{membership: membership, slots: slots, claims: claims, config: configuration}
+}
+
+// Heartbeat implements the Peer service.
+func (s *Server) Heartbeat(_ context.Context, request *peerapi.HeartbeatRequest) (*peerapi.HeartbeatResponse, error) {
+	return s.membership.Receive(time.Now(), request), nil
+}
+
+// Reserve implements the Peer service.
+func (s *Server) Reserve(_ context.Context, request *peerapi.ReserveRequest) (*peerapi.ReserveResponse, error) {
+	now := time.Now()
+	r := slot.Reservation{
+		RequestID: request.GetRequestId(),
+		Holder:    slot.Holder{Host: request.GetHolder().GetName(), Incarnation: request.GetHolder().GetIncarnation()},
+		Deadline:  now.Add(request.GetLifetime().AsDuration()),
+		KVBytes:   request.GetKvBytes(),
+	}
+	if request.GetForced() {
+		s.slots.Force(now, request.GetServerId(), r)
+		return &peerapi.ReserveResponse{Outcome: peerapi.ReserveResponse_OUTCOME_GRANTED}, nil
+	}
+	load, err := s.slots.Reserve(now, request.GetServerId(), r)
+	return &peerapi.ReserveResponse{
+		Outcome: reserveOutcome(err),
+		Load: &peerapi.ServerLoad{
+			ServerId:   request.GetServerId(),
+			SlotsUsed:  uint32(load.SlotsUsed),
+			SlotsTotal: uint32(load.SlotsTotal),
+			ObservedAt: timestamppb.New(load.ObservedAt),
+			Leaving:    load.Leaving,
+		},
+	}, nil
+}
+
+// Release implements the Peer service.
+func (s *Server) Release(_ context.Context, request *peerapi.ReleaseRequest) (*peerapi.ReleaseResponse, error) {
+	s.slots.Release(request.GetServerId(), request.GetRequestId())
+	return &peerapi.ReleaseResponse{}, nil
+}
+
+// Claim implements the Peer service.
+func (s *Server) Claim(_ context.Context, request *peerapi.ClaimRequest) (*peerapi.ClaimResponse, error) {
+	now := time.Now()
+	outcome, grant, err := s.claims.Claim(now, home.GrantFromRequest(now, request))
+	if err != nil {
+		return &peerapi.ClaimResponse{Outcome: peerapi.ClaimResponse_OUTCOME_UNDECIDED}, nil
+	}
+	return home.ClaimResponse(outcome, grant), nil
+}
+
+// Settle implements the Peer service.
+func (s *Server) Settle(_ context.Context, request *peerapi.SettleRequest) (*peerapi.SettleResponse, error) {
+	key := home.KeyFromWire(request.GetKey())
+	if request.GetNotRun() {
+		s.claims.Withdraw(key, request.GetRequestId())
+		return &peerapi.SettleResponse{}, nil
+	}
+	s.claims.Settle(key, request.GetRequestId(), home.AnswerFromWire(request.GetAnswer()), request.GetUnknown())
+	return &peerapi.SettleResponse{}, nil
+}
+
+// ListGrants implements the Peer service.
+func (s *Server) ListGrants(_ context.Context, _ *peerapi.ListGrantsRequest) (*peerapi.ListGrantsResponse, error) {
+	held := s.claims.Grants(time.Now())
+	grants := make([]*peerapi.Grant, 0, len(held))
+	for _, g := range held {
+		grants = append(grants, home.GrantToWire(g))
+	}
+	return &peerapi.ListGrantsResponse{Grants: grants}, nil
+}
+
+// FetchConfig implements the Peer service.
+func (s *Server) FetchConfig(_ context.Context, request *peerapi.FetchConfigRequest) (*peerapi.FetchConfigResponse, error) {
+	document := s.config.Current()
+	if document.Revision <= request.GetAfter() {
+		return &peerapi.FetchConfigResponse{Revision: document.Revision}, nil
+	}
+	data, err := document.TakeSnapshot(time.Now()).Encode()
+	if err != nil {
+		return nil, err
+	}
+	return &peerapi.FetchConfigResponse{Revision: document.Revision, Document: data}, nil
+}
+
+func reserveOutcome(err error) peerapi.ReserveResponse_Outcome {
+	switch {
+	case err == nil:
+		return peerapi.ReserveResponse_OUTCOME_GRANTED
+	case errors.Is(err, slot.ErrFull):
+		return peerapi.ReserveResponse_OUTCOME_FULL
+	case errors.Is(err, slot.ErrLeaving):
+		return peerapi.ReserveResponse_OUTCOME_LEAVING
+	}
+	return peerapi.ReserveResponse_OUTCOME_NOT_HOME
+}
--- /dev/null
+++ b/hickoryd/internal/settings/settings.go
@@ -0,0 +1,160 @@
+// Package settings reads the daemon's own settings: where it runs, where it
+// listens and where the platform is. Everything else is configuration and
+// comes through the platform.
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/hickoryfront/hickoryfront/core/setting"
+)
+
+// ErrInvalid marks settings that fail their checks.
+var ErrInvalid = errors.New("invalid settings")
+
+type (
+	// Settings are the daemon's settings.
+	Settings struct {
+		Host     Host
+		Listen   Listen
+		Platform Platform
+		Peers    Peers
+		Limits   Limits
+		Auth     Auth
+		TLS      TLS
+		Log      Log
+	}
+
+	// Host says which host this is.
+	Host struct {
+		Name          string
+		FailureDomain string
+	}
+
+	// Listen holds the addresses that the daemon serves.
+	Listen struct {
+		Caller   netip.AddrPort
+		Operator netip.AddrPort
+		Peer     netip.AddrPort
+	}
+
+	// Platform says how to reach the platform's services.
+	Platform struct {
+		KV           netip.AddrPort
+		HostList     netip.AddrPort
+		HostListPoll time.Duration
+		Timeout      time.Duration
+		LeaseTTL     time.Duration
+	}
+
+	// Peers tunes the traffic between daemons.
+	Peers struct {
+		Seeds     []netip.AddrPort
+		Heartbeat time.Duration
+		Fanout    int
+		Timeout   time.Duration
+		Isolation time.Duration
+	}
+
+	// Limits bound what the daemon holds.
+	Limits struct {
+		Requests       int
+		Claims         int
+		AnswerBytes    int64
+		ShutdownPeriod time.Duration
+		KVRate         int64
+	}
+
+	// Auth holds the operators' token.
+	Auth struct {
+		OperatorToken string
+	}
+
+	// TLS names the files of the daemon's certificate. All are empty when
+	// connections are plain.
+	TLS struct {
+		Certificate string
+		Key         string
+		CA          string
+	}
+
+	// Log sets the log.
+	Log struct {
+		Level string
+	}
+)
+
+// Load reads and checks a settings file. Errors name the file, section and key.
+func Load(path string) (Settings, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, fmt.Errorf("%w: %w", ErrInvalid, err)
+	}
+	s, err := Parse(text)
+	if err != nil {
+		return s, fmt.Errorf("%w: %s: %w", ErrInvalid, path, err)
+	}
+	return s, nil
+}
+
+// Parse checks the text of a settings file.
+func Parse(text []byte) (Settings, error) {
+	var s Settings
+	if err := setting.Parse(text, bindings(&s)); err != nil {
+		return s, err
+	}
+	set := 0
+	for _, file := range []string{s.TLS.Certificate, s.TLS.Key, s.TLS.CA} {
+		if file != "" {
+			set++
+		}
+	}
+	if set != 0 && set != 3 {
+		return s, setting.KeyError{Section: "tls", Name: "certificate", Reason: "set certificate, key and ca together, or none"}
+	}
+	return s, nil
+}
+
+// Keys returns all settings in order.
+func Keys() []setting.Key {
+	return setting.Keys(bindings(&Settings{}))
+}
+
+// Enabled reports whether connections use TLS.
+func (t TLS) Enabled() bool {
+	return t.Certificate != ""
+}
+
+func bindings(s *Settings) []setting.Binding {
+	return []setting.Binding{
+		setting.Bind("host", "name", "", "name of this host, unique in the fleet", setting.Required(&s.Host.Name)),
+		setting.Bind("host", "failureDomain", "", "failure domain of this host", setting.Required(&s.Host.FailureDomain)),
+		setting.Bind("listen", "caller", "", "address for callers", setting.AddrPort(&s.Listen.Caller)),
+		setting.Bind("listen", "operator", "", "address for operators, health checks and metrics", setting.AddrPort(&s.Listen.Operator)),
+		setting.Bind("listen", "peer", "", "address for the other daemons", setting.AddrPort(&s.Listen.Peer)),
+		setting.Bind("platform", "kv", "", "address of the platform's key-value service", setting.AddrPort(&s.Platform.KV)),
+		setting.Bind("platform", "hostList", "", "address of the platform's host list", setting.AddrPort(&s.Platform.HostList)),
+		setting.Bind("platform", "hostListPoll", "1s", "time between reads of the host list", setting.Duration(&s.Platform.HostListPoll)),
+		setting.Bind("platform", "timeout", "2s", "longest wait for an answer of the platform", setting.Duration(&s.Platform.Timeout)),
+		setting.Bind("platform", "leaseTTL", "30s", "lifetime of this daemon's lease", setting.Duration(&s.Platform.LeaseTTL)),
+		setting.Bind("peers", "seeds", "", "peer addresses to try while the platform is down", setting.AddrPorts(&s.Peers.Seeds)),
+		setting.Bind("peers", "heartbeat", "500ms", "time between heartbeats", setting.Duration(&s.Peers.Heartbeat)),
+		setting.Bind("peers", "fanout", "4", "daemons that get each heartbeat", setting.Integer(&s.Peers.Fanout)),
+		setting.Bind("peers", "timeout", "3s", "silence after which a daemon counts as dead", setting.Duration(&s.Peers.Timeout)),
+		setting.Bind("peers", "isolation", "15s", "time without platform and peers after which new work is refused", setting.Duration(&s.Peers.Isolation)),
+		setting.Bind("limits", "requests", "4096", "requests in flight", setting.Integer(&s.Limits.Requests)),
+		setting.Bind("limits", "claims", "200000", "idempotency keys held by this daemon", setting.Integer(&s.Limits.Claims)),
+		setting.Bind("limits", "answerBytes", "65536", "largest answer kept for resends", setting.Integer(&s.Limits.AnswerBytes)),
+		setting.Bind("limits", "shutdown", "10m", "longest wait for requests in flight at shutdown", setting.Duration(&s.Limits.ShutdownPeriod)),
+		setting.Bind("limits", "kvRate", "1250000000", "bytes per second of a KV link", setting.Integer(&s.Limits.KVRate)),
+		setting.Bind("auth", "operatorToken", "", "bearer token of the operators' API", setting.Secret(&s.Auth.OperatorToken)),
+		setting.Bind("tls", "certificate", "", "certificate file", setting.Text(&s.TLS.Certificate)),
+		setting.Bind("tls", "key", "", "private key file", setting.Text(&s.TLS.Key)),
+		setting.Bind("tls", "ca", "", "file of the certificate authority that signs daemons", setting.Text(&s.TLS.CA)),
+		setting.Bind("log", "level", "info", "debug, info, warn or error", setting.OneOf(&s.Log.Level, "debug", "info", "warn", "error")),
+	}
+}
--- /dev/null
+++ b/hickoryd/main.go
@@ -0,0 +1,21 @@
+// Hickoryd is the daemon of hickoryfront: a router for separate prefill and
+// decode pools.
+package main
+
+import (
+	"context"
+	"flag"
+	"os"
+
+	"github.com/google/subcommands"
+
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/command"
+)
+
+func main() {
+	subcommands.Register(subcommands.HelpCommand(), "")
+	subcommands.Register(command.NewServe(os.Stderr), "")
+	subcommands.Register(command.NewCheck(os.Stdout, os.Stderr), "")
+	flag.Parse()
+	os.Exit(int(subcommands.Execute(context.Background())))
+}
--- /dev/null
+++ b/hickoryd/platform/platform.go
@@ -0,0 +1,286 @@
+// Package platform speaks to the platform's key-value service and host list
+// over a subset of the published Consul HTTP API.
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+const (
+	maxValueBytes = 1 << 20
+	maxReplyBytes = 64 << 20
+	indexHeader   = "X-Consul-Index"
+)
+
+var (
+	// ErrUnavailable means that no answer came. A write may have taken effect.
+	ErrUnavailable = errors.New("platform unavailable")
+	// ErrTooLarge means that a value is over the platform's limit.
+	ErrTooLarge = errors.New("value is larger than the platform allows")
+	// ErrLeaseLost means that the lease has lapsed or was revoked.
+	ErrLeaseLost = errors.New("lease lost")
+)
+
+type (
+	// Client is one connection pool to the key-value service.
+	Client struct {
+		base    string
+		http    *http.Client
+		timeout time.Duration
+		calls   map[string]*metrics.Counter
+		errors  *metrics.Counter
+	}
+
+	// Value is one stored value. Index 0 means that the key does not exist.
+	Value struct {
+		Key   string
+		Data  []byte
+		Index uint64
+		Lease string // lease that holds the key, if any
+	}
+
+	pair struct {
+		Key         string
+		Value       []byte
+		ModifyIndex uint64
+		Session     string
+	}
+
+	sessionRequest struct {
+		Name      string
+		TTL       string
+		Behavior  string
+		LockDelay string
+	}
+
+	sessionReply struct {
+		ID string
+	}
+)
+
+// New returns a client for the service at address.
+func New(address netip.AddrPort, timeout time.Duration, set *metrics.Set) *Client {
+	calls := map[string]*metrics.Counter{}
+	for _, class := range []string{"get", "list", "watch", "put", "delete", "lease"} {
+		calls[class] = set.NewCounter(fmt.Sprintf(`hickoryfront_platform_calls_total{class=%q}`, class))
+	}
+	return &Client{
+		base:    "http://" + address.String(),
+		http:    &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute}},
+		timeout: timeout,
+		calls:   calls,
+		errors:  set.NewCounter(`hickoryfront_platform_errors_total`),
+	}
+}
+
+// Get reads one key. A missing key is a Value with Index 0.
+func (c *Client) Get(ctx context.Context, key string) (Value, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	v, _, err := c.read(ctx, "get", key, nil)
+	return v, err
+}
+
+// Watch waits until the key changes after index, or until wait has passed. It
+// returns the value and the index to watch from next.
+func (c *Client) Watch(ctx context.Context, key string, index uint64, wait time.Duration) (Value, uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+wait/16+c.timeout)
+	defer cancel()
+	query := url.Values{}
+	query.Set("index", strconv.FormatUint(index, 10))
+	query.Set("wait", strconv.FormatInt(wait.Milliseconds(), 10)+"ms")
+	return c.read(ctx, "watch", key, query)
+}
+
+// List reads all keys under a prefix.
+func (c *Client) List(ctx context.Context, prefix string) ([]Value, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	pairs, _, err := c.fetch(ctx, "list", prefix, url.Values{"recurse": {"true"}})
+	if err != nil {
+		return nil, err
+	}
+	values := make([]Value, 0, len(pairs))
+	for _, p := range pairs {
+		values = append(values, p.value())
+	}
+	return values, nil
+}
+
+// CompareAndSwap writes data if the key's index is still index; index 0 means
+// that the key must not exist. It returns false when another write was first.
+// After ErrUnavailable the write may have taken effect.
+func (c *Client) CompareAndSwap(ctx context.Context, key string, data []byte, index uint64) (bool, error) {
+	return c.write(ctx, key, data, url.Values{"cas": {strconv.FormatUint(index, 10)}})
+}
+
+// Acquire writes data and holds the key for a lease. It returns false when
+// another lease holds the key.
+func (c *Client) Acquire(ctx context.Context, key string, data []byte, lease string) (bool, error) {
+	return c.write(ctx, key, data, url.Values{"acquire": {lease}})
+}
+
+// Delete removes a key.
+func (c *Client) Delete(ctx context.Context, key string) error {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	_, err := c.call(ctx, "delete", http.MethodDelete, "/v1/kv/"+escape(key), nil, nil)
+	return err
+}
+
+// GrantLease creates a lease. Keys that it holds are deleted when it lapses.
+func (c *Client) GrantLease(ctx context.Context, name string, ttl time.Duration) (string, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	body, err := json.Marshal(sessionRequest{Name: name, TTL: ttl.String(), Behavior: "delete", LockDelay: "0s"})
+	if err != nil {
+		return "", err
+	}
+	data, err := c.call(ctx, "lease", http.MethodPut, "/v1/session/create", nil, body)
+	if err != nil {
+		return "", err
+	}
+	var reply sessionReply
+	if err := json.Unmarshal(data, &reply); err != nil || reply.ID == "" {
+		return "", fmt.Errorf("%w: lease reply %q", ErrUnavailable, data)
+	}
+	return reply.ID, nil
+}
+
+// KeepLease renews a lease. ErrLeaseLost means that it has lapsed.
+func (c *Client) KeepLease(ctx context.Context, lease string) error {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	_, err := c.call(ctx, "lease", http.MethodPut, "/v1/session/renew/"+lease, nil, nil)
+	if errors.Is(err, errNotFound) {
+		return ErrLeaseLost
+	}
+	return err
+}
+
+// RevokeLease ends a lease.
+func (c *Client) RevokeLease(ctx context.Context, lease string) error {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	_, err := c.call(ctx, "lease", http.MethodPut, "/v1/session/destroy/"+lease, nil, nil)
+	return err
+}
+
+var errNotFound = errors.New("not found")
+
+func (c *Client) read(ctx context.Context, class, key string, query url.Values) (Value, uint64, error) {
+	pairs, index, err := c.fetch(ctx, class, key, query)
+	if err != nil || len(pairs) == 0 {
+		return Value{Key: key}, index, err
+	}
+	return pairs[0].value(), index, nil
+}
+
+func (c *Client) fetch(ctx context.Context, class, key string, query url.Values) ([]pair, uint64, error) {
+	c.calls[class].Inc()
+	request, err := c.request(ctx, http.MethodGet, "/v1/kv/"+escape(key), query, nil)
+	if err != nil {
+		return nil, 0, err
+	}
+	response, data, err := c.roundTrip(request)
+	if err != nil {
+		return nil, 0, err
+	}
+	index, _ := strconv.ParseUint(response.Header.Get(indexHeader), 10, 64)
+	if response.StatusCode == http.StatusNotFound {
+		return nil, index, nil
+	}
+	if response.StatusCode != http.StatusOK {
+		return nil, 0, c.statusError(response, data)
+	}
+	var pairs []pair
+	if err := json.Unmarshal(data, &pairs); err != nil {
+		return nil, 0, fmt.Errorf("%w: reply for %s: %w", ErrUnavailable, key, err)
+	}
+	return pairs, index, nil
+}
+
+func (c *Client) write(ctx context.Context, key string, data []byte, query url.Values) (bool, error) {
+	if len(data) > maxValueBytes {
+		return false, fmt.Errorf("%w: %s has %d bytes", ErrTooLarge, key, len(data))
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	reply, err := c.call(ctx, "put", http.MethodPut, "/v1/kv/"+escape(key), query, data)
+	if err != nil {
+		return false, err
+	}
+	return strings.TrimSpace(string(reply)) == "true", nil
+}
+
+func (c *Client) call(ctx context.Context, class, method, path string, query url.Values, body []byte) ([]byte, error) {
+	c.calls[class].Inc()
+	request, err := c.request(ctx, method, path, query, body)
+	if err != nil {
+		return nil, err
+	}
+	response, data, err := c.roundTrip(request)
+	if err != nil {
+		return nil, err
+	}
+	if response.StatusCode == http.StatusNotFound {
+		return nil, errNotFound
+	}
+	if response.StatusCode != http.StatusOK {
+		return nil, c.statusError(response, data)
+	}
+	return data, nil
+}
+
+func (c *Client) request(ctx context.Context, method, path string, query url.Values, body []byte) (*http.Request, error) {
+	address := c.base + path
+	if len(query) > 0 {
+		address += "?" + query.Encode()
+	}
+	return http.NewRequestWithContext(ctx, method, address, bytes.NewReader(body))
+}
+
+func (c *Client) roundTrip(request *http.Request) (*http.Response, []byte, error) {
+	response, err := c.http.Do(request)
+	if err != nil {
+		c.errors.Inc()
+		return nil, nil, fmt.Errorf("%w: %w", ErrUnavailable, err)
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes))
+	if err != nil {
+		c.errors.Inc()
+		return nil, nil, fmt.Errorf("%w: %w", ErrUnavailable, err)
+	}
+	return response, data, nil
+}
+
+func (c *Client) statusError(response *http.Response, data []byte) error {
+	c.errors.Inc()
+	return fmt.Errorf("%w: status %d: %s", ErrUnavailable, response.StatusCode, bytes.TrimSpace(data))
+}
+
+func (p pair) value() Value {
+	return Value{Key: p.Key, Data: p.Value, Index: p.ModifyIndex, Lease: p.Session}
+}
+
+func escape(key string) string {
+	parts := strings.Split(key, "/")
+	for i, part := range parts {
+		parts[i] = url.PathEscape(part)
+	}
+	return strings.Join(parts, "/")
+}
--- /dev/null
+++ b/hickorylab/main.go
@@ -0,0 +1,27 @@
+// Hickorylab holds the stand-ins and tools with which hickoryfront is tried
+// out and measured.
+package main
+
+import (
+	"context"
+	"flag"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/google/subcommands"
+
+	"github.com/hickoryfront/hickoryfront/hickorylab/internal/command"
+)
+
+func main() {
+	subcommands.Register(subcommands.HelpCommand(), "")
+	subcommands.Register(command.NewPlatform(os.Stderr), "stand-ins")
+	subcommands.Register(command.NewEngine(os.Stderr), "stand-ins")
+	subcommands.Register(command.NewService(os.Stderr), "stand-ins")
+	flag.Parse()
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	status := subcommands.Execute(ctx)
+	stop()
+	os.Exit(int(status))
+}
