Add placement policies, admission queue and a bench that drives them

Cause: placement ordered servers by load alone, and nothing measured it. Ruled out: a simulator of clusters; the driver models engines, links, late reports and callers only, and runs the product's own core code.

--- /dev/null
+++ b/core/admission/queue.go
@@ -0,0 +1,337 @@
+package admission
+
+import (
+	"container/heap"
+	"errors"
+	"math"
+	"time"
+)
+
+const (
+	// drainWindow is the busy time over which the drain rate is averaged.
+	drainWindow = 5 * time.Second
+	// minRetryAfter is the least time after which a refused caller may return.
+	minRetryAfter = time.Second
+	// maxRetryAfter bounds the advice when nothing drains at all.
+	maxRetryAfter = 2 * time.Minute
+	// agedTurn lets every second turn go to an aged deferrable request while
+	// interactive ones wait.
+	agedTurn = 2
+	// defaultShare is the weight of a workspace without a share of its own.
+	defaultShare = 1
+)
+
+var (
+	// ErrOverloaded means that the request would wait longer than it may.
+	ErrOverloaded = errors.New("predicted wait is over the limit")
+	// ErrQueueFull means that the queue holds as many requests as it may.
+	ErrQueueFull = errors.New("waiting queue is full")
+)
+
+type (
+	// Ticket is one request that waits for servers.
+	Ticket struct {
+		ID         string
+		Workspace  string
+		Share      float64 // weight of the workspace
+		Deferrable bool
+		Cost       float64 // predicted slot time in seconds
+		ArrivedAt  time.Time
+		AgeAfter   time.Duration // wait after which a deferrable request takes turns with interactive ones
+		Deadline   time.Time     // latest start
+	}
+
+	// Refusal says why a ticket is not taken and when to come back.
+	Refusal struct {
+		Reason     error
+		Predicted  time.Duration
+		RetryAfter time.Duration
+	}
+
+	// Queue orders the waiting requests of one model at one daemon. It is not
+	// safe for concurrent use.
+	Queue struct {
+		limit       int
+		interactive lane
+		deferrable  lane
+		arrivals    []*entry // deferrable tickets in order of arrival
+		byID        map[string]*entry
+		turn        int
+	}
+
+	// lane holds the tickets of one class by their start tags: start-time fair
+	// queueing between workspaces.
+	lane struct {
+		heap    entryHeap
+		virtual float64
+		finish  map[string]float64 // last finish tag, by workspace
+		cost    float64            // of all tickets
+		drained drain
+	}
+
+	entry struct {
+		ticket Ticket
+		start  float64
+		index  int
+		gone   bool
+	}
+
+	entryHeap []*entry
+
+	// drain measures the cost that leaves a lane per second of busy time.
+	drain struct {
+		rate float64
+		at   time.Time
+		seen float64 // cost so far, up to a window's worth of evidence
+	}
+)
+
+// Error implements error.
+func (r *Refusal) Error() string {
+	return r.Reason.Error()
+}
+
+// Unwrap returns the reason.
+func (r *Refusal) Unwrap() error {
+	return r.Reason
+}
+
+// NewQueue returns an empty queue of at most limit tickets.
+func NewQueue(limit int) *Queue {
+	return &Queue{
+		limit:       max(1, limit),
+		interactive: lane{finish: map[string]float64{}},
+		deferrable:  lane{finish: map[string]float64{}},
+		byID:        map[string]*entry{},
+	}
+}
+
+// Len returns the number of waiting tickets.
+func (q *Queue) Len() int {
+	return len(q.byID)
+}
+
+// Offer takes a ticket in or refuses it at once with a *Refusal.
+func (q *Queue) Offer(now time.Time, t Ticket) error {
+	if _, ok := q.byID[t.ID]; ok {
+		return nil
+	}
+	predicted := q.Predict(now, t.Deferrable)
+	allowed := t.Deadline.Sub(now)
+	if predicted > allowed {
+		return &Refusal{Reason: ErrOverloaded, Predicted: predicted, RetryAfter: retryAfter(predicted - allowed)}
+	}
+	if len(q.byID) >= q.limit {
+		return &Refusal{Reason: ErrQueueFull, Predicted: predicted, RetryAfter: retryAfter(predicted)}
+	}
+	q.put(now, t)
+	return nil
+}
+
+func (q *Queue) put(now time.Time, t Ticket) {
+	if t.Share <= 0 {
+		t.Share = defaultShare
+	}
+	e := q.lane(t.Deferrable).push(now, t)
+	q.byID[t.ID] = e
+	if t.Deferrable {
+		q.arrivals = append(q.arrivals, e)
+	}
+}
+
+// Readmit takes a ticket back in that had its turn before, such as after its
+// server died. It is never refused.
+func (q *Queue) Readmit(now time.Time, t Ticket) {
+	if _, ok := q.byID[t.ID]; !ok {
+		q.put(now, t)
+	}
+}
+
+// Advice returns the time after which a ticket whose deadline has passed may
+// come back.
+func (q *Queue) Advice(now time.Time, t Ticket) time.Duration {
+	return retryAfter(q.Predict(now, t.Deferrable) - t.Deadline.Sub(t.ArrivedAt))
+}
+
+// Predict returns the wait that a new ticket of a class has before it.
+func (q *Queue) Predict(now time.Time, deferrable bool) time.Duration {
+	l := q.lane(deferrable)
+	return l.drained.time(now, l.cost)
+}
+
+// Head returns the ticket whose turn it is. It stays in the queue until Take or
+// Remove.
+func (q *Queue) Head(now time.Time) (Ticket, bool) {
+	aged := q.aged(now)
+	switch {
+	case aged != nil && (q.interactive.empty() || q.turn%agedTurn == agedTurn-1):
+		return aged.ticket, true
+	case !q.interactive.empty():
+		return q.interactive.heap[0].ticket, true
+	case !q.deferrable.empty():
+		return q.deferrable.heap[0].ticket, true
+	}
+	return Ticket{}, false
+}
+
+// HeadOf returns the ticket whose turn it is within one class.
+func (q *Queue) HeadOf(now time.Time, deferrable bool) (Ticket, bool) {
+	if aged := q.aged(now); deferrable && aged != nil {
+		return aged.ticket, true
+	}
+	l := q.lane(deferrable)
+	if l.empty() {
+		return Ticket{}, false
+	}
+	return l.heap[0].ticket, true
+}
+
+// Take removes a ticket that got its servers.
+func (q *Queue) Take(now time.Time, id string) {
+	e, ok := q.byID[id]
+	if !ok {
+		return
+	}
+	q.turn++
+	l := q.lane(e.ticket.Deferrable)
+	l.virtual = max(l.virtual, e.start)
+	l.drained.add(now, e.ticket.Cost)
+	q.remove(e)
+}
+
+// Remove drops a ticket whose caller is gone.
+func (q *Queue) Remove(id string) {
+	if e, ok := q.byID[id]; ok {
+		q.remove(e)
+	}
+}
+
+// Expire removes and returns the tickets whose deadline has passed, so that
+// they are refused at once.
+func (q *Queue) Expire(now time.Time) []Ticket {
+	var expired []Ticket
+	for _, l := range []*lane{&q.interactive, &q.deferrable} {
+		for _, e := range append(entryHeap(nil), l.heap...) {
+			if now.After(e.ticket.Deadline) {
+				expired = append(expired, e.ticket)
+				q.remove(e)
+			}
+		}
+	}
+	return expired
+}
+
+func (q *Queue) lane(deferrable bool) *lane {
+	if deferrable {
+		return &q.deferrable
+	}
+	return &q.interactive
+}
+
+func (q *Queue) remove(e *entry) {
+	e.gone = true
+	delete(q.byID, e.ticket.ID)
+	q.lane(e.ticket.Deferrable).remove(e)
+}
+
+// aged returns the oldest deferrable ticket if it has waited long enough.
+func (q *Queue) aged(now time.Time) *entry {
+	for len(q.arrivals) > 0 && q.arrivals[0].gone {
+		q.arrivals = q.arrivals[1:]
+	}
+	if len(q.arrivals) == 0 {
+		return nil
+	}
+	oldest := q.arrivals[0]
+	if oldest.ticket.AgeAfter <= 0 || now.Sub(oldest.ticket.ArrivedAt) < oldest.ticket.AgeAfter {
+		return nil
+	}
+	return oldest
+}
+
+func (l *lane) empty() bool {
+	return len(l.heap) == 0
+}
+
+func (l *lane) push(now time.Time, t Ticket) *entry {
+	if l.empty() {
+		l.drained.idle(now)
+		l.cost = 0
+		clear(l.finish)
+		l.virtual = 0
+	}
+	start := max(l.virtual, l.finish[t.Workspace])
+	l.finish[t.Workspace] = start + t.Cost/t.Share
+	e := &entry{ticket: t, start: start}
+	heap.Push(&l.heap, e)
+	l.cost += t.Cost
+	return e
+}
+
+func (l *lane) remove(e *entry) {
+	heap.Remove(&l.heap, e.index)
+	l.cost -= e.ticket.Cost
+}
+
+// idle marks that the lane was empty until now: idle time does not count.
+func (d *drain) idle(now time.Time) {
+	d.at = now
+}
+
+func (d *drain) add(now time.Time, cost float64) {
+	decay := math.Exp(-max(0, now.Sub(d.at).Seconds()) / drainWindow.Seconds())
+	d.rate = d.rate*decay + cost/drainWindow.Seconds()
+	d.seen = d.seen*decay + 1 - decay
+	d.at = now
+}
+
+// time predicts how long a cost takes to drain. Without evidence it is 0.
+func (d *drain) time(now time.Time, cost float64) time.Duration {
+	const enoughEvidence = 0.1
+	if d.seen < enoughEvidence || cost <= 0 {
+		return 0
+	}
+	decay := math.Exp(-max(0, now.Sub(d.at).Seconds()) / drainWindow.Seconds())
+	evidence := d.seen*decay + 1 - decay
+	rate := d.rate * decay / evidence
+	if rate <= 0 {
+		return maxRetryAfter
+	}
+	return min(maxRetryAfter, time.Duration(cost/rate*float64(time.Second)))
+}
+
+func retryAfter(over time.Duration) time.Duration {
+	return min(maxRetryAfter, max(minRetryAfter, over))
+}
+
+// Len implements heap.Interface.
+func (h entryHeap) Len() int { return len(h) }
+
+// Less implements heap.Interface.
+func (h entryHeap) Less(i, j int) bool {
+	if h[i].start != h[j].start {
+		return h[i].start < h[j].start
+	}
+	return h[i].ticket.ArrivedAt.Before(h[j].ticket.ArrivedAt)
+}
+
+// Swap implements heap.Interface.
+func (h entryHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index, h[j].index = i, j
+}
+
+// Push implements heap.Interface.
+func (h *entryHeap) Push(x any) {
+	e := x.(*entry)
+	e.index = len(*h)
+	*h = append(*h, e)
+}
+
+// Pop implements heap.Interface.
+func (h *entryHeap) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return last
+}
--- a/core/backend/backend.go
+++ b/core/backend/backend.go
@@ -56,6 +56,9 @@
 		SlotsUsed      int
 		SlotsTotal     int
 		PrefillBacklog time.Duration // time to work off the queue
+		PrefillRate    float64       // tokens per second; 0: not known
+		Batch          int           // requests in the batch of the last step
+		TokenGap       time.Duration // of the last step; 0: no step
 		Leaving        bool
 	}
 )
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -2,13 +2,16 @@
 package placement
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	"github.com/hickoryfront/hickoryfront/core/backend"
 )
 
+const (
+	// MaxChoices bounds the servers of each role in a plan.
+	MaxChoices = 4
+)
+
 type (
 	// Request is what placement knows of a request.
 	Request struct {
@@ -21,71 +24,64 @@
 		ArrivedAt     time.Time
 		Deadline      time.Time // of the first token
 		Deferrable    bool
+		TokenGap      time.Duration // target between tokens; 0: none
+		DirectPrompt  int           // prompts up to this many tokens may skip prefill servers
+		GoodputWeight float64       // weight of answers within the targets
+		WasteWeight   float64       // weight of prefill work that is not used
 	}
 
 	// Candidate is a server with what is known of it.
 	Candidate struct {
 		Server       backend.Server
 		Load         backend.Load
-		CachedTokens int
+		CachedTokens int // expected hit of the request's prompt
 	}
 
 	// Plan lists servers to try, best first.
 	Plan struct {
-		Decode  []backend.Server
-		Prefill []backend.Server
+		Decode     []backend.Server
+		Prefill    []backend.Server
+		Work       []Work        // of each prefill server
+		Direct     bool          // the decode server computes the prompt itself
+		FirstToken time.Duration // predicted from now, on the best servers
+	}
+
+	// Work is the cost of the prompt on one prefill server.
+	Work struct {
+		Tokens   int           // that the server has to compute
+		Compute  time.Duration // of these tokens
+		Transfer time.Duration // of the KV cache to a decode server
 	}
 
 	// Policy orders candidates for a request.
 	Policy interface {
 		Plan(now time.Time, request Request, candidates []Candidate) Plan
 	}
-
-	// LeastLoaded prefers servers with the fewest used slots and the shortest
-	// prefill backlog, near ones first among equals.
-	LeastLoaded struct{}
 )
 
-// Plan implements Policy.
-func (LeastLoaded) Plan(_ time.Time, request Request, candidates []Candidate) Plan {
-	var decode, prefill []Candidate
-	for _, c := range candidates {
-		if c.Server.State != backend.StateLive || c.Load.Leaving {
-			continue
-		}
-		switch c.Server.Role {
-		case backend.RoleDecode:
-			decode = append(decode, c)
-		case backend.RolePrefill:
-			prefill = append(prefill, c)
-		}
+// WasteShare is the profile's weight of wasted prefill, from 0 to 1. Without
+// weights both sides count the same.
+func (r Request) WasteShare() float64 {
+	total := r.GoodputWeight + r.WasteWeight
+	if total <= 0 {
+		return 0.5
 	}
-	slices.SortStableFunc(decode, func(a, b Candidate) int {
-		return cmp.Or(cmp.Compare(a.Load.SlotsUsed, b.Load.SlotsUsed), compareNear(request, a, b))
-	})
-	slices.SortStableFunc(prefill, func(a, b Candidate) int {
-		return cmp.Or(
-			cmp.Compare(a.Load.PrefillBacklog, b.Load.PrefillBacklog),
-			-cmp.Compare(a.CachedTokens, b.CachedTokens),
-			compareNear(request, a, b))
-	})
-	return Plan{Decode: servers(decode), Prefill: servers(prefill)}
+	return r.WasteWeight / total
 }
 
-func compareNear(request Request, a, b Candidate) int {
-	near := func(c Candidate) int {
-		if c.Server.FailureDomain == request.FailureDomain {
-			return 0
-		}
-		return 1
-	}
-	return cmp.Compare(near(a), near(b))
+func (c Candidate) takes(role backend.Role) bool {
+	return c.Server.Role == role && c.Server.State == backend.StateLive && !c.Load.Leaving
 }
 
-func servers(candidates []Candidate) []backend.Server {
-	list := make([]backend.Server, 0, len(candidates))
-	for _, c := range candidates {
-		list = append(list, c.Server)
+// split returns the indexes of the candidates that take new work, by role.
+func split(candidates []Candidate) (decode, prefill []int) {
+	for i := range candidates {
+		switch {
+		case candidates[i].takes(backend.RoleDecode):
+			decode = append(decode, i)
+		case candidates[i].takes(backend.RolePrefill):
+			prefill = append(prefill, i)
+		}
 	}
-	return list
+	return decode, prefill
 }
--- a/core/slot/ledger.go
+++ b/core/slot/ledger.go
@@ -32,6 +32,10 @@
 		GrantedAt time.Time
 		Deadline  time.Time
 		KVBytes   uint64
+
+		Deferrable bool          // leaves the last slots to interactive requests
+		Lead       time.Duration // until the request needs the slot
+		Overcommit float64       // share of the slots predicted free by then that it may count on
 	}
 
 	// Ledger holds the slots of the servers whose home is this daemon. It is
@@ -45,6 +49,8 @@
 		granted  map[string]Reservation
 		reported backend.Load
 		leaving  bool
+		limit    int // of the batch; 0: the server's slots
+		released departures
 	}
 )
 
@@ -122,7 +128,7 @@
 	if a.leaving {
 		return ErrLeaving
 	}
-	if a.free() <= 0 {
+	if a.room(now, r) <= 0 {
 		return ErrFull
 	}
 	r.GrantedAt = now
@@ -147,6 +153,19 @@
 	}
 }
 
+// Finish gives back the slot of a request that ran, and learns from it how
+// often the server's slots become free.
+func (l *Ledger) Finish(now time.Time, serverID, requestID string) {
+	a, ok := l.servers[serverID]
+	if !ok {
+		return
+	}
+	if _, held := a.granted[requestID]; held {
+		a.released.add(now)
+		delete(a.granted, requestID)
+	}
+}
+
 // Expired returns the reservations whose holder is gone or whose deadline has
 // passed, by server. They stay in the ledger until they are released.
 func (l *Ledger) Expired(now time.Time, alive func(Holder) bool) map[string][]Reservation {
@@ -171,16 +190,15 @@
 		ServerID:       serverID,
 		ObservedAt:     now,
 		SlotsUsed:      a.used(),
-		SlotsTotal:     a.server.Slots,
+		SlotsTotal:     a.capacity(),
 		PrefillBacklog: a.reported.PrefillBacklog,
+		PrefillRate:    a.reported.PrefillRate,
+		Batch:          a.reported.Batch,
+		TokenGap:       a.reported.TokenGap,
 		Leaving:        a.leaving,
 	}, true
 }
 
-func (a *account) free() int {
-	return a.server.Slots - a.used()
-}
-
 // used is the larger of what was granted and what the server reported, with
 // the report corrected by what was granted after it was taken. The report
 // covers requests that the old scripts sent to the same server.
--- a/hickoryd/internal/node/node.go
+++ b/hickoryd/internal/node/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -246,7 +247,7 @@
 }
 
 func newModels(s settings.Settings, e engines, router *home.Router, directory *backends.Directory, canceller *dispatch.Canceller, set *metrics.Set) *dispatch.Models {
-	return dispatch.NewModels(s.Host.FailureDomain, placement.LeastLoaded{}, e, router, directory, canceller, set)
+	return dispatch.NewModels(s.Host.FailureDomain, placement.NewReserving(placement.Options{}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))), e, router, directory, canceller, set)
 }
 
 func newPlain(self member.Host, client *service.Client, directory *backends.Directory, router *home.Router) *dispatch.Plain {
--- /dev/null
+++ b/hickorylab/policybench/homes.go
@@ -0,0 +1,101 @@
+package policybench
+
+import (
+	"time"
+
+	"github.com/hickoryfront/hickoryfront/core/admission"
+	"github.com/hickoryfront/hickoryfront/core/backend"
+	"github.com/hickoryfront/hickoryfront/core/prefix"
+	"github.com/hickoryfront/hickoryfront/core/slot"
+)
+
+// homes stands for the homes of all servers. Each server has one, so that one
+// ledger serves for all.
+type homes struct {
+	bench      *bench
+	slots      *slot.Ledger
+	queues     *slot.PrefillLedger
+	gaps       map[string]*admission.GapModel
+	index      *prefix.Index
+	snapshotAt map[string]time.Time
+}
+
+func newHomes(b *bench) *homes {
+	return &homes{
+		bench: b, slots: slot.New(), queues: slot.NewPrefillLedger(), gaps: map[string]*admission.GapModel{},
+		index: prefix.NewIndex(indexLimit), snapshotAt: map[string]time.Time{},
+	}
+}
+
+func (h *homes) track(server backend.Server) {
+	if server.Role == backend.RolePrefill {
+		h.queues.Track(server)
+		return
+	}
+	h.slots.Track(server)
+	h.gaps[server.ID] = &admission.GapModel{}
+}
+
+// refresh takes in reports and cache events, as homes do periodically.
+func (h *homes) refresh() {
+	lag := h.bench.lag()
+	for p := range h.bench.prefills {
+		for _, e := range h.bench.prefills[p] {
+			h.queues.Observe(e.reported(lag))
+			h.feed(e)
+		}
+		for _, e := range h.bench.decodes[p] {
+			h.observe(e, e.reported(lag))
+		}
+	}
+}
+
+func (h *homes) observe(e *decodeEngine, load backend.Load) {
+	h.slots.Observe(load)
+	model := h.gaps[e.server.ID]
+	model.Observe(load.Batch, load.TokenGap)
+	limit := model.MaxBatch(tokenGapTarget, slotsPerEngine)
+	if h.bench.oracle() {
+		limit = batchInTarget(e.index)
+	}
+	h.slots.SetBatchLimit(e.server.ID, limit)
+}
+
+func (h *homes) feed(e *prefillEngine) {
+	id := e.server.ID
+	events, newest := e.eventsAfter(h.index.Sequence(id), eventLag)
+	h.index.Apply(id, events, newest)
+	now := h.bench.loop.now
+	if h.index.Uncertain(id) && now.Sub(h.snapshotAt[id]) >= snapshotEvery {
+		h.snapshotAt[id] = now
+		h.index.Restore(id, e.sequence, e.cache.Keys())
+	}
+}
+
+// lost drops what was granted on a server that died.
+func (h *homes) lost(id string) {
+	server := h.bench.byID[id].server
+	h.slots.Forget(id)
+	h.queues.Forget(id)
+	h.index.Forget(id)
+	h.track(server)
+}
+
+// hit is the expected hit of a request's prompt on a server.
+func (h *homes) hit(e *prefillEngine, r *request) int {
+	if h.bench.oracle() {
+		return e.hit(r.hashes)
+	}
+	return h.index.Lookup(e.server.ID, r.hashes) * prefix.BlockTokens
+}
+
+// load is the digest that a server's home publishes.
+func (h *homes) load(server backend.Server) backend.Load {
+	now := h.bench.loop.now
+	if server.Role == backend.RolePrefill {
+		load, _ := h.queues.Load(now, server.ID)
+		return load
+	}
+	load, _ := h.slots.Load(now, server.ID)
+	return load
+}
