Tell foreign load from late reports by the grants of that time

Cause: used slots were the larger of grants and late report plus grants since; slots given back since the report counted twice, so a report 2 s late made servers look full. Release takes the present time; the home passes it.

--- a/core/slot/ledger.go
+++ b/core/slot/ledger.go
@@ -51,6 +51,7 @@
 		leaving  bool
 		limit    int // of the batch; 0: the server's slots
 		released departures
+		foreign  foreignLoad
 	}
 )
 
@@ -110,6 +111,7 @@
 		return
 	}
 	a.reported = load
+	a.observeForeign(load)
 	if load.Leaving {
 		a.leaving = true
 	}
@@ -147,9 +149,9 @@
 }
 
 // Release gives a slot back. Releasing twice is harmless.
-func (l *Ledger) Release(serverID, requestID string) {
+func (l *Ledger) Release(now time.Time, serverID, requestID string) {
 	if a, ok := l.servers[serverID]; ok {
-		delete(a.granted, requestID)
+		a.drop(now, requestID)
 	}
 }
 
@@ -162,7 +164,7 @@
 	}
 	if _, held := a.granted[requestID]; held {
 		a.released.add(now)
-		delete(a.granted, requestID)
+		a.drop(now, requestID)
 	}
 }
 
@@ -198,17 +200,3 @@
 		Leaving:        a.leaving,
 	}, true
 }
-
-// used is the larger of what was granted and what the server reported, with
-// the report corrected by what was granted after it was taken. The report
-// covers requests that the old scripts sent to the same server.
-func (a *account) used() int {
-	granted := len(a.granted)
-	sinceReport := 0
-	for _, r := range a.granted {
-		if r.GrantedAt.After(a.reported.ObservedAt) {
-			sinceReport++
-		}
-	}
-	return max(granted, a.reported.SlotsUsed+sinceReport)
-}
--- a/hickoryd/internal/home/slots.go
+++ b/hickoryd/internal/home/slots.go
@@ -117,7 +117,7 @@
 func (s *Slots) Release(serverID, requestID string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.ledger.Release(serverID, requestID)
+	s.ledger.Release(time.Now(), serverID, requestID)
 }
 
 // LocalLoads returns the digests of the servers whose home is this daemon.
@@ -217,7 +217,7 @@
 	return func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		s.ledger.Release(serverID, requestID)
+		s.ledger.Release(time.Now(), serverID, requestID)
 		delete(s.reclaiming, requestID)
 	}
 }
--- a/hickorylab/policybench/router.go
+++ b/hickorylab/policybench/router.go
@@ -196,7 +196,7 @@
 	}
 	more, ok := r.reservePrefill(a, plan)
 	if !ok {
-		r.bench.homes.slots.Release(a.decode.server.ID, a.id)
+		r.bench.homes.slots.Release(r.bench.loop.now, a.decode.server.ID, a.id)
 		return false
 	}
 	r.bench.loop.after(delay+more, func() { r.startPrefill(a) })
@@ -334,7 +334,7 @@
 	if a.prefill != nil {
 		r.bench.homes.queues.Release(r.bench.loop.now, a.prefill.server.ID, a.id)
 	}
-	r.bench.homes.slots.Release(a.decode.server.ID, a.id)
+	r.bench.homes.slots.Release(r.bench.loop.now, a.decode.server.ID, a.id)
 }
 
 // failed tries again elsewhere, as long as attempts are left.
