Promise each refused caller a time of its own

Cause: every refused caller got the time at which the present backlog would fit, so that all came back together and were refused again.

--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -13,7 +13,7 @@
 	// minRetryAfter is the least time after which a refused caller may return.
 	minRetryAfter = time.Second
 	// maxRetryAfter bounds the advice when nothing drains at all.
-	maxRetryAfter = 2 * time.Minute
+	maxRetryAfter = 10 * time.Minute
 	// agedTurn lets every second turn go to an aged deferrable request while
 	// interactive ones wait.
 	agedTurn = 2
@@ -67,6 +67,7 @@
 		virtual float64
 		finish  map[string]float64 // last finish tag, by workspace
 		cost    float64            // of all tickets
+		booked  time.Time          // end of the time promised to refused callers
 		drained drain
 	}
 
@@ -120,10 +121,10 @@
 	predicted := q.Predict(now, t.Deferrable)
 	allowed := t.Deadline.Sub(now)
 	if predicted > allowed {
-		return &Refusal{Reason: ErrOverloaded, Predicted: predicted, RetryAfter: retryAfter(predicted - allowed)}
+		return &Refusal{Reason: ErrOverloaded, Predicted: predicted, RetryAfter: q.book(now, t, predicted-allowed)}
 	}
 	if len(q.byID) >= q.limit {
-		return &Refusal{Reason: ErrQueueFull, Predicted: predicted, RetryAfter: retryAfter(predicted)}
+		return &Refusal{Reason: ErrQueueFull, Predicted: predicted, RetryAfter: q.book(now, t, predicted)}
 	}
 	q.put(now, t)
 	return nil
@@ -154,17 +155,34 @@
 // Advice returns the time after which a ticket whose deadline has passed may
 // come back.
 func (q *Queue) Advice(now time.Time, t Ticket) time.Duration {
-	return retryAfter(q.Predict(now, t.Deferrable) - t.Deadline.Sub(t.ArrivedAt))
+	return q.book(now, t, q.Predict(now, t.Deferrable)-t.Deadline.Sub(t.ArrivedAt))
+}
+
+// book promises a refused caller the first time that is neither taken by the
+// backlog nor promised to another, so that refused callers don't all come back
+// at once.
+func (q *Queue) book(now time.Time, t Ticket, over time.Duration) time.Duration {
+	l := q.lane(t.Deferrable)
+	start := now.Add(max(0, over))
+	if l.booked.After(start) {
+		start = l.booked
+	}
+	l.booked = start.Add(q.drainOf(t.Deferrable).time(now, t.Cost))
+	return retryAfter(start.Sub(now))
 }
 
 // Predict returns the wait that a new ticket of a class has before it.
 // Interactive tickets go first and so drain at the rate of both classes;
 // deferrable ones get what is left.
 func (q *Queue) Predict(now time.Time, deferrable bool) time.Duration {
+	return q.drainOf(deferrable).time(now, q.lane(deferrable).cost)
+}
+
+func (q *Queue) drainOf(deferrable bool) *drain {
 	if deferrable {
-		return q.deferrable.drained.time(now, q.deferrable.cost)
+		return &q.deferrable.drained
 	}
-	return q.drained.time(now, q.interactive.cost)
+	return &q.drained
 }
 
 // Head returns the ticket whose turn it is. It stays in the queue until Take or
