Predict the token gap of a direct prompt from the slots in use

Cause: the rule that a direct prompt must keep the batch in its gap target read the gap of an old report, while the batch had grown. Ruled out: the batch limit (no other kind of request missed the gap). What is missing are waits for a slot in the small pool.

--- a/hickorylab/policybench/homes.go
+++ b/hickorylab/policybench/homes.go
@@ -97,5 +97,6 @@
 		return load
 	}
 	load, _ := h.slots.Load(now, server.ID)
+	load.TokenGap = h.gaps[server.ID].Gap(load.SlotsUsed)
 	return load
 }
