Leave headroom for interactive requests by their arrival rate

Cause: in pools of few engines bursts of interactive requests found no slot within their wait, as deferrable ones filled all but one. With faults the pool of one prefill engine is the limit.

--- a/core/slot/capacity.go
+++ b/core/slot/capacity.go
@@ -6,15 +6,18 @@
 )
 
 const (
-	// headroomShare is the share of a server's slots that deferrable requests
-	// leave free for interactive ones.
-	headroomShare = 0.05
-	// departureWindow is the time over which departures are averaged.
-	departureWindow = 5 * time.Second
+	// headroomTime is the time within which arriving interactive requests must
+	// find a slot.
+	headroomTime = 250 * time.Millisecond
+	// headroomDeviations is the number of standard deviations of their arrivals
+	// in that time that deferrable requests leave room for.
+	headroomDeviations = 2
+	// rateWindow is the time over which rates are averaged.
+	rateWindow = 5 * time.Second
 )
 
-// departures measures how often slots become free, as an exponential average.
-type departures struct {
+// eventRate measures how often something happens, as an exponential average.
+type eventRate struct {
 	rate float64 // per second
 	at   time.Time
 }
@@ -40,25 +43,32 @@
 	capacity := a.capacity()
 	room := capacity - a.used() + a.predictedFree(now, r)
 	if r.Deferrable {
-		room -= int(math.Ceil(float64(capacity) * headroomShare))
+		room -= a.headroom(now)
 	}
 	return room
 }
 
+// headroom is the number of slots that deferrable requests leave free, by the
+// square-root rule for random arrivals.
+func (a *account) headroom(now time.Time) int {
+	expected := a.interactive.perSecond(now) * headroomTime.Seconds()
+	return max(1, int(math.Ceil(headroomDeviations*math.Sqrt(expected))))
+}
+
 // predictedFree is the number of slots that a reservation may count on to
 // become free before it needs one.
 func (a *account) predictedFree(now time.Time, r Reservation) int {
 	return int(a.released.perSecond(now) * r.Lead.Seconds() * r.Overcommit)
 }
 
-func (d *departures) add(now time.Time) {
-	d.rate = d.perSecond(now) + 1/departureWindow.Seconds()
+func (d *eventRate) add(now time.Time) {
+	d.rate = d.perSecond(now) + 1/rateWindow.Seconds()
 	d.at = now
 }
 
-func (d *departures) perSecond(now time.Time) float64 {
+func (d *eventRate) perSecond(now time.Time) float64 {
 	if d.at.IsZero() {
 		return 0
 	}
-	return d.rate * math.Exp(-now.Sub(d.at).Seconds()/departureWindow.Seconds())
+	return d.rate * math.Exp(-now.Sub(d.at).Seconds()/rateWindow.Seconds())
 }
--- a/core/slot/ledger.go
+++ b/core/slot/ledger.go
@@ -45,13 +45,14 @@
 	}
 
 	account struct {
-		server   backend.Server
-		granted  map[string]Reservation
-		reported backend.Load
-		leaving  bool
-		limit    int // of the batch; 0: the server's slots
-		released departures
-		foreign  foreignLoad
+		server      backend.Server
+		granted     map[string]Reservation
+		reported    backend.Load
+		leaving     bool
+		limit       int       // of the batch; 0: the server's slots
+		released    eventRate // of slots
+		interactive eventRate // grants
+		foreign     foreignLoad
 	}
 )
 
@@ -133,6 +134,9 @@
 	if a.room(now, r) <= 0 {
 		return ErrFull
 	}
+	if !r.Deferrable {
+		a.interactive.add(now)
+	}
 	r.GrantedAt = now
 	a.granted[r.RequestID] = r
 	return nil
