Refuse reservations on servers that don't answer their home

Cause: each router learned of a dead engine by its own failures, and homes kept granting on it, so prefills were computed for it. Ruled out: eviction (no waste without faults). All policies now see at their next report that an engine is dead.

--- a/core/slot/ledger.go
+++ b/core/slot/ledger.go
@@ -14,6 +14,8 @@
 	ErrFull = errors.New("no free slot")
 	// ErrLeaving means that the server takes no new work.
 	ErrLeaving = errors.New("server is leaving")
+	// ErrUnreachable means that the home can't reach the server.
+	ErrUnreachable = errors.New("server does not answer its home")
 	// ErrUnknownServer means that the ledger does not hold the server.
 	ErrUnknownServer = errors.New("unknown server")
 )
@@ -49,6 +51,7 @@
 		granted     map[string]Reservation
 		reported    backend.Load
 		leaving     bool
+		silent      bool      // does not answer its home
 		limit       int       // of the batch; 0: the server's slots
 		released    eventRate // of slots
 		interactive eventRate // grants
@@ -105,6 +108,14 @@
 	}
 }
 
+// SetReachable marks whether the server answers its home. One that does not
+// gets no new reservations.
+func (l *Ledger) SetReachable(serverID string, reachable bool) {
+	if a, ok := l.servers[serverID]; ok {
+		a.silent = !reachable
+	}
+}
+
 // Observe takes in a load report of the server.
 func (l *Ledger) Observe(load backend.Load) {
 	a, ok := l.servers[load.ServerID]
@@ -131,6 +142,9 @@
 	if a.leaving {
 		return ErrLeaving
 	}
+	if a.silent {
+		return ErrUnreachable
+	}
 	if a.room(now, r) <= 0 {
 		return ErrFull
 	}
@@ -201,6 +215,6 @@
 		PrefillRate:    a.reported.PrefillRate,
 		Batch:          a.reported.Batch,
 		TokenGap:       a.reported.TokenGap,
-		Leaving:        a.leaving,
+		Leaving:        a.leaving || a.silent,
 	}, true
 }
--- a/core/slot/prefill.go
+++ b/core/slot/prefill.go
@@ -32,6 +32,7 @@
 		headAt   time.Time // start of the first
 		reported backend.Load
 		leaving  bool
+		silent   bool // does not answer its home
 	}
 )
 
@@ -55,6 +56,14 @@
 	delete(l.servers, serverID)
 }
 
+// SetReachable marks whether the server answers its home. One that does not
+// gets no new reservations.
+func (l *PrefillLedger) SetReachable(serverID string, reachable bool) {
+	if q, ok := l.servers[serverID]; ok {
+		q.silent = !reachable
+	}
+}
+
 // Observe takes in a load report.
 func (l *PrefillLedger) Observe(load backend.Load) {
 	q, ok := l.servers[load.ServerID]
@@ -80,6 +89,9 @@
 	if q.leaving {
 		return 0, ErrLeaving
 	}
+	if q.silent {
+		return 0, ErrUnreachable
+	}
 	if backlog > p.MaxBacklog {
 		return backlog, ErrBacklog
 	}
@@ -133,7 +145,7 @@
 	load.ServerID = serverID
 	load.ObservedAt = now
 	load.PrefillBacklog = q.backlog(now, true)
-	load.Leaving = q.leaving
+	load.Leaving = q.leaving || q.silent
 	return load, true
 }
 
--- a/hickorylab/policybench/homes.go
+++ b/hickorylab/policybench/homes.go
@@ -41,10 +41,12 @@
 	lag := h.bench.lag()
 	for p := range h.bench.prefills {
 		for _, e := range h.bench.prefills[p] {
+			h.queues.SetReachable(e.server.ID, !e.dead)
 			h.queues.Observe(e.reported(lag))
 			h.feed(e)
 		}
 		for _, e := range h.bench.decodes[p] {
+			h.slots.SetReachable(e.server.ID, !e.dead)
 			h.observe(e, e.reported(lag))
 		}
 	}
--- a/hickorylab/policybench/router.go
+++ b/hickorylab/policybench/router.go
@@ -56,6 +56,10 @@
 	for p := range r.bench.prefills {
 		for _, n := range r.bench.engines(p) {
 			r.view[n.server.ID] = r.loadOf(n)
+			r.suspect[n.server.ID] = time.Time{}
+			if n.dead { // its report can't be read
+				r.suspect[n.server.ID] = r.bench.loop.now.Add(suspectTime)
+			}
 		}
 	}
 }
