--- a/core/placement/reserving.go
+++ b/core/placement/reserving.go
@@ -74,7 +74,8 @@
 func (p *Reserving) predict(plan *Plan, request Request, candidates []Candidate, decode, prefill *ranking) {
 	direct, allowed := p.directTime(request, candidates, decode)
 	if prefill.count == 0 {
-		plan.Direct = request.PromptTokens <= request.DirectPrompt
+		// Better a batch held up once than an interactive request refused.
+		plan.Direct = !request.Deferrable || allowed
 		plan.FirstToken = direct
 		return
 	}
@@ -91,13 +92,14 @@
 // computes itself. That holds up its whole batch, and is allowed only where
 // the held-up step stays within the target between tokens.
 func (p *Reserving) directTime(request Request, candidates []Candidate, decode *ranking) (time.Duration, bool) {
-	if decode.count == 0 || request.PromptTokens > request.DirectPrompt {
+	if decode.count == 0 {
 		return 0, false
 	}
 	load := candidates[decode.index[0]].Load
 	compute := perSecond(request.PromptTokens, rateOf(load))
 	step := load.TokenGap + compute
-	return compute + defaultGap, request.TokenGap <= 0 || step <= request.TokenGap
+	allowed := request.PromptTokens <= request.DirectPrompt && (request.TokenGap <= 0 || step <= request.TokenGap)
+	return compute + defaultGap, allowed
 }
 
 func (p *Reserving) decodeScore(request Request, c *Candidate) float64 {
