Fetch a KV cache elsewhere when its decode engine dies

Cause: a decode engine that died before it had the KV cache cost a new prefill, although the cache was still held.

--- a/hickorylab/policybench/engine.go
+++ b/hickorylab/policybench/engine.go
@@ -20,6 +20,7 @@
 var (
 	errKVGone     = errors.New("KV cache is gone")
 	errEngineDead = errors.New("engine is dead")
+	errTransfer   = errors.New("KV cache was not fetched and is still there")
 )
 
 type (
@@ -112,10 +113,22 @@
 	if a.stage == stageOver {
 		return
 	}
+	if a.isFetchable(b.loop.now) {
+		a.stage = stagePrefilled
+		b.loop.after(time.Millisecond, func() { a.failed(errTransfer) })
+		return
+	}
 	b.end(a)
 	b.loop.after(time.Millisecond, func() { a.failed(err) })
 }
 
+// isFetchable reports whether the decode engine died before it had the KV
+// cache, and another one can still fetch it.
+func (a *attempt) isFetchable(now time.Time) bool {
+	waits := a.stage == stageDecodeQueued || a.stage == stageImporting || a.stage == stagePrefilled
+	return waits && a.prefill != nil && !a.prefill.dead && a.decode.dead && now.Before(a.kvUntil)
+}
+
 // end takes an attempt from its engines.
 func (b *bench) end(a *attempt) {
 	was := a.stage
--- a/hickorylab/policybench/router.go
+++ b/hickorylab/policybench/router.go
@@ -345,6 +345,13 @@
 func (r *router) failed(a *attempt, err error) {
 	now := r.bench.loop.now
 	r.release(a)
+	if errors.Is(err, errTransfer) {
+		r.suspect[a.decode.server.ID] = now.Add(suspectTime)
+		if r.fetchElsewhere(a) {
+			return
+		}
+		r.bench.end(a)
+	}
 	if errors.Is(err, errEngineDead) {
 		for _, n := range r.nodes(a) {
 			if n.dead {
@@ -364,6 +371,20 @@
 	r.again(q)
 }
 
+// fetchElsewhere hands an attempt whose KV cache is still there to another
+// decode engine. The baselines prefill again.
+func (r *router) fetchElsewhere(a *attempt) bool {
+	if !r.bench.run.reserving() || a.request.gaveUp {
+		return false
+	}
+	r.scratch = r.scratch[:0]
+	delay, ok := r.reserveDecode(a, r.plan(a.request, r.candidates(a.request, backend.RoleDecode)).Decode)
+	if ok {
+		r.bench.loop.after(delay, func() { r.startDecode(a) })
+	}
+	return ok
+}
+
 func (r *router) nodes(a *attempt) []*node {
 	nodes := []*node{&a.decode.node}
 	if a.prefill != nil {
