--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -69,6 +69,12 @@
 	return r.WasteWeight / total
 }
 
+// Overcommit is the share of the slots predicted to become free that a
+// reservation may count on: a profile that weighs goodput more takes more risk.
+func (r Request) Overcommit() float64 {
+	return 1 - r.WasteShare()
+}
+
 func (c Candidate) takes(role backend.Role) bool {
 	return c.Server.Role == role && c.Server.State == backend.StateLive && !c.Load.Leaving
 }
--- a/hickorylab/policybench/router.go
+++ b/hickorylab/policybench/router.go
@@ -234,7 +234,8 @@
 }
 
 func (r *router) overcommit() float64 {
-	return 0
+	d := r.bench.run.Deployment
+	return placement.Request{GoodputWeight: d.GoodputWeight, WasteWeight: d.WasteWeight}.Overcommit()
 }
 
 func (r *router) reservePrefill(a *attempt, plan placement.Plan) (time.Duration, bool) {
