--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -51,6 +51,10 @@
 		Tokens   int           // that the server has to compute
 		Compute  time.Duration // of these tokens
 		Transfer time.Duration // of the KV cache to a decode server
+
+		// MaxBacklog is the longest queue that the request may join there. It is
+		// negative when the first token would come too late in any case.
+		MaxBacklog time.Duration
 	}
 
 	// Policy orders candidates for a request.
--- a/core/placement/reserving.go
+++ b/core/placement/reserving.go
@@ -19,6 +19,9 @@
 	farOccupancy = 0.1
 	// farDelay is the cost of prefill in another failure domain.
 	farDelay = 3 * time.Millisecond
+	// deferrableBacklog bounds the prefill queue that a deferrable request joins
+	// when the cache saves nothing.
+	deferrableBacklog = 100 * time.Millisecond
 	// spread breaks ties at random, so that daemons with the same view don't
 	// choose the same server.
 	spread = 0.05
@@ -52,7 +55,7 @@
 }
 
 // Plan implements Policy.
-func (p *Reserving) Plan(_ time.Time, request Request, candidates []Candidate) Plan {
+func (p *Reserving) Plan(now time.Time, request Request, candidates []Candidate) Plan {
 	var decode, prefill ranking
 	for i := range candidates {
 		switch {
@@ -64,7 +67,9 @@
 	}
 	plan := Plan{Decode: decode.servers(candidates), Prefill: prefill.servers(candidates)}
 	for _, i := range prefill.index[:prefill.count] {
-		plan.Work = append(plan.Work, p.work(request, &candidates[i]))
+		work := p.work(request, &candidates[i])
+		work.MaxBacklog = maxBacklog(now, request, work, rateOf(candidates[i].Load))
+		plan.Work = append(plan.Work, work)
 	}
 	p.predict(&plan, request, candidates, &decode, &prefill)
 	return plan
@@ -133,6 +138,17 @@
 	}
 }
 
+// maxBacklog lets interactive requests queue as long as they meet their target.
+// Deferrable requests hold a decode slot while they queue, and so join short
+// queues only, but wait longer where the cache saves work.
+func maxBacklog(now time.Time, request Request, work Work, rate float64) time.Duration {
+	if !request.Deferrable {
+		return request.Deadline.Sub(now) - work.Compute - work.Transfer - defaultGap
+	}
+	saved := perSecond(request.PromptTokens, rate) - work.Compute
+	return deferrableBacklog + time.Duration(float64(saved)*(1+request.WasteShare()))
+}
+
 func (p *Reserving) transfer(tokens int) time.Duration {
 	if p.options.LinkRate <= 0 {
 		return time.Duration(tokens) * defaultTransfer
--- a/hickorylab/policybench/router.go
+++ b/hickorylab/policybench/router.go
@@ -17,10 +17,8 @@
 	reserveDelay = 3 * time.Millisecond
 	// replyDelay is the way of an engine's reply to the router and on.
 	replyDelay = 3 * time.Millisecond
-	// deferrableBacklog bounds the prefill queue that a deferrable request joins.
-	deferrableBacklog = 300 * time.Millisecond
-	queueLimit        = 4096
-	lifetime          = 10 * time.Minute
+	queueLimit = 4096
+	lifetime   = 10 * time.Minute
 )
 
 // router is one daemon: it sees loads late and places its own requests.
@@ -244,7 +242,7 @@
 		delay += r.reserveDelay()
 		_, err := r.bench.homes.queues.Reserve(r.bench.loop.now, server.ID, slot.Prefill{
 			RequestID: a.id, Holder: r.holder(), Work: plan.Work[i].Compute, Deferrable: a.deferrable(),
-			MaxBacklog: r.maxBacklog(a.request, plan.Work[i]),
+			MaxBacklog: plan.Work[i].MaxBacklog,
 		})
 		r.view[server.ID] = r.bench.homes.load(server)
 		if err == nil {
@@ -255,15 +253,6 @@
 	return delay, false
 }
 
-// maxBacklog is the longest prefill queue with which a request meets its target.
-func (r *router) maxBacklog(q *request, work placement.Work) time.Duration {
-	if q.kind.Deferrable {
-		return deferrableBacklog
-	}
-	left := q.callAt.Add(firstTokenTarget).Sub(r.bench.loop.now)
-	return max(0, left-work.Compute-work.Transfer-tokenGapTarget)
-}
-
 func (r *router) reserveDelay() time.Duration {
 	if r.bench.oracle() || len(r.bench.routers) == 1 {
 		return 0
