Give a request that lost its server a deadline of its own

Cause: an interactive request whose server died kept the first-token deadline of its arrival; past it no prefill queue was short enough, and it stayed at the head of its class and held up all behind it. Ruled out: the drain estimate.

--- a/hickorylab/policybench/router.go
+++ b/hickorylab/policybench/router.go
@@ -176,11 +176,20 @@
 	d := r.bench.run.Deployment
 	return r.policy.Plan(r.bench.loop.now, placement.Request{
 		FailureDomain: r.domain, PromptTokens: q.prompt + q.tokens, MaxTokens: q.output, PrefixHashes: q.hashes,
-		ArrivedAt: q.callAt, Deadline: q.callAt.Add(r.bench.firstTokenLimit(q)), Deferrable: q.kind.Deferrable,
+		ArrivedAt: q.callAt, Deadline: r.deadline(q), Deferrable: q.kind.Deferrable,
 		TokenGap: tokenGapTarget, DirectPrompt: d.DirectPrompt, GoodputWeight: d.GoodputWeight, WasteWeight: d.WasteWeight,
 	}, candidates)
 }
 
+// deadline is the time by which a token is due. A request that lost its server
+// is due from then on: it was accepted and has to be answered.
+func (r *router) deadline(q *request) time.Time {
+	if q.attempts > 0 {
+		return r.bench.loop.now.Add(firstTokenTarget)
+	}
+	return q.callAt.Add(r.bench.firstTokenLimit(q))
+}
+
 // place reserves a decode slot and a prefill and starts the request. It
 // reports whether the request has left the queue.
 func (r *router) place(q *request, t admission.Ticket) bool {
