Bound the time promised to one refused caller

Cause: during a standstill one promise was as long as the cost over a drain rate near zero, and all later ones came after it.

--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -13,7 +13,10 @@
 	// minRetryAfter is the least time after which a refused caller may return.
 	minRetryAfter = time.Second
 	// maxRetryAfter bounds the advice when nothing drains at all.
-	maxRetryAfter = 10 * time.Minute
+	maxRetryAfter = 5 * time.Minute
+	// maxBooking bounds the time promised to one refused caller, so that a
+	// standstill does not put all later ones off for minutes.
+	maxBooking = 2 * time.Second
 	// agedTurn lets every second turn go to an aged deferrable request while
 	// interactive ones wait.
 	agedTurn = 2
@@ -167,7 +170,7 @@
 	if l.booked.After(start) {
 		start = l.booked
 	}
-	l.booked = start.Add(q.drainOf(t.Deferrable).time(now, t.Cost))
+	l.booked = start.Add(min(maxBooking, q.drainOf(t.Deferrable).time(now, t.Cost)))
 	return retryAfter(start.Sub(now))
 }
 
