--- /dev/null
+++ b/hickorylab/internal/command/proof.go
@@ -0,0 +1,72 @@
+package command
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+
+	"github.com/google/subcommands"
+
+	"github.com/hickoryfront/hickoryfront/hickorylab/proof"
+)
+
+const proofPage = "docs/PROOF.md"
+
+// Proof writes the page of what the tests prove.
+type Proof struct {
+	errors io.Writer
+	root   string
+	check  bool
+}
+
+// NewProof returns the proof command.
+func NewProof(errors io.Writer) *Proof { return &Proof{errors: errors} }
+
+// Name implements subcommands.Command.
+func (*Proof) Name() string { return "proof" }
+
+// Synopsis implements subcommands.Command.
+func (*Proof) Synopsis() string { return "write the page of what the tests prove" }
+
+// Usage implements subcommands.Command.
+func (*Proof) Usage() string {
+	return "hickorylab proof --root DIR [--check]\n\nExample:\n  hickorylab proof --root . --check\n\n"
+}
+
+// SetFlags implements subcommands.Command.
+func (p *Proof) SetFlags(flags *flag.FlagSet) {
+	flags.StringVar(&p.root, "root", ".", "root of the repository")
+	flags.BoolVar(&p.check, "check", false, "only check that the page is current")
+}
+
+// Execute implements subcommands.Command.
+func (p *Proof) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
+	if err := p.run(); err != nil {
+		fmt.Fprintf(p.errors, "hickorylab: %v\n", err)
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
+
+func (p *Proof) run() error {
+	claims, err := proof.Collect(os.DirFS(p.root))
+	if err != nil {
+		return err
+	}
+	file := filepath.Join(p.root, proofPage)
+	page := proof.Render(claims)
+	if !p.check {
+		return os.WriteFile(file, []byte(page), 0o644)
+	}
+	held, err := os.ReadFile(file)
+	if err != nil {
+		return err
+	}
+	if string(held) != page {
+		return fmt.Errorf("%s is not current; run hickorylab proof to write it again", proofPage)
+	}
+	return nil
+}
--- /dev/null
+++ b/hickorylab/proof/proof.go
@@ -0,0 +1,239 @@
+// Package proof collects what the tests prove and renders it as a table of
+// faults by steps.
+package proof
+
+import (
+	"bufio"
+	"cmp"
+	"fmt"
+	"io/fs"
+	"path"
+	"slices"
+	"strconv"
+	"strings"
+)
+
+const (
+	marker     = "// proof:"
+	testPrefix = "func Test"
+	noFault    = "none"
+)
+
+type (
+	// Claim is one statement of a test about what it proves.
+	Claim struct {
+		Fault string
+		Step  string
+		Point int // of the must-hold list
+		Test  string
+		File  string
+	}
+
+	// cell is one place of the table.
+	cell struct{ fault, step string }
+)
+
+var (
+	faults = []string{
+		noFault, "daemon killed", "daemon paused", "backend server killed", "backend server leaving", "silent connection",
+		"transfer stalled", "KV evicted", "caller cancels", "platform down", "platform slow", "answer lost", "lease lapsed",
+		"operators race", "crashing request", "daemons cut off", "failure domain lost",
+	}
+
+	steps = []string{
+		"accept", "claim", "reserve", "prefill", "prefill done", "transfer", "first token", "stream", "last token", "answer",
+		"cancel", "order", "config write", "config spread", "drain",
+	}
+
+	points = []string{
+		"no engine memory is held for a request that is gone",
+		"nothing is answered twice",
+		"each caller gets the whole answer to its own request",
+		"what is refused as not run was not run",
+		"a call that may not be repeated runs at most once",
+		"a leaving backend server gets nothing new after a few seconds",
+		"a graceful shutdown cuts off nothing in flight",
+		"an accepted configuration change is in force everywhere and never reverts",
+	}
+
+	requestSteps = []string{
+		"accept", "claim", "reserve", "prefill", "prefill done", "transfer", "first token", "stream", "last token", "answer", "cancel",
+	}
+	engineSteps = []string{"prefill", "prefill done", "transfer", "first token", "stream", "last token"}
+
+	// applies lists the steps that a fault can strike. Faults that are not
+	// here can strike every step.
+	applies = map[string][]string{
+		"silent connection": slices.Concat(requestSteps, []string{"order", "config spread"}),
+		"transfer stalled":  {"transfer", "cancel"},
+		"KV evicted":        {"prefill done", "transfer"},
+		"caller cancels":    requestSteps,
+		"operators race":    {"order", "config write", "config spread", "drain"},
+		"crashing request":  slices.Concat([]string{"accept", "reserve"}, engineSteps),
+		"answer lost":       {"claim", "answer", "cancel", "order", "config write"},
+		"lease lapsed":      {"claim", "order", "config write", "drain"},
+		"platform down":     {"accept", "claim", "answer", "order", "config write", "config spread", "drain"},
+		"platform slow":     {"accept", "claim", "answer", "order", "config write", "config spread", "drain"},
+	}
+)
+
+// Collect returns the claims in the test files below root.
+func Collect(root fs.FS) ([]Claim, error) {
+	var claims []Claim
+	err := fs.WalkDir(root, ".", func(name string, entry fs.DirEntry, err error) error {
+		if err != nil || entry.IsDir() || !strings.HasSuffix(name, "_test.go") {
+			return err
+		}
+		found, err := collectFile(root, name)
+		claims = append(claims, found...)
+		return err
+	})
+	slices.SortStableFunc(claims, func(a, b Claim) int {
+		return cmp.Or(cmp.Compare(a.Point, b.Point), cmp.Compare(a.File, b.File), cmp.Compare(a.Test, b.Test))
+	})
+	return claims, err
+}
+
+func collectFile(root fs.FS, name string) ([]Claim, error) {
+	file, err := root.Open(name)
+	if err != nil {
+		return nil, err
+	}
+	defer file.Close()
+	var claims, pending []Claim
+	lines := bufio.NewScanner(file)
+	for lines.Scan() {
+		line := lines.Text()
+		if text, ok := strings.CutPrefix(line, marker); ok {
+			c, err := parse(text)
+			if err != nil {
+				return nil, fmt.Errorf("%s: %w", name, err)
+			}
+			pending = append(pending, c)
+			continue
+		}
+		if !strings.HasPrefix(line, "//") {
+			claims = append(claims, named(pending, name, line)...)
+			pending = nil
+		}
+	}
+	return claims, lines.Err()
+}
+
+// named gives pending claims the test that they stand above.
+func named(pending []Claim, file, line string) []Claim {
+	if !strings.HasPrefix(line, testPrefix) {
+		return nil
+	}
+	test, _, _ := strings.Cut(strings.TrimPrefix(line, "func "), "(")
+	for i := range pending {
+		pending[i].Test = test
+		pending[i].File = path.Dir(file)
+	}
+	return pending
+}
+
+func parse(text string) (Claim, error) {
+	parts := strings.Split(text, "|")
+	if len(parts) != 3 {
+		return Claim{}, fmt.Errorf("proof line %q: want fault | step | point", text)
+	}
+	point, err := strconv.Atoi(strings.TrimSpace(parts[2]))
+	if err != nil || point < 1 || point > len(points) {
+		return Claim{}, fmt.Errorf("proof line %q: the point is a number from 1 to %d", text, len(points))
+	}
+	c := Claim{Fault: strings.TrimSpace(parts[0]), Step: strings.TrimSpace(parts[1]), Point: point}
+	for fault := range strings.SplitSeq(c.Fault, " + ") {
+		if !slices.Contains(faults, fault) {
+			return Claim{}, fmt.Errorf("proof line %q: unknown fault %q", text, fault)
+		}
+	}
+	if !slices.Contains(steps, c.Step) {
+		return Claim{}, fmt.Errorf("proof line %q: unknown step %q", text, c.Step)
+	}
+	return c, nil
+}
+
+// Render returns the page.
+func Render(claims []Claim) string {
+	var page strings.Builder
+	page.WriteString("# What the tests prove\n\nGenerated by `hickorylab proof` from the `proof:` lines of the tests; not to be edited.\n")
+	renderPoints(&page, claims)
+	renderTable(&page, claims)
+	renderPairs(&page, claims)
+	renderReasons(&page)
+	return page.String()
+}
+
+func renderPoints(page *strings.Builder, claims []Claim) {
+	page.WriteString("\n## By must-hold point\n")
+	for i, point := range points {
+		fmt.Fprintf(page, "\n%d. %s\n\n", i+1, point)
+		count := 0
+		for _, c := range claims {
+			if c.Point == i+1 {
+				fmt.Fprintf(page, "   - %s at %s: `%s` in `%s`\n", c.Fault, c.Step, c.Test, c.File)
+				count++
+			}
+		}
+		if count == 0 {
+			page.WriteString("   - not proved\n")
+		}
+	}
+}
+
+func renderTable(page *strings.Builder, claims []Claim) {
+	proved := map[cell]bool{}
+	for _, c := range claims {
+		proved[cell{c.Fault, c.Step}] = true
+	}
+	page.WriteString("\n## Faults by steps\n\n`yes`: proved; `-`: does not apply, see below; empty: not proved.\n\n")
+	page.WriteString("| fault | " + strings.Join(steps, " | ") + " |\n|" + strings.Repeat(" --- |", len(steps)+1) + "\n")
+	yes, open := 0, 0
+	for _, fault := range faults {
+		row := make([]string, 0, len(steps))
+		for _, step := range steps {
+			switch {
+			case proved[cell{fault, step}]:
+				row = append(row, "yes")
+				yes++
+			case !appliesTo(fault, step):
+				row = append(row, "-")
+			default:
+				row = append(row, "")
+				open++
+			}
+		}
+		fmt.Fprintf(page, "| %s | %s |\n", fault, strings.Join(row, " | "))
+	}
+	fmt.Fprintf(page, "\n%d cells are proved and %d are not.\n", yes, open)
+}
+
+func renderPairs(page *strings.Builder, claims []Claim) {
+	page.WriteString("\n## Pairs of faults\n\n")
+	count := 0
+	for _, c := range claims {
+		if strings.Contains(c.Fault, " + ") {
+			fmt.Fprintf(page, "- %s at %s (point %d): `%s` in `%s`\n", c.Fault, c.Step, c.Point, c.Test, c.File)
+			count++
+		}
+	}
+	if count == 0 {
+		page.WriteString("None is proved.\n")
+	}
+}
+
+func renderReasons(page *strings.Builder) {
+	page.WriteString("\n## Why cells do not apply\n\nA fault that is listed here can strike only the steps named with it; " +
+		"it has no part in the others.\n\n")
+	for _, fault := range faults {
+		if only, ok := applies[fault]; ok {
+			fmt.Fprintf(page, "- %s: %s\n", fault, strings.Join(only, ", "))
+		}
+	}
+}
+
+func appliesTo(fault, step string) bool {
+	only, limited := applies[fault]
+	return !limited || slices.Contains(only, step)
+}
