Cut daemons off from each other in tests

Cause: faults between daemons could not be caused: their connections come from any local address, so nothing between them can tell who speaks.

Ruled out: cutting by killing; a daemon that is cut off lives on and may act.

What stands: a proxy that refuses or silences connections by source; daemons dial from the address they serve, which firewalls want too, and may announce another peer address than they listen on (listen.peerAdvertised).

--- a/hickoryd/internal/node/node.go
+++ b/hickoryd/internal/node/node.go
@@ -183,7 +183,7 @@
 func hostOf(s settings.Settings, start time.Time) member.Host {
 	return member.Host{
 		Name: s.Host.Name, Incarnation: uint64(start.UnixNano()), FailureDomain: s.Host.FailureDomain,
-		PeerAddress: s.Listen.Peer, OperatorAddress: s.Listen.Operator,
+		PeerAddress: s.Listen.AdvertisedPeer(), OperatorAddress: s.Listen.Operator,
 	}
 }
 
@@ -195,8 +195,8 @@
 	return platform.NewHostList(s.Platform.HostList, s.Platform.Timeout, set)
 }
 
-func newPool(security transport.Security) *peer.Pool {
-	return peer.NewPool(security.PeerClient())
+func newPool(s settings.Settings, security transport.Security) *peer.Pool {
+	return peer.NewPool(security.PeerClient(), s.Listen.Peer.Addr())
 }
 
 func newEngines() engines {
--- a/hickoryd/internal/peer/pool.go
+++ b/hickoryd/internal/peer/pool.go
@@ -2,6 +2,8 @@
 package peer
 
 import (
+	"context"
+	"net"
 	"net/netip"
 	"sync"
 	"time"
@@ -26,14 +28,17 @@
 // Pool keeps one connection to each daemon. It is safe for concurrent use.
 type Pool struct {
 	credentials credentials.TransportCredentials
+	dialer      net.Dialer
 
 	mu    sync.Mutex
 	conns map[netip.AddrPort]*grpc.ClientConn
 }
 
-// NewPool returns an empty pool.
-func NewPool(creds credentials.TransportCredentials) *Pool {
-	return &Pool{credentials: creds, conns: map[netip.AddrPort]*grpc.ClientConn{}}
+// NewPool returns an empty pool. Connections come from the source address, so
+// that firewalls see daemons under the address they serve.
+func NewPool(creds credentials.TransportCredentials, source netip.Addr) *Pool {
+	dialer := net.Dialer{LocalAddr: net.TCPAddrFromAddrPort(netip.AddrPortFrom(source, 0))}
+	return &Pool{credentials: creds, dialer: dialer, conns: map[netip.AddrPort]*grpc.ClientConn{}}
 }
 
 // Client returns a client of the daemon at address.
@@ -45,6 +50,7 @@
 	}
 	conn, err := grpc.NewClient("passthrough:///"+address.String(),
 		grpc.WithTransportCredentials(p.credentials),
+		grpc.WithContextDialer(p.dial),
 		grpc.WithConnectParams(grpc.ConnectParams{Backoff: reconnect, MinConnectTimeout: connectTimeout}),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepaliveTime, Timeout: keepaliveTimeout}))
 	if err != nil {
@@ -54,6 +60,10 @@
 	return peerapi.NewPeerClient(conn), nil
 }
 
+func (p *Pool) dial(ctx context.Context, address string) (net.Conn, error) {
+	return p.dialer.DialContext(ctx, "tcp", address)
+}
+
 // Drop closes the connection to a daemon that is gone.
 func (p *Pool) Drop(address netip.AddrPort) {
 	p.mu.Lock()
--- a/hickoryd/internal/settings/settings.go
+++ b/hickoryd/internal/settings/settings.go
@@ -40,6 +40,9 @@
 		Caller   netip.AddrPort
 		Operator netip.AddrPort
 		Peer     netip.AddrPort
+		// PeerAdvertised is the address that other daemons are told. Zero means
+		// Peer.
+		PeerAdvertised netip.AddrPort
 	}
 
 	// Platform says how to reach the platform's services.
@@ -129,6 +132,23 @@
 	return t.Certificate != ""
 }
 
+// AdvertisedPeer returns the address that other daemons are told.
+func (l Listen) AdvertisedPeer() netip.AddrPort {
+	if l.PeerAdvertised.IsValid() {
+		return l.PeerAdvertised
+	}
+	return l.Peer
+}
+
+func optionalAddrPort(target *netip.AddrPort) func(string) error {
+	return func(value string) error {
+		if value == "" {
+			return nil
+		}
+		return setting.AddrPort(target)(value)
+	}
+}
+
 func bindings(s *Settings) []setting.Binding {
 	return []setting.Binding{
 		setting.Bind("host", "name", "", "name of this host, unique in the fleet", setting.Required(&s.Host.Name)),
@@ -136,6 +156,7 @@
 		setting.Bind("listen", "caller", "", "address for callers", setting.AddrPort(&s.Listen.Caller)),
 		setting.Bind("listen", "operator", "", "address for operators, health checks and metrics", setting.AddrPort(&s.Listen.Operator)),
 		setting.Bind("listen", "peer", "", "address for the other daemons", setting.AddrPort(&s.Listen.Peer)),
+		setting.Bind("listen", "peerAdvertised", "", "address for the other daemons as they see it; default: peer", optionalAddrPort(&s.Listen.PeerAdvertised)),
 		setting.Bind("platform", "kv", "", "address of the platform's key-value service", setting.AddrPort(&s.Platform.KV)),
 		setting.Bind("platform", "hostList", "", "address of the platform's host list", setting.AddrPort(&s.Platform.HostList)),
 		setting.Bind("platform", "hostListPoll", "1s", "time between reads of the host list", setting.Duration(&s.Platform.HostListPoll)),
--- /dev/null
+++ b/hickorylab/cutproxy/cutproxy.go
@@ -0,0 +1,223 @@
+// Package cutproxy forwards TCP connections and can cut them or leave them
+// silent, as a network does that has lost track of them.
+package cutproxy
+
+import (
+	"io"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+)
+
+const (
+	// Pass forwards data.
+	Pass Mode = iota
+	// Refuse closes connections, new ones too.
+	Refuse
+	// Silence keeps connections open and drops their data; new ones too.
+	Silence
+
+	dialTimeout = 2 * time.Second
+	chunkBytes  = 32 << 10
+)
+
+type (
+	// Mode says what happens to the connections of a source.
+	Mode int
+
+	// Proxy forwards connections to one target. It is safe for concurrent use.
+	Proxy struct {
+		target   string
+		listener net.Listener
+
+		mu    sync.Mutex
+		modes map[netip.Addr]Mode // by source; the zero address is every source
+		links map[*link]bool
+		group sync.WaitGroup
+	}
+
+	// link is one forwarded connection.
+	link struct {
+		proxy  *Proxy
+		source netip.Addr
+		client net.Conn
+		server net.Conn
+
+		mu     sync.Mutex
+		silent bool
+	}
+
+	// pipe copies one direction of a link.
+	pipe struct {
+		link *link
+		from net.Conn
+		to   net.Conn
+	}
+)
+
+// Listen returns a proxy at address that forwards to target.
+func Listen(address, target string) (*Proxy, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	p := &Proxy{target: target, listener: listener, modes: map[netip.Addr]Mode{}, links: map[*link]bool{}}
+	p.group.Go(p.run)
+	return p, nil
+}
+
+// Set changes the mode of a source, for open connections and new ones. The
+// zero address means every source that has no mode of its own.
+func (p *Proxy) Set(source netip.Addr, mode Mode) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.modes[source] = mode
+	for l := range p.links {
+		if source.IsValid() && l.source != source {
+			continue
+		}
+		l.apply(mode)
+	}
+}
+
+// SilenceOpen makes the connections that are open now silent for good. New
+// ones work.
+func (p *Proxy) SilenceOpen() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for l := range p.links {
+		l.silence()
+	}
+}
+
+// Close ends the proxy and its connections.
+func (p *Proxy) Close() {
+	p.listener.Close()
+	p.mu.Lock()
+	for l := range p.links {
+		l.close()
+	}
+	p.mu.Unlock()
+	p.group.Wait()
+}
+
+// run accepts connections until the proxy is closed.
+func (p *Proxy) run() {
+	for {
+		client, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		l := &link{proxy: p, source: sourceOf(client), client: client}
+		p.group.Go(l.run)
+	}
+}
+
+func (p *Proxy) mode(source netip.Addr) Mode {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if mode, ok := p.modes[source]; ok {
+		return mode
+	}
+	return p.modes[netip.Addr{}]
+}
+
+// run forwards both directions until one of them ends.
+func (l *link) run() {
+	defer l.client.Close()
+	mode := l.proxy.mode(l.source)
+	if mode == Refuse {
+		return
+	}
+	server, err := net.DialTimeout("tcp", l.proxy.target, dialTimeout)
+	if err != nil {
+		return
+	}
+	l.server = server
+	l.apply(mode)
+	l.proxy.add(l)
+	defer l.proxy.remove(l)
+	var group sync.WaitGroup
+	group.Go(pipe{link: l, from: l.client, to: server}.run)
+	group.Go(pipe{link: l, from: server, to: l.client}.run)
+	group.Wait()
+}
+
+// run copies until either end closes. Data of a silent link is dropped.
+func (p pipe) run() {
+	defer p.link.close()
+	buffer := make([]byte, chunkBytes)
+	for {
+		n, err := p.from.Read(buffer)
+		if n > 0 && !p.link.isSilent() {
+			if _, err := p.to.Write(buffer[:n]); err != nil {
+				return
+			}
+		}
+		if err == io.EOF && p.link.isSilent() {
+			p.link.awaitClose()
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+func (l *link) apply(mode Mode) {
+	switch mode {
+	case Refuse:
+		l.close()
+	case Silence:
+		l.silence()
+	}
+}
+
+func (l *link) silence() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.silent = true
+}
+
+func (l *link) isSilent() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.silent
+}
+
+// awaitClose keeps a silent link open after one end has closed: the other end
+// must not hear of it.
+func (l *link) awaitClose() {
+	buffer := make([]byte, chunkBytes)
+	for {
+		if _, err := l.client.Read(buffer); err != nil {
+			return
+		}
+	}
+}
+
+func (l *link) close() {
+	l.client.Close()
+	if l.server != nil {
+		l.server.Close()
+	}
+}
+
+func (p *Proxy) add(l *link) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.links[l] = true
+}
+
+func (p *Proxy) remove(l *link) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.links, l)
+}
+
+func sourceOf(conn net.Conn) netip.Addr {
+	if address, ok := conn.RemoteAddr().(*net.TCPAddr); ok {
+		return address.AddrPort().Addr().Unmap()
+	}
+	return netip.Addr{}
+}
--- a/hickorylab/harness/client.go
+++ b/hickorylab/harness/client.go
@@ -126,6 +126,13 @@
 	return status.ConfigRevision
 }
 
+// LiveHosts returns the number of hosts that a daemon holds for alive.
+func (c *Cluster) LiveHosts(host *Process) int {
+	var status statusBody
+	c.get("http://"+host.Operator+"/admin/v1/status", &status)
+	return len(status.Hosts)
+}
+
 func (c *Cluster) configure() {
 	c.tb.Helper()
 	for _, host := range c.Hosts {
--- a/hickorylab/harness/harness.go
+++ b/hickorylab/harness/harness.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -16,6 +17,7 @@
 	"testing"
 	"time"
 
+	"github.com/hickoryfront/hickoryfront/hickorylab/cutproxy"
 	"github.com/hickoryfront/hickoryfront/hickorylab/engine"
 	"github.com/hickoryfront/hickoryfront/hickorylab/platform"
 	"github.com/hickoryfront/hickoryfront/hickorylab/service"
@@ -36,6 +38,7 @@
 	callerPort   = 18080
 	operatorPort = 18081
 	peerPort     = 18082
+	proxyPort    = 18083
 	enginePort   = 19000
 	servicePort  = 19100
 	platformPort = 18500
@@ -64,6 +67,7 @@
 		Settings     string        // further INI text of every daemon
 		Profile      string        // INI text of the model service's profile
 		PlainProfile string        // INI text of the plain service's profile
+		Cuttable     bool          // daemons reach each other through proxies
 	}
 
 	// Cluster is a running set of processes. Platform and plain services run
@@ -80,6 +84,7 @@
 		Services []*PlainServer
 		Hosts    []*Process
 		Engines  map[string]*Process
+		Proxies  map[string]*cutproxy.Proxy // before the daemons' peer addresses
 	}
 
 	// PlainServer is one server of the plain service.
@@ -134,6 +139,7 @@
 	c := &Cluster{
 		tb: tb, binaries: binaries, options: withDefaults(o), dir: tb.TempDir(), done: make(chan struct{}),
 		network: fmt.Sprintf("127.%d.%d", 64+os.Getpid()%128, networks.Add(1)), Engines: map[string]*Process{},
+		Proxies: map[string]*cutproxy.Proxy{},
 	}
 	tb.Cleanup(c.close)
 	c.startPlatform()
@@ -260,6 +266,9 @@
 		"[platform]\nkv = %s\nhostList = %s\n[peers]\nseeds = %s\n[auth]\noperatorToken = %s\n%s\n",
 		name, domains[number%len(domains)], p.Address, p.Operator, c.Address(number, peerPort),
 		c.PlatformAddress(), c.PlatformAddress(), c.seeds(), OperatorToken, c.options.Settings)
+	if c.options.Cuttable {
+		text += c.startProxy(name, number)
+	}
 	path := filepath.Join(c.dir, name+".ini")
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		c.tb.Fatal(err)
@@ -269,10 +278,37 @@
 	return p
 }
 
+// startProxy puts a proxy before a daemon's peer address and returns the
+// settings that announce it.
+func (c *Cluster) startProxy(name string, number int) string {
+	proxy, err := cutproxy.Listen(c.Address(number, proxyPort), c.Address(number, peerPort))
+	if err != nil {
+		c.tb.Fatal(err)
+	}
+	c.tb.Cleanup(proxy.Close)
+	c.Proxies[name] = proxy
+	return fmt.Sprintf("[listen]\npeerAdvertised = %s\n", c.Address(number, proxyPort))
+}
+
+// Cut stops the traffic between two daemons in both directions.
+func (c *Cluster) Cut(a, b *Process, mode cutproxy.Mode) {
+	c.Proxies[a.Name].Set(b.Source(), mode)
+	c.Proxies[b.Name].Set(a.Source(), mode)
+}
+
+// Source returns the IP number from which a daemon reaches the others.
+func (p *Process) Source() netip.Addr {
+	return netip.MustParseAddrPort(p.Address).Addr()
+}
+
 func (c *Cluster) seeds() string {
+	port := peerPort
+	if c.options.Cuttable {
+		port = proxyPort
+	}
 	seeds := make([]string, 0, c.options.Hosts)
 	for i := range c.options.Hosts {
-		seeds = append(seeds, c.Address(i+1, peerPort))
+		seeds = append(seeds, c.Address(i+1, port))
 	}
 	return strings.Join(seeds, ", ")
 }
