Renew certificates without a restart

Cause: the certificate was read once, so that a renewal needed a rolling restart of all hosts, and nothing proved that daemons refuse strangers.

Ruled out: a signal that reloads; operators drive the system by configuration and files that the platform places, not by hand on single machines.

Before: no test; a renewed file was ignored.

Conclusion: certificates can be short-lived.

--- a/hickoryd/internal/node/node.go
+++ b/hickoryd/internal/node/node.go
@@ -67,7 +67,7 @@
 		Settings     settings.Settings
 		Logger       log.Interface
 		Set          *metrics.Set
-		Security     transport.Security
+		Security     *transport.Security
 		Gate         *Gate
 		Membership   *peer.Membership
 		Registration *Registration
@@ -94,7 +94,7 @@
 			func() log.Interface { return logger },
 			func() member.Host { return hostOf(s, start) },
 			metrics.NewSet,
-			transport.Load,
+			transport.New,
 			newPlatform, newHostList, newPool, newDirectory, newSlots, newMembership, newClaims,
 			newStore, newRegistration, newGate, newSync, newCanceller, newModels, newPlain, newRouter,
 			newCaller, newOperator, newPeerService, newDrainWatch, newEngines, New,
@@ -110,7 +110,7 @@
 	n := &Node{
 		settings: p.Settings, logger: p.Logger, gate: p.Gate, membership: p.Membership, registration: p.Registration,
 		canceller: p.Canceller, pool: p.Pool, handler: p.Caller, drained: p.Drain,
-		loops: []runner{p.Directory, p.Slots, p.Membership, p.Store, p.Sync, p.Registration, p.Drain},
+		loops: []runner{p.Security, p.Directory, p.Slots, p.Membership, p.Store, p.Sync, p.Registration, p.Drain},
 	}
 	var err error
 	if n.callers, err = newHTTPServer(p.Settings.Listen.Caller, routes(p.Caller), p.Security, p.Logger); err != nil {
@@ -195,7 +195,7 @@
 	return platform.NewHostList(s.Platform.HostList, s.Platform.Timeout, set)
 }
 
-func newPool(s settings.Settings, security transport.Security) *peer.Pool {
+func newPool(s settings.Settings, security *transport.Security) *peer.Pool {
 	return peer.NewPool(security.PeerClient(), s.Listen.Peer.Addr())
 }
 
--- a/hickoryd/internal/node/servers.go
+++ b/hickoryd/internal/node/servers.go
@@ -38,7 +38,7 @@
 	}
 )
 
-func newHTTPServer(address netip.AddrPort, engine *gin.Engine, security transport.Security, logger log.Interface) (*httpServer, error) {
+func newHTTPServer(address netip.AddrPort, engine *gin.Engine, security *transport.Security, logger log.Interface) (*httpServer, error) {
 	listener, err := net.Listen("tcp", address.String())
 	if err != nil {
 		return nil, err
@@ -66,7 +66,7 @@
 	}
 }
 
-func newPeerServer(address netip.AddrPort, service peerapi.PeerServer, security transport.Security, logger log.Interface) (*peerServer, error) {
+func newPeerServer(address netip.AddrPort, service peerapi.PeerServer, security *transport.Security, logger log.Interface) (*peerServer, error) {
 	listener, err := net.Listen("tcp", address.String())
 	if err != nil {
 		return nil, err
