Find and end engine requests that nobody holds, after any change of home

Cause: a new home of a server began with an empty ledger, so requests of a dead daemon that the old home had granted stayed on the engine for good. A release that the home did not hear, and a reservation granted to a caller that had just gone, held a slot for the whole lifetime of ten minutes, and a request longer than that was cancelled though its caller was there. A daemon that was paused, or cut off from all others, saw every other daemon as dead and would have ended all their requests.

Now each attempt's id names its holder. The home audits: what an engine runs without a reservation, what is reserved and not used, and what a dead daemon holds is asked of the holder itself; held is adopted or renewed, not held is dropped or cancelled, requests of other systems are left alone. Silence of a holder counts as death only while this daemon sees most of the fleet.

Ruled out: pushing all holdings to new homes on each change of the ring (17 KB per daemon and change at 350 requests each, and blind to attempts that reach the engine after their cancel).

--- a/core/backend/backend.go
+++ b/core/backend/backend.go
@@ -53,6 +53,7 @@
 	Load struct {
 		ServerID       string
 		ObservedAt     time.Time
+		Incarnation    string // life of the server, where it tells
 		SlotsUsed      int
 		SlotsTotal     int
 		PrefillBacklog time.Duration // time to work off the queue
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -102,6 +102,23 @@
 	return ok && s.Host.Incarnation == incarnation && now.Sub(s.LastSeen) <= t.timeout
 }
 
+// Majority reports whether at least half of the known hosts are alive, this
+// one included. Hosts that drained before they fell silent do not count. A
+// daemon without a majority may be cut off, or may just have been paused.
+func (t *Table) Majority(now time.Time) bool {
+	live, known := 1, 1
+	for _, s := range t.states {
+		alive := now.Sub(s.LastSeen) <= t.timeout
+		if alive {
+			live++
+		}
+		if alive || !s.Draining {
+			known++
+		}
+	}
+	return live*2 >= known
+}
+
 // Lookup returns what is known of a host, alive or not.
 func (t *Table) Lookup(name string) (State, bool) {
 	if name == t.self.Host.Name {
--- a/core/slot/ledger.go
+++ b/core/slot/ledger.go
@@ -14,6 +14,8 @@
 	ErrFull = errors.New("no free slot")
 	// ErrLeaving means that the server takes no new work.
 	ErrLeaving = errors.New("server is leaving")
+	// ErrUnreachable means that the server does not answer its home.
+	ErrUnreachable = errors.New("server does not answer")
 	// ErrUnknownServer means that the ledger does not hold the server.
 	ErrUnknownServer = errors.New("unknown server")
 )
@@ -25,6 +27,12 @@
 		Incarnation uint64
 	}
 
+	// Terms are what a holder asks of a reservation.
+	Terms struct {
+		Lifetime time.Duration
+		Isolated bool // no other isolated request may use the server meanwhile
+	}
+
 	// Reservation is one granted slot.
 	Reservation struct {
 		RequestID string
@@ -32,6 +40,8 @@
 		GrantedAt time.Time
 		Deadline  time.Time
 		KVBytes   uint64
+		Isolated  bool
+		renewedAt time.Time
 	}
 
 	// Ledger holds the slots of the servers whose home is this daemon. It is
@@ -41,10 +51,13 @@
 	}
 
 	account struct {
-		server   backend.Server
-		granted  map[string]Reservation
-		reported backend.Load
-		leaving  bool
+		server      backend.Server
+		granted     map[string]Reservation
+		reported    backend.Load
+		leaving     bool
+		unreachable bool
+		running     map[string]bool      // attempts of this system, as of the last audit
+		asked       map[string]time.Time // newest question about an attempt
 	}
 )
 
@@ -57,7 +70,7 @@
 func (l *Ledger) Track(server backend.Server) {
 	a, ok := l.servers[server.ID]
 	if !ok {
-		a = &account{granted: map[string]Reservation{}}
+		a = &account{granted: map[string]Reservation{}, asked: map[string]time.Time{}}
 		l.servers[server.ID] = a
 	}
 	a.server = server
@@ -97,10 +110,27 @@
 	}
 }
 
-// Observe takes in a load report of the server.
+// SetReachable says whether the server answers its home. A server that does
+// not gets no new work.
+func (l *Ledger) SetReachable(serverID string, reachable bool) {
+	if a, ok := l.servers[serverID]; ok {
+		a.unreachable = !reachable
+	}
+}
+
+// Observe takes in a load report of the server. A report of a new incarnation
+// frees the slots of the one before, whose memory is gone.
 func (l *Ledger) Observe(load backend.Load) {
 	a, ok := l.servers[load.ServerID]
-	if !ok || load.ObservedAt.Before(a.reported.ObservedAt) {
+	if !ok {
+		return
+	}
+	if a.isRestart(load) {
+		clear(a.granted)
+		a.leaving = a.server.State == backend.StateLeaving
+		a.reported = backend.Load{}
+	}
+	if load.ObservedAt.Before(a.reported.ObservedAt) {
 		return
 	}
 	a.reported = load
@@ -122,7 +152,10 @@
 	if a.leaving {
 		return ErrLeaving
 	}
-	if a.free() <= 0 {
+	if a.unreachable {
+		return ErrUnreachable
+	}
+	if a.free() <= 0 || r.Isolated && a.holdsIsolated() {
 		return ErrFull
 	}
 	r.GrantedAt = now
@@ -147,20 +180,6 @@
 	}
 }
 
-// Expired returns the reservations whose holder is gone or whose deadline has
-// passed, by server. They stay in the ledger until they are released.
-func (l *Ledger) Expired(now time.Time, alive func(Holder) bool) map[string][]Reservation {
-	expired := map[string][]Reservation{}
-	for id, a := range l.servers {
-		for _, r := range a.granted {
-			if now.After(r.Deadline) || !alive(r.Holder) {
-				expired[id] = append(expired[id], r)
-			}
-		}
-	}
-	return expired
-}
-
 // Load returns the digest that the home publishes for a server.
 func (l *Ledger) Load(now time.Time, serverID string) (backend.Load, bool) {
 	a, ok := l.servers[serverID]
@@ -177,6 +196,20 @@
 	}, true
 }
 
+func (a *account) isRestart(load backend.Load) bool {
+	known := a.reported.Incarnation
+	return known != "" && load.Incarnation != "" && load.Incarnation != known
+}
+
+func (a *account) holdsIsolated() bool {
+	for _, r := range a.granted {
+		if r.Isolated {
+			return true
+		}
+	}
+	return false
+}
+
 func (a *account) free() int {
 	return a.server.Slots - a.used()
 }
--- a/core/slot/ledger_test.go
+++ b/core/slot/ledger_test.go
@@ -49,18 +49,52 @@
 	}
 }
 
-func TestExpiredFindsDeadHolders(t *testing.T) {
+func TestReserveOnUnreachableServer(t *testing.T) {
 	now := time.Unix(1000, 0)
 	l := slot.New()
 	l.Track(backend.Server{ID: "d", Slots: 4})
-	dead := slot.Holder{Host: "host-1", Incarnation: 1}
-	for id, holder := range map[string]slot.Holder{"a": dead, "b": {Host: "host-1", Incarnation: 2}} {
-		if err := l.Reserve(now, "d", slot.Reservation{RequestID: id, Holder: holder, Deadline: now.Add(time.Minute)}); err != nil {
-			t.Fatal(err)
-		}
-	}
-	got := l.Expired(now, func(h slot.Holder) bool { return h != dead })
-	if len(got["d"]) != 1 || got["d"][0].RequestID != "a" {
-		t.Errorf("expired reservations: %v, want a", got)
+	l.SetReachable("d", false)
+	if err := l.Reserve(now, "d", slot.Reservation{RequestID: "a"}); !errors.Is(err, slot.ErrUnreachable) {
+		t.Errorf("got %v, want ErrUnreachable", err)
+	}
+	l.SetReachable("d", true)
+	if err := l.Reserve(now, "d", slot.Reservation{RequestID: "a"}); err != nil {
+		t.Errorf("the server answers again: %v", err)
+	}
+}
+
+// Two requests that may crash their server never share one.
+//
+// proof: crashing request | reserve | 1
+func TestIsolatedReservationsNeverShareAServer(t *testing.T) {
+	now := time.Unix(1000, 0)
+	l := slot.New()
+	l.Track(backend.Server{ID: "d", Slots: 4})
+	if err := l.Reserve(now, "d", slot.Reservation{RequestID: "a", Isolated: true}); err != nil {
+		t.Fatal(err)
+	}
+	if err := l.Reserve(now, "d", slot.Reservation{RequestID: "b", Isolated: true}); !errors.Is(err, slot.ErrFull) {
+		t.Errorf("second isolated request: %v, want ErrFull", err)
+	}
+	if err := l.Reserve(now, "d", slot.Reservation{RequestID: "c"}); err != nil {
+		t.Errorf("ordinary request: %v", err)
+	}
+	l.Release("d", "a")
+	if err := l.Reserve(now, "d", slot.Reservation{RequestID: "b", Isolated: true}); err != nil {
+		t.Errorf("isolated request after the first ended: %v", err)
+	}
+}
+
+func TestRestartFreesSlots(t *testing.T) {
+	now := time.Unix(1000, 0)
+	l := slot.New()
+	l.Track(backend.Server{ID: "d", Slots: 1})
+	l.Observe(backend.Load{ServerID: "d", ObservedAt: now, Incarnation: "1"})
+	if err := l.Reserve(now, "d", slot.Reservation{RequestID: "a"}); err != nil {
+		t.Fatal(err)
+	}
+	l.Observe(backend.Load{ServerID: "d", ObservedAt: now.Add(-time.Hour), Incarnation: "2"})
+	if err := l.Reserve(now, "d", slot.Reservation{RequestID: "b"}); err != nil {
+		t.Errorf("slot of the earlier incarnation is still held: %v", err)
 	}
 }
--- /dev/null
+++ b/core/slot/requestid_test.go
@@ -0,0 +1,42 @@
+package slot_test
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/hickoryfront/hickoryfront/core/slot"
+)
+
+func TestRequestID(t *testing.T) {
+	want := slot.RequestID{Holder: slot.Holder{Host: "salt lake:1%", Incarnation: 1<<63 + 5}, Request: "a:b", Attempt: 3}
+	got, ok := slot.ParseRequestID(want.String())
+	if !ok {
+		t.Fatalf("%q is not recognised", want)
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func TestParseRequestIDOfOtherSystems(t *testing.T) {
+	for _, text := range []string{"", "7b2", "hf", "hf:host:1:r", "hf:host:1:r:0", "hf:host:-:r:1", "hf::1:r:1", "xx:host:1:r:1", "hf:host:1:r:1:2", "hf:%zz:1:r:1"} {
+		if id, ok := slot.ParseRequestID(text); ok {
+			t.Errorf("%q was taken for %+v", text, id)
+		}
+	}
+}
+
+func FuzzParseRequestID(f *testing.F) {
+	f.Add("hf:host-1:a:0b:1")
+	f.Fuzz(func(t *testing.T, text string) {
+		id, ok := slot.ParseRequestID(text)
+		if !ok {
+			return
+		}
+		again, ok := slot.ParseRequestID(id.String())
+		if !ok || again != id {
+			t.Errorf("%q: %+v became %+v", text, id, again)
+		}
+	})
+}
--- a/hickoryd/engine/client.go
+++ b/hickoryd/engine/client.go
@@ -106,6 +106,7 @@
 	}
 	return backend.Load{
 		ServerID:       server.ID,
+		Incarnation:    reply.Incarnation,
 		ObservedAt:     reply.ObservedAt,
 		SlotsUsed:      reply.SlotsUsed,
 		SlotsTotal:     reply.SlotsTotal,
@@ -114,6 +115,13 @@
 	}, nil
 }
 
+// Uptime reads how long this life of an engine has lasted.
+func (c *Client) Uptime(ctx context.Context, server backend.Server) (time.Duration, error) {
+	var reply LoadReply
+	err := c.get(ctx, server.Address, PathLoad, nil, &reply)
+	return time.Duration(reply.UptimeMS) * time.Millisecond, err
+}
+
 // CacheEvents reads the cache events after a sequence number.
 func (c *Client) CacheEvents(ctx context.Context, address netip.AddrPort, after uint64) (CacheEventsReply, error) {
 	var reply CacheEventsReply
--- a/hickoryd/engine/wire.go
+++ b/hickoryd/engine/wire.go
@@ -110,8 +110,10 @@
 		Requests []RequestInfo `json:"requests"`
 	}
 
-	// LoadReply is a load report.
+	// LoadReply is a load report. Incarnation names this life of the engine.
 	LoadReply struct {
+		Incarnation      string    `json:"incarnation"`
+		UptimeMS         int64     `json:"uptimeMs"`
 		ObservedAt       time.Time `json:"observedAt"`
 		SlotsUsed        int       `json:"slotsUsed"`
 		SlotsTotal       int       `json:"slotsTotal"`
--- a/hickoryd/internal/dispatch/id.go
+++ b/hickoryd/internal/dispatch/id.go
@@ -1,8 +1,8 @@
 package dispatch
 
-import "strconv"
+import "github.com/hickoryfront/hickoryfront/core/slot"
 
 // attemptID names one attempt of a request at the engines.
-func attemptID(requestID string, attempt int) string {
-	return requestID + "." + strconv.Itoa(attempt)
+func (r *run) attemptID(attempt int) string {
+	return slot.RequestID{Holder: r.models.slots.Holder(), Request: r.request.ID, Attempt: attempt}.String()
 }
--- a/hickoryd/internal/dispatch/model.go
+++ b/hickoryd/internal/dispatch/model.go
@@ -16,13 +16,13 @@
 	"github.com/hickoryfront/hickoryfront/core/placement"
 	"github.com/hickoryfront/hickoryfront/core/prefix"
 	"github.com/hickoryfront/hickoryfront/core/refusal"
+	"github.com/hickoryfront/hickoryfront/core/slot"
 	"github.com/hickoryfront/hickoryfront/hickoryd/engine"
 )
 
 const (
 	maxAttempts      = 4
 	slotPollInterval = 20 * time.Millisecond
-	releaseTimeout   = 2 * time.Second
 	prefillTimeout   = 30 * time.Second
 	retryAfterFull   = time.Second
 	reserveLifetime  = 10 * time.Minute
@@ -64,8 +64,9 @@
 
 	// Slots reserves slots at their homes.
 	Slots interface {
-		Reserve(ctx context.Context, now time.Time, server backend.Server, requestID string, lifetime time.Duration) error
-		Release(ctx context.Context, now time.Time, serverID, requestID string) error
+		Holder() slot.Holder
+		Reserve(ctx context.Context, now time.Time, server backend.Server, requestID string, terms slot.Terms) error
+		Release(serverID, requestID string)
 	}
 
 	// Directory is what placement sees of the servers.
@@ -161,7 +162,7 @@
 		return err
 	}
 	attempt, offset := r.assembly.Begin()
-	attemptID := attemptID(r.request.ID, attempt)
+	attemptID := r.attemptID(attempt)
 	defer r.release(server, attemptID)
 	stream, err := r.start(ctx, server, attemptID, offset)
 	if err != nil {
@@ -283,11 +284,7 @@
 
 // release gives the slot back once the engine holds nothing of the attempt.
 func (r *run) release(server backend.Server, attemptID string) {
-	release := func() {
-		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
-		defer cancel()
-		_ = r.models.slots.Release(ctx, time.Now(), server.ID, attemptID) // the home reclaims it otherwise
-	}
+	release := func() { r.models.slots.Release(server.ID, attemptID) }
 	if r.assembly.Done() {
 		release()
 		return
@@ -295,6 +292,10 @@
 	r.models.canceller.Cancel(server, attemptID, release)
 }
 
+func (r *run) terms() slot.Terms {
+	return slot.Terms{Lifetime: reserveLifetime}
+}
+
 func wait(ctx context.Context, d time.Duration) error {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/hickoryd/internal/dispatch/reserve.go
+++ b/hickoryd/internal/dispatch/reserve.go
@@ -13,12 +13,12 @@
 // reserve takes a slot on a decode server, waiting up to the profile's limit.
 func (r *run) reserve(ctx context.Context) (backend.Server, error) {
 	m := r.models
-	id := attemptID(r.request.ID, r.assembly.Peek())
+	id := r.attemptID(r.assembly.Peek())
 	deadline := r.request.ArrivedAt.Add(r.request.Profile.MaxWait)
 	for {
 		now := time.Now()
 		for _, server := range r.plan(now).Decode {
-			if err := m.slots.Reserve(ctx, now, server, id, reserveLifetime); err == nil {
+			if err := m.slots.Reserve(ctx, now, server, id, r.terms()); err == nil {
 				return server, nil
 			}
 		}
--- a/hickoryd/internal/home/slots.go
+++ b/hickoryd/internal/home/slots.go
@@ -145,7 +145,6 @@
 	for {
 		s.adopt(time.Now())
 		s.readLoads(ctx)
-		s.reclaim(time.Now())
 		select {
 		case <-ctx.Done():
 			return
@@ -196,21 +195,38 @@
 	return servers
 }
 
-// reclaim cancels the requests whose holder is dead or whose time is over.
-func (s *Slots) reclaim(now time.Time) {
+// audit returns what must be asked about the requests of one server.
+func (s *Slots) audit(now time.Time, serverID string, running []string) []slot.Question {
+	alive := s.aliveAt(now)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	alive := func(h slot.Holder) bool { return s.membership.IsAlive(now, h.Host, h.Incarnation) }
-	for serverID, reservations := range s.ledger.Expired(now, alive) {
-		for _, r := range reservations {
-			if s.reclaiming[r.RequestID] {
-				continue
-			}
-			s.reclaiming[r.RequestID] = true
-			s.reclaimed.Inc()
-			s.canceller.Cancel(s.servers[serverID], r.RequestID, s.released(serverID, r.RequestID))
-		}
+	return s.ledger.Audit(now, serverID, running, alive)
+}
+
+// auditDue returns how long after the last audit of a server the next is due.
+func (s *Slots) auditDue(now time.Time, serverID string) time.Duration {
+	alive := s.aliveAt(now)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ledger.AuditDue(serverID, alive)
+}
+
+// judge takes in a verdict and ends the attempt where that is due. It returns
+// whether a cancellation was begun.
+func (s *Slots) judge(now time.Time, server backend.Server, requestID string, verdict slot.Verdict) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.ledger.Judge(now, server.ID, requestID, verdict, adoptedLifetime) || s.reclaiming[requestID] {
+		return false
 	}
+	s.reclaiming[requestID] = true
+	s.reclaimed.Inc()
+	s.canceller.Cancel(server, requestID, s.released(server.ID, requestID))
+	return true
+}
+
+func (s *Slots) aliveAt(now time.Time) func(slot.Holder) bool {
+	return func(h slot.Holder) bool { return s.membership.IsAlive(now, h.Host, h.Incarnation) }
 }
 
 func (s *Slots) released(serverID, requestID string) func() {
@@ -231,10 +247,12 @@
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
 	load, err := r.slots.engines.Load(ctx, r.server)
+	r.slots.mu.Lock()
+	r.slots.ledger.SetReachable(r.server.ID, err == nil)
 	if err != nil {
+		r.slots.mu.Unlock()
 		return
 	}
-	r.slots.mu.Lock()
 	r.slots.ledger.Observe(load)
 	digest, ok := r.slots.ledger.Load(time.Now(), r.server.ID)
 	r.slots.mu.Unlock()
--- a/hickoryd/internal/node/node.go
+++ b/hickoryd/internal/node/node.go
@@ -45,6 +45,7 @@
 		membership   *peer.Membership
 		registration *Registration
 		canceller    *dispatch.Canceller
+		reservations *home.Reservations
 		pool         *peer.Pool
 		handler      *caller.Handler
 		callers      *httpServer
@@ -77,6 +78,8 @@
 		Sync         *ConfigSync
 		Directory    *backends.Directory
 		Slots        *home.Slots
+		Auditor      *home.Auditor
+		Reservations *home.Reservations
 		Caller       *caller.Handler
 		Operator     *operator.Handler
 		PeerServer   *peerserver.Server
@@ -96,7 +99,7 @@
 			metrics.NewSet,
 			transport.Load,
 			newPlatform, newHostList, newPool, newDirectory, newSlots, newMembership, newClaims,
-			newStore, newRegistration, newGate, newSync, newCanceller, newModels, newPlain, newRouter,
+			newStore, newRegistration, newGate, newSync, newCanceller, newModels, newPlain, newRouter, newReservations, newAuditor,
 			newCaller, newOperator, newPeerService, newDrainWatch, newEngines, New,
 			telemetry.New, service.New,
 		),
@@ -109,8 +112,8 @@
 	gin.SetMode(gin.ReleaseMode)
 	n := &Node{
 		settings: p.Settings, logger: p.Logger, gate: p.Gate, membership: p.Membership, registration: p.Registration,
-		canceller: p.Canceller, pool: p.Pool, handler: p.Caller, drained: p.Drain,
-		loops: []runner{p.Directory, p.Slots, p.Membership, p.Store, p.Sync, p.Registration, p.Drain},
+		canceller: p.Canceller, reservations: p.Reservations, pool: p.Pool, handler: p.Caller, drained: p.Drain,
+		loops: []runner{p.Directory, p.Slots, p.Auditor, p.Membership, p.Store, p.Sync, p.Registration, p.Drain},
 	}
 	var err error
 	if n.callers, err = newHTTPServer(p.Settings.Listen.Caller, routes(p.Caller), p.Security, p.Logger); err != nil {
@@ -145,6 +148,7 @@
 	n.awaitIdle(ctx)
 	_ = n.callers.server.Shutdown(ctx)
 	n.canceller.Close(ctx)
+	n.reservations.Close()
 	n.registration.Close(ctx)
 	n.stop()
 	_ = n.operators.server.Shutdown(ctx)
@@ -168,6 +172,14 @@
 	lifecycle.Append(fx.Hook{OnStart: n.Start, OnStop: n.Stop})
 }
 
+func newReservations(membership *peer.Membership, pool *peer.Pool, slots *home.Slots, set *metrics.Set) *home.Reservations {
+	return home.NewReservations(time.Now(), membership, pool, slots, set)
+}
+
+func newAuditor(slots *home.Slots, e engines, reservations *home.Reservations, set *metrics.Set) *home.Auditor {
+	return home.NewAuditor(slots, e, reservations, set)
+}
+
 func join(slots *home.Slots, membership *peer.Membership) {
 	slots.Join(membership)
 }
@@ -241,12 +253,12 @@
 	return dispatch.NewCanceller(e, directory, set)
 }
 
-func newRouter(membership *peer.Membership, pool *peer.Pool, slots *home.Slots, claims *home.Claims) *home.Router {
-	return home.NewRouter(membership, pool, slots, claims)
+func newRouter(membership *peer.Membership, pool *peer.Pool, claims *home.Claims) *home.Router {
+	return home.NewRouter(membership, pool, claims)
 }
 
-func newModels(s settings.Settings, e engines, router *home.Router, directory *backends.Directory, canceller *dispatch.Canceller, set *metrics.Set) *dispatch.Models {
-	return dispatch.NewModels(s.Host.FailureDomain, placement.LeastLoaded{}, e, router, directory, canceller, set)
+func newModels(s settings.Settings, e engines, reservations *home.Reservations, directory *backends.Directory, canceller *dispatch.Canceller, set *metrics.Set) *dispatch.Models {
+	return dispatch.NewModels(s.Host.FailureDomain, placement.LeastLoaded{}, e, reservations, directory, canceller, set)
 }
 
 func newPlain(self member.Host, client *service.Client, directory *backends.Directory, router *home.Router) *dispatch.Plain {
@@ -261,8 +273,8 @@
 	return operator.New(s.Auth.OperatorToken, store, membership, directory, gate, set)
 }
 
-func newPeerService(membership *peer.Membership, slots *home.Slots, claims *home.Claims, store *configstore.Store) *peerserver.Server {
-	return peerserver.New(membership, slots, claims, store)
+func newPeerService(membership *peer.Membership, slots *home.Slots, reservations *home.Reservations, claims *home.Claims, store *configstore.Store) *peerserver.Server {
+	return peerserver.New(membership, slots, reservations, claims, store)
 }
 
 func newDrainWatch(s settings.Settings, store *configstore.Store, shutdown fx.Shutdowner, logger log.Interface) *DrainWatch {
--- a/hickoryd/internal/peer/membership.go
+++ b/hickoryd/internal/peer/membership.go
@@ -117,6 +117,13 @@
 	return m.table.IsAlive(now, name, incarnation)
 }
 
+// Majority reports whether at least half of the known hosts are alive.
+func (m *Membership) Majority(now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.table.Majority(now)
+}
+
 // Lookup returns what is known of a host.
 func (m *Membership) Lookup(name string) (member.State, bool) {
 	m.mu.Lock()
--- a/hickoryd/internal/peerserver/server.go
+++ b/hickoryd/internal/peerserver/server.go
@@ -29,6 +29,12 @@
 		Release(serverID, requestID string)
 	}
 
+	// Holdings tells which attempts this daemon holds.
+	Holdings interface {
+		Holder() slot.Holder
+		Held(requestIDs []string) []string
+	}
+
 	// Claims grants the keys whose home is this daemon.
 	Claims interface {
 		Claim(now time.Time, wanted claim.Grant) (claim.Outcome, claim.Grant, error)
@@ -47,14 +53,15 @@
 		peerapi.UnimplementedPeerServer
 		membership Membership
 		slots      Slots
+		holdings   Holdings
 		claims     Claims
 		config     Config
 	}
 )
 
 // New returns a server.
-func New(membership Membership, slots Slots, claims Claims, configuration Config) *Server {
-	return &Server{membership: membership, slots: slots, claims: claims, config: configuration}
+func New(membership Membership, slots Slots, holdings Holdings, claims Claims, configuration Config) *Server {
+	return &Server{membership: membership, slots: slots, holdings: holdings, claims: claims, config: configuration}
 }
 
 // Heartbeat implements the Peer service.
@@ -70,6 +77,7 @@
 		Holder:    slot.Holder{Host: request.GetHolder().GetName(), Incarnation: request.GetHolder().GetIncarnation()},
 		Deadline:  now.Add(request.GetLifetime().AsDuration()),
 		KVBytes:   request.GetKvBytes(),
+		Isolated:  request.GetIsolated(),
 	}
 	if request.GetForced() {
 		s.slots.Force(now, request.GetServerId(), r)
@@ -94,6 +102,15 @@
 	return &peerapi.ReleaseResponse{}, nil
 }
 
+// ConfirmHeld implements the Peer service.
+func (s *Server) ConfirmHeld(_ context.Context, request *peerapi.ConfirmHeldRequest) (*peerapi.ConfirmHeldResponse, error) {
+	holder := s.holdings.Holder()
+	return &peerapi.ConfirmHeldResponse{
+		Holder: &peerapi.Host{Name: holder.Host, Incarnation: holder.Incarnation},
+		Held:   s.holdings.Held(request.GetRequestIds()),
+	}, nil
+}
+
 // Claim implements the Peer service.
 func (s *Server) Claim(_ context.Context, request *peerapi.ClaimRequest) (*peerapi.ClaimResponse, error) {
 	now := time.Now()
@@ -146,6 +163,8 @@
 		return peerapi.ReserveResponse_OUTCOME_FULL
 	case errors.Is(err, slot.ErrLeaving):
 		return peerapi.ReserveResponse_OUTCOME_LEAVING
+	case errors.Is(err, slot.ErrUnreachable):
+		return peerapi.ReserveResponse_OUTCOME_FULL
 	}
 	return peerapi.ReserveResponse_OUTCOME_NOT_HOME
 }
--- a/hickorylab/engine/engine.go
+++ b/hickorylab/engine/engine.go
@@ -65,6 +65,7 @@
 	// Engine is the stand-in. It is safe for concurrent use.
 	Engine struct {
 		options Options
+		born    time.Time
 
 		mu        sync.Mutex
 		requests  map[string]*request
@@ -136,6 +137,7 @@
 func New(o Options) *Engine {
 	return &Engine{
 		options:  o,
+		born:     time.Now(),
 		requests: map[string]*request{},
 		kv:       map[string]*kvResult{},
 		cache:    newBlockCache(o.CacheBlocks, o.EventLoss, rand.New(rand.NewPCG(o.Seed, o.Seed))),
@@ -310,6 +312,7 @@
 	}
 	r.done = true
 	r.doneAt = time.Now()
+	e.log = append(e.log, Run{RequestID: r.id, Kind: "end", At: r.doneAt})
 	if r.started {
 		e.running--
 	} else {
--- a/hickorylab/engine/http.go
+++ b/hickorylab/engine/http.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/url"
 	"strconv"
 	"strings"
 	"time"
@@ -112,7 +113,7 @@
 func (e *Engine) fetchKV(ctx context.Context, kv wire.KV) error {
 	ctx, cancel := context.WithTimeout(ctx, transferTimeout)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+kv.Source+kvPath+kv.Handle, nil)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+kv.Source+kvPath+url.PathEscape(kv.Handle), nil)
 	if err != nil {
 		return err
 	}
@@ -256,7 +257,11 @@
 func (e *Engine) serveLoad(w http.ResponseWriter, _ *http.Request) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	reply := wire.LoadReply{ObservedAt: time.Now(), SlotsTotal: e.options.Slots, Leaving: e.leaving}
+	now := time.Now()
+	reply := wire.LoadReply{
+		Incarnation: strconv.FormatInt(e.born.UnixNano(), 10), UptimeMS: now.Sub(e.born).Milliseconds(),
+		ObservedAt: now, SlotsTotal: e.options.Slots, Leaving: e.leaving,
+	}
 	if len(e.reports) > 0 {
 		oldest := e.reports[0]
 		reply.ObservedAt = oldest.at
