--- a/core/config/apply.go
+++ b/core/config/apply.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
+	"slices"
 )
 
 // Apply returns the document after change. The receiver is left unchanged.
@@ -12,6 +14,9 @@
 	if change.Revision != d.Revision+1 {
 		return nil, outOfOrder.New("change %d does not follow revision %d", change.Revision, d.Revision)
 	}
+	if err := change.checkSize(); err != nil {
+		return nil, err
+	}
 	next := d.clone()
 	next.Revision = change.Revision
 	for _, edit := range change.Edits {
@@ -25,6 +30,54 @@
 	return next, nil
 }
 
+// Check returns the error that Apply would give for the edits, whatever their
+// bases are. It is for checking texts before they are written.
+func (d *Document) Check(edits []Edit) error {
+	rebased := make([]Edit, 0, len(edits))
+	for _, e := range edits {
+		e.Base = d.Entries[EntryKey{e.Kind, e.Name}].Revision
+		rebased = append(rebased, e)
+	}
+	_, err := d.Apply(Change{Revision: d.Revision + 1, Edits: rebased})
+	return err
+}
+
+// TextBytes returns the size of all entries' texts.
+func (d *Document) TextBytes() int {
+	size := 0
+	for _, e := range d.Entries {
+		size += len(e.Text)
+	}
+	return size
+}
+
+// TextBytes returns the size of the texts of all edits.
+func (c Change) TextBytes() int {
+	size := 0
+	for _, e := range c.Edits {
+		size += len(e.Text)
+	}
+	return size
+}
+
+func (c Change) checkSize() error {
+	if len(c.Edits) == 0 {
+		return invalid.New("the change has no edits")
+	}
+	if size := c.TextBytes(); size > MaxChangeBytes {
+		return invalid.New("the change has %d bytes; split it into changes of at most %d", size, MaxChangeBytes)
+	}
+	seen := make(map[EntryKey]bool, len(c.Edits))
+	for _, e := range c.Edits {
+		key := EntryKey{e.Kind, e.Name}
+		if seen[key] {
+			return invalid.New("the change edits %s %q twice", e.Kind, e.Name)
+		}
+		seen[key] = true
+	}
+	return nil
+}
+
 func (d *Document) edit(edit Edit, revision uint64) error {
 	key := EntryKey{edit.Kind, edit.Name}
 	current := d.Entries[key]
@@ -67,8 +120,14 @@
 			return err
 		}
 		d.Hosts[e.Name] = h
+	case KindPool:
+		p, err := ParsePool(e.Name, e.Text)
+		if err != nil {
+			return err
+		}
+		d.Pools[e.Name] = p
 	default:
-		return invalid.New("unknown kind %q: use profile, service, workspace or host", e.Kind)
+		return invalid.New("unknown kind %q: use profile, service, workspace, host or pool", e.Kind)
 	}
 	d.Entries[EntryKey{e.Kind, e.Name}] = e
 	return nil
@@ -85,6 +144,8 @@
 		delete(d.Workspaces, key.Name)
 	case KindHost:
 		delete(d.Hosts, key.Name)
+	case KindPool:
+		delete(d.Pools, key.Name)
 	}
 }
 
@@ -98,6 +159,19 @@
 			return invalid.New("service %q is disabled, but profile %q has no legacy address", s.Name, p.Name)
 		}
 	}
+	return d.checkPools()
+}
+
+// checkPools makes sure that no server gets orders for two pools.
+func (d *Document) checkPools() error {
+	pools := map[string]string{}
+	for _, name := range slices.Sorted(maps.Keys(d.Pools)) {
+		model := d.Pools[name].Model
+		if other, ok := pools[model]; ok {
+			return invalid.New("pool %q: [pool] model: %q has pool %q already", name, model, other)
+		}
+		pools[model] = name
+	}
 	return nil
 }
 
--- a/core/config/config.go
+++ b/core/config/config.go
@@ -18,6 +18,8 @@
 	KindWorkspace Kind = "workspace"
 	// KindHost entries drain hosts of the system itself.
 	KindHost Kind = "host"
+	// KindPool entries say what the engines of a model should run.
+	KindPool Kind = "pool"
 
 	// ClassInteractive requests go first everywhere.
 	ClassInteractive Class = "interactive"
@@ -63,6 +65,10 @@
 		At       time.Time `json:"at"`
 		Attempt  string    `json:"attempt"` // recognises this write after a lost answer
 		Edits    []Edit    `json:"edits"`
+		// Since is the newest revision that the author had seen when the change
+		// was first sent; 0 means unknown. It bounds the search for the attempt
+		// of a change that is sent again.
+		Since uint64 `json:"-"`
 	}
 
 	// Profile says how a service is run. Durations of zero are unset.
@@ -112,6 +118,17 @@
 		Drain bool
 	}
 
+	// Pool says what the engines that are listed with a model should run.
+	Pool struct {
+		Name      string
+		Model     string
+		Version   string
+		Adapters  []string
+		Prefill   int     // engines in this role; 0 for both roles: left as they are
+		Decode    int     // engines in this role
+		LoadShare float64 // largest share of the pool that loads weights at once
+	}
+
 	// Document is the whole configuration at one revision. It is immutable:
 	// Apply returns a new one.
 	Document struct {
@@ -121,6 +138,7 @@
 		Services   map[string]Service
 		Workspaces map[string]Workspace
 		Hosts      map[string]Host
+		Pools      map[string]Pool
 	}
 
 	// EntryKey names an entry.
@@ -138,6 +156,7 @@
 		Services:   map[string]Service{},
 		Workspaces: map[string]Workspace{},
 		Hosts:      map[string]Host{},
+		Pools:      map[string]Pool{},
 	}
 }
 
@@ -181,5 +200,6 @@
 		Services:   maps.Clone(d.Services),
 		Workspaces: maps.Clone(d.Workspaces),
 		Hosts:      maps.Clone(d.Hosts),
+		Pools:      maps.Clone(d.Pools),
 	}
 }
--- a/core/config/keys.go
+++ b/core/config/keys.go
@@ -22,6 +22,11 @@
 	return setting.Keys(hostBindings(&Host{}))
 }
 
+// PoolKeys returns the settings of a pool in order.
+func PoolKeys() []setting.Key {
+	return setting.Keys(poolBindings(&Pool{}))
+}
+
 // ParseProfile parses and checks the INI text of a profile.
 func ParseProfile(name, text string) (Profile, error) {
 	p := Profile{Name: name}
@@ -55,6 +60,21 @@
 	return h, err
 }
 
+// ParsePool parses and checks the INI text of a pool.
+func ParsePool(name, text string) (Pool, error) {
+	p := Pool{Name: name}
+	if err := parse(KindPool, name, text, poolBindings(&p)); err != nil {
+		return p, err
+	}
+	if (p.Prefill == 0) != (p.Decode == 0) {
+		return p, invalid.New("pool %q: [pool] prefill: set prefill and decode both above 0, or neither", name)
+	}
+	if p.LoadShare == 0 {
+		return p, invalid.New("pool %q: [pool] loadShare: 0 would never load anything", name)
+	}
+	return p, nil
+}
+
 func parse(kind Kind, name, text string, bindings []setting.Binding) error {
 	if err := setting.Parse([]byte(text), bindings); err != nil {
 		return invalid.New("%s %q: %v", kind, name, err)
@@ -106,3 +126,14 @@
 		setting.Bind("host", "drain", "false", "true lets the host finish its work and stop", setting.Boolean(&h.Drain)),
 	}
 }
+
+func poolBindings(p *Pool) []setting.Binding {
+	return []setting.Binding{
+		setting.Bind("pool", "model", "", "model of the engines, as the platform lists them", setting.Required(&p.Model)),
+		setting.Bind("pool", "version", "", "version of the model to load; empty leaves it", setting.Text(&p.Version)),
+		setting.Bind("pool", "adapters", "", "adapters to load", setting.List(&p.Adapters)),
+		setting.Bind("pool", "prefill", "0", "engines in the prefill role; 0 for both roles leaves them", setting.Integer(&p.Prefill)),
+		setting.Bind("pool", "decode", "0", "engines in the decode role", setting.Integer(&p.Decode)),
+		setting.Bind("pool", "loadShare", "0.25", "largest share of the pool that loads weights at once", setting.Fraction(&p.LoadShare)),
+	}
+}
--- a/core/config/root.go
+++ b/core/config/root.go
@@ -1,7 +1,11 @@
 package config
 
 import (
+	"bytes"
+	"compress/gzip"
 	"encoding/json"
+	"io"
+	"slices"
 	"time"
 )
 
@@ -10,15 +14,38 @@
 	MaxRecentChanges = 32
 	// MaxRecentBytes bounds the size of the changes carried in the root value.
 	MaxRecentBytes = 32 << 10
+	// MaxChangeBytes bounds the text of one change.
+	MaxChangeBytes = 256 << 10
+	// MaxSnapshotBytes bounds the stored form of a document, so that it fits
+	// one value of the platform.
+	MaxSnapshotBytes = 900 << 10
+	// MaxSegments bounds the history that is kept.
+	MaxSegments = 256
+	// MaxSegmentChanges bounds the changes of one segment of the history.
+	MaxSegmentChanges = 1024
+	// MaxSegmentBytes bounds the texts of one segment of the history.
+	MaxSegmentBytes = 512 << 10
+
+	// maxDecodedBytes bounds what a stored form may unpack to.
+	maxDecodedBytes = 256 << 20
 )
 
 type (
 	// Root is the one value through which every change is committed. It
 	// carries the newest changes itself, so that a watcher seldom reads more.
+	// Older changes are kept in segments, one for each snapshot that was taken.
 	Root struct {
 		Revision         uint64   `json:"revision"`
 		SnapshotRevision uint64   `json:"snapshotRevision"`
-		Recent           []Change `json:"recent"` // SnapshotRevision+1 to Revision
+		Recent           []Change `json:"recent"`             // SnapshotRevision+1 to Revision
+		Segments         []uint64 `json:"segments,omitempty"` // newest revision of each history segment, oldest first
+		StaleSegments    []uint64 `json:"staleSegments,omitempty"`
+		StaleSnapshots   []uint64 `json:"staleSnapshots,omitempty"`
+	}
+
+	// Segment is the stored form of a stretch of the history.
+	Segment struct {
+		Changes []Change `json:"changes"`
 	}
 
 	// Snapshot is the stored form of a whole document.
@@ -50,12 +77,11 @@
 	return json.Marshal(r)
 }
 
-// Append returns the root with one more change.
-func (r Root) Append(change Change) Root {
-	recent := make([]Change, 0, len(r.Recent)+1)
-	recent = append(recent, r.Recent...)
-	recent = append(recent, change)
-	return Root{Revision: change.Revision, SnapshotRevision: r.SnapshotRevision, Recent: recent}
+// Append returns the root with further changes, which follow its revision.
+func (r Root) Append(changes ...Change) Root {
+	r.Recent = slices.Concat(r.Recent, changes)
+	r.Revision += uint64(len(changes))
+	return r
 }
 
 // NeedsSnapshot reports whether the changes in the root have outgrown it.
@@ -65,26 +91,50 @@
 	}
 	size := 0
 	for _, c := range r.Recent {
-		for _, e := range c.Edits {
-			size += len(e.Text)
-		}
+		size += c.TextBytes()
 	}
 	return size >= MaxRecentBytes
 }
 
-// Folded returns the root after a snapshot at its own revision.
-func (r Root) Folded() Root {
-	return Root{Revision: r.Revision, SnapshotRevision: r.Revision}
+// Folded returns the root after a snapshot at its own revision. merged says
+// that the new segment holds the newest one's changes too. What no reader of
+// the returned root needs is listed as stale and deleted at the next fold;
+// cleaned says that this was done for the root before.
+func (r Root) Folded(merged, cleaned bool) Root {
+	folded := Root{Revision: r.Revision, SnapshotRevision: r.Revision, Segments: slices.Clone(r.Segments)}
+	if !cleaned {
+		folded.StaleSegments = slices.Clone(r.StaleSegments)
+		folded.StaleSnapshots = slices.Clone(r.StaleSnapshots)
+	}
+	if newest := len(folded.Segments) - 1; merged && newest >= 0 {
+		folded.StaleSegments = append(folded.StaleSegments, folded.Segments[newest])
+		folded.Segments = folded.Segments[:newest]
+	}
+	folded.Segments = append(folded.Segments, r.Revision)
+	if over := len(folded.Segments) - MaxSegments; over > 0 {
+		folded.StaleSegments = append(folded.StaleSegments, folded.Segments[:over]...)
+		folded.Segments = folded.Segments[over:]
+	}
+	if r.SnapshotRevision > 0 {
+		folded.StaleSnapshots = append(folded.StaleSnapshots, r.SnapshotRevision)
+	}
+	return folded
 }
 
-// Contains reports whether the change with this attempt token is in the root.
-func (r Root) Contains(attempt string) bool {
-	for _, c := range r.Recent {
-		if c.Attempt == attempt {
-			return true
-		}
+// Find returns the revision of the change with this attempt token, if the root
+// carries it.
+func (r Root) Find(attempt string) (uint64, bool) {
+	return findAttempt(r.Recent, attempt)
+}
+
+// SegmentsAfter returns the segments that hold changes after revision, oldest
+// first.
+func (r Root) SegmentsAfter(revision uint64) []uint64 {
+	first := slices.IndexFunc(r.Segments, func(s uint64) bool { return s > revision })
+	if first < 0 {
+		return nil
 	}
-	return false
+	return r.Segments[first:]
 }
 
 // ChangesAfter returns the changes that lead from revision to the root, and
@@ -106,14 +156,74 @@
 
 // Encode returns the stored form of the snapshot.
 func (s Snapshot) Encode() ([]byte, error) {
-	return json.Marshal(s)
+	return pack(s)
 }
 
 // DecodeSnapshot parses the stored form of a snapshot into a document.
 func DecodeSnapshot(data []byte) (*Document, error) {
 	var s Snapshot
-	if err := json.Unmarshal(data, &s); err != nil {
+	if err := unpack(data, &s); err != nil {
 		return nil, invalid.New("snapshot: %v", err)
 	}
 	return FromEntries(s.Revision, s.Entries)
 }
+
+// Find returns the revision of the change with this attempt token.
+func (s Segment) Find(attempt string) (uint64, bool) {
+	return findAttempt(s.Changes, attempt)
+}
+
+// Merge returns the segment with later changes, or false when it would outgrow
+// its bounds.
+func (s Segment) Merge(changes []Change) (Segment, bool) {
+	merged := Segment{Changes: slices.Concat(s.Changes, changes)}
+	size := 0
+	for _, c := range merged.Changes {
+		size += c.TextBytes()
+	}
+	return merged, len(merged.Changes) <= MaxSegmentChanges && size <= MaxSegmentBytes
+}
+
+// Encode returns the stored form of the segment.
+func (s Segment) Encode() ([]byte, error) {
+	return pack(s)
+}
+
+// DecodeSegment parses the stored form of a segment.
+func DecodeSegment(data []byte) (Segment, error) {
+	var s Segment
+	if err := unpack(data, &s); err != nil {
+		return s, invalid.New("segment: %v", err)
+	}
+	return s, nil
+}
+
+func findAttempt(changes []Change, attempt string) (uint64, bool) {
+	for _, c := range changes {
+		if c.Attempt == attempt {
+			return c.Revision, true
+		}
+	}
+	return 0, false
+}
+
+// pack returns compressed JSON: profiles repeat the same keys.
+func pack(value any) ([]byte, error) {
+	var packed bytes.Buffer
+	w := gzip.NewWriter(&packed)
+	if err := json.NewEncoder(w).Encode(value); err != nil {
+		return nil, err
+	}
+	if err := w.Close(); err != nil {
+		return nil, err
+	}
+	return packed.Bytes(), nil
+}
+
+func unpack(data []byte, value any) error {
+	r, err := gzip.NewReader(bytes.NewReader(data))
+	if err != nil {
+		return err
+	}
+	return json.NewDecoder(io.LimitReader(r, maxDecodedBytes)).Decode(value)
+}
--- /dev/null
+++ b/hickoryd/internal/configstore/commit.go
@@ -0,0 +1,317 @@
+package configstore
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cenkalti/backoff/v4"
+
+	"github.com/hickoryfront/hickoryfront/core/config"
+	"github.com/hickoryfront/hickoryfront/hickoryd/platform"
+)
+
+const (
+	// commitPeriod is how long a change is tried.
+	commitPeriod = 10 * time.Second
+	// maxBatchBytes bounds the texts in one write, so that the root value stays
+	// far below the platform's limit.
+	maxBatchBytes = config.MaxChangeBytes
+	maxBatch      = 64
+
+	firstCommitPause = 2 * time.Millisecond
+	maxCommitPause   = 500 * time.Millisecond
+)
+
+var errLost = errors.New("another change was first, or no answer came")
+
+type (
+	// committer writes the changes of this daemon in groups: a write goes at
+	// once when none is in flight, and changes that come meanwhile share the
+	// next one.
+	committer struct {
+		store  *Store
+		writes *metrics.Counter
+		lost   *metrics.Counter
+		wake   chan struct{}
+
+		mu    sync.Mutex
+		queue []*pending
+	}
+
+	// pending is one change on its way.
+	pending struct {
+		change   config.Change
+		deadline time.Time
+		since    uint64 // the change is in no revision up to this one
+		seen     bool   // since is known
+		sent     bool   // a write with the change may have taken effect
+		done     chan outcome
+	}
+
+	outcome struct {
+		revision uint64
+		err      error
+	}
+
+	// stage is what one write would change.
+	stage struct {
+		document *config.Document
+		changes  []config.Change
+		accepted []*pending
+		refused  []refusedChange
+		bytes    int
+	}
+
+	refusedChange struct {
+		pending *pending
+		err     error
+	}
+)
+
+func newCommitter(store *Store, set *metrics.Set) *committer {
+	return &committer{
+		store:  store,
+		writes: set.NewCounter(`hickoryfront_config_writes_total`),
+		lost:   set.NewCounter(`hickoryfront_config_writes_lost_total`),
+		wake:   make(chan struct{}, 1),
+	}
+}
+
+// Commit writes a change. It returns its revision once the platform has
+// confirmed it. A change with the attempt token of a committed one is not
+// written again. Errors: config.ErrConflict, config.ErrInvalid, ErrNotSent,
+// ErrUnconfirmed and those of the platform.
+func (s *Store) Commit(ctx context.Context, change config.Change) (uint64, error) {
+	p := &pending{
+		change: change, deadline: time.Now().Add(commitPeriod), since: change.Since, seen: change.Since > 0,
+		done: make(chan outcome, 1),
+	}
+	s.commits.add(p)
+	select {
+	case o := <-p.done:
+		return o.revision, o.err
+	case <-ctx.Done():
+		if s.commits.withdraw(p) {
+			return 0, fmt.Errorf("%w: %w", ErrNotSent, ctx.Err())
+		}
+		return 0, fmt.Errorf("%w: %w", ErrUnconfirmed, ctx.Err())
+	}
+}
+
+func (c *committer) add(p *pending) {
+	c.mu.Lock()
+	c.queue = append(c.queue, p)
+	c.mu.Unlock()
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+// withdraw takes a change back that no write has picked up yet.
+func (c *committer) withdraw(p *pending) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	i := slices.Index(c.queue, p)
+	if i >= 0 {
+		c.queue = slices.Delete(c.queue, i, i+1)
+	}
+	return i >= 0
+}
+
+// pick adds waiting changes to a batch.
+func (c *committer) pick(batch []*pending) []*pending {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := min(len(c.queue), max(0, maxBatch-len(batch)))
+	batch = append(batch, c.queue[:n]...)
+	c.queue = slices.Delete(c.queue, 0, n)
+	return batch
+}
+
+// run commits what is queued until ctx ends.
+func (c *committer) run(ctx context.Context) {
+	pause := backoff.NewExponentialBackOff(
+		backoff.WithInitialInterval(firstCommitPause), backoff.WithMaxInterval(maxCommitPause), backoff.WithMaxElapsedTime(0))
+	var batch []*pending
+	for ctx.Err() == nil {
+		batch = c.pick(batch)
+		if len(batch) == 0 {
+			pause.Reset()
+			select {
+			case <-ctx.Done():
+			case <-c.wake:
+			}
+			continue
+		}
+		rest, err := c.round(ctx, batch)
+		batch = expire(time.Now(), rest, err)
+		if err != nil {
+			sleep(ctx, pause.NextBackOff())
+			continue
+		}
+		pause.Reset()
+	}
+	expire(time.Now().Add(commitPeriod), c.pick(batch), ctx.Err())
+}
+
+// round reads the root, applies the batch to it and writes it once. It returns
+// the changes whose fate is not decided.
+func (c *committer) round(ctx context.Context, batch []*pending) ([]*pending, error) {
+	value, err := c.store.kv.Get(ctx, rootKey)
+	if err != nil {
+		return batch, err
+	}
+	root, document, err := c.store.take(ctx, value)
+	if err != nil {
+		return batch, err
+	}
+	batch, err = c.settleCommitted(ctx, root, batch)
+	if err != nil {
+		return batch, err
+	}
+	staged, rest := newStage(document, batch)
+	if len(staged.accepted) == 0 {
+		staged.refuse()
+		return rest, nil
+	}
+	if err := c.write(ctx, value, root, document, staged); err != nil {
+		return batch, err
+	}
+	c.store.replace(staged.document, staged.changes)
+	staged.settle()
+	return rest, nil
+}
+
+// settleCommitted settles the changes that are committed already: their answer
+// was lost, or their sender repeats them. It returns the others.
+func (c *committer) settleCommitted(ctx context.Context, root config.Root, batch []*pending) ([]*pending, error) {
+	rest := make([]*pending, 0, len(batch))
+	for i, p := range batch {
+		if !p.seen {
+			p.since, p.seen = root.Revision, true
+		}
+		revision, found, err := c.store.findAttempt(ctx, root, p.change.Attempt, p.since)
+		if err != nil {
+			return append(rest, batch[i:]...), err
+		}
+		if found {
+			p.done <- outcome{revision: revision}
+			continue
+		}
+		if !p.sent {
+			p.since = root.Revision
+		}
+		rest = append(rest, p)
+	}
+	return rest, nil
+}
+
+func (c *committer) write(ctx context.Context, value platform.Value, root config.Root, document *config.Document, staged *stage) error {
+	if root.NeedsSnapshot() {
+		var err error
+		if root, err = c.store.fold(ctx, root, document, time.Now()); err != nil {
+			return err
+		}
+	}
+	data, err := root.Append(staged.changes...).Encode()
+	if err != nil {
+		return err
+	}
+	for _, p := range staged.accepted {
+		p.sent = true
+	}
+	c.writes.Inc()
+	won, err := c.store.kv.CompareAndSwap(ctx, rootKey, data, value.Index)
+	if err != nil || !won {
+		c.lost.Inc()
+		return errors.Join(errLost, err) // read again: the write may be ours
+	}
+	return nil
+}
+
+// newStage applies the batch to the document as far as it fits one write. It
+// returns the stage and the changes that must wait for the next write.
+func newStage(document *config.Document, batch []*pending) (*stage, []*pending) {
+	s := &stage{document: document}
+	for i, p := range batch {
+		if s.bytes+p.change.TextBytes() > maxBatchBytes && len(s.accepted) > 0 {
+			return s, batch[i:]
+		}
+		s.add(p)
+	}
+	return s, nil
+}
+
+func (s *stage) add(p *pending) {
+	change := p.change
+	change.Revision = s.document.Revision + 1
+	next, err := s.document.Apply(change)
+	if err == nil {
+		err = checkSnapshotSize(next, change.At)
+	}
+	if err != nil {
+		s.refused = append(s.refused, refusedChange{p, err})
+		return
+	}
+	s.document = next
+	s.changes = append(s.changes, change)
+	s.accepted = append(s.accepted, p)
+	s.bytes += change.TextBytes()
+}
+
+// settle reports a write that has taken effect.
+func (s *stage) settle() {
+	for i, p := range s.accepted {
+		p.done <- outcome{revision: s.changes[i].Revision}
+	}
+	s.refuse()
+}
+
+// refuse reports the changes that don't apply. They are refused for good only
+// when what they were checked against is committed.
+func (s *stage) refuse() {
+	for _, r := range s.refused {
+		r.pending.done <- outcome{err: r.err}
+	}
+}
+
+// checkSnapshotSize refuses a document whose snapshot would not fit a value of
+// the platform. Texts below the limit always fit.
+func checkSnapshotSize(document *config.Document, now time.Time) error {
+	if document.TextBytes() <= config.MaxSnapshotBytes {
+		return nil
+	}
+	data, err := document.TakeSnapshot(now).Encode()
+	if err != nil {
+		return err
+	}
+	if len(data) > config.MaxSnapshotBytes {
+		return fmt.Errorf("%w: the whole configuration would be larger than %d bytes; delete entries that are not used",
+			config.ErrInvalid, config.MaxSnapshotBytes)
+	}
+	return nil
+}
+
+// expire gives up the changes whose time is over and returns the others.
+func expire(now time.Time, batch []*pending, cause error) []*pending {
+	return slices.DeleteFunc(batch, func(p *pending) bool {
+		if now.Before(p.deadline) {
+			return false
+		}
+		p.done <- outcome{err: giveUp(p, cause)}
+		return true
+	})
+}
+
+func giveUp(p *pending, cause error) error {
+	if p.sent {
+		return fmt.Errorf("%w: %w", ErrUnconfirmed, cause)
+	}
+	return fmt.Errorf("%w: %w", ErrNotSent, cause)
+}
--- /dev/null
+++ b/hickoryd/internal/configstore/kv_test.go
@@ -0,0 +1,165 @@
+package configstore_test
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/hickoryfront/hickoryfront/hickoryd/platform"
+)
+
+const rootKey = "hickoryfront/config/root"
+
+// memoryKV is a key-value service in memory that acts out failures.
+type memoryKV struct {
+	mu      sync.Mutex
+	index   uint64
+	values  map[string]platform.Value
+	changed chan struct{}
+
+	down    bool
+	delay   time.Duration             // of every call
+	lose    int                       // writes to come whose answer is lost after the effect
+	drop    int                       // writes to come that are lost before the effect
+	stale   map[string]platform.Value // served instead of the present values
+	onWrite func(key string)          // called before a write takes effect
+	calls   map[string]int
+	waiting int
+	most    int // most watches that waited at once
+}
+
+func newMemoryKV() *memoryKV {
+	return &memoryKV{index: 1, values: map[string]platform.Value{}, changed: make(chan struct{}), calls: map[string]int{}}
+}
+
+func (m *memoryKV) Get(ctx context.Context, key string) (platform.Value, error) {
+	if err := m.enter(ctx, "get"); err != nil {
+		return platform.Value{}, err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if v, ok := m.stale[key]; ok {
+		return v, nil
+	}
+	return m.values[key], nil
+}
+
+func (m *memoryKV) Watch(ctx context.Context, key string, index uint64, wait time.Duration) (platform.Value, uint64, error) {
+	if err := m.enter(ctx, "watch"); err != nil {
+		return platform.Value{}, 0, err
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	m.setWaiting(1)
+	defer m.setWaiting(-1)
+	for {
+		m.mu.Lock()
+		v, changed, down, newest := m.values[key], m.changed, m.down, m.index
+		m.mu.Unlock()
+		if down {
+			return platform.Value{}, 0, platform.ErrUnavailable
+		}
+		if v.Index > index || index == 0 {
+			return v, cmp.Or(v.Index, newest), nil
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return v, cmp.Or(v.Index, newest), nil
+		case <-ctx.Done():
+			return v, 0, platform.ErrUnavailable
+		}
+	}
+}
+
+func (m *memoryKV) CompareAndSwap(ctx context.Context, key string, data []byte, index uint64) (bool, error) {
+	if err := m.enter(ctx, "put"); err != nil {
+		return false, err
+	}
+	m.mu.Lock()
+	hook := m.onWrite
+	m.mu.Unlock()
+	if hook != nil {
+		hook(key)
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.drop > 0 {
+		m.drop--
+		return false, platform.ErrUnavailable
+	}
+	if m.values[key].Index != index {
+		return false, nil
+	}
+	m.index++
+	m.values[key] = platform.Value{Key: key, Data: slices.Clone(data), Index: m.index}
+	m.broadcast()
+	if m.lose > 0 {
+		m.lose--
+		return false, fmt.Errorf("%w: answer lost", platform.ErrUnavailable)
+	}
+	return true, nil
+}
+
+func (m *memoryKV) Delete(ctx context.Context, key string) error {
+	if err := m.enter(ctx, "delete"); err != nil {
+		return err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.values, key)
+	m.broadcast()
+	return nil
+}
+
+func (m *memoryKV) set(change func(*memoryKV)) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	change(m)
+	m.broadcast()
+}
+
+func (m *memoryKV) count(class string) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.calls[class]
+}
+
+func (m *memoryKV) mostWatches() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.most
+}
+
+func (m *memoryKV) enter(ctx context.Context, class string) error {
+	m.mu.Lock()
+	m.calls[class]++
+	down, delay := m.down, m.delay
+	m.mu.Unlock()
+	if delay > 0 {
+		select {
+		case <-time.After(delay):
+		case <-ctx.Done():
+			return platform.ErrUnavailable
+		}
+	}
+	if down {
+		return platform.ErrUnavailable
+	}
+	return nil
+}
+
+func (m *memoryKV) setWaiting(by int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.waiting += by
+	m.most = max(m.most, m.waiting)
+}
+
+func (m *memoryKV) broadcast() {
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
--- a/hickoryd/internal/configstore/store.go
+++ b/hickoryd/internal/configstore/store.go
@@ -1,6 +1,5 @@
 // Package configstore keeps the operators' configuration in force on this
-// daemon: it reads and watches the platform, catches up from peers, and commits
-// changes.
+// daemon: it follows the platform, catches up from peers, and commits changes.
 package configstore
 
 import (
@@ -15,19 +14,27 @@
 	"github.com/apex/log"
 
 	"github.com/hickoryfront/hickoryfront/core/config"
+	"github.com/hickoryfront/hickoryfront/core/member"
 	"github.com/hickoryfront/hickoryfront/hickoryd/platform"
 )
 
 const (
 	rootKey        = "hickoryfront/config/root"
 	snapshotPrefix = "hickoryfront/config/snapshot/"
-	watchWait      = 30 * time.Second
-	retryInterval  = 500 * time.Millisecond
-	commitAttempts = 16
+	segmentPrefix  = "hickoryfront/config/history/"
+	// logLimit bounds the changes kept for peers that lag behind.
+	logLimit = 256
 )
 
-// ErrUnconfirmed means that a change was sent and its fate is not known.
-var ErrUnconfirmed = errors.New("the platform did not confirm the change; it may have taken effect")
+var (
+	// ErrUnconfirmed means that a change was sent and its fate is not known.
+	ErrUnconfirmed = errors.New("the platform did not confirm the change; it may have taken effect")
+	// ErrNotSent means that a change was given up before it was sent.
+	ErrNotSent = errors.New("the change was not sent")
+
+	errStale = errors.New("the platform shows an older revision than the one in force")
+	errMoved = errors.New("the platform's configuration moved while it was read")
+)
 
 type (
 	// KV is what the store needs of the platform.
@@ -35,174 +42,151 @@
 		Get(ctx context.Context, key string) (platform.Value, error)
 		Watch(ctx context.Context, key string, index uint64, wait time.Duration) (platform.Value, uint64, error)
 		CompareAndSwap(ctx context.Context, key string, data []byte, index uint64) (bool, error)
+		Delete(ctx context.Context, key string) error
+	}
+
+	// Fleet is the view of the other daemons, of which one in each failure
+	// domain watches the platform.
+	Fleet interface {
+		Self() member.Host
+		Live(now time.Time) []member.State
 	}
 
 	// Store holds the configuration in force. It is safe for concurrent use.
 	Store struct {
 		kv       KV
+		fleet    Fleet
 		logger   log.Interface
 		applied  *metrics.Counter
+		refused  *metrics.Counter
+		commits  *committer
 		current  atomic.Pointer[config.Document]
-		mu       sync.Mutex // serialises apply
 		lastRead atomic.Int64
+
+		mu      sync.Mutex // guards replacing current, and the fields below
+		changes *config.Log
+		changed chan struct{} // closed and replaced at each new revision
 	}
 )
 
 // New returns a store with the empty configuration.
-func New(kv KV, logger log.Interface, set *metrics.Set) *Store {
-	s := &Store{kv: kv, logger: logger, applied: set.NewCounter(`hickoryfront_config_applied_total`)}
+func New(kv KV, fleet Fleet, logger log.Interface, set *metrics.Set) *Store {
+	s := &Store{
+		kv:      kv,
+		fleet:   fleet,
+		logger:  logger,
+		applied: set.NewCounter(`hickoryfront_config_applied_total`),
+		refused: set.NewCounter(`hickoryfront_config_refused_total`),
+		changes: config.NewLog(logLimit),
+		changed: make(chan struct{}),
+	}
+	s.commits = newCommitter(s, set)
 	s.current.Store(config.NewDocument())
 	set.NewGauge(`hickoryfront_config_revision`, func() float64 { return float64(s.Current().Revision) })
 	return s
 }
 
+// Run follows the platform and commits changes until ctx ends.
+func (s *Store) Run(ctx context.Context) {
+	var group sync.WaitGroup
+	group.Go(func() { s.commits.run(ctx) })
+	s.follow(ctx)
+	group.Wait()
+}
+
 // Current returns the configuration in force. The caller must not change it.
 func (s *Store) Current() *config.Document {
 	return s.current.Load()
 }
 
-// LastRead returns when the platform was last read.
+// LastRead returns when the platform was last read, or the epoch.
 func (s *Store) LastRead() time.Time {
 	return time.Unix(0, s.lastRead.Load())
 }
 
-// Run watches the platform until ctx ends.
-func (s *Store) Run(ctx context.Context) {
-	index := uint64(0)
-	for ctx.Err() == nil {
-		next, err := s.watch(ctx, index)
-		if err != nil {
-			index = 0
-			sleep(ctx, retryInterval)
-			continue
-		}
-		index = next
-	}
-}
-
-// Offer applies a document learned from a peer if it is newer.
-func (s *Store) Offer(document *config.Document) {
+// Changed returns a channel that is closed at the next new revision.
+func (s *Store) Changed() <-chan struct{} {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.replace(document)
-}
-
-// Refresh reads the platform once.
-func (s *Store) Refresh(ctx context.Context) error {
-	value, err := s.kv.Get(ctx, rootKey)
-	if err != nil {
-		return err
-	}
-	return s.take(ctx, value)
+	return s.changed
 }
 
-// Commit writes a change. It returns its revision once the platform has
-// confirmed it. Errors: config.ErrConflict, config.ErrInvalid, ErrUnconfirmed
-// and those of the platform.
-func (s *Store) Commit(ctx context.Context, change config.Change) (uint64, error) {
-	sent := false
-	for range commitAttempts {
-		revision, done, err := s.tryCommit(ctx, change, &sent)
-		if done || err != nil {
-			return revision, err
-		}
+// UpdateAfter returns the encoded update that brings a peer from revision to
+// the configuration in force, and that configuration's revision. The update is
+// empty when the peer has it.
+func (s *Store) UpdateAfter(now time.Time, revision uint64) ([]byte, uint64, error) {
+	s.mu.Lock()
+	document := s.Current()
+	if document.Revision <= revision {
+		s.mu.Unlock()
+		return nil, document.Revision, nil
 	}
-	return 0, fmt.Errorf("%w: too many other changes at once; try again", ErrUnconfirmed)
+	update := document.UpdateFrom(revision, s.changes, now)
+	s.mu.Unlock()
+	data, err := update.Encode()
+	return data, document.Revision, err
 }
 
-func (s *Store) tryCommit(ctx context.Context, change config.Change, sent *bool) (uint64, bool, error) {
-	value, err := s.kv.Get(ctx, rootKey)
+// Offer applies an update learned from a peer, as far as it is newer.
+func (s *Store) Offer(data []byte) error {
+	update, err := config.DecodeUpdate(data)
 	if err != nil {
-		return 0, false, s.commitError(err, *sent)
-	}
-	if err := s.take(ctx, value); err != nil {
-		return 0, false, err
-	}
-	root, err := config.DecodeRoot(value.Data)
-	if err != nil {
-		return 0, false, err
-	}
-	if root.Contains(change.Attempt) {
-		return root.Revision, true, nil
-	}
-	change.Revision = root.Revision + 1
-	next, err := s.Current().Apply(change)
-	if err != nil {
-		return 0, false, err
-	}
-	if root.NeedsSnapshot() {
-		if root, err = s.fold(ctx, root, change.At); err != nil {
-			return 0, false, s.commitError(err, *sent)
-		}
+		return err
 	}
-	data, err := root.Append(change).Encode()
+	document, applied, err := update.Apply(s.Current())
 	if err != nil {
-		return 0, false, err
-	}
-	*sent = true
-	won, err := s.kv.CompareAndSwap(ctx, rootKey, data, value.Index)
-	if err != nil || !won {
-		return 0, false, nil // read again: the write may be ours
+		s.refused.Inc()
+		return err
 	}
-	s.Offer(next)
-	return change.Revision, true, nil
+	s.replace(document, applied)
+	return nil
 }
 
-// fold writes a snapshot of the current document, so that the root's changes
-// can be dropped.
-func (s *Store) fold(ctx context.Context, root config.Root, now time.Time) (config.Root, error) {
-	data, err := s.Current().TakeSnapshot(now).Encode()
+// Refresh reads the platform once.
+func (s *Store) Refresh(ctx context.Context) error {
+	value, err := s.kv.Get(ctx, rootKey)
 	if err != nil {
-		return root, err
-	}
-	if _, err := s.kv.CompareAndSwap(ctx, snapshotKey(root.Revision), data, 0); err != nil {
-		return root, err
-	}
-	return root.Folded(), nil
-}
-
-func (s *Store) commitError(err error, sent bool) error {
-	if sent {
-		return fmt.Errorf("%w: %w", ErrUnconfirmed, err)
+		return err
 	}
+	_, _, err = s.take(ctx, value)
 	return err
 }
 
-func (s *Store) watch(ctx context.Context, index uint64) (uint64, error) {
-	if index == 0 {
-		return 1, s.Refresh(ctx)
+// take puts in force what a root value says and returns the root with the
+// document at exactly its revision. errStale means that a newer one is in force.
+func (s *Store) take(ctx context.Context, value platform.Value) (config.Root, *config.Document, error) {
+	root, err := config.DecodeRoot(value.Data)
+	if err != nil {
+		s.refused.Inc()
+		return root, nil, err
+	}
+	current := s.Current()
+	if root.Revision < current.Revision {
+		return root, nil, fmt.Errorf("%w: %d, in force is %d", errStale, root.Revision, current.Revision)
 	}
-	value, next, err := s.kv.Watch(ctx, rootKey, index, watchWait)
+	document, applied, err := s.advance(ctx, current, root)
 	if err != nil {
-		return 0, err
+		return root, nil, err
 	}
-	return max(next, 1), s.take(ctx, value)
+	s.lastRead.Store(time.Now().UnixNano())
+	s.replace(document, applied)
+	return root, document, nil
 }
 
-// take applies what a root value says.
-func (s *Store) take(ctx context.Context, value platform.Value) error {
-	s.lastRead.Store(time.Now().UnixNano())
-	root, err := config.DecodeRoot(value.Data)
-	if err != nil {
-		return err
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	document := s.Current()
-	changes, ok := root.ChangesAfter(document.Revision)
-	if !ok {
-		if document, err = s.readSnapshot(ctx, root.SnapshotRevision); err != nil {
-			return err
+// advance brings a document to the root's revision, by the root's snapshot if
+// the changes in the root don't reach back far enough.
+func (s *Store) advance(ctx context.Context, from *config.Document, root config.Root) (*config.Document, []config.Change, error) {
+	document, applied, ok, err := from.Advance(root)
+	if err == nil && !ok {
+		if from, err = s.readSnapshot(ctx, root.SnapshotRevision); err != nil {
+			return nil, nil, err
 		}
-		changes = root.Recent
+		document, applied, _, err = from.Advance(root)
 	}
-	for _, change := range changes {
-		if document, err = document.Apply(change); err != nil {
-			return err
-		}
+	if err != nil {
+		s.refused.Inc()
 	}
-	s.replace(document)
-	return nil
+	return document, applied, err
 }
 
 func (s *Store) readSnapshot(ctx context.Context, revision uint64) (*config.Document, error) {
@@ -210,16 +194,32 @@
 	if err != nil {
 		return nil, err
 	}
-	return config.DecodeSnapshot(value.Data)
+	if value.Index == 0 {
+		return nil, fmt.Errorf("%w: snapshot %d is gone", errMoved, revision)
+	}
+	document, err := config.DecodeSnapshot(value.Data)
+	if err == nil && document.Revision != revision {
+		return nil, fmt.Errorf("%w: snapshot %d holds revision %d", config.ErrInvalid, revision, document.Revision)
+	}
+	return document, err
 }
 
-// replace puts a newer document in force. The caller holds mu.
-func (s *Store) replace(document *config.Document) {
+// replace puts a document in force if it is newer. applied are the changes that
+// led to it, as far as they are known.
+func (s *Store) replace(document *config.Document, applied []config.Change) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if document.Revision <= s.Current().Revision {
 		return
 	}
+	if len(applied) == 0 {
+		s.changes.Reset()
+	}
+	s.changes.Add(applied...)
 	s.current.Store(document)
 	s.applied.Inc()
+	close(s.changed)
+	s.changed = make(chan struct{})
 	s.logger.WithField("revision", document.Revision).Info("configuration in force")
 }
 
@@ -227,6 +227,10 @@
 	return fmt.Sprintf("%s%d", snapshotPrefix, revision)
 }
 
+func segmentKey(revision uint64) string {
+	return fmt.Sprintf("%s%d", segmentPrefix, revision)
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/hickoryd/internal/node/gate.go
+++ b/hickoryd/internal/node/gate.go
@@ -2,20 +2,26 @@
 package node
 
 import (
+	"net/netip"
 	"sync/atomic"
 	"time"
 
+	"github.com/hickoryfront/hickoryfront/core/config"
+	"github.com/hickoryfront/hickoryfront/core/member"
 	"github.com/hickoryfront/hickoryfront/core/refusal"
 )
 
 type (
-	// Freshness tells when the configuration source was last heard.
+	// Freshness tells the configuration in force and when the platform was last
+	// read.
 	Freshness interface {
+		Current() *config.Document
 		LastRead() time.Time
 	}
 
-	// PeerFreshness tells when a peer was last heard.
+	// PeerFreshness tells which peers are alive and when one was last heard.
 	PeerFreshness interface {
+		Live(now time.Time) []member.State
 		LastHeard() time.Time
 	}
 
@@ -30,8 +36,10 @@
 		platform  Freshness
 		peers     PeerFreshness
 		servers   ServerList
+		seeds     []netip.AddrPort // of the other daemons
 		isolation time.Duration
 		draining  atomic.Bool
+		caughtUp  atomic.Bool // stays true
 	}
 )
 
@@ -41,12 +49,14 @@
 	reasonDraining = "draining"
 	reasonNoConfig = "no configuration yet"
 	reasonNoList   = "no host list yet"
+	reasonBehind   = "configuration older than a peer's"
 	reasonIsolated = "cut off from platform and peers"
 )
 
-// NewGate returns a gate that closes after isolation without news.
-func NewGate(platform Freshness, peers PeerFreshness, servers ServerList, isolation time.Duration) *Gate {
-	return &Gate{platform: platform, peers: peers, servers: servers, isolation: isolation}
+// NewGate returns a gate that closes after isolation without news. seeds are
+// the peers that a new daemon must hear while the platform can't be read.
+func NewGate(platform Freshness, peers PeerFreshness, servers ServerList, seeds []netip.AddrPort, isolation time.Duration) *Gate {
+	return &Gate{platform: platform, peers: peers, servers: servers, seeds: seeds, isolation: isolation}
 }
 
 // Drain closes the gate for good.
@@ -61,11 +71,16 @@
 
 // NotReady returns why no new requests are taken, or "".
 func (g *Gate) NotReady(now time.Time) string {
-	switch {
-	case g.Draining():
+	if g.Draining() {
 		return reasonDraining
-	case g.platform.LastRead().UnixNano() <= 0:
-		return reasonNoConfig
+	}
+	if !g.caughtUp.Load() {
+		if reason := g.behind(now); reason != "" {
+			return reason
+		}
+		g.caughtUp.Store(true)
+	}
+	switch {
 	case !g.servers.Listed():
 		return reasonNoList
 	case now.Sub(g.platform.LastRead()) > g.isolation && now.Sub(g.peers.LastHeard()) > g.isolation:
@@ -74,6 +89,32 @@
 	return ""
 }
 
+// behind returns why a new daemon can't know that its configuration is the
+// newest, or "". The platform knows it; while it can't be read, the peers
+// suffice only if all seeds are among them and one has a configuration.
+func (g *Gate) behind(now time.Time) string {
+	held := g.platform.Current().Revision
+	heard := map[netip.AddrPort]bool{}
+	for _, s := range g.peers.Live(now) {
+		if s.ConfigRevision > held {
+			return reasonBehind
+		}
+		heard[s.Host.PeerAddress] = true
+	}
+	if g.platform.LastRead().UnixNano() > 0 {
+		return ""
+	}
+	for _, seed := range g.seeds {
+		if !heard[seed] {
+			return reasonNoConfig
+		}
+	}
+	if held == 0 || len(g.seeds) == 0 {
+		return reasonNoConfig
+	}
+	return ""
+}
+
 // Refuse returns the refusal of a new request, or nil.
 func (g *Gate) Refuse(now time.Time) *refusal.Refusal {
 	reason := g.NotReady(now)
--- a/hickoryd/internal/node/node.go
+++ b/hickoryd/internal/node/node.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -221,8 +223,8 @@
 	return home.NewClaims(s.Limits.Claims)
 }
 
-func newStore(kv *platform.Client, logger log.Interface, set *metrics.Set) *configstore.Store {
-	return configstore.New(kv, logger, set)
+func newStore(kv *platform.Client, membership *peer.Membership, logger log.Interface, set *metrics.Set) *configstore.Store {
+	return configstore.New(kv, membership, logger, set)
 }
 
 func newRegistration(s settings.Settings, kv *platform.Client, membership *peer.Membership, logger log.Interface) *Registration {
@@ -230,11 +232,15 @@
 }
 
 func newGate(s settings.Settings, store *configstore.Store, membership *peer.Membership, directory *backends.Directory) *Gate {
-	return NewGate(store, membership, directory, s.Peers.Isolation)
+	return NewGate(store, membership, directory, otherSeeds(s), s.Peers.Isolation)
 }
 
 func newSync(store *configstore.Store, membership *peer.Membership, pool *peer.Pool, gate *Gate) *ConfigSync {
-	return NewConfigSync(store, membership, pool, gate)
+	return NewConfigSync(store, membership, poolClients{pool}, gate)
+}
+
+func otherSeeds(s settings.Settings) []netip.AddrPort {
+	return slices.DeleteFunc(slices.Clone(s.Peers.Seeds), func(a netip.AddrPort) bool { return a == s.Listen.Peer })
 }
 
 func newCanceller(e engines, directory *backends.Directory, set *metrics.Set) *dispatch.Canceller {
--- a/hickoryd/internal/node/sync.go
+++ b/hickoryd/internal/node/sync.go
@@ -12,35 +12,50 @@
 
 const (
 	syncInterval = 200 * time.Millisecond
-	fetchTimeout = 2 * time.Second
+	fetchTimeout = time.Second
 )
 
 type (
 	// Documents is the configuration in force.
 	Documents interface {
 		Current() *config.Document
-		Offer(document *config.Document)
+		Changed() <-chan struct{}
+		Offer(update []byte) error
+		Refresh(ctx context.Context) error
 	}
 
 	// Announcer is the view of the fleet that configuration spreads through.
 	Announcer interface {
 		SetSelf(revision uint64, draining bool)
-		NewestRevision(now time.Time) member.State
+		Newest(now time.Time) []member.State
+		News() <-chan struct{}
+		Hurry()
+	}
+
+	// PeerClients connects to the other daemons.
+	PeerClients interface {
+		Fetch(ctx context.Context, from member.Host, after uint64) ([]byte, error)
 	}
 
 	// ConfigSync pulls newer configuration from peers and announces what is in
-	// force here.
+	// force here, at once when it changes.
 	ConfigSync struct {
 		documents Documents
 		peers     Announcer
-		pool      *peer.Pool
+		clients   PeerClients
 		gate      *Gate
+		announced uint64
+	}
+
+	// poolClients fetches over the daemon's connections.
+	poolClients struct {
+		pool *peer.Pool
 	}
 )
 
 // NewConfigSync returns a sync.
-func NewConfigSync(documents Documents, peers Announcer, pool *peer.Pool, gate *Gate) *ConfigSync {
-	return &ConfigSync{documents: documents, peers: peers, pool: pool, gate: gate}
+func NewConfigSync(documents Documents, peers Announcer, clients PeerClients, gate *Gate) *ConfigSync {
+	return &ConfigSync{documents: documents, peers: peers, clients: clients, gate: gate}
 }
 
 // Run syncs until ctx ends.
@@ -48,32 +63,63 @@
 	ticker := time.NewTicker(syncInterval)
 	defer ticker.Stop()
 	for {
-		s.peers.SetSelf(s.documents.Current().Revision, s.gate.Draining())
-		if newest := s.peers.NewestRevision(time.Now()); newest.ConfigRevision > s.documents.Current().Revision {
-			s.fetch(ctx, newest)
-		}
+		changed := s.documents.Changed()
+		s.announce()
+		s.catchUp(ctx)
 		select {
 		case <-ctx.Done():
 			return
+		case <-changed:
+		case <-s.peers.News():
 		case <-ticker.C:
 		}
 	}
 }
 
-func (s *ConfigSync) fetch(ctx context.Context, from member.State) {
-	client, err := s.pool.Client(from.Host.PeerAddress)
-	if err != nil {
-		return
+func (s *ConfigSync) announce() {
+	revision := s.documents.Current().Revision
+	s.peers.SetSelf(revision, s.gate.Draining())
+	if revision > s.announced {
+		s.announced = revision
+		s.peers.Hurry()
+	}
+}
+
+// catchUp fetches what live peers have and this daemon lacks. When none of
+// them answers, the platform is asked.
+func (s *ConfigSync) catchUp(ctx context.Context) {
+	ahead := s.peers.Newest(time.Now())
+	for _, from := range ahead {
+		if from.ConfigRevision <= s.documents.Current().Revision {
+			return
+		}
+		if s.fetch(ctx, from.Host) {
+			s.announce()
+			return
+		}
+	}
+	if len(ahead) > 0 && ahead[0].ConfigRevision > s.documents.Current().Revision {
+		_ = s.documents.Refresh(ctx) // tried again at the next tick
 	}
+}
+
+func (s *ConfigSync) fetch(ctx context.Context, from member.Host) bool {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
-	response, err := client.FetchConfig(ctx, &peerapi.FetchConfigRequest{After: s.documents.Current().Revision})
-	if err != nil || len(response.GetDocument()) == 0 {
-		return
+	before := s.documents.Current().Revision
+	update, err := s.clients.Fetch(ctx, from, before)
+	if err != nil || len(update) == 0 || s.documents.Offer(update) != nil {
+		return false
 	}
-	document, err := config.DecodeSnapshot(response.GetDocument())
+	return s.documents.Current().Revision > before
+}
+
+// Fetch implements PeerClients.
+func (c poolClients) Fetch(ctx context.Context, from member.Host, after uint64) ([]byte, error) {
+	client, err := c.pool.Client(from.PeerAddress)
 	if err != nil {
-		return
+		return nil, err
 	}
-	s.documents.Offer(document)
+	response, err := client.FetchConfig(ctx, &peerapi.FetchConfigRequest{After: after})
+	return response.GetDocument(), err
 }
--- /dev/null
+++ b/hickoryd/internal/node/sync_test.go
@@ -0,0 +1,165 @@
+package node_test
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hickoryfront/hickoryfront/core/config"
+	"github.com/hickoryfront/hickoryfront/core/member"
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/node"
+)
+
+var errDown = errors.New("down")
+
+type (
+	// source is a configuration with its last read, and a view of the peers.
+	source struct {
+		revision  uint64
+		read      time.Time
+		heard     time.Time
+		peers     []member.State
+		refreshed int
+		hurried   int
+		fetchable map[string]uint64
+		unlisted  bool
+	}
+)
+
+func (s *source) Current() *config.Document {
+	d := config.NewDocument()
+	d.Revision = s.revision
+	return d
+}
+func (s *source) LastRead() time.Time           { return s.read }
+func (s *source) LastHeard() time.Time          { return s.heard }
+func (s *source) Live(time.Time) []member.State { return s.peers }
+func (s *source) Listed() bool                  { return !s.unlisted }
+func (s *source) Changed() <-chan struct{}      { return nil }
+func (s *source) News() <-chan struct{}         { return nil }
+func (s *source) SetSelf(uint64, bool)          {}
+func (s *source) Hurry()                        { s.hurried++ }
+func (s *source) Newest(time.Time) []member.State {
+	var ahead []member.State
+	for _, p := range s.peers {
+		if p.ConfigRevision > s.revision {
+			ahead = append(ahead, p)
+		}
+	}
+	return ahead
+}
+
+func (s *source) Refresh(context.Context) error {
+	s.refreshed++
+	return errDown
+}
+
+func (s *source) Offer(update []byte) error {
+	s.revision = max(s.revision, uint64(update[0]))
+	return nil
+}
+
+func (s *source) Fetch(_ context.Context, from member.Host, _ uint64) ([]byte, error) {
+	revision, ok := s.fetchable[from.Name]
+	if !ok {
+		return nil, errDown
+	}
+	return []byte{byte(revision)}, nil
+}
+
+func peerAt(name string, port uint16, revision uint64) member.State {
+	return member.State{
+		Host:           member.Host{Name: name, PeerAddress: netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), port)},
+		ConfigRevision: revision,
+	}
+}
+
+// proof: daemon killed + platform down | config spread | 8
+// proof: daemons cut off | config spread | 8
+// proof: daemons cut off + platform down | config spread | 8
+func TestGate(t *testing.T) {
+	const isolation = 15 * time.Second
+	now := time.Unix(1_000_000, 0)
+	seeds := []netip.AddrPort{peerAt("b", 2, 0).Host.PeerAddress, peerAt("c", 3, 0).Host.PeerAddress}
+	tests := []struct {
+		name   string
+		source source
+		ready  bool
+	}{
+		{name: "platform read", source: source{revision: 5, read: now, heard: now}, ready: true},
+		{name: "platform read, a peer is newer", source: source{revision: 5, read: now, heard: now, peers: []member.State{peerAt("b", 2, 6)}}},
+		{name: "platform read, host list not", source: source{revision: 5, read: now, heard: now, unlisted: true}},
+		{name: "new daemon in an outage that hears nobody", source: source{read: time.Unix(0, 0)}},
+		{name: "new daemon in an outage that hears one of two seeds", source: source{revision: 5, read: time.Unix(0, 0), heard: now, peers: []member.State{peerAt("b", 2, 5)}}},
+		{
+			name:   "new daemon in an outage that hears all seeds",
+			source: source{revision: 5, read: time.Unix(0, 0), heard: now, peers: []member.State{peerAt("b", 2, 5), peerAt("c", 3, 4)}}, ready: true,
+		},
+		{
+			name:   "new daemon in an outage that still has to fetch",
+			source: source{read: time.Unix(0, 0), heard: now, peers: []member.State{peerAt("b", 2, 5), peerAt("c", 3, 5)}},
+		},
+		{
+			name:   "all daemons replaced in an outage: nobody knows anything",
+			source: source{read: time.Unix(0, 0), heard: now, peers: []member.State{peerAt("b", 2, 0), peerAt("c", 3, 0)}},
+		},
+		{name: "cut off from platform and peers", source: source{revision: 5, read: now.Add(-isolation - 1), heard: now.Add(-isolation - 1)}},
+		{name: "cut off from the platform only", source: source{revision: 5, read: now.Add(-time.Hour), heard: now}, ready: true},
+		{name: "cut off from the peers only", source: source{revision: 5, read: now, heard: now.Add(-time.Hour)}, ready: true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := &tt.source
+			gate := node.NewGate(s, s, s, seeds, isolation)
+			if reason := gate.NotReady(now); (reason == "") != tt.ready {
+				t.Errorf("not ready because of %q, want ready %v", reason, tt.ready)
+			}
+			if refused := gate.Refuse(now); (refused == nil) != tt.ready || (refused != nil && refused.Ran != "no") {
+				t.Errorf("refusal is %+v", refused)
+			}
+		})
+	}
+}
+
+// proof: platform down | config spread | 8
+// proof: daemon paused | config spread | 8
+func TestConfigSync(t *testing.T) {
+	tests := []struct {
+		name          string
+		source        source
+		want          uint64
+		wantRefreshes bool
+	}{
+		{name: "nobody is ahead", source: source{revision: 5, peers: []member.State{peerAt("b", 2, 4)}}, want: 5},
+		{name: "a peer is ahead", source: source{revision: 5, peers: []member.State{peerAt("b", 2, 7)}, fetchable: map[string]uint64{"b": 7}}, want: 7},
+		{
+			name:   "the newest peer is paused, the next one answers",
+			source: source{revision: 5, peers: []member.State{peerAt("b", 2, 7), peerAt("c", 3, 6)}, fetchable: map[string]uint64{"c": 6}}, want: 6,
+			wantRefreshes: true,
+		},
+		{name: "no peer answers: the platform is asked", source: source{revision: 5, peers: []member.State{peerAt("b", 2, 7)}}, want: 5, wantRefreshes: true},
+		{name: "a peer answers with something old", source: source{revision: 5, peers: []member.State{peerAt("b", 2, 7)}, fetchable: map[string]uint64{"b": 3}}, want: 5, wantRefreshes: true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := &tt.source
+				ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+				defer cancel()
+				node.NewConfigSync(s, s, s, node.NewGate(s, s, s, nil, time.Second)).Run(ctx)
+				if s.revision != tt.want {
+					t.Errorf("revision is %d, want %d", s.revision, tt.want)
+				}
+				if (s.refreshed > 0) != tt.wantRefreshes {
+					t.Errorf("the platform was asked %d times", s.refreshed)
+				}
+				if s.hurried == 0 {
+					t.Error("the revision was not announced at once")
+				}
+			})
+		})
+	}
+}
--- a/hickoryd/internal/peer/membership.go
+++ b/hickoryd/internal/peer/membership.go
@@ -1,9 +1,11 @@
 package peer
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -55,6 +57,9 @@
 		ring      *ring.Ring
 		live      map[string]bool
 		lastHeard time.Time
+
+		hurry chan struct{} // asks for a heartbeat now
+		news  chan struct{} // a peer announced a newer configuration
 	}
 )
 
@@ -72,6 +77,8 @@
 		table:   member.NewTable(self, options.Timeout),
 		ring:    ring.New([]string{self.Name}),
 		live:    map[string]bool{self.Name: true},
+		hurry:   make(chan struct{}, 1),
+		news:    make(chan struct{}, 1),
 	}
 }
 
@@ -131,15 +138,27 @@
 	return m.lastHeard
 }
 
-// NewestRevision returns the live host that announces the highest revision.
-func (m *Membership) NewestRevision(now time.Time) member.State {
-	var newest member.State
-	for _, s := range m.Live(now) {
-		if s.ConfigRevision > newest.ConfigRevision {
-			newest = s
-		}
-	}
-	return newest
+// Newest returns the live peers that announce a newer configuration than this
+// daemon, the newest first.
+func (m *Membership) Newest(now time.Time) []member.State {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	held := m.table.Self(now).ConfigRevision
+	ahead := slices.DeleteFunc(m.table.Live(now), func(s member.State) bool { return s.ConfigRevision <= held })
+	rand.Shuffle(len(ahead), func(i, j int) { ahead[i], ahead[j] = ahead[j], ahead[i] }) // spreads the fetches
+	slices.SortStableFunc(ahead, func(a, b member.State) int { return cmp.Compare(b.ConfigRevision, a.ConfigRevision) })
+	return ahead
+}
+
+// News signals that a peer announced a newer configuration.
+func (m *Membership) News() <-chan struct{} {
+	return m.news
+}
+
+// Hurry sends the next heartbeats at once, so that peers learn of a newer
+// configuration without waiting for the period.
+func (m *Membership) Hurry() {
+	signal(m.hurry)
 }
 
 // Run sends heartbeats until ctx ends.
@@ -151,6 +170,7 @@
 		select {
 		case <-ctx.Done():
 			return
+		case <-m.hurry:
 		case <-ticker.C:
 		}
 	}
@@ -200,6 +220,9 @@
 	for _, s := range known {
 		m.table.Observe(stateFromWire(now, s))
 	}
+	if fresh.ConfigRevision > m.table.Self(now).ConfigRevision {
+		signal(m.news)
+	}
 	m.refresh(now)
 	m.mu.Unlock()
 	for _, l := range loads {
@@ -290,3 +313,10 @@
 		}
 	}
 }
+
+func signal(c chan<- struct{}) {
+	select {
+	case c <- struct{}{}:
+	default: // it is signalled already
+	}
+}
--- a/hickoryd/internal/peerserver/server.go
+++ b/hickoryd/internal/peerserver/server.go
@@ -10,7 +10,6 @@
 
 	"github.com/hickoryfront/hickoryfront/core/backend"
 	"github.com/hickoryfront/hickoryfront/core/claim"
-	"github.com/hickoryfront/hickoryfront/core/config"
 	"github.com/hickoryfront/hickoryfront/core/slot"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/home"
 	"github.com/hickoryfront/hickoryfront/peerapi"
@@ -37,9 +36,9 @@
 		Grants(now time.Time) []claim.Grant
 	}
 
-	// Config is the configuration in force.
+	// Config hands out what brings a peer to the configuration in force.
 	Config interface {
-		Current() *config.Document
+		UpdateAfter(now time.Time, revision uint64) ([]byte, uint64, error)
 	}
 
 	// Server implements the Peer service.
@@ -127,15 +126,11 @@
 
 // FetchConfig implements the Peer service.
 func (s *Server) FetchConfig(_ context.Context, request *peerapi.FetchConfigRequest) (*peerapi.FetchConfigResponse, error) {
-	document := s.config.Current()
-	if document.Revision <= request.GetAfter() {
-		return &peerapi.FetchConfigResponse{Revision: document.Revision}, nil
-	}
-	data, err := document.TakeSnapshot(time.Now()).Encode()
+	update, revision, err := s.config.UpdateAfter(time.Now(), request.GetAfter())
 	if err != nil {
 		return nil, err
 	}
-	return &peerapi.FetchConfigResponse{Revision: document.Revision, Document: data}, nil
+	return &peerapi.FetchConfigResponse{Revision: revision, Document: update}, nil
 }
 
 func reserveOutcome(err error) peerapi.ReserveResponse_Outcome {
