Report all wrong settings at once and refuse duplicate keys

Cause: parsing stopped at the first wrong key, a key that stood twice took its last value silently, and a token with ; or # was cut at it. Ruled out: strict mode of the INI library (it knows nothing of duplicates). Conclusion: hickoryd check and serve print every wrong key.

--- a/core/setting/setting.go
+++ b/core/setting/setting.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"strings"
 
 	"gopkg.in/ini.v1"
 )
@@ -30,8 +31,18 @@
 		Name    string
 		Reason  string
 	}
+
+	// Errors are all wrong keys of a text.
+	Errors []KeyError
 )
 
+// loadOptions keep every occurrence of a key, so that duplicates are seen.
+var loadOptions = ini.LoadOptions{
+	AllowShadows:               true,
+	AllowDuplicateShadowValues: true,
+	SpaceBeforeInlineComment:   true,
+}
+
 // Error implements error.
 func (e KeyError) Error() string {
 	return fmt.Sprintf("[%s] %s: %s", e.Section, e.Name, e.Reason)
@@ -51,43 +62,68 @@
 	return keys
 }
 
+// Error implements error.
+func (e Errors) Error() string {
+	texts := make([]string, 0, len(e))
+	for _, err := range e {
+		texts = append(texts, err.Error())
+	}
+	return strings.Join(texts, "; ")
+}
+
+// Unwrap returns the single errors.
+func (e Errors) Unwrap() []error {
+	single := make([]error, 0, len(e))
+	for _, err := range e {
+		single = append(single, err)
+	}
+	return single
+}
+
 // Parse sets every binding from the text or its default. It refuses unknown
-// keys. Errors about a key are of type KeyError.
+// and duplicate keys. The error is of type Errors and names all wrong keys,
+// unless the text is not INI at all.
 func Parse(text []byte, bindings []Binding) error {
-	file, err := ini.Load(text)
+	file, err := ini.LoadSources(loadOptions, text)
 	if err != nil {
 		return fmt.Errorf("not valid INI: %w", err)
 	}
-	if err := refuseUnknown(file, bindings); err != nil {
-		return err
-	}
+	wrong := checkKeys(file, bindings)
 	for _, b := range bindings {
 		if err := b.Set(valueOf(file, b.Key)); err != nil {
-			return KeyError{Section: b.Section, Name: b.Name, Reason: err.Error()}
+			wrong = append(wrong, KeyError{Section: b.Section, Name: b.Name, Reason: err.Error()})
 		}
 	}
+	if len(wrong) > 0 {
+		return wrong
+	}
 	return nil
 }
 
 func valueOf(file *ini.File, key Key) string {
 	section := file.Section(key.Section)
 	if section.HasKey(key.Name) {
-		return section.Key(key.Name).String()
+		return section.Key(key.Name).Value()
 	}
 	return key.Default
 }
 
-func refuseUnknown(file *ini.File, bindings []Binding) error {
+// checkKeys returns the keys that are unknown or stand more than once.
+func checkKeys(file *ini.File, bindings []Binding) Errors {
 	known := make(map[[2]string]bool, len(bindings))
 	for _, b := range bindings {
 		known[[2]string{b.Section, b.Name}] = true
 	}
+	var wrong Errors
 	for _, section := range file.Sections() {
 		for _, key := range section.Keys() {
-			if !known[[2]string{section.Name(), key.Name()}] {
-				return KeyError{Section: section.Name(), Name: key.Name(), Reason: "unknown key"}
+			switch {
+			case !known[[2]string{section.Name(), key.Name()}]:
+				wrong = append(wrong, KeyError{Section: section.Name(), Name: key.Name(), Reason: "unknown key"})
+			case len(key.ValueWithShadows()) > 1:
+				wrong = append(wrong, KeyError{Section: section.Name(), Name: key.Name(), Reason: "set more than once"})
 			}
 		}
 	}
-	return nil
+	return wrong
 }
--- a/hickoryd/internal/configstore/store_test.go
+++ b/hickoryd/internal/configstore/store_test.go
@@ -28,7 +28,7 @@
 
 func (f fleet) Self() member.Host             { return f.self }
 func (f fleet) Live(time.Time) []member.State { return f.live }
-func hostIn(name, domain string) member.Host { return member.Host{Name: name, FailureDomain: domain} }
+func hostIn(name, domain string) member.Host  { return member.Host{Name: name, FailureDomain: domain} }
 
 func stateOf(h member.Host, draining bool) member.State {
 	return member.State{Host: h, Draining: draining}
--- a/hickoryd/internal/settings/settings.go
+++ b/hickoryd/internal/settings/settings.go
@@ -91,25 +91,45 @@
 	}
 )
 
-// Load reads and checks a settings file. Errors name the file, section and key.
+// Load reads and checks a settings file. The error names all wrong keys, one a
+// line, with file and section.
 func Load(path string) (Settings, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
 		return Settings{}, fmt.Errorf("%w: %w", ErrInvalid, err)
 	}
 	s, err := Parse(text)
+	var wrong setting.Errors
+	if errors.As(err, &wrong) {
+		return s, fmt.Errorf("%w: %w", ErrInvalid, inFile(path, wrong))
+	}
 	if err != nil {
 		return s, fmt.Errorf("%w: %s: %w", ErrInvalid, path, err)
 	}
 	return s, nil
 }
 
-// Parse checks the text of a settings file.
+// Parse checks the text of a settings file. The error is of type
+// setting.Errors, unless the text is not INI at all.
 func Parse(text []byte) (Settings, error) {
 	var s Settings
-	if err := setting.Parse(text, bindings(&s)); err != nil {
+	err := setting.Parse(text, bindings(&s))
+	var wrong setting.Errors
+	if err != nil && !errors.As(err, &wrong) {
 		return s, err
 	}
+	if len(wrong) == 0 {
+		wrong = s.check()
+	}
+	if len(wrong) > 0 {
+		return s, wrong
+	}
+	return s, nil
+}
+
+// check returns the keys that are wrong together.
+func (s Settings) check() setting.Errors {
+	var wrong setting.Errors
 	set := 0
 	for _, file := range []string{s.TLS.Certificate, s.TLS.Key, s.TLS.CA} {
 		if file != "" {
@@ -117,9 +137,30 @@
 		}
 	}
 	if set != 0 && set != 3 {
-		return s, setting.KeyError{Section: "tls", Name: "certificate", Reason: "set certificate, key and ca together, or none"}
+		wrong = append(wrong, setting.KeyError{Section: "tls", Name: "certificate", Reason: "set certificate, key and ca together, or none"})
 	}
-	return s, nil
+	if s.Listen.Caller == s.Listen.Operator || s.Listen.Caller == s.Listen.Peer || s.Listen.Operator == s.Listen.Peer {
+		wrong = append(wrong, setting.KeyError{Section: "listen", Name: "caller", Reason: "caller, operator and peer must be three addresses"})
+	}
+	if s.Peers.Timeout <= s.Peers.Heartbeat {
+		wrong = append(wrong, setting.KeyError{Section: "peers", Name: "timeout", Reason: "must be longer than heartbeat"})
+	}
+	if s.Peers.Fanout < 1 {
+		wrong = append(wrong, setting.KeyError{Section: "peers", Name: "fanout", Reason: "must be at least 1"})
+	}
+	if s.Peers.Isolation <= s.Peers.Timeout {
+		wrong = append(wrong, setting.KeyError{Section: "peers", Name: "isolation", Reason: "must be longer than timeout"})
+	}
+	return wrong
+}
+
+// inFile returns the errors with the file's name, one a line.
+func inFile(path string, wrong setting.Errors) error {
+	lines := make([]error, 0, len(wrong))
+	for _, err := range wrong {
+		lines = append(lines, fmt.Errorf("%s: %w", path, err))
+	}
+	return errors.Join(lines...)
 }
 
 // Keys returns all settings in order.
