--- a/hickoryd/internal/peerserver/server.go
+++ b/hickoryd/internal/peerserver/server.go
@@ -47,6 +47,21 @@
 		UpdateAfter(now time.Time, revision uint64) ([]byte, uint64, error)
 	}
 
+	// Burn gives the service-level counters of this host in their stored form.
+	Burn interface {
+		EncodedSnapshot(now time.Time) ([]byte, error)
+	}
+
+	// Parts are what the server answers from.
+	Parts struct {
+		Membership Membership
+		Slots      Slots
+		Holdings   Holdings
+		Claims     Claims
+		Config     Config
+		Burn       Burn
+	}
+
 	// Server implements the Peer service.
 	Server struct {
 		peerapi.UnimplementedPeerServer
@@ -55,12 +70,20 @@
 		holdings   Holdings
 		claims     Claims
 		config     Config
+		burn       Burn
 	}
 )
 
 // New returns a server.
-func New(membership Membership, slots Slots, holdings Holdings, claims Claims, configuration Config) *Server {
-	return &Server{membership: membership, slots: slots, holdings: holdings, claims: claims, config: configuration}
+func New(parts Parts) *Server {
+	return &Server{
+		membership: parts.Membership,
+		slots:      parts.Slots,
+		holdings:   parts.Holdings,
+		claims:     parts.Claims,
+		config:     parts.Config,
+		burn:       parts.Burn,
+	}
 }
 
 // Heartbeat implements the Peer service.
@@ -150,6 +173,15 @@
 	return &peerapi.FetchConfigResponse{Revision: revision, Document: update}, nil
 }
 
+// Burn implements the Peer service.
+func (s *Server) Burn(context.Context, *peerapi.BurnRequest) (*peerapi.BurnResponse, error) {
+	data, err := s.burn.EncodedSnapshot(time.Now())
+	if err != nil {
+		return nil, err
+	}
+	return &peerapi.BurnResponse{Snapshot: data}, nil
+}
+
 func reserveOutcome(err error) peerapi.ReserveResponse_Outcome {
 	switch {
 	case err == nil:
