--- a/core/slot/foreign.go
+++ b/core/slot/foreign.go
@@ -6,10 +6,15 @@
 	"github.com/hickoryfront/hickoryfront/core/backend"
 )
 
-// foreignWindow is the time for which the largest foreign load is kept. A
-// single report may miss foreign requests behind slots that were granted and
-// not yet used.
-const foreignWindow = 3 * time.Second
+const (
+	// foreignWindow is the time for which the largest foreign load is kept. A
+	// single report may miss foreign requests behind slots that were granted
+	// and not yet used.
+	foreignWindow = 3 * time.Second
+	// withdrawnWithin is the time within which a reservation that ends did not
+	// run.
+	withdrawnWithin = 100 * time.Millisecond
+)
 
 type (
 	// foreignLoad is what other routers, such as the old scripts, run on a
@@ -49,7 +54,8 @@
 	a.foreign.add(load.ObservedAt, max(0, load.SlotsUsed-own))
 }
 
-// drop ends a reservation.
+// drop ends a reservation. One that was held for a while tells how often the
+// server's slots become free; a shorter one was withdrawn.
 func (a *account) drop(now time.Time, requestID string) {
 	r, ok := a.granted[requestID]
 	if !ok {
@@ -57,6 +63,9 @@
 	}
 	delete(a.granted, requestID)
 	a.foreign.former = append(a.foreign.former, formerGrant{grantedAt: r.GrantedAt, releasedAt: now})
+	if now.Sub(r.GrantedAt) > withdrawnWithin {
+		a.released.add(now)
+	}
 }
 
 // formerAt counts the former grants that were held at a time, and forgets
--- a/core/slot/ledger.go
+++ b/core/slot/ledger.go
@@ -14,8 +14,8 @@
 	ErrFull = errors.New("no free slot")
 	// ErrLeaving means that the server takes no new work.
 	ErrLeaving = errors.New("server is leaving")
-	// ErrUnreachable means that the home can't reach the server.
-	ErrUnreachable = errors.New("server does not answer its home")
+	// ErrUnreachable means that the server does not answer its home.
+	ErrUnreachable = errors.New("server does not answer")
 	// ErrUnknownServer means that the ledger does not hold the server.
 	ErrUnknownServer = errors.New("unknown server")
 )
@@ -27,17 +27,24 @@
 		Incarnation uint64
 	}
 
+	// Terms are what a holder asks of a reservation.
+	Terms struct {
+		Lifetime time.Duration
+		Isolated bool // no other isolated request may use the server meanwhile
+	}
+
 	// Reservation is one granted slot.
 	Reservation struct {
-		RequestID string
-		Holder    Holder
-		GrantedAt time.Time
-		Deadline  time.Time
-		KVBytes   uint64
-
+		RequestID  string
+		Holder     Holder
+		GrantedAt  time.Time
+		Deadline   time.Time
+		KVBytes    uint64
+		Isolated   bool
 		Deferrable bool          // leaves the last slots to interactive requests
 		Lead       time.Duration // until the request needs the slot
 		Overcommit float64       // share of the slots predicted free by then that it may count on
+		renewedAt  time.Time
 	}
 
 	// Ledger holds the slots of the servers whose home is this daemon. It is
@@ -51,11 +58,13 @@
 		granted     map[string]Reservation
 		reported    backend.Load
 		leaving     bool
-		silent      bool      // does not answer its home
 		limit       int       // of the batch; 0: the server's slots
 		released    eventRate // of slots
 		interactive eventRate // grants
 		foreign     foreignLoad
+		unreachable bool
+		running     map[string]bool      // attempts of this system, as of the last audit
+		asked       map[string]time.Time // newest question about an attempt
 	}
 )
 
@@ -68,7 +77,7 @@
 func (l *Ledger) Track(server backend.Server) {
 	a, ok := l.servers[server.ID]
 	if !ok {
-		a = &account{granted: map[string]Reservation{}}
+		a = &account{granted: map[string]Reservation{}, asked: map[string]time.Time{}}
 		l.servers[server.ID] = a
 	}
 	a.server = server
@@ -108,18 +117,28 @@
 	}
 }
 
-// SetReachable marks whether the server answers its home. One that does not
-// gets no new reservations.
+// SetReachable says whether the server answers its home. A server that does
+// not gets no new work.
 func (l *Ledger) SetReachable(serverID string, reachable bool) {
 	if a, ok := l.servers[serverID]; ok {
-		a.silent = !reachable
+		a.unreachable = !reachable
 	}
 }
 
-// Observe takes in a load report of the server.
+// Observe takes in a load report of the server. A report of a new incarnation
+// frees the slots of the one before, whose memory is gone.
 func (l *Ledger) Observe(load backend.Load) {
 	a, ok := l.servers[load.ServerID]
-	if !ok || load.ObservedAt.Before(a.reported.ObservedAt) {
+	if !ok {
+		return
+	}
+	if a.isRestart(load) {
+		clear(a.granted)
+		a.leaving = a.server.State == backend.StateLeaving
+		a.reported = backend.Load{}
+		a.foreign = foreignLoad{}
+	}
+	if load.ObservedAt.Before(a.reported.ObservedAt) {
 		return
 	}
 	a.reported = load
@@ -142,10 +161,10 @@
 	if a.leaving {
 		return ErrLeaving
 	}
-	if a.silent {
+	if a.unreachable {
 		return ErrUnreachable
 	}
-	if a.room(now, r) <= 0 {
+	if a.room(now, r) <= 0 || r.Isolated && a.holdsIsolated() {
 		return ErrFull
 	}
 	if !r.Deferrable {
@@ -173,33 +192,6 @@
 	}
 }
 
-// Finish gives back the slot of a request that ran, and learns from it how
-// often the server's slots become free.
-func (l *Ledger) Finish(now time.Time, serverID, requestID string) {
-	a, ok := l.servers[serverID]
-	if !ok {
-		return
-	}
-	if _, held := a.granted[requestID]; held {
-		a.released.add(now)
-		a.drop(now, requestID)
-	}
-}
-
-// Expired returns the reservations whose holder is gone or whose deadline has
-// passed, by server. They stay in the ledger until they are released.
-func (l *Ledger) Expired(now time.Time, alive func(Holder) bool) map[string][]Reservation {
-	expired := map[string][]Reservation{}
-	for id, a := range l.servers {
-		for _, r := range a.granted {
-			if now.After(r.Deadline) || !alive(r.Holder) {
-				expired[id] = append(expired[id], r)
-			}
-		}
-	}
-	return expired
-}
-
 // Load returns the digest that the home publishes for a server.
 func (l *Ledger) Load(now time.Time, serverID string) (backend.Load, bool) {
 	a, ok := l.servers[serverID]
@@ -215,6 +207,20 @@
 		PrefillRate:    a.reported.PrefillRate,
 		Batch:          a.reported.Batch,
 		TokenGap:       a.reported.TokenGap,
-		Leaving:        a.leaving || a.silent,
+		Leaving:        a.leaving || a.unreachable,
 	}, true
 }
+
+func (a *account) isRestart(load backend.Load) bool {
+	known := a.reported.Incarnation
+	return known != "" && load.Incarnation != "" && load.Incarnation != known
+}
+
+func (a *account) holdsIsolated() bool {
+	for _, r := range a.granted {
+		if r.Isolated {
+			return true
+		}
+	}
+	return false
+}
--- a/hickoryd/internal/node/node.go
+++ b/hickoryd/internal/node/node.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -46,6 +48,7 @@
 		membership   *peer.Membership
 		registration *Registration
 		canceller    *dispatch.Canceller
+		reservations *home.Reservations
 		pool         *peer.Pool
 		handler      *caller.Handler
 		callers      *httpServer
@@ -68,7 +71,7 @@
 		Settings     settings.Settings
 		Logger       log.Interface
 		Set          *metrics.Set
-		Security     transport.Security
+		Security     *transport.Security
 		Gate         *Gate
 		Membership   *peer.Membership
 		Registration *Registration
@@ -78,10 +81,13 @@
 		Sync         *ConfigSync
 		Directory    *backends.Directory
 		Slots        *home.Slots
+		Auditor      *home.Auditor
+		Reservations *home.Reservations
 		Caller       *caller.Handler
 		Operator     *operator.Handler
 		PeerServer   *peerserver.Server
 		Drain        *DrainWatch
+		Keeper       *telemetry.Keeper
 	}
 )
 
@@ -95,11 +101,11 @@
 			func() log.Interface { return logger },
 			func() member.Host { return hostOf(s, start) },
 			metrics.NewSet,
-			transport.Load,
+			transport.New,
 			newPlatform, newHostList, newPool, newDirectory, newSlots, newMembership, newClaims,
-			newStore, newRegistration, newGate, newSync, newCanceller, newModels, newPlain, newRouter,
+			newStore, newRegistration, newGate, newSync, newCanceller, newModels, newPlain, newRouter, newReservations, newAuditor,
 			newCaller, newOperator, newPeerService, newDrainWatch, newEngines, New,
-			telemetry.New, service.New,
+			telemetry.New, newKeeper, newReporter, service.New,
 		),
 		fx.Invoke(join, register),
 	)
@@ -110,8 +116,19 @@
 	gin.SetMode(gin.ReleaseMode)
 	n := &Node{
 		settings: p.Settings, logger: p.Logger, gate: p.Gate, membership: p.Membership, registration: p.Registration,
-		canceller: p.Canceller, pool: p.Pool, handler: p.Caller, drained: p.Drain,
-		loops: []runner{p.Directory, p.Slots, p.Membership, p.Store, p.Sync, p.Registration, p.Drain},
+		canceller: p.Canceller, reservations: p.Reservations, pool: p.Pool, handler: p.Caller, drained: p.Drain,
+		loops: []runner{
+			p.Security,
+			p.Directory,
+			p.Slots,
+			p.Auditor,
+			p.Membership,
+			p.Store,
+			p.Sync,
+			p.Registration,
+			p.Drain,
+			p.Keeper,
+		},
 	}
 	var err error
 	if n.callers, err = newHTTPServer(p.Settings.Listen.Caller, routes(p.Caller), p.Security, p.Logger); err != nil {
@@ -146,6 +163,7 @@
 	n.awaitIdle(ctx)
 	_ = n.callers.server.Shutdown(ctx)
 	n.canceller.Close(ctx)
+	n.reservations.Close()
 	n.registration.Close(ctx)
 	n.stop()
 	_ = n.operators.server.Shutdown(ctx)
@@ -169,6 +187,14 @@
 	lifecycle.Append(fx.Hook{OnStart: n.Start, OnStop: n.Stop})
 }
 
+func newReservations(membership *peer.Membership, pool *peer.Pool, slots *home.Slots, set *metrics.Set) *home.Reservations {
+	return home.NewReservations(time.Now(), membership, pool, slots, set)
+}
+
+func newAuditor(slots *home.Slots, e engines, reservations *home.Reservations, set *metrics.Set) *home.Auditor {
+	return home.NewAuditor(slots, e, reservations, set)
+}
+
 func join(slots *home.Slots, membership *peer.Membership) {
 	slots.Join(membership)
 }
@@ -184,7 +210,7 @@
 func hostOf(s settings.Settings, start time.Time) member.Host {
 	return member.Host{
 		Name: s.Host.Name, Incarnation: uint64(start.UnixNano()), FailureDomain: s.Host.FailureDomain,
-		PeerAddress: s.Listen.Peer, OperatorAddress: s.Listen.Operator,
+		PeerAddress: s.Listen.AdvertisedPeer(), OperatorAddress: s.Listen.Operator,
 	}
 }
 
@@ -196,8 +222,8 @@
 	return platform.NewHostList(s.Platform.HostList, s.Platform.Timeout, set)
 }
 
-func newPool(security transport.Security) *peer.Pool {
-	return peer.NewPool(security.PeerClient())
+func newPool(s settings.Settings, security *transport.Security) *peer.Pool {
+	return peer.NewPool(security.PeerClient(), s.Listen.Peer.Addr())
 }
 
 func newEngines() engines {
@@ -222,8 +248,8 @@
 	return home.NewClaims(s.Limits.Claims)
 }
 
-func newStore(kv *platform.Client, logger log.Interface, set *metrics.Set) *configstore.Store {
-	return configstore.New(kv, logger, set)
+func newStore(kv *platform.Client, membership *peer.Membership, logger log.Interface, set *metrics.Set) *configstore.Store {
+	return configstore.New(kv, membership, logger, set)
 }
 
 func newRegistration(s settings.Settings, kv *platform.Client, membership *peer.Membership, logger log.Interface) *Registration {
@@ -231,23 +257,27 @@
 }
 
 func newGate(s settings.Settings, store *configstore.Store, membership *peer.Membership, directory *backends.Directory) *Gate {
-	return NewGate(store, membership, directory, s.Peers.Isolation)
+	return NewGate(store, membership, directory, otherSeeds(s), s.Peers.Isolation)
 }
 
 func newSync(store *configstore.Store, membership *peer.Membership, pool *peer.Pool, gate *Gate) *ConfigSync {
-	return NewConfigSync(store, membership, pool, gate)
+	return NewConfigSync(store, membership, poolClients{pool}, gate)
+}
+
+func otherSeeds(s settings.Settings) []netip.AddrPort {
+	return slices.DeleteFunc(slices.Clone(s.Peers.Seeds), func(a netip.AddrPort) bool { return a == s.Listen.Peer })
 }
 
 func newCanceller(e engines, directory *backends.Directory, set *metrics.Set) *dispatch.Canceller {
 	return dispatch.NewCanceller(e, directory, set)
 }
 
-func newRouter(membership *peer.Membership, pool *peer.Pool, slots *home.Slots, claims *home.Claims) *home.Router {
-	return home.NewRouter(membership, pool, slots, claims)
+func newRouter(membership *peer.Membership, pool *peer.Pool, claims *home.Claims) *home.Router {
+	return home.NewRouter(membership, pool, claims)
 }
 
-func newModels(s settings.Settings, e engines, router *home.Router, directory *backends.Directory, canceller *dispatch.Canceller, set *metrics.Set) *dispatch.Models {
-	return dispatch.NewModels(s.Host.FailureDomain, placement.NewReserving(placement.Options{}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))), e, router, directory, canceller, set)
+func newModels(s settings.Settings, e engines, reservations *home.Reservations, directory *backends.Directory, canceller *dispatch.Canceller, set *metrics.Set) *dispatch.Models {
+	return dispatch.NewModels(s.Host.FailureDomain, placement.NewReserving(placement.Options{}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))), e, reservations, directory, canceller, set)
 }
 
 func newPlain(self member.Host, client *service.Client, directory *backends.Directory, router *home.Router) *dispatch.Plain {
@@ -258,14 +288,29 @@
 	return caller.New(models, plain, client, store, gate, recorder, s.Limits.Requests)
 }
 
-func newOperator(s settings.Settings, store *configstore.Store, membership *peer.Membership, directory *backends.Directory, gate *Gate, set *metrics.Set) *operator.Handler {
-	return operator.New(s.Auth.OperatorToken, store, membership, directory, gate, set)
+func newOperator(s settings.Settings, store *configstore.Store, membership *peer.Membership, directory *backends.Directory, gate *Gate, reports *telemetry.Reporter, set *metrics.Set) *operator.Handler {
+	return operator.New(s.Auth.OperatorToken, store, membership, directory, gate, reports, set)
 }
 
-func newPeerService(membership *peer.Membership, slots *home.Slots, claims *home.Claims, store *configstore.Store) *peerserver.Server {
-	return peerserver.New(membership, slots, claims, store)
+func newPeerService(membership *peer.Membership, slots *home.Slots, reservations *home.Reservations, claims *home.Claims, store *configstore.Store, recorder *telemetry.Recorder) *peerserver.Server {
+	return peerserver.New(peerserver.Parts{
+		Membership: membership,
+		Slots:      slots,
+		Holdings:   reservations,
+		Claims:     claims,
+		Config:     store,
+		Burn:       recorder,
+	})
 }
 
 func newDrainWatch(s settings.Settings, store *configstore.Store, shutdown fx.Shutdowner, logger log.Interface) *DrainWatch {
 	return NewDrainWatch(s.Host.Name, store, shutdown, logger)
 }
+
+func newKeeper(recorder *telemetry.Recorder, self member.Host, kv *platform.Client, membership *peer.Membership, logger log.Interface, set *metrics.Set) *telemetry.Keeper {
+	return telemetry.NewKeeper(recorder, self, kv, membership, logger, set)
+}
+
+func newReporter(recorder *telemetry.Recorder, self member.Host, membership *peer.Membership, pool *peer.Pool, kv *platform.Client) *telemetry.Reporter {
+	return telemetry.NewReporter(recorder, self, membership, pool, kv)
+}
--- a/hickoryd/internal/peerserver/server.go
+++ b/hickoryd/internal/peerserver/server.go
@@ -10,7 +10,6 @@
 
 	"github.com/hickoryfront/hickoryfront/core/backend"
 	"github.com/hickoryfront/hickoryfront/core/claim"
-	"github.com/hickoryfront/hickoryfront/core/config"
 	"github.com/hickoryfront/hickoryfront/core/slot"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/home"
 	"github.com/hickoryfront/hickoryfront/peerapi"
@@ -29,6 +28,12 @@
 		Release(serverID, requestID string)
 	}
 
+	// Holdings tells which attempts this daemon holds.
+	Holdings interface {
+		Holder() slot.Holder
+		Held(requestIDs []string) []string
+	}
+
 	// Claims grants the keys whose home is this daemon.
 	Claims interface {
 		Claim(now time.Time, wanted claim.Grant) (claim.Outcome, claim.Grant, error)
@@ -37,9 +42,24 @@
 		Grants(now time.Time) []claim.Grant
 	}
 
-	// Config is the configuration in force.
+	// Config hands out what brings a peer to the configuration in force.
 	Config interface {
-		Current() *config.Document
+		UpdateAfter(now time.Time, revision uint64) ([]byte, uint64, error)
+	}
+
+	// Burn gives the service-level counters of this host in their stored form.
+	Burn interface {
+		EncodedSnapshot(now time.Time) ([]byte, error)
+	}
+
+	// Parts are what the server answers from.
+	Parts struct {
+		Membership Membership
+		Slots      Slots
+		Holdings   Holdings
+		Claims     Claims
+		Config     Config
+		Burn       Burn
 	}
 
 	// Server implements the Peer service.
@@ -47,14 +67,23 @@
 		peerapi.UnimplementedPeerServer
 		membership Membership
 		slots      Slots
+		holdings   Holdings
 		claims     Claims
 		config     Config
+		burn       Burn
 	}
 )
 
 // New returns a server.
-func New(membership Membership, slots Slots, claims Claims, configuration Config) *Server {
-	return &Server{membership: membership, slots: slots, claims: claims, config: configuration}
+func New(parts Parts) *Server {
+	return &Server{
+		membership: parts.Membership,
+		slots:      parts.Slots,
+		holdings:   parts.Holdings,
+		claims:     parts.Claims,
+		config:     parts.Config,
+		burn:       parts.Burn,
+	}
 }
 
 // Heartbeat implements the Peer service.
@@ -70,6 +99,7 @@
 		Holder:    slot.Holder{Host: request.GetHolder().GetName(), Incarnation: request.GetHolder().GetIncarnation()},
 		Deadline:  now.Add(request.GetLifetime().AsDuration()),
 		KVBytes:   request.GetKvBytes(),
+		Isolated:  request.GetIsolated(),
 	}
 	if request.GetForced() {
 		s.slots.Force(now, request.GetServerId(), r)
@@ -94,6 +124,15 @@
 	return &peerapi.ReleaseResponse{}, nil
 }
 
+// ConfirmHeld implements the Peer service.
+func (s *Server) ConfirmHeld(_ context.Context, request *peerapi.ConfirmHeldRequest) (*peerapi.ConfirmHeldResponse, error) {
+	holder := s.holdings.Holder()
+	return &peerapi.ConfirmHeldResponse{
+		Holder: &peerapi.Host{Name: holder.Host, Incarnation: holder.Incarnation},
+		Held:   s.holdings.Held(request.GetRequestIds()),
+	}, nil
+}
+
 // Claim implements the Peer service.
 func (s *Server) Claim(_ context.Context, request *peerapi.ClaimRequest) (*peerapi.ClaimResponse, error) {
 	now := time.Now()
@@ -127,15 +166,20 @@
 
 // FetchConfig implements the Peer service.
 func (s *Server) FetchConfig(_ context.Context, request *peerapi.FetchConfigRequest) (*peerapi.FetchConfigResponse, error) {
-	document := s.config.Current()
-	if document.Revision <= request.GetAfter() {
-		return &peerapi.FetchConfigResponse{Revision: document.Revision}, nil
+	update, revision, err := s.config.UpdateAfter(time.Now(), request.GetAfter())
+	if err != nil {
+		return nil, err
 	}
-	data, err := document.TakeSnapshot(time.Now()).Encode()
+	return &peerapi.FetchConfigResponse{Revision: revision, Document: update}, nil
+}
+
+// Burn implements the Peer service.
+func (s *Server) Burn(context.Context, *peerapi.BurnRequest) (*peerapi.BurnResponse, error) {
+	data, err := s.burn.EncodedSnapshot(time.Now())
 	if err != nil {
 		return nil, err
 	}
-	return &peerapi.FetchConfigResponse{Revision: document.Revision, Document: data}, nil
+	return &peerapi.BurnResponse{Snapshot: data}, nil
 }
 
 func reserveOutcome(err error) peerapi.ReserveResponse_Outcome {
@@ -146,6 +190,8 @@
 		return peerapi.ReserveResponse_OUTCOME_FULL
 	case errors.Is(err, slot.ErrLeaving):
 		return peerapi.ReserveResponse_OUTCOME_LEAVING
+	case errors.Is(err, slot.ErrUnreachable):
+		return peerapi.ReserveResponse_OUTCOME_FULL
 	}
 	return peerapi.ReserveResponse_OUTCOME_NOT_HOME
 }
--- a/hickoryd/internal/settings/settings.go
+++ b/hickoryd/internal/settings/settings.go
@@ -40,6 +40,9 @@
 		Caller   netip.AddrPort
 		Operator netip.AddrPort
 		Peer     netip.AddrPort
+		// PeerAdvertised is the address that other daemons are told. Zero means
+		// Peer.
+		PeerAdvertised netip.AddrPort
 	}
 
 	// Platform says how to reach the platform's services.
@@ -88,25 +91,45 @@
 	}
 )
 
-// Load reads and checks a settings file. Errors name the file, section and key.
+// Load reads and checks a settings file. The error names all wrong keys, one a
+// line, with file and section.
 func Load(path string) (Settings, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
 		return Settings{}, fmt.Errorf("%w: %w", ErrInvalid, err)
 	}
 	s, err := Parse(text)
+	var wrong setting.Errors
+	if errors.As(err, &wrong) {
+		return s, fmt.Errorf("%w: %w", ErrInvalid, inFile(path, wrong))
+	}
 	if err != nil {
 		return s, fmt.Errorf("%w: %s: %w", ErrInvalid, path, err)
 	}
 	return s, nil
 }
 
-// Parse checks the text of a settings file.
+// Parse checks the text of a settings file. The error is of type
+// setting.Errors, unless the text is not INI at all.
 func Parse(text []byte) (Settings, error) {
 	var s Settings
-	if err := setting.Parse(text, bindings(&s)); err != nil {
+	err := setting.Parse(text, bindings(&s))
+	var wrong setting.Errors
+	if err != nil && !errors.As(err, &wrong) {
 		return s, err
 	}
+	if len(wrong) == 0 {
+		wrong = s.check()
+	}
+	if len(wrong) > 0 {
+		return s, wrong
+	}
+	return s, nil
+}
+
+// check returns the keys that are wrong together.
+func (s Settings) check() setting.Errors {
+	var wrong setting.Errors
 	set := 0
 	for _, file := range []string{s.TLS.Certificate, s.TLS.Key, s.TLS.CA} {
 		if file != "" {
@@ -114,9 +137,30 @@
 		}
 	}
 	if set != 0 && set != 3 {
-		return s, setting.KeyError{Section: "tls", Name: "certificate", Reason: "set certificate, key and ca together, or none"}
+		wrong = append(wrong, setting.KeyError{Section: "tls", Name: "certificate", Reason: "set certificate, key and ca together, or none"})
 	}
-	return s, nil
+	if s.Listen.Caller == s.Listen.Operator || s.Listen.Caller == s.Listen.Peer || s.Listen.Operator == s.Listen.Peer {
+		wrong = append(wrong, setting.KeyError{Section: "listen", Name: "caller", Reason: "caller, operator and peer must be three addresses"})
+	}
+	if s.Peers.Timeout <= s.Peers.Heartbeat {
+		wrong = append(wrong, setting.KeyError{Section: "peers", Name: "timeout", Reason: "must be longer than heartbeat"})
+	}
+	if s.Peers.Fanout < 1 {
+		wrong = append(wrong, setting.KeyError{Section: "peers", Name: "fanout", Reason: "must be at least 1"})
+	}
+	if s.Peers.Isolation <= s.Peers.Timeout {
+		wrong = append(wrong, setting.KeyError{Section: "peers", Name: "isolation", Reason: "must be longer than timeout"})
+	}
+	return wrong
+}
+
+// inFile returns the errors with the file's name, one a line.
+func inFile(path string, wrong setting.Errors) error {
+	lines := make([]error, 0, len(wrong))
+	for _, err := range wrong {
+		lines = append(lines, fmt.Errorf("%s: %w", path, err))
+	}
+	return errors.Join(lines...)
 }
 
 // Keys returns all settings in order.
@@ -129,6 +173,23 @@
 	return t.Certificate != ""
 }
 
+// AdvertisedPeer returns the address that other daemons are told.
+func (l Listen) AdvertisedPeer() netip.AddrPort {
+	if l.PeerAdvertised.IsValid() {
+		return l.PeerAdvertised
+	}
+	return l.Peer
+}
+
+func optionalAddrPort(target *netip.AddrPort) func(string) error {
+	return func(value string) error {
+		if value == "" {
+			return nil
+		}
+		return setting.AddrPort(target)(value)
+	}
+}
+
 func bindings(s *Settings) []setting.Binding {
 	return []setting.Binding{
 		setting.Bind("host", "name", "", "name of this host, unique in the fleet", setting.Required(&s.Host.Name)),
@@ -136,6 +197,7 @@
 		setting.Bind("listen", "caller", "", "address for callers", setting.AddrPort(&s.Listen.Caller)),
 		setting.Bind("listen", "operator", "", "address for operators, health checks and metrics", setting.AddrPort(&s.Listen.Operator)),
 		setting.Bind("listen", "peer", "", "address for the other daemons", setting.AddrPort(&s.Listen.Peer)),
+		setting.Bind("listen", "peerAdvertised", "", "address for the other daemons as they see it; default: peer", optionalAddrPort(&s.Listen.PeerAdvertised)),
 		setting.Bind("platform", "kv", "", "address of the platform's key-value service", setting.AddrPort(&s.Platform.KV)),
 		setting.Bind("platform", "hostList", "", "address of the platform's host list", setting.AddrPort(&s.Platform.HostList)),
 		setting.Bind("platform", "hostListPoll", "1s", "time between reads of the host list", setting.Duration(&s.Platform.HostListPoll)),
--- a/hickorylab/policybench/router.go
+++ b/hickorylab/policybench/router.go
@@ -324,7 +324,7 @@
 	now := r.bench.loop.now
 	r.costs.Observe(a.request.kind.Name, now.Sub(a.request.firstAt))
 	if r.bench.run.reserving() {
-		r.bench.homes.slots.Finish(now, a.decode.server.ID, a.id)
+		r.bench.homes.slots.Release(now, a.decode.server.ID, a.id)
 		r.pumpPool(a.request.pool)
 	}
 }
