--- /dev/null
+++ b/hickorylab/internal/command/benchpolicy/policy.go
@@ -0,0 +1,150 @@
+// Package benchpolicy holds the command "bench policy".
+package benchpolicy
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/google/subcommands"
+
+	"github.com/hickoryfront/hickoryfront/hickorylab/policybench"
+)
+
+type (
+	// Options are the command's flags and streams.
+	Options struct {
+		out, errors io.Writer
+		deployments string
+		policies    string
+		loads       string
+		routers     string
+		faults      string
+		length      time.Duration
+		seed        uint64
+		workers     int
+		json        bool
+		plots       string
+	}
+
+	usageError struct{ reason string }
+)
+
+// New returns the command.
+func New(out, errors io.Writer) *Options {
+	return &Options{out: out, errors: errors}
+}
+
+// Name implements subcommands.Command.
+func (*Options) Name() string { return "policy" }
+
+// Synopsis implements subcommands.Command.
+func (*Options) Synopsis() string { return "compare placement policies in virtual time" }
+
+// Usage implements subcommands.Command.
+func (*Options) Usage() string {
+	return "hickorylab bench policy [flags]\n\nExamples:\n" +
+		"  hickorylab bench policy\n" +
+		"  hickorylab bench policy --deployments boipara --loads 1.3 --routers 1,7,40 --faults both\n" +
+		"  hickorylab bench policy --json --plots docs/plots\n\n"
+}
+
+// SetFlags implements subcommands.Command.
+func (o *Options) SetFlags(flags *flag.FlagSet) {
+	flags.StringVar(&o.deployments, "deployments", "boipara,dutchpot", "deployments, separated by commas")
+	flags.StringVar(&o.policies, "policies", strings.Join(policybench.Policies(), ","), "policies, separated by commas")
+	flags.StringVar(&o.loads, "loads", "0.7,1,1.3,2", "loads in times capacity")
+	flags.StringVar(&o.routers, "routers", "7", "numbers of routers")
+	flags.StringVar(&o.faults, "faults", "no", "no, yes or both")
+	flags.DurationVar(&o.length, "length", time.Minute, "length of the trace")
+	flags.Uint64Var(&o.seed, "seed", 1, "seed of the random numbers")
+	flags.IntVar(&o.workers, "workers", 0, "runs at the same time; 0: half of the processors")
+	flags.BoolVar(&o.json, "json", false, "write JSON")
+	flags.StringVar(&o.plots, "plots", "", "directory for PNG and SVG plots")
+}
+
+// Execute implements subcommands.Command.
+func (o *Options) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
+	err := o.Run()
+	if usage, ok := err.(usageError); ok {
+		fmt.Fprintln(o.errors, usage.reason)
+		return subcommands.ExitUsageError
+	}
+	if err != nil {
+		fmt.Fprintln(o.errors, err)
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
+
+// Run executes the runs and writes their results.
+func (o *Options) Run() error {
+	matrix, err := o.matrix()
+	if err != nil {
+		return err
+	}
+	results := matrix.Execute()
+	if o.plots != "" {
+		if _, err := policybench.WritePlots(o.plots, results); err != nil {
+			return err
+		}
+	}
+	if o.json {
+		return policybench.WriteJSON(o.out, results)
+	}
+	return policybench.WriteTable(o.out, results)
+}
+
+// Error implements error.
+func (e usageError) Error() string { return e.reason }
+
+func (o *Options) matrix() (policybench.Matrix, error) {
+	m := policybench.Matrix{Length: o.length, Seed: o.seed, Workers: o.workers}
+	for name := range strings.SplitSeq(o.deployments, ",") {
+		d, ok := deployment(name)
+		if !ok {
+			return m, usageError{fmt.Sprintf("unknown deployment %q: use boipara or dutchpot", name)}
+		}
+		m.Deployments = append(m.Deployments, d)
+	}
+	for name := range strings.SplitSeq(o.policies, ",") {
+		if !slices.Contains(policybench.Policies(), name) {
+			return m, usageError{fmt.Sprintf("unknown policy %q: use %s", name, strings.Join(policybench.Policies(), ", "))}
+		}
+		m.Policies = append(m.Policies, name)
+	}
+	for text := range strings.SplitSeq(o.loads, ",") {
+		load, err := strconv.ParseFloat(text, 64)
+		if err != nil || load <= 0 {
+			return m, usageError{fmt.Sprintf("load %q is not a number above 0", text)}
+		}
+		m.Loads = append(m.Loads, load)
+	}
+	for text := range strings.SplitSeq(o.routers, ",") {
+		routers, err := strconv.Atoi(text)
+		if err != nil || routers < 1 {
+			return m, usageError{fmt.Sprintf("number of routers %q is not a whole number above 0", text)}
+		}
+		m.Routers = append(m.Routers, routers)
+	}
+	faults, ok := map[string][]bool{"no": {false}, "yes": {true}, "both": {false, true}}[o.faults]
+	if !ok {
+		return m, usageError{fmt.Sprintf("faults %q: use no, yes or both", o.faults)}
+	}
+	m.Faults = faults
+	return m, nil
+}
+
+func deployment(name string) (policybench.Deployment, bool) {
+	for _, d := range []policybench.Deployment{policybench.Boipara(), policybench.Dutchpot()} {
+		if d.Name == name {
+			return d, true
+		}
+	}
+	return policybench.Deployment{}, false
+}
--- a/hickorylab/policybench/deployment.go
+++ b/hickorylab/policybench/deployment.go
@@ -64,7 +64,6 @@
 		slowGaps  int
 		finished  bool
 		gaveUp    bool
-		retries   int
 		active    *attempt
 	}
 )
