Keep each answer whole, each refusal true and each crash to two servers

Now: deadlines for the heads of streams, apart from the waits for the first and the next token; resume over a new connection, at most twice without a token between; then another decode server with the result that is still held, and a new prefill only when it is proved gone; a token bucket per service for retries that cost work; "not run" only when every call failed before a byte was sent. Wasted tokens are those computed and never decoded from. A slot is taken by force, the better of two, when its home does not answer; a home told of nothing unheard is told so until it has taken it.

Requests that crash servers are recognised by fingerprint at its home and the next home.

A caller may keep writes waiting for slowReader in all, over the whole answer.

--- a/core/slot/ledger.go
+++ b/core/slot/ledger.go
@@ -16,6 +16,8 @@
 	ErrLeaving = errors.New("server is leaving")
 	// ErrUnreachable means that the server does not answer its home.
 	ErrUnreachable = errors.New("server does not answer")
+	// ErrNoHome means that the home of the server can't be asked now.
+	ErrNoHome = errors.New("home of the server does not answer")
 	// ErrUnknownServer means that the ledger does not hold the server.
 	ErrUnknownServer = errors.New("unknown server")
 )
--- a/hickoryd/internal/caller/caller.go
+++ b/hickoryd/internal/caller/caller.go
@@ -169,7 +169,7 @@
 		h.forward(c, request, c.Request.URL.Path)
 		return
 	}
-	sink := newSink(c, request.id, parsed, arrived)
+	sink := newSink(c, request.id, parsed, arrived, request.profile.SlowReader)
 	err := h.models.Run(c.Request.Context(), dispatch.ModelRequest{
 		ID: request.id, Workspace: request.workspace, Service: request.service, Profile: request.profile,
 		Prompt: parsed.prompt, MaxTokens: parsed.maxTokens, ArrivedAt: arrived,
--- a/hickoryd/internal/caller/sink.go
+++ b/hickoryd/internal/caller/sink.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"net/http"
 	"strings"
 	"time"
@@ -12,9 +13,16 @@
 	"github.com/hickoryfront/hickoryfront/core/prefix"
 )
 
-// sink writes one answer to its caller, streamed or whole.
+// errSlowReader means that the caller has not read its answer for too long.
+var errSlowReader = errors.New("caller reads too slowly")
+
+// sink writes one answer to its caller, streamed or whole. What the caller has
+// not read yet is kept by its connection only. The time that writes wait for
+// the caller is limited over the whole answer, so that a caller which reads a
+// byte now and then can't hold an engine's slot either.
 type sink struct {
 	context  *gin.Context
+	patience time.Duration // for writes, what is left of it
 	id       string
 	body     parsedBody
 	arrived  time.Time
@@ -26,8 +34,8 @@
 	worstGap time.Duration
 }
 
-func newSink(c *gin.Context, id string, body parsedBody, arrived time.Time) *sink {
-	return &sink{context: c, id: id, body: body, arrived: arrived}
+func newSink(c *gin.Context, id string, body parsedBody, arrived time.Time, patience time.Duration) *sink {
+	return &sink{context: c, id: id, body: body, arrived: arrived, patience: patience}
 }
 
 // Token implements dispatch.Sink.
@@ -53,10 +61,12 @@
 
 // finish completes the answer.
 func (s *sink) finish(now time.Time) {
+	defer s.limitWrites(time.Time{})
 	if s.body.stream {
-		s.write(endOfStream)
+		_ = s.write(endOfStream) // the caller may be gone
 		return
 	}
+	s.limitWrites(now.Add(s.patience))
 	prompt := prefix.Tokens(s.body.prompt)
 	counts := usage{PromptTokens: prompt, CompletionTokens: s.tokens, TotalTokens: prompt + s.tokens}
 	s.context.JSON(http.StatusOK, s.body.whole(s.id, now, s.text.String(), counts))
@@ -87,9 +97,22 @@
 }
 
 func (s *sink) write(data string) error {
+	started := time.Now()
+	if s.patience <= 0 {
+		return errSlowReader
+	}
+	s.limitWrites(started.Add(s.patience))
+	defer func() { s.patience -= time.Since(started) }()
 	if _, err := s.context.Writer.WriteString("data: " + data + "\n\n"); err != nil {
 		return err
 	}
-	s.context.Writer.Flush()
+	if err := http.NewResponseController(s.context.Writer).Flush(); err != nil {
+		return err
+	}
 	return s.context.Request.Context().Err()
 }
+
+// limitWrites lets writes fail after the deadline. Zero takes the limit away.
+func (s *sink) limitWrites(deadline time.Time) {
+	_ = http.NewResponseController(s.context.Writer).SetWriteDeadline(deadline) // not on a recorder in tests
+}
--- a/hickoryd/internal/dispatch/canceller.go
+++ b/hickoryd/internal/dispatch/canceller.go
@@ -6,13 +6,15 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/cenkalti/backoff/v4"
 
 	"github.com/hickoryfront/hickoryfront/core/backend"
 )
 
 const (
-	cancelTimeout  = time.Second
-	cancelInterval = 100 * time.Millisecond
+	cancelTimeout     = time.Second
+	cancelInterval    = 100 * time.Millisecond
+	maxCancelInterval = time.Second
 )
 
 type (
@@ -96,15 +98,13 @@
 }
 
 func (w cancellation) run() {
-	ticker := time.NewTicker(cancelInterval)
-	defer ticker.Stop()
 	defer w.finish()
+	pauses := backoff.NewExponentialBackOff(
+		backoff.WithInitialInterval(cancelInterval), backoff.WithMaxInterval(maxCancelInterval), backoff.WithMaxElapsedTime(0))
 	for !w.try() {
 		w.owner.repeated.Inc()
-		select {
-		case <-w.owner.ctx.Done():
+		if wait(w.owner.ctx, pauses.NextBackOff()) != nil {
 			return
-		case <-ticker.C:
 		}
 	}
 	w.owner.confirmed.Inc()
--- /dev/null
+++ b/hickoryd/internal/dispatch/crash_test.go
@@ -0,0 +1,221 @@
+package dispatch_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/hickoryfront/hickoryfront/core/answer"
+	"github.com/hickoryfront/hickoryfront/core/backend"
+	"github.com/hickoryfront/hickoryfront/core/crash"
+	"github.com/hickoryfront/hickoryfront/core/placement"
+	"github.com/hickoryfront/hickoryfront/core/refusal"
+	"github.com/hickoryfront/hickoryfront/core/slot"
+	"github.com/hickoryfront/hickoryfront/hickoryd/engine"
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/dispatch"
+)
+
+const (
+	culpritPrompt  = "culprit"
+	fragileServers = 6
+)
+
+type (
+	// fragile is a fleet of engines that die of one prompt, with the slots and
+	// the crash table that all daemons share.
+	fragile struct {
+		mu      sync.Mutex
+		ledger  *slot.Ledger
+		crashes *crash.Table
+		dead    map[string]chan struct{} // closed when the server has died
+		lost    int
+	}
+
+	fragileStream struct {
+		*fakeStream
+		dead chan struct{}
+	}
+)
+
+func newFragile() *fragile {
+	f := &fragile{ledger: slot.New(), crashes: crash.NewTable(100), dead: map[string]chan struct{}{}}
+	for i := range fragileServers {
+		id := fmt.Sprintf("decode-%d", i)
+		f.dead[id] = make(chan struct{})
+		f.ledger.Track(backend.Server{ID: id, Slots: 20})
+	}
+	return f
+}
+
+func (f *fragile) isDead(server string) bool {
+	select {
+	case <-f.dead[server]:
+		return true
+	default:
+		return false
+	}
+}
+
+func (f *fragile) Prefill(context.Context, backend.Server, engine.PrefillRequest) (engine.PrefillReply, error) {
+	return engine.PrefillReply{}, engine.ErrNotSent
+}
+
+func (f *fragile) Decode(ctx context.Context, server backend.Server, request engine.DecodeRequest) (dispatch.TokenStream, error) {
+	if f.isDead(server.ID) {
+		return nil, engine.ErrNotSent
+	}
+	if strings.Contains(request.Prompt, culpritPrompt) {
+		time.AfterFunc(3*tokenGap, func() { f.kill(server.ID) })
+	}
+	return fragileStream{whole().open(ctx, request.Offset), f.dead[server.ID]}, nil
+}
+
+func (f *fragile) Resume(_ context.Context, server backend.Server, _ engine.ResumeRequest) (dispatch.TokenStream, error) {
+	if f.isDead(server.ID) {
+		return nil, engine.ErrNotSent
+	}
+	return nil, engine.ErrGone
+}
+
+func (f *fragile) Uptime(_ context.Context, server backend.Server) (time.Duration, error) {
+	if f.isDead(server.ID) {
+		return 0, engine.ErrNotSent
+	}
+	return time.Hour, nil
+}
+
+func (f *fragile) Cancel(context.Context, backend.Server, string) error { return nil }
+
+func (f *fragile) Lookup(id string) (backend.Server, bool) { return backend.Server{ID: id}, true }
+
+func (f *fragile) kill(server string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.isDead(server) {
+		f.lost++
+		f.ledger.SetReachable(server, false)
+		close(f.dead[server])
+	}
+}
+
+func (f *fragile) Holder() slot.Holder { return slot.Holder{Host: "host-1", Incarnation: 1} }
+
+func (f *fragile) Reserve(_ context.Context, now time.Time, server backend.Server, requestID string, terms slot.Terms) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.ledger.Reserve(now, server.ID, slot.Reservation{RequestID: requestID, Isolated: terms.Isolated, Deadline: now.Add(time.Hour)})
+}
+
+func (f *fragile) Force(backend.Server, string, slot.Terms) {}
+
+func (f *fragile) Release(serverID, requestID string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.ledger.Release(serverID, requestID)
+}
+
+func (f *fragile) Candidates(string) []placement.Candidate {
+	var candidates []placement.Candidate
+	for i := range fragileServers {
+		id := fmt.Sprintf("decode-%d", i)
+		candidates = append(candidates, placement.Candidate{Server: backend.Server{ID: id, Role: backend.RoleDecode, State: backend.StateLive}})
+	}
+	return candidates
+}
+
+func (f *fragile) SetLeaving(string) {}
+
+func (f *fragile) Check(_ context.Context, now time.Time, fingerprint uint64) crash.Verdict {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.crashes.Check(now, fingerprint)
+}
+
+func (f *fragile) Report(_ context.Context, now time.Time, fingerprint uint64, server string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.crashes.Report(now, fingerprint, server)
+}
+
+func (f *fragile) Survived(_ context.Context, now time.Time, fingerprint uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.crashes.Survived(now, fingerprint)
+}
+
+func (s fragileStream) Next() (answer.Token, error) {
+	token, err := s.fakeStream.Next()
+	select {
+	case <-s.dead:
+		return answer.Token{}, engine.ErrBroken
+	default:
+		return token, err
+	}
+}
+
+func (f *fragile) models() *dispatch.Models {
+	set := metrics.NewSet()
+	return dispatch.NewModels("salt-lake", labPolicy{}, f, f, f, f, dispatch.NewCanceller(f, f, set), set)
+}
+
+// caller sends one request and keeps what came of it.
+type caller struct {
+	models *dispatch.Models
+	prompt string
+	id     string
+	sink   sinkLog
+	err    error
+}
+
+func (c *caller) run(ctx context.Context) {
+	r := request(c.prompt)
+	r.ID = c.id
+	r.Profile.MaxWait = 5 * time.Second
+	c.err = c.models.Run(ctx, r, &c.sink)
+}
+
+// One request kills every server that runs it; it is sent five times through
+// different daemons while others run beside it.
+//
+// proof: crashing request | first token | 2
+// proof: crashing request | stream | 3
+// proof: crashing request | stream | 4
+func TestCrashingRequestCostsTwoServers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFragile()
+		hosts := []*dispatch.Models{f.models(), f.models(), f.models()}
+		var innocents []*caller
+		var group sync.WaitGroup
+		for i := range 30 {
+			c := &caller{models: hosts[i%len(hosts)], prompt: fmt.Sprintf("innocent %d", i), id: fmt.Sprint("innocent-", i)}
+			innocents = append(innocents, c)
+			group.Go(func() { c.run(t.Context()) })
+		}
+		for i := range 5 {
+			c := &caller{models: hosts[i%len(hosts)], prompt: culpritPrompt, id: fmt.Sprint("culprit-", i)}
+			c.run(t.Context())
+			r := refusal.Of(c.err)
+			if r == nil || r.Kind != refusal.CrashesServers {
+				t.Fatalf("send %d: %v, want a refusal as crashesServers", i, c.err)
+			}
+			if wantRan := i == 0; (r.Ran == refusal.RanUnknown) != wantRan {
+				t.Errorf("send %d says ran=%s", i, r.Ran)
+			}
+		}
+		group.Wait()
+		if f.lost > crash.RefuseAfter {
+			t.Errorf("%d servers lost, want at most %d", f.lost, crash.RefuseAfter)
+		}
+		for _, c := range innocents {
+			if c.err != nil || c.sink.text.String() != wholeAnswer() {
+				t.Errorf("%s: %q, %v", c.id, c.sink.text.String(), c.err)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/hickoryd/internal/dispatch/crashes.go
@@ -0,0 +1,61 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/hickoryfront/hickoryfront/core/backend"
+	"github.com/hickoryfront/hickoryfront/core/crash"
+	"github.com/hickoryfront/hickoryfront/hickoryd/engine"
+)
+
+const (
+	probeTimeout  = 300 * time.Millisecond
+	reportTimeout = time.Second
+)
+
+// checkCrashes asks, before each attempt, whether requests like this one have
+// crashed servers.
+func (r *run) checkCrashes(ctx context.Context) error {
+	switch r.models.crashes.Check(ctx, time.Now(), r.fingerprint) {
+	case crash.Refuse:
+		return errCrashesServers
+	case crash.Isolate:
+		r.isolated = true
+	}
+	return nil
+}
+
+// checkLoss reports a server that died while it ran this request.
+func (r *run) checkLoss(ctx context.Context, server backend.Server, started time.Time) {
+	if !r.isLost(ctx, server, started) {
+		return
+	}
+	r.models.counters.crashes.Inc()
+	report, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	r.models.crashes.Report(report, time.Now(), r.fingerprint, server.ID)
+}
+
+// isLost reports whether a server has died since a call began: it refuses
+// connections, or its life is shorter than the call.
+func (r *run) isLost(ctx context.Context, server backend.Server, since time.Time) bool {
+	probe, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	uptime, err := r.models.engines.Uptime(probe, server)
+	if err != nil {
+		return errors.Is(err, engine.ErrNotSent) && probe.Err() == nil
+	}
+	return uptime < time.Since(since)
+}
+
+// survived clears the suspicion after a whole run in isolation.
+func (r *run) survived() {
+	if !r.isolated {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
+	defer cancel()
+	r.models.crashes.Survived(ctx, time.Now(), r.fingerprint)
+}
--- /dev/null
+++ b/hickoryd/internal/dispatch/fakes_test.go
@@ -0,0 +1,330 @@
+package dispatch_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/hickoryfront/hickoryfront/core/answer"
+	"github.com/hickoryfront/hickoryfront/core/backend"
+	"github.com/hickoryfront/hickoryfront/core/config"
+	"github.com/hickoryfront/hickoryfront/core/crash"
+	"github.com/hickoryfront/hickoryfront/core/placement"
+	"github.com/hickoryfront/hickoryfront/core/slot"
+	"github.com/hickoryfront/hickoryfront/hickoryd/engine"
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/dispatch"
+)
+
+const (
+	tokenGap     = 10 * time.Millisecond
+	answerTokens = 8
+	shortPrompt  = "short"
+)
+
+var longPrompt = strings.Repeat("order history; ", 200)
+
+type (
+	// step is one call that reached an engine.
+	step struct {
+		kind   string
+		server string
+		id     string
+		offset int
+		kv     string
+	}
+
+	// lab fakes engines, homes and directory. Hooks replace what a call does.
+	lab struct {
+		onPrefill func(ctx context.Context, server string, n int) error
+		onDecode  func(ctx context.Context, server string, n int) (*fakeStream, error)
+		onResume  func(ctx context.Context, server string, n int) (*fakeStream, error)
+		onReserve func(ctx context.Context, server string, n int) error
+		onCancel  func(server string, n int) error
+		onUptime  func(server string) (time.Duration, error)
+
+		mu       sync.Mutex
+		steps    []step
+		calls    map[string]int
+		reserved map[string]string // server by attempt
+		isolated map[string]bool   // by attempt
+		cancels  []step
+		leaving  map[string]bool
+		forced   int
+	}
+
+	// fakeStream yields the tokens from offset on, one each gap. It does ending
+	// instead of token stopAt.
+	fakeStream struct {
+		offset int
+		stopAt int
+		ending error // nil: silence
+		gap    time.Duration
+		closed chan struct{}
+		once   sync.Once
+	}
+
+	// sinkLog is a caller. It leaves after limit tokens when that is set.
+	sinkLog struct {
+		mu    sync.Mutex
+		text  strings.Builder
+		at    []time.Time
+		limit int
+	}
+
+	labPolicy struct{}
+)
+
+func newLab() *lab {
+	return &lab{calls: map[string]int{}, reserved: map[string]string{}, isolated: map[string]bool{}, leaving: map[string]bool{}}
+}
+
+func whole() *fakeStream { return &fakeStream{stopAt: answerTokens, ending: io.EOF} }
+
+func stopsAt(n int, ending error) *fakeStream { return &fakeStream{stopAt: n, ending: ending} }
+
+func wholeAnswer() string {
+	var text strings.Builder
+	for i := range answerTokens {
+		fmt.Fprintf(&text, "t%d ", i)
+	}
+	return text.String()
+}
+
+// hang is a call that never answers.
+func hang(ctx context.Context) error {
+	<-ctx.Done()
+	return fmt.Errorf("%w: %w", engine.ErrBroken, ctx.Err())
+}
+
+func (l *lab) count(kind string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.calls[kind]++
+	return l.calls[kind]
+}
+
+// reach logs a call unless it failed before a byte was sent.
+func (l *lab) log(s step, err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err == nil || !isNotSent(err) {
+		l.steps = append(l.steps, s)
+	}
+}
+
+func (l *lab) ran(kind string) []step {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var found []step
+	for _, s := range l.steps {
+		if s.kind == kind {
+			found = append(found, s)
+		}
+	}
+	return found
+}
+
+func (l *lab) Prefill(ctx context.Context, server backend.Server, request engine.PrefillRequest) (engine.PrefillReply, error) {
+	var err error
+	if l.onPrefill != nil {
+		err = l.onPrefill(ctx, server.ID, l.count("prefill"))
+	} else {
+		time.Sleep(tokenGap)
+		err = ctx.Err()
+	}
+	l.log(step{kind: "prefill", server: server.ID, id: request.RequestID}, err)
+	return engine.PrefillReply{KV: engine.KV{Source: server.ID, Handle: request.RequestID, Bytes: 1}, PromptTokens: 100, CachedTokens: 40}, err
+}
+
+func (l *lab) Decode(ctx context.Context, server backend.Server, request engine.DecodeRequest) (dispatch.TokenStream, error) {
+	stream, err := whole(), error(nil)
+	if l.onDecode != nil {
+		stream, err = l.onDecode(ctx, server.ID, l.count("decode"))
+	}
+	s := step{kind: "decode", server: server.ID, id: request.RequestID, offset: request.Offset}
+	if request.KV != nil {
+		s.kv = request.KV.Handle
+	}
+	l.log(s, err)
+	if err != nil {
+		return nil, err
+	}
+	return stream.open(ctx, request.Offset), nil
+}
+
+func (l *lab) Resume(ctx context.Context, server backend.Server, request engine.ResumeRequest) (dispatch.TokenStream, error) {
+	stream, err := whole(), error(nil)
+	if l.onResume != nil {
+		stream, err = l.onResume(ctx, server.ID, l.count("resume"))
+	}
+	l.log(step{kind: "resume", server: server.ID, id: request.RequestID, offset: request.Offset}, err)
+	if err != nil {
+		return nil, err
+	}
+	return stream.open(ctx, request.Offset), nil
+}
+
+func (l *lab) Cancel(_ context.Context, server backend.Server, requestID string) error {
+	l.mu.Lock()
+	l.cancels = append(l.cancels, step{kind: "cancel", server: server.ID, id: requestID})
+	n := len(l.cancels)
+	l.mu.Unlock()
+	if l.onCancel != nil {
+		return l.onCancel(server.ID, n)
+	}
+	return nil
+}
+
+func (l *lab) Uptime(_ context.Context, server backend.Server) (time.Duration, error) {
+	if l.onUptime != nil {
+		return l.onUptime(server.ID)
+	}
+	return time.Hour, nil
+}
+
+func (l *lab) Holder() slot.Holder { return slot.Holder{Host: "host-1", Incarnation: 1} }
+
+func (l *lab) Reserve(ctx context.Context, _ time.Time, server backend.Server, requestID string, terms slot.Terms) error {
+	if l.onReserve != nil {
+		if err := l.onReserve(ctx, server.ID, l.count("reserve")); err != nil {
+			return err
+		}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.reserved[requestID] = server.ID
+	l.isolated[requestID] = terms.Isolated
+	return nil
+}
+
+func (l *lab) Force(server backend.Server, requestID string, _ slot.Terms) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.reserved[requestID] = server.ID
+	l.forced++
+}
+
+func (l *lab) Release(_, requestID string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.reserved, requestID)
+}
+
+func (l *lab) Candidates(string) []placement.Candidate {
+	var candidates []placement.Candidate
+	for _, id := range []string{"decode-1", "decode-2", "decode-3"} {
+		candidates = append(candidates, placement.Candidate{Server: backend.Server{ID: id, Role: backend.RoleDecode, State: backend.StateLive, Slots: 20}})
+	}
+	for _, id := range []string{"prefill-1", "prefill-2"} {
+		candidates = append(candidates, placement.Candidate{Server: backend.Server{ID: id, Role: backend.RolePrefill, State: backend.StateLive}})
+	}
+	return candidates
+}
+
+func (l *lab) SetLeaving(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.leaving[id] = true
+}
+
+func (l *lab) Lookup(id string) (backend.Server, bool) { return backend.Server{ID: id}, true }
+
+// checkNothingHeld fails when a slot is still reserved or a request that was
+// sent to a decode engine has neither ended nor been cancelled.
+func (l *lab) checkNothingHeld(t *testing.T, finished map[string]bool) {
+	t.Helper()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for id, server := range l.reserved {
+		t.Errorf("slot on %s is still reserved by %s", server, id)
+	}
+	cancelled := map[string]bool{}
+	for _, c := range l.cancels {
+		cancelled[c.server+" "+c.id] = true
+	}
+	for _, s := range l.steps {
+		if s.kind == "decode" && !finished[s.id] && !cancelled[s.server+" "+s.id] {
+			t.Errorf("%s on %s was never cancelled", s.id, s.server)
+		}
+	}
+}
+
+func (labPolicy) Plan(_ time.Time, _ placement.Request, candidates []placement.Candidate) placement.Plan {
+	var plan placement.Plan
+	for _, c := range candidates {
+		if c.Server.Role == backend.RoleDecode {
+			plan.Decode = append(plan.Decode, c.Server)
+		} else {
+			plan.Prefill = append(plan.Prefill, c.Server)
+		}
+	}
+	return plan
+}
+
+func (s *fakeStream) open(ctx context.Context, offset int) *fakeStream {
+	s.offset = offset
+	s.closed = make(chan struct{})
+	context.AfterFunc(ctx, s.Close)
+	if s.gap == 0 {
+		s.gap = tokenGap
+	}
+	return s
+}
+
+func (s *fakeStream) Next() (answer.Token, error) {
+	if s.offset >= s.stopAt {
+		if s.ending != nil {
+			return answer.Token{}, s.ending
+		}
+		<-s.closed
+		return answer.Token{}, engine.ErrBroken
+	}
+	select {
+	case <-s.closed:
+		return answer.Token{}, engine.ErrBroken
+	case <-time.After(s.gap):
+	}
+	token := answer.Token{Offset: s.offset, Text: fmt.Sprintf("t%d ", s.offset), Last: s.offset == answerTokens-1}
+	s.offset++
+	return token, nil
+}
+
+func (s *fakeStream) Close() { s.once.Do(func() { close(s.closed) }) }
+
+func (s *sinkLog) Token(token answer.Token) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.limit > 0 && len(s.at) >= s.limit {
+		return io.ErrClosedPipe
+	}
+	s.text.WriteString(token.Text)
+	s.at = append(s.at, time.Now())
+	return nil
+}
+
+func request(prompt string) dispatch.ModelRequest {
+	return dispatch.ModelRequest{
+		ID: "request-1", Service: config.Service{Name: "catalogue", Model: "m"}, Prompt: prompt, MaxTokens: answerTokens, ArrivedAt: time.Now(),
+		Profile: config.Profile{
+			FirstTokenTarget: 2 * time.Second, TokenGapTarget: 29 * time.Millisecond, SilentGaps: 8,
+			MaxWait: 100 * time.Millisecond, DirectPrompt: 64, RetryRatio: 0.1, SlowReader: 30 * time.Second,
+		},
+	}
+}
+
+// noCrashes knows of no crash.
+type noCrashes struct{}
+
+func (noCrashes) Check(context.Context, time.Time, uint64) crash.Verdict { return crash.Clear }
+func (noCrashes) Report(context.Context, time.Time, uint64, string)      {}
+func (noCrashes) Survived(context.Context, time.Time, uint64)            {}
+
+func newCanceller(l *lab, set *metrics.Set) *dispatch.Canceller {
+	return dispatch.NewCanceller(l, l, set)
+}
--- a/hickoryd/internal/dispatch/model.go
+++ b/hickoryd/internal/dispatch/model.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -13,9 +12,10 @@
 	"github.com/hickoryfront/hickoryfront/core/answer"
 	"github.com/hickoryfront/hickoryfront/core/backend"
 	"github.com/hickoryfront/hickoryfront/core/config"
+	"github.com/hickoryfront/hickoryfront/core/crash"
 	"github.com/hickoryfront/hickoryfront/core/placement"
-	"github.com/hickoryfront/hickoryfront/core/prefix"
 	"github.com/hickoryfront/hickoryfront/core/refusal"
+	"github.com/hickoryfront/hickoryfront/core/retry"
 	"github.com/hickoryfront/hickoryfront/core/slot"
 	"github.com/hickoryfront/hickoryfront/hickoryd/engine"
 )
@@ -23,7 +23,6 @@
 const (
 	maxAttempts      = 4
 	slotPollInterval = 20 * time.Millisecond
-	prefillTimeout   = 30 * time.Second
 	retryAfterFull   = time.Second
 	reserveLifetime  = 10 * time.Minute
 
@@ -54,9 +53,11 @@
 		Prefill(ctx context.Context, server backend.Server, request engine.PrefillRequest) (engine.PrefillReply, error)
 		Decode(ctx context.Context, server backend.Server, request engine.DecodeRequest) (TokenStream, error)
 		Resume(ctx context.Context, server backend.Server, request engine.ResumeRequest) (TokenStream, error)
+		Uptime(ctx context.Context, server backend.Server) (time.Duration, error)
 	}
 
-	// TokenStream is one attempt's stream of tokens.
+	// TokenStream is one attempt's stream of tokens. It ends with the context
+	// of the call that opened it.
 	TokenStream interface {
 		Next() (answer.Token, error)
 		Close()
@@ -66,6 +67,8 @@
 	Slots interface {
 		Holder() slot.Holder
 		Reserve(ctx context.Context, now time.Time, server backend.Server, requestID string, terms slot.Terms) error
+		// Force takes a slot without its home; the home is told later.
+		Force(server backend.Server, requestID string, terms slot.Terms)
 		Release(serverID, requestID string)
 	}
 
@@ -75,6 +78,13 @@
 		SetLeaving(id string)
 	}
 
+	// Crashes knows the requests that crash the servers that run them.
+	Crashes interface {
+		Check(ctx context.Context, now time.Time, fingerprint uint64) crash.Verdict
+		Report(ctx context.Context, now time.Time, fingerprint uint64, serverID string)
+		Survived(ctx context.Context, now time.Time, fingerprint uint64)
+	}
+
 	// Models runs model requests. It is safe for concurrent use.
 	Models struct {
 		failureDomain string
@@ -82,39 +92,68 @@
 		engines       Engines
 		slots         Slots
 		directory     Directory
+		crashes       Crashes
 		canceller     *Canceller
-		wasted        *metrics.Counter
-		resumed       *metrics.Counter
-		retried       *metrics.Counter
+		budget        *retry.Budget
+		counters      modelCounters
+	}
+
+	modelCounters struct {
+		wasted    *metrics.Counter // tokens that were prefilled and never decoded from
+		abandoned *metrics.Counter // prompt tokens of prefills whose end is not known
+		resumed   *metrics.Counter
+		retried   *metrics.Counter
+		refused   *metrics.Counter // retries that the budget refused
+		crashes   *metrics.Counter
+		silences  *metrics.Histogram // seconds from the last sign of life to the alarm
 	}
 
 	// run is the state of one request.
 	run struct {
-		models   *Models
-		request  ModelRequest
-		sink     Sink
-		assembly answer.Assembly
-		text     string // tokens taken so far
+		models      *Models
+		request     ModelRequest
+		sink        Sink
+		assembly    answer.Assembly
+		text        string     // tokens taken so far
+		reached     bool       // a byte may have reached an engine
+		kv          *prefilled // result that no token was decoded from yet
+		failed      failedServers
+		fingerprint uint64
+		isolated    bool
 	}
 )
 
 var (
-	errCallerGone = errors.New("caller is gone")
-	errNoSlot     = errors.New("no slot within the profile's maxWait")
+	errCallerGone     = errors.New("caller is gone")
+	errNoSlot         = errors.New("no slot within the profile's maxWait")
+	errCrashesServers = errors.New("requests like this one crash the engines that run them")
+	errTimeout        = errors.New("no answer in time")
 )
 
 // NewModels returns a runner of model requests.
-func NewModels(failureDomain string, policy placement.Policy, engines Engines, slots Slots, directory Directory, canceller *Canceller, set *metrics.Set) *Models {
+func NewModels(failureDomain string, policy placement.Policy, engines Engines, slots Slots, directory Directory, crashes Crashes, canceller *Canceller, set *metrics.Set) *Models {
 	return &Models{
 		failureDomain: failureDomain,
 		policy:        policy,
 		engines:       engines,
 		slots:         slots,
 		directory:     directory,
+		crashes:       crashes,
 		canceller:     canceller,
-		wasted:        set.NewCounter(`hickoryfront_prefill_wasted_tokens_total`),
-		resumed:       set.NewCounter(`hickoryfront_streams_resumed_total`),
-		retried:       set.NewCounter(`hickoryfront_attempts_retried_total`),
+		budget:        retry.NewBudget(),
+		counters:      newModelCounters(set),
+	}
+}
+
+func newModelCounters(set *metrics.Set) modelCounters {
+	return modelCounters{
+		wasted:    set.NewCounter(`hickoryfront_prefill_wasted_tokens_total`),
+		abandoned: set.NewCounter(`hickoryfront_prefill_abandoned_tokens_total`),
+		resumed:   set.NewCounter(`hickoryfront_streams_resumed_total`),
+		retried:   set.NewCounter(`hickoryfront_attempts_retried_total`),
+		refused:   set.NewCounter(`hickoryfront_retries_over_budget_total`),
+		crashes:   set.NewCounter(`hickoryfront_server_crashes_seen_total`),
+		silences:  set.NewHistogram(`hickoryfront_stream_silence_seconds`),
 	}
 }
 
@@ -122,178 +161,116 @@
 // Other errors are of type *refusal.Refusal, or the context's when the caller
 // is gone.
 func (m *Models) Run(ctx context.Context, request ModelRequest, sink Sink) error {
-	r := &run{models: m, request: request, sink: sink}
-	var last error
-	for attempt := range maxAttempts {
-		if attempt > 0 {
-			m.retried.Inc()
-		}
-		last = r.try(ctx)
-		if last == nil {
+	r := &run{
+		models: m, request: request, sink: sink, failed: failedServers{},
+		fingerprint: crash.Fingerprint(request.Service.Name, request.Prompt),
+	}
+	defer r.dropKV()
+	m.budget.Deposit(request.Service.Name, request.Profile.RetryRatio)
+	for attempts := 1; ; attempts++ {
+		err := r.try(ctx)
+		if err == nil {
+			r.survived()
 			return nil
 		}
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
-		if errors.Is(last, errCallerGone) || errors.Is(last, errNoSlot) || errors.Is(last, engine.ErrInvalid) {
-			break
+		if attempts == maxAttempts || !r.mayRetry(err) {
+			return r.refuse(err)
 		}
+		m.counters.retried.Inc()
 	}
-	return r.refuse(last)
-}
-
-func (r *run) refuse(err error) error {
-	started := r.assembly.Next() > 0
-	switch {
-	case errors.Is(err, errCallerGone):
-		return context.Canceled
-	case errors.Is(err, errNoSlot) && !started:
-		return refusal.NotRun(refusal.Overloaded, "all engines of model %q are full; try again later", r.request.Service.Model).After(retryAfterFull)
-	case errors.Is(err, engine.ErrInvalid):
-		return refusal.MayHaveRun(refusal.InvalidRequest, "the engine refused the request: %v", err)
-	}
-	return refusal.MayHaveRun(refusal.BackendFailed, "no engine of model %q could finish the request: %v", r.request.Service.Model, err).After(retryAfterFull)
 }
 
 // try runs one attempt from reservation to the last token.
 func (r *run) try(ctx context.Context) error {
+	if err := r.checkCrashes(ctx); err != nil {
+		return err
+	}
 	server, err := r.reserve(ctx)
 	if err != nil {
 		return err
 	}
-	attempt, offset := r.assembly.Begin()
-	attemptID := r.attemptID(attempt)
-	defer r.release(server, attemptID)
-	stream, err := r.start(ctx, server, attemptID, offset)
+	a := r.begin(server)
+	defer a.release()
+	stream, err := a.open(ctx)
 	if err != nil {
-		r.noteLeaving(server, err)
 		return err
 	}
-	return r.relay(ctx, server, attemptID, attempt, stream)
+	return a.relay(ctx, stream)
 }
 
-// start prefills where that pays and opens the token stream.
-func (r *run) start(ctx context.Context, server backend.Server, attemptID string, offset int) (TokenStream, error) {
-	prompt := r.request.Prompt + r.text
-	decode := engine.DecodeRequest{
-		RequestID: attemptID, Model: r.request.Service.Model, Prompt: prompt,
-		MaxTokens: r.request.MaxTokens - offset, Offset: offset, Priority: r.priority(),
-	}
-	if prefix.Tokens(prompt) > r.request.Profile.DirectPrompt {
-		kv, err := r.prefill(ctx, attemptID, prompt)
-		if err != nil {
-			return nil, err
+// mayRetry decides whether another attempt follows. Retries that cost an
+// engine work are taken from the service's budget.
+func (r *run) mayRetry(err error) bool {
+	for _, final := range []error{errCallerGone, errNoSlot, errCrashesServers, engine.ErrInvalid} {
+		if errors.Is(err, final) {
+			return false
 		}
-		decode.KV = kv
-	}
-	stream, err := r.models.engines.Decode(ctx, server, decode)
-	if err != nil && decode.KV != nil {
-		r.models.wasted.Add(prefix.Tokens(prompt))
 	}
-	return stream, err
-}
-
-func (r *run) prefill(ctx context.Context, attemptID, prompt string) (*engine.KV, error) {
-	ctx, cancel := context.WithTimeout(ctx, prefillTimeout)
-	defer cancel()
-	servers := r.plan(time.Now()).Prefill
-	err := errors.New("no prefill server is listed")
-	for _, server := range servers {
-		var reply engine.PrefillReply
-		reply, err = r.models.engines.Prefill(ctx, server, engine.PrefillRequest{
-			RequestID: attemptID, Model: r.request.Service.Model, Prompt: prompt, Priority: r.priority(),
-		})
-		if err == nil {
-			return &reply.KV, nil
-		}
-		r.noteLeaving(server, err)
-		if ctx.Err() != nil {
-			r.models.canceller.Cancel(server, attemptID, nil)
-			return nil, ctx.Err()
+	for _, free := range []error{engine.ErrNotSent, engine.ErrLeaving, engine.ErrFull} {
+		if errors.Is(err, free) {
+			return true
 		}
 	}
-	return nil, err
+	return r.takeRetry()
 }
 
-// relay passes tokens to the sink until the answer is whole. A stream that
-// breaks or stays silent is resumed over a new connection.
-func (r *run) relay(ctx context.Context, server backend.Server, attemptID string, attempt int, stream TokenStream) error {
-	resumes := 0
-	for {
-		err := r.copyTokens(attempt, stream)
-		stream.Close()
-		if err == nil || errors.Is(err, errCallerGone) || ctx.Err() != nil {
-			return err
-		}
-		if resumes >= maxAttempts {
-			return err
-		}
-		resumes++
-		r.models.resumed.Inc()
-		request := engine.ResumeRequest{RequestID: attemptID, Offset: r.assembly.Next()}
-		if stream, err = r.models.engines.Resume(ctx, server, request); err != nil {
-			return err
-		}
+func (r *run) takeRetry() bool {
+	if r.models.budget.Take(r.request.Service.Name) {
+		return true
 	}
+	r.models.counters.refused.Inc()
+	return false
 }
 
-func (r *run) copyTokens(attempt int, stream TokenStream) error {
-	watchdog := time.AfterFunc(r.silence(), stream.Close)
-	defer watchdog.Stop()
-	for !r.assembly.Done() {
-		token, err := stream.Next()
-		if err != nil {
-			if errors.Is(err, io.EOF) {
-				err = engine.ErrBroken
-			}
-			return err
-		}
-		watchdog.Reset(r.silence())
-		taken, err := r.assembly.Accept(attempt, token)
-		if err != nil {
-			return err
-		}
-		if !taken {
-			continue
-		}
-		r.text += token.Text
-		if err := r.sink.Token(token); err != nil {
-			return errCallerGone
-		}
+// refuse turns the last error into the final answer.
+func (r *run) refuse(err error) error {
+	model := r.request.Service.Model
+	switch {
+	case errors.Is(err, errCallerGone):
+		return context.Canceled
+	case errors.Is(err, errNoSlot):
+		return r.refusal(refusal.Overloaded, "all engines of model %q are full; try again later", model).After(retryAfterFull)
+	case errors.Is(err, errCrashesServers):
+		return r.refusal(refusal.CrashesServers, "%v; do not send it again", err)
+	case errors.Is(err, engine.ErrInvalid):
+		return r.refusal(refusal.InvalidRequest, "the engine refused the request: %v", err)
 	}
-	return nil
+	return r.refusal(refusal.BackendFailed, "no engine of model %q could finish the request: %v", model, err).After(retryAfterFull)
 }
 
-func (r *run) silence() time.Duration {
-	const minSilence = 250 * time.Millisecond
-	return max(minSilence, r.request.Profile.TokenGapTarget*time.Duration(r.request.Profile.SilentGaps))
-}
-
-func (r *run) priority() int {
-	if r.request.Profile.Class == config.ClassDeferrable {
-		return priorityDeferrable
+// refusal says "not run" only when no byte can have reached an engine.
+func (r *run) refusal(kind refusal.Kind, format string, args ...any) *refusal.Refusal {
+	if r.reached {
+		return refusal.MayHaveRun(kind, format, args...)
 	}
-	return priorityInteractive
+	return refusal.NotRun(kind, format, args...)
 }
 
-func (r *run) noteLeaving(server backend.Server, err error) {
+// note takes in the result of a call to an engine.
+func (r *run) note(server backend.Server, err error) {
+	if err == nil || !errors.Is(err, engine.ErrNotSent) {
+		r.reached = true
+	}
 	if errors.Is(err, engine.ErrLeaving) {
 		r.models.directory.SetLeaving(server.ID)
 	}
+	if err != nil && !errors.Is(err, engine.ErrGone) && !errors.Is(err, engine.ErrTransfer) {
+		r.failed[server.ID] = true
+	}
 }
 
-// release gives the slot back once the engine holds nothing of the attempt.
-func (r *run) release(server backend.Server, attemptID string) {
-	release := func() { r.models.slots.Release(server.ID, attemptID) }
-	if r.assembly.Done() {
-		release()
-		return
+func (r *run) priority() int {
+	if r.request.Profile.Class == config.ClassDeferrable {
+		return priorityDeferrable
 	}
-	r.models.canceller.Cancel(server, attemptID, release)
+	return priorityInteractive
 }
 
 func (r *run) terms() slot.Terms {
-	return slot.Terms{Lifetime: reserveLifetime}
+	return slot.Terms{Lifetime: reserveLifetime, Isolated: r.isolated}
 }
 
 func wait(ctx context.Context, d time.Duration) error {
--- a/hickoryd/internal/dispatch/reserve.go
+++ b/hickoryd/internal/dispatch/reserve.go
@@ -14,13 +14,24 @@
 func (r *run) reserve(ctx context.Context) (backend.Server, error) {
 	m := r.models
 	id := r.attemptID(r.assembly.Peek())
-	deadline := r.request.ArrivedAt.Add(r.request.Profile.MaxWait)
+	deadline := r.waitUntil(time.Now())
 	for {
 		now := time.Now()
+		var silent []backend.Server
 		for _, server := range r.plan(now).Decode {
-			if err := m.slots.Reserve(ctx, now, server, id, r.terms()); err == nil {
+			err := m.slots.Reserve(ctx, now, server, id, r.terms())
+			if err == nil {
 				return server, nil
 			}
+			if ctx.Err() != nil {
+				return backend.Server{}, ctx.Err()
+			}
+			if isHomeSilent(err) {
+				silent = append(silent, server)
+			}
+		}
+		if server, ok := r.force(id, silent); ok {
+			return server, nil
 		}
 		if !now.Before(deadline) {
 			return backend.Server{}, errNoSlot
@@ -33,7 +44,7 @@
 
 func (r *run) plan(now time.Time) placement.Plan {
 	m := r.models
-	return m.policy.Plan(now, placement.Request{
+	plan := m.policy.Plan(now, placement.Request{
 		ID:            r.request.ID,
 		Model:         r.request.Service.Model,
 		FailureDomain: m.failureDomain,
@@ -44,4 +55,6 @@
 		Deadline:      r.request.ArrivedAt.Add(r.request.Profile.FirstTokenTarget),
 		Deferrable:    r.request.Profile.Class == config.ClassDeferrable,
 	}, m.directory.Candidates(r.request.Service.Model))
+	r.failed.moveLast(plan)
+	return plan
 }
--- a/hickoryd/internal/home/reservations.go
+++ b/hickoryd/internal/home/reservations.go
@@ -20,9 +20,6 @@
 	// reserveTimeout is the wait for a home before a request is placed without
 	// it.
 	reserveTimeout = 30 * time.Millisecond
-	// quietPeriod is the time for which a home that did not answer is not
-	// asked again.
-	quietPeriod    = 300 * time.Millisecond
 	tellTimeout    = time.Second
 	tellInterval   = 200 * time.Millisecond
 	tellAttempts   = 25
@@ -31,6 +28,9 @@
 	settlePeriod = 10 * time.Second
 )
 
+// errUnheard means that the home may have granted the slot unheard.
+var errUnheard = errors.New("answer not heard")
+
 type (
 	// Reservations is the holder's side of the slots: what this daemon holds
 	// and the way to the homes. It is safe for concurrent use.
@@ -43,8 +43,8 @@
 		forced      *metrics.Counter
 
 		mu    sync.Mutex
-		held  map[string]bool      // by attempt
-		quiet map[string]time.Time // by home, end of its quiet period
+		held  map[string]bool // by attempt
+		quiet quietHomes
 		group sync.WaitGroup
 		ctx   context.Context
 		stop  context.CancelFunc
@@ -66,7 +66,6 @@
 		unreachable: set.NewCounter(`hickoryfront_homes_unreachable_total`),
 		forced:      set.NewCounter(`hickoryfront_reservations_total{result="forced"}`),
 		held:        map[string]bool{},
-		quiet:       map[string]time.Time{},
 		ctx:         ctx,
 		stop:        stop,
 	}
@@ -100,8 +99,8 @@
 	return held
 }
 
-// Reserve asks the home of a server for a slot. The errors are ErrUnreachable,
-// ErrNotHome and those of the ledger. After an error nothing is held: a home
+// Reserve asks the home of a server for a slot. The errors are those of the
+// ledger, and slot.ErrNoHome. After an error nothing is held: a home
 // that has granted the slot unheard is told so.
 func (r *Reservations) Reserve(ctx context.Context, now time.Time, server backend.Server, requestID string, terms slot.Terms) error {
 	home := r.peers.Ring(now).Home(server.ID)
@@ -111,20 +110,22 @@
 		if err != nil {
 			r.drop(requestID)
 		}
-		return err
+		return homeError(err)
 	}
-	if r.isQuiet(now, home) {
+	if r.quiet.holds(now, home) {
 		r.drop(requestID)
-		return ErrUnreachable
+		return slot.ErrNoHome
 	}
 	err := r.ask(ctx, home, server.ID, requestID, terms)
 	if err == nil {
 		return nil
 	}
 	r.drop(requestID)
-	if errors.Is(err, ErrUnreachable) {
+	if errors.Is(err, errUnheard) {
 		r.unreachable.Inc()
-		r.setQuiet(now, home, ctx.Err() == nil)
+		if ctx.Err() == nil {
+			r.quiet.add(now, home)
+		}
 		r.tellReleased(server.ID, requestID)
 	}
 	return err
@@ -174,10 +175,12 @@
 	return allOf(question.RequestIDs, slot.NoAnswer)
 }
 
-// Close drops the notices that no home has taken.
-func (r *Reservations) Close() {
-	r.stop()
+// Close waits until the homes have taken all notices, and drops the rest when
+// ctx ends.
+func (r *Reservations) Close(ctx context.Context) {
+	defer context.AfterFunc(ctx, r.stop)()
 	r.group.Wait()
+	r.stop()
 }
 
 func (r *Reservations) confirmRemote(ctx context.Context, question slot.Question) (*peerapi.ConfirmHeldResponse, error) {
@@ -206,13 +209,13 @@
 func (r *Reservations) ask(ctx context.Context, home, serverID, requestID string, terms slot.Terms) error {
 	client, err := clientOf(r.peers, r.pool, home)
 	if err != nil {
-		return err
+		return fmt.Errorf("%w: %w", slot.ErrNoHome, err)
 	}
 	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
 	defer cancel()
 	response, err := client.Reserve(ctx, r.request(serverID, requestID, terms))
 	if err != nil {
-		return fmt.Errorf("%w: %w", ErrUnreachable, err)
+		return fmt.Errorf("%w: %w: %w", slot.ErrNoHome, errUnheard, err)
 	}
 	return reserveError(response.GetOutcome())
 }
@@ -271,26 +274,6 @@
 	delete(r.held, requestID)
 }
 
-func (r *Reservations) isQuiet(now time.Time, home string) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return now.Before(r.quiet[home])
-}
-
-// setQuiet starts a quiet period unless it was the caller who gave up.
-func (r *Reservations) setQuiet(now time.Time, home string, homeFailed bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for name, end := range r.quiet {
-		if now.After(end) {
-			delete(r.quiet, name)
-		}
-	}
-	if homeFailed {
-		r.quiet[home] = now.Add(quietPeriod)
-	}
-}
-
 // run repeats the notice, as the home may move meanwhile. Once it gives up,
 // the audit of the home finds the difference.
 func (n notice) run() {
@@ -342,8 +325,15 @@
 		return slot.ErrFull
 	case peerapi.ReserveResponse_OUTCOME_LEAVING:
 		return slot.ErrLeaving
-	case peerapi.ReserveResponse_OUTCOME_NOT_HOME:
-		return ErrNotHome
 	}
-	return ErrUnreachable
+	return slot.ErrNoHome
+}
+
+// homeError hides that this daemon is not the home after all: its view of the
+// fleet has just changed.
+func homeError(err error) error {
+	if errors.Is(err, ErrNotHome) {
+		return slot.ErrNoHome
+	}
+	return err
 }
--- a/hickoryd/internal/node/node.go
+++ b/hickoryd/internal/node/node.go
@@ -102,7 +102,7 @@
 			metrics.NewSet,
 			transport.New,
 			newPlatform, newHostList, newPool, newDirectory, newSlots, newMembership, newClaims,
-			newStore, newRegistration, newGate, newSync, newCanceller, newModels, newPlain, newRouter, newReservations, newAuditor,
+			newStore, newRegistration, newGate, newSync, newCanceller, newModels, newPlain, newRouter, newReservations, newAuditor, home.NewCrashes, newPeers,
 			newCaller, newOperator, newPeerService, newDrainWatch, newEngines, New,
 			telemetry.New, newKeeper, newReporter, service.New,
 		),
@@ -162,7 +162,7 @@
 	n.awaitIdle(ctx)
 	_ = n.callers.server.Shutdown(ctx)
 	n.canceller.Close(ctx)
-	n.reservations.Close()
+	n.reservations.Close(ctx)
 	n.registration.Close(ctx)
 	n.stop()
 	_ = n.operators.server.Shutdown(ctx)
@@ -190,6 +190,10 @@
 	return home.NewReservations(time.Now(), membership, pool, slots, set)
 }
 
+func newPeers(membership *peer.Membership) home.Peers {
+	return membership
+}
+
 func newAuditor(slots *home.Slots, e engines, reservations *home.Reservations, set *metrics.Set) *home.Auditor {
 	return home.NewAuditor(slots, e, reservations, set)
 }
@@ -275,8 +279,8 @@
 	return home.NewRouter(membership, pool, claims)
 }
 
-func newModels(s settings.Settings, e engines, reservations *home.Reservations, directory *backends.Directory, canceller *dispatch.Canceller, set *metrics.Set) *dispatch.Models {
-	return dispatch.NewModels(s.Host.FailureDomain, placement.LeastLoaded{}, e, reservations, directory, canceller, set)
+func newModels(s settings.Settings, e engines, reservations *home.Reservations, directory *backends.Directory, crashes *home.Crashes, canceller *dispatch.Canceller, set *metrics.Set) *dispatch.Models {
+	return dispatch.NewModels(s.Host.FailureDomain, placement.LeastLoaded{}, e, reservations, directory, crashes, canceller, set)
 }
 
 func newPlain(self member.Host, client *service.Client, directory *backends.Directory, router *home.Router) *dispatch.Plain {
@@ -291,12 +295,13 @@
 	return operator.New(s.Auth.OperatorToken, store, membership, directory, gate, reports, set)
 }
 
-func newPeerService(membership *peer.Membership, slots *home.Slots, reservations *home.Reservations, claims *home.Claims, store *configstore.Store, recorder *telemetry.Recorder) *peerserver.Server {
+func newPeerService(membership *peer.Membership, slots *home.Slots, reservations *home.Reservations, claims *home.Claims, crashes *home.Crashes, store *configstore.Store, recorder *telemetry.Recorder) *peerserver.Server {
 	return peerserver.New(peerserver.Parts{
 		Membership: membership,
 		Slots:      slots,
 		Holdings:   reservations,
 		Claims:     claims,
+		Crashes:    crashes,
 		Config:     store,
 		Burn:       recorder,
 	})
--- a/hickoryd/internal/peerserver/server.go
+++ b/hickoryd/internal/peerserver/server.go
@@ -10,6 +10,7 @@
 
 	"github.com/hickoryfront/hickoryfront/core/backend"
 	"github.com/hickoryfront/hickoryfront/core/claim"
+	"github.com/hickoryfront/hickoryfront/core/crash"
 	"github.com/hickoryfront/hickoryfront/core/slot"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/home"
 	"github.com/hickoryfront/hickoryfront/peerapi"
@@ -42,6 +43,13 @@
 		Grants(now time.Time) []claim.Grant
 	}
 
+	// Crashes knows the fingerprints whose home is this daemon.
+	Crashes interface {
+		CheckLocal(now time.Time, fingerprint uint64) crash.Verdict
+		ReportLocal(now time.Time, fingerprint uint64, serverID string) crash.Verdict
+		SurvivedLocal(now time.Time, fingerprint uint64)
+	}
+
 	// Config hands out what brings a peer to the configuration in force.
 	Config interface {
 		UpdateAfter(now time.Time, revision uint64) ([]byte, uint64, error)
@@ -58,6 +66,7 @@
 		Slots      Slots
 		Holdings   Holdings
 		Claims     Claims
+		Crashes    Crashes
 		Config     Config
 		Burn       Burn
 	}
@@ -69,6 +78,7 @@
 		slots      Slots
 		holdings   Holdings
 		claims     Claims
+		crashes    Crashes
 		config     Config
 		burn       Burn
 	}
@@ -81,6 +91,7 @@
 		slots:      parts.Slots,
 		holdings:   parts.Holdings,
 		claims:     parts.Claims,
+		crashes:    parts.Crashes,
 		config:     parts.Config,
 		burn:       parts.Burn,
 	}
@@ -182,6 +193,23 @@
 	return &peerapi.BurnResponse{Snapshot: data}, nil
 }
 
+// ReportCrash implements the Peer service.
+func (s *Server) ReportCrash(_ context.Context, request *peerapi.ReportCrashRequest) (*peerapi.ReportCrashResponse, error) {
+	now := time.Now()
+	if request.GetSurvived() {
+		s.crashes.SurvivedLocal(now, request.GetFingerprint())
+		return &peerapi.ReportCrashResponse{}, nil
+	}
+	verdict := s.crashes.ReportLocal(now, request.GetFingerprint(), request.GetServerId())
+	return &peerapi.ReportCrashResponse{Refused: verdict == crash.Refuse}, nil
+}
+
+// CheckFingerprint implements the Peer service.
+func (s *Server) CheckFingerprint(_ context.Context, request *peerapi.CheckFingerprintRequest) (*peerapi.CheckFingerprintResponse, error) {
+	verdict := s.crashes.CheckLocal(time.Now(), request.GetFingerprint())
+	return &peerapi.CheckFingerprintResponse{Refused: verdict == crash.Refuse, Isolate: verdict == crash.Isolate}, nil
+}
+
 func reserveOutcome(err error) peerapi.ReserveResponse_Outcome {
 	switch {
 	case err == nil:
