Decide claims by epochs, journals and listings of former homes

Cause: a home was chosen by the ring of live hosts alone. When the ring changed, the new home knew nothing of the old one's grants and granted a key again.

Ruled out: clocks and leases as the fence (a paused process passes them); a listing that counts for keys it did not cover; asking everybody on every death (one dead host would block its keys for the horizon).

Not done here: the daemon still uses the table without epochs.

--- a/core/claim/claim.go
+++ b/core/claim/claim.go
@@ -20,6 +20,8 @@
 	BodyMismatch
 	// Undecided means that this home cannot decide now; nothing was run.
 	Undecided
+	// NotHome means that another daemon is the home of the key.
+	NotHome
 )
 
 // ErrTableFull means that no more keys can be held until some expire.
@@ -82,11 +84,10 @@
 
 // Claim decides on one key. The returned grant is the one that holds the key.
 func (t *Table) Claim(now time.Time, wanted Grant) (Outcome, Grant, error) {
-	held, ok := t.grants[wanted.Key]
-	if ok && !held.expired(now) {
-		return held.outcome(wanted), *held, nil
+	if held, ok := t.Lookup(now, wanted.Key); ok {
+		return held.outcome(wanted), held, nil
 	}
-	if !ok && len(t.grants) >= t.limit {
+	if len(t.grants) >= t.limit {
 		t.expire(now)
 		if len(t.grants) >= t.limit {
 			return Undecided, Grant{}, ErrTableFull
@@ -97,6 +98,15 @@
 	return Granted, wanted, nil
 }
 
+// Lookup returns the grant of a key that is within its horizon.
+func (t *Table) Lookup(now time.Time, key Key) (Grant, bool) {
+	held, ok := t.grants[key]
+	if !ok || held.expired(now) {
+		return Grant{}, false
+	}
+	return *held, true
+}
+
 // Settle stores how the call of requestID ended. A settle of another request
 // than the holder's is ignored.
 func (t *Table) Settle(key Key, requestID string, answer *Answer, unknown bool) {
@@ -116,15 +126,17 @@
 	}
 }
 
-// Adopt takes in a grant of an earlier home. It never replaces a held one,
-// but completes it with a stored answer.
+// Adopt takes in a grant of another home, even over the limit. A key that was
+// withdrawn and granted again is held by its newest grant; a stored answer
+// completes the grant that it belongs to.
 func (t *Table) Adopt(g Grant) {
 	held, ok := t.grants[g.Key]
-	if !ok {
+	switch {
+	case !ok:
 		t.grants[g.Key] = &g
-		return
-	}
-	if held.RequestID == g.RequestID && g.Settled && !held.Settled {
+	case held.RequestID == g.RequestID && g.Settled && !held.Settled:
+		*held = g
+	case held.RequestID != g.RequestID && !held.Settled && g.GrantedAt.After(held.GrantedAt):
 		*held = g
 	}
 }
@@ -153,7 +165,7 @@
 }
 
 func (g *Grant) expired(now time.Time) bool {
-	return now.Sub(g.GrantedAt) > g.Horizon
+	return now.Sub(g.GrantedAt) > g.Horizon+clockSkew
 }
 
 func (g *Grant) outcome(wanted Grant) Outcome {
--- /dev/null
+++ b/core/claim/epoch.go
@@ -0,0 +1,172 @@
+package claim
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/hickoryfront/hickoryfront/core/ring"
+)
+
+// clockSkew is the largest difference between the clocks of two hosts. It
+// lengthens every horizon that is judged on another host than it began on.
+const clockSkew = 30 * time.Second
+
+type (
+	// Member is one membership of a home. A host that joins again, even in the
+	// same life, is another member.
+	Member struct {
+		Host        string `json:"host"`
+		Incarnation uint64 `json:"incarnation"`
+		Since       uint64 `json:"since"` // number of the epoch it joined in
+	}
+
+	// Epoch is the agreed list of homes. It is immutable: Next returns a new
+	// one.
+	Epoch struct {
+		Number  uint64   `json:"number"`
+		Members []Member `json:"members"` // sorted by host
+		Past    []Change `json:"past"`    // newest last
+		Attempt string   `json:"attempt"` // recognises this write after a lost answer
+	}
+
+	// Change is the end of one epoch. It is kept until no grant of that epoch
+	// can still be within its horizon.
+	Change struct {
+		Number  uint64        `json:"number"` // epoch that ended
+		Added   []Member      `json:"added"`
+		Removed []Member      `json:"removed"`
+		At      time.Time     `json:"at"`
+		Horizon time.Duration `json:"horizon"` // longest horizon of the ended epoch's grants
+	}
+)
+
+// Owner returns the life of the daemon that m is.
+func (m Member) Owner() Owner {
+	return Owner{Host: m.Host, Incarnation: m.Incarnation}
+}
+
+// Next returns the epoch after e with the given homes. Members that stay keep
+// their membership unless they are in fenced.
+func (e Epoch) Next(now time.Time, homes []Owner, fenced map[Member]bool, horizon time.Duration, attempt string) Epoch {
+	next := Epoch{Number: e.Number + 1, Attempt: attempt}
+	for _, o := range homes {
+		held, ok := e.Member(o)
+		if !ok || fenced[held] {
+			held = Member{Host: o.Host, Incarnation: o.Incarnation, Since: next.Number}
+		}
+		next.Members = append(next.Members, held)
+	}
+	slices.SortFunc(next.Members, compareMembers)
+	change := Change{
+		Number: e.Number, Added: without(next.Members, e.Members), Removed: without(e.Members, next.Members),
+		At: now, Horizon: horizon,
+	}
+	next.Past = append(e.Within(now), change)
+	if e.Number == 0 {
+		next.Past = nil
+	}
+	return next
+}
+
+// Within returns the changes whose grants may still be within their horizon.
+func (e Epoch) Within(now time.Time) []Change {
+	return slices.Clone(e.Past[e.overCount(now):])
+}
+
+// Retired returns the members that left by changes whose horizon has passed.
+// Their journals must be sealed before these changes are dropped.
+func (e Epoch) Retired(now time.Time) []Member {
+	var retired []Member
+	for _, c := range e.Past[:e.overCount(now)] {
+		retired = append(retired, c.Removed...)
+	}
+	return retired
+}
+
+// Member returns the membership of a daemon.
+func (e Epoch) Member(o Owner) (Member, bool) {
+	for _, m := range e.Members {
+		if m.Owner() == o {
+			return m, true
+		}
+	}
+	return Member{}, false
+}
+
+// MembersOf returns the members of an epoch from e back to the oldest kept
+// change.
+func (e Epoch) MembersOf(number uint64) []Member {
+	members := e.Members
+	for i := len(e.Past) - 1; i >= 0 && e.Past[i].Number >= number; i-- {
+		members = append(without(members, e.Past[i].Added), e.Past[i].Removed...)
+	}
+	slices.SortFunc(members, compareMembers)
+	return members
+}
+
+// PickHomes returns at most limit of the live hosts. Members that live stay;
+// free places go to hosts by rendezvous, so that all daemons pick the same.
+func (e Epoch) PickHomes(live []Owner, limit int) []Owner {
+	var homes []Owner
+	rest := map[string]Owner{}
+	for _, o := range live {
+		if _, ok := e.Member(o); ok && len(homes) < limit {
+			homes = append(homes, o)
+		} else {
+			rest[o.Host] = o
+		}
+	}
+	for len(homes) < limit && len(rest) > 0 {
+		names := make([]string, 0, len(rest))
+		for name := range rest {
+			names = append(names, name)
+		}
+		picked := ring.New(names).Home("claim homes")
+		homes = append(homes, rest[picked])
+		delete(rest, picked)
+	}
+	return homes
+}
+
+// Ring returns the homes of an epoch's keys.
+func (e Epoch) Ring(number uint64) *ring.Ring {
+	members := e.MembersOf(number)
+	hosts := make([]string, 0, len(members))
+	for _, m := range members {
+		hosts = append(hosts, m.Host)
+	}
+	return ring.New(hosts)
+}
+
+// Text returns the key as one string, for hashing.
+func (k Key) Text() string {
+	return k.Workspace + "\x00" + k.Service + "\x00" + k.Value
+}
+
+// overCount returns how many of the oldest changes are over.
+func (e Epoch) overCount(now time.Time) int {
+	count := 0
+	for count < len(e.Past) && e.Past[count].over(now) {
+		count++
+	}
+	return count
+}
+
+func (c Change) over(now time.Time) bool {
+	return now.Sub(c.At) > c.Horizon+2*clockSkew
+}
+
+func without(members, dropped []Member) []Member {
+	var rest []Member
+	for _, m := range members {
+		if !slices.Contains(dropped, m) {
+			rest = append(rest, m)
+		}
+	}
+	return rest
+}
+
+func compareMembers(a, b Member) int {
+	return cmp.Or(cmp.Compare(a.Host, b.Host), cmp.Compare(a.Incarnation, b.Incarnation), cmp.Compare(a.Since, b.Since))
+}
--- /dev/null
+++ b/core/claim/history_test.go
@@ -0,0 +1,375 @@
+package claim_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hickoryfront/hickoryfront/core/claim"
+)
+
+const (
+	simHosts   = 5
+	simKeys    = 30
+	simSteps   = 400
+	simHorizon = 10 * time.Minute
+)
+
+type (
+	// fleet is a model of daemons, their messages and the platform. Each step
+	// of a grant is a separate step of the model, so that kills, pauses and
+	// epoch changes come between any two.
+	fleet struct {
+		random   *rand.Rand
+		now      time.Time
+		thin     bool // homes of the first version: a table without takeover
+		down     bool // platform
+		epoch    claim.Epoch
+		journals map[claim.Member]*journal
+		nodes    []*node
+		requests int
+		acks     map[claim.Key][]string
+		counts   map[string]int
+	}
+
+	journal struct {
+		sealed   bool
+		complete uint64
+		grants   []claim.Grant
+	}
+
+	node struct {
+		owner  claim.Owner
+		home   *claim.Home
+		table  *claim.Table
+		paused bool
+		work   []*grantWork
+		silent []claim.Grant // acknowledged but not journaled
+	}
+
+	grantWork struct {
+		grant    claim.Grant
+		member   claim.Member
+		recorded bool
+	}
+)
+
+func newFleet(seed uint64, thin bool) *fleet {
+	f := &fleet{
+		random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1_000_000, 0), thin: thin,
+		journals: map[claim.Member]*journal{}, acks: map[claim.Key][]string{}, counts: map[string]int{},
+	}
+	for i := range simHosts {
+		f.nodes = append(f.nodes, newNode(i, 1))
+	}
+	f.changeEpoch(f.owners())
+	return f
+}
+
+func newNode(index int, incarnation uint64) *node {
+	o := claim.Owner{Host: fmt.Sprintf("h%d", index), Incarnation: incarnation}
+	return &node{owner: o, home: claim.NewHome(o, 1000), table: claim.NewTable(1000)}
+}
+
+func (f *fleet) owners() []claim.Owner {
+	var owners []claim.Owner
+	for _, n := range f.nodes {
+		owners = append(owners, n.owner)
+	}
+	return owners
+}
+
+func (f *fleet) step() {
+	f.now = f.now.Add(time.Duration(f.random.IntN(500)) * time.Millisecond)
+	n := f.nodes[f.random.IntN(len(f.nodes))]
+	switch p := f.random.IntN(1000); {
+	case p < 6:
+		f.kill(n)
+	case p < 14:
+		n.paused = true
+	case p < 60 && n.paused:
+		n.paused = false
+	case p < 70:
+		f.down = !f.down
+	case p < 90:
+		f.changeEpoch(f.someOwners())
+	case n.paused:
+	case p < 400:
+		f.claim(n)
+	case p < 600:
+		f.progress(n)
+	case p < 700:
+		f.learnEpoch(n)
+	case p < 950:
+		f.takeOver(n)
+	default:
+		f.flush(n)
+	}
+}
+
+func (f *fleet) kill(n *node) {
+	i := slices.Index(f.nodes, n)
+	f.nodes[i] = newNode(i, n.owner.Incarnation+1)
+	f.counts["kills"]++
+}
+
+// someOwners is a view of the fleet that may miss hosts that live.
+func (f *fleet) someOwners() []claim.Owner {
+	owners := f.owners()
+	if f.random.IntN(2) == 0 {
+		i := f.random.IntN(len(owners))
+		owners = slices.Delete(owners, i, i+1)
+	}
+	return owners
+}
+
+func (f *fleet) changeEpoch(homes []claim.Owner) {
+	if f.down {
+		return
+	}
+	fenced := map[claim.Member]bool{}
+	for m, j := range f.journals {
+		fenced[m] = j.sealed
+	}
+	f.epoch = f.epoch.Next(f.now, homes, fenced, simHorizon, "")
+	f.counts["epochs"]++
+}
+
+func (f *fleet) learnEpoch(n *node) {
+	if !f.down && n.home.Enter(f.epoch) {
+		n.home.Want(f.now)
+	}
+}
+
+func (f *fleet) claim(n *node) {
+	f.requests++
+	wanted := claim.Grant{
+		Key: claim.Key{Value: fmt.Sprintf("k%d", f.random.IntN(simKeys))}, RequestID: fmt.Sprintf("r%d", f.requests),
+		Owner: n.owner, Horizon: simHorizon,
+	}
+	if f.thin {
+		f.claimThin(n, wanted)
+		return
+	}
+	outcome, grant, err := n.home.Claim(f.now, wanted)
+	if err != nil || outcome != claim.Granted {
+		f.counts["refused"]++
+		return
+	}
+	member, _ := n.home.Member()
+	n.work = append(n.work, &grantWork{grant: grant, member: member})
+}
+
+// claimThin grants as the first version did: by the ring of the homes that are
+// alive in the newest view, with nothing taken over.
+func (f *fleet) claimThin(n *node, wanted claim.Grant) {
+	if f.epoch.Ring(f.epoch.Number).Home(wanted.Key.Text()) != n.owner.Host {
+		return
+	}
+	if outcome, _, _ := n.table.Claim(f.now, wanted); outcome == claim.Granted {
+		f.ack(wanted)
+	}
+}
+
+func (f *fleet) progress(n *node) {
+	if len(n.work) == 0 {
+		return
+	}
+	w := n.work[0]
+	switch {
+	case w.recorded:
+		n.work = n.work[1:]
+		f.ack(w.grant)
+	case f.append(w.member, n, []claim.Grant{w.grant}):
+		w.recorded = true
+	case f.down && n.home.InOutage():
+		w.recorded = f.witness(n, w)
+	case f.down:
+		f.beginOutage(n)
+	default: // fenced
+		n.home.Withdraw(w.grant.Key, w.grant.RequestID)
+		n.work = n.work[1:]
+	}
+}
+
+// append writes to a journal. One answer in eight is lost after the write took
+// effect; the grant is then tried again, or given up.
+func (f *fleet) append(m claim.Member, n *node, grants []claim.Grant) bool {
+	if f.down {
+		return false
+	}
+	j := f.journal(m)
+	if j.sealed {
+		return false
+	}
+	j.grants = append(j.grants, grants...)
+	if len(n.silent) == 0 && !n.home.InOutage() {
+		j.complete = max(j.complete, n.home.Epoch().Number)
+	}
+	if f.random.IntN(8) == 0 {
+		f.counts["lost answers"]++
+		return false
+	}
+	return true
+}
+
+func (f *fleet) journal(m claim.Member) *journal {
+	if f.journals[m] == nil {
+		f.journals[m] = &journal{}
+	}
+	return f.journals[m]
+}
+
+func (f *fleet) beginOutage(n *node) {
+	member, err := n.home.Member()
+	if err != nil {
+		return
+	}
+	mode, epoch, recorded := n.home.BeginOutage(), n.home.Epoch().Number, 0
+	for _, other := range n.home.Others() {
+		if x := f.reach(other.Owner()); x != nil && x.home.Witness(member, epoch, mode, nil) == nil {
+			recorded++
+		}
+	}
+	n.home.ConfirmOutage(epoch, recorded)
+}
+
+func (f *fleet) witness(n *node, w *grantWork) bool {
+	others := n.home.Others()
+	x := f.reach(others[f.random.IntN(len(others))].Owner())
+	member, _ := n.home.Member()
+	mode := claim.Mode{Outage: true}
+	if x == nil || x.home.Witness(member, n.home.Epoch().Number, mode, []claim.Grant{w.grant}) != nil {
+		return false
+	}
+	n.silent = append(n.silent, w.grant)
+	f.counts["witnessed"]++
+	return true
+}
+
+// flush journals what was granted in an outage.
+func (f *fleet) flush(n *node) {
+	member, err := n.home.Member()
+	if err != nil || f.down || f.journal(member).sealed || len(n.silent) == 0 {
+		return
+	}
+	f.journal(member).grants = append(f.journal(member).grants, n.silent...)
+	n.silent = nil
+	mode, epoch := n.home.EndOutage(), n.home.Epoch().Number
+	for _, other := range n.home.Others() {
+		if x := f.reach(other.Owner()); x != nil {
+			_ = x.home.Witness(member, epoch, mode, nil)
+		}
+	}
+}
+
+// takeOver asks one member that keys wait for, or seals its journal when it is
+// a home no more.
+func (f *fleet) takeOver(n *node) {
+	for _, m := range n.home.Wanted(f.now) {
+		if f.ask(n, m.Owner()) || slices.Contains(n.home.Epoch().Members, m) || f.down {
+			continue
+		}
+		j := f.journal(m)
+		j.sealed = true
+		n.home.LearnJournal(claim.Journal{Member: m, CompleteThrough: j.complete, Grants: j.grants})
+		for _, other := range n.home.Companions(m) {
+			f.ask(n, other.Owner())
+		}
+	}
+}
+
+func (f *fleet) ask(n *node, o claim.Owner) bool {
+	x := f.reach(o)
+	if x == nil {
+		return false
+	}
+	if x.home.Enter(n.home.Epoch()) {
+		x.home.Want(f.now)
+	}
+	listing, err := x.home.List(f.now, n.home.Epoch().Number, n.owner.Host)
+	if err != nil {
+		return false
+	}
+	n.home.Learn(listing)
+	return true
+}
+
+// reach returns a daemon that answers now. One message in ten is lost.
+func (f *fleet) reach(o claim.Owner) *node {
+	for _, n := range f.nodes {
+		if n.owner == o && !n.paused && f.random.IntN(10) > 0 {
+			return n
+		}
+	}
+	return nil
+}
+
+func (f *fleet) ack(g claim.Grant) {
+	f.counts["granted"]++
+	f.acks[g.Key] = append(f.acks[g.Key], g.RequestID)
+}
+
+func (f *fleet) doubles() []string {
+	var doubles []string
+	for key, acks := range f.acks {
+		if len(acks) > 1 {
+			doubles = append(doubles, fmt.Sprintf("key %s was granted to %s", key.Value, strings.Join(acks, ", ")))
+		}
+	}
+	return doubles
+}
+
+// run plays one history that stays within the horizon of its first grant.
+func run(seed uint64, thin bool) *fleet {
+	f := newFleet(seed, thin)
+	for range simSteps {
+		f.step()
+	}
+	return f
+}
+
+// TestKeysAreGrantedOnceOverHistories plays random histories of claims, epoch
+// changes, kills, pauses, lost answers and outages of the platform.
+//
+// proof: daemon killed | claim | 5
+// proof: daemon paused | claim | 5
+// proof: platform down | claim | 5
+// proof: answer lost | claim | 5
+// proof: daemons cut off | claim | 5
+// proof: platform down + daemon killed | claim | 5
+// proof: daemon paused + lease lapsed | claim | 5
+func TestKeysAreGrantedOnceOverHistories(t *testing.T) {
+	total := map[string]int{}
+	for seed := range uint64(1500) {
+		f := run(seed, false)
+		for _, double := range f.doubles() {
+			t.Errorf("seed %d: %s", seed, double)
+		}
+		for name, count := range f.counts {
+			total[name] += count
+		}
+	}
+	t.Logf("histories: %v", total)
+	for _, name := range []string{"granted", "witnessed", "kills", "epochs", "lost answers"} {
+		if total[name] == 0 {
+			t.Errorf("no history had %s", name)
+		}
+	}
+}
+
+// TestHistoriesFindDoubleGrants plays the same histories against homes without
+// takeover: the check must find what the mechanism prevents.
+func TestHistoriesFindDoubleGrants(t *testing.T) {
+	found := 0
+	for seed := range uint64(100) {
+		found += len(run(seed, true).doubles())
+	}
+	if found == 0 {
+		t.Error("homes without takeover granted no key twice: the histories test nothing")
+	}
+	t.Logf("keys granted more than once without takeover: %d", found)
+}
--- /dev/null
+++ b/core/claim/home.go
@@ -0,0 +1,460 @@
+package claim
+
+import (
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/hickoryfront/hickoryfront/core/ring"
+)
+
+var (
+	// ErrNotHome means that another daemon is the home of the key.
+	ErrNotHome = errors.New("not the home of this key")
+	// ErrTakeover means that a former home of the key may have granted it and
+	// has not been cleared yet.
+	ErrTakeover = errors.New("a former home of this key is not cleared yet")
+	// ErrStaleEpoch means that a newer epoch is in force.
+	ErrStaleEpoch = errors.New("epoch is over")
+	// ErrNotMember means that this daemon is no home in the current epoch.
+	ErrNotMember = errors.New("not a member of the epoch")
+)
+
+type (
+	// Home decides on the keys of one daemon in the current epoch. It grants a
+	// key only when every daemon that may have granted it in an earlier epoch
+	// has been cleared. It is not safe for concurrent use.
+	Home struct {
+		self   Owner
+		table  *Table
+		epoch  Epoch
+		rings  map[uint64]*ring.Ring // by epoch number, within the window
+		past   map[uint64][]Member   // members by epoch number
+		heard  map[Member][]uint64   // epochs in which a member listed its grants
+		sealed map[Member]seal
+		wanted map[Member]bool // members that a key waited for
+		flags  map[Member]Mode // modes of other homes, as told by them
+
+		mode        Mode   // this home's own
+		outageEpoch uint64 // epoch in which enough others know the mode; 0: none
+	}
+
+	// Mode says whether a home grants without its journal. A higher Sequence
+	// is newer.
+	Mode struct {
+		Sequence uint64
+		Outage   bool
+	}
+
+	// Flag is the mode of one member.
+	Flag struct {
+		Member Member
+		Mode   Mode
+	}
+
+	// Listing is what a member knows of the keys whose home is the asker.
+	Listing struct {
+		Owner  Owner // the daemon that answers
+		Epoch  uint64
+		Grants []Grant
+		Flags  []Flag
+	}
+
+	// Journal is what a sealed journal says: no further grant of its member
+	// can be acknowledged through it.
+	Journal struct {
+		Member Member
+		// CompleteThrough is the last epoch in which the member had written
+		// that all its grants are journaled; 0 when it never did.
+		CompleteThrough uint64
+		// Complete says that the member sealed the journal itself with
+		// nothing left out.
+		Complete bool
+		Grants   []Grant
+	}
+
+	seal struct {
+		completeThrough uint64
+		complete        bool
+	}
+)
+
+// NewHome returns a home without an epoch; it grants nothing.
+func NewHome(self Owner, limit int) *Home {
+	return &Home{
+		self: self, table: NewTable(limit), rings: map[uint64]*ring.Ring{}, past: map[uint64][]Member{},
+		heard: map[Member][]uint64{}, sealed: map[Member]seal{}, wanted: map[Member]bool{}, flags: map[Member]Mode{},
+	}
+}
+
+// Epoch returns the epoch in force.
+func (h *Home) Epoch() Epoch {
+	return h.epoch
+}
+
+// Member returns this daemon's membership in the epoch in force.
+func (h *Home) Member() (Member, error) {
+	m, ok := h.epoch.Member(h.self)
+	if !ok {
+		return m, ErrNotMember
+	}
+	return m, nil
+}
+
+// Enter takes in an epoch. From then on nothing is granted under earlier ones.
+// Older epochs change nothing.
+func (h *Home) Enter(epoch Epoch) bool {
+	if epoch.Number <= h.epoch.Number {
+		return false
+	}
+	h.epoch = epoch
+	h.rings = map[uint64]*ring.Ring{epoch.Number: epoch.Ring(epoch.Number)}
+	h.past = map[uint64][]Member{epoch.Number: epoch.Members}
+	for _, c := range epoch.Past {
+		h.rings[c.Number] = epoch.Ring(c.Number)
+		h.past[c.Number] = epoch.MembersOf(c.Number)
+	}
+	h.forget()
+	return true
+}
+
+// Claim decides on one key. The errors are ErrNotHome, ErrTakeover and
+// ErrTableFull; nothing was granted then. A grant may be acknowledged only
+// after it was journaled or recorded at a witness.
+func (h *Home) Claim(now time.Time, wanted Grant) (Outcome, Grant, error) {
+	if _, err := h.Member(); err != nil || h.home(h.epoch.Number, wanted.Key) != h.self.Host {
+		return NotHome, Grant{}, ErrNotHome
+	}
+	if _, held := h.table.Lookup(now, wanted.Key); !held {
+		if missing := h.missing(now, wanted.Key); len(missing) > 0 {
+			for _, m := range missing {
+				h.wanted[m] = true
+			}
+			return Undecided, Grant{}, ErrTakeover
+		}
+	}
+	return h.table.Claim(now, wanted)
+}
+
+// Settle stores how a call ended.
+func (h *Home) Settle(key Key, requestID string, answer *Answer, unknown bool) {
+	h.table.Settle(key, requestID, answer, unknown)
+}
+
+// Withdraw drops a grant whose call did not and will not reach any server.
+func (h *Home) Withdraw(key Key, requestID string) {
+	h.table.Withdraw(key, requestID)
+}
+
+// List answers a home of the epoch that asks for the grants of its keys. The
+// caller has entered the asker's epoch before; ErrStaleEpoch means that a newer
+// one is in force.
+func (h *Home) List(now time.Time, epoch uint64, asker string) (Listing, error) {
+	if epoch != h.epoch.Number {
+		return Listing{}, ErrStaleEpoch
+	}
+	listing := Listing{Owner: h.self, Epoch: epoch}
+	for _, g := range h.table.Grants(now) {
+		if h.home(epoch, g.Key) == asker {
+			listing.Grants = append(listing.Grants, g)
+		}
+	}
+	for m, mode := range h.flags {
+		listing.Flags = append(listing.Flags, Flag{Member: m, Mode: mode})
+	}
+	return listing, nil
+}
+
+// Learn takes in the listing of a daemon that was asked. Listings of another
+// epoch than the one in force change nothing.
+func (h *Home) Learn(listing Listing) {
+	if listing.Epoch != h.epoch.Number {
+		return
+	}
+	for _, g := range listing.Grants {
+		h.table.Adopt(g)
+	}
+	for _, f := range listing.Flags {
+		h.setFlag(f.Member, f.Mode)
+	}
+	for m := range h.known() {
+		if m.Owner() == listing.Owner && !slices.Contains(h.heard[m], listing.Epoch) {
+			h.heard[m] = append(h.heard[m], listing.Epoch)
+		}
+	}
+}
+
+// LearnJournal takes in a journal that was sealed and read to its end.
+func (h *Home) LearnJournal(j Journal) {
+	for _, g := range j.Grants {
+		h.table.Adopt(g)
+	}
+	h.sealed[j.Member] = seal{completeThrough: j.CompleteThrough, complete: j.Complete}
+}
+
+// Witness records grants that another home makes without its journal, and its
+// mode. ErrStaleEpoch means that the home's epoch is not the one in force here;
+// it must not acknowledge the grants.
+func (h *Home) Witness(member Member, epoch uint64, mode Mode, grants []Grant) error {
+	if epoch != h.epoch.Number || !slices.Contains(h.epoch.Members, member) {
+		return ErrStaleEpoch
+	}
+	h.setFlag(member, mode)
+	for _, g := range grants {
+		h.table.Adopt(g)
+	}
+	return nil
+}
+
+// Others returns the other members of the epoch in force.
+func (h *Home) Others() []Member {
+	return slices.DeleteFunc(slices.Clone(h.epoch.Members), h.isSelf)
+}
+
+// BeginOutage returns the mode to tell the others before any grant is made
+// without the journal.
+func (h *Home) BeginOutage() Mode {
+	h.mode = Mode{Sequence: h.mode.Sequence + 1, Outage: true}
+	h.outageEpoch = 0
+	return h.mode
+}
+
+// ConfirmOutage takes in how many others have recorded the mode in an epoch.
+func (h *Home) ConfirmOutage(epoch uint64, recorded int) {
+	others := len(h.Others())
+	if epoch == h.epoch.Number && others > 0 && recorded >= OutageQuorum(others) {
+		h.outageEpoch = epoch
+	}
+}
+
+// InOutage reports whether grants may be made with a witness instead of the
+// journal. It ends with the epoch: the others are told again in the next.
+func (h *Home) InOutage() bool {
+	return h.outageEpoch != 0 && h.outageEpoch == h.epoch.Number
+}
+
+// EndOutage returns the mode to tell the others once all grants are journaled.
+func (h *Home) EndOutage() Mode {
+	h.mode = Mode{Sequence: h.mode.Sequence + 1}
+	h.outageEpoch = 0
+	return h.mode
+}
+
+// OutageQuorum returns how many of others must know that a home grants without
+// its journal before it may. Any takeover quorum meets it in one member.
+func OutageQuorum(others int) int {
+	return others/2 + 1
+}
+
+// TakeoverQuorum returns how many of others must have been heard before a dead
+// home counts as one that journaled everything.
+func TakeoverQuorum(others int) int {
+	return others - OutageQuorum(others) + 1
+}
+
+// Wanted returns the members that keys wait for.
+func (h *Home) Wanted(now time.Time) []Member {
+	var members []Member
+	for m := range h.wanted {
+		if h.isMissing(now, m) {
+			members = append(members, m)
+		} else {
+			delete(h.wanted, m)
+		}
+	}
+	slices.SortFunc(members, compareMembers)
+	return members
+}
+
+// Want marks the members whose keys may have moved here, so that they are
+// cleared before the first key waits for them.
+func (h *Home) Want(now time.Time) {
+	self, err := h.Member()
+	if err != nil {
+		return
+	}
+	for _, c := range h.epoch.Within(now) {
+		former := c.Removed
+		if self.Since == c.Number+1 {
+			former = h.past[c.Number]
+		}
+		for _, m := range former {
+			if !h.isSelf(m) && h.isMissing(now, m) {
+				h.wanted[m] = true
+			}
+		}
+	}
+}
+
+// Companions returns the other members of the epochs in which a member may have
+// granted without its journal: its witnesses are among them.
+func (h *Home) Companions(m Member) []Member {
+	var companions []Member
+	for number, members := range h.past {
+		if !slices.Contains(members, m) || number < h.sealed[m].completeThrough {
+			continue
+		}
+		for _, other := range members {
+			if other != m && !h.isSelf(other) && !slices.Contains(companions, other) {
+				companions = append(companions, other)
+			}
+		}
+	}
+	slices.SortFunc(companions, compareMembers)
+	return companions
+}
+
+// IsSealed reports whether a member's journal was sealed and read.
+func (h *Home) IsSealed(m Member) bool {
+	_, ok := h.sealed[m]
+	return ok
+}
+
+// Grants returns all grants held here.
+func (h *Home) Grants(now time.Time) []Grant {
+	return h.table.Grants(now)
+}
+
+// Len returns the number of held keys.
+func (h *Home) Len() int {
+	return h.table.Len()
+}
+
+// missing returns the former homes of a key that are not cleared.
+func (h *Home) missing(now time.Time, key Key) []Member {
+	var missing []Member
+	for _, c := range h.epoch.Within(now) {
+		former, ok := h.member(c.Number, h.home(c.Number, key))
+		if ok && !h.isSelf(former) && !h.isCleared(former, c.Number, key) {
+			missing = append(missing, former)
+		}
+	}
+	return missing
+}
+
+// isCleared reports whether every grant of a key that a member acknowledged in
+// an epoch is known here, and none can be acknowledged any more.
+func (h *Home) isCleared(m Member, epoch uint64, key Key) bool {
+	if h.listed(m, epoch, key) {
+		return true
+	}
+	s, ok := h.sealed[m]
+	if !ok {
+		return false
+	}
+	if s.complete || epoch < s.completeThrough {
+		return true
+	}
+	return h.isVouched(m, epoch, key)
+}
+
+// isVouched reports whether enough companions of a sealed member were heard to
+// know all that it granted without its journal in an epoch.
+func (h *Home) isVouched(m Member, epoch uint64, key Key) bool {
+	others, heard := 0, 0
+	for _, other := range h.past[epoch] {
+		if other == m {
+			continue
+		}
+		others++
+		if h.isSelf(other) || h.listed(other, epoch, key) {
+			heard++
+		}
+	}
+	if h.flags[m].Outage {
+		return heard == others
+	}
+	return heard >= TakeoverQuorum(others)
+}
+
+// listed reports whether a member listed its grants of a key after an epoch.
+func (h *Home) listed(m Member, epoch uint64, key Key) bool {
+	for _, asked := range h.heard[m] {
+		if asked > epoch && h.rings[asked] != nil && h.home(asked, key) == h.self.Host {
+			return true
+		}
+	}
+	return false
+}
+
+// isMissing reports whether some key may wait for a member.
+func (h *Home) isMissing(now time.Time, m Member) bool {
+	last := uint64(0)
+	for _, c := range h.epoch.Within(now) {
+		if slices.Contains(h.past[c.Number], m) {
+			last = c.Number
+		}
+	}
+	if last == 0 || slices.Contains(h.heard[m], h.epoch.Number) {
+		return false
+	}
+	s, ok := h.sealed[m]
+	if !ok || s.complete {
+		return !ok
+	}
+	for _, other := range h.Companions(m) {
+		if !slices.Contains(h.heard[other], h.epoch.Number) {
+			return true
+		}
+	}
+	return false
+}
+
+func (h *Home) home(epoch uint64, key Key) string {
+	return h.rings[epoch].Home(key.Text())
+}
+
+func (h *Home) member(epoch uint64, host string) (Member, bool) {
+	for _, m := range h.past[epoch] {
+		if m.Host == host {
+			return m, true
+		}
+	}
+	return Member{}, false
+}
+
+func (h *Home) isSelf(m Member) bool {
+	return m.Owner() == h.self
+}
+
+func (h *Home) setFlag(m Member, mode Mode) {
+	if mode.Sequence > h.flags[m].Sequence {
+		h.flags[m] = mode
+	}
+}
+
+// known returns the members of all kept epochs.
+func (h *Home) known() map[Member]bool {
+	known := map[Member]bool{}
+	for _, members := range h.past {
+		for _, m := range members {
+			known[m] = true
+		}
+	}
+	return known
+}
+
+// forget drops what concerns members that are in no kept epoch.
+func (h *Home) forget() {
+	known := h.known()
+	for m := range h.heard {
+		if !known[m] {
+			delete(h.heard, m)
+		}
+	}
+	for m := range h.sealed {
+		if !known[m] {
+			delete(h.sealed, m)
+		}
+	}
+	for m := range h.flags {
+		if !known[m] {
+			delete(h.flags, m)
+		}
+	}
+	for m := range h.wanted {
+		if !known[m] {
+			delete(h.wanted, m)
+		}
+	}
+}
--- /dev/null
+++ b/core/claim/home_test.go
@@ -0,0 +1,198 @@
+package claim_test
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/hickoryfront/hickoryfront/core/claim"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func ownersOf(count int) []claim.Owner {
+	var owners []claim.Owner
+	for i := range count {
+		owners = append(owners, claim.Owner{Host: fmt.Sprintf("h%d", i), Incarnation: 1})
+	}
+	return owners
+}
+
+// keyOf returns a key whose home in the epoch is host and was former before.
+func keyOf(t *testing.T, e claim.Epoch, host, former string) claim.Key {
+	t.Helper()
+	for i := range 10_000 {
+		key := claim.Key{Value: fmt.Sprintf("k%d", i)}
+		if e.Ring(e.Number).Home(key.Text()) == host && e.Ring(e.Number-1).Home(key.Text()) == former {
+			return key
+		}
+	}
+	t.Fatalf("no key moves from %s to %s", former, host)
+	return claim.Key{}
+}
+
+// takeover returns a home h0 in an epoch that h4 of five homes has left, and a
+// key that moved from h4 to h0.
+func takeover(t *testing.T) (*claim.Home, claim.Epoch, claim.Member, claim.Key) {
+	t.Helper()
+	first := claim.Epoch{}.Next(start, ownersOf(5), nil, time.Hour, "")
+	second := first.Next(start, ownersOf(4), nil, time.Hour, "")
+	h := claim.NewHome(ownersOf(1)[0], 100)
+	h.Enter(first)
+	h.Enter(second)
+	return h, second, first.Members[4], keyOf(t, second, "h0", "h4")
+}
+
+func listingOf(host int, flags ...claim.Flag) claim.Listing {
+	return claim.Listing{Owner: ownersOf(5)[host], Epoch: 2, Flags: flags}
+}
+
+// TestTakeover says what must be known of a dead home before its keys are
+// granted again.
+//
+// proof: daemon killed | claim | 5
+// proof: platform down + daemon killed | claim | 5
+func TestTakeover(t *testing.T) {
+	outage := claim.Mode{Sequence: 1, Outage: true}
+	tests := []struct {
+		name     string
+		journal  *claim.Journal
+		listings func(dead claim.Member) []claim.Listing
+		want     error
+	}{
+		{name: "nothing known", want: claim.ErrTakeover},
+		{name: "journal only", journal: &claim.Journal{}, want: claim.ErrTakeover},
+		{
+			name: "listings without journal", want: claim.ErrTakeover,
+			listings: func(claim.Member) []claim.Listing {
+				return []claim.Listing{listingOf(1), listingOf(2), listingOf(3)}
+			},
+		},
+		{
+			name: "journal and takeover quorum", journal: &claim.Journal{},
+			listings: func(claim.Member) []claim.Listing { return []claim.Listing{listingOf(1)} },
+		},
+		{name: "journal closed by the home itself", journal: &claim.Journal{Complete: true}},
+		{name: "journal complete through a later epoch", journal: &claim.Journal{CompleteThrough: 2}},
+		{name: "journal complete through the same epoch", journal: &claim.Journal{CompleteThrough: 1}, want: claim.ErrTakeover},
+		{
+			name: "home in outage, one companion silent", journal: &claim.Journal{}, want: claim.ErrTakeover,
+			listings: func(dead claim.Member) []claim.Listing {
+				return []claim.Listing{listingOf(1, claim.Flag{Member: dead, Mode: outage}), listingOf(2)}
+			},
+		},
+		{
+			name: "home in outage, all companions heard", journal: &claim.Journal{},
+			listings: func(dead claim.Member) []claim.Listing {
+				return []claim.Listing{listingOf(1, claim.Flag{Member: dead, Mode: outage}), listingOf(2), listingOf(3)}
+			},
+		},
+		{
+			name: "the home itself answers",
+			listings: func(claim.Member) []claim.Listing {
+				return []claim.Listing{listingOf(4)}
+			},
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			home, _, dead, key := takeover(t)
+			if test.journal != nil {
+				test.journal.Member = dead
+				home.LearnJournal(*test.journal)
+			}
+			if test.listings != nil {
+				for _, l := range test.listings(dead) {
+					home.Learn(l)
+				}
+			}
+			_, _, err := home.Claim(start, claim.Grant{Key: key, RequestID: "r", Horizon: time.Hour})
+			if !errors.Is(err, test.want) {
+				t.Errorf("claim: %v, want %v", err, test.want)
+			}
+		})
+	}
+}
+
+// TestListingCountsOnlyForTheKeysItCovered lets h4 list the keys that moved from
+// it to h0, and then moves a key here that went from h4 to h3 first.
+func TestListingCountsOnlyForTheKeysItCovered(t *testing.T) {
+	home, second, _, _ := takeover(t)
+	home.Learn(listingOf(4))
+	third := second.Next(start, ownersOf(3), nil, time.Hour, "")
+	home.Enter(third)
+	answer := listingOf(3)
+	answer.Epoch = third.Number
+	home.Learn(answer)
+	for i := range 10_000 {
+		key := claim.Key{Value: fmt.Sprintf("k%d", i)}
+		if third.Ring(1).Home(key.Text()) != "h4" || third.Ring(2).Home(key.Text()) != "h3" || third.Ring(3).Home(key.Text()) != "h0" {
+			continue
+		}
+		_, _, err := home.Claim(start, claim.Grant{Key: key, RequestID: "r", Horizon: time.Hour})
+		if !errors.Is(err, claim.ErrTakeover) {
+			t.Errorf("claim: %v, want %v", err, claim.ErrTakeover)
+		}
+		return
+	}
+	t.Fatal("no key moved twice")
+}
+
+// TestUnknownSetEndsWithTheHorizon clears a home that can never be asked.
+func TestUnknownSetEndsWithTheHorizon(t *testing.T) {
+	home, _, _, key := takeover(t)
+	wanted := claim.Grant{Key: key, RequestID: "r", Horizon: time.Hour}
+	if _, _, err := home.Claim(start.Add(time.Hour), wanted); !errors.Is(err, claim.ErrTakeover) {
+		t.Errorf("claim within the horizon: %v, want %v", err, claim.ErrTakeover)
+	}
+	if _, _, err := home.Claim(start.Add(time.Hour+2*time.Minute), wanted); err != nil {
+		t.Errorf("claim after the horizon: %v", err)
+	}
+}
+
+// TestQuorumsMeet checks that a takeover always hears of an outage.
+func TestQuorumsMeet(t *testing.T) {
+	for others := 1; others < 40; others++ {
+		outage, takeover := claim.OutageQuorum(others), claim.TakeoverQuorum(others)
+		if outage+takeover <= others || outage > others || takeover > others {
+			t.Errorf("%d others: outage quorum %d, takeover quorum %d", others, outage, takeover)
+		}
+	}
+}
+
+// TestOutageEndsWithItsEpoch checks that a home tells the others of its outage
+// again in each epoch.
+func TestOutageEndsWithItsEpoch(t *testing.T) {
+	first := claim.Epoch{}.Next(start, ownersOf(5), nil, time.Hour, "")
+	home := claim.NewHome(ownersOf(1)[0], 100)
+	home.Enter(first)
+	home.BeginOutage()
+	home.ConfirmOutage(first.Number, claim.OutageQuorum(4)-1)
+	if home.InOutage() {
+		t.Error("outage began without its quorum")
+	}
+	home.ConfirmOutage(first.Number, claim.OutageQuorum(4))
+	if !home.InOutage() {
+		t.Error("outage did not begin with its quorum")
+	}
+	home.Enter(first.Next(start, ownersOf(4), nil, time.Hour, ""))
+	if home.InOutage() {
+		t.Error("outage lasts beyond its epoch")
+	}
+}
+
+// TestMembersOfPastEpochs walks the changes back.
+func TestMembersOfPastEpochs(t *testing.T) {
+	e := claim.Epoch{}.Next(start, ownersOf(5), nil, time.Hour, "")
+	epochs := []claim.Epoch{e}
+	for _, count := range []int{4, 2, 5, 3} {
+		e = e.Next(start, ownersOf(count), nil, time.Hour, "")
+		epochs = append(epochs, e)
+	}
+	for _, past := range epochs {
+		if got := fmt.Sprint(e.MembersOf(past.Number)); got != fmt.Sprint(past.Members) {
+			t.Errorf("members of epoch %d: %s, want %v", past.Number, got, past.Members)
+		}
+	}
+}
