--- a/core/claim/claim.go
+++ b/core/claim/claim.go
@@ -10,7 +10,8 @@
 const (
 	// Granted lets the asker run the call.
 	Granted Outcome = iota + 1
-	// Running means that another request of this key runs.
+	// Running means that another request of this key runs, or ran and only its
+	// owner may still have the answer.
 	Running
 	// Settled means that the call ran and its answer is stored.
 	Settled
@@ -176,7 +177,7 @@
 		return Granted
 	case g.Settled && g.Answer != nil:
 		return Settled
-	case g.Settled:
+	case g.Unknown:
 		return Unknown
 	default:
 		return Running
--- a/core/claim/epoch.go
+++ b/core/claim/epoch.go
@@ -129,6 +129,19 @@
 	return homes
 }
 
+// Differs reports whether the homes are not the ones of e.
+func (e Epoch) Differs(homes []Owner) bool {
+	if len(homes) != len(e.Members) {
+		return true
+	}
+	for _, o := range homes {
+		if _, ok := e.Member(o); !ok {
+			return true
+		}
+	}
+	return false
+}
+
 // Ring returns the homes of an epoch's keys.
 func (e Epoch) Ring(number uint64) *ring.Ring {
 	members := e.MembersOf(number)
--- a/core/claim/history_test.go
+++ b/core/claim/history_test.go
@@ -234,15 +234,15 @@
 			recorded++
 		}
 	}
-	n.home.ConfirmOutage(epoch, recorded)
+	n.home.ConfirmOutage(mode, epoch, recorded)
 }
 
 func (f *fleet) witness(n *node, w *grantWork) bool {
 	others := n.home.Others()
 	x := f.reach(others[f.random.IntN(len(others))].Owner())
 	member, _ := n.home.Member()
-	mode := claim.Mode{Outage: true}
-	if x == nil || x.home.Witness(member, n.home.Epoch().Number, mode, []claim.Grant{w.grant}) != nil {
+	mode := n.home.Mode()
+	if !n.home.IsHomeOf([]claim.Grant{w.grant}) || x == nil || x.home.Witness(member, n.home.Epoch().Number, mode, []claim.Grant{w.grant}) != nil {
 		return false
 	}
 	n.silent = append(n.silent, w.grant)
--- a/core/claim/home.go
+++ b/core/claim/home.go
@@ -136,6 +136,34 @@
 	return h.table.Claim(now, wanted)
 }
 
+// HomeOf returns the host that decides on a key, or "" before the first epoch.
+func (h *Home) HomeOf(key Key) string {
+	if h.epoch.Number == 0 {
+		return ""
+	}
+	return h.home(h.epoch.Number, key)
+}
+
+// IsHomeOf reports whether the keys of all grants still have their home here.
+func (h *Home) IsHomeOf(grants []Grant) bool {
+	for _, g := range grants {
+		if h.HomeOf(g.Key) != h.self.Host {
+			return false
+		}
+	}
+	return true
+}
+
+// Lookup returns the grant of a key that is within its horizon.
+func (h *Home) Lookup(now time.Time, key Key) (Grant, bool) {
+	return h.table.Lookup(now, key)
+}
+
+// Mode returns this home's own mode.
+func (h *Home) Mode() Mode {
+	return h.mode
+}
+
 // Settle stores how a call ended.
 func (h *Home) Settle(key Key, requestID string, answer *Answer, unknown bool) {
 	h.table.Settle(key, requestID, answer, unknown)
@@ -219,10 +247,11 @@
 	return h.mode
 }
 
-// ConfirmOutage takes in how many others have recorded the mode in an epoch.
-func (h *Home) ConfirmOutage(epoch uint64, recorded int) {
+// ConfirmOutage takes in how many others have recorded the mode in an epoch. A
+// mode that is over changes nothing.
+func (h *Home) ConfirmOutage(mode Mode, epoch uint64, recorded int) {
 	others := len(h.Others())
-	if epoch == h.epoch.Number && others > 0 && recorded >= OutageQuorum(others) {
+	if mode == h.mode && epoch == h.epoch.Number && others > 0 && recorded >= OutageQuorum(others) {
 		h.outageEpoch = epoch
 	}
 }
--- a/core/claim/home_test.go
+++ b/core/claim/home_test.go
@@ -167,12 +167,12 @@
 	first := claim.Epoch{}.Next(start, ownersOf(5), nil, time.Hour, "")
 	home := claim.NewHome(ownersOf(1)[0], 100)
 	home.Enter(first)
-	home.BeginOutage()
-	home.ConfirmOutage(first.Number, claim.OutageQuorum(4)-1)
+	mode := home.BeginOutage()
+	home.ConfirmOutage(mode, first.Number, claim.OutageQuorum(4)-1)
 	if home.InOutage() {
 		t.Error("outage began without its quorum")
 	}
-	home.ConfirmOutage(first.Number, claim.OutageQuorum(4))
+	home.ConfirmOutage(mode, first.Number, claim.OutageQuorum(4))
 	if !home.InOutage() {
 		t.Error("outage did not begin with its quorum")
 	}
--- a/hickoryd/internal/caller/caller.go
+++ b/hickoryd/internal/caller/caller.go
@@ -51,6 +51,11 @@
 		Run(ctx context.Context, request dispatch.PlainRequest) (claim.Answer, error)
 	}
 
+	// Keyed runs requests with idempotency keys at most once.
+	Keyed interface {
+		Open(ctx context.Context, request dispatch.KeyedRequest, work dispatch.Work) (dispatch.Source, error)
+	}
+
 	// Legacy sends calls to the scripts that are being retired.
 	Legacy interface {
 		DoURL(ctx context.Context, target string, call service.Call) (claim.Answer, error)
@@ -86,6 +91,7 @@
 	Handler struct {
 		models   Models
 		plain    Plain
+		keyed    Keyed
 		legacy   Legacy
 		config   Config
 		gate     Gate
@@ -115,9 +121,9 @@
 )
 
 // New returns a handler that takes at most limit requests at once.
-func New(models Models, plain Plain, legacy Legacy, configuration Config, gate Gate, recorder Recorder, limit int) *Handler {
+func New(models Models, plain Plain, keyed Keyed, legacy Legacy, configuration Config, gate Gate, recorder Recorder, limit int) *Handler {
 	return &Handler{
-		models: models, plain: plain, legacy: legacy, config: configuration, gate: gate, recorder: recorder, limit: int64(limit),
+		models: models, plain: plain, keyed: keyed, legacy: legacy, config: configuration, gate: gate, recorder: recorder, limit: int64(limit),
 	}
 }
 
@@ -169,11 +175,12 @@
 		h.forward(c, request, c.Request.URL.Path)
 		return
 	}
-	sink := newSink(c, request.id, parsed, arrived)
-	err := h.models.Run(c.Request.Context(), dispatch.ModelRequest{
-		ID: request.id, Workspace: request.workspace, Service: request.service, Profile: request.profile,
-		Prompt: parsed.prompt, MaxTokens: parsed.maxTokens, ArrivedAt: arrived,
-	}, sink)
+	if key := c.GetHeader(HeaderKey); key != "" {
+		h.completeKeyed(c, request, parsed, key, arrived)
+		return
+	}
+	sink := newSink(c.Request.Context(), c.Writer, request.id, parsed, arrived)
+	err := h.models.Run(c.Request.Context(), modelRequest(request, parsed, arrived), sink)
 	if errors.Is(err, context.Canceled) {
 		return
 	}
@@ -185,6 +192,13 @@
 	sink.finish(time.Now())
 }
 
+func modelRequest(request call, parsed parsedBody, arrived time.Time) dispatch.ModelRequest {
+	return dispatch.ModelRequest{
+		ID: request.id, Workspace: request.workspace, Service: request.service, Profile: request.profile,
+		Prompt: parsed.prompt, MaxTokens: parsed.maxTokens, ArrivedAt: arrived,
+	}
+}
+
 // fail ends an answer that could not be completed. Once a stream has begun its
 // status can't change, so the error is its last event.
 func (h *Handler) fail(c *gin.Context, serviceName string, sink *sink, err error) {
--- a/hickoryd/internal/caller/caller_test.go
+++ b/hickoryd/internal/caller/caller_test.go
@@ -216,7 +216,7 @@
 	t.Helper()
 	gin.SetMode(gin.TestMode)
 	router := gin.New()
-	caller.New(f, plainFake{f}, f, f, f, f, 10).Routes(router)
+	caller.New(f, plainFake{f}, nil, f, f, f, f, 10).Routes(router)
 	request := httptest.NewRequestWithContext(t.Context(), method, path, strings.NewReader(body))
 	request.Header.Set(caller.HeaderWorkspace, "w")
 	for name, value := range header {
--- a/hickoryd/internal/caller/sink.go
+++ b/hickoryd/internal/caller/sink.go
@@ -1,20 +1,20 @@
 package caller
 
 import (
+	"context"
 	"encoding/json"
 	"net/http"
 	"strings"
 	"time"
 
-	"github.com/gin-gonic/gin"
-
 	"github.com/hickoryfront/hickoryfront/core/answer"
 	"github.com/hickoryfront/hickoryfront/core/prefix"
 )
 
 // sink writes one answer to its caller, streamed or whole.
 type sink struct {
-	context  *gin.Context
+	ctx      context.Context
+	to       http.ResponseWriter
 	id       string
 	body     parsedBody
 	arrived  time.Time
@@ -26,8 +26,8 @@
 	worstGap time.Duration
 }
 
-func newSink(c *gin.Context, id string, body parsedBody, arrived time.Time) *sink {
-	return &sink{context: c, id: id, body: body, arrived: arrived}
+func newSink(ctx context.Context, to http.ResponseWriter, id string, body parsedBody, arrived time.Time) *sink {
+	return &sink{ctx: ctx, to: to, id: id, body: body, arrived: arrived}
 }
 
 // Token implements dispatch.Sink.
@@ -43,7 +43,7 @@
 	s.tokens++
 	if !s.body.stream {
 		s.text.WriteString(token.Text)
-		return s.context.Request.Context().Err()
+		return s.ctx.Err()
 	}
 	if !s.started {
 		s.begin()
@@ -59,7 +59,12 @@
 	}
 	prompt := prefix.Tokens(s.body.prompt)
 	counts := usage{PromptTokens: prompt, CompletionTokens: s.tokens, TotalTokens: prompt + s.tokens}
-	s.context.JSON(http.StatusOK, s.body.whole(s.id, now, s.text.String(), counts))
+	data, err := json.Marshal(s.body.whole(s.id, now, s.text.String(), counts))
+	if err != nil {
+		return
+	}
+	s.to.Header().Set("Content-Type", "application/json; charset=utf-8")
+	_, _ = s.to.Write(data) // the caller may be gone
 }
 
 func (s *sink) timing(now time.Time, ok bool) Timing {
@@ -72,10 +77,10 @@
 
 func (s *sink) begin() {
 	s.started = true
-	header := s.context.Writer.Header()
+	header := s.to.Header()
 	header.Set("Content-Type", "text/event-stream")
 	header.Set("Cache-Control", "no-cache")
-	s.context.Writer.WriteHeader(http.StatusOK)
+	s.to.WriteHeader(http.StatusOK)
 }
 
 func (s *sink) event(value any) error {
@@ -87,9 +92,11 @@
 }
 
 func (s *sink) write(data string) error {
-	if _, err := s.context.Writer.WriteString("data: " + data + "\n\n"); err != nil {
+	if _, err := s.to.Write([]byte("data: " + data + "\n\n")); err != nil {
 		return err
 	}
-	s.context.Writer.Flush()
-	return s.context.Request.Context().Err()
+	if flusher, ok := s.to.(http.Flusher); ok {
+		flusher.Flush()
+	}
+	return s.ctx.Err()
 }
--- /dev/null
+++ b/hickoryd/internal/dispatch/keyed.go
@@ -0,0 +1,264 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cenkalti/backoff/v4"
+
+	"github.com/hickoryfront/hickoryfront/core/claim"
+	"github.com/hickoryfront/hickoryfront/core/refusal"
+)
+
+const (
+	// claimPatience is how long a caller waits for a home that is taken over.
+	claimPatience = 2 * time.Second
+	claimInterval = 100 * time.Millisecond
+	// claimRetryAfter is what a refused caller is told to wait.
+	claimRetryAfter = time.Second
+	// abandonGrace lets a caller whose connection broke send its key again and
+	// find its completion running.
+	abandonGrace    = 2 * time.Second
+	abandonInterval = 250 * time.Millisecond
+	settleFirstWait = 50 * time.Millisecond
+	settleLimit     = time.Minute
+	// sendWithin is the share of the horizon in which a claimed call must be
+	// sent: a process that was paused for longer does not send it.
+	sendWithin = 2
+)
+
+type (
+	// KeyedRequest is one accepted request with an idempotency key.
+	KeyedRequest struct {
+		ID       string
+		Key      claim.Key
+		BodyHash uint64
+		Horizon  time.Duration
+		Timeout  time.Duration
+		// Releasable requests are cancelled when all their callers are gone,
+		// and their key may then run again.
+		Releasable bool
+	}
+
+	// Work runs a request and writes its answer. Its errors are of type
+	// *refusal.Refusal.
+	Work interface {
+		Run(ctx context.Context, to *Recording) error
+	}
+
+	// Claims asks the homes of keys.
+	Claims interface {
+		Claim(ctx context.Context, now time.Time, wanted claim.Grant) (claim.Outcome, claim.Grant, error)
+		Settle(ctx context.Context, now time.Time, grant claim.Grant, notRun bool) error
+	}
+
+	// Keyed runs requests with idempotency keys at most once and hands their
+	// answers to every caller that sends the key. It is safe for concurrent
+	// use.
+	Keyed struct {
+		owner      claim.Owner
+		claims     Claims
+		attacher   Attacher
+		recordings *Recordings
+		attached   *metrics.Counter
+		replayed   *metrics.Counter
+		group      sync.WaitGroup
+	}
+
+	// execution is one run of a claimed request.
+	execution struct {
+		keyed     *Keyed
+		request   KeyedRequest
+		work      Work
+		recording *Recording
+		grant     claim.Grant
+		cancel    context.CancelFunc
+		ended     chan struct{}
+	}
+)
+
+// errReleased means that the key was held by a request that did not run.
+var errReleased = errors.New("the request that held the key was not run")
+
+// NewKeyed returns a runner of requests with keys.
+func NewKeyed(owner claim.Owner, claims Claims, attacher Attacher, recordings *Recordings, set *metrics.Set) *Keyed {
+	return &Keyed{
+		owner: owner, claims: claims, attacher: attacher, recordings: recordings,
+		attached: set.NewCounter(`hickoryfront_claims_attached_total`),
+		replayed: set.NewCounter(`hickoryfront_claims_replayed_total`),
+	}
+}
+
+// Open runs a request, or finds the run that has its key. Errors are of type
+// *refusal.Refusal, or the context's when the caller is gone.
+func (k *Keyed) Open(ctx context.Context, request KeyedRequest, work Work) (Source, error) {
+	started := time.Now()
+	wanted := claim.Grant{Key: request.Key, BodyHash: request.BodyHash, RequestID: request.ID, Owner: k.owner, Horizon: request.Horizon}
+	recording := k.recordings.Begin(request.ID)
+	for {
+		outcome, grant, err := k.claims.Claim(ctx, time.Now(), wanted)
+		if err == nil && outcome == claim.Granted && time.Since(started) < request.Horizon/sendWithin {
+			return k.start(ctx, request, work, recording, wanted), nil
+		}
+		if err == nil && outcome != claim.Granted && outcome != claim.Undecided {
+			source, err := k.find(ctx, outcome, grant)
+			if !errors.Is(err, errReleased) {
+				k.giveUp(recording, wanted, false)
+				return source, err
+			}
+		}
+		if time.Since(started) >= claimPatience || wait(ctx, claimInterval) != nil {
+			k.giveUp(recording, wanted, true)
+			if ctx.Err() != nil {
+				return nil, ctx.Err()
+			}
+			return nil, refusal.NotRun(refusal.ClaimUndecided, "the key can't be checked now; ask again").After(claimRetryAfter)
+		}
+	}
+}
+
+// Close waits for the requests whose callers are gone, until ctx ends.
+func (k *Keyed) Close(ctx context.Context) {
+	w := closing{keyed: k, done: make(chan struct{})}
+	go w.run()
+	select {
+	case <-w.done:
+	case <-ctx.Done():
+	}
+}
+
+// closing waits for all executions.
+type closing struct {
+	keyed *Keyed
+	done  chan struct{}
+}
+
+func (w closing) run() {
+	w.keyed.group.Wait()
+	close(w.done)
+}
+
+// start runs a claimed request. It ends even when its caller goes.
+func (k *Keyed) start(ctx context.Context, request KeyedRequest, work Work, recording *Recording, grant claim.Grant) Source {
+	runCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), request.Timeout)
+	e := &execution{
+		keyed: k, request: request, work: work, recording: recording, grant: grant, cancel: cancel, ended: make(chan struct{}),
+	}
+	source := newLocalSource(recording)
+	k.group.Go(func() { e.run(runCtx) })
+	if request.Releasable {
+		k.group.Go(e.loop)
+	}
+	return source
+}
+
+// giveUp ends the record of a request that did not run, and takes back the claim
+// that it may have left at a home.
+func (k *Keyed) giveUp(recording *Recording, wanted claim.Grant, claimed bool) {
+	k.recordings.Finish(recording, refusal.NotRun(refusal.ClaimUndecided, "this request was not run"))
+	if claimed {
+		w := settlement{keyed: k, grant: wanted, notRun: true}
+		k.group.Go(w.run)
+	}
+}
+
+// find returns the answer of the request that holds a key.
+func (k *Keyed) find(ctx context.Context, outcome claim.Outcome, grant claim.Grant) (Source, error) {
+	switch outcome {
+	case claim.Settled:
+		k.replayed.Inc()
+		return storedSource{*grant.Answer}, nil
+	case claim.Running:
+		return k.attach(ctx, grant)
+	case claim.BodyMismatch:
+		return nil, refusal.NotRun(refusal.KeyReused, "this key was used with another request; use a new key")
+	}
+	return nil, refusal.MayHaveRun(refusal.OutcomeUnknown, "a call with this key was run and its answer is lost")
+}
+
+// attach follows the request that holds a key, on this daemon or another.
+func (k *Keyed) attach(ctx context.Context, grant claim.Grant) (Source, error) {
+	source, err := k.openSource(ctx, grant)
+	switch {
+	case errors.Is(err, ErrNotRecorded), errors.Is(err, ErrAnswerDropped):
+		return nil, refusal.MayHaveRun(refusal.OutcomeUnknown, "a call with this key was run and its answer is lost")
+	case err != nil:
+		return nil, refusal.MayHaveRun(refusal.OutcomeUnknown, "a call with this key is running on a host that can't be reached; ask again").After(claimRetryAfter)
+	}
+	if notRun, err := source.NotRun(ctx); err != nil || notRun {
+		source.Close()
+		if !notRun {
+			return nil, refusal.MayHaveRun(refusal.OutcomeUnknown, "a call with this key is running on a host that can't be reached; ask again").After(claimRetryAfter)
+		}
+		_ = k.claims.Settle(ctx, time.Now(), grant, true) // the next claim finds it held again otherwise
+		return nil, errReleased
+	}
+	k.attached.Inc()
+	return source, nil
+}
+
+func (k *Keyed) openSource(ctx context.Context, grant claim.Grant) (Source, error) {
+	if grant.Owner != k.owner {
+		return openRemote(ctx, k.attacher, grant.Owner, grant.RequestID)
+	}
+	recording, err := k.recordings.Find(grant.RequestID)
+	if err != nil {
+		return nil, err
+	}
+	return newLocalSource(recording), nil
+}
+
+// run runs the request to its end and tells the key's home.
+func (e *execution) run(ctx context.Context) {
+	defer e.cancel()
+	err := e.work.Run(ctx, e.recording)
+	close(e.ended)
+	end := refusal.Of(err)
+	if err != nil && end == nil {
+		end = refusal.MayHaveRun(refusal.BackendFailed, "%v", err)
+	}
+	e.keyed.recordings.Finish(e.recording, end)
+	grant := e.grant
+	grant.Settled = true
+	grant.Answer = e.keyed.recordings.Answer(e.recording)
+	notRun := end != nil && end.Ran == refusal.RanNo
+	grant.Unknown = end != nil && !notRun
+	released := e.request.Releasable && end != nil
+	settlement{keyed: e.keyed, grant: grant, notRun: notRun || released}.run()
+}
+
+// loop cancels the request when its callers are gone for good.
+func (e *execution) loop() {
+	ticker := time.NewTicker(abandonInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-e.ended:
+			return
+		case now := <-ticker.C:
+			if e.recording.Abandoned(now, abandonGrace) {
+				e.cancel()
+				return
+			}
+		}
+	}
+}
+
+// settlement tells the home of a key how a request ended, until it knows.
+type settlement struct {
+	keyed  *Keyed
+	grant  claim.Grant
+	notRun bool
+}
+
+func (s settlement) run() {
+	policy := backoff.NewExponentialBackOff(backoff.WithInitialInterval(settleFirstWait), backoff.WithMaxElapsedTime(settleLimit))
+	_ = backoff.Retry(s.try, policy) // the owner's record answers otherwise
+}
+
+func (s settlement) try() error {
+	return s.keyed.claims.Settle(context.Background(), time.Now(), s.grant, s.notRun)
+}
--- a/hickoryd/internal/dispatch/plain.go
+++ b/hickoryd/internal/dispatch/plain.go
@@ -14,8 +14,6 @@
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/service"
 )
 
-const settleAttempts = 5
-
 type (
 	// PlainRequest is one accepted call of a plain service.
 	PlainRequest struct {
@@ -39,24 +37,23 @@
 		Plain(service string) []backend.Server
 	}
 
-	// Claims asks the homes of keys.
-	Claims interface {
-		Claim(ctx context.Context, now time.Time, wanted claim.Grant) (claim.Outcome, claim.Grant, error)
-		Settle(ctx context.Context, now time.Time, grant claim.Grant, notRun bool) error
-	}
-
 	// Plain runs calls of plain services. It is safe for concurrent use.
 	Plain struct {
-		owner     claim.Owner
 		servers   PlainServers
 		directory PlainDirectory
-		claims    Claims
+		keyed     *Keyed
+	}
+
+	// plainWork is the run of a call with a key.
+	plainWork struct {
+		plain   *Plain
+		request PlainRequest
 	}
 )
 
 // NewPlain returns a runner of plain calls.
-func NewPlain(owner claim.Owner, servers PlainServers, directory PlainDirectory, claims Claims) *Plain {
-	return &Plain{owner: owner, servers: servers, directory: directory, claims: claims}
+func NewPlain(servers PlainServers, directory PlainDirectory, keyed *Keyed) *Plain {
+	return &Plain{servers: servers, directory: directory, keyed: keyed}
 }
 
 // Run answers one call. Errors are of type *refusal.Refusal, or the context's
@@ -68,49 +65,39 @@
 	return p.sendOnce(ctx, request)
 }
 
-// sendOnce runs a call with a key at most once and stores its answer.
+// sendOnce runs a call with a key at most once, or returns the answer of the
+// call that has the key.
 func (p *Plain) sendOnce(ctx context.Context, request PlainRequest) (claim.Answer, error) {
-	wanted := claim.Grant{
-		Key:       claim.Key{Workspace: request.Workspace, Service: request.Service.Name, Value: request.Key},
-		BodyHash:  request.BodyHash,
-		RequestID: request.ID,
-		Owner:     p.owner,
-		Horizon:   request.Profile.RetryHorizon,
-	}
-	outcome, grant, err := p.claims.Claim(ctx, time.Now(), wanted)
+	source, err := p.keyed.Open(ctx, KeyedRequest{
+		ID:       request.ID,
+		Key:      claim.Key{Workspace: request.Workspace, Service: request.Service.Name, Value: request.Key},
+		BodyHash: request.BodyHash,
+		Horizon:  request.Profile.RetryHorizon,
+		Timeout:  request.Profile.AttemptTimeout,
+	}, plainWork{plain: p, request: request})
 	if err != nil {
-		return claim.Answer{}, refusal.NotRun(refusal.ClaimUndecided, "the key can't be checked now: %v", err).After(time.Second)
+		return claim.Answer{}, err
 	}
-	if outcome != claim.Granted {
-		return replay(outcome, grant)
-	}
-	// The call must end even when its caller goes: its answer is stored.
-	callCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), request.Profile.AttemptTimeout)
-	defer cancel()
-	result, err := p.send(callCtx, request)
-	p.settle(wanted, result, err)
-	return result, err
+	return Collect(ctx, source)
 }
 
-func (p *Plain) settle(grant claim.Grant, result claim.Answer, err error) {
-	notRun := false
+// Run implements Work.
+func (w plainWork) Run(ctx context.Context, to *Recording) error {
+	result, err := w.plain.send(ctx, w.request)
 	if err != nil {
-		r := refusal.Of(err)
-		notRun = r != nil && r.Ran == refusal.RanNo
-		grant.Unknown = !notRun
-	} else {
-		grant.Answer = &result
+		return err
 	}
-	grant.Settled = true
-	for range settleAttempts {
-		if p.claims.Settle(context.Background(), time.Now(), grant, notRun) == nil {
-			return
-		}
+	for _, h := range result.Headers {
+		to.Header().Add(h.Name, h.Value)
 	}
+	to.WriteHeader(result.Status)
+	_, err = to.Write(result.Body)
+	return err
 }
 
-// send tries the service's servers. A call that may not be repeated is sent to
-// another server only when no byte of it reached the one before.
+// send tries the service's servers. A call that may not be repeated, or that has
+// a key, is sent to another server only when no byte of it reached the one
+// before.
 func (p *Plain) send(ctx context.Context, request PlainRequest) (claim.Answer, error) {
 	servers := p.directory.Plain(request.Service.Name)
 	if len(servers) == 0 {
@@ -130,7 +117,7 @@
 		last = err
 		if !errors.Is(err, service.ErrNotSent) {
 			reached = true
-			if !request.Repeatable {
+			if !request.Repeatable || request.Key != "" {
 				break
 			}
 		}
@@ -141,21 +128,6 @@
 	return claim.Answer{}, refusal.MayHaveRun(refusal.BackendFailed, "the call to %q failed: %v", request.Service.Name, last)
 }
 
-// replay answers a call whose key was claimed before.
-func replay(outcome claim.Outcome, grant claim.Grant) (claim.Answer, error) {
-	switch outcome {
-	case claim.Settled:
-		return *grant.Answer, nil
-	case claim.Running:
-		return claim.Answer{}, refusal.MayHaveRun(refusal.OutcomeUnknown, "a call with this key is running; ask again").After(time.Second)
-	case claim.Unknown:
-		return claim.Answer{}, refusal.MayHaveRun(refusal.OutcomeUnknown, "a call with this key was run and its answer is lost")
-	case claim.BodyMismatch:
-		return claim.Answer{}, refusal.NotRun(refusal.KeyReused, "this key was used with another request; use a new key")
-	}
-	return claim.Answer{}, refusal.NotRun(refusal.ClaimUndecided, "the key can't be checked now; ask again").After(time.Second)
-}
-
 // IsRepeatable reports whether the profile lets calls of this method repeat.
 func IsRepeatable(profile config.Profile, method string) bool {
 	for _, m := range profile.NonRepeatable {
--- /dev/null
+++ b/hickoryd/internal/dispatch/recording.go
@@ -0,0 +1,250 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/hickoryfront/hickoryfront/core/claim"
+	"github.com/hickoryfront/hickoryfront/core/refusal"
+)
+
+const (
+	// maxRecorded bounds the bytes of one answer while it runs.
+	maxRecorded = 16 << 20
+	// maxFinished bounds the finished answers that are kept, and maxStored
+	// their bytes together.
+	maxFinished = 20_000
+	maxStored   = 32 << 20
+)
+
+var (
+	// ErrNotRecorded means that nothing is known here of a request.
+	ErrNotRecorded = errors.New("no record of this request")
+	// ErrAnswerDropped means that the request ended and its answer was too
+	// large, or too old, to keep.
+	ErrAnswerDropped = errors.New("answer is no longer kept")
+
+	errTooLong = errors.New("answer is too long to record")
+)
+
+type (
+	// Part is the next part of an answer.
+	Part struct {
+		Status  int            // set in the first part
+		Headers []claim.Header // set in the first part
+		Body    []byte
+		Refusal *refusal.Refusal // the request ended without an answer
+		Done    bool
+	}
+
+	// Recording is the answer of one request with an idempotency key, from its
+	// first byte. It is written once, as an http.ResponseWriter, and read by
+	// any number of callers. It is safe for concurrent use.
+	Recording struct {
+		id     string
+		header http.Header
+
+		mu      sync.Mutex
+		status  int
+		headers []claim.Header
+		body    []byte
+		done    bool
+		dropped bool
+		refusal *refusal.Refusal
+		readers int
+		left    time.Time     // when the last reader went; zero: none ever came
+		changed chan struct{} // closed and replaced at every change
+	}
+
+	// Recordings holds the answers that this daemon runs or ran. It is safe for
+	// concurrent use.
+	Recordings struct {
+		answerBytes int
+
+		mu       sync.Mutex
+		byID     map[string]*Recording
+		finished []*Recording // oldest first
+		stored   int          // bytes of the finished ones
+	}
+)
+
+// NewRecordings returns an empty set that keeps finished answers of at most
+// answerBytes each.
+func NewRecordings(answerBytes int) *Recordings {
+	return &Recordings{answerBytes: answerBytes, byID: map[string]*Recording{}}
+}
+
+// Begin starts the recording of a request.
+func (r *Recordings) Begin(id string) *Recording {
+	recording := &Recording{id: id, header: http.Header{}, changed: make(chan struct{})}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.byID[id] = recording
+	return recording
+}
+
+// Find returns the recording of a request.
+func (r *Recordings) Find(id string) (*Recording, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if recording, ok := r.byID[id]; ok {
+		return recording, nil
+	}
+	return nil, ErrNotRecorded
+}
+
+// Finish ends a recording, with a refusal when there is no whole answer. Large
+// answers and the oldest ones are dropped once their readers have them.
+func (r *Recordings) Finish(recording *Recording, end *refusal.Refusal) {
+	recording.finish(end)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.finished = append(r.finished, recording)
+	r.stored += recording.size()
+	for len(r.finished) > maxFinished || r.stored > maxStored {
+		oldest := r.finished[0]
+		r.finished = r.finished[1:]
+		r.stored -= oldest.size()
+		delete(r.byID, oldest.id)
+	}
+}
+
+// Answer returns the whole answer when it is small enough to store.
+func (r *Recordings) Answer(recording *Recording) *claim.Answer {
+	recording.mu.Lock()
+	defer recording.mu.Unlock()
+	if !recording.done || recording.refusal != nil || len(recording.body) > r.answerBytes {
+		return nil
+	}
+	return &claim.Answer{Status: recording.status, Headers: recording.headers, Body: recording.body}
+}
+
+// Header implements http.ResponseWriter.
+func (r *Recording) Header() http.Header {
+	return r.header
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (r *Recording) WriteHeader(status int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.begin(status)
+}
+
+// Write implements http.ResponseWriter.
+func (r *Recording) Write(data []byte) (int, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.begin(http.StatusOK)
+	if len(r.body)+len(data) > maxRecorded {
+		return 0, errTooLong
+	}
+	r.body = append(r.body, data...)
+	r.wake()
+	return len(data), nil
+}
+
+// Flush implements http.Flusher: every write is seen at once.
+func (r *Recording) Flush() {}
+
+// Started reports whether any of the answer was written.
+func (r *Recording) Started() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.status != 0
+}
+
+// Attach counts a reader until the returned function is called.
+func (r *Recording) Attach() (detach func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.readers++
+	return sync.OnceFunc(r.detach)
+}
+
+// Abandoned reports whether the last reader has been gone for the given time.
+func (r *Recording) Abandoned(now time.Time, grace time.Duration) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.done && r.readers == 0 && !r.left.IsZero() && now.Sub(r.left) >= grace
+}
+
+// Next waits for bytes after offset or for the end.
+func (r *Recording) Next(ctx context.Context, offset int) (Part, error) {
+	for {
+		part, changed, err := r.part(offset)
+		if err != nil || changed == nil {
+			return part, err
+		}
+		select {
+		case <-ctx.Done():
+			return Part{}, ctx.Err()
+		case <-changed:
+		}
+	}
+}
+
+// part returns what there is after offset, or the channel to wait on.
+func (r *Recording) part(offset int) (Part, <-chan struct{}, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.dropped {
+		return Part{}, nil, ErrAnswerDropped
+	}
+	if offset > len(r.body) {
+		return Part{}, nil, io.ErrUnexpectedEOF
+	}
+	if !r.done && (r.status == 0 || offset == len(r.body)) {
+		return Part{}, r.changed, nil
+	}
+	part := Part{Body: slices.Clone(r.body[offset:]), Done: r.done, Refusal: r.refusal}
+	if offset == 0 {
+		part.Status, part.Headers = r.status, r.headers
+	}
+	return part, nil, nil
+}
+
+// begin fixes status and headers. The caller holds mu.
+func (r *Recording) begin(status int) {
+	if r.status != 0 {
+		return
+	}
+	r.status = status
+	for name, values := range r.header {
+		for _, value := range values {
+			r.headers = append(r.headers, claim.Header{Name: name, Value: value})
+		}
+	}
+	r.wake()
+}
+
+func (r *Recording) finish(end *refusal.Refusal) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.done, r.refusal = true, end
+	r.wake()
+}
+
+func (r *Recording) detach() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.readers--
+	r.left = time.Now()
+}
+
+func (r *Recording) size() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.body)
+}
+
+// wake tells the readers of a change. The caller holds mu.
+func (r *Recording) wake() {
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
--- a/hickoryd/internal/home/remote.go
+++ b/hickoryd/internal/home/remote.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	"github.com/hickoryfront/hickoryfront/core/claim"
@@ -45,36 +47,42 @@
 	return &Router{peers: peers, pool: pool, claims: claims}
 }
 
-// Claim asks the home of a key for the right to run a call. ErrUnreachable
-// means that no answer came; the call must not run.
+// Claim asks the home of a key for the right to run a call. With an error the
+// call must not run, and the claim must be withdrawn: ErrUnreachable means that
+// no answer came.
 func (r *Router) Claim(ctx context.Context, now time.Time, wanted claim.Grant) (claim.Outcome, claim.Grant, error) {
-	home := r.peers.Ring(now).Home(keyText(wanted.Key))
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	epoch := r.claims.Epoch().Number
+	home := r.claims.HomeOf(wanted.Key)
 	if home == r.peers.Self().Name {
-		return r.claims.Claim(now, wanted)
+		return r.claims.Claim(ctx, now, wanted)
 	}
 	client, err := r.client(home)
 	if err != nil {
 		return claim.Undecided, claim.Grant{}, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
-	defer cancel()
 	response, err := client.Claim(ctx, &peerapi.ClaimRequest{
-		Key: KeyToWire(wanted.Key), Claimant: peer.HostToWire(r.peers.Self()), BodyHash: wanted.BodyHash,
-		RequestId: wanted.RequestID, Horizon: durationpb.New(wanted.Horizon),
-	}, grpc.WaitForReady(true))
+		Key: peer.KeyToWire(wanted.Key), Claimant: peer.HostToWire(r.peers.Self()), BodyHash: wanted.BodyHash,
+		RequestId: wanted.RequestID, Horizon: durationpb.New(wanted.Horizon), Epoch: epoch,
+	})
 	if err != nil {
 		return claim.Undecided, claim.Grant{}, fmt.Errorf("%w: %w", ErrUnreachable, err)
 	}
-	return outcomeFromWire(response.GetOutcome()), grantFromResponse(wanted, response), nil
+	r.claims.Hint(response.GetEpoch())
+	outcome := peer.OutcomeFromWire(response.GetOutcome())
+	if outcome == claim.Undecided || outcome == claim.NotHome {
+		return outcome, claim.Grant{}, ErrUndecided
+	}
+	return outcome, peer.GrantFromResponse(wanted, response), nil
 }
 
-// Settle tells the home of a key how a claimed call ended. A nil answer with
-// notRun withdraws the claim.
+// Settle tells the home of a key how a claimed call ended. notRun withdraws
+// the claim. ErrNoGrant means that the home does not know of it, or not yet.
 func (r *Router) Settle(ctx context.Context, now time.Time, grant claim.Grant, notRun bool) error {
-	home := r.peers.Ring(now).Home(keyText(grant.Key))
+	home := r.claims.HomeOf(grant.Key)
 	if home == r.peers.Self().Name {
-		r.settleLocal(grant, notRun)
-		return nil
+		return r.settleLocal(now, grant, notRun)
 	}
 	client, err := r.client(home)
 	if err != nil {
@@ -83,17 +91,34 @@
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
 	_, err = client.Settle(ctx, &peerapi.SettleRequest{
-		Key: KeyToWire(grant.Key), RequestId: grant.RequestID, Answer: AnswerToWire(grant.Answer), NotRun: notRun, Unknown: grant.Unknown,
+		Key: peer.KeyToWire(grant.Key), RequestId: grant.RequestID, Answer: peer.AnswerToWire(grant.Answer), NotRun: notRun, Unknown: grant.Unknown,
 	})
+	if status.Code(err) == codes.NotFound {
+		return ErrNoGrant
+	}
 	return err
 }
 
-func (r *Router) settleLocal(grant claim.Grant, notRun bool) {
+// Attach opens the answer, from offset, of a request that another daemon runs or
+// ran.
+func (r *Router) Attach(ctx context.Context, owner claim.Owner, requestID string, offset int) (grpc.ServerStreamingClient[peerapi.AttachResponse], error) {
+	state, ok := r.peers.Lookup(owner.Host)
+	if !ok || state.Host.Incarnation != owner.Incarnation {
+		return nil, fmt.Errorf("%w: host %q has ended since", ErrUnreachable, owner.Host)
+	}
+	client, err := r.client(owner.Host)
+	if err != nil {
+		return nil, err
+	}
+	return client.Attach(ctx, &peerapi.AttachRequest{RequestId: requestID, Offset: uint64(offset)})
+}
+
+func (r *Router) settleLocal(now time.Time, grant claim.Grant, notRun bool) error {
 	if notRun {
 		r.claims.Withdraw(grant.Key, grant.RequestID)
-		return
+		return nil
 	}
-	r.claims.Settle(grant.Key, grant.RequestID, grant.Answer, grant.Unknown)
+	return r.claims.Settle(now, grant.Key, grant.RequestID, grant.Answer, grant.Unknown)
 }
 
 func (r *Router) client(host string) (peerapi.PeerClient, error) {
@@ -111,7 +136,3 @@
 	}
 	return client, nil
 }
-
-func keyText(k claim.Key) string {
-	return k.Workspace + "\x00" + k.Service + "\x00" + k.Value
-}
--- /dev/null
+++ b/hickoryd/internal/journal/seal.go
@@ -0,0 +1,114 @@
+package journal
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/hickoryfront/hickoryfront/core/claim"
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/peer"
+	"github.com/hickoryfront/hickoryfront/hickoryd/platform"
+	"github.com/hickoryfront/hickoryfront/peerapi"
+)
+
+// sealAttempts bounds the race with a home that still writes.
+const sealAttempts = 10
+
+// Seal ends the journal of another home and reads it. After it returns without
+// an error, no Append of that home succeeds. It may be repeated.
+func Seal(ctx context.Context, kv KV, member claim.Member) (claim.Journal, error) {
+	for range sealAttempts {
+		segments, values, err := list(ctx, kv, member)
+		if err != nil {
+			return claim.Journal{}, err
+		}
+		if isSealed(segments) {
+			return read(member, segments), nil
+		}
+		if err := sealNewest(ctx, kv, member, segments, values); err != nil {
+			return claim.Journal{}, err
+		}
+	}
+	return claim.Journal{}, fmt.Errorf("%w: journal of %s could not be sealed", platform.ErrUnavailable, member.Host)
+}
+
+// Remove deletes a journal whose grants are all past their horizon.
+func Remove(ctx context.Context, kv KV, member claim.Member) error {
+	_, values, err := list(ctx, kv, member)
+	if err != nil {
+		return err
+	}
+	for _, value := range values {
+		if err := kv.Delete(ctx, value.Key); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// sealNewest seals the newest segment and puts an empty sealed one behind it, so
+// that the home can neither change the one nor begin the other. A lost race is
+// no error: the caller lists again.
+func sealNewest(ctx context.Context, kv KV, member claim.Member, segments []*peerapi.JournalSegment, values []platform.Value) error {
+	if len(segments) == 0 {
+		_, err := create(ctx, kv, key(member, 0), &peerapi.JournalSegment{})
+		return err
+	}
+	newest, value := segments[len(segments)-1], values[len(values)-1]
+	if !newest.GetSealed() {
+		newest.Sealed = true
+		data, err := proto.Marshal(newest)
+		if err != nil {
+			return err
+		}
+		if done, err := kv.CompareAndSwap(ctx, value.Key, data, value.Index); err != nil || !done {
+			return err
+		}
+	}
+	var number int
+	if _, err := fmt.Sscanf(strings.TrimPrefix(value.Key, folder(member)), "%d", &number); err != nil {
+		return fmt.Errorf("claim journal key %q: %w", value.Key, err)
+	}
+	_, err := create(ctx, kv, key(member, number+1), newest)
+	return err
+}
+
+// isSealed reports whether the last segment is the empty one that ends a
+// journal.
+func isSealed(segments []*peerapi.JournalSegment) bool {
+	if len(segments) == 0 {
+		return false
+	}
+	last := segments[len(segments)-1]
+	return last.GetSealed() && len(last.GetGrants()) == 0
+}
+
+func list(ctx context.Context, kv KV, member claim.Member) ([]*peerapi.JournalSegment, []platform.Value, error) {
+	values, err := kv.List(ctx, folder(member))
+	if err != nil {
+		return nil, nil, err
+	}
+	slices.SortFunc(values, func(a, b platform.Value) int { return strings.Compare(a.Key, b.Key) })
+	segments := make([]*peerapi.JournalSegment, 0, len(values))
+	for _, value := range values {
+		segment, err := decode(value)
+		if err != nil {
+			return nil, nil, err
+		}
+		segments = append(segments, segment)
+	}
+	return segments, values, nil
+}
+
+func read(member claim.Member, segments []*peerapi.JournalSegment) claim.Journal {
+	journal := claim.Journal{Member: member}
+	for _, segment := range segments {
+		journal.Grants = append(journal.Grants, peer.GrantsFromWire(segment.GetGrants())...)
+		journal.CompleteThrough = max(journal.CompleteThrough, segment.GetCompleteThrough())
+		journal.Complete = journal.Complete || segment.GetComplete()
+	}
+	return journal
+}
--- a/hickoryd/internal/node/node.go
+++ b/hickoryd/internal/node/node.go
@@ -36,6 +36,8 @@
 	drainPollInterval = 50 * time.Millisecond
 	// balancerPeriod gives the balancer time to see that the host is not ready.
 	balancerPeriod = time.Second
+	// defaultHorizon is the retry horizon of profiles that set none.
+	defaultHorizon = 10 * time.Minute
 )
 
 type (
@@ -55,6 +57,8 @@
 		peers        *peerServer
 		loops        []runner
 		drained      *DrainWatch
+		claims       *home.Claims
+		keyed        *dispatch.Keyed
 
 		group sync.WaitGroup
 		stop  context.CancelFunc
@@ -85,6 +89,8 @@
 		Caller       *caller.Handler
 		Operator     *operator.Handler
 		PeerServer   *peerserver.Server
+		Claims       *home.Claims
+		Keyed        *dispatch.Keyed
 		Drain        *DrainWatch
 		Keeper       *telemetry.Keeper
 	}
@@ -103,6 +109,7 @@
 			transport.New,
 			newPlatform, newHostList, newPool, newDirectory, newSlots, newMembership, newClaims,
 			newStore, newRegistration, newGate, newSync, newCanceller, newModels, newPlain, newRouter, newReservations, newAuditor,
+			newKeyed, newRecordings, peer.NewHomes,
 			newCaller, newOperator, newPeerService, newDrainWatch, newEngines, New,
 			telemetry.New, newKeeper, newReporter, service.New,
 		),
@@ -127,7 +134,9 @@
 			p.Registration,
 			p.Drain,
 			p.Keeper,
+			p.Claims,
 		},
+		claims: p.Claims, keyed: p.Keyed,
 	}
 	var err error
 	if n.callers, err = newHTTPServer(p.Settings.Listen.Caller, routes(p.Caller), p.Security, p.Logger); err != nil {
@@ -160,6 +169,8 @@
 	n.gate.Drain()
 	sleep(ctx, balancerPeriod)
 	n.awaitIdle(ctx)
+	n.keyed.Close(ctx)
+	n.claims.Close(ctx)
 	_ = n.callers.server.Shutdown(ctx)
 	n.canceller.Close(ctx)
 	n.reservations.Close()
@@ -243,8 +254,32 @@
 	}, pool, slots, logger, set)
 }
 
-func newClaims(s settings.Settings) *home.Claims {
-	return home.NewClaims(s.Limits.Claims)
+func newClaims(s settings.Settings, self member.Host, kv *platform.Client, membership *peer.Membership, homes *peer.Homes, store *configstore.Store, logger log.Interface, set *metrics.Set) *home.Claims {
+	return home.NewClaims(ownerOf(self), s.Limits.Claims, kv, membership, homes, horizonOf(store), logger, set)
+}
+
+func newKeyed(self member.Host, router *home.Router, recordings *dispatch.Recordings, set *metrics.Set) *dispatch.Keyed {
+	return dispatch.NewKeyed(ownerOf(self), router, router, recordings, set)
+}
+
+func newRecordings(s settings.Settings) *dispatch.Recordings {
+	return dispatch.NewRecordings(int(s.Limits.AnswerBytes))
+}
+
+func ownerOf(h member.Host) claim.Owner {
+	return claim.Owner{Host: h.Name, Incarnation: h.Incarnation}
+}
+
+// horizonOf returns the longest retry horizon of the profiles, which never
+// shrinks in the life of a daemon: grants outlive the profiles that allowed them.
+func horizonOf(store *configstore.Store) func() time.Duration {
+	longest := defaultHorizon
+	return func() time.Duration {
+		for _, p := range store.Current().Profiles {
+			longest = max(longest, p.RetryHorizon)
+		}
+		return longest
+	}
 }
 
 func newStore(kv *platform.Client, membership *peer.Membership, logger log.Interface, set *metrics.Set) *configstore.Store {
@@ -279,19 +314,19 @@
 	return dispatch.NewModels(s.Host.FailureDomain, placement.LeastLoaded{}, e, reservations, directory, canceller, set)
 }
 
-func newPlain(self member.Host, client *service.Client, directory *backends.Directory, router *home.Router) *dispatch.Plain {
-	return dispatch.NewPlain(claim.Owner{Host: self.Name, Incarnation: self.Incarnation}, client, directory, router)
+func newPlain(client *service.Client, directory *backends.Directory, keyed *dispatch.Keyed) *dispatch.Plain {
+	return dispatch.NewPlain(client, directory, keyed)
 }
 
-func newCaller(s settings.Settings, models *dispatch.Models, plain *dispatch.Plain, client *service.Client, store *configstore.Store, gate *Gate, recorder *telemetry.Recorder) *caller.Handler {
-	return caller.New(models, plain, client, store, gate, recorder, s.Limits.Requests)
+func newCaller(s settings.Settings, models *dispatch.Models, plain *dispatch.Plain, keyed *dispatch.Keyed, client *service.Client, store *configstore.Store, gate *Gate, recorder *telemetry.Recorder) *caller.Handler {
+	return caller.New(models, plain, keyed, client, store, gate, recorder, s.Limits.Requests)
 }
 
 func newOperator(s settings.Settings, store *configstore.Store, membership *peer.Membership, directory *backends.Directory, gate *Gate, reports *telemetry.Reporter, set *metrics.Set) *operator.Handler {
 	return operator.New(s.Auth.OperatorToken, store, membership, directory, gate, reports, set)
 }
 
-func newPeerService(membership *peer.Membership, slots *home.Slots, reservations *home.Reservations, claims *home.Claims, store *configstore.Store, recorder *telemetry.Recorder) *peerserver.Server {
+func newPeerService(membership *peer.Membership, slots *home.Slots, reservations *home.Reservations, claims *home.Claims, store *configstore.Store, recorder *telemetry.Recorder, recordings *dispatch.Recordings) *peerserver.Server {
 	return peerserver.New(peerserver.Parts{
 		Membership: membership,
 		Slots:      slots,
@@ -299,6 +334,7 @@
 		Claims:     claims,
 		Config:     store,
 		Burn:       recorder,
+		Answers:    recordings,
 	})
 }
 
--- a/hickoryd/internal/home/convert.go
+++ b/hickoryd/internal/peer/claims.go
@@ -1,4 +1,4 @@
-package home
+package peer
 
 import (
 	"time"
@@ -96,7 +96,8 @@
 	}
 }
 
-func grantFromResponse(wanted claim.Grant, r *peerapi.ClaimResponse) claim.Grant {
+// GrantFromResponse returns the grant that holds the wanted key.
+func GrantFromResponse(wanted claim.Grant, r *peerapi.ClaimResponse) claim.Grant {
 	wanted.RequestID = r.GetRequestId()
 	wanted.Owner = claim.Owner{Host: r.GetOwner().GetName(), Incarnation: r.GetOwner().GetIncarnation()}
 	wanted.Answer = AnswerFromWire(r.GetAnswer())
@@ -115,11 +116,14 @@
 		return peerapi.ClaimResponse_OUTCOME_UNKNOWN
 	case claim.BodyMismatch:
 		return peerapi.ClaimResponse_OUTCOME_BODY_MISMATCH
+	case claim.NotHome:
+		return peerapi.ClaimResponse_OUTCOME_NOT_HOME
 	}
 	return peerapi.ClaimResponse_OUTCOME_UNDECIDED
 }
 
-func outcomeFromWire(o peerapi.ClaimResponse_Outcome) claim.Outcome {
+// OutcomeFromWire converts a decision.
+func OutcomeFromWire(o peerapi.ClaimResponse_Outcome) claim.Outcome {
 	switch o {
 	case peerapi.ClaimResponse_OUTCOME_GRANTED:
 		return claim.Granted
@@ -131,6 +135,49 @@
 		return claim.Unknown
 	case peerapi.ClaimResponse_OUTCOME_BODY_MISMATCH:
 		return claim.BodyMismatch
+	case peerapi.ClaimResponse_OUTCOME_NOT_HOME:
+		return claim.NotHome
 	}
 	return claim.Undecided
 }
+
+// GrantsToWire converts grants.
+func GrantsToWire(grants []claim.Grant) []*peerapi.Grant {
+	wire := make([]*peerapi.Grant, 0, len(grants))
+	for _, g := range grants {
+		wire = append(wire, GrantToWire(g))
+	}
+	return wire
+}
+
+// GrantsFromWire converts grants.
+func GrantsFromWire(wire []*peerapi.Grant) []claim.Grant {
+	grants := make([]claim.Grant, 0, len(wire))
+	for _, g := range wire {
+		grants = append(grants, GrantFromWire(g))
+	}
+	return grants
+}
+
+// FlagToWire converts the mode of a home.
+func FlagToWire(f claim.Flag) *peerapi.ClaimFlag {
+	return &peerapi.ClaimFlag{
+		Member:   &peerapi.ClaimMember{Host: f.Member.Host, Incarnation: f.Member.Incarnation, Since: f.Member.Since},
+		Sequence: f.Mode.Sequence,
+		Outage:   f.Mode.Outage,
+	}
+}
+
+// FlagFromWire converts the mode of a home.
+func FlagFromWire(f *peerapi.ClaimFlag) claim.Flag {
+	m := f.GetMember()
+	return claim.Flag{
+		Member: claim.Member{Host: m.GetHost(), Incarnation: m.GetIncarnation(), Since: m.GetSince()},
+		Mode:   claim.Mode{Sequence: f.GetSequence(), Outage: f.GetOutage()},
+	}
+}
+
+// OwnerFromWire converts a life of a daemon.
+func OwnerFromWire(h *peerapi.Host) claim.Owner {
+	return claim.Owner{Host: h.GetName(), Incarnation: h.GetIncarnation()}
+}
--- /dev/null
+++ b/hickoryd/internal/peerserver/attach.go
@@ -0,0 +1,51 @@
+package peerserver
+
+import (
+	"errors"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/dispatch"
+	"github.com/hickoryfront/hickoryfront/peerapi"
+)
+
+// attachBytes bounds one message of an attached answer.
+const attachBytes = 256 << 10
+
+// Answers finds the answers of requests that run, or ran, on this daemon.
+type Answers interface {
+	Find(id string) (*dispatch.Recording, error)
+}
+
+// Attach implements the Peer service. NotFound means that nothing is known here
+// of the request.
+func (s *Server) Attach(request *peerapi.AttachRequest, stream grpc.ServerStreamingServer[peerapi.AttachResponse]) error {
+	recording, err := s.answers.Find(request.GetRequestId())
+	if err != nil {
+		return status.Error(codes.NotFound, err.Error())
+	}
+	defer recording.Attach()()
+	offset := int(request.GetOffset())
+	for {
+		part, err := recording.Next(stream.Context(), offset)
+		if err != nil {
+			return status.Error(attachCode(err), err.Error())
+		}
+		if len(part.Body) > attachBytes {
+			part.Body, part.Done = part.Body[:attachBytes], false
+		}
+		offset += len(part.Body)
+		if err := stream.Send(dispatch.PartToWire(part)); err != nil || part.Done {
+			return err
+		}
+	}
+}
+
+func attachCode(err error) codes.Code {
+	if errors.Is(err, dispatch.ErrAnswerDropped) {
+		return codes.NotFound
+	}
+	return codes.Unavailable
+}
--- /dev/null
+++ b/hickoryd/internal/peerserver/claims.go
@@ -0,0 +1,85 @@
+package peerserver
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"github.com/hickoryfront/hickoryfront/core/claim"
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/peer"
+	"github.com/hickoryfront/hickoryfront/peerapi"
+)
+
+// Claims grants the keys whose home is this daemon.
+type Claims interface {
+	Claim(ctx context.Context, now time.Time, wanted claim.Grant) (claim.Outcome, claim.Grant, error)
+	Settle(now time.Time, key claim.Key, requestID string, answer *claim.Answer, unknown bool) error
+	Withdraw(key claim.Key, requestID string)
+	List(now time.Time, epoch claim.Epoch, asker string) (claim.Listing, *claim.Epoch)
+	Witness(epoch uint64, flag claim.Flag, grants []claim.Grant) *claim.Epoch
+	Epoch() claim.Epoch
+	Hint(epoch uint64)
+}
+
+// Claim implements the Peer service.
+func (s *Server) Claim(ctx context.Context, request *peerapi.ClaimRequest) (*peerapi.ClaimResponse, error) {
+	now := time.Now()
+	s.claims.Hint(request.GetEpoch())
+	outcome, grant, err := s.claims.Claim(ctx, now, peer.GrantFromRequest(now, request))
+	response := peer.ClaimResponse(outcome, grant)
+	if err != nil && !errors.Is(err, claim.ErrNotHome) {
+		response = &peerapi.ClaimResponse{Outcome: peerapi.ClaimResponse_OUTCOME_UNDECIDED}
+	}
+	response.Epoch = s.claims.Epoch().Number
+	return response, nil
+}
+
+// Settle implements the Peer service. NotFound means that the grant is not held
+// here.
+func (s *Server) Settle(_ context.Context, request *peerapi.SettleRequest) (*peerapi.SettleResponse, error) {
+	key := peer.KeyFromWire(request.GetKey())
+	if request.GetNotRun() {
+		s.claims.Withdraw(key, request.GetRequestId())
+		return &peerapi.SettleResponse{}, nil
+	}
+	err := s.claims.Settle(time.Now(), key, request.GetRequestId(), peer.AnswerFromWire(request.GetAnswer()), request.GetUnknown())
+	if err != nil {
+		return nil, status.Error(codes.NotFound, err.Error())
+	}
+	return &peerapi.SettleResponse{}, nil
+}
+
+// ListGrants implements the Peer service.
+func (s *Server) ListGrants(_ context.Context, request *peerapi.ListGrantsRequest) (*peerapi.ListGrantsResponse, error) {
+	epoch, err := peer.EpochFromWire(request.GetEpochRecord())
+	if err != nil || epoch == nil {
+		return nil, status.Error(codes.InvalidArgument, "no epoch to list grants for")
+	}
+	listing, newer := s.claims.List(time.Now(), *epoch, request.GetAsker().GetName())
+	if newer != nil {
+		record, err := json.Marshal(newer)
+		return &peerapi.ListGrantsResponse{EpochRecord: record}, err
+	}
+	response := &peerapi.ListGrantsResponse{
+		Grants:    peer.GrantsToWire(listing.Grants),
+		Responder: &peerapi.Host{Name: listing.Owner.Host, Incarnation: listing.Owner.Incarnation},
+	}
+	for _, f := range listing.Flags {
+		response.Flags = append(response.Flags, peer.FlagToWire(f))
+	}
+	return response, nil
+}
+
+// Witness implements the Peer service.
+func (s *Server) Witness(_ context.Context, request *peerapi.WitnessRequest) (*peerapi.WitnessResponse, error) {
+	held := s.claims.Witness(request.GetEpoch(), peer.FlagFromWire(request.GetFlag()), peer.GrantsFromWire(request.GetGrants()))
+	if held == nil {
+		return &peerapi.WitnessResponse{Recorded: true}, nil
+	}
+	record, err := json.Marshal(held)
+	return &peerapi.WitnessResponse{EpochRecord: record}, err
+}
--- a/hickoryd/internal/peerserver/server.go
+++ b/hickoryd/internal/peerserver/server.go
@@ -9,9 +9,7 @@
 	"google.golang.org/protobuf/types/known/timestamppb"
 
 	"github.com/hickoryfront/hickoryfront/core/backend"
-	"github.com/hickoryfront/hickoryfront/core/claim"
 	"github.com/hickoryfront/hickoryfront/core/slot"
-	"github.com/hickoryfront/hickoryfront/hickoryd/internal/home"
 	"github.com/hickoryfront/hickoryfront/peerapi"
 )
 
@@ -34,14 +32,6 @@
 		Held(requestIDs []string) []string
 	}
 
-	// Claims grants the keys whose home is this daemon.
-	Claims interface {
-		Claim(now time.Time, wanted claim.Grant) (claim.Outcome, claim.Grant, error)
-		Settle(key claim.Key, requestID string, answer *claim.Answer, unknown bool)
-		Withdraw(key claim.Key, requestID string)
-		Grants(now time.Time) []claim.Grant
-	}
-
 	// Config hands out what brings a peer to the configuration in force.
 	Config interface {
 		UpdateAfter(now time.Time, revision uint64) ([]byte, uint64, error)
@@ -60,6 +50,7 @@
 		Claims     Claims
 		Config     Config
 		Burn       Burn
+		Answers    Answers
 	}
 
 	// Server implements the Peer service.
@@ -71,6 +62,7 @@
 		claims     Claims
 		config     Config
 		burn       Burn
+		answers    Answers
 	}
 )
 
@@ -83,6 +75,7 @@
 		claims:     parts.Claims,
 		config:     parts.Config,
 		burn:       parts.Burn,
+		answers:    parts.Answers,
 	}
 }
 
@@ -133,37 +126,6 @@
 	}, nil
 }
 
-// Claim implements the Peer service.
-func (s *Server) Claim(_ context.Context, request *peerapi.ClaimRequest) (*peerapi.ClaimResponse, error) {
-	now := time.Now()
-	outcome, grant, err := s.claims.Claim(now, home.GrantFromRequest(now, request))
-	if err != nil {
-		return &peerapi.ClaimResponse{Outcome: peerapi.ClaimResponse_OUTCOME_UNDECIDED}, nil
-	}
-	return home.ClaimResponse(outcome, grant), nil
-}
-
-// Settle implements the Peer service.
-func (s *Server) Settle(_ context.Context, request *peerapi.SettleRequest) (*peerapi.SettleResponse, error) {
-	key := home.KeyFromWire(request.GetKey())
-	if request.GetNotRun() {
-		s.claims.Withdraw(key, request.GetRequestId())
-		return &peerapi.SettleResponse{}, nil
-	}
-	s.claims.Settle(key, request.GetRequestId(), home.AnswerFromWire(request.GetAnswer()), request.GetUnknown())
-	return &peerapi.SettleResponse{}, nil
-}
-
-// ListGrants implements the Peer service.
-func (s *Server) ListGrants(_ context.Context, _ *peerapi.ListGrantsRequest) (*peerapi.ListGrantsResponse, error) {
-	held := s.claims.Grants(time.Now())
-	grants := make([]*peerapi.Grant, 0, len(held))
-	for _, g := range held {
-		grants = append(grants, home.GrantToWire(g))
-	}
-	return &peerapi.ListGrantsResponse{Grants: grants}, nil
-}
-
 // FetchConfig implements the Peer service.
 func (s *Server) FetchConfig(_ context.Context, request *peerapi.FetchConfigRequest) (*peerapi.FetchConfigResponse, error) {
 	update, revision, err := s.config.UpdateAfter(time.Now(), request.GetAfter())
