--- a/hickoryd/internal/peerserver/server.go
+++ b/hickoryd/internal/peerserver/server.go
@@ -9,10 +9,8 @@
 	"google.golang.org/protobuf/types/known/timestamppb"
 
 	"github.com/hickoryfront/hickoryfront/core/backend"
-	"github.com/hickoryfront/hickoryfront/core/claim"
 	"github.com/hickoryfront/hickoryfront/core/crash"
 	"github.com/hickoryfront/hickoryfront/core/slot"
-	"github.com/hickoryfront/hickoryfront/hickoryd/internal/home"
 	"github.com/hickoryfront/hickoryfront/peerapi"
 )
 
@@ -35,14 +33,6 @@
 		Held(requestIDs []string) []string
 	}
 
-	// Claims grants the keys whose home is this daemon.
-	Claims interface {
-		Claim(now time.Time, wanted claim.Grant) (claim.Outcome, claim.Grant, error)
-		Settle(key claim.Key, requestID string, answer *claim.Answer, unknown bool)
-		Withdraw(key claim.Key, requestID string)
-		Grants(now time.Time) []claim.Grant
-	}
-
 	// Crashes knows the fingerprints whose home is this daemon.
 	Crashes interface {
 		CheckLocal(now time.Time, fingerprint uint64) crash.Verdict
@@ -69,6 +59,7 @@
 		Crashes    Crashes
 		Config     Config
 		Burn       Burn
+		Answers    Answers
 	}
 
 	// Server implements the Peer service.
@@ -81,6 +72,7 @@
 		crashes    Crashes
 		config     Config
 		burn       Burn
+		answers    Answers
 	}
 )
 
@@ -94,6 +86,7 @@
 		crashes:    parts.Crashes,
 		config:     parts.Config,
 		burn:       parts.Burn,
+		answers:    parts.Answers,
 	}
 }
 
@@ -144,37 +137,6 @@
 	}, nil
 }
 
-// Claim implements the Peer service.
-func (s *Server) Claim(_ context.Context, request *peerapi.ClaimRequest) (*peerapi.ClaimResponse, error) {
-	now := time.Now()
-	outcome, grant, err := s.claims.Claim(now, home.GrantFromRequest(now, request))
-	if err != nil {
-		return &peerapi.ClaimResponse{Outcome: peerapi.ClaimResponse_OUTCOME_UNDECIDED}, nil
-	}
-	return home.ClaimResponse(outcome, grant), nil
-}
-
-// Settle implements the Peer service.
-func (s *Server) Settle(_ context.Context, request *peerapi.SettleRequest) (*peerapi.SettleResponse, error) {
-	key := home.KeyFromWire(request.GetKey())
-	if request.GetNotRun() {
-		s.claims.Withdraw(key, request.GetRequestId())
-		return &peerapi.SettleResponse{}, nil
-	}
-	s.claims.Settle(key, request.GetRequestId(), home.AnswerFromWire(request.GetAnswer()), request.GetUnknown())
-	return &peerapi.SettleResponse{}, nil
-}
-
-// ListGrants implements the Peer service.
-func (s *Server) ListGrants(_ context.Context, _ *peerapi.ListGrantsRequest) (*peerapi.ListGrantsResponse, error) {
-	held := s.claims.Grants(time.Now())
-	grants := make([]*peerapi.Grant, 0, len(held))
-	for _, g := range held {
-		grants = append(grants, home.GrantToWire(g))
-	}
-	return &peerapi.ListGrantsResponse{Grants: grants}, nil
-}
-
 // FetchConfig implements the Peer service.
 func (s *Server) FetchConfig(_ context.Context, request *peerapi.FetchConfigRequest) (*peerapi.FetchConfigResponse, error) {
 	update, revision, err := s.config.UpdateAfter(time.Now(), request.GetAfter())
