Close the gate of a daemon that was paused until it has checked its configuration

Cause: a daemon that was stopped for some seconds served its old configuration after it resumed, until the next heartbeat named a newer one. Ruled out: trusting the first heartbeat after the pause (it may have waited in the socket and be as old as the pause). Before and after: ready right after the pause before; after, refused as not run until the platform or a peer has answered a fresh read (test). Conclusion: a loop ticks the gate; 5 s without a tick count as a pause.

--- a/hickoryd/internal/node/gate.go
+++ b/hickoryd/internal/node/gate.go
@@ -40,16 +40,22 @@
 		isolation time.Duration
 		draining  atomic.Bool
 		caughtUp  atomic.Bool // stays true
+		lastTick  atomic.Int64
+		suspended atomic.Bool // stalled, and not yet verified again
 	}
 )
 
 const (
 	retryElsewhere = time.Second
+	// stallLimit is the time without a tick after which the process counts as
+	// paused. It is longer than any step of the loop that ticks.
+	stallLimit = 5 * time.Second
 
 	reasonDraining = "draining"
 	reasonNoConfig = "no configuration yet"
 	reasonNoList   = "no host list yet"
 	reasonBehind   = "configuration older than a peer's"
+	reasonPaused   = "was paused and has to check its configuration"
 	reasonIsolated = "cut off from platform and peers"
 )
 
@@ -69,6 +75,28 @@
 	return g.draining.Load()
 }
 
+// Tick tells the gate that the process runs. It returns false when the process
+// was paused: the configuration may have changed meanwhile, and the gate stays
+// closed until Verified.
+func (g *Gate) Tick(now time.Time) bool {
+	if g.stalled(now) {
+		g.suspended.Store(true)
+	}
+	g.lastTick.Store(now.UnixNano())
+	return !g.suspended.Load()
+}
+
+// Verified opens the gate of a process that was paused: its configuration was
+// compared with the platform's or a peer's since.
+func (g *Gate) Verified() {
+	g.suspended.Store(false)
+}
+
+func (g *Gate) stalled(now time.Time) bool {
+	last := g.lastTick.Load()
+	return last > 0 && now.Sub(time.Unix(0, last)) > stallLimit
+}
+
 // NotReady returns why no new requests are taken, or "".
 func (g *Gate) NotReady(now time.Time) string {
 	if g.Draining() {
@@ -81,6 +109,8 @@
 		g.caughtUp.Store(true)
 	}
 	switch {
+	case g.suspended.Load() || g.stalled(now):
+		return reasonPaused
 	case !g.servers.Listed():
 		return reasonNoList
 	case now.Sub(g.platform.LastRead()) > g.isolation && now.Sub(g.peers.LastHeard()) > g.isolation:
--- a/hickoryd/internal/node/node.go
+++ b/hickoryd/internal/node/node.go
@@ -264,7 +264,9 @@
 }
 
 func otherSeeds(s settings.Settings) []netip.AddrPort {
-	return slices.DeleteFunc(slices.Clone(s.Peers.Seeds), func(a netip.AddrPort) bool { return a == s.Listen.Peer })
+	return slices.DeleteFunc(slices.Clone(s.Peers.Seeds), func(a netip.AddrPort) bool {
+		return a == s.Listen.Peer || a == s.Listen.AdvertisedPeer()
+	})
 }
 
 func newCanceller(e engines, directory *backends.Directory, set *metrics.Set) *dispatch.Canceller {
--- a/hickoryd/internal/node/sync.go
+++ b/hickoryd/internal/node/sync.go
@@ -13,6 +13,8 @@
 const (
 	syncInterval = 200 * time.Millisecond
 	fetchTimeout = time.Second
+	// catchUpTimeout is below the gate's limit for a stalled process.
+	catchUpTimeout = 3 * time.Second
 )
 
 type (
@@ -27,6 +29,8 @@
 	// Announcer is the view of the fleet that configuration spreads through.
 	Announcer interface {
 		SetSelf(revision uint64, draining bool)
+		Self() member.Host
+		Live(now time.Time) []member.State
 		Newest(now time.Time) []member.State
 		News() <-chan struct{}
 		Hurry()
@@ -64,6 +68,9 @@
 	defer ticker.Stop()
 	for {
 		changed := s.documents.Changed()
+		if !s.gate.Tick(time.Now()) {
+			s.verify(ctx)
+		}
 		s.announce()
 		s.catchUp(ctx)
 		select {
@@ -88,6 +95,8 @@
 // catchUp fetches what live peers have and this daemon lacks. When none of
 // them answers, the platform is asked.
 func (s *ConfigSync) catchUp(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
+	defer cancel()
 	ahead := s.peers.Newest(time.Now())
 	for _, from := range ahead {
 		if from.ConfigRevision <= s.documents.Current().Revision {
@@ -103,6 +112,27 @@
 	}
 }
 
+// verify compares the configuration of a process that was paused with the
+// platform's, or with a peer's while the platform does not answer.
+func (s *ConfigSync) verify(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
+	defer cancel()
+	if s.documents.Refresh(ctx) == nil {
+		s.gate.Verified()
+		return
+	}
+	for _, state := range s.peers.Live(time.Now()) {
+		if state.Host.Name == s.peers.Self().Name {
+			continue
+		}
+		update, err := s.clients.Fetch(ctx, state.Host, s.documents.Current().Revision)
+		if err == nil && (len(update) == 0 || s.documents.Offer(update) == nil) {
+			s.gate.Verified()
+			return
+		}
+	}
+}
+
 func (s *ConfigSync) fetch(ctx context.Context, from member.Host) bool {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
--- a/hickoryd/internal/node/sync_test.go
+++ b/hickoryd/internal/node/sync_test.go
@@ -18,14 +18,15 @@
 type (
 	// source is a configuration with its last read, and a view of the peers.
 	source struct {
-		revision  uint64
-		read      time.Time
-		heard     time.Time
-		peers     []member.State
-		refreshed int
-		hurried   int
-		fetchable map[string]uint64
-		unlisted  bool
+		revision   uint64
+		read       time.Time
+		heard      time.Time
+		peers      []member.State
+		refreshed  int
+		hurried    int
+		fetchable  map[string]uint64
+		unlisted   bool
+		platformUp bool
 	}
 )
 
@@ -41,6 +42,7 @@
 func (s *source) Changed() <-chan struct{}      { return nil }
 func (s *source) News() <-chan struct{}         { return nil }
 func (s *source) SetSelf(uint64, bool)          {}
+func (s *source) Self() member.Host             { return member.Host{Name: "a"} }
 func (s *source) Hurry()                        { s.hurried++ }
 func (s *source) Newest(time.Time) []member.State {
 	var ahead []member.State
@@ -54,6 +56,9 @@
 
 func (s *source) Refresh(context.Context) error {
 	s.refreshed++
+	if s.platformUp {
+		return nil
+	}
 	return errDown
 }
 
@@ -124,6 +129,43 @@
 	}
 }
 
+// proof: daemon paused | config spread | 8
+// proof: daemon paused + platform down | config spread | 8
+func TestGateAfterPause(t *testing.T) {
+	tests := []struct {
+		name   string
+		source source
+		ready  bool
+	}{
+		{name: "platform answers", source: source{revision: 5, platformUp: true}, ready: true},
+		{name: "a peer has the same", source: source{revision: 5, peers: []member.State{peerAt("b", 2, 5)}, fetchable: map[string]uint64{"b": 5}}, ready: true},
+		{name: "nobody answers", source: source{revision: 5, peers: []member.State{peerAt("b", 2, 5)}}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := &tt.source
+				s.read, s.heard = time.Now().Add(time.Hour), time.Now().Add(time.Hour)
+				gate := node.NewGate(s, s, s, nil, time.Second)
+				gate.Tick(time.Now())
+				if reason := gate.NotReady(time.Now()); reason != "" {
+					t.Fatalf("not ready before the pause: %s", reason)
+				}
+				time.Sleep(6 * time.Second) // nothing ticks
+				if gate.NotReady(time.Now()) == "" {
+					t.Error("ready right after the pause, before any check")
+				}
+				ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+				defer cancel()
+				node.NewConfigSync(s, s, s, gate).Run(ctx)
+				if reason := gate.NotReady(time.Now()); (reason == "") != tt.ready {
+					t.Errorf("not ready because of %q, want ready %v", reason, tt.ready)
+				}
+			})
+		})
+	}
+}
+
 // proof: platform down | config spread | 8
 // proof: daemon paused | config spread | 8
 func TestConfigSync(t *testing.T) {
