Give the administration API history, checks, dry runs, services and typed errors

Cause: operators could not see who changed what, nor check a text before they wrote it; a conflict named its revisions only in prose; a change that may have taken effect looked like one that had not. Ruled out: a history on the daemons (they keep nothing). Before and after: one error code for all failed writes; now notSent and unconfirmed apart, and a repeated attempt token is answered with its revision.

--- a/hickoryd/internal/node/node.go
+++ b/hickoryd/internal/node/node.go
@@ -104,7 +104,7 @@
 			newPlatform, newHostList, newPool, newDirectory, newSlots, newMembership, newClaims,
 			newStore, newRegistration, newGate, newSync, newCanceller, newModels, newPlain, newRouter, newReservations, newAuditor,
 			newCaller, newOperator, newPeerService, newDrainWatch, newEngines, New,
-			telemetry.New, newKeeper, newReporter, service.New,
+			telemetry.New, newRequests, newKeeper, newReporter, service.New,
 		),
 		fx.Invoke(join, register),
 	)
@@ -285,12 +285,12 @@
 	return dispatch.NewPlain(claim.Owner{Host: self.Name, Incarnation: self.Incarnation}, client, directory, router)
 }
 
-func newCaller(s settings.Settings, models *dispatch.Models, plain *dispatch.Plain, client *service.Client, store *configstore.Store, gate *Gate, recorder *telemetry.Recorder) *caller.Handler {
-	return caller.New(models, plain, client, store, gate, recorder, s.Limits.Requests)
+func newCaller(s settings.Settings, models *dispatch.Models, plain *dispatch.Plain, client *service.Client, store *configstore.Store, gate *Gate, requests *telemetry.Requests) *caller.Handler {
+	return caller.New(models, plain, client, store, gate, requests, s.Limits.Requests)
 }
 
-func newOperator(s settings.Settings, store *configstore.Store, membership *peer.Membership, directory *backends.Directory, gate *Gate, reports *telemetry.Reporter, set *metrics.Set) *operator.Handler {
-	return operator.New(s.Auth.OperatorToken, store, membership, directory, gate, reports, set)
+func newOperator(s settings.Settings, store *configstore.Store, membership *peer.Membership, directory *backends.Directory, gate *Gate, requests *telemetry.Requests, reports *telemetry.Reporter, set *metrics.Set) *operator.Handler {
+	return operator.New(s.Auth.OperatorToken, store, membership, directory, gate, requests, reports, set)
 }
 
 func newPeerService(membership *peer.Membership, slots *home.Slots, reservations *home.Reservations, claims *home.Claims, store *configstore.Store, recorder *telemetry.Recorder) *peerserver.Server {
@@ -308,6 +308,10 @@
 	return NewDrainWatch(s.Host.Name, store, shutdown, logger)
 }
 
+func newRequests(recorder *telemetry.Recorder) *telemetry.Requests {
+	return telemetry.NewRequests(recorder)
+}
+
 func newKeeper(recorder *telemetry.Recorder, self member.Host, kv *platform.Client, membership *peer.Membership, logger log.Interface, set *metrics.Set) *telemetry.Keeper {
 	return telemetry.NewKeeper(recorder, self, kv, membership, logger, set)
 }
--- a/hickoryd/internal/operator/operator.go
+++ b/hickoryd/internal/operator/operator.go
@@ -5,14 +5,12 @@
 import (
 	"context"
 	"crypto/subtle"
-	"errors"
 	"net/http"
 	"strings"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/gin-gonic/gin"
-	"github.com/google/uuid"
 
 	"github.com/hickoryfront/hickoryfront/core/backend"
 	"github.com/hickoryfront/hickoryfront/core/burn"
@@ -21,13 +19,18 @@
 	"github.com/hickoryfront/hickoryfront/core/placement"
 )
 
-const maxBodyBytes = 1 << 20
+const (
+	maxBodyBytes = 1 << 20
+	// revisionHeader tells the revision that a reply was read at.
+	revisionHeader = "X-Config-Revision"
+)
 
 type (
 	// Config is the configuration in force and the way to change it.
 	Config interface {
 		Current() *config.Document
 		Commit(ctx context.Context, change config.Change) (uint64, error)
+		History(ctx context.Context, limit int, keep func(config.Change) bool) ([]config.Change, error)
 	}
 
 	// Membership is the view of the fleet.
@@ -47,6 +50,11 @@
 		NotReady(now time.Time) string
 	}
 
+	// Requests counts what this daemon has answered.
+	Requests interface {
+		Count(service string) (answered, refused uint64)
+	}
+
 	// Reports merges what the hosts have counted.
 	Reports interface {
 		Burn(ctx context.Context, now time.Time) burn.Report
@@ -59,69 +67,55 @@
 		membership Membership
 		directory  Directory
 		readiness  Readiness
+		requests   Requests
 		reports    Reports
 		set        *metrics.Set
 	}
 
-	// Entry is one configuration entry.
-	Entry struct {
-		Kind     string `json:"kind"`
-		Name     string `json:"name"`
-		Text     string `json:"text"`
-		Revision uint64 `json:"revision"`
-	}
-
-	// ChangeRequest asks for a change of several entries at once.
-	ChangeRequest struct {
-		Author string        `json:"author"`
-		Edits  []config.Edit `json:"edits"`
-	}
-
-	// ChangeReply tells the revision at which a change is in force.
-	ChangeReply struct {
-		Revision uint64 `json:"revision"`
-	}
-
-	// HostStatus is one host of the system.
-	HostStatus struct {
-		Name            string `json:"name"`
-		FailureDomain   string `json:"failureDomain"`
-		ConfigRevision  uint64 `json:"configRevision"`
-		Draining        bool   `json:"draining"`
-		OperatorAddress string `json:"operatorAddress"`
-	}
-
-	// ServerStatus is one backend server.
-	ServerStatus struct {
-		ID            string `json:"id"`
-		Role          string `json:"role"`
-		Model         string `json:"model,omitempty"`
-		Service       string `json:"service,omitempty"`
-		FailureDomain string `json:"failureDomain"`
-		State         string `json:"state"`
-		SlotsUsed     int    `json:"slotsUsed"`
-		SlotsTotal    int    `json:"slotsTotal"`
+	// ErrorReply is the body of every error.
+	ErrorReply struct {
+		Code     string         `json:"code"`
+		Message  string         `json:"message"`
+		Conflict *ConflictReply `json:"conflict,omitempty"`
 	}
 
-	// Status is what one daemon knows.
-	Status struct {
-		Host           string         `json:"host"`
-		ConfigRevision uint64         `json:"configRevision"`
-		Hosts          []HostStatus   `json:"hosts"`
-		Servers        []ServerStatus `json:"servers"`
+	// ErrorKind is one reason to refuse, with its stable code and HTTP status.
+	ErrorKind struct {
+		Code    string
+		Status  int
+		Meaning string
 	}
+)
 
-	// ErrorReply is the body of every error.
-	ErrorReply struct {
-		Code    string `json:"code"`
-		Message string `json:"message"`
-	}
+var (
+	// Unauthorized means that the token is missing or wrong.
+	Unauthorized = ErrorKind{"unauthorized", http.StatusUnauthorized, "the operators' token is missing or wrong"}
+	// InvalidRequest means that the request can't be understood.
+	InvalidRequest = ErrorKind{"invalidRequest", http.StatusBadRequest, "the request can't be understood"}
+	// NotFound means that the entry does not exist.
+	NotFound = ErrorKind{"notFound", http.StatusNotFound, "the entry does not exist"}
+	// ConflictKind means that another operator changed the entry first.
+	ConflictKind = ErrorKind{"conflict", http.StatusConflict, "another operator changed the entry first; base and current revision are named"}
+	// InvalidConfiguration means that the changed configuration would not be valid.
+	InvalidConfiguration = ErrorKind{"invalidConfiguration", http.StatusUnprocessableEntity, "the configuration would not be valid; section and key are named; nothing was written"}
+	// NotSent means that a change was given up before it was written.
+	NotSent = ErrorKind{"notSent", http.StatusServiceUnavailable, "the platform can't be reached; nothing was written"}
+	// Unconfirmed means that a change may have been written.
+	Unconfirmed = ErrorKind{"unconfirmed", http.StatusServiceUnavailable, "the platform did not confirm the change; send it again with the same attempt token"}
+	// Unavailable means that the platform can't be read.
+	Unavailable = ErrorKind{"unavailable", http.StatusServiceUnavailable, "the platform can't be read now"}
 )
 
+// ErrorKinds returns all kinds, in the order of the reference page.
+func ErrorKinds() []ErrorKind {
+	return []ErrorKind{Unauthorized, InvalidRequest, NotFound, ConflictKind, InvalidConfiguration, NotSent, Unconfirmed, Unavailable}
+}
+
 // New returns a handler that accepts the bearer token.
-func New(token string, configuration Config, membership Membership, directory Directory, readiness Readiness, reports Reports, set *metrics.Set) *Handler {
+func New(token string, configuration Config, membership Membership, directory Directory, readiness Readiness, requests Requests, reports Reports, set *metrics.Set) *Handler {
 	return &Handler{
-		token: token, config: configuration, membership: membership, directory: directory, readiness: readiness, reports: reports, set: set,
+		token: token, config: configuration, membership: membership, directory: directory, readiness: readiness,
+		requests: requests, reports: reports, set: set,
 	}
 }
 
@@ -134,6 +128,9 @@
 	api.GET("/entries", h.listEntries)
 	api.GET("/entries/:kind/:name", h.getEntry)
 	api.POST("/changes", h.change)
+	api.POST("/checks", h.check)
+	api.GET("/history", h.history)
+	api.GET("/version", h.version)
 	api.GET("/status", h.status)
 	api.GET("/report/burn", h.reportBurn)
 }
@@ -141,7 +138,7 @@
 func (h *Handler) authenticate(c *gin.Context) {
 	given := strings.TrimPrefix(c.GetHeader("Authorization"), "Bearer ")
 	if subtle.ConstantTimeCompare([]byte(given), []byte(h.token)) != 1 {
-		abort(c, http.StatusUnauthorized, "unauthorized", "the operators' token is missing or wrong")
+		abort(c, Unauthorized, Unauthorized.Meaning)
 	}
 }
 
@@ -159,87 +156,10 @@
 	metrics.WriteProcessMetrics(c.Writer)
 }
 
-func (h *Handler) listEntries(c *gin.Context) {
-	kind := c.Query("kind")
-	entries := []Entry{}
-	for _, e := range h.config.Current().List() {
-		if kind == "" || string(e.Kind) == kind {
-			entries = append(entries, entryOf(e))
-		}
-	}
-	c.JSON(http.StatusOK, entries)
-}
-
-func (h *Handler) getEntry(c *gin.Context) {
-	key := config.EntryKey{Kind: config.Kind(c.Param("kind")), Name: c.Param("name")}
-	e, ok := h.config.Current().Entries[key]
-	if !ok {
-		abort(c, http.StatusNotFound, "notFound", string(key.Kind)+" "+key.Name+" does not exist")
-		return
-	}
-	c.JSON(http.StatusOK, entryOf(e))
-}
-
-func (h *Handler) change(c *gin.Context) {
-	var request ChangeRequest
-	c.Request.Body = http.MaxBytesReader(c.Writer, c.Request.Body, maxBodyBytes)
-	if err := c.ShouldBindJSON(&request); err != nil {
-		abort(c, http.StatusBadRequest, "invalidRequest", err.Error())
-		return
-	}
-	change := config.Change{Author: request.Author, At: time.Now().UTC(), Attempt: uuid.NewString(), Edits: request.Edits}
-	revision, err := h.config.Commit(c.Request.Context(), change)
-	switch {
-	case errors.Is(err, config.ErrConflict):
-		abort(c, http.StatusConflict, "conflict", err.Error())
-	case errors.Is(err, config.ErrInvalid):
-		abort(c, http.StatusUnprocessableEntity, "invalidConfiguration", err.Error())
-	case err != nil:
-		abort(c, http.StatusServiceUnavailable, "unavailable", err.Error())
-	default:
-		c.JSON(http.StatusOK, ChangeReply{Revision: revision})
-	}
-}
-
-func (h *Handler) status(c *gin.Context) {
-	document := h.config.Current()
-	status := Status{Host: h.membership.Self().Name, ConfigRevision: document.Revision, Hosts: []HostStatus{}, Servers: []ServerStatus{}}
-	for _, s := range h.membership.Live(time.Now()) {
-		status.Hosts = append(status.Hosts, HostStatus{
-			Name: s.Host.Name, FailureDomain: s.Host.FailureDomain, ConfigRevision: s.ConfigRevision,
-			Draining: s.Draining, OperatorAddress: s.Host.OperatorAddress.String(),
-		})
-	}
-	loads := h.loads(document)
-	for _, server := range h.directory.Servers() {
-		load := loads[server.ID]
-		status.Servers = append(status.Servers, ServerStatus{
-			ID: server.ID, Role: string(server.Role), Model: server.Model, Service: server.Service,
-			FailureDomain: server.FailureDomain, State: string(server.State),
-			SlotsUsed: load.SlotsUsed, SlotsTotal: load.SlotsTotal,
-		})
-	}
-	c.JSON(http.StatusOK, status)
-}
-
 func (h *Handler) reportBurn(c *gin.Context) {
 	c.JSON(http.StatusOK, h.reports.Burn(c.Request.Context(), time.Now()))
 }
 
-func (h *Handler) loads(document *config.Document) map[string]backend.Load {
-	loads := map[string]backend.Load{}
-	for _, s := range document.Services {
-		for _, candidate := range h.directory.Candidates(s.Model) {
-			loads[candidate.Server.ID] = candidate.Load
-		}
-	}
-	return loads
-}
-
-func entryOf(e config.Entry) Entry {
-	return Entry{Kind: string(e.Kind), Name: e.Name, Text: e.Text, Revision: e.Revision}
-}
-
-func abort(c *gin.Context, status int, code, message string) {
-	c.AbortWithStatusJSON(status, ErrorReply{Code: code, Message: message})
+func abort(c *gin.Context, kind ErrorKind, message string) {
+	c.AbortWithStatusJSON(kind.Status, ErrorReply{Code: kind.Code, Message: message})
 }
--- /dev/null
+++ b/hickoryd/internal/telemetry/requests.go
@@ -0,0 +1,70 @@
+package telemetry
+
+import (
+	"sync"
+	"time"
+
+	"github.com/hickoryfront/hickoryfront/core/config"
+	"github.com/hickoryfront/hickoryfront/core/refusal"
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/caller"
+)
+
+// maxServices bounds the names that are counted: callers make names up.
+const maxServices = 10_000
+
+type (
+	// Requests counts the requests of each service on their way to another
+	// recorder. It is safe for concurrent use.
+	Requests struct {
+		caller.Recorder
+
+		mu       sync.Mutex
+		services map[string]requestCount
+	}
+
+	requestCount struct {
+		answered uint64
+		refused  uint64
+	}
+)
+
+// NewRequests returns a counter before next.
+func NewRequests(next caller.Recorder) *Requests {
+	return &Requests{Recorder: next, services: map[string]requestCount{}}
+}
+
+// Completion implements caller.Recorder.
+func (r *Requests) Completion(now time.Time, profile config.Profile, service string, timing caller.Timing) {
+	r.add(service, requestCount{answered: 1})
+	r.Recorder.Completion(now, profile, service, timing)
+}
+
+// Call implements caller.Recorder.
+func (r *Requests) Call(now time.Time, profile config.Profile, service string, took time.Duration, ok bool) {
+	r.add(service, requestCount{answered: 1})
+	r.Recorder.Call(now, profile, service, took, ok)
+}
+
+// Refused implements caller.Recorder.
+func (r *Requests) Refused(service string, refused *refusal.Refusal) {
+	r.add(service, requestCount{refused: 1})
+	r.Recorder.Refused(service, refused)
+}
+
+// Count returns the answered and the refused requests of a service.
+func (r *Requests) Count(service string) (answered, refused uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	count := r.services[service]
+	return count.answered, count.refused
+}
+
+func (r *Requests) add(service string, count requestCount) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	held, ok := r.services[service]
+	if !ok && len(r.services) >= maxServices {
+		return
+	}
+	r.services[service] = requestCount{answered: held.answered + count.answered, refused: held.refused + count.refused}
+}
