--- a/hickoryd/internal/node/node.go
+++ b/hickoryd/internal/node/node.go
@@ -111,7 +111,7 @@
 			newStore, newRegistration, newGate, newSync, newCanceller, newModels, newPlain, newRouter, newReservations, newAuditor,
 			home.NewCrashes, newPeers, newKeyed, newRecordings, peer.NewHomes,
 			newCaller, newOperator, newPeerService, newDrainWatch, newEngines, New,
-			telemetry.New, newKeeper, newReporter, service.New,
+			telemetry.New, newRequests, newKeeper, newReporter, service.New,
 		),
 		fx.Invoke(join, register),
 	)
@@ -303,7 +303,9 @@
 }
 
 func otherSeeds(s settings.Settings) []netip.AddrPort {
-	return slices.DeleteFunc(slices.Clone(s.Peers.Seeds), func(a netip.AddrPort) bool { return a == s.Listen.Peer })
+	return slices.DeleteFunc(slices.Clone(s.Peers.Seeds), func(a netip.AddrPort) bool {
+		return a == s.Listen.Peer || a == s.Listen.AdvertisedPeer()
+	})
 }
 
 func newCanceller(e engines, directory *backends.Directory, set *metrics.Set) *dispatch.Canceller {
@@ -322,12 +324,12 @@
 	return dispatch.NewPlain(client, directory, keyed)
 }
 
-func newCaller(s settings.Settings, models *dispatch.Models, plain *dispatch.Plain, keyed *dispatch.Keyed, client *service.Client, store *configstore.Store, gate *Gate, recorder *telemetry.Recorder) *caller.Handler {
-	return caller.New(models, plain, keyed, client, store, gate, recorder, s.Limits.Requests)
+func newCaller(s settings.Settings, models *dispatch.Models, plain *dispatch.Plain, keyed *dispatch.Keyed, client *service.Client, store *configstore.Store, gate *Gate, requests *telemetry.Requests) *caller.Handler {
+	return caller.New(models, plain, keyed, client, store, gate, requests, s.Limits.Requests)
 }
 
-func newOperator(s settings.Settings, store *configstore.Store, membership *peer.Membership, directory *backends.Directory, gate *Gate, reports *telemetry.Reporter, set *metrics.Set) *operator.Handler {
-	return operator.New(s.Auth.OperatorToken, store, membership, directory, gate, reports, set)
+func newOperator(s settings.Settings, store *configstore.Store, membership *peer.Membership, directory *backends.Directory, gate *Gate, requests *telemetry.Requests, reports *telemetry.Reporter, set *metrics.Set) *operator.Handler {
+	return operator.New(s.Auth.OperatorToken, store, membership, directory, gate, requests, reports, set)
 }
 
 func newPeerService(membership *peer.Membership, slots *home.Slots, reservations *home.Reservations, claims *home.Claims, crashes *home.Crashes, store *configstore.Store, recorder *telemetry.Recorder, recordings *dispatch.Recordings) *peerserver.Server {
@@ -347,6 +349,10 @@
 	return NewDrainWatch(s.Host.Name, store, shutdown, logger)
 }
 
+func newRequests(recorder *telemetry.Recorder) *telemetry.Requests {
+	return telemetry.NewRequests(recorder)
+}
+
 func newKeeper(recorder *telemetry.Recorder, self member.Host, kv *platform.Client, membership *peer.Membership, logger log.Interface, set *metrics.Set) *telemetry.Keeper {
 	return telemetry.NewKeeper(recorder, self, kv, membership, logger, set)
 }
