Seal claim journals against a home that comes back

First failing run: "second seal: 701 grants; want 1", and some hundred grants acknowledged after the seal. The sealer kept the home's own write token, so the home took the seal for its own write and wrote over it. A seal now has its own token.

Ruled out: a test of the fake only (the token check is the product's).

--- a/hickoryd/internal/journal/seal.go
+++ b/hickoryd/internal/journal/seal.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 
+	"github.com/google/uuid"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/hickoryfront/hickoryfront/core/claim"
@@ -60,6 +61,7 @@
 	newest, value := segments[len(segments)-1], values[len(values)-1]
 	if !newest.GetSealed() {
 		newest.Sealed = true
+		newest.Token = uuid.NewString() // the home must not take the seal for its own write
 		data, err := proto.Marshal(newest)
 		if err != nil {
 			return err
