Hand claims over at shutdown and bound their answers

A table keeps 32 MB of answers, a listing carries 16 MB; a dropped answer is asked of its owner first.

--- a/core/claim/claim.go
+++ b/core/claim/claim.go
@@ -25,6 +25,10 @@
 	NotHome
 )
 
+// maxAnswerBytes bounds the stored answers of one table together. The oldest go
+// first; their owners may still have them.
+const maxAnswerBytes = 32 << 20
+
 // ErrTableFull means that no more keys can be held until some expire.
 var ErrTableFull = errors.New("claim table is full")
 
@@ -73,8 +77,10 @@
 
 	// Table holds the grants of one home. It is not safe for concurrent use.
 	Table struct {
-		limit  int
-		grants map[Key]*Grant
+		limit    int
+		grants   map[Key]*Grant
+		answered []Key // keys with an answer, oldest first; may name others too
+		bytes    int   // of all answers
 	}
 )
 
@@ -94,6 +100,9 @@
 			return Undecided, Grant{}, ErrTableFull
 		}
 	}
+	if old, ok := t.grants[wanted.Key]; ok {
+		t.remove(old)
+	}
 	wanted.GrantedAt = now
 	t.grants[wanted.Key] = &wanted
 	return Granted, wanted, nil
@@ -117,13 +126,13 @@
 	}
 	g.Settled = true
 	g.Unknown = unknown
-	g.Answer = answer
+	t.setAnswer(g, answer)
 }
 
 // Withdraw drops a grant whose call did not reach any backend server.
 func (t *Table) Withdraw(key Key, requestID string) {
 	if g, ok := t.grants[key]; ok && g.RequestID == requestID && !g.Settled {
-		delete(t.grants, key)
+		t.remove(g)
 	}
 }
 
@@ -132,14 +141,18 @@
 // completes the grant that it belongs to.
 func (t *Table) Adopt(g Grant) {
 	held, ok := t.grants[g.Key]
-	switch {
-	case !ok:
-		t.grants[g.Key] = &g
-	case held.RequestID == g.RequestID && g.Settled && !held.Settled:
-		*held = g
-	case held.RequestID != g.RequestID && !held.Settled && g.GrantedAt.After(held.GrantedAt):
-		*held = g
+	completes := ok && held.RequestID == g.RequestID && g.Settled && !held.Settled
+	replaces := ok && held.RequestID != g.RequestID && !held.Settled && g.GrantedAt.After(held.GrantedAt)
+	if ok && !completes && !replaces {
+		return
+	}
+	if ok {
+		t.remove(held)
 	}
+	answer := g.Answer
+	g.Answer = nil
+	t.grants[g.Key] = &g
+	t.setAnswer(&g, answer)
 }
 
 // Grants returns all grants that have not expired, in no order.
@@ -158,13 +171,51 @@
 }
 
 func (t *Table) expire(now time.Time) {
-	for k, g := range t.grants {
+	for _, g := range t.grants {
 		if g.expired(now) {
-			delete(t.grants, k)
+			t.remove(g)
+		}
+	}
+}
+
+func (t *Table) remove(g *Grant) {
+	t.dropAnswer(g)
+	delete(t.grants, g.Key)
+}
+
+// setAnswer stores an answer and drops the oldest ones over the limit.
+func (t *Table) setAnswer(g *Grant, answer *Answer) {
+	t.dropAnswer(g)
+	if answer == nil {
+		return
+	}
+	g.Answer = answer
+	t.bytes += answer.size()
+	t.answered = append(t.answered, g.Key)
+	for t.bytes > maxAnswerBytes || len(t.answered) > 2*len(t.grants)+1 {
+		oldest, ok := t.grants[t.answered[0]]
+		t.answered = t.answered[1:]
+		if ok && t.bytes > maxAnswerBytes {
+			t.dropAnswer(oldest)
 		}
 	}
 }
 
+func (t *Table) dropAnswer(g *Grant) {
+	if g.Answer != nil {
+		t.bytes -= g.Answer.size()
+		g.Answer = nil
+	}
+}
+
+func (a *Answer) size() int {
+	size := len(a.Body)
+	for _, h := range a.Headers {
+		size += len(h.Name) + len(h.Value)
+	}
+	return size
+}
+
 func (g *Grant) expired(now time.Time) bool {
 	return now.Sub(g.GrantedAt) > g.Horizon+clockSkew
 }
--- a/core/claim/claim_test.go
+++ b/core/claim/claim_test.go
@@ -1,6 +1,7 @@
 package claim_test
 
 import (
+	"errors"
 	"testing"
 	"time"
 
@@ -38,3 +39,51 @@
 		}
 	})
 }
+
+// TestAnswersAreBounded settles more answers than a table keeps.
+func TestAnswersAreBounded(t *testing.T) {
+	const megabyte, keys = 1 << 20, 40
+	now := time.Unix(1000, 0)
+	table := claim.NewTable(100)
+	wanted := func(i int) claim.Grant {
+		return claim.Grant{Key: claim.Key{Value: string(rune('A' + i))}, RequestID: "first", Horizon: time.Hour}
+	}
+	for i := range keys {
+		if _, _, err := table.Claim(now, wanted(i)); err != nil {
+			t.Fatal(err)
+		}
+		table.Settle(wanted(i).Key, "first", &claim.Answer{Status: 200, Body: make([]byte, megabyte)}, false)
+	}
+	kept := 0
+	for i := range keys {
+		again := wanted(i)
+		again.RequestID = "second"
+		outcome, _, err := table.Claim(now, again)
+		switch {
+		case err != nil || outcome == claim.Granted:
+			t.Errorf("key %d: outcome %d, %v", i, outcome, err)
+		case outcome == claim.Settled:
+			kept++
+		}
+	}
+	if kept != 32 {
+		t.Errorf("%d answers are kept, want 32", kept)
+	}
+}
+
+// TestFullTableRefuses claims more keys than a table holds.
+func TestFullTableRefuses(t *testing.T) {
+	now := time.Unix(1000, 0)
+	table := claim.NewTable(1)
+	first := claim.Grant{Key: claim.Key{Value: "a"}, RequestID: "1", Horizon: time.Minute}
+	second := claim.Grant{Key: claim.Key{Value: "b"}, RequestID: "2", Horizon: time.Minute}
+	if outcome, _, err := table.Claim(now, first); outcome != claim.Granted || err != nil {
+		t.Fatalf("first: %d, %v", outcome, err)
+	}
+	if outcome, _, err := table.Claim(now, second); outcome != claim.Undecided || !errors.Is(err, claim.ErrTableFull) {
+		t.Errorf("second: %d, %v", outcome, err)
+	}
+	if outcome, _, err := table.Claim(now.Add(2*time.Minute), second); outcome != claim.Granted || err != nil {
+		t.Errorf("second, after the horizon of the first: %d, %v", outcome, err)
+	}
+}
--- a/core/claim/home.go
+++ b/core/claim/home.go
@@ -8,6 +8,9 @@
 	"github.com/hickoryfront/hickoryfront/core/ring"
 )
 
+// maxListedAnswers bounds the stored answers in one listing.
+const maxListedAnswers = 16 << 20
+
 var (
 	// ErrNotHome means that another daemon is the home of the key.
 	ErrNotHome = errors.New("not the home of this key")
@@ -182,10 +185,18 @@
 		return Listing{}, ErrStaleEpoch
 	}
 	listing := Listing{Owner: h.self, Epoch: epoch}
+	answers := 0
 	for _, g := range h.table.Grants(now) {
-		if h.home(epoch, g.Key) == asker {
-			listing.Grants = append(listing.Grants, g)
+		if h.home(epoch, g.Key) != asker {
+			continue
+		}
+		if g.Answer != nil {
+			answers += g.Answer.size()
+		}
+		if answers > maxListedAnswers {
+			g.Answer = nil
 		}
+		listing.Grants = append(listing.Grants, g)
 	}
 	for m, mode := range h.flags {
 		listing.Flags = append(listing.Flags, Flag{Member: m, Mode: mode})
--- a/hickoryd/internal/home/claims.go
+++ b/hickoryd/internal/home/claims.go
@@ -24,6 +24,9 @@
 	journalWrites = 160
 	// journalBurst lets a few writes go out at once after a pause.
 	journalBurst = 4
+	// handoverTimeout bounds how long a daemon that stops waits for the next
+	// homes. It covers two reads of the epoch.
+	handoverTimeout = 3 * time.Second
 )
 
 var (
@@ -67,11 +70,13 @@
 
 		mu          sync.Mutex
 		home        *claim.Home
+		former      *journal.Log // of the last membership, while this daemon is no home
 		log         *journal.Log
-		marked      uint64        // epoch up to which the journal says it is complete
-		fenced      bool          // this membership's journal is sealed
-		down        bool          // the platform did not take the last write
-		unjournaled []claim.Grant // granted with a witness, not in the journal yet
+		marked      uint64            // epoch up to which the journal says it is complete
+		fenced      bool              // this membership's journal is sealed
+		down        bool              // the platform did not take the last write
+		listedTo    map[string]uint64 // by host: epoch in which it last asked
+		unjournaled []claim.Grant     // granted with a witness, not in the journal yet
 
 		epochIndex   uint64 // platform's index of the epoch key
 		nextRead     time.Time
@@ -93,7 +98,7 @@
 	c := &Claims{
 		self: self, kv: kv, fleet: fleet, homes: homes, logger: logger, horizon: horizon,
 		limiter: rate.NewLimiter(journalWrites, journalBurst), hints: make(chan struct{}, 1),
-		home: claim.NewHome(self, limit), askedAt: map[claim.Member]time.Time{},
+		home: claim.NewHome(self, limit), askedAt: map[claim.Member]time.Time{}, listedTo: map[string]uint64{},
 		metrics: claimMetrics{
 			granted:   set.NewCounter(`hickoryfront_claims_total{result="granted"}`),
 			undecided: set.NewCounter(`hickoryfront_claims_total{result="undecided"}`),
@@ -202,6 +207,7 @@
 		newer := c.home.Epoch()
 		return claim.Listing{}, &newer
 	}
+	c.listedTo[asker] = epoch.Number
 	return listing, nil
 }
 
@@ -225,15 +231,53 @@
 	group.Wait()
 }
 
-// Close ends this daemon's journal, so that the next homes need to ask nobody.
+// Close hands the keys of a daemon that stops to the next homes and ends its
+// journal, so that nobody needs to ask about it. It waits for a bounded time
+// until the next homes have listed the grants and answers held here.
 func (c *Claims) Close(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, handoverTimeout)
+	defer cancel()
+	for !c.isHandedOver() && ctx.Err() == nil {
+		pause(ctx, epochTick)
+	}
 	c.mu.Lock()
-	complete := len(c.unjournaled) == 0 && c.log != nil && !c.fenced
 	current := c.log
+	if current == nil {
+		current = c.former
+	}
+	complete := len(c.unjournaled) == 0 && !c.fenced
 	c.fenced = true // nothing is granted from here on
 	c.mu.Unlock()
-	if complete {
-		_ = current.Close(ctx) // the next homes seal it otherwise
+	if complete && current != nil {
+		closeCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), journalTimeout)
+		defer cancel()
+		_ = current.Close(closeCtx) // the next homes seal it otherwise
+	}
+}
+
+// isHandedOver reports whether this daemon is no home any more and every home
+// of the epoch in force has listed what is held here.
+func (c *Claims) isHandedOver() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	epoch := c.home.Epoch()
+	if _, err := c.home.Member(); err == nil {
+		return false
+	}
+	for _, m := range epoch.Members {
+		if c.listedTo[m.Host] < epoch.Number {
+			return false
+		}
+	}
+	return true
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
 	}
 }
 
@@ -243,12 +287,18 @@
 		return
 	}
 	c.home.Want(now)
+	c.openLog()
+	c.limiter.SetLimit(rate.Limit(float64(journalWrites) / float64(max(1, len(epoch.Members)))))
+	c.logger.WithFields(log.Fields{"epoch": epoch.Number, "homes": len(epoch.Members)}).Info("claim epoch in force")
+}
+
+// openLog begins the journal of a new membership. The caller holds mu.
+func (c *Claims) openLog() {
 	m, err := c.home.Member()
-	if err != nil {
-		c.log = nil
-	} else if c.log == nil || c.log.Member() != m {
+	switch {
+	case err == nil && (c.log == nil || c.log.Member() != m):
 		c.log, c.fenced, c.marked = journal.NewLog(c.kv, m), false, 0
+	case err != nil && c.log != nil:
+		c.former, c.log = c.log, nil
 	}
-	c.limiter.SetLimit(rate.Limit(float64(journalWrites) / float64(max(1, len(epoch.Members)))))
-	c.logger.WithFields(log.Fields{"epoch": epoch.Number, "homes": len(epoch.Members)}).Info("claim epoch in force")
 }
--- a/hickoryd/internal/home/epochs.go
+++ b/hickoryd/internal/home/epochs.go
@@ -115,7 +115,7 @@
 	self, selfErr := c.home.Member()
 	c.mu.Unlock()
 	homes := epoch.PickHomes(live, maxHomes)
-	if !epoch.Differs(homes) && !fenced {
+	if len(homes) == 0 || !epoch.Differs(homes) && !fenced {
 		c.differsSince = time.Time{}
 		return
 	}
