--- a/core/claim/claim.go
+++ b/core/claim/claim.go
@@ -10,7 +10,8 @@
 const (
 	// Granted lets the asker run the call.
 	Granted Outcome = iota + 1
-	// Running means that another request of this key runs.
+	// Running means that another request of this key runs, or ran and only its
+	// owner may still have the answer.
 	Running
 	// Settled means that the call ran and its answer is stored.
 	Settled
@@ -20,8 +21,14 @@
 	BodyMismatch
 	// Undecided means that this home cannot decide now; nothing was run.
 	Undecided
+	// NotHome means that another daemon is the home of the key.
+	NotHome
 )
 
+// maxAnswerBytes bounds the stored answers of one table together. The oldest go
+// first; their owners may still have them.
+const maxAnswerBytes = 32 << 20
+
 // ErrTableFull means that no more keys can be held until some expire.
 var ErrTableFull = errors.New("claim table is full")
 
@@ -70,8 +77,10 @@
 
 	// Table holds the grants of one home. It is not safe for concurrent use.
 	Table struct {
-		limit  int
-		grants map[Key]*Grant
+		limit    int
+		grants   map[Key]*Grant
+		answered []Key // keys with an answer, oldest first; may name others too
+		bytes    int   // of all answers
 	}
 )
 
@@ -82,21 +91,32 @@
 
 // Claim decides on one key. The returned grant is the one that holds the key.
 func (t *Table) Claim(now time.Time, wanted Grant) (Outcome, Grant, error) {
-	held, ok := t.grants[wanted.Key]
-	if ok && !held.expired(now) {
-		return held.outcome(wanted), *held, nil
+	if held, ok := t.Lookup(now, wanted.Key); ok {
+		return held.outcome(wanted), held, nil
 	}
-	if !ok && len(t.grants) >= t.limit {
+	if len(t.grants) >= t.limit {
 		t.expire(now)
 		if len(t.grants) >= t.limit {
 			return Undecided, Grant{}, ErrTableFull
 		}
 	}
+	if old, ok := t.grants[wanted.Key]; ok {
+		t.remove(old)
+	}
 	wanted.GrantedAt = now
 	t.grants[wanted.Key] = &wanted
 	return Granted, wanted, nil
 }
 
+// Lookup returns the grant of a key that is within its horizon.
+func (t *Table) Lookup(now time.Time, key Key) (Grant, bool) {
+	held, ok := t.grants[key]
+	if !ok || held.expired(now) {
+		return Grant{}, false
+	}
+	return *held, true
+}
+
 // Settle stores how the call of requestID ended. A settle of another request
 // than the holder's is ignored.
 func (t *Table) Settle(key Key, requestID string, answer *Answer, unknown bool) {
@@ -106,27 +126,33 @@
 	}
 	g.Settled = true
 	g.Unknown = unknown
-	g.Answer = answer
+	t.setAnswer(g, answer)
 }
 
 // Withdraw drops a grant whose call did not reach any backend server.
 func (t *Table) Withdraw(key Key, requestID string) {
 	if g, ok := t.grants[key]; ok && g.RequestID == requestID && !g.Settled {
-		delete(t.grants, key)
+		t.remove(g)
 	}
 }
 
-// Adopt takes in a grant of an earlier home. It never replaces a held one,
-// but completes it with a stored answer.
+// Adopt takes in a grant of another home, even over the limit. A key that was
+// withdrawn and granted again is held by its newest grant; a stored answer
+// completes the grant that it belongs to.
 func (t *Table) Adopt(g Grant) {
 	held, ok := t.grants[g.Key]
-	if !ok {
-		t.grants[g.Key] = &g
+	completes := ok && held.RequestID == g.RequestID && g.Settled && !held.Settled
+	replaces := ok && held.RequestID != g.RequestID && !held.Settled && g.GrantedAt.After(held.GrantedAt)
+	if ok && !completes && !replaces {
 		return
 	}
-	if held.RequestID == g.RequestID && g.Settled && !held.Settled {
-		*held = g
+	if ok {
+		t.remove(held)
 	}
+	answer := g.Answer
+	g.Answer = nil
+	t.grants[g.Key] = &g
+	t.setAnswer(&g, answer)
 }
 
 // Grants returns all grants that have not expired, in no order.
@@ -145,15 +171,53 @@
 }
 
 func (t *Table) expire(now time.Time) {
-	for k, g := range t.grants {
+	for _, g := range t.grants {
 		if g.expired(now) {
-			delete(t.grants, k)
+			t.remove(g)
+		}
+	}
+}
+
+func (t *Table) remove(g *Grant) {
+	t.dropAnswer(g)
+	delete(t.grants, g.Key)
+}
+
+// setAnswer stores an answer and drops the oldest ones over the limit.
+func (t *Table) setAnswer(g *Grant, answer *Answer) {
+	t.dropAnswer(g)
+	if answer == nil {
+		return
+	}
+	g.Answer = answer
+	t.bytes += answer.size()
+	t.answered = append(t.answered, g.Key)
+	for t.bytes > maxAnswerBytes || len(t.answered) > 2*len(t.grants)+1 {
+		oldest, ok := t.grants[t.answered[0]]
+		t.answered = t.answered[1:]
+		if ok && t.bytes > maxAnswerBytes {
+			t.dropAnswer(oldest)
 		}
 	}
 }
 
+func (t *Table) dropAnswer(g *Grant) {
+	if g.Answer != nil {
+		t.bytes -= g.Answer.size()
+		g.Answer = nil
+	}
+}
+
+func (a *Answer) size() int {
+	size := len(a.Body)
+	for _, h := range a.Headers {
+		size += len(h.Name) + len(h.Value)
+	}
+	return size
+}
+
 func (g *Grant) expired(now time.Time) bool {
-	return now.Sub(g.GrantedAt) > g.Horizon
+	return now.Sub(g.GrantedAt) > g.Horizon+clockSkew
 }
 
 func (g *Grant) outcome(wanted Grant) Outcome {
@@ -164,7 +228,7 @@
 		return Granted
 	case g.Settled && g.Answer != nil:
 		return Settled
-	case g.Settled:
+	case g.Unknown:
 		return Unknown
 	default:
 		return Running
--- a/core/placement/reserving.go
+++ b/core/placement/reserving.go
@@ -1,7 +1,6 @@
 package placement
 
 import (
-	"math/rand/v2"
 	"time"
 
 	"github.com/hickoryfront/hickoryfront/core/backend"
@@ -32,7 +31,7 @@
 	// free slots, prefill servers by queue, uncached prompt and transfer.
 	Reserving struct {
 		options Options
-		random  *rand.Rand
+		random  func() float64 // in [0, 1)
 	}
 
 	// Options are the properties of the machines that placement reckons with.
@@ -49,8 +48,9 @@
 	}
 )
 
-// NewReserving returns a reserving policy.
-func NewReserving(options Options, random *rand.Rand) *Reserving {
+// NewReserving returns a reserving policy. It is safe for concurrent use if
+// random is.
+func NewReserving(options Options, random func() float64) *Reserving {
 	return &Reserving{options: options, random: random}
 }
 
@@ -116,7 +116,7 @@
 	if c.Server.FailureDomain != request.FailureDomain {
 		score += farOccupancy
 	}
-	return score + spread*p.random.Float64()
+	return score + spread*p.random()
 }
 
 func (p *Reserving) prefillScore(request Request, c *Candidate) float64 {
@@ -126,7 +126,7 @@
 	if c.Server.FailureDomain != request.FailureDomain {
 		score += farDelay
 	}
-	return score.Seconds() * (1 + spread*p.random.Float64())
+	return score.Seconds() * (1 + spread*p.random())
 }
 
 func (p *Reserving) work(request Request, c *Candidate) Work {
--- a/hickoryd/internal/caller/sink.go
+++ b/hickoryd/internal/caller/sink.go
@@ -1,20 +1,28 @@
 package caller
 
 import (
+	"context"
 	"encoding/json"
+	"errors"
 	"net/http"
 	"strings"
 	"time"
 
-	"github.com/gin-gonic/gin"
-
 	"github.com/hickoryfront/hickoryfront/core/answer"
 	"github.com/hickoryfront/hickoryfront/core/prefix"
 )
 
-// sink writes one answer to its caller, streamed or whole.
+// errSlowReader means that the caller has not read its answer for too long.
+var errSlowReader = errors.New("caller reads too slowly")
+
+// sink writes one answer to its caller, streamed or whole. What the caller has
+// not read yet is kept by its connection only. The time that writes wait for
+// the caller is limited over the whole answer, so that a caller which reads a
+// byte now and then can't hold an engine's slot either.
 type sink struct {
-	context  *gin.Context
+	ctx      context.Context
+	to       http.ResponseWriter
+	patience time.Duration // for writes, what is left of it
 	id       string
 	body     parsedBody
 	arrived  time.Time
@@ -26,8 +34,8 @@
 	worstGap time.Duration
 }
 
-func newSink(c *gin.Context, id string, body parsedBody, arrived time.Time) *sink {
-	return &sink{context: c, id: id, body: body, arrived: arrived}
+func newSink(ctx context.Context, to http.ResponseWriter, id string, body parsedBody, arrived time.Time, patience time.Duration) *sink {
+	return &sink{ctx: ctx, to: to, id: id, body: body, arrived: arrived, patience: patience}
 }
 
 // Token implements dispatch.Sink.
@@ -43,7 +51,7 @@
 	s.tokens++
 	if !s.body.stream {
 		s.text.WriteString(token.Text)
-		return s.context.Request.Context().Err()
+		return s.ctx.Err()
 	}
 	if !s.started {
 		s.begin()
@@ -53,13 +61,20 @@
 
 // finish completes the answer.
 func (s *sink) finish(now time.Time) {
+	defer s.limitWrites(time.Time{})
 	if s.body.stream {
-		s.write(endOfStream)
+		_ = s.write(endOfStream) // the caller may be gone
 		return
 	}
+	s.limitWrites(now.Add(s.patience))
 	prompt := prefix.Tokens(s.body.prompt)
 	counts := usage{PromptTokens: prompt, CompletionTokens: s.tokens, TotalTokens: prompt + s.tokens}
-	s.context.JSON(http.StatusOK, s.body.whole(s.id, now, s.text.String(), counts))
+	data, err := json.Marshal(s.body.whole(s.id, now, s.text.String(), counts))
+	if err != nil {
+		return
+	}
+	s.to.Header().Set("Content-Type", "application/json; charset=utf-8")
+	_, _ = s.to.Write(data) // the caller may be gone
 }
 
 func (s *sink) timing(now time.Time, ok bool) Timing {
@@ -72,10 +87,10 @@
 
 func (s *sink) begin() {
 	s.started = true
-	header := s.context.Writer.Header()
+	header := s.to.Header()
 	header.Set("Content-Type", "text/event-stream")
 	header.Set("Cache-Control", "no-cache")
-	s.context.Writer.WriteHeader(http.StatusOK)
+	s.to.WriteHeader(http.StatusOK)
 }
 
 func (s *sink) event(value any) error {
@@ -87,9 +102,23 @@
 }
 
 func (s *sink) write(data string) error {
-	if _, err := s.context.Writer.WriteString("data: " + data + "\n\n"); err != nil {
+	started := time.Now()
+	if s.patience <= 0 {
+		return errSlowReader
+	}
+	s.limitWrites(started.Add(s.patience))
+	defer func() { s.patience -= time.Since(started) }()
+	if _, err := s.to.Write([]byte("data: " + data + "\n\n")); err != nil {
+		return err
+	}
+	err := http.NewResponseController(s.to).Flush()
+	if err != nil && !errors.Is(err, http.ErrNotSupported) {
 		return err
 	}
-	s.context.Writer.Flush()
-	return s.context.Request.Context().Err()
+	return s.ctx.Err()
+}
+
+// limitWrites lets writes fail after the deadline. Zero takes the limit away.
+func (s *sink) limitWrites(deadline time.Time) {
+	_ = http.NewResponseController(s.to).SetWriteDeadline(deadline) // a recording takes no deadline
 }
--- a/hickoryd/internal/peerserver/server.go
+++ b/hickoryd/internal/peerserver/server.go
@@ -9,9 +9,8 @@
 	"google.golang.org/protobuf/types/known/timestamppb"
 
 	"github.com/hickoryfront/hickoryfront/core/backend"
-	"github.com/hickoryfront/hickoryfront/core/claim"
+	"github.com/hickoryfront/hickoryfront/core/crash"
 	"github.com/hickoryfront/hickoryfront/core/slot"
-	"github.com/hickoryfront/hickoryfront/hickoryd/internal/home"
 	"github.com/hickoryfront/hickoryfront/peerapi"
 )
 
@@ -34,12 +33,11 @@
 		Held(requestIDs []string) []string
 	}
 
-	// Claims grants the keys whose home is this daemon.
-	Claims interface {
-		Claim(now time.Time, wanted claim.Grant) (claim.Outcome, claim.Grant, error)
-		Settle(key claim.Key, requestID string, answer *claim.Answer, unknown bool)
-		Withdraw(key claim.Key, requestID string)
-		Grants(now time.Time) []claim.Grant
+	// Crashes knows the fingerprints whose home is this daemon.
+	Crashes interface {
+		CheckLocal(now time.Time, fingerprint uint64) crash.Verdict
+		ReportLocal(now time.Time, fingerprint uint64, serverID string) crash.Verdict
+		SurvivedLocal(now time.Time, fingerprint uint64)
 	}
 
 	// Config hands out what brings a peer to the configuration in force.
@@ -58,8 +56,10 @@
 		Slots      Slots
 		Holdings   Holdings
 		Claims     Claims
+		Crashes    Crashes
 		Config     Config
 		Burn       Burn
+		Answers    Answers
 	}
 
 	// Server implements the Peer service.
@@ -69,8 +69,10 @@
 		slots      Slots
 		holdings   Holdings
 		claims     Claims
+		crashes    Crashes
 		config     Config
 		burn       Burn
+		answers    Answers
 	}
 )
 
@@ -81,8 +83,10 @@
 		slots:      parts.Slots,
 		holdings:   parts.Holdings,
 		claims:     parts.Claims,
+		crashes:    parts.Crashes,
 		config:     parts.Config,
 		burn:       parts.Burn,
+		answers:    parts.Answers,
 	}
 }
 
@@ -133,37 +137,6 @@
 	}, nil
 }
 
-// Claim implements the Peer service.
-func (s *Server) Claim(_ context.Context, request *peerapi.ClaimRequest) (*peerapi.ClaimResponse, error) {
-	now := time.Now()
-	outcome, grant, err := s.claims.Claim(now, home.GrantFromRequest(now, request))
-	if err != nil {
-		return &peerapi.ClaimResponse{Outcome: peerapi.ClaimResponse_OUTCOME_UNDECIDED}, nil
-	}
-	return home.ClaimResponse(outcome, grant), nil
-}
-
-// Settle implements the Peer service.
-func (s *Server) Settle(_ context.Context, request *peerapi.SettleRequest) (*peerapi.SettleResponse, error) {
-	key := home.KeyFromWire(request.GetKey())
-	if request.GetNotRun() {
-		s.claims.Withdraw(key, request.GetRequestId())
-		return &peerapi.SettleResponse{}, nil
-	}
-	s.claims.Settle(key, request.GetRequestId(), home.AnswerFromWire(request.GetAnswer()), request.GetUnknown())
-	return &peerapi.SettleResponse{}, nil
-}
-
-// ListGrants implements the Peer service.
-func (s *Server) ListGrants(_ context.Context, _ *peerapi.ListGrantsRequest) (*peerapi.ListGrantsResponse, error) {
-	held := s.claims.Grants(time.Now())
-	grants := make([]*peerapi.Grant, 0, len(held))
-	for _, g := range held {
-		grants = append(grants, home.GrantToWire(g))
-	}
-	return &peerapi.ListGrantsResponse{Grants: grants}, nil
-}
-
 // FetchConfig implements the Peer service.
 func (s *Server) FetchConfig(_ context.Context, request *peerapi.FetchConfigRequest) (*peerapi.FetchConfigResponse, error) {
 	update, revision, err := s.config.UpdateAfter(time.Now(), request.GetAfter())
@@ -182,6 +155,23 @@
 	return &peerapi.BurnResponse{Snapshot: data}, nil
 }
 
+// ReportCrash implements the Peer service.
+func (s *Server) ReportCrash(_ context.Context, request *peerapi.ReportCrashRequest) (*peerapi.ReportCrashResponse, error) {
+	now := time.Now()
+	if request.GetSurvived() {
+		s.crashes.SurvivedLocal(now, request.GetFingerprint())
+		return &peerapi.ReportCrashResponse{}, nil
+	}
+	verdict := s.crashes.ReportLocal(now, request.GetFingerprint(), request.GetServerId())
+	return &peerapi.ReportCrashResponse{Refused: verdict == crash.Refuse}, nil
+}
+
+// CheckFingerprint implements the Peer service.
+func (s *Server) CheckFingerprint(_ context.Context, request *peerapi.CheckFingerprintRequest) (*peerapi.CheckFingerprintResponse, error) {
+	verdict := s.crashes.CheckLocal(time.Now(), request.GetFingerprint())
+	return &peerapi.CheckFingerprintResponse{Refused: verdict == crash.Refuse, Isolate: verdict == crash.Isolate}, nil
+}
+
 func reserveOutcome(err error) peerapi.ReserveResponse_Outcome {
 	switch {
 	case err == nil:
