Keep one block in eight in the prefix index, and tell leaving from silent

Cause: lookups of long prompts send a hash of each block, and a digest of a silent server read as leaving, which the directory keeps for good. Wire fields for prefill reservations come with it.

--- a/core/backend/backend.go
+++ b/core/backend/backend.go
@@ -61,5 +61,6 @@
 		Batch          int           // requests in the batch of the last step
 		TokenGap       time.Duration // of the last step; 0: no step
 		Leaving        bool
+		Unreachable    bool // does not answer its home
 	}
 )
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -80,7 +80,7 @@
 }
 
 func (c Candidate) takes(role backend.Role) bool {
-	return c.Server.Role == role && c.Server.State == backend.StateLive && !c.Load.Leaving
+	return c.Server.Role == role && c.Server.State == backend.StateLive && !c.Load.Leaving && !c.Load.Unreachable
 }
 
 // split returns the indexes of the candidates that take new work, by role.
--- a/core/prefix/index.go
+++ b/core/prefix/index.go
@@ -5,9 +5,9 @@
 )
 
 const (
-	// sampleMask selects the blocks that the index keeps: one in four, chosen
+	// sampleMask selects the blocks that the index keeps: one in eight, chosen
 	// by the hash itself, so that feed and lookup agree without talking.
-	sampleMask = 3
+	sampleMask = 7
 	// uncertainty is the share of a hit that is expected while events are missing.
 	uncertainty = 0.8
 	// maxHoles is the number of missing samples in a row that ends a prefix
@@ -102,18 +102,26 @@
 	return 0
 }
 
-// Lookup returns the number of leading blocks that a server is expected to
-// hold of a prompt with these hashes.
-func (x *Index) Lookup(server string, hashes []uint64) int {
+// Sample returns the hashes of a prompt that the index keeps, and the number of
+// blocks that each of them ends.
+func Sample(hashes []uint64) (samples []uint64, blocks []int) {
+	for i, h := range hashes {
+		if h&sampleMask == 0 {
+			samples = append(samples, h)
+			blocks = append(blocks, i+1)
+		}
+	}
+	return samples, blocks
+}
+
+// Hits returns the number of leading samples that a server is expected to hold.
+func (x *Index) Hits(server string, samples []uint64) int {
 	c, ok := x.servers[server]
 	if !ok {
 		return 0
 	}
 	deepest, holes := 0, 0
-	for i, h := range hashes {
-		if h&sampleMask != 0 {
-			continue
-		}
+	for i, h := range samples {
 		if c.blocks.Contains(h) {
 			deepest, holes = i+1, 0
 			continue
@@ -129,6 +137,17 @@
 	return deepest
 }
 
+// Lookup returns the number of leading blocks that a server is expected to
+// hold of a prompt with these hashes.
+func (x *Index) Lookup(server string, hashes []uint64) int {
+	samples, blocks := Sample(hashes)
+	hits := x.Hits(server, samples)
+	if hits == 0 {
+		return 0
+	}
+	return blocks[hits-1]
+}
+
 func (x *Index) server(id string) *cached {
 	if c, ok := x.servers[id]; ok {
 		return c
--- a/core/slot/ledger.go
+++ b/core/slot/ledger.go
@@ -31,8 +31,12 @@
 
 	// Terms are what a holder asks of a reservation.
 	Terms struct {
-		Lifetime time.Duration
-		Isolated bool // no other isolated request may use the server meanwhile
+		Lifetime   time.Duration
+		Isolated   bool          // no other isolated request may use the server meanwhile
+		Deferrable bool          // leaves the last slots to interactive requests
+		Lead       time.Duration // until the request needs the slot
+		Overcommit float64       // share of the slots predicted free by then that it may count on
+		TokenGap   time.Duration // target, to which the batch is limited; 0: none
 	}
 
 	// Reservation is one granted slot.
@@ -43,9 +47,9 @@
 		Deadline   time.Time
 		KVBytes    uint64
 		Isolated   bool
-		Deferrable bool          // leaves the last slots to interactive requests
-		Lead       time.Duration // until the request needs the slot
-		Overcommit float64       // share of the slots predicted free by then that it may count on
+		Deferrable bool
+		Lead       time.Duration
+		Overcommit float64
 		renewedAt  time.Time
 	}
 
@@ -209,7 +213,8 @@
 		PrefillRate:    a.reported.PrefillRate,
 		Batch:          a.reported.Batch,
 		TokenGap:       a.reported.TokenGap,
-		Leaving:        a.leaving || a.unreachable,
+		Leaving:        a.leaving,
+		Unreachable:    a.unreachable,
 	}, true
 }
 
--- a/core/slot/prefill.go
+++ b/core/slot/prefill.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/hickoryfront/hickoryfront/core/backend"
@@ -118,21 +119,14 @@
 	q.headAt = now
 }
 
-// Expire drops the prefills whose holder is gone and returns them by server.
-func (l *PrefillLedger) Expire(alive func(Holder) bool) map[string][]Prefill {
-	expired := map[string][]Prefill{}
-	for id, q := range l.servers {
-		var kept []Prefill
-		for _, p := range q.granted {
-			if alive(p.Holder) {
-				kept = append(kept, p)
-				continue
-			}
-			expired[id] = append(expired[id], p)
-		}
-		q.granted = kept
+// Expire drops the prefills whose holder is gone and those older than limit,
+// which their holder has forgotten to release.
+func (l *PrefillLedger) Expire(now time.Time, limit time.Duration, alive func(Holder) bool) {
+	for _, q := range l.servers {
+		q.granted = slices.DeleteFunc(q.granted, func(p Prefill) bool {
+			return now.Sub(p.GrantedAt) > limit || !alive(p.Holder)
+		})
 	}
-	return expired
 }
 
 // Load returns the digest that the home publishes for a server.
@@ -145,7 +139,8 @@
 	load.ServerID = serverID
 	load.ObservedAt = now
 	load.PrefillBacklog = q.backlog(now, true)
-	load.Leaving = q.leaving || q.silent
+	load.Leaving = q.leaving
+	load.Unreachable = q.silent
 	return load, true
 }
 
--- a/hickoryd/internal/peer/convert.go
+++ b/hickoryd/internal/peer/convert.go
@@ -63,6 +63,9 @@
 		PrefillBacklog: durationpb.New(l.PrefillBacklog),
 		ObservedAt:     timestamppb.New(l.ObservedAt),
 		Leaving:        l.Leaving,
+		PrefillRate:    l.PrefillRate,
+		TokenGap:       durationpb.New(l.TokenGap),
+		Unreachable:    l.Unreachable,
 	}
 }
 
@@ -75,5 +78,8 @@
 		PrefillBacklog: l.GetPrefillBacklog().AsDuration(),
 		ObservedAt:     l.GetObservedAt().AsTime(),
 		Leaving:        l.GetLeaving(),
+		PrefillRate:    l.GetPrefillRate(),
+		TokenGap:       l.GetTokenGap().AsDuration(),
+		Unreachable:    l.GetUnreachable(),
 	}
 }
