Reserve prefills at their homes, and limit batches by the learned token gap

Cause: the daemon's homes knew slots only; prefill queues were chosen by late reports, and nothing kept a batch within its token gap. Ruled out: a second RPC; Reserve carries the prefill. Conclusion: engines report batch, gap and prefill rate with their load.

--- a/core/slot/ledger.go
+++ b/core/slot/ledger.go
@@ -50,6 +50,7 @@
 		Deferrable bool
 		Lead       time.Duration
 		Overcommit float64
+		TokenGap   time.Duration
 		renewedAt  time.Time
 	}
 
--- a/hickoryd/engine/client.go
+++ b/hickoryd/engine/client.go
@@ -111,6 +111,9 @@
 		SlotsUsed:      reply.SlotsUsed,
 		SlotsTotal:     reply.SlotsTotal,
 		PrefillBacklog: time.Duration(reply.PrefillBacklogMS) * time.Millisecond,
+		PrefillRate:    reply.PrefillRate,
+		Batch:          reply.Batch,
+		TokenGap:       time.Duration(reply.TokenGapUS) * time.Microsecond,
 		Leaving:        reply.Leaving,
 	}, nil
 }
--- a/hickoryd/engine/wire.go
+++ b/hickoryd/engine/wire.go
@@ -118,6 +118,9 @@
 		SlotsUsed        int       `json:"slotsUsed"`
 		SlotsTotal       int       `json:"slotsTotal"`
 		PrefillBacklogMS int64     `json:"prefillBacklogMs"`
+		PrefillRate      float64   `json:"prefillRate"` // tokens per second
+		Batch            int       `json:"batch"`       // requests of the last step
+		TokenGapUS       int64     `json:"tokenGapUs"`  // of the last step
 		Leaving          bool      `json:"leaving"`
 	}
 
--- a/hickoryd/internal/home/reservations.go
+++ b/hickoryd/internal/home/reservations.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"google.golang.org/protobuf/types/known/durationpb"
 
 	"github.com/hickoryfront/hickoryfront/core/backend"
 	"github.com/hickoryfront/hickoryfront/core/slot"
@@ -252,14 +251,14 @@
 }
 
 func (r *Reservations) request(serverID, requestID string, terms slot.Terms) *peerapi.ReserveRequest {
-	return &peerapi.ReserveRequest{
-		ServerId: serverID, RequestId: requestID, Holder: peer.HostToWire(r.peers.Self()),
-		Lifetime: durationpb.New(terms.Lifetime), Isolated: terms.Isolated,
-	}
+	return peer.SlotRequest(serverID, requestID, terms, r.peers.Self())
 }
 
 func (r *Reservations) reservation(now time.Time, requestID string, terms slot.Terms) slot.Reservation {
-	return slot.Reservation{RequestID: requestID, Holder: r.Holder(), Deadline: now.Add(terms.Lifetime), Isolated: terms.Isolated}
+	return slot.Reservation{
+		RequestID: requestID, Holder: r.Holder(), Deadline: now.Add(terms.Lifetime), Isolated: terms.Isolated,
+		Deferrable: terms.Deferrable, Lead: terms.Lead, Overcommit: terms.Overcommit, TokenGap: terms.TokenGap,
+	}
 }
 
 func (r *Reservations) hold(requestID string) {
--- a/hickoryd/internal/home/slots.go
+++ b/hickoryd/internal/home/slots.go
@@ -11,6 +11,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
 
+	"github.com/hickoryfront/hickoryfront/core/admission"
 	"github.com/hickoryfront/hickoryfront/core/backend"
 	"github.com/hickoryfront/hickoryfront/core/member"
 	"github.com/hickoryfront/hickoryfront/core/ring"
@@ -63,6 +64,9 @@
 
 		mu         sync.Mutex
 		ledger     *slot.Ledger
+		prefills   *slot.PrefillLedger
+		gaps       map[string]*admission.GapModel // by server
+		gapTargets map[string]time.Duration       // by server, of the newest request
 		servers    map[string]backend.Server
 		reclaiming map[string]bool // by request id
 	}
@@ -79,6 +83,9 @@
 		refused:    set.NewCounter(`hickoryfront_reservations_total{result="refused"}`),
 		reclaimed:  set.NewCounter(`hickoryfront_reservations_reclaimed_total`),
 		ledger:     slot.New(),
+		prefills:   slot.NewPrefillLedger(),
+		gaps:       map[string]*admission.GapModel{},
+		gapTargets: map[string]time.Duration{},
 		servers:    map[string]backend.Server{},
 		reclaiming: map[string]bool{},
 	}
@@ -96,13 +103,16 @@
 	if _, ok := s.servers[serverID]; !ok {
 		return backend.Load{}, ErrNotHome
 	}
+	if r.TokenGap > 0 {
+		s.gapTargets[serverID] = r.TokenGap
+	}
 	err := s.ledger.Reserve(now, serverID, r)
 	if err != nil {
 		s.refused.Inc()
 	} else {
 		s.granted.Inc()
 	}
-	load, _ := s.ledger.Load(now, serverID)
+	load, _ := s.digest(now, serverID)
 	return load, err
 }
 
@@ -117,7 +127,9 @@
 func (s *Slots) Release(serverID, requestID string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.ledger.Release(time.Now(), serverID, requestID)
+	now := time.Now()
+	s.ledger.Release(now, serverID, requestID)
+	s.prefills.Release(now, serverID, requestID)
 }
 
 // LocalLoads returns the digests of the servers whose home is this daemon.
@@ -126,7 +138,7 @@
 	defer s.mu.Unlock()
 	loads := make([]backend.Load, 0, len(s.servers))
 	for id := range s.servers {
-		if load, ok := s.ledger.Load(now, id); ok {
+		if load, ok := s.digest(now, id); ok {
 			loads = append(loads, load)
 		}
 	}
@@ -163,17 +175,22 @@
 			mine[server.ID] = server
 		}
 	}
+	alive := s.aliveAt(now)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for id := range s.servers {
 		if _, ok := mine[id]; !ok {
-			s.ledger.Forget(id)
+			s.forgetServer(id)
 		}
 	}
 	for _, server := range mine {
 		s.ledger.Track(server)
+		if server.Role == backend.RolePrefill {
+			s.prefills.Track(server)
+		}
 	}
 	s.servers = mine
+	s.prefills.Expire(now, prefillLimit, alive)
 }
 
 func (s *Slots) readLoads(ctx context.Context) {
@@ -249,12 +266,12 @@
 	load, err := r.slots.engines.Load(ctx, r.server)
 	r.slots.mu.Lock()
 	r.slots.ledger.SetReachable(r.server.ID, err == nil)
+	r.slots.prefills.SetReachable(r.server.ID, err == nil)
 	if err != nil {
 		r.slots.mu.Unlock()
 		return
 	}
-	r.slots.ledger.Observe(load)
-	digest, ok := r.slots.ledger.Load(time.Now(), r.server.ID)
+	digest, ok := r.slots.observe(time.Now(), r.server, load)
 	r.slots.mu.Unlock()
 	if ok {
 		r.slots.directory.ObserveRemote(digest)
--- a/hickoryd/internal/peerserver/server.go
+++ b/hickoryd/internal/peerserver/server.go
@@ -6,11 +6,10 @@
 	"errors"
 	"time"
 
-	"google.golang.org/protobuf/types/known/timestamppb"
-
 	"github.com/hickoryfront/hickoryfront/core/backend"
 	"github.com/hickoryfront/hickoryfront/core/crash"
 	"github.com/hickoryfront/hickoryfront/core/slot"
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/peer"
 	"github.com/hickoryfront/hickoryfront/peerapi"
 )
 
@@ -25,6 +24,7 @@
 		Reserve(now time.Time, serverID string, r slot.Reservation) (backend.Load, error)
 		Force(now time.Time, serverID string, r slot.Reservation)
 		Release(serverID, requestID string)
+		ReservePrefill(now time.Time, serverID string, p slot.Prefill) (backend.Load, error)
 	}
 
 	// Holdings tells which attempts this daemon holds.
@@ -98,13 +98,11 @@
 // Reserve implements the Peer service.
 func (s *Server) Reserve(_ context.Context, request *peerapi.ReserveRequest) (*peerapi.ReserveResponse, error) {
 	now := time.Now()
-	r := slot.Reservation{
-		RequestID: request.GetRequestId(),
-		Holder:    slot.Holder{Host: request.GetHolder().GetName(), Incarnation: request.GetHolder().GetIncarnation()},
-		Deadline:  now.Add(request.GetLifetime().AsDuration()),
-		KVBytes:   request.GetKvBytes(),
-		Isolated:  request.GetIsolated(),
+	if request.GetPrefill() != nil {
+		load, err := s.slots.ReservePrefill(now, request.GetServerId(), peer.PrefillFromWire(request))
+		return &peerapi.ReserveResponse{Outcome: reserveOutcome(err), Load: peer.LoadToWire(load)}, nil
 	}
+	r := peer.ReservationFromWire(now, request)
 	if request.GetForced() {
 		s.slots.Force(now, request.GetServerId(), r)
 		return &peerapi.ReserveResponse{Outcome: peerapi.ReserveResponse_OUTCOME_GRANTED}, nil
@@ -112,13 +110,7 @@
 	load, err := s.slots.Reserve(now, request.GetServerId(), r)
 	return &peerapi.ReserveResponse{
 		Outcome: reserveOutcome(err),
-		Load: &peerapi.ServerLoad{
-			ServerId:   request.GetServerId(),
-			SlotsUsed:  uint32(load.SlotsUsed),
-			SlotsTotal: uint32(load.SlotsTotal),
-			ObservedAt: timestamppb.New(load.ObservedAt),
-			Leaving:    load.Leaving,
-		},
+		Load:    peer.LoadToWire(load),
 	}, nil
 }
 
@@ -181,7 +173,9 @@
 	case errors.Is(err, slot.ErrLeaving):
 		return peerapi.ReserveResponse_OUTCOME_LEAVING
 	case errors.Is(err, slot.ErrUnreachable):
-		return peerapi.ReserveResponse_OUTCOME_FULL
+		return peerapi.ReserveResponse_OUTCOME_UNREACHABLE
+	case errors.Is(err, slot.ErrBacklog):
+		return peerapi.ReserveResponse_OUTCOME_BACKLOG
 	}
 	return peerapi.ReserveResponse_OUTCOME_NOT_HOME
 }
--- a/hickorylab/engine/engine.go
+++ b/hickorylab/engine/engine.go
@@ -120,6 +120,8 @@
 		at      time.Time
 		used    int
 		backlog time.Duration
+		batch   int
+		gap     time.Duration
 		leaving bool
 	}
 
@@ -344,7 +346,7 @@
 func (e *Engine) recordReport(now time.Time) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.reports = append(e.reports, report{at: now, used: e.running + len(e.waiting), backlog: e.backlog(now), leaving: e.leaving})
+	e.reports = append(e.reports, report{at: now, used: e.running + len(e.waiting), backlog: e.backlog(now), batch: e.running, gap: e.gap(), leaving: e.leaving})
 	for len(e.reports) > 1 && now.Sub(e.reports[1].at) >= e.options.LoadLag {
 		e.reports = e.reports[1:]
 	}
--- a/hickorylab/engine/http.go
+++ b/hickorylab/engine/http.go
@@ -260,13 +260,15 @@
 	now := time.Now()
 	reply := wire.LoadReply{
 		Incarnation: strconv.FormatInt(e.born.UnixNano(), 10), UptimeMS: now.Sub(e.born).Milliseconds(),
-		ObservedAt: now, SlotsTotal: e.options.Slots, Leaving: e.leaving,
+		ObservedAt: now, SlotsTotal: e.options.Slots, PrefillRate: float64(e.options.PrefillRate), Leaving: e.leaving,
 	}
 	if len(e.reports) > 0 {
 		oldest := e.reports[0]
 		reply.ObservedAt = oldest.at
 		reply.SlotsUsed = oldest.used
 		reply.PrefillBacklogMS = oldest.backlog.Milliseconds()
+		reply.Batch = oldest.batch
+		reply.TokenGapUS = oldest.gap.Microseconds()
 	}
 	writeJSON(w, reply)
 }
