Find what real processes break: stalls, dying engines, a second signal

Ruled out for the dying process: stale idle connections of the client (the transport repeats those by itself).

--- a/core/slot/audit.go
+++ b/core/slot/audit.go
@@ -50,6 +50,7 @@
 		return nil
 	}
 	a.running = map[string]bool{}
+	a.unanswered = false
 	questions := map[Holder][]string{}
 	for _, text := range running {
 		id, ours := ParseRequestID(text)
@@ -90,19 +91,24 @@
 	case HolderGone:
 		return granted || a.running[requestID]
 	case NoAnswer:
+		a.unanswered = true
 		return granted && now.After(r.Deadline)
 	}
 	return false
 }
 
 // AuditDue returns how long after the last audit the next one is due. Use
-// that no reservation explains, and reservations of dead holders, shorten it.
+// that no reservation explains, reservations of dead holders and questions
+// without an answer shorten it.
 func (l *Ledger) AuditDue(serverID string, alive func(Holder) bool) time.Duration {
 	const mismatchInterval = 3 * time.Second
 	a, ok := l.servers[serverID]
 	if !ok {
 		return RenewInterval
 	}
+	if a.unanswered {
+		return askInterval
+	}
 	for _, r := range a.granted {
 		if !alive(r.Holder) {
 			return askInterval
--- a/core/slot/ledger.go
+++ b/core/slot/ledger.go
@@ -58,6 +58,7 @@
 		reported    backend.Load
 		leaving     bool
 		unreachable bool
+		unanswered  bool                 // a question of the last audit
 		running     map[string]bool      // attempts of this system, as of the last audit
 		asked       map[string]time.Time // newest question about an attempt
 	}
--- a/hickoryd/internal/command/serve.go
+++ b/hickoryd/internal/command/serve.go
@@ -6,9 +6,6 @@
 	"flag"
 	"fmt"
 	"io"
-	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/apex/log"
@@ -80,10 +77,8 @@
 		return err
 	}
 	<-app.Wait()
-	stopping, cancel := context.WithTimeout(ctx, s.Limits.ShutdownPeriod)
+	stopping, cancel := context.WithTimeout(ctx, app.StopTimeout())
 	defer cancel()
-	stopping, release := signal.NotifyContext(stopping, os.Interrupt, syscall.SIGTERM)
-	defer release()
 	return app.Stop(stopping)
 }
 
--- a/hickoryd/internal/dispatch/attempt.go
+++ b/hickoryd/internal/dispatch/attempt.go
@@ -115,7 +115,7 @@
 			resumes = 0
 		}
 		if stream, err = a.resume(ctx, &resumes); err != nil {
-			r.failed[a.server.ID] = true
+			r.failed[a.server.ID] = time.Now()
 			r.checkLoss(ctx, a.server, started)
 			return err
 		}
--- a/hickoryd/internal/dispatch/crashes.go
+++ b/hickoryd/internal/dispatch/crashes.go
@@ -12,6 +12,7 @@
 
 const (
 	probeTimeout  = 300 * time.Millisecond
+	probeInterval = 10 * time.Millisecond
 	reportTimeout = time.Second
 )
 
@@ -27,27 +28,36 @@
 	return nil
 }
 
-// checkLoss reports a server that died while it ran this request.
-func (r *run) checkLoss(ctx context.Context, server backend.Server, started time.Time) {
+// checkLoss reports a server that died while it ran this request, and returns
+// whether it did.
+func (r *run) checkLoss(ctx context.Context, server backend.Server, started time.Time) bool {
 	if !r.isLost(ctx, server, started) {
-		return
+		return false
 	}
 	r.models.counters.crashes.Inc()
 	report, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	r.models.crashes.Report(report, time.Now(), r.fingerprint, server.ID)
+	return true
 }
 
 // isLost reports whether a server has died since a call began: it refuses
-// connections, or its life is shorter than the call.
+// connections, or its life is shorter than the call. A process that is just
+// ending may still accept a connection and break it, so that is asked again.
 func (r *run) isLost(ctx context.Context, server backend.Server, since time.Time) bool {
 	probe, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	uptime, err := r.models.engines.Uptime(probe, server)
-	if err != nil {
-		return errors.Is(err, engine.ErrNotSent) && probe.Err() == nil
+	for probe.Err() == nil {
+		uptime, err := r.models.engines.Uptime(probe, server)
+		switch {
+		case err == nil:
+			return uptime < time.Since(since)
+		case errors.Is(err, engine.ErrNotSent):
+			return probe.Err() == nil
+		}
+		_ = wait(probe, probeInterval) // ends with probe at the latest
 	}
-	return uptime < time.Since(since)
+	return false
 }
 
 // survived clears the suspicion after a whole run in isolation.
--- a/hickoryd/internal/dispatch/failed.go
+++ b/hickoryd/internal/dispatch/failed.go
@@ -1,29 +1,30 @@
 package dispatch
 
 import (
-	"cmp"
 	"slices"
+	"time"
 
 	"github.com/hickoryfront/hickoryfront/core/backend"
 	"github.com/hickoryfront/hickoryfront/core/placement"
 )
 
-// failedServers are the servers that failed one request.
-type failedServers map[string]bool
+// failedPause is the time for which a request leaves a server alone that has
+// failed it. Its home has noticed by then, if the server is gone.
+const failedPause = time.Second
 
-// moveLast lets a plan try the servers that failed after all others.
-func (f failedServers) moveLast(plan placement.Plan) {
+// failedServers are the servers that failed one request, with the time.
+type failedServers map[string]time.Time
+
+// leaveOut removes the servers from a plan that have failed just now.
+func (f failedServers) leaveOut(now time.Time, plan placement.Plan) placement.Plan {
 	if len(f) == 0 {
-		return
+		return plan
 	}
-	order := func(a, b backend.Server) int { return cmp.Compare(f.rank(a), f.rank(b)) }
-	slices.SortStableFunc(plan.Decode, order)
-	slices.SortStableFunc(plan.Prefill, order)
-}
-
-func (f failedServers) rank(server backend.Server) int {
-	if f[server.ID] {
-		return 1
+	failed := func(server backend.Server) bool {
+		at, ok := f[server.ID]
+		return ok && now.Sub(at) < failedPause
 	}
-	return 0
+	plan.Decode = slices.DeleteFunc(plan.Decode, failed)
+	plan.Prefill = slices.DeleteFunc(plan.Prefill, failed)
+	return plan
 }
--- a/hickoryd/internal/dispatch/fakes_test.go
+++ b/hickoryd/internal/dispatch/fakes_test.go
@@ -56,6 +56,8 @@
 		cancels  []step
 		leaving  map[string]bool
 		forced   int
+		empty    bool   // no server is listed
+		source   string // of the newest prefill, where a hook keeps it
 	}
 
 	// fakeStream yields the tokens from offset on, one each gap. It does ending
@@ -218,6 +220,9 @@
 
 func (l *lab) Candidates(string) []placement.Candidate {
 	var candidates []placement.Candidate
+	if l.empty {
+		return nil
+	}
 	for _, id := range []string{"decode-1", "decode-2", "decode-3"} {
 		candidates = append(candidates, placement.Candidate{Server: backend.Server{ID: id, Role: backend.RoleDecode, State: backend.StateLive, Slots: 20}})
 	}
--- a/hickoryd/internal/dispatch/force.go
+++ b/hickoryd/internal/dispatch/force.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/hickoryfront/hickoryfront/core/backend"
+	"github.com/hickoryfront/hickoryfront/core/placement"
 	"github.com/hickoryfront/hickoryfront/core/slot"
 )
 
@@ -52,3 +53,11 @@
 func isHomeSilent(err error) bool {
 	return errors.Is(err, slot.ErrNoHome)
 }
+
+// noSlotError tells full servers from none that could be asked.
+func noSlotError(plan placement.Plan) error {
+	if len(plan.Decode) == 0 {
+		return errNoServer
+	}
+	return errNoSlot
+}
--- a/hickoryd/internal/dispatch/model.go
+++ b/hickoryd/internal/dispatch/model.go
@@ -3,6 +3,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"time"
@@ -126,6 +127,7 @@
 var (
 	errCallerGone     = errors.New("caller is gone")
 	errNoSlot         = errors.New("no slot within the profile's maxWait")
+	errNoServer       = errors.New("no engine is live")
 	errCrashesServers = errors.New("requests like this one crash the engines that run them")
 	errTimeout        = errors.New("no answer in time")
 )
@@ -167,18 +169,24 @@
 	}
 	defer r.dropKV()
 	m.budget.Deposit(request.Service.Name, request.Profile.RetryRatio)
+	var last error
 	for attempts := 1; ; attempts++ {
 		err := r.try(ctx)
 		if err == nil {
 			r.survived()
 			return nil
 		}
+		noServer := errors.Is(err, errNoServer)
+		if noServer {
+			err = cmp.Or(last, err)
+		}
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
-		if attempts == maxAttempts || !r.mayRetry(err) {
+		if noServer || attempts == maxAttempts || !r.mayRetry(err) {
 			return r.refuse(err)
 		}
+		last = err
 		m.counters.retried.Inc()
 	}
 }
@@ -204,7 +212,7 @@
 // mayRetry decides whether another attempt follows. Retries that cost an
 // engine work are taken from the service's budget.
 func (r *run) mayRetry(err error) bool {
-	for _, final := range []error{errCallerGone, errNoSlot, errCrashesServers, engine.ErrInvalid} {
+	for _, final := range []error{errCallerGone, errNoSlot, errNoServer, errCrashesServers, engine.ErrInvalid} {
 		if errors.Is(err, final) {
 			return false
 		}
@@ -233,6 +241,8 @@
 		return context.Canceled
 	case errors.Is(err, errNoSlot):
 		return r.refusal(refusal.Overloaded, "all engines of model %q are full; try again later", model).After(retryAfterFull)
+	case errors.Is(err, errNoServer):
+		return r.refusal(refusal.Unavailable, "no engine of model %q is live; try again later", model).After(retryAfterFull)
 	case errors.Is(err, errCrashesServers):
 		return r.refusal(refusal.CrashesServers, "%v; do not send it again", err)
 	case errors.Is(err, engine.ErrInvalid):
@@ -258,7 +268,7 @@
 		r.models.directory.SetLeaving(server.ID)
 	}
 	if err != nil && !errors.Is(err, engine.ErrGone) && !errors.Is(err, engine.ErrTransfer) {
-		r.failed[server.ID] = true
+		r.failed[server.ID] = time.Now()
 	}
 }
 
--- a/hickoryd/internal/dispatch/model_test.go
+++ b/hickoryd/internal/dispatch/model_test.go
@@ -107,6 +107,21 @@
 				return whole(), nil
 			}
 		}, 2, 3, 0, 6 * time.Second},
+		"transfer stalls until the KV is evicted": {longPrompt, func(l *lab) {
+			l.onPrefill = func(_ context.Context, server string, _ int) error {
+				l.source = server
+				return nil
+			}
+			l.onDecode = func(ctx context.Context, _ string, n int) (*fakeStream, error) {
+				switch {
+				case l.source == "prefill-1" && n%2 == 1:
+					return nil, hang(ctx)
+				case l.source == "prefill-1":
+					return nil, engine.ErrGone
+				}
+				return whole(), nil
+			}
+		}, 2, 3, 0, 4 * time.Second},
 		"source of the KV died": {longPrompt, func(l *lab) {
 			l.onDecode = firstDecode(nil, engine.ErrTransfer)
 			l.onUptime = func(string) (time.Duration, error) { return 0, engine.ErrNotSent }
--- a/hickoryd/internal/dispatch/prefill.go
+++ b/hickoryd/internal/dispatch/prefill.go
@@ -21,7 +21,12 @@
 	maxTransfers = 2
 )
 
-var errNoPrefill = errors.New("no prefill server is listed")
+var (
+	errNoPrefill = errors.New("no prefill server is to be had")
+	// errServerLost means that the server died while it ran the request: what
+	// may run next has to be decided anew.
+	errServerLost = errors.New("server lost")
+)
 
 // prefilled is the result of a prefill.
 type prefilled struct {
@@ -43,7 +48,7 @@
 	r.dropKV()
 	err := errNoPrefill
 	for i, server := range r.plan(time.Now()).Prefill {
-		if i > 0 && !r.mayRetry(err) {
+		if i > 0 && (errors.Is(err, errServerLost) || !r.mayRetry(err)) {
 			return err
 		}
 		if r.kv, err = r.prefill(ctx, server, attemptID, prompt); err == nil {
@@ -73,7 +78,9 @@
 	if errors.Is(err, engine.ErrBroken) || limited.Err() != nil {
 		r.models.counters.abandoned.Add(tokens)
 		r.models.canceller.Cancel(server, attemptID, nil)
-		r.checkLoss(ctx, server, started)
+		if r.checkLoss(ctx, server, started) {
+			return nil, fmt.Errorf("%w: %w", errServerLost, err)
+		}
 	}
 	if limited.Err() != nil && ctx.Err() == nil {
 		err = fmt.Errorf("%w: prefill on %s", errTimeout, server.ID)
@@ -103,9 +110,8 @@
 		return
 	}
 	r.kv.failures++
-	lost := r.isLost(ctx, r.kv.server, r.kv.at)
-	if lost || r.kv.failures >= maxTransfers {
-		r.failed[r.kv.server.ID] = true
+	r.failed[r.kv.server.ID] = time.Now() // either end may be at fault
+	if r.isLost(ctx, r.kv.server, r.kv.at) || r.kv.failures >= maxTransfers {
 		r.dropKV()
 	}
 }
--- a/hickoryd/internal/dispatch/refusals_test.go
+++ b/hickoryd/internal/dispatch/refusals_test.go
@@ -46,7 +46,8 @@
 		set    func(l *lab)
 		want   refusal.Kind
 	}{
-		"no slot": {longPrompt, func(l *lab) { l.onReserve = fails(slot.ErrFull) }, refusal.Overloaded},
+		"no slot":   {longPrompt, func(l *lab) { l.onReserve = fails(slot.ErrFull) }, refusal.Overloaded},
+		"no server": {longPrompt, func(l *lab) { l.empty = true }, refusal.Unavailable},
 		"no slot after a prefill was cut": {longPrompt, func(l *lab) {
 			l.onReserve = noSlotAfterFirst
 			l.onPrefill = fails(engine.ErrBroken)
--- a/hickoryd/internal/dispatch/reserve.go
+++ b/hickoryd/internal/dispatch/reserve.go
@@ -18,7 +18,8 @@
 	for {
 		now := time.Now()
 		var silent []backend.Server
-		for _, server := range r.plan(now).Decode {
+		plan := r.plan(now)
+		for _, server := range plan.Decode {
 			err := m.slots.Reserve(ctx, now, server, id, r.terms())
 			if err == nil {
 				return server, nil
@@ -34,7 +35,7 @@
 			return server, nil
 		}
 		if !now.Before(deadline) {
-			return backend.Server{}, errNoSlot
+			return backend.Server{}, noSlotError(plan)
 		}
 		if err := wait(ctx, slotPollInterval); err != nil {
 			return backend.Server{}, err
@@ -55,6 +56,5 @@
 		Deadline:      r.request.ArrivedAt.Add(r.request.Profile.FirstTokenTarget),
 		Deferrable:    r.request.Profile.Class == config.ClassDeferrable,
 	}, m.directory.Candidates(r.request.Service.Model))
-	r.failed.moveLast(plan)
-	return plan
+	return r.failed.leaveOut(now, plan)
 }
--- a/hickoryd/internal/node/node.go
+++ b/hickoryd/internal/node/node.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"net/netip"
+	"os"
+	"os/signal"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -36,6 +39,9 @@
 	drainPollInterval = 50 * time.Millisecond
 	// balancerPeriod gives the balancer time to see that the host is not ready.
 	balancerPeriod = time.Second
+	// closePeriod is the time to close connections after the shutdown period
+	// or a second signal.
+	closePeriod = 5 * time.Second
 )
 
 type (
@@ -94,7 +100,7 @@
 func Options(s settings.Settings, logger log.Interface, start time.Time) fx.Option {
 	return fx.Options(
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
-		fx.StopTimeout(s.Limits.ShutdownPeriod),
+		fx.StopTimeout(s.Limits.ShutdownPeriod+closePeriod),
 		fx.Supply(s, s.TLS),
 		fx.Provide(
 			func() log.Interface { return logger },
@@ -154,13 +160,22 @@
 	return nil
 }
 
-// Stop lets requests in flight finish and then stops serving.
+// Stop lets requests in flight finish and then stops serving. A second signal
+// ends it at once.
 func (n *Node) Stop(ctx context.Context) error {
+	ctx, release := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
+	defer release()
+	ctx, cancel := context.WithTimeout(ctx, n.settings.Limits.ShutdownPeriod)
+	defer cancel()
 	n.logger.WithField("inFlight", n.handler.InFlight()).Info("draining")
 	n.gate.Drain()
 	sleep(ctx, balancerPeriod)
 	n.awaitIdle(ctx)
 	_ = n.callers.server.Shutdown(ctx)
+	_ = n.callers.server.Close() // cuts what Shutdown has left
+	ctx, cancel = closingContext(ctx)
+	defer cancel()
+	n.awaitHandlers(ctx)
 	n.canceller.Close(ctx)
 	n.reservations.Close(ctx)
 	n.registration.Close(ctx)
@@ -178,10 +193,28 @@
 		sleep(ctx, drainPollInterval)
 	}
 	if cut := n.handler.InFlight(); cut > 0 {
-		n.logger.WithField("requests", cut).Error("shutdown period over, requests cut off")
+		n.logger.WithField("requests", cut).Error("requests cut off: shutdown period over or signalled again")
 	}
 }
 
+// awaitHandlers lets the handlers whose callers were cut off give their slots
+// back.
+func (n *Node) awaitHandlers(ctx context.Context) {
+	for n.handler.InFlight() > 0 && ctx.Err() == nil {
+		sleep(ctx, drainPollInterval)
+	}
+}
+
+// closingContext leaves a moment to tell engines and homes when the time to
+// shut down is over.
+func closingContext(ctx context.Context) (context.Context, context.CancelFunc) {
+	const closingTime = time.Second
+	if ctx.Err() == nil {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(context.WithoutCancel(ctx), closingTime)
+}
+
 func register(lifecycle fx.Lifecycle, n *Node) {
 	lifecycle.Append(fx.Hook{OnStart: n.Start, OnStop: n.Stop})
 }
--- a/hickorylab/engine/engine.go
+++ b/hickorylab/engine/engine.go
@@ -21,6 +21,17 @@
 const (
 	// CrashMarker in a prompt crashes the engine that runs it.
 	CrashMarker = "CRASH-THE-SERVER"
+	// KindPrefill is a finished prefill in the log.
+	KindPrefill = "prefill"
+	// KindDecode is the start of a decode.
+	KindDecode = "decode"
+	// KindEnd is the last token of a decode.
+	KindEnd = "end"
+	// KindCancelled is the end of a decode by a cancel.
+	KindCancelled = "cancelled"
+	// KindRefused is a request that came while the engine was leaving.
+	KindRefused = "refused"
+
 	// tokenMark begins each generated token, so that a continued prompt can be
 	// told from its generated part.
 	tokenMark = "·"
@@ -81,7 +92,7 @@
 		orders    orderState
 		wake      chan struct{}
 		linkFree  time.Time
-		silent    bool
+		silentAt  time.Time // streams opened before stay without data
 		stall     bool
 	}
 
@@ -221,7 +232,7 @@
 	defer e.mu.Unlock()
 	now := time.Now()
 	e.cache.store(now, prefix.Hashes(p.prompt))
-	e.log = append(e.log, Run{RequestID: p.id, Kind: "prefill", At: now})
+	e.log = append(e.log, Run{RequestID: p.id, Kind: KindPrefill, At: now})
 	if !p.cancel {
 		e.kv[p.id] = &kvResult{handle: p.id, prompt: p.prompt, expires: now.Add(e.options.KVLifetime)}
 	}
@@ -233,6 +244,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.leaving {
+		e.log = append(e.log, Run{RequestID: id, Kind: KindRefused, At: time.Now()})
 		return nil, errLeaving
 	}
 	if strings.Contains(prompt, CrashMarker) {
@@ -271,6 +283,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.leaving {
+		e.log = append(e.log, Run{RequestID: r.id, Kind: KindRefused, At: time.Now()})
 		return errLeaving
 	}
 	if len(e.waiting) >= e.options.Slots {
@@ -286,7 +299,7 @@
 	r.changed = make(chan struct{})
 	r.startedAt = time.Now()
 	e.requests[r.id] = r
-	e.log = append(e.log, Run{RequestID: r.id, Kind: "decode", At: r.startedAt})
+	e.log = append(e.log, Run{RequestID: r.id, Kind: KindDecode, At: r.startedAt})
 	e.waiting = append(e.waiting, r)
 	slices.SortStableFunc(e.waiting, func(a, b *request) int { return cmp.Compare(a.priority, b.priority) })
 	e.fillSlots()
@@ -312,7 +325,11 @@
 	}
 	r.done = true
 	r.doneAt = time.Now()
-	e.log = append(e.log, Run{RequestID: r.id, Kind: "end", At: r.doneAt})
+	kind := KindEnd
+	if r.cancelled {
+		kind = KindCancelled
+	}
+	e.log = append(e.log, Run{RequestID: r.id, Kind: kind, At: r.doneAt})
 	if r.started {
 		e.running--
 	} else {
--- a/hickorylab/engine/http.go
+++ b/hickorylab/engine/http.go
@@ -29,7 +29,7 @@
 	// Switches change the engine's behaviour while it runs.
 	Switches struct {
 		Leaving bool `json:"leaving"`
-		Silent  bool `json:"silent"` // streams that are open stay without data
+		Silent  bool `json:"silent"` // streams that are open now stay without data
 		Stall   bool `json:"stall"`  // KV exports never finish
 	}
 )
@@ -187,6 +187,7 @@
 	w.WriteHeader(http.StatusOK)
 	flusher, _ := w.(http.Flusher)
 	flusher.Flush()
+	opened := time.Now()
 	for {
 		events, over, changed := e.eventsFrom(decode, offset)
 		for _, event := range events {
@@ -208,7 +209,7 @@
 		case <-r.Context().Done():
 			return
 		}
-		if e.isSilent() {
+		if e.isSilent(opened) {
 			<-r.Context().Done()
 			return
 		}
@@ -227,10 +228,10 @@
 	return events, r.done, r.changed
 }
 
-func (e *Engine) isSilent() bool {
+func (e *Engine) isSilent(opened time.Time) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.silent
+	return opened.Before(e.silentAt)
 }
 
 func (e *Engine) serveCancel(w http.ResponseWriter, r *http.Request) {
@@ -335,7 +336,9 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.leaving = s.Leaving
-	e.silent = s.Silent
+	if s.Silent {
+		e.silentAt = time.Now()
+	}
 	e.stall = s.Stall
 }
 
