--- a/core/slot/ledger.go
+++ b/core/slot/ledger.go
@@ -70,6 +70,7 @@
 		interactive eventRate // grants
 		foreign     foreignLoad
 		unreachable bool
+		unanswered  bool                 // a question of the last audit
 		running     map[string]bool      // attempts of this system, as of the last audit
 		asked       map[string]time.Time // newest question about an attempt
 	}
