Admit, order and place requests by the reserving policy in the daemon

Cause: a request polled all servers every 20 ms in no order, its prefill went where the last report said, and a refusal named one second. Ruled out: a central queue goroutine; each request waits in its own and only the first of each class tries the servers. Before and after: dispatch tests green (their fakes gain the prefill reservation, and the fake policy decides on direct prompts, as policies do now). Conclusion: waits in line by class, age and fair share; slots and prefill queues are reserved before a prefill starts; Retry-After comes from the backlog.

--- a/core/prefix/index.go
+++ b/core/prefix/index.go
@@ -1,6 +1,9 @@
 package prefix
 
 import (
+	"maps"
+	"slices"
+
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 )
 
@@ -80,6 +83,11 @@
 	delete(x.servers, server)
 }
 
+// Servers returns the ids of the servers that the index holds, in no order.
+func (x *Index) Servers() []string {
+	return slices.Collect(maps.Keys(x.servers))
+}
+
 // Sequence returns the last sequence number taken in from a server.
 func (x *Index) Sequence(server string) uint64 {
 	if c, ok := x.servers[server]; ok {
--- a/hickoryd/internal/dispatch/attempt.go
+++ b/hickoryd/internal/dispatch/attempt.go
@@ -58,7 +58,7 @@
 func (a *attempt) open(ctx context.Context) (TokenStream, error) {
 	r := a.run
 	prompt := r.request.Prompt + r.text
-	if r.isolated || prefix.Tokens(prompt) <= r.request.Profile.DirectPrompt {
+	if r.isolated || r.direct {
 		r.dropKV()
 		return a.decode(ctx, prompt, nil)
 	}
@@ -187,7 +187,12 @@
 
 // release gives the slot back once the engine holds nothing of the attempt.
 func (a *attempt) release() {
-	release := func() { a.run.models.slots.Release(a.server.ID, a.id) }
+	a.run.releasePrefill()
+	lines, model := a.run.models.lines, a.run.request.Service.Model
+	release := func() {
+		a.run.models.slots.Release(a.server.ID, a.id)
+		lines.released(time.Now(), model)
+	}
 	if a.run.assembly.Done() || !a.sent {
 		release()
 		return
--- a/hickoryd/internal/dispatch/crash_test.go
+++ b/hickoryd/internal/dispatch/crash_test.go
@@ -112,12 +112,22 @@
 	return f.ledger.Reserve(now, server.ID, slot.Reservation{RequestID: requestID, Isolated: terms.Isolated, Deadline: now.Add(time.Hour)})
 }
 
+func (f *fragile) ReservePrefill(context.Context, time.Time, backend.Server, slot.Prefill) error {
+	return nil
+}
+
+func (f *fragile) ReleasePrefill(string, string) {}
+
+func (f *fragile) Cached(context.Context, time.Time, string, []backend.Server, []uint64) map[string]int {
+	return nil
+}
+
 func (f *fragile) Force(backend.Server, string, slot.Terms) {}
 
 func (f *fragile) Release(serverID, requestID string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.ledger.Release(serverID, requestID)
+	f.ledger.Release(time.Now(), serverID, requestID)
 }
 
 func (f *fragile) Candidates(string) []placement.Candidate {
@@ -161,7 +171,7 @@
 
 func (f *fragile) models() *dispatch.Models {
 	set := metrics.NewSet()
-	return dispatch.NewModels("salt-lake", labPolicy{}, f, f, f, f, dispatch.NewCanceller(f, f, set), set)
+	return dispatch.NewModels("salt-lake", labPolicy{}, f, f, f, f, f, dispatch.NewCanceller(f, f, set), set)
 }
 
 // caller sends one request and keeps what came of it.
--- a/hickoryd/internal/dispatch/fakes_test.go
+++ b/hickoryd/internal/dispatch/fakes_test.go
@@ -218,6 +218,16 @@
 	delete(l.reserved, requestID)
 }
 
+func (l *lab) ReservePrefill(context.Context, time.Time, backend.Server, slot.Prefill) error {
+	return nil
+}
+
+func (l *lab) ReleasePrefill(string, string) {}
+
+func (l *lab) Cached(context.Context, time.Time, string, []backend.Server, []uint64) map[string]int {
+	return nil
+}
+
 func (l *lab) Candidates(string) []placement.Candidate {
 	var candidates []placement.Candidate
 	if l.empty {
@@ -260,8 +270,8 @@
 	}
 }
 
-func (labPolicy) Plan(_ time.Time, _ placement.Request, candidates []placement.Candidate) placement.Plan {
-	var plan placement.Plan
+func (labPolicy) Plan(_ time.Time, request placement.Request, candidates []placement.Candidate) placement.Plan {
+	plan := placement.Plan{Direct: request.PromptTokens <= request.DirectPrompt}
 	for _, c := range candidates {
 		if c.Server.Role == backend.RoleDecode {
 			plan.Decode = append(plan.Decode, c.Server)
--- a/hickoryd/internal/dispatch/model.go
+++ b/hickoryd/internal/dispatch/model.go
@@ -41,6 +41,7 @@
 		Prompt    string
 		MaxTokens int
 		ArrivedAt time.Time
+		Share     float64 // weight of the workspace; 0: 1
 	}
 
 	// Sink takes the tokens of an answer, in order and each once. An error
@@ -71,6 +72,13 @@
 		// Force takes a slot without its home; the home is told later.
 		Force(server backend.Server, requestID string, terms slot.Terms)
 		Release(serverID, requestID string)
+		ReservePrefill(ctx context.Context, now time.Time, server backend.Server, p slot.Prefill) error
+		ReleasePrefill(serverID, requestID string)
+	}
+
+	// Prefixes tells what prefill servers have cached of a prompt, in tokens.
+	Prefixes interface {
+		Cached(ctx context.Context, now time.Time, model string, servers []backend.Server, hashes []uint64) map[string]int
 	}
 
 	// Directory is what placement sees of the servers.
@@ -92,6 +100,8 @@
 		policy        placement.Policy
 		engines       Engines
 		slots         Slots
+		prefixes      Prefixes
+		lines         *lines
 		directory     Directory
 		crashes       Crashes
 		canceller     *Canceller
@@ -121,6 +131,10 @@
 		failed      failedServers
 		fingerprint uint64
 		isolated    bool
+		direct      bool             // the decode server computes the prompt
+		reserved    *reservedPrefill // place in a prefill queue
+		retryAfter  time.Duration    // of a refusal for want of servers
+		hashes      []uint64         // of the prompt's blocks
 	}
 )
 
@@ -133,12 +147,14 @@
 )
 
 // NewModels returns a runner of model requests.
-func NewModels(failureDomain string, policy placement.Policy, engines Engines, slots Slots, directory Directory, crashes Crashes, canceller *Canceller, set *metrics.Set) *Models {
+func NewModels(failureDomain string, policy placement.Policy, engines Engines, slots Slots, prefixes Prefixes, directory Directory, crashes Crashes, canceller *Canceller, set *metrics.Set) *Models {
 	return &Models{
 		failureDomain: failureDomain,
 		policy:        policy,
 		engines:       engines,
 		slots:         slots,
+		prefixes:      prefixes,
+		lines:         newLines(set),
 		directory:     directory,
 		crashes:       crashes,
 		canceller:     canceller,
@@ -168,6 +184,7 @@
 		fingerprint: crash.Fingerprint(request.Service.Name, request.Prompt),
 	}
 	defer r.dropKV()
+	defer r.releasePrefill()
 	m.budget.Deposit(request.Service.Name, request.Profile.RetryRatio)
 	var last error
 	for attempts := 1; ; attempts++ {
@@ -240,7 +257,7 @@
 	case errors.Is(err, errCallerGone):
 		return context.Canceled
 	case errors.Is(err, errNoSlot):
-		return r.refusal(refusal.Overloaded, "all engines of model %q are full; try again later", model).After(retryAfterFull)
+		return r.refusal(refusal.Overloaded, "all engines of model %q are full; try again later", model).After(max(retryAfterFull, r.retryAfter))
 	case errors.Is(err, errNoServer):
 		return r.refusal(refusal.Unavailable, "no engine of model %q is live; try again later", model).After(retryAfterFull)
 	case errors.Is(err, errCrashesServers):
@@ -279,10 +296,6 @@
 	return priorityInteractive
 }
 
-func (r *run) terms() slot.Terms {
-	return slot.Terms{Lifetime: reserveLifetime, Isolated: r.isolated}
-}
-
 func wait(ctx context.Context, d time.Duration) error {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/hickoryd/internal/dispatch/model_test.go
+++ b/hickoryd/internal/dispatch/model_test.go
@@ -18,7 +18,7 @@
 
 func newModels(_ *testing.T, l *lab) *dispatch.Models {
 	set := metrics.NewSet()
-	return dispatch.NewModels("salt-lake", labPolicy{}, l, l, l, noCrashes{}, newCanceller(l, set), set)
+	return dispatch.NewModels("salt-lake", labPolicy{}, l, l, l, l, noCrashes{}, newCanceller(l, set), set)
 }
 
 // Whatever fails, the caller gets its whole answer once, and nothing is held.
--- a/hickoryd/internal/dispatch/prefill.go
+++ b/hickoryd/internal/dispatch/prefill.go
@@ -47,7 +47,7 @@
 	}
 	r.dropKV()
 	err := errNoPrefill
-	for i, server := range r.plan(time.Now()).Prefill {
+	for i, server := range r.prefillServers(ctx) {
 		if i > 0 && (errors.Is(err, errServerLost) || !r.mayRetry(err)) {
 			return err
 		}
@@ -71,6 +71,7 @@
 		RequestID: attemptID, Model: r.request.Service.Model, Prompt: prompt, Priority: r.priority(),
 	})
 	r.note(server, err)
+	r.releasePrefill()
 	if err == nil {
 		computed := max(0, reply.PromptTokens-reply.CachedTokens)
 		return &prefilled{server: server, id: attemptID, prompt: prompt, kv: reply.KV, computed: computed, at: started}, nil
@@ -116,6 +117,11 @@
 	}
 }
 
+// holdsKV reports whether a result for the prompt as it stands is still held.
+func (r *run) holdsKV() bool {
+	return r.kv != nil && r.kv.prompt == r.request.Prompt+r.text
+}
+
 // dropKV gives up a result that no token was decoded from.
 func (r *run) dropKV() {
 	if r.kv == nil {
--- /dev/null
+++ b/hickoryd/internal/home/prefixes.go
@@ -0,0 +1,249 @@
+package home
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/hickoryfront/hickoryfront/core/backend"
+	"github.com/hickoryfront/hickoryfront/core/prefix"
+	"github.com/hickoryfront/hickoryfront/hickoryd/engine"
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/peer"
+	"github.com/hickoryfront/hickoryfront/peerapi"
+)
+
+const (
+	eventInterval    = 250 * time.Millisecond
+	eventTimeout     = time.Second
+	snapshotInterval = 2 * time.Second // between snapshots of one server
+	// lookupTimeout bounds the wait for what other homes know of a prompt: a
+	// missing answer costs a cache hit, never the request.
+	lookupTimeout = 10 * time.Millisecond
+	// sampledBlocks bounds what is kept of one server.
+	sampledBlocks = 40_000
+	// minSamples is the prompt below which asking costs more than it saves.
+	minSamples = 2
+)
+
+type (
+	// CacheReader reads what engines publish about their prefix caches.
+	CacheReader interface {
+		CacheEvents(ctx context.Context, address netip.AddrPort, after uint64) (engine.CacheEventsReply, error)
+		CacheSnapshot(ctx context.Context, address netip.AddrPort) (engine.CacheSnapshotReply, error)
+	}
+
+	// Prefixes knows which prompts the prefill servers of this daemon's homes
+	// have cached, and asks the other homes about theirs. It is safe for
+	// concurrent use.
+	Prefixes struct {
+		slots   *Slots
+		peers   Peers
+		pool    *peer.Pool
+		engines CacheReader
+		gaps    *metrics.Counter
+		missed  *metrics.Counter
+
+		mu         sync.Mutex
+		index      *prefix.Index
+		snapshotAt map[string]time.Time
+	}
+
+	// cacheFeed reads the events of one server.
+	cacheFeed struct {
+		prefixes *Prefixes
+		server   backend.Server
+	}
+
+	// prefixQuestion asks one home about some of its servers.
+	prefixQuestion struct {
+		prefixes *Prefixes
+		home     string
+		samples  []uint64
+		mu       *sync.Mutex
+		hits     map[string]int
+	}
+)
+
+// NewPrefixes returns an empty index.
+func NewPrefixes(slots *Slots, peers Peers, pool *peer.Pool, engines CacheReader, set *metrics.Set) *Prefixes {
+	return &Prefixes{
+		slots: slots, peers: peers, pool: pool, engines: engines,
+		gaps:       set.NewCounter(`hickoryfront_cache_event_gaps_total`),
+		missed:     set.NewCounter(`hickoryfront_prefix_lookups_total{result="missed"}`),
+		index:      prefix.NewIndex(sampledBlocks),
+		snapshotAt: map[string]time.Time{},
+	}
+}
+
+// Run reads cache events until ctx ends.
+func (p *Prefixes) Run(ctx context.Context) {
+	ticker := time.NewTicker(eventInterval)
+	defer ticker.Stop()
+	for {
+		p.read(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// Local returns the number of leading samples that each server of this home is
+// expected to hold. Servers without any are left out.
+func (p *Prefixes) Local(model string, samples []uint64) map[string]int {
+	hits := map[string]int{}
+	servers := p.slots.tracked()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, server := range servers {
+		if server.Model != model {
+			continue
+		}
+		if n := p.index.Hits(server.ID, samples); n > 0 {
+			hits[server.ID] = n
+		}
+	}
+	return hits
+}
+
+// Cached returns the tokens of a prompt that each of the servers is expected
+// to hold. It asks each home once and waits no longer than lookupTimeout.
+func (p *Prefixes) Cached(ctx context.Context, now time.Time, model string, servers []backend.Server, hashes []uint64) map[string]int {
+	samples, blocks := prefix.Sample(hashes)
+	if len(samples) < minSamples {
+		return nil
+	}
+	hits := p.ask(ctx, now, model, servers, samples)
+	for id, n := range hits {
+		hits[id] = blocks[min(n, len(blocks))-1] * prefix.BlockTokens
+	}
+	return hits
+}
+
+func (p *Prefixes) ask(ctx context.Context, now time.Time, model string, servers []backend.Server, samples []uint64) map[string]int {
+	ctx, cancel := context.WithTimeout(ctx, lookupTimeout)
+	defer cancel()
+	ring := p.peers.Ring(now)
+	self := p.peers.Self().Name
+	hits := map[string]int{}
+	var mu sync.Mutex
+	var group sync.WaitGroup
+	asked := map[string]bool{}
+	for _, server := range servers {
+		home := ring.Home(server.ID)
+		if asked[home] {
+			continue
+		}
+		asked[home] = true
+		if home == self {
+			merge(&mu, hits, p.Local(model, samples))
+			continue
+		}
+		question := prefixQuestion{prefixes: p, home: home, samples: samples, mu: &mu, hits: hits}
+		group.Go(func() { question.run(ctx, model) })
+	}
+	group.Wait()
+	return hits
+}
+
+func (q prefixQuestion) run(ctx context.Context, model string) {
+	client, err := clientOf(q.prefixes.peers, q.prefixes.pool, q.home)
+	if err != nil {
+		q.prefixes.missed.Inc()
+		return
+	}
+	response, err := client.LookupPrefix(ctx, &peerapi.LookupPrefixRequest{Model: model, BlockHashes: q.samples})
+	if err != nil {
+		q.prefixes.missed.Inc()
+		return
+	}
+	found := map[string]int{}
+	for _, holder := range response.GetHolders() {
+		if n := int(holder.GetBlocks()); n > 0 {
+			found[holder.GetServerId()] = n
+		}
+	}
+	merge(q.mu, q.hits, found)
+}
+
+func merge(mu *sync.Mutex, into, from map[string]int) {
+	mu.Lock()
+	defer mu.Unlock()
+	for id, n := range from {
+		into[id] = n
+	}
+}
+
+func (p *Prefixes) read(ctx context.Context) {
+	var group sync.WaitGroup
+	listed := map[string]bool{}
+	for _, server := range p.slots.tracked() {
+		if server.Role != backend.RolePrefill {
+			continue
+		}
+		listed[server.ID] = true
+		feed := cacheFeed{prefixes: p, server: server}
+		group.Go(func() { feed.run(ctx) })
+	}
+	group.Wait()
+	p.forget(listed)
+}
+
+// forget drops servers that this daemon is not the home of any more.
+func (p *Prefixes) forget(listed map[string]bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, id := range p.index.Servers() {
+		if !listed[id] {
+			p.index.Forget(id)
+			delete(p.snapshotAt, id)
+		}
+	}
+}
+
+func (f cacheFeed) run(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, eventTimeout)
+	defer cancel()
+	p := f.prefixes
+	p.mu.Lock()
+	after := p.index.Sequence(f.server.ID)
+	p.mu.Unlock()
+	reply, err := p.engines.CacheEvents(ctx, f.server.Address, after)
+	if err != nil {
+		return
+	}
+	if p.apply(time.Now(), f.server.ID, reply) {
+		f.restore(ctx)
+	}
+}
+
+// apply takes in events and reports whether a snapshot is due.
+func (p *Prefixes) apply(now time.Time, serverID string, reply engine.CacheEventsReply) bool {
+	events := make([]prefix.Event, 0, len(reply.Events))
+	for _, e := range reply.Events {
+		events = append(events, prefix.Event{Sequence: e.Sequence, Block: e.Block, Evicted: e.Evicted})
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.index.Apply(serverID, events, reply.Newest)
+	if !p.index.Uncertain(serverID) || now.Sub(p.snapshotAt[serverID]) < snapshotInterval {
+		return false
+	}
+	p.gaps.Inc()
+	p.snapshotAt[serverID] = now
+	return true
+}
+
+func (f cacheFeed) restore(ctx context.Context) {
+	reply, err := f.prefixes.engines.CacheSnapshot(ctx, f.server.Address)
+	if err != nil {
+		return
+	}
+	f.prefixes.mu.Lock()
+	defer f.prefixes.mu.Unlock()
+	f.prefixes.index.Restore(f.server.ID, reply.Sequence, reply.Blocks)
+}
--- a/hickoryd/internal/node/node.go
+++ b/hickoryd/internal/node/node.go
@@ -92,6 +92,7 @@
 		Directory    *backends.Directory
 		Slots        *home.Slots
 		Auditor      *home.Auditor
+		Prefixes     *home.Prefixes
 		Reservations *home.Reservations
 		Caller       *caller.Handler
 		Operator     *operator.Handler
@@ -115,7 +116,7 @@
 			metrics.NewSet,
 			transport.New,
 			newPlatform, newHostList, newPool, newDirectory, newSlots, newMembership, newClaims,
-			newStore, newRegistration, newGate, newSync, newCanceller, newModels, newPlain, newRouter, newReservations, newAuditor,
+			newStore, newRegistration, newGate, newSync, newCanceller, newModels, newPlain, newRouter, newReservations, newAuditor, newPrefixes,
 			home.NewCrashes, newPeers, newKeyed, newRecordings, peer.NewHomes,
 			newCaller, newOperator, newPeerService, newDrainWatch, newEngines, New,
 			telemetry.New, newRequests, newKeeper, newReporter, service.New,
@@ -135,6 +136,7 @@
 			p.Directory,
 			p.Slots,
 			p.Auditor,
+			p.Prefixes,
 			p.Membership,
 			p.Store,
 			p.Sync,
@@ -239,6 +241,10 @@
 	return membership
 }
 
+func newPrefixes(slots *home.Slots, membership *peer.Membership, pool *peer.Pool, e engines, set *metrics.Set) *home.Prefixes {
+	return home.NewPrefixes(slots, membership, pool, e, set)
+}
+
 func newAuditor(slots *home.Slots, e engines, reservations *home.Reservations, set *metrics.Set) *home.Auditor {
 	return home.NewAuditor(slots, e, reservations, set)
 }
@@ -350,8 +356,8 @@
 	return home.NewRouter(membership, pool, claims)
 }
 
-func newModels(s settings.Settings, e engines, reservations *home.Reservations, directory *backends.Directory, crashes *home.Crashes, canceller *dispatch.Canceller, set *metrics.Set) *dispatch.Models {
-	return dispatch.NewModels(s.Host.FailureDomain, placement.NewReserving(placement.Options{}, rand.Float64), e, reservations, directory, crashes, canceller, set)
+func newModels(s settings.Settings, e engines, reservations *home.Reservations, prefixes *home.Prefixes, directory *backends.Directory, crashes *home.Crashes, canceller *dispatch.Canceller, set *metrics.Set) *dispatch.Models {
+	return dispatch.NewModels(s.Host.FailureDomain, placement.NewReserving(placement.Options{}, rand.Float64), e, reservations, prefixes, directory, crashes, canceller, set)
 }
 
 func newPlain(client *service.Client, directory *backends.Directory, keyed *dispatch.Keyed) *dispatch.Plain {
@@ -366,7 +372,7 @@
 	return operator.New(s.Auth.OperatorToken, store, membership, directory, gate, requests, reports, set)
 }
 
-func newPeerService(membership *peer.Membership, slots *home.Slots, reservations *home.Reservations, claims *home.Claims, crashes *home.Crashes, store *configstore.Store, recorder *telemetry.Recorder, recordings *dispatch.Recordings) *peerserver.Server {
+func newPeerService(membership *peer.Membership, slots *home.Slots, reservations *home.Reservations, claims *home.Claims, crashes *home.Crashes, store *configstore.Store, recorder *telemetry.Recorder, recordings *dispatch.Recordings, prefixes *home.Prefixes) *peerserver.Server {
 	return peerserver.New(peerserver.Parts{
 		Membership: membership,
 		Slots:      slots,
@@ -376,6 +382,7 @@
 		Config:     store,
 		Burn:       recorder,
 		Answers:    recordings,
+		Prefixes:   prefixes,
 	})
 }
 
--- a/hickoryd/internal/peerserver/server.go
+++ b/hickoryd/internal/peerserver/server.go
@@ -60,6 +60,7 @@
 		Config     Config
 		Burn       Burn
 		Answers    Answers
+		Prefixes   Prefixes
 	}
 
 	// Server implements the Peer service.
@@ -73,6 +74,7 @@
 		config     Config
 		burn       Burn
 		answers    Answers
+		prefixes   Prefixes
 	}
 )
 
@@ -87,6 +89,7 @@
 		config:     parts.Config,
 		burn:       parts.Burn,
 		answers:    parts.Answers,
+		prefixes:   parts.Prefixes,
 	}
 }
 
