Test admission, prefill queues, placement and the prefix index

Ruled out: an LRU list for the index. Conclusion: starvation, fairness, refusal at once and queues hold in tests.

--- a/core/prefix/index.go
+++ b/core/prefix/index.go
@@ -3,8 +3,6 @@
 import (
 	"maps"
 	"slices"
-
-	"github.com/hashicorp/golang-lru/v2/simplelru"
 )
 
 const (
@@ -35,7 +33,7 @@
 	}
 
 	cached struct {
-		blocks    *simplelru.LRU[uint64, struct{}]
+		blocks    *blockSet
 		sequence  uint64
 		uncertain bool
 	}
@@ -105,7 +103,7 @@
 // Blocks returns the number of sampled blocks held for a server.
 func (x *Index) Blocks(server string) int {
 	if c, ok := x.servers[server]; ok {
-		return c.blocks.Len()
+		return c.blocks.len()
 	}
 	return 0
 }
@@ -130,7 +128,7 @@
 	}
 	deepest, holes := 0, 0
 	for i, h := range samples {
-		if c.blocks.Contains(h) {
+		if c.blocks.contains(h) {
 			deepest, holes = i+1, 0
 			continue
 		}
@@ -160,11 +158,7 @@
 	if c, ok := x.servers[id]; ok {
 		return c
 	}
-	blocks, err := simplelru.NewLRU[uint64, struct{}](x.limit, nil)
-	if err != nil {
-		panic(err) // the limit is above zero
-	}
-	c := &cached{blocks: blocks}
+	c := &cached{blocks: newBlockSet(x.limit)}
 	x.servers[id] = c
 	return c
 }
@@ -174,8 +168,8 @@
 		return
 	}
 	if e.Evicted {
-		c.blocks.Remove(e.Block)
+		c.blocks.remove(e.Block)
 		return
 	}
-	c.blocks.Add(e.Block, struct{}{})
+	c.blocks.add(e.Block)
 }
--- /dev/null
+++ b/core/slot/prefill_test.go
@@ -0,0 +1,121 @@
+package slot_test
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/hickoryfront/hickoryfront/core/backend"
+	"github.com/hickoryfront/hickoryfront/core/slot"
+)
+
+func prefillOf(id string, work, maxBacklog time.Duration, deferrable bool) slot.Prefill {
+	return slot.Prefill{RequestID: id, Work: work, MaxBacklog: maxBacklog, Deferrable: deferrable}
+}
+
+func TestPrefillQueue(t *testing.T) {
+	now := time.Unix(1000, 0)
+	l := slot.NewPrefillLedger()
+	l.Track(backend.Server{ID: "p", State: backend.StateLive})
+	if ready, err := l.Reserve(now, "p", prefillOf("a", 400*time.Millisecond, 0, true)); err != nil || ready != 400*time.Millisecond {
+		t.Fatalf("idle server: ready in %v, %v", ready, err)
+	}
+	if _, err := l.Reserve(now, "p", prefillOf("b", time.Second, 300*time.Millisecond, true)); !errors.Is(err, slot.ErrBacklog) {
+		t.Errorf("queue of 400 ms: %v, want ErrBacklog", err)
+	}
+	now = now.Add(200 * time.Millisecond)
+	if ready, err := l.Reserve(now, "p", prefillOf("b", time.Second, 300*time.Millisecond, true)); err != nil || ready != 1200*time.Millisecond {
+		t.Errorf("queue of 200 ms: ready in %v, %v", ready, err)
+	}
+	// An interactive prefill overtakes the waiting one, but not the running one.
+	if ready, err := l.Reserve(now, "p", prefillOf("c", 100*time.Millisecond, 300*time.Millisecond, false)); err != nil || ready != 300*time.Millisecond {
+		t.Errorf("interactive: ready in %v, %v", ready, err)
+	}
+	l.Release(now, "p", "a")
+	l.Release(now, "p", "b")
+	l.Release(now, "p", "c")
+	if load, _ := l.Load(now, "p"); load.PrefillBacklog != 0 {
+		t.Errorf("backlog %v after all are released", load.PrefillBacklog)
+	}
+}
+
+// proof: backend server leaving | reserve | 6
+func TestPrefillOnServersThatTakeNothing(t *testing.T) {
+	now := time.Unix(1000, 0)
+	tests := map[string]struct {
+		change func(l *slot.PrefillLedger)
+		want   error
+	}{
+		"leaving":     {func(l *slot.PrefillLedger) { l.Observe(backend.Load{ServerID: "p", ObservedAt: now, Leaving: true}) }, slot.ErrLeaving},
+		"unreachable": {func(l *slot.PrefillLedger) { l.SetReachable("p", false) }, slot.ErrUnreachable},
+		"forgotten":   {func(l *slot.PrefillLedger) { l.Forget("p") }, slot.ErrUnknownServer},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			l := slot.NewPrefillLedger()
+			l.Track(backend.Server{ID: "p", State: backend.StateLive})
+			test.change(l)
+			if _, err := l.Reserve(now, "p", prefillOf("a", time.Second, time.Second, false)); !errors.Is(err, test.want) {
+				t.Errorf("got %v, want %v", err, test.want)
+			}
+		})
+	}
+}
+
+func TestPrefillsOfDeadHoldersExpire(t *testing.T) {
+	now := time.Unix(1000, 0)
+	l := slot.NewPrefillLedger()
+	l.Track(backend.Server{ID: "p", State: backend.StateLive})
+	dead := prefillOf("a", time.Second, time.Second, false)
+	dead.Holder = slot.Holder{Host: "host-1", Incarnation: 1}
+	if _, err := l.Reserve(now, "p", dead); err != nil {
+		t.Fatal(err)
+	}
+	l.Expire(now, time.Minute, func(h slot.Holder) bool { return h != dead.Holder })
+	if load, _ := l.Load(now, "p"); load.PrefillBacklog != 0 {
+		t.Errorf("backlog %v of a dead holder", load.PrefillBacklog)
+	}
+}
+
+// A late report does not count again what was given back since.
+func TestLateReportLeavesSlotsFree(t *testing.T) {
+	now := time.Unix(1000, 0)
+	l := slot.New()
+	l.Track(backend.Server{ID: "d", Slots: 4})
+	for _, id := range []string{"a", "b", "c", "d"} {
+		if err := l.Reserve(now, "d", slot.Reservation{RequestID: id}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, id := range []string{"a", "b", "c"} {
+		l.Release(now.Add(2*time.Second), "d", id)
+	}
+	l.Observe(backend.Load{ServerID: "d", ObservedAt: now.Add(time.Second), SlotsUsed: 4})
+	for _, id := range []string{"e", "f", "g"} {
+		if err := l.Reserve(now.Add(3*time.Second), "d", slot.Reservation{RequestID: id}); err != nil {
+			t.Errorf("%s: %v", id, err)
+		}
+	}
+	if err := l.Reserve(now.Add(3*time.Second), "d", slot.Reservation{RequestID: "h"}); !errors.Is(err, slot.ErrFull) {
+		t.Errorf("fifth request: %v, want ErrFull", err)
+	}
+}
+
+func TestBatchLimitAndHeadroom(t *testing.T) {
+	now := time.Unix(1000, 0)
+	l := slot.New()
+	l.Track(backend.Server{ID: "d", Slots: 4})
+	l.SetBatchLimit("d", 2)
+	if err := l.Reserve(now, "d", slot.Reservation{RequestID: "a", Deferrable: true}); err != nil {
+		t.Fatal(err)
+	}
+	if err := l.Reserve(now, "d", slot.Reservation{RequestID: "b", Deferrable: true}); !errors.Is(err, slot.ErrFull) {
+		t.Errorf("deferrable request on the last slot: %v, want ErrFull", err)
+	}
+	if err := l.Reserve(now, "d", slot.Reservation{RequestID: "c"}); err != nil {
+		t.Errorf("interactive request on the last slot: %v", err)
+	}
+	if err := l.Reserve(now, "d", slot.Reservation{RequestID: "d"}); !errors.Is(err, slot.ErrFull) {
+		t.Errorf("request over the batch limit: %v, want ErrFull", err)
+	}
+}
