Sample a bounded number of candidates per decision

Cause: a decision looked at every engine of the model. Ruled out: sampling by load (the sample's best is taken by load anyway). Loads that come with a reservation's answer are taken in at once.

--- /dev/null
+++ b/hickoryd/internal/backends/candidates_test.go
@@ -0,0 +1,107 @@
+package backends_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+
+	"github.com/hickoryfront/hickoryfront/core/backend"
+	"github.com/hickoryfront/hickoryfront/core/placement"
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/backends"
+)
+
+const ownDomain = "domain-0"
+
+// list is a host list that never changes.
+type list []backend.Server
+
+func (l list) Servers(context.Context) ([]backend.Server, []string, error) { return l, nil, nil }
+
+func listOf(servers, domains int) list {
+	var l list
+	for i := range servers {
+		role := backend.RoleDecode
+		if i%3 == 0 {
+			role = backend.RolePrefill
+		}
+		l = append(l, backend.Server{
+			ID: fmt.Sprintf("server-%d", i), Role: role, Model: "m", State: backend.StateLive, Slots: 20,
+			FailureDomain: fmt.Sprintf("domain-%d", i%domains),
+		})
+	}
+	return l
+}
+
+func directoryOf(l list) *backends.Directory {
+	logger := &log.Logger{Handler: discard.Default, Level: log.ErrorLevel}
+	d := backends.New(l, ownDomain, time.Hour, logger, metrics.NewSet())
+	ctx, stop := context.WithCancel(context.Background())
+	stop()
+	d.Run(ctx) // reads the list once
+	return d
+}
+
+func TestCandidatesAreAllOfASmallPool(t *testing.T) {
+	d := directoryOf(listOf(33, 4))
+	seen := map[string]bool{}
+	for _, c := range d.Candidates("m") {
+		seen[c.Server.ID] = true
+	}
+	if len(seen) != 33 {
+		t.Errorf("%d of 33 servers", len(seen))
+	}
+	if got := d.Candidates("other"); len(got) != 0 {
+		t.Errorf("%d servers of another model", len(got))
+	}
+}
+
+func TestCandidatesOfALargePoolAreBounded(t *testing.T) {
+	d := directoryOf(listOf(12000, 19))
+	for range 100 {
+		near := map[backend.Role]int{}
+		all := map[backend.Role]int{}
+		for _, c := range d.Candidates("m") {
+			all[c.Server.Role]++
+			if c.Server.FailureDomain == ownDomain {
+				near[c.Server.Role]++
+			}
+		}
+		for _, role := range []backend.Role{backend.RoleDecode, backend.RolePrefill} {
+			if all[role] != 24 || near[role] != 12 {
+				t.Fatalf("%s: %d candidates, %d near; want 24 and 12", role, all[role], near[role])
+			}
+		}
+	}
+}
+
+func TestCandidatesKnowLeavingServers(t *testing.T) {
+	d := directoryOf(listOf(3, 1))
+	d.SetLeaving("server-1")
+	for _, c := range d.Candidates("m") {
+		if leaving := c.Server.State == backend.StateLeaving; leaving != (c.Server.ID == "server-1") {
+			t.Errorf("%s leaving: %v", c.Server.ID, leaving)
+		}
+	}
+}
+
+// One decision: the candidates and a plan over them.
+func BenchmarkDecision(b *testing.B) {
+	for _, servers := range []int{33, 1000, 12000} {
+		b.Run(fmt.Sprintf("servers=%d", servers), func(b *testing.B) {
+			d := directoryOf(listOf(servers, 19))
+			policy := placement.NewReserving(placement.Options{}, rand.Float64)
+			request := placement.Request{FailureDomain: ownDomain, PromptTokens: 2000}
+			now := time.Unix(1000, 0)
+			b.ReportAllocs()
+			for b.Loop() {
+				policy.Plan(now, request, d.Candidates("m"))
+			}
+		})
+	}
+}
--- a/hickoryd/internal/backends/directory.go
+++ b/hickoryd/internal/backends/directory.go
@@ -12,7 +12,6 @@
 	"github.com/apex/log"
 
 	"github.com/hickoryfront/hickoryfront/core/backend"
-	"github.com/hickoryfront/hickoryfront/core/placement"
 )
 
 type (
@@ -23,29 +22,37 @@
 
 	// Directory is the view of the servers. It is safe for concurrent use.
 	Directory struct {
-		lister   Lister
-		interval time.Duration
-		logger   log.Interface
-		failures *metrics.Counter
+		lister        Lister
+		failureDomain string // of this daemon
+		interval      time.Duration
+		logger        log.Interface
+		failures      *metrics.Counter
 
 		mu      sync.Mutex
-		servers map[string]backend.Server
-		loads   map[string]backend.Load
-		leaving map[string]bool // learned from the servers themselves
+		records map[string]*record
+		pools   map[poolKey]*pool
+		listed  bool
+	}
+
+	// record is what is known of one server.
+	record struct {
+		server  backend.Server
+		load    backend.Load
+		leaving bool // learned from the server itself
 		listed  bool
 	}
 )
 
 // New returns an empty directory that reads the list once each interval.
-func New(lister Lister, interval time.Duration, logger log.Interface, set *metrics.Set) *Directory {
+// failureDomain is that of this daemon.
+func New(lister Lister, failureDomain string, interval time.Duration, logger log.Interface, set *metrics.Set) *Directory {
 	return &Directory{
-		lister:   lister,
-		interval: interval,
-		logger:   logger,
-		failures: set.NewCounter(`hickoryfront_host_list_failures_total`),
-		servers:  map[string]backend.Server{},
-		loads:    map[string]backend.Load{},
-		leaving:  map[string]bool{},
+		lister:        lister,
+		failureDomain: failureDomain,
+		interval:      interval,
+		logger:        logger,
+		failures:      set.NewCounter(`hickoryfront_host_list_failures_total`),
+		records:       map[string]*record{},
 	}
 }
 
@@ -74,9 +81,11 @@
 func (d *Directory) Servers() []backend.Server {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	servers := make([]backend.Server, 0, len(d.servers))
-	for _, s := range d.servers {
-		servers = append(servers, d.withState(s))
+	servers := make([]backend.Server, 0, len(d.records))
+	for _, r := range d.records {
+		if r.listed {
+			servers = append(servers, r.current())
+		}
 	}
 	return servers
 }
@@ -85,21 +94,11 @@
 func (d *Directory) Lookup(id string) (backend.Server, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	s, ok := d.servers[id]
-	return d.withState(s), ok
-}
-
-// Candidates returns the engines of a model with their loads.
-func (d *Directory) Candidates(model string) []placement.Candidate {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	var candidates []placement.Candidate
-	for id, s := range d.servers {
-		if s.Model == model && s.Role != backend.RolePlain {
-			candidates = append(candidates, placement.Candidate{Server: d.withState(s), Load: d.loads[id]})
-		}
+	r, ok := d.records[id]
+	if !ok || !r.listed {
+		return backend.Server{}, false
 	}
-	return candidates
+	return r.current(), true
 }
 
 // Plain returns the live servers of a plain service.
@@ -107,9 +106,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var servers []backend.Server
-	for _, s := range d.servers {
-		s = d.withState(s)
-		if s.Role == backend.RolePlain && s.Service == service && s.State == backend.StateLive {
+	for _, r := range d.records {
+		s := r.current()
+		if r.listed && s.Role == backend.RolePlain && s.Service == service && s.State == backend.StateLive {
 			servers = append(servers, s)
 		}
 	}
@@ -120,24 +119,35 @@
 func (d *Directory) ObserveRemote(load backend.Load) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if held, ok := d.loads[load.ServerID]; ok && load.ObservedAt.Before(held.ObservedAt) {
+	r := d.record(load.ServerID)
+	if load.ObservedAt.Before(r.load.ObservedAt) {
 		return
 	}
-	d.loads[load.ServerID] = load
-	if load.Leaving {
-		d.leaving[load.ServerID] = true
-	}
+	r.load = load
+	r.leaving = r.leaving || load.Leaving
 }
 
 // SetLeaving marks a server that said that it leaves.
 func (d *Directory) SetLeaving(id string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.leaving[id] = true
+	d.record(id).leaving = true
+}
+
+// record returns what is known of a server, which may not be listed yet. The
+// caller holds mu.
+func (d *Directory) record(id string) *record {
+	r, ok := d.records[id]
+	if !ok {
+		r = &record{}
+		d.records[id] = r
+	}
+	return r
 }
 
-func (d *Directory) withState(s backend.Server) backend.Server {
-	if d.leaving[s.ID] {
+func (r *record) current() backend.Server {
+	s := r.server
+	if r.leaving {
 		s.State = backend.StateLeaving
 	}
 	return s
@@ -158,28 +168,40 @@
 	d.replace(servers)
 }
 
+// replace takes in the list. What is known of servers that left it is dropped.
 func (d *Directory) replace(servers []backend.Server) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.listed = true
-	listed := make(map[string]backend.Server, len(servers))
+	listed := make(map[string]bool, len(servers))
+	changed := false
 	for _, s := range servers {
-		listed[s.ID] = s
-		d.logNew(s)
+		listed[s.ID] = true
+		r := d.record(s.ID)
+		if r.listed && r.server == s {
+			continue
+		}
+		changed = true
+		d.logNew(r, s)
+		r.server, r.listed = s, true
 	}
-	for id := range d.servers {
-		if _, ok := listed[id]; !ok {
+	for id, r := range d.records {
+		if listed[id] {
+			continue
+		}
+		if r.listed {
+			changed = true
 			d.logger.WithField("server", id).Info("backend server left the list")
-			delete(d.loads, id)
-			delete(d.leaving, id)
 		}
+		delete(d.records, id)
+	}
+	if changed {
+		d.index()
 	}
-	d.servers = listed
 }
 
-func (d *Directory) logNew(s backend.Server) {
-	held, ok := d.servers[s.ID]
-	if ok && held.State == s.State && held.Role == s.Role {
+func (d *Directory) logNew(held *record, s backend.Server) {
+	if held.listed && held.server.State == s.State && held.server.Role == s.Role {
 		return
 	}
 	d.logger.WithField("server", s.ID).WithField("role", string(s.Role)).WithField("state", string(s.State)).
--- a/hickoryd/internal/home/prefills.go
+++ b/hickoryd/internal/home/prefills.go
@@ -78,7 +78,10 @@
 	p.Holder = r.Holder()
 	home := r.peers.Ring(now).Home(server.ID)
 	if home == r.peers.Self().Name {
-		_, err := r.slots.ReservePrefill(now, server.ID, p)
+		load, err := r.slots.ReservePrefill(now, server.ID, p)
+		if load.ServerID != "" {
+			r.slots.ObserveRemote(load)
+		}
 		return homeError(err)
 	}
 	if r.quiet.holds(now, home) {
@@ -94,6 +97,7 @@
 	if err != nil {
 		return fmt.Errorf("%w: %w", slot.ErrNoHome, err)
 	}
+	r.observe(response.GetLoad())
 	return reserveError(response.GetOutcome())
 }
 
--- a/hickoryd/internal/home/reservations.go
+++ b/hickoryd/internal/home/reservations.go
@@ -105,7 +105,10 @@
 	home := r.peers.Ring(now).Home(server.ID)
 	r.hold(requestID)
 	if home == r.peers.Self().Name {
-		_, err := r.slots.Reserve(now, server.ID, r.reservation(now, requestID, terms))
+		load, err := r.slots.Reserve(now, server.ID, r.reservation(now, requestID, terms))
+		if load.ServerID != "" {
+			r.slots.ObserveRemote(load)
+		}
 		if err != nil {
 			r.drop(requestID)
 		}
@@ -216,9 +219,18 @@
 	if err != nil {
 		return fmt.Errorf("%w: %w: %w", slot.ErrNoHome, errUnheard, err)
 	}
+	r.observe(response.GetLoad())
 	return reserveError(response.GetOutcome())
 }
 
+// observe takes in the load that came with an answer, which is newer than the
+// last heartbeat.
+func (r *Reservations) observe(load *peerapi.ServerLoad) {
+	if load.GetServerId() != "" {
+		r.slots.ObserveRemote(peer.LoadFromWire(load))
+	}
+}
+
 func (r *Reservations) tellReleased(serverID, requestID string) {
 	n := notice{reservations: r, serverID: serverID, tell: func(ctx context.Context, _ time.Time, home string) error {
 		if home == r.peers.Self().Name {
--- a/hickoryd/internal/node/node.go
+++ b/hickoryd/internal/node/node.go
@@ -285,7 +285,7 @@
 }
 
 func newDirectory(s settings.Settings, list *platform.HostList, logger log.Interface, set *metrics.Set) *backends.Directory {
-	return backends.New(list, s.Platform.HostListPoll, logger, set)
+	return backends.New(list, s.Host.FailureDomain, s.Platform.HostListPoll, logger, set)
 }
 
 func newSlots(directory *backends.Directory, e engines, canceller *dispatch.Canceller, logger log.Interface, set *metrics.Set) *home.Slots {
