Keep a grant in the membership that it was given in

Cause, first seen in a run with all daemons cut off from each other: holds ran up to three times.

Ruled out: checking the epoch before the write only; it may be newer and the grant older. Each waiting grant now notes its membership and the store refuses another; a claim sent again while its write is in flight is undecided instead of being written twice.

--- a/hickoryd/internal/dispatch/keyed_test.go
+++ b/hickoryd/internal/dispatch/keyed_test.go
@@ -102,7 +102,7 @@
 	return dispatch.NewKeyed(owner, c, c, dispatch.NewRecordings(1000), metrics.NewSet())
 }
 
-func request(id string, releasable bool) dispatch.KeyedRequest {
+func keyedRequest(id string, releasable bool) dispatch.KeyedRequest {
 	return dispatch.KeyedRequest{
 		ID: id, Key: claim.Key{Value: "k"}, Horizon: horizon, Timeout: time.Minute, Releasable: releasable,
 	}
@@ -150,12 +150,12 @@
 		var group sync.WaitGroup
 		for _, id := range []string{"1", "2", "3"} {
 			group.Go(func() {
-				answer, err := send(t.Context(), k, request(id, false), &w)
+				answer, err := send(t.Context(), k, keyedRequest(id, false), &w)
 				wantAnswer(t, answer, err)
 			})
 		}
 		group.Wait()
-		answer, err := send(t.Context(), k, request("4", false), &w)
+		answer, err := send(t.Context(), k, keyedRequest("4", false), &w)
 		wantAnswer(t, answer, err)
 		if w.runs != 1 {
 			t.Errorf("%d runs", w.runs)
@@ -188,11 +188,11 @@
 				var w work
 				ctx, leave := context.WithTimeout(t.Context(), time.Second)
 				defer leave()
-				if _, err := send(ctx, k, request("1", test.releasable), &w); !errors.Is(err, context.Canceled) {
+				if _, err := send(ctx, k, keyedRequest("1", test.releasable), &w); !errors.Is(err, context.Canceled) {
 					t.Errorf("caller that left got %v", err)
 				}
 				time.Sleep(test.after)
-				answer, err := send(t.Context(), k, request("2", test.releasable), &w)
+				answer, err := send(t.Context(), k, keyedRequest("2", test.releasable), &w)
 				wantAnswer(t, answer, err)
 				if w.runs != test.wantRuns || w.cancelled != test.wantCancel {
 					t.Errorf("%d runs, %d cancelled; want %d, %d", w.runs, w.cancelled, test.wantRuns, test.wantCancel)
@@ -212,7 +212,7 @@
 		inBubble(t, func(t *testing.T, c *claims, k *dispatch.Keyed) {
 			var w work
 			c.loseClaims = lost
-			answer, err := send(t.Context(), k, request("1", false), &w)
+			answer, err := send(t.Context(), k, keyedRequest("1", false), &w)
 			if lost == 1 {
 				wantAnswer(t, answer, err)
 				return
@@ -222,7 +222,7 @@
 				t.Errorf("%d runs of a call that was refused as not run", w.runs)
 			}
 			c.loseClaims = 0
-			answer, err = send(t.Context(), k, request("2", false), &w)
+			answer, err = send(t.Context(), k, keyedRequest("2", false), &w)
 			wantAnswer(t, answer, err)
 		})
 	}
@@ -236,12 +236,12 @@
 	inBubble(t, func(t *testing.T, c *claims, k *dispatch.Keyed) {
 		var w work
 		c.loseClaims, c.loseSettles = 1000, 1000
-		_, err := send(t.Context(), k, request("1", false), &w)
+		_, err := send(t.Context(), k, keyedRequest("1", false), &w)
 		wantRefusal(t, err, refusal.ClaimUndecided, refusal.RanNo)
 		c.mu.Lock()
 		c.loseClaims, c.loseSettles = 0, 0
 		c.mu.Unlock()
-		answer, err := send(t.Context(), k, request("2", false), &w)
+		answer, err := send(t.Context(), k, keyedRequest("2", false), &w)
 		wantAnswer(t, answer, err)
 		if w.runs != 1 {
 			t.Errorf("%d runs", w.runs)
@@ -255,11 +255,11 @@
 func TestRefusedKeyMayBeSentAgain(t *testing.T) {
 	inBubble(t, func(t *testing.T, _ *claims, k *dispatch.Keyed) {
 		w := work{refusal: refusal.NotRun(refusal.Unavailable, "no server")}
-		_, err := send(t.Context(), k, request("1", false), &w)
+		_, err := send(t.Context(), k, keyedRequest("1", false), &w)
 		wantRefusal(t, err, refusal.Unavailable, refusal.RanNo)
 		synctest.Wait()
 		w.refusal = nil
-		answer, err := send(t.Context(), k, request("2", false), &w)
+		answer, err := send(t.Context(), k, keyedRequest("2", false), &w)
 		wantAnswer(t, answer, err)
 	})
 }
@@ -270,10 +270,10 @@
 func TestUnknownOutcomeStays(t *testing.T) {
 	inBubble(t, func(t *testing.T, _ *claims, k *dispatch.Keyed) {
 		w := work{refusal: refusal.MayHaveRun(refusal.BackendFailed, "broken")}
-		_, err := send(t.Context(), k, request("1", false), &w)
+		_, err := send(t.Context(), k, keyedRequest("1", false), &w)
 		wantRefusal(t, err, refusal.BackendFailed, refusal.RanUnknown)
 		synctest.Wait()
-		_, err = send(t.Context(), k, request("2", false), &w)
+		_, err = send(t.Context(), k, keyedRequest("2", false), &w)
 		wantRefusal(t, err, refusal.OutcomeUnknown, refusal.RanUnknown)
 		if w.runs != 1 {
 			t.Errorf("%d runs", w.runs)
@@ -289,7 +289,7 @@
 	inBubble(t, func(t *testing.T, c *claims, k *dispatch.Keyed) {
 		var w work
 		c.pause = horizon/2 + time.Second
-		_, err := send(t.Context(), k, request("1", false), &w)
+		_, err := send(t.Context(), k, keyedRequest("1", false), &w)
 		wantRefusal(t, err, refusal.ClaimUndecided, refusal.RanNo)
 		if w.runs != 0 {
 			t.Errorf("%d runs", w.runs)
--- a/hickoryd/internal/home/claims.go
+++ b/hickoryd/internal/home/claims.go
@@ -72,11 +72,12 @@
 		home        *claim.Home
 		former      *journal.Log // of the last membership, while this daemon is no home
 		log         *journal.Log
-		marked      uint64            // epoch up to which the journal says it is complete
-		fenced      bool              // this membership's journal is sealed
-		down        bool              // the platform did not take the last write
-		listedTo    map[string]uint64 // by host: epoch in which it last asked
-		unjournaled []claim.Grant     // granted with a witness, not in the journal yet
+		marked      uint64                     // epoch up to which the journal says it is complete
+		fenced      bool                       // this membership's journal is sealed
+		down        bool                       // the platform did not take the last write
+		listedTo    map[string]uint64          // by host: epoch in which it last asked
+		unjournaled []claim.Grant              // granted with a witness, not in the journal yet
+		pending     map[claim.Key]claim.Member // memberships of grants that are not durable yet
 
 		epochIndex   uint64 // platform's index of the epoch key
 		nextRead     time.Time
@@ -98,7 +99,7 @@
 	c := &Claims{
 		self: self, kv: kv, fleet: fleet, homes: homes, logger: logger, horizon: horizon,
 		limiter: rate.NewLimiter(journalWrites, journalBurst), hints: make(chan struct{}, 1),
-		home: claim.NewHome(self, limit), askedAt: map[claim.Member]time.Time{}, listedTo: map[string]uint64{},
+		home: claim.NewHome(self, limit), askedAt: map[claim.Member]time.Time{}, pending: map[claim.Key]claim.Member{}, listedTo: map[string]uint64{},
 		metrics: claimMetrics{
 			granted:   set.NewCounter(`hickoryfront_claims_total{result="granted"}`),
 			undecided: set.NewCounter(`hickoryfront_claims_total{result="undecided"}`),
@@ -148,13 +149,11 @@
 // Claim decides on one key. A grant is durable when it is returned. With an
 // error nothing may run: ErrUndecided, or claim.ErrNotHome.
 func (c *Claims) Claim(ctx context.Context, now time.Time, wanted claim.Grant) (claim.Outcome, claim.Grant, error) {
-	c.mu.Lock()
-	outcome, grant, err := c.home.Claim(now, wanted)
-	c.mu.Unlock()
+	outcome, grant, fresh, err := c.decide(now, wanted)
 	if errors.Is(err, claim.ErrNotHome) {
 		return claim.NotHome, grant, err
 	}
-	if err == nil && outcome == claim.Granted {
+	if err == nil && fresh {
 		err = c.commit(ctx, grant)
 	}
 	if err != nil {
@@ -167,10 +166,34 @@
 	return outcome, grant, nil
 }
 
+// decide decides on one key. fresh says that the grant was given just now, in
+// the membership that is noted with it, and is not durable yet.
+func (c *Claims) decide(now time.Time, wanted claim.Grant) (outcome claim.Outcome, grant claim.Grant, fresh bool, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_, held := c.home.Lookup(now, wanted.Key)
+	outcome, grant, err = c.home.Claim(now, wanted)
+	if err != nil || outcome != claim.Granted {
+		return outcome, grant, false, err
+	}
+	if held {
+		if _, waiting := c.pending[wanted.Key]; waiting {
+			return claim.Undecided, grant, false, errInFlight
+		}
+		return outcome, grant, false, nil
+	}
+	c.pending[wanted.Key], err = c.home.Member()
+	return outcome, grant, true, err
+}
+
 // commit makes a grant durable, or takes it back.
 func (c *Claims) commit(ctx context.Context, grant claim.Grant) error {
-	if err := c.writer.Commit(ctx, grant); err != nil {
-		c.Withdraw(grant.Key, grant.RequestID)
+	err := c.writer.Commit(ctx, grant)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.pending, grant.Key)
+	if err != nil {
+		c.home.Withdraw(grant.Key, grant.RequestID)
 		return err
 	}
 	c.metrics.granted.Inc()
--- a/hickoryd/internal/home/claims_test.go
+++ b/hickoryd/internal/home/claims_test.go
@@ -17,6 +17,7 @@
 	"github.com/hickoryfront/hickoryfront/core/claim"
 	"github.com/hickoryfront/hickoryfront/core/member"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/home"
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/journal"
 	"github.com/hickoryfront/hickoryfront/hickoryd/platform"
 )
 
@@ -47,7 +48,15 @@
 		claims   *home.Claims
 		stop     context.CancelFunc
 		dead     bool
+		cut      bool // the others can't reach it
 		draining bool
+		hold     chan struct{} // its journal writes wait for this
+	}
+
+	// ownKV is the platform as one daemon writes to it.
+	ownKV struct {
+		*fleet
+		daemon *daemon
 	}
 )
 
@@ -57,7 +66,7 @@
 	for i := range hosts {
 		d := &daemon{fleet: f, host: member.Host{Name: fmt.Sprintf("h%d", i), Incarnation: 1}}
 		owner := claim.Owner{Host: d.host.Name, Incarnation: d.host.Incarnation}
-		d.claims = home.NewClaims(owner, 1000, f, d, d, func() time.Duration { return horizon }, logger, metrics.NewSet())
+		d.claims = home.NewClaims(owner, 1000, ownKV{f, d}, d, d, func() time.Duration { return horizon }, logger, metrics.NewSet())
 		f.daemons[d.host.Name] = d
 	}
 	for _, d := range f.daemons {
@@ -107,6 +116,17 @@
 	return true, nil
 }
 
+// CompareAndSwap writes, late when the daemon's journal is held up.
+func (k ownKV) CompareAndSwap(ctx context.Context, key string, data []byte, index uint64) (bool, error) {
+	k.mu.Lock()
+	hold := k.daemon.hold
+	k.mu.Unlock()
+	if hold != nil && strings.HasPrefix(key, journal.Prefix) {
+		<-hold
+	}
+	return k.fleet.CompareAndSwap(ctx, key, data, index)
+}
+
 func (f *fleet) Delete(_ context.Context, key string) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -130,7 +150,7 @@
 func (f *fleet) reach(name string) (*daemon, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.daemons[name].dead {
+	if f.daemons[name].dead || f.daemons[name].cut {
 		return nil, errDown
 	}
 	return f.daemons[name], nil
@@ -352,3 +372,62 @@
 		f.grantAll("late", 3)
 	})
 }
+
+// TestGrantIsNotWrittenInALaterMembership excludes a home whose journal write
+// hangs, lets another home grant a key that waits behind that write, and takes
+// the first home in again before the write ends.
+//
+// proof: daemons cut off + platform slow | claim | 5
+func TestGrantIsNotWrittenInALaterMembership(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3)
+		keys := keysOf(f, "h2", 2)
+		late := f.daemons["h2"]
+		hold := make(chan struct{})
+		f.set(late, func(d *daemon) { d.hold = hold })
+		results := make(chan claim.Outcome, len(keys))
+		for _, key := range keys {
+			go func() { results <- f.claimAt(late, key, "first") }()
+			time.Sleep(10 * time.Millisecond) // the second waits behind the first
+		}
+		f.set(late, func(d *daemon) { d.cut, d.draining = true, true })
+		time.Sleep(settled)
+		other := f.daemons["h0"].claims.HomeOf(claim.Key{Value: keys[1]})
+		second := f.claimAt(f.daemons[other], keys[1], "second")
+		f.set(late, func(d *daemon) { d.draining, d.hold = false, nil })
+		time.Sleep(settled)
+		close(hold)
+		<-results
+		first := <-results
+		if second != claim.Granted {
+			t.Fatalf("the other home decided %d, want a grant", second)
+		}
+		if first == claim.Granted {
+			t.Error("the key was granted by both homes")
+		}
+	})
+}
+
+func (f *fleet) set(d *daemon, change func(*daemon)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change(d)
+}
+
+func (f *fleet) claimAt(d *daemon, key, request string) claim.Outcome {
+	outcome, _, _ := d.claims.Claim(f.t.Context(), time.Now(), claim.Grant{
+		Key: claim.Key{Value: key}, RequestID: request, Horizon: horizon, Owner: claim.Owner{Host: d.host.Name, Incarnation: 1},
+	})
+	return outcome
+}
+
+func keysOf(f *fleet, host string, count int) []string {
+	var keys []string
+	for i := 0; len(keys) < count; i++ {
+		key := fmt.Sprintf("key%d", i)
+		if f.daemons[host].claims.HomeOf(claim.Key{Value: key}) == host {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
--- a/hickoryd/internal/home/durable.go
+++ b/hickoryd/internal/home/durable.go
@@ -23,6 +23,7 @@
 var (
 	errNoWitness = errors.New("platform down and no other home records the claim")
 	errFenced    = errors.New("the keys were taken over by another home")
+	errInFlight  = errors.New("the claim of this request is being written")
 )
 
 // groups makes groups of grants durable: in the journal, or at a witness while
@@ -37,8 +38,9 @@
 	c.mu.Lock()
 	current, down, fenced := c.log, c.down, c.fenced
 	epoch, complete := c.home.Epoch().Number, c.isComplete()
+	ours := current != nil && !fenced && c.grantedUnder(current.Member(), grants)
 	c.mu.Unlock()
-	if current == nil || fenced {
+	if !ours {
 		return errFenced
 	}
 	if down {
@@ -58,6 +60,18 @@
 	return c.storeAtWitness(ctx, grants)
 }
 
+// grantedUnder reports whether all grants were given in one membership. A grant
+// of an earlier one must not become durable in a later one: another home may
+// have had its key in between. The caller holds mu.
+func (c *Claims) grantedUnder(m claim.Member, grants []claim.Grant) bool {
+	for _, g := range grants {
+		if granted, ok := c.pending[g.Key]; ok && granted != m {
+			return false
+		}
+	}
+	return true
+}
+
 // Prepare implements journal.Store.
 func (g groups) Prepare(ctx context.Context) {
 	c := g.claims
--- a/hickorylab/harness/harness.go
+++ b/hickorylab/harness/harness.go
@@ -17,6 +17,7 @@
 	"testing"
 	"time"
 
+	wire "github.com/hickoryfront/hickoryfront/hickoryd/engine"
 	"github.com/hickoryfront/hickoryfront/hickorylab/cutproxy"
 	"github.com/hickoryfront/hickoryfront/hickorylab/engine"
 	"github.com/hickoryfront/hickoryfront/hickorylab/platform"
@@ -116,6 +117,23 @@
 
 var networks atomic.Uint32
 
+// freeNetwork returns the first three octets of addresses that no other test
+// program uses. A listener holds them until the test ends.
+func freeNetwork(tb testing.TB) string {
+	tb.Helper()
+	for range 1 << 13 {
+		number := int(networks.Add(1)) + os.Getpid()*61
+		network := fmt.Sprintf("127.%d.%d", 64+number/200%128, 1+number%200)
+		held, err := net.Listen("tcp", fmt.Sprintf("%s.251:%d", network, platformPort))
+		if err == nil {
+			tb.Cleanup(func() { held.Close() })
+			return network
+		}
+	}
+	tb.Fatal("no loopback network is free")
+	return ""
+}
+
 // Build builds the programs into dir. Its working directory is any package of
 // the workspace.
 func Build(dir string) (Binaries, error) {
@@ -138,7 +156,7 @@
 	tb.Helper()
 	c := &Cluster{
 		tb: tb, binaries: binaries, options: withDefaults(o), dir: tb.TempDir(), done: make(chan struct{}),
-		network: fmt.Sprintf("127.%d.%d", 64+os.Getpid()%128, networks.Add(1)), Engines: map[string]*Process{},
+		network: freeNetwork(tb), Engines: map[string]*Process{},
 		Proxies: map[string]*cutproxy.Proxy{},
 	}
 	tb.Cleanup(c.close)
@@ -413,6 +431,16 @@
 	return runs
 }
 
+// Held returns the number of requests that an engine holds in memory. An
+// engine that does not answer counts as holding one.
+func (p *Process) Held() int {
+	var reply wire.RequestsReply
+	if p.cluster.get("http://"+p.Address+wire.PathRequests, &reply) != http.StatusOK {
+		return 1
+	}
+	return len(reply.Requests)
+}
+
 func (p *Process) signal(s syscall.Signal) {
 	_ = p.command.Process.Signal(s) // the process may have ended
 }
