--- a/core/member/member.go
+++ b/core/member/member.go
@@ -1,15 +1,34 @@
 // Package member keeps one daemon's view of the other daemons: who is alive,
-// in which life, at which configuration revision, and who drains.
+// in which life, at which configuration revision, and who drains. It decides
+// when silence counts as death and what the daemons tell each other.
 package member
 
 import (
 	"cmp"
+	"encoding/binary"
 	"net/netip"
-	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// StatusAlive hosts answer.
+	StatusAlive Status = iota
+	// StatusSuspect hosts did not answer a probe. They still count as alive and
+	// have time to refute it.
+	StatusSuspect
+	// StatusDead hosts have not refuted a suspicion in time.
+	StatusDead
+	// StatusLeft hosts have said that they stop.
+	StatusLeft
 )
 
 type (
+	// Status is what is held to be true of a host. Of two statements with the
+	// same sequence the higher status counts.
+	Status uint8
+
 	// Host is one life of one daemon.
 	Host struct {
 		Name            string
@@ -19,120 +38,38 @@
 		OperatorAddress netip.AddrPort
 	}
 
-	// State is what is known of a host.
+	// State is a statement about a host.
 	State struct {
 		Host           Host
+		Sequence       uint64 // raised by the host itself with each change or refutation
+		Status         Status
 		ConfigRevision uint64
 		Draining       bool
-		LastSeen       time.Time
+		LastSeen       time.Time // newest direct contact
 	}
 
-	// Table is the view of one daemon. It is not safe for concurrent use.
-	Table struct {
-		self    State
-		timeout time.Duration
-		states  map[string]State
-	}
+	// ID names one life of a host in digests.
+	ID uint64
 )
 
-// NewTable returns a table that holds self only. A host counts as dead when
-// nothing was heard of it for timeout.
-func NewTable(self Host, timeout time.Duration) *Table {
-	return &Table{self: State{Host: self}, timeout: timeout, states: map[string]State{}}
-}
-
-// Self returns the state that this daemon announces.
-func (t *Table) Self(now time.Time) State {
-	s := t.self
-	s.LastSeen = now
-	return s
-}
-
-// SetSelf updates what this daemon announces.
-func (t *Table) SetSelf(revision uint64, draining bool) {
-	t.self.ConfigRevision = revision
-	t.self.Draining = draining
-}
-
-// Observe merges evidence about a host. Evidence of an older life, or older
-// evidence of the same life, changes nothing.
-func (t *Table) Observe(s State) {
-	if s.Host.Name == t.self.Host.Name {
-		return
-	}
-	held, ok := t.states[s.Host.Name]
-	if ok && s.Host.Incarnation < held.Host.Incarnation {
-		return
-	}
-	if ok && s.Host.Incarnation == held.Host.Incarnation {
-		s.ConfigRevision = max(s.ConfigRevision, held.ConfigRevision)
-		s.Draining = s.Draining || held.Draining
-		if s.LastSeen.Before(held.LastSeen) {
-			s.LastSeen = held.LastSeen
-		}
-	}
-	t.states[s.Host.Name] = s
+// ID returns the short name of this life.
+func (h Host) ID() ID {
+	var digest xxhash.Digest
+	digest.Reset()
+	_, _ = digest.WriteString(h.Name) // never fails
+	_, _ = digest.Write(binary.LittleEndian.AppendUint64(nil, h.Incarnation))
+	return ID(digest.Sum64())
 }
 
-// Remove drops a host that has said that it stops.
-func (t *Table) Remove(name string, incarnation uint64) {
-	if s, ok := t.states[name]; ok && s.Host.Incarnation == incarnation {
-		delete(t.states, name)
-	}
-}
-
-// Live returns the hosts that are alive, this one included, sorted by name.
-func (t *Table) Live(now time.Time) []State {
-	live := []State{t.Self(now)}
-	for _, s := range t.states {
-		if now.Sub(s.LastSeen) <= t.timeout {
-			live = append(live, s)
-		}
-	}
-	slices.SortFunc(live, func(a, b State) int { return cmp.Compare(a.Host.Name, b.Host.Name) })
-	return live
-}
-
-// IsAlive reports whether this life of the host is alive.
-func (t *Table) IsAlive(now time.Time, name string, incarnation uint64) bool {
-	if name == t.self.Host.Name {
-		return incarnation == t.self.Host.Incarnation
-	}
-	s, ok := t.states[name]
-	return ok && s.Host.Incarnation == incarnation && now.Sub(s.LastSeen) <= t.timeout
-}
-
-// Majority reports whether at least half of the known hosts are alive, this
-// one included. Hosts that drained before they fell silent do not count. A
-// daemon without a majority may be cut off, or may just have been paused.
-func (t *Table) Majority(now time.Time) bool {
-	live, known := 1, 1
-	for _, s := range t.states {
-		alive := now.Sub(s.LastSeen) <= t.timeout
-		if alive {
-			live++
-		}
-		if alive || !s.Draining {
-			known++
-		}
-	}
-	return live*2 >= known
-}
-
-// Lookup returns what is known of a host, alive or not.
-func (t *Table) Lookup(name string) (State, bool) {
-	if name == t.self.Host.Name {
-		return t.self, true
-	}
-	s, ok := t.states[name]
-	return s, ok
+// IsLive reports whether the host counts as alive.
+func (s State) IsLive() bool {
+	return s.Status == StatusAlive || s.Status == StatusSuspect
 }
 
-// Forget drops hosts that have been dead for longer than retention.
-func (t *Table) Forget(now time.Time, retention time.Duration) {
-	for name, s := range t.states {
-		if now.Sub(s.LastSeen) > t.timeout+retention {
-			delete(t.states, name)
-		}
+// supersedes reports whether s is the newer statement about the same life.
+func (s State) supersedes(held State) bool {
+	if c := cmp.Compare(s.Sequence, held.Sequence); c != 0 {
+		return c > 0
 	}
+	return s.Status > held.Status
 }
--- a/hickoryd/internal/node/node.go
+++ b/hickoryd/internal/node/node.go
@@ -163,6 +163,7 @@
 	_ = n.callers.server.Shutdown(ctx)
 	n.canceller.Close(ctx)
 	n.reservations.Close()
+	n.membership.Leave(ctx)
 	n.registration.Close(ctx)
 	n.stop()
 	_ = n.operators.server.Shutdown(ctx)
--- a/hickoryd/internal/peer/convert.go
+++ b/hickoryd/internal/peer/convert.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/netip"
-	"time"
 
 	"google.golang.org/protobuf/types/known/durationpb"
 	"google.golang.org/protobuf/types/known/timestamppb"
@@ -36,21 +35,31 @@
 	}
 }
 
-func stateToWire(now time.Time, s member.State) *peerapi.HostState {
+func stateToWire(s member.State) *peerapi.HostState {
 	return &peerapi.HostState{
 		Host:           HostToWire(s.Host),
 		ConfigRevision: s.ConfigRevision,
 		Draining:       s.Draining,
-		Age:            durationpb.New(max(0, now.Sub(s.LastSeen))),
+		Sequence:       s.Sequence,
+		Status:         peerapi.HostStatus(s.Status),
 	}
 }
 
-func stateFromWire(now time.Time, s *peerapi.HostState) member.State {
+func statesToWire(states []member.State) []*peerapi.HostState {
+	wire := make([]*peerapi.HostState, 0, len(states))
+	for _, s := range states {
+		wire = append(wire, stateToWire(s))
+	}
+	return wire
+}
+
+func stateFromWire(s *peerapi.HostState) member.State {
 	return member.State{
 		Host:           HostFromWire(s.GetHost()),
 		ConfigRevision: s.GetConfigRevision(),
 		Draining:       s.GetDraining(),
-		LastSeen:       now.Add(-max(0, s.GetAge().AsDuration())),
+		Sequence:       s.GetSequence(),
+		Status:         member.Status(s.GetStatus()),
 	}
 }
 
--- /dev/null
+++ b/hickoryd/internal/peer/loads.go
@@ -0,0 +1,56 @@
+package peer
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/hickoryfront/hickoryfront/core/backend"
+	"github.com/hickoryfront/hickoryfront/core/member"
+	"github.com/hickoryfront/hickoryfront/peerapi"
+)
+
+const (
+	// nearLoads and farLoads bound the load digests in one heartbeat to a host
+	// of the same failure domain and of another.
+	nearLoads = 16
+	farLoads  = 8
+)
+
+// loadRotation gives each receiver the digests in turn, so that a bounded
+// message leaves no server out for long.
+type loadRotation struct {
+	next map[string]string // by receiver: the server id to go on after
+}
+
+// loadShare returns how many digests a heartbeat to a host carries.
+func (m *Membership) loadShare(to member.Host) int {
+	if to.FailureDomain == m.self.FailureDomain {
+		return nearLoads
+	}
+	return farLoads
+}
+
+// take returns the next digests for a receiver, at most limit.
+func (r *loadRotation) take(loads []backend.Load, receiver string, limit int) []*peerapi.ServerLoad {
+	if len(loads) == 0 {
+		return nil
+	}
+	slices.SortFunc(loads, func(a, b backend.Load) int { return cmp.Compare(a.ServerID, b.ServerID) })
+	start := 0
+	if after, ok := r.next[receiver]; ok && len(loads) > limit {
+		start, _ = slices.BinarySearchFunc(loads, after, func(l backend.Load, id string) int { return cmp.Compare(l.ServerID, id) })
+		start++ // past the last one sent
+	}
+	count := min(limit, len(loads))
+	wire := make([]*peerapi.ServerLoad, 0, count)
+	for i := range count {
+		load := loads[(start+i)%len(loads)]
+		wire = append(wire, LoadToWire(load))
+		r.next[receiver] = load.ServerID
+	}
+	return wire
+}
+
+func (r *loadRotation) forget(receiver string) {
+	delete(r.next, receiver)
+}
--- a/hickoryd/internal/peer/membership.go
+++ b/hickoryd/internal/peer/membership.go
@@ -18,13 +18,6 @@
 	"github.com/hickoryfront/hickoryfront/peerapi"
 )
 
-const (
-	// knownSample bounds the third-party states in one heartbeat.
-	knownSample = 16
-	// retention keeps dead hosts in the table for reports.
-	retention = 10 * time.Minute
-)
-
 type (
 	// Options tunes the heartbeats.
 	Options struct {
@@ -40,45 +33,59 @@
 		ObserveRemote(load backend.Load)
 	}
 
+	// Transport carries messages to other daemons.
+	Transport interface {
+		Heartbeat(ctx context.Context, to netip.AddrPort, request *peerapi.HeartbeatRequest) (*peerapi.HeartbeatResponse, error)
+		Probe(ctx context.Context, to netip.AddrPort, request *peerapi.ProbeRequest) (*peerapi.ProbeResponse, error)
+		// Drop closes the connection to a daemon that is gone.
+		Drop(to netip.AddrPort)
+	}
+
 	// Membership exchanges heartbeats and keeps the view of the fleet. It is
 	// safe for concurrent use.
 	Membership struct {
-		self    member.Host
-		options Options
-		pool    *Pool
-		logger  log.Interface
-		loads   Loads
-		beats   *metrics.Counter
-		failed  *metrics.Counter
-		changes *metrics.Counter
+		self      member.Host
+		options   Options
+		transport Transport
+		logger    log.Interface
+		loads     Loads
+		beats     *metrics.Counter
+		failed    *metrics.Counter
+		suspected *metrics.Counter
+		changes   *metrics.Counter
+		hurry     chan struct{} // asks for a heartbeat now
+		news      chan struct{} // a peer announced a newer configuration
 
 		mu        sync.Mutex
 		table     *member.Table
+		version   uint64 // of the table, for which ring and live were built
 		ring      *ring.Ring
-		live      map[string]bool
+		live      map[string]member.Host
 		lastHeard time.Time
-
-		hurry chan struct{} // asks for a heartbeat now
-		news  chan struct{} // a peer announced a newer configuration
+		schedule  schedule
+		rotation  loadRotation
 	}
 )
 
 // NewMembership returns the membership of self.
-func NewMembership(self member.Host, options Options, pool *Pool, loads Loads, logger log.Interface, set *metrics.Set) *Membership {
+func NewMembership(self member.Host, options Options, transport Transport, loads Loads, logger log.Interface, set *metrics.Set) *Membership {
 	return &Membership{
-		self:    self,
-		options: options,
-		pool:    pool,
-		logger:  logger,
-		loads:   loads,
-		beats:   set.NewCounter(`hickoryfront_heartbeats_total{result="ok"}`),
-		failed:  set.NewCounter(`hickoryfront_heartbeats_total{result="failed"}`),
-		changes: set.NewCounter(`hickoryfront_membership_changes_total`),
-		table:   member.NewTable(self, options.Timeout),
-		ring:    ring.New([]string{self.Name}),
-		live:    map[string]bool{self.Name: true},
-		hurry:   make(chan struct{}, 1),
-		news:    make(chan struct{}, 1),
+		self:      self,
+		options:   options,
+		transport: transport,
+		logger:    logger,
+		loads:     loads,
+		beats:     set.NewCounter(`hickoryfront_heartbeats_total{result="ok"}`),
+		failed:    set.NewCounter(`hickoryfront_heartbeats_total{result="failed"}`),
+		suspected: set.NewCounter(`hickoryfront_suspicions_total`),
+		changes:   set.NewCounter(`hickoryfront_membership_changes_total`),
+		hurry:     make(chan struct{}, 1),
+		news:      make(chan struct{}, 1),
+		table:     member.NewTable(self, options.Timeout),
+		ring:      ring.New([]string{self.Name}),
+		live:      map[string]member.Host{self.Name: self},
+		schedule:  schedule{inFlight: map[string]bool{}},
+		rotation:  loadRotation{next: map[string]string{}},
 	}
 }
 
@@ -87,18 +94,22 @@
 	return m.self
 }
 
-// SetSelf updates what the heartbeats announce.
+// SetSelf updates what the heartbeats announce. Others learn at once that this
+// daemon drains, so that what it is the home of moves.
 func (m *Membership) SetSelf(revision uint64, draining bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.table.SetSelf(revision, draining)
+	if m.refresh(time.Now()) {
+		m.Hurry()
+	}
 }
 
 // Observe merges a state learned elsewhere, such as from the platform.
 func (m *Membership) Observe(now time.Time, state member.State) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.table.Observe(state)
+	m.table.Observe(now, state)
 	m.refresh(now)
 }
 
@@ -110,10 +121,9 @@
 }
 
 // Ring returns the homes: the hosts that are alive and do not drain.
-func (m *Membership) Ring(now time.Time) *ring.Ring {
+func (m *Membership) Ring(time.Time) *ring.Ring {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.refresh(now)
 	return m.ring
 }
 
@@ -162,72 +172,38 @@
 	return m.news
 }
 
-// Hurry sends the next heartbeats at once, so that peers learn of a newer
-// configuration without waiting for the period.
+// Hurry sends the next heartbeats at once, so that peers learn of a change
+// without waiting for the period.
 func (m *Membership) Hurry() {
 	signal(m.hurry)
 }
 
-// Run sends heartbeats until ctx ends.
-func (m *Membership) Run(ctx context.Context) {
-	ticker := time.NewTicker(m.options.Heartbeat)
-	defer ticker.Stop()
-	for {
-		m.beat(ctx, time.Now())
-		select {
-		case <-ctx.Done():
-			return
-		case <-m.hurry:
-		case <-ticker.C:
-		}
-	}
-}
-
 // Receive answers a heartbeat of another daemon.
 func (m *Membership) Receive(now time.Time, request *peerapi.HeartbeatRequest) *peerapi.HeartbeatResponse {
-	m.merge(now, request.GetSender(), request.GetKnown(), request.GetLoads())
-	self, known := m.announcement(now)
-	return &peerapi.HeartbeatResponse{Responder: self, Known: known, Loads: m.wireLoads(now)}
-}
-
-func (m *Membership) beat(ctx context.Context, now time.Time) {
-	for _, address := range m.targets(now) {
-		m.exchange(ctx, now, address)
-	}
+	sender := stateFromWire(request.GetSender())
+	m.merge(now, sender, request.GetKnown(), request.GetLoads())
+	loads := m.loads.LocalLoads(now)
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.table.Forget(now, retention)
-	m.refresh(now)
-}
-
-func (m *Membership) exchange(ctx context.Context, now time.Time, address netip.AddrPort) {
-	client, err := m.pool.Client(address)
-	if err != nil {
-		m.failed.Inc()
-		return
+	newer, unknown := m.mergeDigest(now, request.GetDigest())
+	known := append(newer, m.table.News(sender.Host.Name, maxNews)...)
+	return &peerapi.HeartbeatResponse{
+		Responder: stateToWire(m.table.Self(now)),
+		Known:     statesToWire(known),
+		Wanted:    unknown,
+		Loads:     m.rotation.take(loads, sender.Host.Name, m.loadShare(sender.Host)),
 	}
-	ctx, cancel := context.WithTimeout(ctx, m.options.Heartbeat)
-	defer cancel()
-	self, known := m.announcement(now)
-	response, err := client.Heartbeat(ctx, &peerapi.HeartbeatRequest{Sender: self, Known: known, Loads: m.wireLoads(now)})
-	if err != nil {
-		m.failed.Inc()
-		return
-	}
-	m.beats.Inc()
-	m.merge(now, response.GetResponder(), response.GetKnown(), response.GetLoads())
 }
 
-func (m *Membership) merge(now time.Time, sender *peerapi.HostState, known []*peerapi.HostState, loads []*peerapi.ServerLoad) {
+// merge takes in what a peer says of itself and of others.
+func (m *Membership) merge(now time.Time, sender member.State, known []*peerapi.HostState, loads []*peerapi.ServerLoad) {
 	m.mu.Lock()
 	m.lastHeard = now
-	fresh := stateFromWire(now, sender)
-	fresh.LastSeen = now
-	m.table.Observe(fresh)
+	m.table.Heard(now, sender)
 	for _, s := range known {
-		m.table.Observe(stateFromWire(now, s))
+		m.table.Observe(now, stateFromWire(s))
 	}
-	if fresh.ConfigRevision > m.table.Self(now).ConfigRevision {
+	if sender.ConfigRevision > m.table.Self(now).ConfigRevision {
 		signal(m.news)
 	}
 	m.refresh(now)
@@ -237,64 +213,35 @@
 	}
 }
 
-// targets picks the peers of this period: a random few of the known hosts, and
-// a seed while no other host is known.
-func (m *Membership) targets(now time.Time) []netip.AddrPort {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	var addresses []netip.AddrPort
-	for _, s := range m.table.Live(now) {
-		if s.Host.Name != m.self.Name {
-			addresses = append(addresses, s.Host.PeerAddress)
-		}
-	}
-	if len(addresses) == 0 {
-		addresses = m.seeds()
+// mergeDigest takes in the digest of a peer. The caller holds mu.
+func (m *Membership) mergeDigest(now time.Time, digest []byte) ([]member.State, []uint64) {
+	if len(digest) == 0 {
+		return nil, nil
 	}
-	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
-	return addresses[:min(len(addresses), m.options.Fanout)]
-}
-
-func (m *Membership) seeds() []netip.AddrPort {
-	var seeds []netip.AddrPort
-	for _, address := range m.options.Seeds {
-		if address != m.self.PeerAddress {
-			seeds = append(seeds, address)
-		}
+	newer, unknown, err := m.table.MergeDigest(now, digest, maxNewer)
+	if err != nil {
+		m.failed.Inc()
+		return nil, nil
 	}
-	return seeds
-}
-
-func (m *Membership) announcement(now time.Time) (*peerapi.HostState, []*peerapi.HostState) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	live := m.table.Live(now)
-	rand.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
-	known := make([]*peerapi.HostState, 0, min(len(live), knownSample))
-	for _, s := range live {
-		if s.Host.Name != m.self.Name && len(known) < knownSample {
-			known = append(known, stateToWire(now, s))
-		}
+	m.refresh(now)
+	ids := make([]uint64, 0, len(unknown))
+	for _, id := range unknown {
+		ids = append(ids, uint64(id))
 	}
-	return stateToWire(now, m.table.Self(now)), known
+	return newer, ids
 }
 
-func (m *Membership) wireLoads(now time.Time) []*peerapi.ServerLoad {
-	loads := m.loads.LocalLoads(now)
-	wire := make([]*peerapi.ServerLoad, 0, len(loads))
-	for _, l := range loads {
-		wire = append(wire, LoadToWire(l))
+// refresh rebuilds the ring when the set of live hosts has changed, and reports
+// whether it has. The caller holds mu.
+func (m *Membership) refresh(now time.Time) bool {
+	if m.table.Version() == m.version {
+		return false
 	}
-	return wire
-}
-
-// refresh rebuilds the ring when the set of live hosts has changed. The caller
-// holds mu.
-func (m *Membership) refresh(now time.Time) {
-	live := map[string]bool{}
+	m.version = m.table.Version()
+	live := map[string]member.Host{}
 	var homes []string
 	for _, s := range m.table.Live(now) {
-		live[s.Host.Name] = true
+		live[s.Host.Name] = s.Host
 		if !s.Draining {
 			homes = append(homes, s.Host.Name)
 		}
@@ -304,18 +251,21 @@
 	if next := ring.New(homes); !next.Equal(m.ring) {
 		m.ring = next
 	}
+	return true
 }
 
-func (m *Membership) logChanges(live map[string]bool) {
+func (m *Membership) logChanges(live map[string]member.Host) {
 	for name := range live {
-		if !m.live[name] {
+		if _, ok := m.live[name]; !ok {
 			m.changes.Inc()
 			m.logger.WithField("host", name).Info("host is alive")
 		}
 	}
-	for name := range m.live {
-		if !live[name] {
+	for name, host := range m.live {
+		if _, ok := live[name]; !ok {
 			m.changes.Inc()
+			m.rotation.forget(name)
+			m.transport.Drop(host.PeerAddress)
 			m.logger.WithField("host", name).Warn("host is dead")
 		}
 	}
--- a/hickoryd/internal/peer/pool.go
+++ b/hickoryd/internal/peer/pool.go
@@ -64,6 +64,24 @@
 	return p.dialer.DialContext(ctx, "tcp", address)
 }
 
+// Heartbeat implements Transport.
+func (p *Pool) Heartbeat(ctx context.Context, to netip.AddrPort, request *peerapi.HeartbeatRequest) (*peerapi.HeartbeatResponse, error) {
+	client, err := p.Client(to)
+	if err != nil {
+		return nil, err
+	}
+	return client.Heartbeat(ctx, request)
+}
+
+// Probe implements Transport.
+func (p *Pool) Probe(ctx context.Context, to netip.AddrPort, request *peerapi.ProbeRequest) (*peerapi.ProbeResponse, error) {
+	client, err := p.Client(to)
+	if err != nil {
+		return nil, err
+	}
+	return client.Probe(ctx, request)
+}
+
 // Drop closes the connection to a daemon that is gone.
 func (p *Pool) Drop(address netip.AddrPort) {
 	p.mu.Lock()
--- a/hickoryd/internal/peerserver/server.go
+++ b/hickoryd/internal/peerserver/server.go
@@ -10,15 +10,18 @@
 
 	"github.com/hickoryfront/hickoryfront/core/backend"
 	"github.com/hickoryfront/hickoryfront/core/claim"
+	"github.com/hickoryfront/hickoryfront/core/member"
 	"github.com/hickoryfront/hickoryfront/core/slot"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/home"
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/peer"
 	"github.com/hickoryfront/hickoryfront/peerapi"
 )
 
 type (
-	// Membership answers heartbeats.
+	// Membership answers heartbeats and probes.
 	Membership interface {
 		Receive(now time.Time, request *peerapi.HeartbeatRequest) *peerapi.HeartbeatResponse
+		Probe(ctx context.Context, target member.Host) bool
 	}
 
 	// Slots grants the slots of the servers whose home is this daemon.
@@ -91,6 +94,11 @@
 	return s.membership.Receive(time.Now(), request), nil
 }
 
+// Probe implements the Peer service.
+func (s *Server) Probe(ctx context.Context, request *peerapi.ProbeRequest) (*peerapi.ProbeResponse, error) {
+	return &peerapi.ProbeResponse{Reached: s.membership.Probe(ctx, peer.HostFromWire(request.GetTarget()))}, nil
+}
+
 // Reserve implements the Peer service.
 func (s *Server) Reserve(_ context.Context, request *peerapi.ReserveRequest) (*peerapi.ReserveResponse, error) {
 	now := time.Now()
