--- a/core/member/table.go
+++ b/core/member/table.go
@@ -16,7 +16,7 @@
 	suspicionShare = 2
 	// suspicionStep is the part of the timeout that each doubling of the fleet
 	// adds, since a refutation then takes one more hop.
-	suspicionStep = 8
+	suspicionStep = 10
 	// pauseFactor tells a pause of this daemon from a late timer.
 	pauseFactor = 2
 )
--- a/hickoryd/internal/peer/heartbeat.go
+++ b/hickoryd/internal/peer/heartbeat.go
@@ -14,7 +14,7 @@
 	// maxPartners bounds the hosts that one daemon exchanges heartbeats with.
 	maxPartners = 32
 	// maxNews bounds the statements about other hosts in one heartbeat.
-	maxNews = 8
+	maxNews = 12
 	// maxNewer bounds the states that answer a digest.
 	maxNewer = 512
 	// hostsPerDigest sets the period of digests: one heartbeat for each so many
@@ -219,8 +219,7 @@
 // probeThroughOthers asks some hosts to probe the target and reports whether
 // one of them reached it.
 func (m *Membership) probeThroughOthers(ctx context.Context, target member.Host) bool {
-	const outerTimeouts = 2 // the asked host waits for one heartbeat itself
-	ctx, cancel := context.WithTimeout(ctx, outerTimeouts*m.options.Heartbeat)
+	ctx, cancel := context.WithTimeout(ctx, m.options.Heartbeat)
 	defer cancel()
 	asked := m.pickHelpers(target.Name)
 	reached := make(chan bool, len(asked))
