Measure the control work of fleets, and read all hosts less often in large ones

Ruled out: counters inside the daemon (they miss headers and TLS); /proc of the processes counts all bytes read and written. Conclusion: hickorylab bench control gives slopes and the worked-out fleet.

--- a/hickoryd/internal/node/registration.go
+++ b/hickoryd/internal/node/registration.go
@@ -14,8 +14,11 @@
 )
 
 const (
-	hostPrefix    = "hickoryfront/hosts/"
-	listInterval  = 10 * time.Second
+	hostPrefix   = "hickoryfront/hosts/"
+	listInterval = 10 * time.Second
+	// listPerHost lengthens the time between lists, so that neither the bytes
+	// of one host nor the reads of all grow with the fleet.
+	listPerHost   = time.Second
 	retryInterval = time.Second
 )
 
@@ -70,7 +73,7 @@
 			wait = retryInterval
 		} else if now := time.Now(); !now.Before(nextList) || len(r.peers.Live(now)) == 1 {
 			r.list(ctx, now)
-			nextList = now.Add(listInterval)
+			nextList = now.Add(max(listInterval, time.Duration(len(r.peers.Live(now)))*listPerHost))
 			wait = min(wait, listInterval)
 		}
 		if len(r.peers.Live(time.Now())) == 1 {
@@ -115,7 +118,8 @@
 	return nil
 }
 
-// list takes in hosts not yet known from heartbeats.
+// list takes in hosts not yet known from heartbeats. It takes nothing from a
+// host that is not listed: its lease may have lapsed in an outage.
 func (r *Registration) list(ctx context.Context, now time.Time) {
 	values, err := r.kv.List(ctx, hostPrefix)
 	if err != nil {
--- a/hickoryd/internal/settings/settings.go
+++ b/hickoryd/internal/settings/settings.go
@@ -205,7 +205,7 @@
 		setting.Bind("platform", "leaseTTL", "30s", "lifetime of this daemon's lease", setting.Duration(&s.Platform.LeaseTTL)),
 		setting.Bind("peers", "seeds", "", "peer addresses to try while the platform is down", setting.AddrPorts(&s.Peers.Seeds)),
 		setting.Bind("peers", "heartbeat", "500ms", "time between heartbeats", setting.Duration(&s.Peers.Heartbeat)),
-		setting.Bind("peers", "fanout", "4", "daemons that get each heartbeat", setting.Integer(&s.Peers.Fanout)),
+		setting.Bind("peers", "fanout", "2", "daemons that get each heartbeat", setting.Integer(&s.Peers.Fanout)),
 		setting.Bind("peers", "timeout", "3s", "silence after which a daemon counts as dead", setting.Duration(&s.Peers.Timeout)),
 		setting.Bind("peers", "isolation", "15s", "time without platform and peers after which new work is refused", setting.Duration(&s.Peers.Isolation)),
 		setting.Bind("limits", "requests", "4096", "requests in flight", setting.Integer(&s.Limits.Requests)),
--- /dev/null
+++ b/hickorylab/bench/control.go
@@ -0,0 +1,194 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"slices"
+	"time"
+)
+
+type (
+	// ControlOptions says what the control measurement runs.
+	ControlOptions struct {
+		Daemon   string        // path of the daemon's program
+		Settle   time.Duration // after the start, before measuring
+		Measure  time.Duration
+		Points   []ControlPoint
+		Progress io.Writer
+	}
+
+	// ControlPoint is one fleet to measure.
+	ControlPoint struct {
+		Nodes      int     `json:"nodes"`
+		Servers    int     `json:"servers"` // of the whole fleet
+		Workspaces int     `json:"workspaces"`
+		Changes    float64 `json:"changesPerSecond"`
+	}
+
+	// ControlSample is what one daemon of a fleet used, on average.
+	ControlSample struct {
+		Point      ControlPoint  `json:"point"`
+		CPU        float64       `json:"cpuShare"` // of one core
+		Bytes      float64       `json:"bytesPerSecond"`
+		Memory     float64       `json:"memoryBytes"`
+		Calls      float64       `json:"platformCallsPerSecond"`
+		WorstCPU   float64       `json:"worstCpuShare"`
+		WorstBytes float64       `json:"worstBytesPerSecond"`
+		Spread     time.Duration `json:"worstSpreadNanoseconds"` // of a change to all daemons
+	}
+
+	// ControlReport is the whole measurement.
+	ControlReport struct {
+		Samples []ControlSample `json:"samples"`
+		Fits    []Fit           `json:"fits"`
+	}
+
+	// changer commits configuration changes at a steady rate and measures how
+	// long each takes to be in force on all daemons.
+	changer struct {
+		fleet    *fleet
+		interval time.Duration
+		worst    time.Duration
+		err      error
+	}
+)
+
+// DefaultPoints vary one property at a time around a small fleet.
+func DefaultPoints() []ControlPoint {
+	return []ControlPoint{
+		{Nodes: 7, Servers: 28, Workspaces: 10},
+		{Nodes: 7, Servers: 231, Workspaces: 10},
+		{Nodes: 7, Servers: 28, Workspaces: 890},
+		{Nodes: 7, Servers: 28, Workspaces: 10, Changes: 1},
+		{Nodes: 20, Servers: 28, Workspaces: 10},
+		{Nodes: 20, Servers: 660, Workspaces: 10},
+		{Nodes: 20, Servers: 28, Workspaces: 890, Changes: 0.43},
+		{Nodes: 60, Servers: 28, Workspaces: 10},
+		{Nodes: 60, Servers: 660, Workspaces: 10},
+	}
+}
+
+// Control measures all points, one after the other.
+func Control(ctx context.Context, o ControlOptions) (ControlReport, error) {
+	var report ControlReport
+	for i, point := range o.Points {
+		sample, err := measurePoint(ctx, o, i, point)
+		if err != nil {
+			return report, fmt.Errorf("%d nodes, %d servers: %w", point.Nodes, point.Servers, err)
+		}
+		fmt.Fprintf(o.Progress, "%d nodes, %d servers, %d workspaces, %.2f changes/s: %.2f%% of a core, %.0f bytes/s, %.1f MB, %.2f calls/s, spread %s\n",
+			point.Nodes, point.Servers, point.Workspaces, point.Changes, 100*sample.CPU, sample.Bytes, sample.Memory/1e6, sample.Calls, sample.Spread)
+		report.Samples = append(report.Samples, sample)
+	}
+	report.Fits = fitAll(report.Samples)
+	return report, nil
+}
+
+func measurePoint(ctx context.Context, o ControlOptions, number int, point ControlPoint) (ControlSample, error) {
+	f, err := newFleet(number)
+	if err != nil {
+		return ControlSample{}, err
+	}
+	defer f.close()
+	if err := f.addServers(point.Servers); err != nil {
+		return ControlSample{}, err
+	}
+	if err := f.startDaemons(ctx, o.Daemon, point.Nodes, point.Servers, point.Workspaces); err != nil {
+		return ControlSample{}, err
+	}
+	if !sleep(ctx, o.Settle) {
+		return ControlSample{}, ctx.Err()
+	}
+	return f.measure(ctx, point, o.Measure)
+}
+
+// measure compares two readings of every daemon.
+func (f *fleet) measure(ctx context.Context, point ControlPoint, period time.Duration) (ControlSample, error) {
+	before, err := f.readAll()
+	if err != nil {
+		return ControlSample{}, err
+	}
+	begin := time.Now()
+	changes := &changer{fleet: f}
+	if point.Changes > 0 {
+		changes.interval = time.Duration(float64(time.Second) / point.Changes)
+	}
+	changes.run(ctx, begin.Add(period))
+	if ctx.Err() != nil || changes.err != nil {
+		return ControlSample{}, firstError(ctx.Err(), changes.err)
+	}
+	after, err := f.readAll()
+	if err != nil {
+		return ControlSample{}, err
+	}
+	sample := average(before, after, time.Since(begin))
+	sample.Point = point
+	sample.Spread = changes.worst
+	return sample, nil
+}
+
+func (f *fleet) readAll() ([]reading, error) {
+	readings := make([]reading, 0, len(f.daemons))
+	for _, d := range f.daemons {
+		r, err := readUsage(d)
+		if err != nil {
+			return nil, err
+		}
+		readings = append(readings, r)
+	}
+	return readings, nil
+}
+
+func average(before, after []reading, period time.Duration) ControlSample {
+	var s ControlSample
+	count := float64(len(before))
+	for i := range before {
+		cpu := (after[i].cpuSeconds - before[i].cpuSeconds) / period.Seconds()
+		bytes := (after[i].bytes - before[i].bytes) / period.Seconds()
+		s.CPU += cpu / count
+		s.Bytes += bytes / count
+		s.Memory += after[i].memory / count
+		s.Calls += (after[i].calls - before[i].calls) / period.Seconds() / count
+		s.WorstCPU = max(s.WorstCPU, cpu)
+		s.WorstBytes = max(s.WorstBytes, bytes)
+	}
+	return s
+}
+
+// run commits changes until the deadline.
+func (c *changer) run(ctx context.Context, deadline time.Time) {
+	for ctx.Err() == nil && time.Now().Before(deadline) {
+		if c.interval == 0 {
+			sleep(ctx, time.Until(deadline))
+			return
+		}
+		begin := time.Now()
+		if c.err = c.change(ctx, begin); c.err != nil {
+			return
+		}
+		sleep(ctx, min(time.Until(begin.Add(c.interval)), time.Until(deadline)))
+	}
+}
+
+func (c *changer) change(ctx context.Context, begin time.Time) error {
+	name := fmt.Sprintf("bench-%d", begin.UnixNano())
+	revision, err := c.fleet.change(ctx, []configEdit{{Kind: "workspace", Name: name, Text: "[workspace]\nshare = 1\n"}})
+	if err != nil {
+		return err
+	}
+	last := c.fleet.daemons[len(c.fleet.daemons)-1]
+	err = c.fleet.await(ctx, func() bool {
+		var status statusReply
+		return c.fleet.admin(ctx, "GET", last, "/admin/v1/status", nil, &status) == nil && status.ConfigRevision >= revision
+	})
+	c.worst = max(c.worst, time.Since(begin))
+	return err
+}
+
+func firstError(errs ...error) error {
+	if i := slices.IndexFunc(errs, func(err error) bool { return err != nil }); i >= 0 {
+		return errs[i]
+	}
+	return nil
+}
--- /dev/null
+++ b/hickorylab/bench/fleet.go
@@ -0,0 +1,361 @@
+// Package bench measures what hickoryfront costs: the control work of a fleet
+// of daemons, and the way of a request through one of them.
+package bench
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	wire "github.com/hickoryfront/hickoryfront/hickoryd/engine"
+	"github.com/hickoryfront/hickoryfront/hickorylab/platform"
+)
+
+const (
+	operatorToken = "bench-operator-token"
+	model         = "catalogue-8b"
+	modelService  = "catalogue"
+	plainService  = "cart"
+	workspaceName = "boipara"
+
+	callerPort   = 18080
+	operatorPort = 18081
+	peerPort     = 18082
+	serverPort   = 19000
+	platformPort = 18500
+
+	domainCount  = 4
+	startTimeout = 60 * time.Second
+	stopTimeout  = 5 * time.Second
+	pollInterval = 50 * time.Millisecond
+	idleSlots    = 20
+	busySlots    = 17
+)
+
+// ErrNotStarted means that a fleet did not become ready.
+var ErrNotStarted = errors.New("fleet did not start")
+
+type (
+	// fleet is a running set of daemons as processes, with the platform and
+	// the backend servers in this process.
+	fleet struct {
+		dir      string
+		network  string // first two octets of all addresses
+		platform *platform.Platform
+		servers  []*http.Server
+		daemons  []*daemon
+		done     chan struct{}
+	}
+
+	// daemon is one process.
+	daemon struct {
+		name     string
+		caller   string
+		operator string
+		command  *exec.Cmd
+		exited   chan struct{}
+	}
+
+	// server serves one listener.
+	server struct {
+		http     *http.Server
+		listener net.Listener
+	}
+
+	configEdit struct {
+		Kind string `json:"kind"`
+		Name string `json:"name"`
+		Text string `json:"text,omitempty"`
+		Base uint64 `json:"base"`
+	}
+
+	changeRequest struct {
+		Author string       `json:"author"`
+		Edits  []configEdit `json:"edits"`
+	}
+
+	changeReply struct {
+		Revision uint64 `json:"revision"`
+	}
+
+	hostStatus struct {
+		Name string `json:"name"`
+	}
+
+	serverStatus struct {
+		ID string `json:"id"`
+	}
+
+	statusReply struct {
+		ConfigRevision uint64         `json:"configRevision"`
+		Hosts          []hostStatus   `json:"hosts"`
+		Servers        []serverStatus `json:"servers"`
+	}
+)
+
+// newFleet starts the platform. number tells the networks of fleets apart.
+func newFleet(number int) (*fleet, error) {
+	dir, err := os.MkdirTemp("", "hickorylab-bench-")
+	if err != nil {
+		return nil, err
+	}
+	f := &fleet{
+		dir: dir, network: fmt.Sprintf("127.%d", 20+number%40), platform: platform.New(), done: make(chan struct{}),
+	}
+	go f.platform.Run(f.done)
+	return f, f.serve(f.address(0, 1, platformPort), f.platform)
+}
+
+func (f *fleet) address(high, low int, port uint16) netip.AddrPort {
+	return netip.MustParseAddrPort(fmt.Sprintf("%s.%d.%d:%d", f.network, high, low, port))
+}
+
+// hostAddress numbers the daemons' addresses from 1.
+func (f *fleet) hostAddress(number int, port uint16) netip.AddrPort {
+	const perOctet = 200
+	return f.address(1+number/perOctet, 1+number%perOctet, port)
+}
+
+func (f *fleet) serve(address netip.AddrPort, handler http.Handler) error {
+	listener, err := net.Listen("tcp", address.String())
+	if err != nil {
+		return err
+	}
+	s := &http.Server{Handler: handler}
+	f.servers = append(f.servers, s)
+	go server{http: s, listener: listener}.run()
+	return nil
+}
+
+func (s server) run() {
+	_ = s.http.Serve(s.listener) // ends with the fleet
+}
+
+// addServers lists backend servers that only report their load.
+func (f *fleet) addServers(count int) error {
+	handler := http.HandlerFunc(serveIdleEngine)
+	for i := range count {
+		address := f.address(100+i/250, 1+i%250, serverPort)
+		if err := f.serve(address, handler); err != nil {
+			return err
+		}
+		f.list(fmt.Sprintf("decode-%05d", i), address, map[string]string{
+			"role": "decode", "model": model, "slots": strconv.Itoa(idleSlots), "failureDomain": domainOf(i), "fencing": "checked",
+		})
+	}
+	return nil
+}
+
+func (f *fleet) list(id string, address netip.AddrPort, meta map[string]string) {
+	meta["state"] = "live"
+	f.platform.Register(platform.Service{
+		ServiceID: id, ServiceAddress: address.Addr().String(), ServicePort: address.Port(), ServiceMeta: meta,
+	})
+}
+
+// serveIdleEngine answers what a home asks of an engine at its peak.
+func serveIdleEngine(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	var reply any = struct{}{}
+	switch r.URL.Path {
+	case wire.PathLoad:
+		reply = wire.LoadReply{ObservedAt: time.Now(), SlotsUsed: busySlots, SlotsTotal: idleSlots}
+	case wire.PathRequests:
+		reply = wire.RequestsReply{Requests: []wire.RequestInfo{}}
+	case wire.PathCacheEvents:
+		reply = wire.CacheEventsReply{}
+	case wire.PathCacheSnapshot:
+		reply = wire.CacheSnapshotReply{}
+	}
+	_ = json.NewEncoder(w).Encode(reply) // the daemon may be gone
+}
+
+// startDaemons starts daemons and waits until each sees all the others, the
+// listed servers and the configuration.
+func (f *fleet) startDaemons(ctx context.Context, program string, count, servers, workspaces int) error {
+	for i := range count {
+		if err := f.startDaemon(program, i); err != nil {
+			return err
+		}
+	}
+	if err := f.await(ctx, f.allReady); err != nil {
+		return err
+	}
+	if err := f.configure(ctx, workspaces); err != nil {
+		return err
+	}
+	return f.await(ctx, func() bool { return f.allSee(count, servers) })
+}
+
+func (f *fleet) startDaemon(program string, number int) error {
+	d := &daemon{
+		name: fmt.Sprintf("host-%03d", number), caller: f.hostAddress(number, callerPort).String(),
+		operator: f.hostAddress(number, operatorPort).String(), exited: make(chan struct{}),
+	}
+	file := filepath.Join(f.dir, d.name+".ini")
+	if err := os.WriteFile(file, []byte(f.settings(d, number)), 0o600); err != nil {
+		return err
+	}
+	d.command = exec.Command(program, "serve", "--settings", file)
+	d.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := d.command.Start(); err != nil {
+		return err
+	}
+	f.daemons = append(f.daemons, d)
+	go d.run()
+	return nil
+}
+
+// run waits for the end of the process.
+func (d *daemon) run() {
+	_ = d.command.Wait() // it is killed at the end
+	close(d.exited)
+}
+
+func (f *fleet) settings(d *daemon, number int) string {
+	seeds := []string{f.hostAddress(0, peerPort).String(), f.hostAddress(1, peerPort).String()}
+	kv := f.address(0, 1, platformPort)
+	return fmt.Sprintf("[host]\nname = %s\nfailureDomain = %s\n\n[listen]\ncaller = %s\noperator = %s\npeer = %s\n\n"+
+		"[platform]\nkv = %s\nhostList = %s\n\n[peers]\nseeds = %s\n\n[auth]\noperatorToken = %s\n\n[log]\nlevel = error\n",
+		d.name, domainOf(number), d.caller, d.operator, f.hostAddress(number, peerPort), kv, kv, strings.Join(seeds, ", "), operatorToken)
+}
+
+// configure binds a model service and a plain service, and adds workspaces.
+func (f *fleet) configure(ctx context.Context, workspaces int) error {
+	edits := []configEdit{
+		{Kind: "profile", Name: "model", Text: "[targets]\nfirstToken = 2s\n\n[admission]\nmaxWait = 30s\ndirectPrompt = 1000000\n"},
+		{Kind: "profile", Name: "plain", Text: "[targets]\nanswer = 5s\n"},
+		{Kind: "service", Name: modelService, Text: "[service]\nkind = model\nmodel = " + model + "\nprofile = model\n"},
+		{Kind: "service", Name: plainService, Text: "[service]\nkind = plain\nprofile = plain\n"},
+	}
+	for i := range workspaces {
+		edits = append(edits, configEdit{Kind: "workspace", Name: workspaceOf(i), Text: "[workspace]\nshare = 1\n"})
+	}
+	_, err := f.change(ctx, edits)
+	return err
+}
+
+// change commits edits through the first daemon and returns the new revision.
+func (f *fleet) change(ctx context.Context, edits []configEdit) (uint64, error) {
+	var reply changeReply
+	err := f.admin(ctx, http.MethodPost, f.daemons[0], "/admin/v1/changes", changeRequest{Author: "bench", Edits: edits}, &reply)
+	return reply.Revision, err
+}
+
+func (f *fleet) admin(ctx context.Context, method string, d *daemon, path string, body, reply any) error {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return err
+	}
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+d.operator+path, bytes.NewReader(data))
+	if err != nil {
+		return err
+	}
+	request.Header.Set("Authorization", "Bearer "+operatorToken)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	answer, err := io.ReadAll(response.Body)
+	if err != nil {
+		return err
+	}
+	if response.StatusCode != http.StatusOK {
+		return fmt.Errorf("%s of %s: status %d: %s", path, d.name, response.StatusCode, answer)
+	}
+	return json.Unmarshal(answer, reply)
+}
+
+func (f *fleet) allReady() bool {
+	for _, d := range f.daemons {
+		response, err := http.Get("http://" + d.operator + "/readyz")
+		if err != nil {
+			return false
+		}
+		response.Body.Close()
+		if response.StatusCode != http.StatusOK {
+			return false
+		}
+	}
+	return true
+}
+
+func (f *fleet) allSee(hosts, servers int) bool {
+	for _, d := range f.daemons {
+		var status statusReply
+		if err := f.admin(context.Background(), http.MethodGet, d, "/admin/v1/status", nil, &status); err != nil {
+			return false
+		}
+		if len(status.Hosts) != hosts || len(status.Servers) < servers || status.ConfigRevision == 0 {
+			return false
+		}
+	}
+	return true
+}
+
+func (f *fleet) await(ctx context.Context, condition func() bool) error {
+	deadline := time.Now().Add(startTimeout)
+	for !condition() {
+		if time.Now().After(deadline) {
+			return ErrNotStarted
+		}
+		if !sleep(ctx, pollInterval) {
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+// close ends all processes and servers.
+func (f *fleet) close() {
+	for _, d := range f.daemons {
+		_ = d.command.Process.Kill() // it may have ended
+	}
+	for _, d := range f.daemons {
+		select {
+		case <-d.exited:
+		case <-time.After(stopTimeout):
+		}
+	}
+	for _, s := range f.servers {
+		s.Close()
+	}
+	close(f.done)
+	os.RemoveAll(f.dir)
+}
+
+func domainOf(number int) string {
+	return fmt.Sprintf("domain-%d", number%domainCount)
+}
+
+func workspaceOf(number int) string {
+	if number == 0 {
+		return workspaceName
+	}
+	return fmt.Sprintf("%s-%03d", workspaceName, number)
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/hickorylab/internal/command/group.go
@@ -0,0 +1,54 @@
+package command
+
+import (
+	"context"
+	"flag"
+	"io"
+
+	"github.com/google/subcommands"
+)
+
+// Group is a noun whose verbs are commands of their own.
+type Group struct {
+	noun     string
+	short    string
+	output   io.Writer
+	errors   io.Writer
+	commands []subcommands.Command
+}
+
+// NewBench returns the bench commands.
+func NewBench(output, errors io.Writer) *Group {
+	return &Group{noun: "bench", short: "measure what hickoryfront costs", output: output, errors: errors, commands: []subcommands.Command{
+		NewBenchControl(output, errors),
+	}}
+}
+
+// Name implements subcommands.Command.
+func (g *Group) Name() string { return g.noun }
+
+// Synopsis implements subcommands.Command.
+func (g *Group) Synopsis() string { return g.short }
+
+// Usage implements subcommands.Command.
+func (g *Group) Usage() string { return "hickorylab " + g.noun + " VERB: " + g.short + "\n" }
+
+// SetFlags implements subcommands.Command.
+func (g *Group) SetFlags(*flag.FlagSet) {}
+
+// Execute implements subcommands.Command.
+func (g *Group) Execute(ctx context.Context, flags *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	inner := flag.NewFlagSet(g.noun, flag.ContinueOnError)
+	inner.SetOutput(g.errors)
+	commander := subcommands.NewCommander(inner, "hickorylab "+g.noun)
+	commander.Output = g.output
+	commander.Error = g.errors
+	commander.Register(commander.HelpCommand(), "")
+	for _, c := range g.commands {
+		commander.Register(c, "")
+	}
+	if err := inner.Parse(flags.Args()); err != nil {
+		return subcommands.ExitUsageError
+	}
+	return commander.Execute(ctx)
+}
--- a/hickorylab/main.go
+++ b/hickorylab/main.go
@@ -20,6 +20,7 @@
 	subcommands.Register(command.NewEngine(os.Stderr), "stand-ins")
 	subcommands.Register(command.NewService(os.Stderr), "stand-ins")
 	subcommands.Register(command.NewProof(os.Stderr), "tools")
+	subcommands.Register(command.NewBench(os.Stdout, os.Stderr), "tools")
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	status := subcommands.Execute(ctx)
