Add load, replay and path measurements that check every answer

Cause: figures and traces of both deployments had no tool. Ruled out: keeping the prompts in the traces (they are made from names and sizes, so the files stay small). Daemons serve profiles on the administration API. The traces are replayed against real processes in the tests.

--- a/hickoryd/internal/operator/operator.go
+++ b/hickoryd/internal/operator/operator.go
@@ -136,6 +136,7 @@
 	api.POST("/changes", h.change)
 	api.GET("/status", h.status)
 	api.GET("/report/burn", h.reportBurn)
+	api.GET("/debug/pprof/:name", h.profile)
 }
 
 func (h *Handler) authenticate(c *gin.Context) {
--- /dev/null
+++ b/hickoryd/internal/operator/profile.go
@@ -0,0 +1,17 @@
+package operator
+
+import (
+	"net/http/pprof"
+
+	"github.com/gin-gonic/gin"
+)
+
+// profile serves a profile of the running daemon by its name: "profile" is
+// processor time for ?seconds=N, others are those of runtime/pprof.
+func (h *Handler) profile(c *gin.Context) {
+	if name := c.Param("name"); name != "profile" {
+		pprof.Handler(name).ServeHTTP(c.Writer, c.Request)
+		return
+	}
+	pprof.Profile(c.Writer, c.Request)
+}
--- a/hickorylab/bench/fleet.go
+++ b/hickorylab/bench/fleet.go
@@ -113,12 +113,18 @@
 		return nil, err
 	}
 	f := &fleet{
-		dir: dir, network: fmt.Sprintf("127.%d", 20+number%40), platform: platform.New(), done: make(chan struct{}),
+		dir: dir, network: networkOf(number), platform: platform.New(), done: make(chan struct{}),
 	}
 	go f.platform.Run(f.done)
 	return f, f.serve(f.address(0, 1, platformPort), f.platform)
 }
 
+// networkOf keeps fleets apart, also those of two measurements at once.
+func networkOf(number int) string {
+	const first, count = 20, 200
+	return fmt.Sprintf("127.%d", first+(os.Getpid()*7+number)%count)
+}
+
 func (f *fleet) address(high, low int, port uint16) netip.AddrPort {
 	return netip.MustParseAddrPort(fmt.Sprintf("%s.%d.%d:%d", f.network, high, low, port))
 }
--- a/hickorylab/internal/command/group.go
+++ b/hickorylab/internal/command/group.go
@@ -21,6 +21,7 @@
 func NewBench(output, errors io.Writer) *Group {
 	return &Group{noun: "bench", short: "measure what hickoryfront costs", output: output, errors: errors, commands: []subcommands.Command{
 		NewBenchControl(output, errors),
+		NewBenchPath(output, errors),
 	}}
 }
 
--- /dev/null
+++ b/hickorylab/replay/replay_test.go
@@ -0,0 +1,157 @@
+package replay_test
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/hickoryfront/hickoryfront/hickorylab/harness"
+	"github.com/hickoryfront/hickoryfront/hickorylab/replay"
+	"github.com/hickoryfront/hickoryfront/hickorylab/trace"
+)
+
+const (
+	traceSeed   = 1
+	hostCount   = 3
+	longestWait = time.Minute
+)
+
+func read(t *testing.T, name string) ([]trace.Request, []trace.Outcome) {
+	t.Helper()
+	in, err := os.Open(filepath.Join("..", "testdata", name+".jsonl"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer in.Close()
+	requests, err := trace.ReadRequests(in)
+	if err != nil {
+		t.Fatal(err)
+	}
+	stated, err := os.Open(filepath.Join("..", "testdata", name+".outcomes.jsonl"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer stated.Close()
+	outcomes, err := trace.ReadOutcomes(stated, requests)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return requests, outcomes
+}
+
+// TestRecordedTraces replays the traces of both deployments against real
+// processes: every outcome is the stated one, and every key ran once.
+//
+// proof: none | answer | 2
+// proof: none | answer | 3
+// proof: none | claim | 5
+// proof: caller cancels | stream | 1
+func TestRecordedTraces(t *testing.T) {
+	binaries, err := harness.Build(t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, name := range []string{trace.TermStart, trace.PreDawn} {
+		t.Run(name, func(t *testing.T) {
+			requests, outcomes := read(t, name)
+			c := harness.Start(t, binaries, harness.Options{Hosts: hostCount, Profile: "[admission]\nmaxWait = 1m\n"})
+			c.Set(c.Hosts[0], "workspace", "dutchpot", "[workspace]\nshare = 1\n", 0)
+			c.Await("workspace dutchpot everywhere", func() bool { return sameRevision(c) })
+			o := replay.Options{Patience: longestWait}
+			for _, host := range c.Hosts {
+				o.Hosts = append(o.Hosts, host.Address)
+			}
+			if err := replay.Run(t.Context(), o, requests, outcomes); err != nil {
+				t.Error(err)
+			}
+			if diff := cmp.Diff(keysOf(requests), runsOf(c)); diff != "" {
+				t.Errorf("keys that did not run exactly once: %s", diff)
+			}
+		})
+	}
+}
+
+func sameRevision(c *harness.Cluster) bool {
+	for _, host := range c.Hosts {
+		if c.Revision(host) != c.Revision(c.Hosts[0]) {
+			return false
+		}
+	}
+	return c.Revision(c.Hosts[0]) > 1
+}
+
+func keysOf(requests []trace.Request) map[string]int {
+	keys := map[string]int{}
+	for _, r := range requests {
+		if r.Key != "" {
+			keys[r.Key] = 1
+		}
+	}
+	return keys
+}
+
+func runsOf(c *harness.Cluster) map[string]int {
+	runs := map[string]int{}
+	for _, server := range c.Services {
+		for _, run := range server.Runs() {
+			if run.Key != "" {
+				runs[run.Key]++
+			}
+		}
+	}
+	return runs
+}
+
+// TestTracesAreWhatTheyWereMadeOf keeps the recorded files and their maker
+// together.
+func TestTracesAreWhatTheyWereMadeOf(t *testing.T) {
+	for _, name := range []string{trace.TermStart, trace.PreDawn} {
+		requests, outcomes, err := trace.Make(name, traceSeed)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for file, write := range map[string]func(*strings.Builder) error{
+			name + ".jsonl":          func(out *strings.Builder) error { return trace.Write(out, requests) },
+			name + ".outcomes.jsonl": func(out *strings.Builder) error { return trace.Write(out, outcomes) },
+		} {
+			var made strings.Builder
+			if err := write(&made); err != nil {
+				t.Fatal(err)
+			}
+			held, err := os.ReadFile(filepath.Join("..", "testdata", file))
+			if err != nil {
+				t.Fatal(err)
+			}
+			if diff := cmp.Diff(made.String(), string(held)); diff != "" {
+				t.Errorf("%s: %s", file, diff)
+			}
+		}
+	}
+}
+
+func TestBadTracesAreNamed(t *testing.T) {
+	tests := map[string]struct{ text, want string }{
+		"not JSON":        {"{", "line 1"},
+		"unknown field":   {`{"id":"a","kind":"call","method":"GET","path":"/","hots":1}`, "hots"},
+		"unknown kind":    {`{"id":"a","kind":"rpc"}`, `unknown kind "rpc"`},
+		"id twice":        {`{"id":"a","kind":"call","method":"GET","path":"/"}` + "\n" + `{"id":"a","kind":"call","method":"GET","path":"/"}`, "line 2"},
+		"empty prompt":    {`{"id":"a","kind":"completion","model":"m","tokens":3}`, "ownTokens"},
+		"before the time": {`{"id":"a","atMs":-1,"kind":"call","method":"GET","path":"/"}`, "below 0"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			_, err := trace.ReadRequests(strings.NewReader(test.text))
+			if !errors.Is(err, trace.ErrBadTrace) || !strings.Contains(err.Error(), test.want) {
+				t.Errorf("error %v, want ErrBadTrace with %q", err, test.want)
+			}
+		})
+	}
+	if _, err := trace.ReadOutcomes(strings.NewReader(`{"id":"b"}`), nil); !errors.Is(err, trace.ErrBadTrace) {
+		t.Errorf("outcome of an unknown request: error %v, want ErrBadTrace", err)
+	}
+}
