--- a/core/slot/audit.go
+++ b/core/slot/audit.go
@@ -84,7 +84,7 @@
 		a.renew(now, requestID, lifetime)
 	case NotHeld:
 		if !a.running[requestID] {
-			delete(a.granted, requestID)
+			a.drop(now, requestID)
 			return false
 		}
 		return true
--- a/hickoryd/internal/peerserver/server.go
+++ b/hickoryd/internal/peerserver/server.go
@@ -6,8 +6,6 @@
 	"errors"
 	"time"
 
-	"google.golang.org/protobuf/types/known/timestamppb"
-
 	"github.com/hickoryfront/hickoryfront/core/backend"
 	"github.com/hickoryfront/hickoryfront/core/crash"
 	"github.com/hickoryfront/hickoryfront/core/member"
@@ -28,6 +26,7 @@
 		Reserve(now time.Time, serverID string, r slot.Reservation) (backend.Load, error)
 		Force(now time.Time, serverID string, r slot.Reservation)
 		Release(serverID, requestID string)
+		ReservePrefill(now time.Time, serverID string, p slot.Prefill) (backend.Load, error)
 	}
 
 	// Holdings tells which attempts this daemon holds.
@@ -63,6 +62,7 @@
 		Config     Config
 		Burn       Burn
 		Answers    Answers
+		Prefixes   Prefixes
 	}
 
 	// Server implements the Peer service.
@@ -76,6 +76,7 @@
 		config     Config
 		burn       Burn
 		answers    Answers
+		prefixes   Prefixes
 	}
 )
 
@@ -90,6 +91,7 @@
 		config:     parts.Config,
 		burn:       parts.Burn,
 		answers:    parts.Answers,
+		prefixes:   parts.Prefixes,
 	}
 }
 
@@ -106,13 +108,11 @@
 // Reserve implements the Peer service.
 func (s *Server) Reserve(_ context.Context, request *peerapi.ReserveRequest) (*peerapi.ReserveResponse, error) {
 	now := time.Now()
-	r := slot.Reservation{
-		RequestID: request.GetRequestId(),
-		Holder:    slot.Holder{Host: request.GetHolder().GetName(), Incarnation: request.GetHolder().GetIncarnation()},
-		Deadline:  now.Add(request.GetLifetime().AsDuration()),
-		KVBytes:   request.GetKvBytes(),
-		Isolated:  request.GetIsolated(),
+	if request.GetPrefill() != nil {
+		load, err := s.slots.ReservePrefill(now, request.GetServerId(), peer.PrefillFromWire(request))
+		return &peerapi.ReserveResponse{Outcome: reserveOutcome(err), Load: peer.LoadToWire(load)}, nil
 	}
+	r := peer.ReservationFromWire(now, request)
 	if request.GetForced() {
 		s.slots.Force(now, request.GetServerId(), r)
 		return &peerapi.ReserveResponse{Outcome: peerapi.ReserveResponse_OUTCOME_GRANTED}, nil
@@ -120,13 +120,7 @@
 	load, err := s.slots.Reserve(now, request.GetServerId(), r)
 	return &peerapi.ReserveResponse{
 		Outcome: reserveOutcome(err),
-		Load: &peerapi.ServerLoad{
-			ServerId:   request.GetServerId(),
-			SlotsUsed:  uint32(load.SlotsUsed),
-			SlotsTotal: uint32(load.SlotsTotal),
-			ObservedAt: timestamppb.New(load.ObservedAt),
-			Leaving:    load.Leaving,
-		},
+		Load:    peer.LoadToWire(load),
 	}, nil
 }
 
@@ -189,7 +183,9 @@
 	case errors.Is(err, slot.ErrLeaving):
 		return peerapi.ReserveResponse_OUTCOME_LEAVING
 	case errors.Is(err, slot.ErrUnreachable):
-		return peerapi.ReserveResponse_OUTCOME_FULL
+		return peerapi.ReserveResponse_OUTCOME_UNREACHABLE
+	case errors.Is(err, slot.ErrBacklog):
+		return peerapi.ReserveResponse_OUTCOME_BACKLOG
 	}
 	return peerapi.ReserveResponse_OUTCOME_NOT_HOME
 }
--- a/hickorylab/internal/command/group.go
+++ b/hickorylab/internal/command/group.go
@@ -6,6 +6,8 @@
 	"io"
 
 	"github.com/google/subcommands"
+
+	"github.com/hickoryfront/hickoryfront/hickorylab/internal/command/benchpolicy"
 )
 
 // Group is a noun whose verbs are commands of their own.
@@ -22,6 +24,7 @@
 	return &Group{noun: "bench", short: "measure what hickoryfront costs", output: output, errors: errors, commands: []subcommands.Command{
 		NewBenchControl(output, errors),
 		NewBenchPath(output, errors),
+		benchpolicy.New(output, errors),
 	}}
 }
 
