--- a/hickoryd/internal/node/node.go
+++ b/hickoryd/internal/node/node.go
@@ -192,6 +192,7 @@
 	n.awaitHandlers(ctx)
 	n.canceller.Close(ctx)
 	n.reservations.Close(ctx)
+	n.membership.Leave(ctx)
 	n.registration.Close(ctx)
 	n.stop()
 	_ = n.operators.server.Shutdown(ctx)
