Recommend role changes with hysteresis and a floor

Cause: nothing told when prefill or decode holds the other up for long. Ruled out: acting on one report: a bottleneck must last, and changes keep apart. Before and after: tests of hold, break, cooldown and floor pass, random loads included; not yet wired to orders.

--- /dev/null
+++ b/core/rolebalance/rolebalance_test.go
@@ -0,0 +1,115 @@
+package rolebalance_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/hickoryfront/hickoryfront/core/backend"
+	"github.com/hickoryfront/hickoryfront/core/rolebalance"
+)
+
+const backlogTarget = time.Second
+
+var (
+	start   = time.Unix(1000, 0)
+	options = rolebalance.Options{Hold: time.Minute, Cooldown: 10 * time.Minute, Floor: 2, High: 0.9, Low: 0.5}
+)
+
+func pool(prefills, decodes, used int, backlog time.Duration) []rolebalance.Server {
+	var servers []rolebalance.Server
+	for i := range prefills {
+		servers = append(servers, rolebalance.Server{
+			Server: backend.Server{ID: fmt.Sprintf("p%d", i), Role: backend.RolePrefill, State: backend.StateLive},
+			Load:   backend.Load{PrefillBacklog: backlog + time.Duration(i)*time.Millisecond},
+		})
+	}
+	for i := range decodes {
+		servers = append(servers, rolebalance.Server{
+			Server: backend.Server{ID: fmt.Sprintf("d%d", i), Role: backend.RoleDecode, State: backend.StateLive},
+			Load:   backend.Load{SlotsUsed: used, SlotsTotal: 20},
+		})
+	}
+	return servers
+}
+
+// observe feeds the same servers for a while and returns the first change.
+func observe(b *rolebalance.Balancer, from time.Time, length time.Duration, servers []rolebalance.Server) (rolebalance.Change, time.Duration) {
+	for at := time.Duration(0); at <= length; at += time.Second {
+		if change, ok := b.Observe(from.Add(at), "m", servers, backlogTarget); ok {
+			return change, at
+		}
+	}
+	return rolebalance.Change{}, 0
+}
+
+func TestRecommends(t *testing.T) {
+	tests := map[string]struct {
+		servers []rolebalance.Server
+		want    rolebalance.Change
+	}{
+		"decode is the bottleneck":     {pool(4, 4, 19, 0), rolebalance.Change{ServerID: "p0", Model: "m", To: backend.RoleDecode}},
+		"prefill is the bottleneck":    {pool(4, 4, 5, 2*time.Second), rolebalance.Change{ServerID: "d0", Model: "m", To: backend.RolePrefill}},
+		"both are busy":                {pool(4, 4, 19, 2*time.Second), rolebalance.Change{}},
+		"neither is busy":              {pool(4, 4, 5, 0), rolebalance.Change{}},
+		"floor of the role that gives": {pool(2, 4, 19, 0), rolebalance.Change{}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			got, after := observe(rolebalance.New(options), start, 5*time.Minute, test.servers)
+			if got != test.want {
+				t.Errorf("got %+v, want %+v", got, test.want)
+			}
+			if got.ServerID != "" && after != options.Hold {
+				t.Errorf("after %v, want %v", after, options.Hold)
+			}
+		})
+	}
+}
+
+func TestBreakRestartsTheHold(t *testing.T) {
+	b := rolebalance.New(options)
+	if got, _ := observe(b, start, 50*time.Second, pool(4, 4, 19, 0)); got.ServerID != "" {
+		t.Fatalf("change after 50 s: %+v", got)
+	}
+	b.Observe(start.Add(51*time.Second), "m", pool(4, 4, 10, 0), backlogTarget)
+	if got, after := observe(b, start.Add(52*time.Second), 5*time.Minute, pool(4, 4, 19, 0)); after != options.Hold {
+		t.Errorf("%+v %v after the break, want %v", got, after, options.Hold)
+	}
+}
+
+// Whatever the loads, changes of a model are a cooldown apart and no role falls
+// below the floor.
+func TestCooldownAndFloorHold(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := rolebalance.New(options)
+		prefills, decodes := 4, 4
+		var last time.Time
+		for step := range 600 {
+			now := start.Add(time.Duration(step) * 10 * time.Second)
+			used := rapid.SampledFrom([]int{2, 19, 20}).Draw(t, "used")
+			backlog := rapid.SampledFrom([]time.Duration{0, 2 * time.Second}).Draw(t, "backlog")
+			if step%100 != 0 { // mostly steady
+				used, backlog = 20, 0
+			}
+			change, ok := b.Observe(now, "m", pool(prefills, decodes, used, backlog), backlogTarget)
+			if !ok {
+				continue
+			}
+			if !last.IsZero() && now.Sub(last) < options.Cooldown {
+				t.Fatalf("changes %v apart", now.Sub(last))
+			}
+			last = now
+			if change.To == backend.RoleDecode {
+				prefills, decodes = prefills-1, decodes+1
+			} else {
+				prefills, decodes = prefills+1, decodes-1
+			}
+			if prefills < options.Floor || decodes < options.Floor {
+				t.Fatalf("%d prefill and %d decode servers left", prefills, decodes)
+			}
+		}
+	})
+}
