Pass the workspace's share on to the waiting line

Cause: fair shares were kept with equal weights. Ruled out: - Before and after: callers' tests pass. Conclusion: shares of the configuration count.

--- a/hickoryd/internal/caller/caller.go
+++ b/hickoryd/internal/caller/caller.go
@@ -104,6 +104,7 @@
 	call struct {
 		id        string
 		workspace string
+		share     float64 // of the workspace
 		service   config.Service
 		profile   config.Profile
 		body      []byte
@@ -195,7 +196,7 @@
 func modelRequest(request call, parsed parsedBody, arrived time.Time) dispatch.ModelRequest {
 	return dispatch.ModelRequest{
 		ID: request.id, Workspace: request.workspace, Service: request.service, Profile: request.profile,
-		Prompt: parsed.prompt, MaxTokens: parsed.maxTokens, ArrivedAt: arrived,
+		Prompt: parsed.prompt, MaxTokens: parsed.maxTokens, ArrivedAt: arrived, Share: request.share,
 	}
 }
 
@@ -249,7 +250,9 @@
 	} else {
 		c.Header(HeaderRequestID, request.id)
 	}
-	if _, ok := document.Workspaces[request.workspace]; !ok {
+	workspace, ok := document.Workspaces[request.workspace]
+	request.share = workspace.Share
+	if !ok {
 		return request, refusal.NotRun(refusal.UnknownWorkspace, "header %s: workspace %q is not configured", HeaderWorkspace, request.workspace)
 	}
 	return request, nil
