--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -76,7 +76,7 @@
 // Overcommit is the share of the slots predicted to become free that a
 // reservation may count on: a profile that weighs goodput more takes more risk.
 func (r Request) Overcommit() float64 {
-	return 1 - r.WasteShare()
+	return 1 - r.WasteShare()/2
 }
 
 func (c Candidate) takes(role backend.Role) bool {
