Reserve time on the KV link before a prefill starts

Cause: with a cached prefix the transfer takes longer than the prefill, and results waited for a busy link until they were evicted. Ruled out: a timeline of transfers by their predicted start (an interactive prefill that overtakes was refused for transfers of later ones; a test found it). The daemon learns the size of a token's KV cache from prefills.

--- a/core/backend/backend.go
+++ b/core/backend/backend.go
@@ -57,6 +57,7 @@
 		SlotsUsed      int
 		SlotsTotal     int
 		PrefillBacklog time.Duration // time to work off the queue
+		LinkBacklog    time.Duration // time until the KV link is free
 		PrefillRate    float64       // tokens per second; 0: not known
 		Batch          int           // requests in the batch of the last step
 		TokenGap       time.Duration // of the last step; 0: no step
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -20,6 +20,7 @@
 		FailureDomain string // of the deciding daemon
 		PromptTokens  int
 		MaxTokens     int
+		KVBytes       int64    // predicted size of the prompt's KV cache; 0: not known
 		PrefixHashes  []uint64 // rolling hashes of the prompt's blocks
 		ArrivedAt     time.Time
 		Deadline      time.Time // of the first token
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -12,7 +12,7 @@
 
 var (
 	now     = time.Unix(1000, 0)
-	options = placement.Options{KVBytesPerToken: 64 << 10, LinkRate: 6_250_000_000}
+	options = placement.Options{LinkRate: 6_250_000_000}
 )
 
 func candidate(id string, role backend.Role, domain string, load backend.Load) placement.Candidate {
--- a/core/placement/reserving.go
+++ b/core/placement/reserving.go
@@ -36,8 +36,7 @@
 
 	// Options are the properties of the machines that placement reckons with.
 	Options struct {
-		KVBytesPerToken int64
-		LinkRate        int64 // bytes per second; 0: not known
+		LinkRate int64 // bytes per second of a server's KV link; 0: not known
 	}
 
 	// ranking keeps the best few candidates in order.
@@ -85,7 +84,7 @@
 		return
 	}
 	best := &candidates[prefill.index[0]]
-	remote := best.Load.PrefillBacklog + plan.Work[0].Compute + plan.Work[0].Transfer + defaultGap
+	remote := max(best.Load.PrefillBacklog+plan.Work[0].Compute, best.Load.LinkBacklog) + plan.Work[0].Transfer + defaultGap
 	plan.Direct = allowed && direct <= remote
 	plan.FirstToken = remote
 	if plan.Direct {
@@ -121,8 +120,8 @@
 
 func (p *Reserving) prefillScore(request Request, c *Candidate) float64 {
 	work := p.work(request, c)
-	score := c.Load.PrefillBacklog + work.Transfer
-	score += time.Duration(float64(work.Compute) * (1 + request.WasteShare()))
+	compute := time.Duration(float64(work.Compute) * (1 + request.WasteShare()))
+	score := max(c.Load.PrefillBacklog+compute, c.Load.LinkBacklog) + work.Transfer
 	if c.Server.FailureDomain != request.FailureDomain {
 		score += farDelay
 	}
@@ -134,7 +133,7 @@
 	return Work{
 		Tokens:   tokens,
 		Compute:  perSecond(tokens, rateOf(c.Load)),
-		Transfer: p.transfer(request.PromptTokens),
+		Transfer: p.transfer(request),
 	}
 }
 
@@ -149,11 +148,11 @@
 	return deferrableBacklog + time.Duration(float64(saved)*(1+request.WasteShare()))
 }
 
-func (p *Reserving) transfer(tokens int) time.Duration {
-	if p.options.LinkRate <= 0 {
-		return time.Duration(tokens) * defaultTransfer
+func (p *Reserving) transfer(request Request) time.Duration {
+	if p.options.LinkRate <= 0 || request.KVBytes <= 0 {
+		return time.Duration(request.PromptTokens) * defaultTransfer
 	}
-	return perSecond(tokens*int(p.options.KVBytesPerToken), float64(p.options.LinkRate))
+	return time.Duration(float64(request.KVBytes) / float64(p.options.LinkRate) * float64(time.Second))
 }
 
 func rateOf(load backend.Load) float64 {
--- a/core/slot/prefill.go
+++ b/core/slot/prefill.go
@@ -8,6 +8,10 @@
 	"github.com/hickoryfront/hickoryfront/core/backend"
 )
 
+// maxLinkWait bounds the time that a finished prefill waits for its server's
+// link: engines evict it soon after.
+const maxLinkWait = 400 * time.Millisecond
+
 // ErrBacklog means that the prefill queue is longer than the request can wait.
 var ErrBacklog = errors.New("prefill queue is too long")
 
@@ -17,6 +21,7 @@
 		RequestID  string
 		Holder     Holder
 		Work       time.Duration
+		Transfer   time.Duration // of the KV cache over the server's link
 		MaxBacklog time.Duration // longest queue that the request may join
 		Deferrable bool          // runs after interactive prefills
 		GrantedAt  time.Time
@@ -31,6 +36,7 @@
 	prefillQueue struct {
 		granted  []Prefill // in the order of their grants
 		headAt   time.Time // start of the first
+		linkFree time.Time // end of the transfers reserved so far, in a fluid model
 		reported backend.Load
 		leaving  bool
 		silent   bool // does not answer its home
@@ -77,7 +83,7 @@
 
 // Reserve puts a prefill into the server's queue and returns the time until it
 // is predicted to be done. It fails with ErrBacklog when the queue is longer
-// than MaxBacklog. Reserving the same request again changes nothing.
+// than MaxBacklog, or the link so busy that the result might be evicted. Reserving the same request again changes nothing.
 func (l *PrefillLedger) Reserve(now time.Time, serverID string, p Prefill) (time.Duration, error) {
 	q, ok := l.servers[serverID]
 	if !ok {
@@ -93,12 +99,17 @@
 	if q.silent {
 		return 0, ErrUnreachable
 	}
-	if backlog > p.MaxBacklog {
+	ready := now.Add(backlog + p.Work)
+	if backlog > p.MaxBacklog || q.linkFree.Sub(ready) > maxLinkWait {
 		return backlog, ErrBacklog
 	}
 	if len(q.granted) == 0 {
 		q.headAt = now
 	}
+	if q.linkFree.Before(now) {
+		q.linkFree = now
+	}
+	q.linkFree = q.linkFree.Add(p.Transfer)
 	p.GrantedAt = now
 	q.granted = append(q.granted, p)
 	return backlog + p.Work, nil
@@ -139,6 +150,7 @@
 	load.ServerID = serverID
 	load.ObservedAt = now
 	load.PrefillBacklog = q.backlog(now, true)
+	load.LinkBacklog = max(0, q.linkFree.Sub(now))
 	load.Leaving = q.leaving
 	load.Unreachable = q.silent
 	return load, true
--- a/core/slot/prefill_test.go
+++ b/core/slot/prefill_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"testing"
 	"time"
 
@@ -39,6 +40,33 @@
 	}
 }
 
+// A prefill whose result would wait for the link until it is evicted is not
+// started.
+func TestPrefillWaitsForTheLink(t *testing.T) {
+	now := time.Unix(1000, 0)
+	l := slot.NewPrefillLedger()
+	l.Track(backend.Server{ID: "p", State: backend.StateLive})
+	granted := 0
+	for i := range 10 {
+		p := prefillOf(fmt.Sprint(i), 10*time.Millisecond, time.Second, true)
+		p.Transfer = 200 * time.Millisecond
+		if _, err := l.Reserve(now, "p", p); err == nil {
+			granted++
+			l.Release(now, "p", p.RequestID)
+		}
+	}
+	if granted != 3 {
+		t.Errorf("%d prefills of 200 ms transfer granted at once, want 3", granted)
+	}
+	if load, _ := l.Load(now, "p"); load.LinkBacklog != 600*time.Millisecond {
+		t.Errorf("link backlog %v, want 600ms", load.LinkBacklog)
+	}
+	late := prefillOf("late", 10*time.Millisecond, time.Second, true)
+	if _, err := l.Reserve(now.Add(time.Second), "p", late); err != nil {
+		t.Errorf("after the transfers: %v", err)
+	}
+}
+
 // proof: backend server leaving | reserve | 6
 func TestPrefillOnServersThatTakeNothing(t *testing.T) {
 	now := time.Unix(1000, 0)
--- a/hickoryd/internal/dispatch/model.go
+++ b/hickoryd/internal/dispatch/model.go
@@ -102,6 +102,7 @@
 		slots         Slots
 		prefixes      Prefixes
 		lines         *lines
+		kvSize        kvSize
 		directory     Directory
 		crashes       Crashes
 		canceller     *Canceller
--- a/hickoryd/internal/dispatch/prefill.go
+++ b/hickoryd/internal/dispatch/prefill.go
@@ -73,6 +73,7 @@
 	r.note(server, err)
 	r.releasePrefill()
 	if err == nil {
+		r.models.kvSize.observe(reply)
 		computed := max(0, reply.PromptTokens-reply.CachedTokens)
 		return &prefilled{server: server, id: attemptID, prompt: prompt, kv: reply.KV, computed: computed, at: started}, nil
 	}
--- a/hickoryd/internal/dispatch/reserve.go
+++ b/hickoryd/internal/dispatch/reserve.go
@@ -175,6 +175,7 @@
 	p := slot.Prefill{RequestID: id, Deferrable: r.isDeferrable(), MaxBacklog: r.request.Profile.FirstTokenTarget}
 	if i < len(plan.Work) {
 		p.Work = plan.Work[i].Compute
+		p.Transfer = plan.Work[i].Transfer
 		p.MaxBacklog = plan.Work[i].MaxBacklog
 	}
 	return p
@@ -234,6 +235,7 @@
 		FailureDomain: r.models.failureDomain,
 		PromptTokens:  prefix.Tokens(r.request.Prompt) + r.assembly.Next(),
 		MaxTokens:     r.request.MaxTokens,
+		KVBytes:       r.models.kvSize.predict(prefix.Tokens(r.request.Prompt)),
 		PrefixHashes:  r.hashes,
 		ArrivedAt:     r.request.ArrivedAt,
 		Deadline:      r.firstTokenDue(now),
--- a/hickoryd/internal/peer/convert.go
+++ b/hickoryd/internal/peer/convert.go
@@ -75,6 +75,7 @@
 		PrefillRate:    l.PrefillRate,
 		TokenGap:       durationpb.New(l.TokenGap),
 		Unreachable:    l.Unreachable,
+		LinkBacklog:    durationpb.New(l.LinkBacklog),
 	}
 }
 
@@ -90,5 +91,6 @@
 		PrefillRate:    l.GetPrefillRate(),
 		TokenGap:       l.GetTokenGap().AsDuration(),
 		Unreachable:    l.GetUnreachable(),
+		LinkBacklog:    l.GetLinkBacklog().AsDuration(),
 	}
 }
--- a/hickoryd/internal/peer/reservations.go
+++ b/hickoryd/internal/peer/reservations.go
@@ -28,7 +28,7 @@
 func PrefillRequest(serverID string, p slot.Prefill, holder member.Host) *peerapi.ReserveRequest {
 	return &peerapi.ReserveRequest{
 		ServerId: serverID, RequestId: p.RequestID, Holder: HostToWire(holder), Class: classOf(p.Deferrable),
-		Prefill: &peerapi.PrefillWork{Work: durationpb.New(p.Work), MaxBacklog: durationpb.New(p.MaxBacklog)},
+		Prefill: &peerapi.PrefillWork{Work: durationpb.New(p.Work), MaxBacklog: durationpb.New(p.MaxBacklog), Transfer: durationpb.New(p.Transfer)},
 	}
 }
 
@@ -53,6 +53,7 @@
 		RequestID:  request.GetRequestId(),
 		Holder:     holderFromWire(request.GetHolder()),
 		Work:       max(0, request.GetPrefill().GetWork().AsDuration()),
+		Transfer:   max(0, request.GetPrefill().GetTransfer().AsDuration()),
 		MaxBacklog: request.GetPrefill().GetMaxBacklog().AsDuration(),
 		Deferrable: request.GetClass() == classDeferrable,
 	}
--- a/hickorylab/policybench/bench.go
+++ b/hickorylab/policybench/bench.go
@@ -321,7 +321,7 @@
 	case PolicyTwoChoices:
 		return placement.NewTwoChoices(random)
 	}
-	return placement.NewReserving(placement.Options{KVBytesPerToken: kvBytesPerToken, LinkRate: linkRate}, random.Float64)
+	return placement.NewReserving(placement.Options{LinkRate: linkRate}, random.Float64)
 }
 
 func (b *bench) engines(pool int) []*node {
--- a/hickorylab/policybench/router.go
+++ b/hickorylab/policybench/router.go
@@ -175,7 +175,7 @@
 func (r *router) plan(q *request, candidates []placement.Candidate) placement.Plan {
 	d := r.bench.run.Deployment
 	return r.policy.Plan(r.bench.loop.now, placement.Request{
-		FailureDomain: r.domain, PromptTokens: q.prompt + q.tokens, MaxTokens: q.output, PrefixHashes: q.hashes,
+		FailureDomain: r.domain, PromptTokens: q.prompt + q.tokens, MaxTokens: q.output, KVBytes: int64(q.prompt+q.tokens) * kvBytesPerToken, PrefixHashes: q.hashes,
 		ArrivedAt: q.callAt, Deadline: r.deadline(q), Deferrable: q.kind.Deferrable,
 		TokenGap: tokenGapTarget, DirectPrompt: d.DirectPrompt, GoodputWeight: d.GoodputWeight, WasteWeight: d.WasteWeight,
 	}, candidates)
@@ -250,7 +250,7 @@
 	for i, server := range plan.Prefill {
 		delay += r.reserveDelay()
 		_, err := r.bench.homes.queues.Reserve(r.bench.loop.now, server.ID, slot.Prefill{
-			RequestID: a.id, Holder: r.holder(), Work: plan.Work[i].Compute, Deferrable: a.deferrable(),
+			RequestID: a.id, Holder: r.holder(), Work: plan.Work[i].Compute, Transfer: plan.Work[i].Transfer, Deferrable: a.deferrable(),
 			MaxBacklog: plan.Work[i].MaxBacklog,
 		})
 		r.view[server.ID] = r.bench.homes.load(server)
