--- a/hickorylab/internal/command/benchpolicy/policy.go
+++ b/hickorylab/internal/command/benchpolicy/policy.go
@@ -61,7 +61,7 @@
 	flags.StringVar(&o.loads, "loads", "0.7,1,1.3,2", "loads in times capacity")
 	flags.StringVar(&o.routers, "routers", "7", "numbers of routers")
 	flags.StringVar(&o.faults, "faults", "no", "no, yes or both")
-	flags.DurationVar(&o.length, "length", time.Minute, "length of the trace")
+	flags.DurationVar(&o.length, "length", 2*time.Minute, "length of the trace")
 	flags.Uint64Var(&o.seed, "seed", 1, "seed of the random numbers")
 	flags.IntVar(&o.workers, "workers", 0, "runs at the same time; 0: half of the processors")
 	flags.BoolVar(&o.json, "json", false, "write JSON")
