Learn slot times from answers, and test the waiting line in the daemon

Cause: costs of services stayed at their default, and nothing showed that the daemon's line keeps class and order.

--- a/hickoryd/internal/dispatch/attempt.go
+++ b/hickoryd/internal/dispatch/attempt.go
@@ -188,6 +188,9 @@
 // release gives the slot back once the engine holds nothing of the attempt.
 func (a *attempt) release() {
 	a.run.releasePrefill()
+	if a.run.assembly.Done() {
+		a.run.models.lines.observe(a.run.request.Service.Name, time.Since(a.run.placedAt))
+	}
 	lines, model := a.run.models.lines, a.run.request.Service.Model
 	release := func() {
 		a.run.models.slots.Release(a.server.ID, a.id)
--- a/hickoryd/internal/dispatch/fakes_test.go
+++ b/hickoryd/internal/dispatch/fakes_test.go
@@ -46,7 +46,10 @@
 		onResume  func(ctx context.Context, server string, n int) (*fakeStream, error)
 		onReserve func(ctx context.Context, server string, n int) error
 		onCancel  func(server string, n int) error
-		onUptime  func(server string) (time.Duration, error)
+
+		onReservePrefill func(server string, n int) error
+
+		onUptime func(server string) (time.Duration, error)
 
 		mu       sync.Mutex
 		steps    []step
@@ -218,7 +221,10 @@
 	delete(l.reserved, requestID)
 }
 
-func (l *lab) ReservePrefill(context.Context, time.Time, backend.Server, slot.Prefill) error {
+func (l *lab) ReservePrefill(_ context.Context, _ time.Time, server backend.Server, _ slot.Prefill) error {
+	if l.onReservePrefill != nil {
+		return l.onReservePrefill(server.ID, l.count("reservePrefill"))
+	}
 	return nil
 }
 
--- a/hickoryd/internal/dispatch/model.go
+++ b/hickoryd/internal/dispatch/model.go
@@ -134,6 +134,7 @@
 		isolated    bool
 		direct      bool             // the decode server computes the prompt
 		reserved    *reservedPrefill // place in a prefill queue
+		placedAt    time.Time        // start of the slot's reservation
 		retryAfter  time.Duration    // of a refusal for want of servers
 		hashes      []uint64         // of the prompt's blocks
 	}
--- a/hickoryd/internal/dispatch/reserve.go
+++ b/hickoryd/internal/dispatch/reserve.go
@@ -112,6 +112,7 @@
 func (r *run) place(ctx context.Context, now time.Time, id string) (backend.Server, error) {
 	candidates := r.models.directory.Candidates(r.request.Service.Model)
 	server, err := r.reserveSlot(ctx, now, id, r.planOver(now, ofRole(candidates, backend.RoleDecode)))
+	r.placedAt = now
 	if err != nil || r.isolated || r.holdsKV() {
 		return server, err
 	}
