Let interactive requests wait a second for a slot

Cause: pings were refused after 0.5 s although their target left 1.5 s more. Ruled out: more headroom (costs deferrable requests slots all the time).

--- a/hickorylab/policybench/deployment.go
+++ b/hickorylab/policybench/deployment.go
@@ -71,7 +71,7 @@
 const (
 	tokenGapTarget   = 29 * time.Millisecond
 	firstTokenTarget = 2 * time.Second
-	interactiveWait  = 500 * time.Millisecond
+	interactiveWait  = time.Second
 
 	slotsPerEngine  = 20
 	prefillRate     = 16000.0       // tokens per second
