Leave no headroom where no interactive requests arrive

Cause: in the daemon 3 decode servers of 8 slots each kept one slot empty although all requests could wait.

--- a/core/slot/capacity.go
+++ b/core/slot/capacity.go
@@ -12,6 +12,9 @@
 	// headroomDeviations is the number of standard deviations of their arrivals
 	// in that time that deferrable requests leave room for.
 	headroomDeviations = 2
+	// minExpected is the number of arrivals in that time below which no slot is
+	// left free.
+	minExpected = 0.01
 	// rateWindow is the time over which rates are averaged.
 	rateWindow = 5 * time.Second
 )
@@ -52,7 +55,10 @@
 // square-root rule for random arrivals.
 func (a *account) headroom(now time.Time) int {
 	expected := a.interactive.perSecond(now) * headroomTime.Seconds()
-	return max(1, int(math.Ceil(headroomDeviations*math.Sqrt(expected))))
+	if expected < minExpected {
+		return 0
+	}
+	return int(math.Ceil(headroomDeviations * math.Sqrt(expected)))
 }
 
 // predictedFree is the number of slots that a reservation may count on to
