--- a/core/claim/claim.go
+++ b/core/claim/claim.go
@@ -27,7 +27,7 @@
 
 // maxAnswerBytes bounds the stored answers of one table together. The oldest go
 // first; their owners may still have them.
-const maxAnswerBytes = 32 << 20
+const maxAnswerBytes = 16 << 20
 
 // ErrTableFull means that no more keys can be held until some expire.
 var ErrTableFull = errors.New("claim table is full")
--- a/hickoryd/internal/dispatch/recording.go
+++ b/hickoryd/internal/dispatch/recording.go
@@ -19,7 +19,7 @@
 	// maxFinished bounds the finished answers that are kept, and maxStored
 	// their bytes together.
 	maxFinished = 20_000
-	maxStored   = 32 << 20
+	maxStored   = 16 << 20
 )
 
 var (
