Keep one workspace from filling the table of claims

Cause: the table's limit was shared by all workspaces, so a flood of new keys from one got all others refused for the horizon; and each refused claim searched the whole table for expired keys. The last quarter of the table is now shared evenly, and expired keys are searched once a second at most. Before and after (table of 400 keys): a flood of 800 keys from one workspace left the next one 0 of 40 keys; now 40 of 40, and the flood holds 300.

--- a/core/claim/claim.go
+++ b/core/claim/claim.go
@@ -25,11 +25,15 @@
 	NotHome
 )
 
+// expireInterval is the shortest time between two searches for expired keys.
+const expireInterval = time.Second
+
 // maxAnswerBytes bounds the stored answers of one table together. The oldest go
 // first; their owners may still have them.
 const maxAnswerBytes = 16 << 20
 
-// ErrTableFull means that no more keys can be held until some expire.
+// ErrTableFull means that no more keys, or no more of this workspace, can be held
+// until some expire.
 var ErrTableFull = errors.New("claim table is full")
 
 type (
@@ -79,14 +83,16 @@
 	Table struct {
 		limit    int
 		grants   map[Key]*Grant
-		answered []Key // keys with an answer, oldest first; may name others too
-		bytes    int   // of all answers
+		held     map[string]int // keys by workspace
+		expireAt time.Time      // earliest next search for expired keys
+		answered []Key          // keys with an answer, oldest first; may name others too
+		bytes    int            // of all answers
 	}
 )
 
 // NewTable returns an empty table that holds at most limit keys.
 func NewTable(limit int) *Table {
-	return &Table{limit: limit, grants: map[Key]*Grant{}}
+	return &Table{limit: limit, grants: map[Key]*Grant{}, held: map[string]int{}}
 }
 
 // Claim decides on one key. The returned grant is the one that holds the key.
@@ -94,20 +100,56 @@
 	if held, ok := t.Lookup(now, wanted.Key); ok {
 		return held.outcome(wanted), held, nil
 	}
-	if len(t.grants) >= t.limit {
-		t.expire(now)
-		if len(t.grants) >= t.limit {
+	if !t.hasRoom(wanted.Key.Workspace) {
+		t.expireSometimes(now)
+		if !t.hasRoom(wanted.Key.Workspace) {
 			return Undecided, Grant{}, ErrTableFull
 		}
 	}
-	if old, ok := t.grants[wanted.Key]; ok {
-		t.remove(old)
-	}
 	wanted.GrantedAt = now
-	t.grants[wanted.Key] = &wanted
+	t.put(&wanted)
 	return Granted, wanted, nil
 }
 
+// Expire drops the keys whose horizon has passed.
+func (t *Table) Expire(now time.Time) {
+	for _, g := range t.grants {
+		if g.expired(now) {
+			t.remove(g)
+		}
+	}
+	t.expireAt = now.Add(expireInterval)
+}
+
+// hasRoom reports whether a workspace may hold one more key. The last quarter of
+// the table is shared evenly, so that a flood from one workspace leaves room for
+// the others.
+func (t *Table) hasRoom(workspace string) bool {
+	if len(t.grants) < t.limit*3/4 {
+		return true
+	}
+	sharers := len(t.held)
+	if t.held[workspace] == 0 {
+		sharers++
+	}
+	return len(t.grants) < t.limit && t.held[workspace] < max(1, t.limit/(sharers+1))
+}
+
+// expireSometimes bounds the work that claims cause at a full table.
+func (t *Table) expireSometimes(now time.Time) {
+	if !now.Before(t.expireAt) {
+		t.Expire(now)
+	}
+}
+
+func (t *Table) put(g *Grant) {
+	if old, ok := t.grants[g.Key]; ok {
+		t.remove(old)
+	}
+	t.grants[g.Key] = g
+	t.held[g.Key.Workspace]++
+}
+
 // Lookup returns the grant of a key that is within its horizon.
 func (t *Table) Lookup(now time.Time, key Key) (Grant, bool) {
 	held, ok := t.grants[key]
@@ -146,18 +188,15 @@
 	if ok && !completes && !replaces {
 		return
 	}
-	if ok {
-		t.remove(held)
-	}
 	answer := g.Answer
 	g.Answer = nil
-	t.grants[g.Key] = &g
+	t.put(&g)
 	t.setAnswer(&g, answer)
 }
 
 // Grants returns all grants that have not expired, in no order.
 func (t *Table) Grants(now time.Time) []Grant {
-	t.expire(now)
+	t.Expire(now)
 	grants := make([]Grant, 0, len(t.grants))
 	for _, g := range t.grants {
 		grants = append(grants, *g)
@@ -170,17 +209,13 @@
 	return len(t.grants)
 }
 
-func (t *Table) expire(now time.Time) {
-	for _, g := range t.grants {
-		if g.expired(now) {
-			t.remove(g)
-		}
-	}
-}
-
 func (t *Table) remove(g *Grant) {
 	t.dropAnswer(g)
 	delete(t.grants, g.Key)
+	t.held[g.Key.Workspace]--
+	if t.held[g.Key.Workspace] == 0 {
+		delete(t.held, g.Key.Workspace)
+	}
 }
 
 // setAnswer stores an answer and drops the oldest ones over the limit.
--- a/core/claim/claim_test.go
+++ b/core/claim/claim_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"testing"
 	"time"
 
@@ -87,3 +88,31 @@
 		t.Errorf("second, after the horizon of the first: %d, %v", outcome, err)
 	}
 }
+
+// TestFloodLeavesRoomForOthers fills a table from one workspace and then claims
+// from others.
+func TestFloodLeavesRoomForOthers(t *testing.T) {
+	const limit = 400
+	now := time.Unix(1000, 0)
+	table := claim.NewTable(limit)
+	held := func(workspace string, tries int) int {
+		granted := 0
+		for i := range tries {
+			outcome, _, _ := table.Claim(now, claim.Grant{
+				Key: claim.Key{Workspace: workspace, Value: fmt.Sprint(i)}, RequestID: "r", Horizon: time.Minute,
+			})
+			if outcome == claim.Granted {
+				granted++
+			}
+		}
+		return granted
+	}
+	if got := held("flood", 2*limit); got != limit*3/4 {
+		t.Errorf("the flood holds %d keys, want %d", got, limit*3/4)
+	}
+	for _, workspace := range []string{"boipara", "dutchpot"} {
+		if got := held(workspace, 40); got != 40 {
+			t.Errorf("workspace %s got %d of 40 keys", workspace, got)
+		}
+	}
+}
--- a/core/claim/home.go
+++ b/core/claim/home.go
@@ -350,9 +350,9 @@
 	return ok
 }
 
-// Grants returns all grants held here.
-func (h *Home) Grants(now time.Time) []Grant {
-	return h.table.Grants(now)
+// Expire drops the keys whose horizon has passed.
+func (h *Home) Expire(now time.Time) {
+	h.table.Expire(now)
 }
 
 // Len returns the number of held keys.
--- a/hickoryd/internal/home/epochs.go
+++ b/hickoryd/internal/home/epochs.go
@@ -314,8 +314,10 @@
 	}
 }
 
+// expire drops what is past its horizon, here and in the journal.
 func (c *Claims) expire(ctx context.Context, now time.Time) {
 	c.mu.Lock()
+	c.home.Expire(now)
 	current, down := c.log, c.down
 	c.mu.Unlock()
 	if current == nil || down {
