Decide deaths of homes in the core and tidy the claims' files

Cause: the rule of when a home is dropped was a decision outside the core, and constants and types stood apart from their files' heads.

--- a/hickoryd/internal/home/deaths.go
+++ b/core/claim/deaths.go
@@ -1,4 +1,4 @@
-package home
+package claim
 
 import "time"
 
@@ -13,16 +13,21 @@
 	listenAtLeast = 4 * time.Second
 )
 
-// deaths remembers since when hosts were seen dead, by a process that was awake
-// all the time.
-type deaths struct {
+// Deaths remembers since when hosts were seen dead, by a process that was awake
+// all the time. It is not safe for concurrent use.
+type Deaths struct {
 	awakeSince time.Time
 	lastTick   time.Time
 	since      map[string]time.Time
 }
 
+// NewDeaths returns the memory of a process that has just started.
+func NewDeaths() *Deaths {
+	return &Deaths{since: map[string]time.Time{}}
+}
+
 // Tick says that the process is awake.
-func (d *deaths) Tick(now time.Time) {
+func (d *Deaths) Tick(now time.Time) {
 	if now.Sub(d.lastTick) > stall {
 		d.awakeSince = now
 		d.since = map[string]time.Time{}
@@ -31,13 +36,13 @@
 }
 
 // Clear says that a host lives.
-func (d *deaths) Clear(host string) {
+func (d *Deaths) Clear(host string) {
 	delete(d.since, host)
 }
 
 // IsDead says that a host is not seen alive, and reports whether that has
 // lasted for long enough.
-func (d *deaths) IsDead(now time.Time, host string) bool {
+func (d *Deaths) IsDead(now time.Time, host string) bool {
 	first, ok := d.since[host]
 	if !ok {
 		d.since[host] = now
--- a/hickoryd/internal/dispatch/keyed.go
+++ b/hickoryd/internal/dispatch/keyed.go
@@ -78,6 +78,19 @@
 		cancel    context.CancelFunc
 		ended     chan struct{}
 	}
+
+	// settlement tells the home of a key how a request ended.
+	settlement struct {
+		keyed  *Keyed
+		grant  claim.Grant
+		notRun bool
+	}
+
+	// closing waits for all executions.
+	closing struct {
+		keyed *Keyed
+		done  chan struct{}
+	}
 )
 
 // errReleased means that the key was held by a request that did not run.
@@ -130,12 +143,6 @@
 	}
 }
 
-// closing waits for all executions.
-type closing struct {
-	keyed *Keyed
-	done  chan struct{}
-}
-
 func (w closing) run() {
 	w.keyed.group.Wait()
 	close(w.done)
@@ -247,13 +254,7 @@
 	}
 }
 
-// settlement tells the home of a key how a request ended, until it knows.
-type settlement struct {
-	keyed  *Keyed
-	grant  claim.Grant
-	notRun bool
-}
-
+// run repeats the settle until a home takes it.
 func (s settlement) run() {
 	policy := backoff.NewExponentialBackOff(backoff.WithInitialInterval(settleFirstWait), backoff.WithMaxElapsedTime(settleLimit))
 	_ = backoff.Retry(s.try, policy) // the owner's record answers otherwise
--- a/hickoryd/internal/home/claims.go
+++ b/hickoryd/internal/home/claims.go
@@ -81,7 +81,7 @@
 		epochIndex   uint64 // platform's index of the epoch key
 		nextRead     time.Time
 		differsSince time.Time
-		seenDead     deaths
+		seenDead     *claim.Deaths
 		askedAt      map[claim.Member]time.Time
 	}
 
@@ -99,7 +99,7 @@
 	c := &Claims{
 		self: self, kv: kv, fleet: fleet, homes: homes, logger: logger, horizon: horizon,
 		limiter: rate.NewLimiter(journalWrites, journalBurst), hints: make(chan struct{}, 1),
-		home: claim.NewHome(self, limit), askedAt: map[claim.Member]time.Time{}, listedTo: map[string]uint64{},
+		home: claim.NewHome(self, limit), askedAt: map[claim.Member]time.Time{}, listedTo: map[string]uint64{}, seenDead: claim.NewDeaths(),
 		metrics: claimMetrics{
 			granted:   set.NewCounter(`hickoryfront_claims_total{result="granted"}`),
 			undecided: set.NewCounter(`hickoryfront_claims_total{result="undecided"}`),
--- a/hickoryd/internal/home/durable.go
+++ b/hickoryd/internal/home/durable.go
@@ -16,6 +16,8 @@
 	journalTimeout = 500 * time.Millisecond
 	witnessTimeout = 250 * time.Millisecond
 	probeInterval  = time.Second
+	// flushGroup bounds the grants of one write after an outage.
+	flushGroup = 128
 	// maxUnjournaled bounds the grants of one outage.
 	maxUnjournaled = 100_000
 )
@@ -25,11 +27,22 @@
 	errFenced    = errors.New("the keys were taken over by another home")
 )
 
-// groups makes groups of grants durable: in the journal, or at a witness while
-// the platform is down.
-type groups struct {
-	claims *Claims
-}
+type (
+	// groups makes groups of grants durable: in the journal, or at a witness
+	// while the platform is down.
+	groups struct {
+		claims *Claims
+	}
+
+	// teller tells one other home a mode.
+	teller struct {
+		claims   *Claims
+		other    claim.Member
+		epoch    uint64
+		flag     claim.Flag
+		recorded bool
+	}
+)
 
 // Store implements journal.Store.
 func (g groups) Store(ctx context.Context, grants []claim.Grant) error {
@@ -150,26 +163,27 @@
 			return
 		}
 	}
+	if flag, ended := c.endOutage(len(pending)); ended {
+		c.tellAll(ctx, others, epoch, flag)
+		c.logger.Info("platform is back, claims are journaled")
+	}
+}
+
+// endOutage takes in how many grants were journaled since, and ends the outage
+// when no others came meanwhile.
+func (c *Claims) endOutage(journaled int) (claim.Flag, bool) {
 	c.mu.Lock()
-	c.unjournaled = c.unjournaled[len(pending):]
-	whole := len(c.unjournaled) == 0
-	if !whole {
-		c.mu.Unlock()
-		return
+	defer c.mu.Unlock()
+	c.unjournaled = c.unjournaled[journaled:]
+	if len(c.unjournaled) > 0 {
+		return claim.Flag{}, false
 	}
+	c.down = false
 	mode := c.home.EndOutage()
 	self, err := c.home.Member()
-	c.down = false
-	c.mu.Unlock()
-	if err == nil {
-		c.tellAll(ctx, others, epoch, claim.Flag{Member: self, Mode: mode})
-		c.logger.Info("platform is back, claims are journaled")
-	}
+	return claim.Flag{Member: self, Mode: mode}, err == nil
 }
 
-// flushGroup bounds the grants of one write after an outage.
-const flushGroup = 128
-
 // tellAll tells other homes a mode and returns how many recorded it.
 func (c *Claims) tellAll(ctx context.Context, others []claim.Member, epoch uint64, flag claim.Flag) int {
 	told := make([]teller, len(others))
@@ -236,3 +250,7 @@
 	defer c.mu.Unlock()
 	c.down = down
 }
+
+func (t *teller) run(ctx context.Context) {
+	t.recorded = t.claims.tell(ctx, t.other, t.epoch, t.flag, nil)
+}
--- a/hickoryd/internal/home/epochs.go
+++ b/hickoryd/internal/home/epochs.go
@@ -31,25 +31,19 @@
 	listTimeout     = time.Second
 	askAgain        = 500 * time.Millisecond
 	forgetAsked     = time.Minute
+	// expiriesPerHorizon is how often old keys and segments are looked for.
+	expiriesPerHorizon = 4
+	// clockMargin lengthens the life of journal segments by the difference
+	// between the clocks of hosts.
+	clockMargin = time.Minute
 )
 
-type (
-	// asker asks one daemon for its grants.
-	asker struct {
-		claims *Claims
-		owner  claim.Owner
-		heard  bool
-	}
-
-	// teller tells one other home a mode.
-	teller struct {
-		claims   *Claims
-		other    claim.Member
-		epoch    uint64
-		flag     claim.Flag
-		recorded bool
-	}
-)
+// asker asks one daemon for its grants.
+type asker struct {
+	claims *Claims
+	owner  claim.Owner
+	heard  bool
+}
 
 // loop keeps the epoch, takes keys over and ends outages.
 func (c *Claims) loop(ctx context.Context) {
@@ -82,9 +76,6 @@
 	}
 }
 
-// expiriesPerHorizon is how often old segments are looked for.
-const expiriesPerHorizon = 4
-
 // readEpoch enters the epoch that the platform holds.
 func (c *Claims) readEpoch(ctx context.Context, now time.Time) {
 	period := max(epochRead, time.Duration(len(c.fleet.Live(now)))*readsPerHost)
@@ -279,10 +270,6 @@
 	a.heard = true
 }
 
-func (t *teller) run(ctx context.Context) {
-	t.recorded = t.claims.tell(ctx, t.other, t.epoch, t.flag, nil)
-}
-
 // tendJournal ends an outage, and marks the journal as complete through the
 // epoch, which spares the next homes from asking about earlier ones.
 func (c *Claims) tendJournal(ctx context.Context) {
@@ -326,10 +313,6 @@
 	_ = current.Expire(ctx, now.Add(-c.horizon()-clockMargin)) // tried again later
 }
 
-// clockMargin lengthens the life of journal segments by the difference between
-// the clocks of hosts.
-const clockMargin = time.Minute
-
 // runAll calls work for 0 to count-1 at once and waits for all.
 func runAll(count int, work func(i int)) {
 	var group sync.WaitGroup
