--- /dev/null
+++ b/core/claim/takeover.go
@@ -0,0 +1,177 @@
+package claim
+
+import (
+	"slices"
+	"time"
+)
+
+// TakeoverQuorum returns how many of others must have been heard before a dead
+// home counts as one that journaled everything.
+func TakeoverQuorum(others int) int {
+	return others - OutageQuorum(others) + 1
+}
+
+// Want marks the members whose keys may have moved here, so that they are
+// cleared before the first key waits for them.
+func (h *Home) Want(now time.Time) {
+	self, err := h.Member()
+	if err != nil {
+		return
+	}
+	for _, c := range h.epoch.Within(now) {
+		former := c.Removed
+		if self.Since == c.Number+1 {
+			former = h.past[c.Number]
+		}
+		for _, m := range former {
+			if !h.isSelf(m) && h.isMissing(now, m) {
+				h.wanted[m] = true
+			}
+		}
+	}
+}
+
+// Wanted returns the members that keys wait for.
+func (h *Home) Wanted(now time.Time) []Member {
+	var members []Member
+	for m := range h.wanted {
+		if h.isMissing(now, m) {
+			members = append(members, m)
+		} else {
+			delete(h.wanted, m)
+		}
+	}
+	slices.SortFunc(members, compareMembers)
+	return members
+}
+
+// Learn takes in the listing of a daemon that was asked. Listings of another
+// epoch than the one in force change nothing.
+func (h *Home) Learn(listing Listing) {
+	if listing.Epoch != h.epoch.Number {
+		return
+	}
+	for _, g := range listing.Grants {
+		h.table.Adopt(g)
+	}
+	for _, f := range listing.Flags {
+		h.setFlag(f.Member, f.Mode)
+	}
+	for m := range h.known() {
+		if m.Owner() == listing.Owner && !slices.Contains(h.heard[m], listing.Epoch) {
+			h.heard[m] = append(h.heard[m], listing.Epoch)
+		}
+	}
+}
+
+// LearnJournal takes in a journal that was sealed and read to its end.
+func (h *Home) LearnJournal(j Journal) {
+	for _, g := range j.Grants {
+		h.table.Adopt(g)
+	}
+	h.sealed[j.Member] = seal{completeThrough: j.CompleteThrough, complete: j.Complete}
+}
+
+// IsSealed reports whether a member's journal was sealed and read.
+func (h *Home) IsSealed(m Member) bool {
+	_, ok := h.sealed[m]
+	return ok
+}
+
+// Companions returns the other members of the epochs in which a member may have
+// granted without its journal: its witnesses are among them.
+func (h *Home) Companions(m Member) []Member {
+	var companions []Member
+	for number, members := range h.past {
+		if !slices.Contains(members, m) || number < h.sealed[m].completeThrough {
+			continue
+		}
+		for _, other := range members {
+			if other != m && !h.isSelf(other) && !slices.Contains(companions, other) {
+				companions = append(companions, other)
+			}
+		}
+	}
+	slices.SortFunc(companions, compareMembers)
+	return companions
+}
+
+// missing returns the former homes of a key that are not cleared.
+func (h *Home) missing(now time.Time, key Key) []Member {
+	var missing []Member
+	for _, c := range h.epoch.Within(now) {
+		former, ok := h.member(c.Number, h.home(c.Number, key))
+		if ok && !h.isSelf(former) && !h.isCleared(former, c.Number, key) {
+			missing = append(missing, former)
+		}
+	}
+	return missing
+}
+
+// isCleared reports whether every grant of a key that a member acknowledged in
+// an epoch is known here, and none can be acknowledged any more.
+func (h *Home) isCleared(m Member, epoch uint64, key Key) bool {
+	if h.listed(m, epoch, key) {
+		return true
+	}
+	s, ok := h.sealed[m]
+	if !ok {
+		return false
+	}
+	if s.complete || epoch < s.completeThrough {
+		return true
+	}
+	return h.isVouched(m, epoch, key)
+}
+
+// isVouched reports whether enough companions of a sealed member were heard to
+// know all that it granted without its journal in an epoch.
+func (h *Home) isVouched(m Member, epoch uint64, key Key) bool {
+	others, heard := 0, 0
+	for _, other := range h.past[epoch] {
+		if other == m {
+			continue
+		}
+		others++
+		if h.isSelf(other) || h.listed(other, epoch, key) {
+			heard++
+		}
+	}
+	if h.flags[m].Outage {
+		return heard == others
+	}
+	return heard >= TakeoverQuorum(others)
+}
+
+// listed reports whether a member listed its grants of a key after an epoch.
+func (h *Home) listed(m Member, epoch uint64, key Key) bool {
+	for _, asked := range h.heard[m] {
+		if asked > epoch && h.rings[asked] != nil && h.home(asked, key) == h.self.Host {
+			return true
+		}
+	}
+	return false
+}
+
+// isMissing reports whether some key may wait for a member.
+func (h *Home) isMissing(now time.Time, m Member) bool {
+	last := uint64(0)
+	for _, c := range h.epoch.Within(now) {
+		if slices.Contains(h.past[c.Number], m) {
+			last = c.Number
+		}
+	}
+	if last == 0 || slices.Contains(h.heard[m], h.epoch.Number) {
+		return false
+	}
+	s, ok := h.sealed[m]
+	if !ok || s.complete {
+		return !ok
+	}
+	for _, other := range h.Companions(m) {
+		if !slices.Contains(h.heard[other], h.epoch.Number) {
+			return true
+		}
+	}
+	return false
+}
