--- a/core/claim/takeover.go
+++ b/core/claim/takeover.go
@@ -175,3 +175,35 @@
 	}
 	return false
 }
+
+// IsVouched reports whether enough companions of a sealed member were heard to
+// know that it never granted without its journal. The journal may then be marked
+// as complete, for homes that join when those companions are gone.
+func (h *Home) IsVouched(m Member) bool {
+	s, ok := h.sealed[m]
+	if !ok || s.complete || h.flags[m].Outage {
+		return false
+	}
+	for number, members := range h.past {
+		if number < s.completeThrough || !slices.Contains(members, m) {
+			continue
+		}
+		if h.heardAfter(members, number) < TakeoverQuorum(len(members)-1) {
+			return false
+		}
+	}
+	return true
+}
+
+// heardAfter returns how many members have listed their grants after an epoch
+// ended.
+func (h *Home) heardAfter(members []Member, epoch uint64) int {
+	heard := 0
+	for _, m := range members {
+		isLater := func(asked uint64) bool { return asked > epoch }
+		if h.isSelf(m) && isLater(h.epoch.Number) || slices.ContainsFunc(h.heard[m], isLater) {
+			heard++
+		}
+	}
+	return heard
+}
--- a/hickoryd/internal/home/claims_test.go
+++ b/hickoryd/internal/home/claims_test.go
@@ -53,22 +53,27 @@
 
 func newFleet(t *testing.T, hosts int) *fleet {
 	f := &fleet{t: t, values: map[string]platform.Value{}, daemons: map[string]*daemon{}}
-	logger := &log.Logger{Handler: discard.New()}
-	for i := range hosts {
-		d := &daemon{fleet: f, host: member.Host{Name: fmt.Sprintf("h%d", i), Incarnation: 1}}
-		owner := claim.Owner{Host: d.host.Name, Incarnation: d.host.Incarnation}
-		d.claims = home.NewClaims(owner, 1000, f, d, d, func() time.Duration { return horizon }, logger, metrics.NewSet())
-		f.daemons[d.host.Name] = d
-	}
-	for _, d := range f.daemons {
-		ctx, stop := context.WithCancel(t.Context())
-		d.stop = stop
-		go d.claims.Run(ctx)
+	for range hosts {
+		f.join()
 	}
 	time.Sleep(settled)
 	return f
 }
 
+// join starts one more daemon.
+func (f *fleet) join() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	logger := &log.Logger{Handler: discard.New()}
+	d := &daemon{fleet: f, host: member.Host{Name: fmt.Sprintf("h%d", len(f.daemons)), Incarnation: 1}}
+	owner := claim.Owner{Host: d.host.Name, Incarnation: d.host.Incarnation}
+	d.claims = home.NewClaims(owner, 1000, f, d, d, func() time.Duration { return horizon }, logger, metrics.NewSet())
+	f.daemons[d.host.Name] = d
+	ctx, stop := context.WithCancel(f.t.Context())
+	d.stop = stop
+	go d.claims.Run(ctx)
+}
+
 func (f *fleet) Get(_ context.Context, key string) (platform.Value, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -297,6 +302,25 @@
 	}
 }
 
+// TestEveryHostIsReplacedAfterItsDeath kills all hosts one by one and starts
+// others, within the horizon of the grants of the first.
+//
+// proof: daemon killed | claim | 5
+func TestEveryHostIsReplacedAfterItsDeath(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 4)
+		before := f.grantAll("before", 30)
+		for _, name := range []string{"h0", "h1", "h2", "h3"} {
+			f.kill(f.daemons[name])
+			time.Sleep(settled)
+			f.join()
+			time.Sleep(settled)
+		}
+		f.checkHeld(before)
+		f.grantAll("after", 30)
+	})
+}
+
 // TestDrainedHomeHandsItsAnswersOver settles calls at a home that then stops.
 func TestDrainedHomeHandsItsAnswersOver(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/hickoryd/internal/home/epochs.go
+++ b/hickoryd/internal/home/epochs.go
@@ -217,6 +217,26 @@
 		owners = append(owners, o.Owner())
 	}
 	c.askAll(ctx, owners)
+	c.vouch(ctx, m)
+}
+
+// vouch marks a sealed journal as complete once its companions have said that
+// nothing was left out: they may be gone when the next home reads it.
+func (c *Claims) vouch(ctx context.Context, m claim.Member) {
+	c.mu.Lock()
+	vouched := c.home.IsVouched(m)
+	c.mu.Unlock()
+	if !vouched {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
+	defer cancel()
+	if journal.MarkComplete(ctx, c.kv, m) != nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.home.LearnJournal(claim.Journal{Member: m, Complete: true})
 }
 
 func (c *Claims) seal(ctx context.Context, m claim.Member) bool {
--- a/hickoryd/internal/journal/seal.go
+++ b/hickoryd/internal/journal/seal.go
@@ -36,6 +36,22 @@
 	return claim.Journal{}, fmt.Errorf("%w: journal of %s could not be sealed", platform.ErrUnavailable, member.Host)
 }
 
+// MarkComplete says in a sealed journal that its home left nothing out.
+func MarkComplete(ctx context.Context, kv KV, member claim.Member) error {
+	segments, values, err := list(ctx, kv, member)
+	if err != nil || !isSealed(segments) || read(member, segments).Complete {
+		return err
+	}
+	last, value := segments[len(segments)-1], values[len(values)-1]
+	last.Complete = true
+	data, err := proto.Marshal(last)
+	if err != nil {
+		return err
+	}
+	_, err = kv.CompareAndSwap(ctx, value.Key, data, value.Index) // another home may be first
+	return err
+}
+
 // Remove deletes a journal whose grants are all past their horizon.
 func Remove(ctx context.Context, kv KV, member claim.Member) error {
 	_, values, err := list(ctx, kv, member)
