--- a/core/claim/home.go
+++ b/core/claim/home.go
@@ -74,11 +74,18 @@
 		// nothing left out.
 		Complete bool
 		Grants   []Grant
+		// Vouchers are other members that have added what they knew, after
+		// they had entered an epoch without the member.
+		Vouchers []Member
+		// Outage says that a voucher knew of grants without the journal.
+		Outage bool
 	}
 
 	seal struct {
 		completeThrough uint64
 		complete        bool
+		vouchers        []Member
+		outage          bool
 	}
 )
 
--- a/core/claim/home_test.go
+++ b/core/claim/home_test.go
@@ -48,6 +48,16 @@
 	return claim.Listing{Owner: ownersOf(5)[host], Epoch: 2, Flags: flags}
 }
 
+// membersOf returns members of the first epoch.
+func membersOf(hosts ...int) []claim.Member {
+	first := claim.Epoch{}.Next(start, ownersOf(5), nil, time.Hour, "")
+	var members []claim.Member
+	for _, i := range hosts {
+		members = append(members, first.Members[i])
+	}
+	return members
+}
+
 // TestTakeover says what must be known of a dead home before its keys are
 // granted again.
 //
@@ -88,6 +98,13 @@
 				return []claim.Listing{listingOf(1, claim.Flag{Member: dead, Mode: outage}), listingOf(2), listingOf(3)}
 			},
 		},
+		{name: "one voucher", journal: &claim.Journal{Vouchers: membersOf(1)}},
+		{name: "one voucher, home in outage", journal: &claim.Journal{Vouchers: membersOf(1), Outage: true}, want: claim.ErrTakeover},
+		{name: "all companions are vouchers, home in outage", journal: &claim.Journal{Vouchers: membersOf(1, 2, 3), Outage: true}},
+		{
+			name: "voucher and listings, home in outage", journal: &claim.Journal{Vouchers: membersOf(2), Outage: true},
+			listings: func(claim.Member) []claim.Listing { return []claim.Listing{listingOf(1), listingOf(3)} },
+		},
 		{
 			name: "the home itself answers",
 			listings: func(claim.Member) []claim.Listing {
--- a/core/claim/takeover.go
+++ b/core/claim/takeover.go
@@ -69,7 +69,9 @@
 	for _, g := range j.Grants {
 		h.table.Adopt(g)
 	}
-	h.sealed[j.Member] = seal{completeThrough: j.CompleteThrough, complete: j.Complete}
+	h.sealed[j.Member] = seal{
+		completeThrough: j.CompleteThrough, complete: j.Complete, vouchers: j.Vouchers, outage: j.Outage,
+	}
 }
 
 // IsSealed reports whether a member's journal was sealed and read.
@@ -133,11 +135,11 @@
 			continue
 		}
 		others++
-		if h.isSelf(other) || h.listed(other, epoch, key) {
+		if h.isSelf(other) || h.listed(other, epoch, key) || slices.Contains(h.sealed[m].vouchers, other) {
 			heard++
 		}
 	}
-	if h.flags[m].Outage {
+	if h.flags[m].Outage || h.sealed[m].outage {
 		return heard == others
 	}
 	return heard >= TakeoverQuorum(others)
@@ -169,41 +171,44 @@
 		return !ok
 	}
 	for _, other := range h.Companions(m) {
-		if !slices.Contains(h.heard[other], h.epoch.Number) {
+		if !slices.Contains(h.heard[other], h.epoch.Number) && !slices.Contains(s.vouchers, other) {
 			return true
 		}
 	}
 	return false
 }
 
-// IsVouched reports whether enough companions of a sealed member were heard to
-// know that it never granted without its journal. The journal may then be marked
-// as complete, for homes that join when those companions are gone.
-func (h *Home) IsVouched(m Member) bool {
-	s, ok := h.sealed[m]
-	if !ok || s.complete || h.flags[m].Outage {
-		return false
-	}
-	for number, members := range h.past {
-		if number < s.completeThrough || !slices.Contains(members, m) {
-			continue
+// Testimony returns what this daemon can add to the journal of a sealed member:
+// its own memberships beside that member, the grants that it knows of, and
+// whether the member granted without its journal. No memberships: nothing.
+func (h *Home) Testimony(now time.Time, m Member) (vouchers []Member, grants []Grant, outage bool) {
+	if _, err := h.Member(); err != nil || !h.IsSealed(m) || slices.Contains(h.epoch.Members, m) {
+		return nil, nil, false
+	}
+	for _, members := range h.past {
+		for _, other := range members {
+			if h.isSelf(other) && slices.Contains(members, m) && !slices.Contains(vouchers, other) {
+				vouchers = append(vouchers, other)
+			}
 		}
-		if h.heardAfter(members, number) < TakeoverQuorum(len(members)-1) {
-			return false
+	}
+	if len(vouchers) == 0 {
+		return nil, nil, false
+	}
+	for _, g := range h.table.Grants(now) {
+		if h.wasHome(m, g.Key) {
+			grants = append(grants, g)
 		}
 	}
-	return true
+	return vouchers, grants, h.flags[m].Outage
 }
 
-// heardAfter returns how many members have listed their grants after an epoch
-// ended.
-func (h *Home) heardAfter(members []Member, epoch uint64) int {
-	heard := 0
-	for _, m := range members {
-		isLater := func(asked uint64) bool { return asked > epoch }
-		if h.isSelf(m) && isLater(h.epoch.Number) || slices.ContainsFunc(h.heard[m], isLater) {
-			heard++
+// wasHome reports whether a member was the home of a key in some kept epoch.
+func (h *Home) wasHome(m Member, key Key) bool {
+	for number, members := range h.past {
+		if slices.Contains(members, m) && h.home(number, key) == m.Host {
+			return true
 		}
 	}
-	return heard
+	return false
 }
--- a/hickoryd/internal/home/claims_test.go
+++ b/hickoryd/internal/home/claims_test.go
@@ -306,19 +306,32 @@
 // others, within the horizon of the grants of the first.
 //
 // proof: daemon killed | claim | 5
+// proof: platform down + daemon killed | claim | 5
 func TestEveryHostIsReplacedAfterItsDeath(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(t, 4)
-		before := f.grantAll("before", 30)
-		for _, name := range []string{"h0", "h1", "h2", "h3"} {
-			f.kill(f.daemons[name])
-			time.Sleep(settled)
-			f.join()
-			time.Sleep(settled)
-		}
-		f.checkHeld(before)
-		f.grantAll("after", 30)
-	})
+	for _, outage := range []bool{false, true} {
+		t.Run(fmt.Sprintf("outage=%v", outage), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, 4)
+				before := f.grantAll("before", 30)
+				f.setDown(outage)
+				during := f.grantAll("during", 30)
+				f.kill(f.daemons["h0"])
+				f.setDown(false)
+				for _, name := range []string{"h1", "h2", "h3"} {
+					time.Sleep(settled)
+					f.join()
+					time.Sleep(settled)
+					f.kill(f.daemons[name])
+				}
+				time.Sleep(settled)
+				f.join()
+				time.Sleep(settled)
+				f.checkHeld(before)
+				f.checkHeld(during)
+				f.grantAll("after", 30)
+			})
+		})
+	}
 }
 
 // TestDrainedHomeHandsItsAnswersOver settles calls at a home that then stops.
--- a/hickoryd/internal/home/epochs.go
+++ b/hickoryd/internal/home/epochs.go
@@ -220,23 +220,24 @@
 	c.vouch(ctx, m)
 }
 
-// vouch marks a sealed journal as complete once its companions have said that
-// nothing was left out: they may be gone when the next home reads it.
+// vouch adds what this daemon knows of a dead home's grants to its journal: this
+// daemon may be gone when the next home reads it.
 func (c *Claims) vouch(ctx context.Context, m claim.Member) {
 	c.mu.Lock()
-	vouched := c.home.IsVouched(m)
+	vouchers, grants, outage := c.home.Testimony(time.Now(), m)
 	c.mu.Unlock()
-	if !vouched {
+	if len(vouchers) == 0 {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
 	defer cancel()
-	if journal.MarkComplete(ctx, c.kv, m) != nil {
+	known, err := journal.Vouch(ctx, c.kv, m, vouchers, outage, grants)
+	if err != nil {
 		return
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.home.LearnJournal(claim.Journal{Member: m, Complete: true})
+	c.home.LearnJournal(known)
 }
 
 func (c *Claims) seal(ctx context.Context, m claim.Member) bool {
--- a/hickoryd/internal/journal/seal.go
+++ b/hickoryd/internal/journal/seal.go
@@ -36,20 +36,59 @@
 	return claim.Journal{}, fmt.Errorf("%w: journal of %s could not be sealed", platform.ErrUnavailable, member.Host)
 }
 
-// MarkComplete says in a sealed journal that its home left nothing out.
-func MarkComplete(ctx context.Context, kv KV, member claim.Member) error {
-	segments, values, err := list(ctx, kv, member)
-	if err != nil || !isSealed(segments) || read(member, segments).Complete {
-		return err
+// Vouch adds to a sealed journal what other homes know of its grants, and returns
+// the journal. vouchers witness no grants for its home any more.
+func Vouch(ctx context.Context, kv KV, member claim.Member, vouchers []claim.Member, outage bool, grants []claim.Grant) (claim.Journal, error) {
+	for range sealAttempts {
+		segments, values, err := list(ctx, kv, member)
+		if err != nil || !isSealed(segments) {
+			return claim.Journal{}, fmt.Errorf("%w: journal of %s is not sealed: %w", platform.ErrUnavailable, member.Host, err)
+		}
+		known := read(member, segments)
+		last, value := segments[len(segments)-1], values[len(values)-1]
+		if !addTestimony(last, known, vouchers, outage, grants) {
+			return known, nil
+		}
+		data, err := proto.Marshal(last)
+		if err != nil {
+			return claim.Journal{}, err
+		}
+		done, err := kv.CompareAndSwap(ctx, value.Key, data, value.Index)
+		if err != nil {
+			return claim.Journal{}, err
+		}
+		if done {
+			return read(member, segments), nil
+		}
 	}
-	last, value := segments[len(segments)-1], values[len(values)-1]
-	last.Complete = true
-	data, err := proto.Marshal(last)
-	if err != nil {
-		return err
+	return claim.Journal{}, fmt.Errorf("%w: journal of %s was always changed by others", platform.ErrUnavailable, member.Host)
+}
+
+// addTestimony adds what is not in the journal yet and reports whether that is
+// anything.
+func addTestimony(last *peerapi.JournalSegment, known claim.Journal, vouchers []claim.Member, outage bool, grants []claim.Grant) bool {
+	added := false
+	for _, v := range vouchers {
+		if !slices.Contains(known.Vouchers, v) {
+			last.Vouchers = append(last.Vouchers, peer.MemberToWire(v))
+			added = true
+		}
 	}
-	_, err = kv.CompareAndSwap(ctx, value.Key, data, value.Index) // another home may be first
-	return err
+	if !added {
+		return false
+	}
+	last.Outage = last.Outage || outage
+	held := map[string]bool{}
+	for _, g := range known.Grants {
+		held[g.RequestID] = true
+	}
+	for _, g := range grants {
+		if !held[g.RequestID] {
+			g.Answer = nil
+			last.Grants = append(last.Grants, peer.GrantToWire(g))
+		}
+	}
+	return true
 }
 
 // Remove deletes a journal whose grants are all past their horizon.
@@ -94,14 +133,14 @@
 	return err
 }
 
-// isSealed reports whether the last segment is the empty one that ends a
-// journal.
+// isSealed reports whether the last segment is the one that ends a journal: it
+// is empty, or holds what others have added.
 func isSealed(segments []*peerapi.JournalSegment) bool {
 	if len(segments) == 0 {
 		return false
 	}
 	last := segments[len(segments)-1]
-	return last.GetSealed() && len(last.GetGrants()) == 0
+	return last.GetSealed() && (len(last.GetGrants()) == 0 || len(last.GetVouchers()) > 0)
 }
 
 func list(ctx context.Context, kv KV, member claim.Member) ([]*peerapi.JournalSegment, []platform.Value, error) {
@@ -127,6 +166,10 @@
 		journal.Grants = append(journal.Grants, peer.GrantsFromWire(segment.GetGrants())...)
 		journal.CompleteThrough = max(journal.CompleteThrough, segment.GetCompleteThrough())
 		journal.Complete = journal.Complete || segment.GetComplete()
+		journal.Outage = journal.Outage || segment.GetOutage()
+		for _, v := range segment.GetVouchers() {
+			journal.Vouchers = append(journal.Vouchers, peer.MemberFromWire(v))
+		}
 	}
 	return journal
 }
--- a/hickoryd/internal/peer/claims.go
+++ b/hickoryd/internal/peer/claims.go
@@ -162,7 +162,7 @@
 // FlagToWire converts the mode of a home.
 func FlagToWire(f claim.Flag) *peerapi.ClaimFlag {
 	return &peerapi.ClaimFlag{
-		Member:   &peerapi.ClaimMember{Host: f.Member.Host, Incarnation: f.Member.Incarnation, Since: f.Member.Since},
+		Member:   MemberToWire(f.Member),
 		Sequence: f.Mode.Sequence,
 		Outage:   f.Mode.Outage,
 	}
@@ -170,13 +170,22 @@
 
 // FlagFromWire converts the mode of a home.
 func FlagFromWire(f *peerapi.ClaimFlag) claim.Flag {
-	m := f.GetMember()
 	return claim.Flag{
-		Member: claim.Member{Host: m.GetHost(), Incarnation: m.GetIncarnation(), Since: m.GetSince()},
+		Member: MemberFromWire(f.GetMember()),
 		Mode:   claim.Mode{Sequence: f.GetSequence(), Outage: f.GetOutage()},
 	}
 }
 
+// MemberToWire converts a membership.
+func MemberToWire(m claim.Member) *peerapi.ClaimMember {
+	return &peerapi.ClaimMember{Host: m.Host, Incarnation: m.Incarnation, Since: m.Since}
+}
+
+// MemberFromWire converts a membership.
+func MemberFromWire(m *peerapi.ClaimMember) claim.Member {
+	return claim.Member{Host: m.GetHost(), Incarnation: m.GetIncarnation(), Since: m.GetSince()}
+}
+
 // OwnerFromWire converts a life of a daemon.
 func OwnerFromWire(h *peerapi.Host) claim.Owner {
 	return claim.Owner{Host: h.GetName(), Incarnation: h.GetIncarnation()}
