Count a former home as uncleared only while some key may wait for it

Cause: in the random faults the gauge of uncleared homes stayed at 5 and they were asked twice a second for the whole horizon, though their quorum had answered: the rule wanted every companion. Now it is the rule that keys use.

--- a/core/claim/takeover.go
+++ b/core/claim/takeover.go
@@ -139,10 +139,7 @@
 			heard++
 		}
 	}
-	if h.flags[m].Outage || h.sealed[m].outage {
-		return heard == others
-	}
-	return heard >= TakeoverQuorum(others)
+	return h.isEnough(m, others, heard)
 }
 
 // listed reports whether a member listed its grants of a key after an epoch.
@@ -155,29 +152,48 @@
 	return false
 }
 
-// isMissing reports whether some key may wait for a member.
+// isMissing reports whether some key of this home may wait for a member.
 func (h *Home) isMissing(now time.Time, m Member) bool {
-	last := uint64(0)
-	for _, c := range h.epoch.Within(now) {
-		if slices.Contains(h.past[c.Number], m) {
-			last = c.Number
-		}
-	}
-	if last == 0 || slices.Contains(h.heard[m], h.epoch.Number) {
+	if slices.Contains(h.heard[m], h.epoch.Number) {
 		return false
 	}
 	s, ok := h.sealed[m]
-	if !ok || s.complete {
-		return !ok
-	}
-	for _, other := range h.Companions(m) {
-		if !slices.Contains(h.heard[other], h.epoch.Number) && !slices.Contains(s.vouchers, other) {
+	for _, c := range h.epoch.Within(now) {
+		if !slices.Contains(h.past[c.Number], m) || ok && (s.complete || c.Number < s.completeThrough) {
+			continue
+		}
+		if !ok || !h.isVouchedNow(m, c.Number) {
 			return true
 		}
 	}
 	return false
 }
 
+// isVouchedNow reports whether a sealed member is vouched for in an epoch by
+// listings for the epoch in force, which cover all keys of this home.
+func (h *Home) isVouchedNow(m Member, epoch uint64) bool {
+	others, heard := 0, 0
+	for _, other := range h.past[epoch] {
+		if other == m {
+			continue
+		}
+		others++
+		if h.isSelf(other) || slices.Contains(h.heard[other], h.epoch.Number) || slices.Contains(h.sealed[m].vouchers, other) {
+			heard++
+		}
+	}
+	return h.isEnough(m, others, heard)
+}
+
+// isEnough reports whether so many companions know all that a sealed member
+// granted without its journal.
+func (h *Home) isEnough(m Member, others, heard int) bool {
+	if h.flags[m].Outage || h.sealed[m].outage {
+		return heard == others
+	}
+	return heard >= TakeoverQuorum(others)
+}
+
 // Testimony returns what this daemon can add to the journal of a sealed member:
 // its own memberships beside that member, the grants that it knows of, and
 // whether the member granted without its journal. No memberships: nothing.
--- a/hickorylab/faults/claims_test.go
+++ b/hickorylab/faults/claims_test.go
@@ -44,8 +44,13 @@
 // awaitHomes waits until a daemon knows the given number of homes.
 func (h *holds) awaitHomes(host *harness.Process, count int) {
 	h.t.Helper()
-	want := fmt.Sprintf("hickoryfront_claim_homes %d\n", count)
-	h.cluster.Await(fmt.Sprintf("%d homes at %s", count, host.Name), func() bool {
+	h.awaitMetric(host, fmt.Sprintf("hickoryfront_claim_homes %d\n", count))
+}
+
+// awaitMetric waits until a daemon shows a line of metrics.
+func (h *holds) awaitMetric(host *harness.Process, want string) {
+	h.t.Helper()
+	h.cluster.Await(want+" at "+host.Name, func() bool {
 		response, err := http.Get("http://" + host.Operator + "/metrics")
 		if err != nil {
 			return false
@@ -193,6 +198,9 @@
 	h.sendAll(before, h.cluster.Hosts[1])
 	answered := h.resendAll(after, h.cluster.Hosts[1])
 	t.Logf("trial: all of %d new keys final %v after the kill", len(after), time.Since(died).Round(time.Millisecond))
+	for _, i := range []int{0, 1, 3} {
+		h.awaitMetric(h.cluster.Hosts[i], "hickoryfront_claim_homes_uncleared 0\n")
+	}
 	if answered != len(after) {
 		t.Errorf("%d of %d new keys were answered", answered, len(after))
 	}
