--- a/hickoryd/internal/home/claims.go
+++ b/hickoryd/internal/home/claims.go
@@ -82,6 +82,7 @@
 		epochIndex   uint64 // platform's index of the epoch key
 		nextRead     time.Time
 		differsSince time.Time
+		seenDead     *claim.Deaths
 		askedAt      map[claim.Member]time.Time
 	}
 
@@ -99,7 +100,8 @@
 	c := &Claims{
 		self: self, kv: kv, fleet: fleet, homes: homes, logger: logger, horizon: horizon,
 		limiter: rate.NewLimiter(journalWrites, journalBurst), hints: make(chan struct{}, 1),
-		home: claim.NewHome(self, limit), askedAt: map[claim.Member]time.Time{}, pending: map[claim.Key]claim.Member{}, listedTo: map[string]uint64{},
+		home: claim.NewHome(self, limit), askedAt: map[claim.Member]time.Time{}, pending: map[claim.Key]claim.Member{},
+		listedTo: map[string]uint64{}, seenDead: claim.NewDeaths(),
 		metrics: claimMetrics{
 			granted:   set.NewCounter(`hickoryfront_claims_total{result="granted"}`),
 			undecided: set.NewCounter(`hickoryfront_claims_total{result="undecided"}`),
@@ -109,6 +111,7 @@
 	}
 	c.writer = journal.NewWriter(groups{c}, c.limiter)
 	set.NewGauge(`hickoryfront_claims_held`, func() float64 { return float64(c.Len()) })
+	set.NewGauge(`hickoryfront_claim_homes_uncleared`, func() float64 { return float64(len(c.wanted(time.Now()))) })
 	set.NewGauge(`hickoryfront_claim_homes`, func() float64 { return float64(len(c.Epoch().Members)) })
 	set.NewGauge(`hickoryfront_claim_epoch`, func() float64 { return float64(c.Epoch().Number) })
 	return c
@@ -128,6 +131,13 @@
 	return c.home.Len()
 }
 
+// wanted returns the former homes whose grants are not known yet.
+func (c *Claims) wanted(now time.Time) []claim.Member {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.home.Wanted(now)
+}
+
 // HomeOf returns the host that decides on a key, or "" before the first epoch.
 func (c *Claims) HomeOf(key claim.Key) string {
 	c.mu.Lock()
--- a/hickoryd/internal/home/epochs.go
+++ b/hickoryd/internal/home/epochs.go
@@ -31,25 +31,19 @@
 	listTimeout     = time.Second
 	askAgain        = 500 * time.Millisecond
 	forgetAsked     = time.Minute
+	// expiriesPerHorizon is how often old keys and segments are looked for.
+	expiriesPerHorizon = 4
+	// clockMargin lengthens the life of journal segments by the difference
+	// between the clocks of hosts.
+	clockMargin = time.Minute
 )
 
-type (
-	// asker asks one daemon for its grants.
-	asker struct {
-		claims *Claims
-		owner  claim.Owner
-		heard  bool
-	}
-
-	// teller tells one other home a mode.
-	teller struct {
-		claims   *Claims
-		other    claim.Member
-		epoch    uint64
-		flag     claim.Flag
-		recorded bool
-	}
-)
+// asker asks one daemon for its grants.
+type asker struct {
+	claims *Claims
+	owner  claim.Owner
+	heard  bool
+}
 
 // loop keeps the epoch, takes keys over and ends outages.
 func (c *Claims) loop(ctx context.Context) {
@@ -58,8 +52,10 @@
 	nextProbe, nextExpiry := time.Time{}, time.Now().Add(c.horizon())
 	for ctx.Err() == nil {
 		now := time.Now()
+		c.seenDead.Tick(now)
 		if !now.Before(c.nextRead) {
 			c.readEpoch(ctx, now)
+			c.seenDead.Tick(time.Now())
 			c.propose(ctx, now)
 		}
 		c.takeOver(ctx, now)
@@ -80,9 +76,6 @@
 	}
 }
 
-// expiriesPerHorizon is how often old segments are looked for.
-const expiriesPerHorizon = 4
-
 // readEpoch enters the epoch that the platform holds.
 func (c *Claims) readEpoch(ctx context.Context, now time.Time) {
 	period := max(epochRead, time.Duration(len(c.fleet.Live(now)))*readsPerHost)
@@ -109,11 +102,11 @@
 // propose changes the epoch when its homes are not the ones that should be. One
 // keeper does it; the others only when it does not for some time.
 func (c *Claims) propose(ctx context.Context, now time.Time) {
-	live, names := c.liveOwners(now)
 	c.mu.Lock()
 	epoch, fenced := c.home.Epoch(), c.fenced
 	self, selfErr := c.home.Member()
 	c.mu.Unlock()
+	live, names := c.liveOwners(now, epoch)
 	homes := epoch.PickHomes(live, maxHomes)
 	if len(homes) == 0 || !epoch.Differs(homes) && !fenced {
 		c.differsSince = time.Time{}
@@ -166,28 +159,37 @@
 	return true
 }
 
-func (c *Claims) liveOwners(now time.Time) (owners []claim.Owner, names []string) {
+// liveOwners returns the daemons that may be homes: those that are alive, and the
+// members of the epoch that were not seen dead for long enough.
+func (c *Claims) liveOwners(now time.Time, epoch claim.Epoch) (owners []claim.Owner, names []string) {
+	live := map[string]bool{}
 	for _, s := range c.fleet.Live(now) {
+		live[s.Host.Name] = true
 		if !s.Draining {
 			owners = append(owners, claim.Owner{Host: s.Host.Name, Incarnation: s.Host.Incarnation})
 			names = append(names, s.Host.Name)
 		}
 	}
+	for _, m := range epoch.Members {
+		if live[m.Host] {
+			c.seenDead.Clear(m.Host)
+		} else if !c.seenDead.IsDead(now, m.Host) {
+			owners = append(owners, m.Owner())
+		}
+	}
 	return owners, names
 }
 
 // takeOver clears the former homes of keys: it asks them, or seals the journals
 // of those that can't be asked and asks their companions.
 func (c *Claims) takeOver(ctx context.Context, now time.Time) {
-	c.mu.Lock()
-	wanted := c.home.Wanted(now)
-	c.mu.Unlock()
-	for _, m := range wanted {
+	for _, m := range c.wanted(now) {
 		if now.Before(c.askedAt[m].Add(askAgain)) {
 			continue
 		}
 		c.askedAt[m] = now
 		c.clear(ctx, m)
+		c.seenDead.Tick(time.Now())
 	}
 	maps.DeleteFunc(c.askedAt, func(_ claim.Member, at time.Time) bool { return now.Sub(at) > forgetAsked })
 }
@@ -215,6 +217,27 @@
 		owners = append(owners, o.Owner())
 	}
 	c.askAll(ctx, owners)
+	c.vouch(ctx, m)
+}
+
+// vouch adds what this daemon knows of a dead home's grants to its journal: this
+// daemon may be gone when the next home reads it.
+func (c *Claims) vouch(ctx context.Context, m claim.Member) {
+	c.mu.Lock()
+	vouchers, grants, outage := c.home.Testimony(time.Now(), m)
+	c.mu.Unlock()
+	if len(vouchers) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
+	defer cancel()
+	known, err := journal.Vouch(ctx, c.kv, m, vouchers, outage, grants)
+	if err != nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.home.LearnJournal(known)
 }
 
 func (c *Claims) seal(ctx context.Context, m claim.Member) bool {
@@ -268,10 +291,6 @@
 	a.heard = true
 }
 
-func (t *teller) run(ctx context.Context) {
-	t.recorded = t.claims.tell(ctx, t.other, t.epoch, t.flag, nil)
-}
-
 // tendJournal ends an outage, and marks the journal as complete through the
 // epoch, which spares the next homes from asking about earlier ones.
 func (c *Claims) tendJournal(ctx context.Context) {
@@ -303,8 +322,10 @@
 	}
 }
 
+// expire drops what is past its horizon, here and in the journal.
 func (c *Claims) expire(ctx context.Context, now time.Time) {
 	c.mu.Lock()
+	c.home.Expire(now)
 	current, down := c.log, c.down
 	c.mu.Unlock()
 	if current == nil || down {
@@ -313,10 +334,6 @@
 	_ = current.Expire(ctx, now.Add(-c.horizon()-clockMargin)) // tried again later
 }
 
-// clockMargin lengthens the life of journal segments by the difference between
-// the clocks of hosts.
-const clockMargin = time.Minute
-
 // runAll calls work for 0 to count-1 at once and waits for all.
 func runAll(count int, work func(i int)) {
 	var group sync.WaitGroup
