Say not sent only when there was no connection; read loads apart

The engine client judged by the last error: a call that the transport repeats after a kept connection ended could end in a failed dial and count as not sent though its first send was written. Now a call counts as sent once it had a connection. The new tests pass with the client before, too: the repeat after a written call was not provoked on this machine, so this is from reading the transport, not from a trace. One version of TestCloseEndsASilentStream hung, for its handler's fault: it had not read the request, without which a server does not notice that the connection ended.

One frozen engine delayed the load reports of all others of its home by a second each round. Loads are read apart from each other.

Wasted prefill tokens are tested step by step.

--- a/hickoryd/engine/client.go
+++ b/hickoryd/engine/client.go
@@ -10,10 +10,12 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"net/netip"
 	"net/url"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/hickoryfront/hickoryfront/core/answer"
@@ -182,10 +184,10 @@
 		return nil, err
 	}
 	client := &http.Client{Transport: newTransport(true)}
-	response, err := client.Do(request)
+	response, err := send(client, request)
 	if err != nil {
 		cancel()
-		return nil, transportError(err)
+		return nil, err
 	}
 	if response.StatusCode != http.StatusOK {
 		defer cancel()
@@ -213,9 +215,9 @@
 }
 
 func (c *Client) do(request *http.Request, reply any) error {
-	response, err := c.unary.Do(request)
+	response, err := send(c.unary, request)
 	if err != nil {
-		return transportError(err)
+		return err
 	}
 	if response.StatusCode != http.StatusOK {
 		return replyError(response)
@@ -260,12 +262,20 @@
 	}
 }
 
-func transportError(err error) error {
-	var dial *net.OpError
-	if errors.As(err, &dial) && dial.Op == "dial" {
-		return fmt.Errorf("%w: %w", ErrNotSent, err)
+// send returns ErrNotSent only when there never was a connection to write to.
+// The transport repeats a request by itself when a kept connection ends under
+// it, so the last error alone does not tell.
+func send(client *http.Client, request *http.Request) (*http.Response, error) {
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	response, err := client.Do(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
+	switch {
+	case err == nil:
+		return response, nil
+	case connected.Load():
+		return nil, fmt.Errorf("%w: %w", ErrBroken, err)
 	}
-	return fmt.Errorf("%w: %w", ErrBroken, err)
+	return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 }
 
 func replyError(response *http.Response) error {
--- /dev/null
+++ b/hickoryd/engine/client_test.go
@@ -0,0 +1,146 @@
+package engine_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+
+	"github.com/hickoryfront/hickoryfront/core/backend"
+	"github.com/hickoryfront/hickoryfront/hickoryd/engine"
+)
+
+func serverAt(address string) backend.Server {
+	return backend.Server{ID: "decode-1", Address: netip.MustParseAddrPort(address)}
+}
+
+// refusing returns an address at which nothing listens any more.
+func refusing(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+func serve(t *testing.T, handler http.HandlerFunc) string {
+	t.Helper()
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	return server.Listener.Addr().String()
+}
+
+// Each failure says whether a byte can have reached the engine.
+//
+// proof: backend server killed | prefill | 4
+func TestErrorsTellWhetherTheCallWasSent(t *testing.T) {
+	hangUp := func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := w.(http.Hijacker).Hijack()
+		if err == nil {
+			conn.Close()
+		}
+	}
+	refuse := func(code string) http.HandlerFunc {
+		return func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			fmt.Fprintf(w, `{"code":%q,"message":"m"}`, code)
+		}
+	}
+	tests := map[string]struct {
+		address string
+		want    error
+	}{
+		"nothing listens":          {refusing(t), engine.ErrNotSent},
+		"connection ends":          {serve(t, hangUp), engine.ErrBroken},
+		"leaving":                  {serve(t, refuse(engine.CodeLeaving)), engine.ErrLeaving},
+		"full":                     {serve(t, refuse(engine.CodeFull)), engine.ErrFull},
+		"gone":                     {serve(t, refuse(engine.CodeGone)), engine.ErrGone},
+		"a code of a newer engine": {serve(t, refuse("tired")), engine.ErrBroken},
+		"not JSON":                 {serve(t, func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "<html>") }), engine.ErrBroken},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			_, err := engine.New().Prefill(t.Context(), serverAt(test.address), engine.PrefillRequest{RequestID: "r"})
+			if !errors.Is(err, test.want) {
+				t.Errorf("got %v, want %v", err, test.want)
+			}
+		})
+	}
+}
+
+// The transport repeats a call when a kept connection ends under it. When the
+// repeat finds nobody, the first send still counts.
+func TestKeptConnectionThatEndsCountsAsSent(t *testing.T) {
+	var server *httptest.Server
+	calls := 0
+	server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		calls++
+		if calls == 1 {
+			fmt.Fprint(w, "{}")
+			return
+		}
+		server.Listener.Close()
+		conn, _, err := w.(http.Hijacker).Hijack()
+		if err == nil {
+			conn.Close()
+		}
+	}))
+	defer server.Close()
+	client := engine.New()
+	at := serverAt(server.Listener.Addr().String())
+	if _, err := client.Prefill(t.Context(), at, engine.PrefillRequest{RequestID: "a"}); err != nil {
+		t.Fatal(err)
+	}
+	_, err := client.Prefill(t.Context(), at, engine.PrefillRequest{RequestID: "b"})
+	if !errors.Is(err, engine.ErrBroken) {
+		t.Errorf("got %v, want ErrBroken", err)
+	}
+}
+
+func TestStream(t *testing.T) {
+	address := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+		fmt.Fprint(w, ": comment\n\ndata: {\"offset\":0,\"text\":\"a\"}\n\ndata: {\"offset\":1,\"text\":\"b\",\"last\":true}\n\n")
+	})
+	stream, err := engine.New().Decode(t.Context(), serverAt(address), engine.DecodeRequest{RequestID: "r"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer stream.Close()
+	for i, want := range []string{"a", "b"} {
+		token, err := stream.Next()
+		if err != nil || token.Offset != i || token.Text != want || token.Last != (i == 1) {
+			t.Errorf("token %d: %+v, %v", i, token, err)
+		}
+	}
+	if _, err := stream.Next(); !errors.Is(err, io.EOF) {
+		t.Errorf("after the last token: %v, want io.EOF", err)
+	}
+}
+
+// Close wakes up a reader that waits on a silent connection.
+//
+// proof: silent connection | stream | 3
+func TestCloseEndsASilentStream(t *testing.T) {
+	address := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body) // the end of the connection is noticed only after it
+		w.(http.Flusher).Flush()
+		<-r.Context().Done()
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	stream, err := engine.New().Resume(ctx, serverAt(address), engine.ResumeRequest{RequestID: "r"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	go stream.Close()
+	if _, err := stream.Next(); !errors.Is(err, engine.ErrBroken) {
+		t.Errorf("got %v, want ErrBroken", err)
+	}
+}
--- a/hickoryd/internal/dispatch/model_test.go
+++ b/hickoryd/internal/dispatch/model_test.go
@@ -17,7 +17,10 @@
 )
 
 func newModels(_ *testing.T, l *lab) *dispatch.Models {
-	set := metrics.NewSet()
+	return newModelsWith(l, metrics.NewSet())
+}
+
+func newModelsWith(l *lab, set *metrics.Set) *dispatch.Models {
 	return dispatch.NewModels("salt-lake", labPolicy{}, l, l, l, noCrashes{}, newCanceller(l, set), set)
 }
 
@@ -205,6 +208,61 @@
 	})
 }
 
+// Prefill work counts as wasted exactly when no token was decoded from it.
+func TestWastedPrefillTokens(t *testing.T) {
+	const computed = 60 // of each prefill of the fakes
+	tests := map[string]struct {
+		set  func(l *lab, leave func())
+		want uint64
+	}{
+		"used": {func(*lab, func()) {}, 0},
+		"used, then the stream moves on": {func(l *lab, _ func()) {
+			l.onDecode = func(_ context.Context, _ string, n int) (*fakeStream, error) {
+				if n == 1 {
+					return stopsAt(3, io.EOF), nil
+				}
+				return whole(), nil
+			}
+			l.onResume = gone
+		}, 0},
+		"evicted once": {func(l *lab, _ func()) {
+			l.onDecode = func(_ context.Context, _ string, n int) (*fakeStream, error) {
+				if n == 1 {
+					return nil, engine.ErrGone
+				}
+				return whole(), nil
+			}
+		}, computed},
+		"caller leaves during the transfer": {func(l *lab, leave func()) {
+			l.onDecode = func(ctx context.Context, _ string, _ int) (*fakeStream, error) {
+				leave()
+				return nil, hang(ctx)
+			}
+		}, computed},
+		"caller leaves before the first token": {func(l *lab, leave func()) {
+			l.onDecode = func(context.Context, string, int) (*fakeStream, error) {
+				leave()
+				return stopsAt(0, nil), nil
+			}
+		}, computed},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				l := newLab()
+				set := metrics.NewSet()
+				ctx, leave := context.WithCancel(t.Context())
+				defer leave()
+				test.set(l, leave)
+				_ = newModelsWith(l, set).Run(ctx, request(longPrompt), &sinkLog{}) // the counter is what counts
+				if got := set.GetOrCreateCounter(`hickoryfront_prefill_wasted_tokens_total`).Get(); got != test.want {
+					t.Errorf("%d tokens wasted, want %d", got, test.want)
+				}
+			})
+		})
+	}
+}
+
 func firstPrefill(err error) func(context.Context, string, int) error {
 	return func(_ context.Context, _ string, n int) error {
 		if n == 1 {
--- a/hickoryd/internal/home/slots.go
+++ b/hickoryd/internal/home/slots.go
@@ -65,6 +65,8 @@
 		ledger     *slot.Ledger
 		servers    map[string]backend.Server
 		reclaiming map[string]bool // by request id
+		reading    map[string]bool // servers whose load is being read
+		readers    sync.WaitGroup
 	}
 )
 
@@ -81,6 +83,7 @@
 		ledger:     slot.New(),
 		servers:    map[string]backend.Server{},
 		reclaiming: map[string]bool{},
+		reading:    map[string]bool{},
 	}
 }
 
@@ -140,6 +143,7 @@
 
 // Run follows the list and the engines' loads until ctx ends.
 func (s *Slots) Run(ctx context.Context) {
+	defer s.readers.Wait()
 	ticker := time.NewTicker(loadInterval)
 	defer ticker.Stop()
 	for {
@@ -176,13 +180,31 @@
 	s.servers = mine
 }
 
+// readLoads begins to read the loads of all servers but those that have not
+// answered the last time yet: one that is frozen must not delay the others.
 func (s *Slots) readLoads(ctx context.Context) {
-	var group sync.WaitGroup
 	for _, server := range s.tracked() {
-		reader := loadReader{slots: s, server: server}
-		group.Go(func() { reader.run(ctx) })
+		if s.beginRead(server.ID) {
+			reader := loadReader{slots: s, server: server}
+			s.readers.Go(func() { reader.run(ctx) })
+		}
+	}
+}
+
+func (s *Slots) beginRead(serverID string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.reading[serverID] {
+		return false
 	}
-	group.Wait()
+	s.reading[serverID] = true
+	return true
+}
+
+func (s *Slots) endRead(serverID string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.reading, serverID)
 }
 
 func (s *Slots) tracked() []backend.Server {
@@ -244,6 +266,7 @@
 }
 
 func (r loadReader) run(ctx context.Context) {
+	defer r.slots.endRead(r.server.ID)
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
 	load, err := r.slots.engines.Load(ctx, r.server)
