--- a/core/slot/ledger.go
+++ b/core/slot/ledger.go
@@ -31,19 +31,27 @@
 
 	// Terms are what a holder asks of a reservation.
 	Terms struct {
-		Lifetime time.Duration
-		Isolated bool // no other isolated request may use the server meanwhile
+		Lifetime   time.Duration
+		Isolated   bool          // no other isolated request may use the server meanwhile
+		Deferrable bool          // leaves the last slots to interactive requests
+		Lead       time.Duration // until the request needs the slot
+		Overcommit float64       // share of the slots predicted free by then that it may count on
+		TokenGap   time.Duration // target, to which the batch is limited; 0: none
 	}
 
 	// Reservation is one granted slot.
 	Reservation struct {
-		RequestID string
-		Holder    Holder
-		GrantedAt time.Time
-		Deadline  time.Time
-		KVBytes   uint64
-		Isolated  bool
-		renewedAt time.Time
+		RequestID  string
+		Holder     Holder
+		GrantedAt  time.Time
+		Deadline   time.Time
+		KVBytes    uint64
+		Isolated   bool
+		Deferrable bool
+		Lead       time.Duration
+		Overcommit float64
+		TokenGap   time.Duration
+		renewedAt  time.Time
 	}
 
 	// Ledger holds the slots of the servers whose home is this daemon. It is
@@ -57,6 +65,10 @@
 		granted     map[string]Reservation
 		reported    backend.Load
 		leaving     bool
+		limit       int       // of the batch; 0: the server's slots
+		released    eventRate // of slots
+		interactive eventRate // grants
+		foreign     foreignLoad
 		unreachable bool
 		unanswered  bool                 // a question of the last audit
 		running     map[string]bool      // attempts of this system, as of the last audit
@@ -132,11 +144,13 @@
 		clear(a.granted)
 		a.leaving = a.server.State == backend.StateLeaving
 		a.reported = backend.Load{}
+		a.foreign = foreignLoad{}
 	}
 	if load.ObservedAt.Before(a.reported.ObservedAt) {
 		return
 	}
 	a.reported = load
+	a.observeForeign(load)
 	if load.Leaving {
 		a.leaving = true
 	}
@@ -158,9 +172,12 @@
 	if a.unreachable {
 		return ErrUnreachable
 	}
-	if a.free() <= 0 || r.Isolated && a.holdsIsolated() {
+	if a.room(now, r) <= 0 || r.Isolated && a.holdsIsolated() {
 		return ErrFull
 	}
+	if !r.Deferrable {
+		a.interactive.add(now)
+	}
 	r.GrantedAt = now
 	a.granted[r.RequestID] = r
 	return nil
@@ -177,9 +194,9 @@
 }
 
 // Release gives a slot back. Releasing twice is harmless.
-func (l *Ledger) Release(serverID, requestID string) {
+func (l *Ledger) Release(now time.Time, serverID, requestID string) {
 	if a, ok := l.servers[serverID]; ok {
-		delete(a.granted, requestID)
+		a.drop(now, requestID)
 	}
 }
 
@@ -193,9 +210,13 @@
 		ServerID:       serverID,
 		ObservedAt:     now,
 		SlotsUsed:      a.used(),
-		SlotsTotal:     a.server.Slots,
+		SlotsTotal:     a.capacity(),
 		PrefillBacklog: a.reported.PrefillBacklog,
+		PrefillRate:    a.reported.PrefillRate,
+		Batch:          a.reported.Batch,
+		TokenGap:       a.reported.TokenGap,
 		Leaving:        a.leaving,
+		Unreachable:    a.unreachable,
 	}, true
 }
 
@@ -212,21 +233,3 @@
 	}
 	return false
 }
-
-func (a *account) free() int {
-	return a.server.Slots - a.used()
-}
-
-// used is the larger of what was granted and what the server reported, with
-// the report corrected by what was granted after it was taken. The report
-// covers requests that the old scripts sent to the same server.
-func (a *account) used() int {
-	granted := len(a.granted)
-	sinceReport := 0
-	for _, r := range a.granted {
-		if r.GrantedAt.After(a.reported.ObservedAt) {
-			sinceReport++
-		}
-	}
-	return max(granted, a.reported.SlotsUsed+sinceReport)
-}
--- a/core/slot/ledger_test.go
+++ b/core/slot/ledger_test.go
@@ -79,7 +79,7 @@
 	if err := l.Reserve(now, "d", slot.Reservation{RequestID: "c"}); err != nil {
 		t.Errorf("ordinary request: %v", err)
 	}
-	l.Release("d", "a")
+	l.Release(now, "d", "a")
 	if err := l.Reserve(now, "d", slot.Reservation{RequestID: "b", Isolated: true}); err != nil {
 		t.Errorf("isolated request after the first ended: %v", err)
 	}
--- a/hickoryd/internal/caller/slowreader_test.go
+++ b/hickoryd/internal/caller/slowreader_test.go
@@ -88,7 +88,7 @@
 				e := &endless{fake: f, over: make(chan struct{})}
 				gin.SetMode(gin.TestMode)
 				router := gin.New()
-				caller.New(e, plainFake{f}, f, f, f, f, 10).Routes(router)
+				caller.New(e, plainFake{f}, nil, f, f, f, f, 10).Routes(router)
 				listener := &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
 				server := &http.Server{Handler: router}
 				go server.Serve(listener)
--- a/hickoryd/internal/dispatch/model_test.go
+++ b/hickoryd/internal/dispatch/model_test.go
@@ -21,7 +21,7 @@
 }
 
 func newModelsWith(l *lab, set *metrics.Set) *dispatch.Models {
-	return dispatch.NewModels("salt-lake", labPolicy{}, l, l, l, noCrashes{}, newCanceller(l, set), set)
+	return dispatch.NewModels("salt-lake", labPolicy{}, l, l, l, l, noCrashes{}, newCanceller(l, set), set)
 }
 
 // Whatever fails, the caller gets its whole answer once, and nothing is held.
--- a/hickoryd/internal/home/reservations.go
+++ b/hickoryd/internal/home/reservations.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"google.golang.org/protobuf/types/known/durationpb"
 
 	"github.com/hickoryfront/hickoryfront/core/backend"
 	"github.com/hickoryfront/hickoryfront/core/slot"
@@ -106,7 +105,10 @@
 	home := r.peers.Ring(now).Home(server.ID)
 	r.hold(requestID)
 	if home == r.peers.Self().Name {
-		_, err := r.slots.Reserve(now, server.ID, r.reservation(now, requestID, terms))
+		load, err := r.slots.Reserve(now, server.ID, r.reservation(now, requestID, terms))
+		if load.ServerID != "" {
+			r.slots.ObserveRemote(load)
+		}
 		if err != nil {
 			r.drop(requestID)
 		}
@@ -217,9 +219,18 @@
 	if err != nil {
 		return fmt.Errorf("%w: %w: %w", slot.ErrNoHome, errUnheard, err)
 	}
+	r.observe(response.GetLoad())
 	return reserveError(response.GetOutcome())
 }
 
+// observe takes in the load that came with an answer, which is newer than the
+// last heartbeat.
+func (r *Reservations) observe(load *peerapi.ServerLoad) {
+	if load.GetServerId() != "" {
+		r.slots.ObserveRemote(peer.LoadFromWire(load))
+	}
+}
+
 func (r *Reservations) tellReleased(serverID, requestID string) {
 	n := notice{reservations: r, serverID: serverID, tell: func(ctx context.Context, _ time.Time, home string) error {
 		if home == r.peers.Self().Name {
@@ -252,14 +263,14 @@
 }
 
 func (r *Reservations) request(serverID, requestID string, terms slot.Terms) *peerapi.ReserveRequest {
-	return &peerapi.ReserveRequest{
-		ServerId: serverID, RequestId: requestID, Holder: peer.HostToWire(r.peers.Self()),
-		Lifetime: durationpb.New(terms.Lifetime), Isolated: terms.Isolated,
-	}
+	return peer.SlotRequest(serverID, requestID, terms, r.peers.Self())
 }
 
 func (r *Reservations) reservation(now time.Time, requestID string, terms slot.Terms) slot.Reservation {
-	return slot.Reservation{RequestID: requestID, Holder: r.Holder(), Deadline: now.Add(terms.Lifetime), Isolated: terms.Isolated}
+	return slot.Reservation{
+		RequestID: requestID, Holder: r.Holder(), Deadline: now.Add(terms.Lifetime), Isolated: terms.Isolated,
+		Deferrable: terms.Deferrable, Lead: terms.Lead, Overcommit: terms.Overcommit, TokenGap: terms.TokenGap,
+	}
 }
 
 func (r *Reservations) hold(requestID string) {
--- a/hickoryd/internal/home/reservations_test.go
+++ b/hickoryd/internal/home/reservations_test.go
@@ -32,8 +32,8 @@
 )
 
 type (
-	// fleet is a view in which nobody but this daemon can be reached.
-	fleet struct {
+	// loneView is a view in which nobody but this daemon can be reached.
+	loneView struct {
 		alive    bool // the other host
 		minority bool
 		known    bool
@@ -47,14 +47,14 @@
 	}
 )
 
-func (fleet) Self() member.Host         { return self }
-func (fleet) Ring(time.Time) *ring.Ring { return ring.New([]string{self.Name}) }
-func (f fleet) IsAlive(_ time.Time, name string, incarnation uint64) bool {
+func (loneView) Self() member.Host         { return self }
+func (loneView) Ring(time.Time) *ring.Ring { return ring.New([]string{self.Name}) }
+func (f loneView) IsAlive(_ time.Time, name string, incarnation uint64) bool {
 	return name == self.Name && incarnation == self.Incarnation || f.alive && incarnation == other.Incarnation
 }
-func (f fleet) Majority(time.Time) bool { return !f.minority }
-func (fleet) LastHeard() time.Time      { return time.Now() }
-func (f fleet) Lookup(string) (member.State, bool) {
+func (f loneView) Majority(time.Time) bool { return !f.minority }
+func (loneView) LastHeard() time.Time      { return time.Now() }
+func (f loneView) Lookup(string) (member.State, bool) {
 	return member.State{Host: other}, f.known
 }
 
@@ -77,7 +77,7 @@
 	_ = confirmed // the engine has not confirmed yet
 }
 
-func newReservations(f fleet, started time.Time) (*home.Reservations, *home.Slots, *lab) {
+func newReservations(f loneView, started time.Time) (*home.Reservations, *home.Slots, *lab) {
 	set := metrics.NewSet()
 	l := &lab{}
 	slots := home.NewSlots(l, l, l, &log.Logger{Handler: discard.New()}, set)
@@ -97,21 +97,21 @@
 func TestConfirm(t *testing.T) {
 	now := time.Now()
 	tests := map[string]struct {
-		fleet       fleet
+		fleet       loneView
 		host        string
 		incarnation uint64
 		started     time.Duration // before now
 		want        slot.Verdict
 	}{
-		"own attempt that is not held":    {fleet{}, "self", 5, time.Hour, slot.NotHeld},
-		"earlier life of this daemon":     {fleet{known: true, minority: true}, "self", 4, time.Hour, slot.HolderGone},
-		"earlier life of another":         {fleet{known: true, alive: true}, "other", 6, time.Hour, slot.HolderGone},
-		"silent, heartbeats go on":        {fleet{known: true, alive: true}, "other", 7, time.Hour, slot.NoAnswer},
-		"silent, heartbeats ended":        {fleet{known: true}, "other", 7, time.Hour, slot.HolderGone},
-		"silent, this daemon is cut off":  {fleet{known: true, minority: true}, "other", 7, time.Hour, slot.NoAnswer},
-		"unknown to a daemon just begun":  {fleet{}, "third", 1, time.Second, slot.NoAnswer},
-		"unknown for long":                {fleet{}, "third", 1, time.Hour, slot.HolderGone},
-		"unknown, this daemon is cut off": {fleet{minority: true}, "third", 1, time.Hour, slot.NoAnswer},
+		"own attempt that is not held":    {loneView{}, "self", 5, time.Hour, slot.NotHeld},
+		"earlier life of this daemon":     {loneView{known: true, minority: true}, "self", 4, time.Hour, slot.HolderGone},
+		"earlier life of another":         {loneView{known: true, alive: true}, "other", 6, time.Hour, slot.HolderGone},
+		"silent, heartbeats go on":        {loneView{known: true, alive: true}, "other", 7, time.Hour, slot.NoAnswer},
+		"silent, heartbeats ended":        {loneView{known: true}, "other", 7, time.Hour, slot.HolderGone},
+		"silent, this daemon is cut off":  {loneView{known: true, minority: true}, "other", 7, time.Hour, slot.NoAnswer},
+		"unknown to a daemon just begun":  {loneView{}, "third", 1, time.Second, slot.NoAnswer},
+		"unknown for long":                {loneView{}, "third", 1, time.Hour, slot.HolderGone},
+		"unknown, this daemon is cut off": {loneView{minority: true}, "third", 1, time.Hour, slot.NoAnswer},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -131,7 +131,7 @@
 // proof: caller cancels | cancel | 1
 // proof: daemon killed | stream | 1
 func TestAuditEndsWhatRunsForNobody(t *testing.T) {
-	reservations, slots, l := newReservations(fleet{known: true}, time.Now())
+	reservations, slots, l := newReservations(loneView{known: true}, time.Now())
 	ctx, stop := context.WithCancel(t.Context())
 	stop()
 	slots.Run(ctx) // one round: it finds its servers
@@ -158,7 +158,7 @@
 //
 // proof: caller cancels | reserve | 1
 func TestReleaseGivesTheSlotBack(t *testing.T) {
-	reservations, slots, _ := newReservations(fleet{}, time.Now())
+	reservations, slots, _ := newReservations(loneView{}, time.Now())
 	ctx, stop := context.WithCancel(t.Context())
 	stop()
 	slots.Run(ctx)
--- a/hickoryd/internal/node/node.go
+++ b/hickoryd/internal/node/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/netip"
 	"os"
 	"os/signal"
@@ -39,6 +40,8 @@
 	drainPollInterval = 50 * time.Millisecond
 	// balancerPeriod gives the balancer time to see that the host is not ready.
 	balancerPeriod = time.Second
+	// defaultHorizon is the retry horizon of profiles that set none.
+	defaultHorizon = 10 * time.Minute
 	// closePeriod is the time to close connections after the shutdown period
 	// or a second signal.
 	closePeriod = 5 * time.Second
@@ -61,6 +64,8 @@
 		peers        *peerServer
 		loops        []runner
 		drained      *DrainWatch
+		claims       *home.Claims
+		keyed        *dispatch.Keyed
 
 		group sync.WaitGroup
 		stop  context.CancelFunc
@@ -87,10 +92,13 @@
 		Directory    *backends.Directory
 		Slots        *home.Slots
 		Auditor      *home.Auditor
+		Prefixes     *home.Prefixes
 		Reservations *home.Reservations
 		Caller       *caller.Handler
 		Operator     *operator.Handler
 		PeerServer   *peerserver.Server
+		Claims       *home.Claims
+		Keyed        *dispatch.Keyed
 		Drain        *DrainWatch
 		Keeper       *telemetry.Keeper
 	}
@@ -108,9 +116,10 @@
 			metrics.NewSet,
 			transport.New,
 			newPlatform, newHostList, newPool, newDirectory, newSlots, newMembership, newClaims,
-			newStore, newRegistration, newGate, newSync, newCanceller, newModels, newPlain, newRouter, newReservations, newAuditor, home.NewCrashes, newPeers,
+			newStore, newRegistration, newGate, newSync, newCanceller, newModels, newPlain, newRouter, newReservations, newAuditor, newPrefixes,
+			home.NewCrashes, newPeers, newKeyed, newRecordings, peer.NewHomes,
 			newCaller, newOperator, newPeerService, newDrainWatch, newEngines, New,
-			telemetry.New, newKeeper, newReporter, service.New,
+			telemetry.New, newRequests, newKeeper, newReporter, service.New,
 		),
 		fx.Invoke(join, register),
 	)
@@ -127,13 +136,16 @@
 			p.Directory,
 			p.Slots,
 			p.Auditor,
+			p.Prefixes,
 			p.Membership,
 			p.Store,
 			p.Sync,
 			p.Registration,
 			p.Drain,
 			p.Keeper,
+			p.Claims,
 		},
+		claims: p.Claims, keyed: p.Keyed,
 	}
 	var err error
 	if n.callers, err = newHTTPServer(p.Settings.Listen.Caller, routes(p.Caller), p.Security, p.Logger); err != nil {
@@ -171,6 +183,8 @@
 	n.gate.Drain()
 	sleep(ctx, balancerPeriod)
 	n.awaitIdle(ctx)
+	n.keyed.Close(ctx)
+	n.claims.Close(ctx)
 	_ = n.callers.server.Shutdown(ctx)
 	_ = n.callers.server.Close() // cuts what Shutdown has left
 	ctx, cancel = closingContext(ctx)
@@ -178,6 +192,7 @@
 	n.awaitHandlers(ctx)
 	n.canceller.Close(ctx)
 	n.reservations.Close(ctx)
+	n.membership.Leave(ctx)
 	n.registration.Close(ctx)
 	n.stop()
 	_ = n.operators.server.Shutdown(ctx)
@@ -227,6 +242,10 @@
 	return membership
 }
 
+func newPrefixes(slots *home.Slots, membership *peer.Membership, pool *peer.Pool, e engines, set *metrics.Set) *home.Prefixes {
+	return home.NewPrefixes(slots, membership, pool, e, set)
+}
+
 func newAuditor(slots *home.Slots, e engines, reservations *home.Reservations, set *metrics.Set) *home.Auditor {
 	return home.NewAuditor(slots, e, reservations, set)
 }
@@ -267,7 +286,7 @@
 }
 
 func newDirectory(s settings.Settings, list *platform.HostList, logger log.Interface, set *metrics.Set) *backends.Directory {
-	return backends.New(list, s.Platform.HostListPoll, logger, set)
+	return backends.New(list, s.Host.FailureDomain, s.Platform.HostListPoll, logger, set)
 }
 
 func newSlots(directory *backends.Directory, e engines, canceller *dispatch.Canceller, logger log.Interface, set *metrics.Set) *home.Slots {
@@ -280,8 +299,32 @@
 	}, pool, slots, logger, set)
 }
 
-func newClaims(s settings.Settings) *home.Claims {
-	return home.NewClaims(s.Limits.Claims)
+func newClaims(s settings.Settings, self member.Host, kv *platform.Client, membership *peer.Membership, homes *peer.Homes, store *configstore.Store, logger log.Interface, set *metrics.Set) *home.Claims {
+	return home.NewClaims(ownerOf(self), s.Limits.Claims, kv, membership, homes, horizonOf(store), logger, set)
+}
+
+func newKeyed(self member.Host, router *home.Router, recordings *dispatch.Recordings, set *metrics.Set) *dispatch.Keyed {
+	return dispatch.NewKeyed(ownerOf(self), router, router, recordings, set)
+}
+
+func newRecordings(s settings.Settings) *dispatch.Recordings {
+	return dispatch.NewRecordings(int(s.Limits.AnswerBytes))
+}
+
+func ownerOf(h member.Host) claim.Owner {
+	return claim.Owner{Host: h.Name, Incarnation: h.Incarnation}
+}
+
+// horizonOf returns the longest retry horizon of the profiles, which never
+// shrinks in the life of a daemon: grants outlive the profiles that allowed them.
+func horizonOf(store *configstore.Store) func() time.Duration {
+	longest := defaultHorizon
+	return func() time.Duration {
+		for _, p := range store.Current().Profiles {
+			longest = max(longest, p.RetryHorizon)
+		}
+		return longest
+	}
 }
 
 func newStore(kv *platform.Client, membership *peer.Membership, logger log.Interface, set *metrics.Set) *configstore.Store {
@@ -301,7 +344,9 @@
 }
 
 func otherSeeds(s settings.Settings) []netip.AddrPort {
-	return slices.DeleteFunc(slices.Clone(s.Peers.Seeds), func(a netip.AddrPort) bool { return a == s.Listen.Peer })
+	return slices.DeleteFunc(slices.Clone(s.Peers.Seeds), func(a netip.AddrPort) bool {
+		return a == s.Listen.Peer || a == s.Listen.AdvertisedPeer()
+	})
 }
 
 func newCanceller(e engines, directory *backends.Directory, set *metrics.Set) *dispatch.Canceller {
@@ -312,23 +357,23 @@
 	return home.NewRouter(membership, pool, claims)
 }
 
-func newModels(s settings.Settings, e engines, reservations *home.Reservations, directory *backends.Directory, crashes *home.Crashes, canceller *dispatch.Canceller, set *metrics.Set) *dispatch.Models {
-	return dispatch.NewModels(s.Host.FailureDomain, placement.LeastLoaded{}, e, reservations, directory, crashes, canceller, set)
+func newModels(s settings.Settings, e engines, reservations *home.Reservations, prefixes *home.Prefixes, directory *backends.Directory, crashes *home.Crashes, canceller *dispatch.Canceller, set *metrics.Set) *dispatch.Models {
+	return dispatch.NewModels(s.Host.FailureDomain, placement.NewReserving(placement.Options{}, rand.Float64), e, reservations, prefixes, directory, crashes, canceller, set)
 }
 
-func newPlain(self member.Host, client *service.Client, directory *backends.Directory, router *home.Router) *dispatch.Plain {
-	return dispatch.NewPlain(claim.Owner{Host: self.Name, Incarnation: self.Incarnation}, client, directory, router)
+func newPlain(client *service.Client, directory *backends.Directory, keyed *dispatch.Keyed) *dispatch.Plain {
+	return dispatch.NewPlain(client, directory, keyed)
 }
 
-func newCaller(s settings.Settings, models *dispatch.Models, plain *dispatch.Plain, client *service.Client, store *configstore.Store, gate *Gate, recorder *telemetry.Recorder) *caller.Handler {
-	return caller.New(models, plain, client, store, gate, recorder, s.Limits.Requests)
+func newCaller(s settings.Settings, models *dispatch.Models, plain *dispatch.Plain, keyed *dispatch.Keyed, client *service.Client, store *configstore.Store, gate *Gate, requests *telemetry.Requests) *caller.Handler {
+	return caller.New(models, plain, keyed, client, store, gate, requests, s.Limits.Requests)
 }
 
-func newOperator(s settings.Settings, store *configstore.Store, membership *peer.Membership, directory *backends.Directory, gate *Gate, reports *telemetry.Reporter, set *metrics.Set) *operator.Handler {
-	return operator.New(s.Auth.OperatorToken, store, membership, directory, gate, reports, set)
+func newOperator(s settings.Settings, store *configstore.Store, membership *peer.Membership, directory *backends.Directory, gate *Gate, requests *telemetry.Requests, reports *telemetry.Reporter, set *metrics.Set) *operator.Handler {
+	return operator.New(s.Auth.OperatorToken, store, membership, directory, gate, requests, reports, set)
 }
 
-func newPeerService(membership *peer.Membership, slots *home.Slots, reservations *home.Reservations, claims *home.Claims, crashes *home.Crashes, store *configstore.Store, recorder *telemetry.Recorder) *peerserver.Server {
+func newPeerService(membership *peer.Membership, slots *home.Slots, reservations *home.Reservations, claims *home.Claims, crashes *home.Crashes, store *configstore.Store, recorder *telemetry.Recorder, recordings *dispatch.Recordings, prefixes *home.Prefixes) *peerserver.Server {
 	return peerserver.New(peerserver.Parts{
 		Membership: membership,
 		Slots:      slots,
@@ -337,6 +382,8 @@
 		Crashes:    crashes,
 		Config:     store,
 		Burn:       recorder,
+		Answers:    recordings,
+		Prefixes:   prefixes,
 	})
 }
 
@@ -344,6 +391,10 @@
 	return NewDrainWatch(s.Host.Name, store, shutdown, logger)
 }
 
+func newRequests(recorder *telemetry.Recorder) *telemetry.Requests {
+	return telemetry.NewRequests(recorder)
+}
+
 func newKeeper(recorder *telemetry.Recorder, self member.Host, kv *platform.Client, membership *peer.Membership, logger log.Interface, set *metrics.Set) *telemetry.Keeper {
 	return telemetry.NewKeeper(recorder, self, kv, membership, logger, set)
 }
--- a/hickoryd/internal/peerserver/server.go
+++ b/hickoryd/internal/peerserver/server.go
@@ -6,20 +6,19 @@
 	"errors"
 	"time"
 
-	"google.golang.org/protobuf/types/known/timestamppb"
-
 	"github.com/hickoryfront/hickoryfront/core/backend"
-	"github.com/hickoryfront/hickoryfront/core/claim"
 	"github.com/hickoryfront/hickoryfront/core/crash"
+	"github.com/hickoryfront/hickoryfront/core/member"
 	"github.com/hickoryfront/hickoryfront/core/slot"
-	"github.com/hickoryfront/hickoryfront/hickoryd/internal/home"
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/peer"
 	"github.com/hickoryfront/hickoryfront/peerapi"
 )
 
 type (
-	// Membership answers heartbeats.
+	// Membership answers heartbeats and probes.
 	Membership interface {
 		Receive(now time.Time, request *peerapi.HeartbeatRequest) *peerapi.HeartbeatResponse
+		Probe(ctx context.Context, target member.Host) bool
 	}
 
 	// Slots grants the slots of the servers whose home is this daemon.
@@ -27,6 +26,7 @@
 		Reserve(now time.Time, serverID string, r slot.Reservation) (backend.Load, error)
 		Force(now time.Time, serverID string, r slot.Reservation)
 		Release(serverID, requestID string)
+		ReservePrefill(now time.Time, serverID string, p slot.Prefill) (backend.Load, error)
 	}
 
 	// Holdings tells which attempts this daemon holds.
@@ -35,14 +35,6 @@
 		Held(requestIDs []string) []string
 	}
 
-	// Claims grants the keys whose home is this daemon.
-	Claims interface {
-		Claim(now time.Time, wanted claim.Grant) (claim.Outcome, claim.Grant, error)
-		Settle(key claim.Key, requestID string, answer *claim.Answer, unknown bool)
-		Withdraw(key claim.Key, requestID string)
-		Grants(now time.Time) []claim.Grant
-	}
-
 	// Crashes knows the fingerprints whose home is this daemon.
 	Crashes interface {
 		CheckLocal(now time.Time, fingerprint uint64) crash.Verdict
@@ -69,6 +61,8 @@
 		Crashes    Crashes
 		Config     Config
 		Burn       Burn
+		Answers    Answers
+		Prefixes   Prefixes
 	}
 
 	// Server implements the Peer service.
@@ -81,6 +75,8 @@
 		crashes    Crashes
 		config     Config
 		burn       Burn
+		answers    Answers
+		prefixes   Prefixes
 	}
 )
 
@@ -94,6 +90,8 @@
 		crashes:    parts.Crashes,
 		config:     parts.Config,
 		burn:       parts.Burn,
+		answers:    parts.Answers,
+		prefixes:   parts.Prefixes,
 	}
 }
 
@@ -102,16 +100,19 @@
 	return s.membership.Receive(time.Now(), request), nil
 }
 
+// Probe implements the Peer service.
+func (s *Server) Probe(ctx context.Context, request *peerapi.ProbeRequest) (*peerapi.ProbeResponse, error) {
+	return &peerapi.ProbeResponse{Reached: s.membership.Probe(ctx, peer.HostFromWire(request.GetTarget()))}, nil
+}
+
 // Reserve implements the Peer service.
 func (s *Server) Reserve(_ context.Context, request *peerapi.ReserveRequest) (*peerapi.ReserveResponse, error) {
 	now := time.Now()
-	r := slot.Reservation{
-		RequestID: request.GetRequestId(),
-		Holder:    slot.Holder{Host: request.GetHolder().GetName(), Incarnation: request.GetHolder().GetIncarnation()},
-		Deadline:  now.Add(request.GetLifetime().AsDuration()),
-		KVBytes:   request.GetKvBytes(),
-		Isolated:  request.GetIsolated(),
+	if request.GetPrefill() != nil {
+		load, err := s.slots.ReservePrefill(now, request.GetServerId(), peer.PrefillFromWire(request))
+		return &peerapi.ReserveResponse{Outcome: reserveOutcome(err), Load: peer.LoadToWire(load)}, nil
 	}
+	r := peer.ReservationFromWire(now, request)
 	if request.GetForced() {
 		s.slots.Force(now, request.GetServerId(), r)
 		return &peerapi.ReserveResponse{Outcome: peerapi.ReserveResponse_OUTCOME_GRANTED}, nil
@@ -119,13 +120,7 @@
 	load, err := s.slots.Reserve(now, request.GetServerId(), r)
 	return &peerapi.ReserveResponse{
 		Outcome: reserveOutcome(err),
-		Load: &peerapi.ServerLoad{
-			ServerId:   request.GetServerId(),
-			SlotsUsed:  uint32(load.SlotsUsed),
-			SlotsTotal: uint32(load.SlotsTotal),
-			ObservedAt: timestamppb.New(load.ObservedAt),
-			Leaving:    load.Leaving,
-		},
+		Load:    peer.LoadToWire(load),
 	}, nil
 }
 
@@ -144,37 +139,6 @@
 	}, nil
 }
 
-// Claim implements the Peer service.
-func (s *Server) Claim(_ context.Context, request *peerapi.ClaimRequest) (*peerapi.ClaimResponse, error) {
-	now := time.Now()
-	outcome, grant, err := s.claims.Claim(now, home.GrantFromRequest(now, request))
-	if err != nil {
-		return &peerapi.ClaimResponse{Outcome: peerapi.ClaimResponse_OUTCOME_UNDECIDED}, nil
-	}
-	return home.ClaimResponse(outcome, grant), nil
-}
-
-// Settle implements the Peer service.
-func (s *Server) Settle(_ context.Context, request *peerapi.SettleRequest) (*peerapi.SettleResponse, error) {
-	key := home.KeyFromWire(request.GetKey())
-	if request.GetNotRun() {
-		s.claims.Withdraw(key, request.GetRequestId())
-		return &peerapi.SettleResponse{}, nil
-	}
-	s.claims.Settle(key, request.GetRequestId(), home.AnswerFromWire(request.GetAnswer()), request.GetUnknown())
-	return &peerapi.SettleResponse{}, nil
-}
-
-// ListGrants implements the Peer service.
-func (s *Server) ListGrants(_ context.Context, _ *peerapi.ListGrantsRequest) (*peerapi.ListGrantsResponse, error) {
-	held := s.claims.Grants(time.Now())
-	grants := make([]*peerapi.Grant, 0, len(held))
-	for _, g := range held {
-		grants = append(grants, home.GrantToWire(g))
-	}
-	return &peerapi.ListGrantsResponse{Grants: grants}, nil
-}
-
 // FetchConfig implements the Peer service.
 func (s *Server) FetchConfig(_ context.Context, request *peerapi.FetchConfigRequest) (*peerapi.FetchConfigResponse, error) {
 	update, revision, err := s.config.UpdateAfter(time.Now(), request.GetAfter())
@@ -219,7 +183,9 @@
 	case errors.Is(err, slot.ErrLeaving):
 		return peerapi.ReserveResponse_OUTCOME_LEAVING
 	case errors.Is(err, slot.ErrUnreachable):
-		return peerapi.ReserveResponse_OUTCOME_FULL
+		return peerapi.ReserveResponse_OUTCOME_UNREACHABLE
+	case errors.Is(err, slot.ErrBacklog):
+		return peerapi.ReserveResponse_OUTCOME_BACKLOG
 	}
 	return peerapi.ReserveResponse_OUTCOME_NOT_HOME
 }
