--- a/hickorylab/faults/streams_test.go
+++ b/hickorylab/faults/streams_test.go
@@ -195,6 +195,39 @@
 	}
 }
 
+// A daemon is paused until the others have taken its slots, and goes on: its
+// callers get their whole answers without a doubled token, and it ends nothing
+// of the others.
+//
+// proof: daemon paused | stream | 1
+// proof: daemon paused | stream | 2
+// proof: daemon paused | stream | 3
+func TestDaemonPausedInMidStream(t *testing.T) {
+	c := harness.Start(t, binaries, harness.Options{Hosts: 4, Decode: 3, Profile: patientProfile})
+	paused := streams{cluster: c}
+	for i := range 6 {
+		paused.start(t.Context(), c.Hosts[0], fmt.Sprint("paused ", i), longPrompt, 1500)
+	}
+	others := streams{cluster: c}
+	for i := range 6 {
+		others.start(t.Context(), c.Hosts[1+i%3], fmt.Sprint("other ", i), longPrompt, 900)
+	}
+	paused.awaitBegun()
+	others.awaitBegun()
+	since := time.Now()
+	c.Hosts[0].Pause()
+	awaitCancelled(t, c, "host-1", since)
+	c.Hosts[0].Resume()
+	others.checkWhole(t)
+	paused.checkWhole(t)
+	for _, host := range []string{"host-2", "host-3", "host-4"} {
+		if cancelled := decodes(c, engine.KindCancelled, host); len(cancelled) > 0 {
+			t.Errorf("%d live decodes of %s were cancelled", len(cancelled), host)
+		}
+	}
+	awaitIdle(c)
+}
+
 // A backend server dies, freezes or loses its connections in mid-stream: every
 // caller still gets its whole answer.
 //
