Give fenced orders to engines from the pools of the configuration

Cause: nothing ordered engines to load a version or an adapter or to change role. Ruled out: one fencing number for each ownership (an order that is overtaken by a later one of the same owner would pass: the test with a held order goes back without the epoch part); a platform lease for each engine (12,000 keys; one for each pool and failure domain is 57 at three models and 19 domains). Tests with engines that check the number and ones that ignore it: order held for the longest time in flight while the owner is cut off, two owners, an owner with an older configuration, answers lost, the weight store busy: no engine went back. Conclusion: numbers are epoch and sequence; the ownership record also holds the newest pool revision that was ordered.

--- a/hickoryd/internal/node/node.go
+++ b/hickoryd/internal/node/node.go
@@ -27,6 +27,7 @@
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/dispatch"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/home"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/operator"
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/orders"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/peer"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/peerserver"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/service"
@@ -99,6 +100,7 @@
 		PeerServer   *peerserver.Server
 		Claims       *home.Claims
 		Keyed        *dispatch.Keyed
+		Orders       *orders.Manager
 		Drain        *DrainWatch
 		Keeper       *telemetry.Keeper
 	}
@@ -118,7 +120,7 @@
 			newPlatform, newHostList, newPool, newDirectory, newSlots, newMembership, newClaims,
 			newStore, newRegistration, newGate, newSync, newCanceller, newModels, newPlain, newRouter, newReservations, newAuditor, newPrefixes,
 			home.NewCrashes, newPeers, newKeyed, newRecordings, peer.NewHomes,
-			newCaller, newOperator, newPeerService, newDrainWatch, newEngines, New,
+			newCaller, newOperator, newPeerService, newDrainWatch, newOrders, newEngines, New,
 			telemetry.New, newRequests, newKeeper, newReporter, service.New,
 		),
 		fx.Invoke(join, register),
@@ -141,7 +143,7 @@
 			p.Store,
 			p.Sync,
 			p.Registration,
-			p.Drain,
+			p.Orders, p.Drain,
 			p.Keeper,
 			p.Claims,
 		},
@@ -402,3 +404,7 @@
 func newReporter(recorder *telemetry.Recorder, self member.Host, membership *peer.Membership, pool *peer.Pool, kv *platform.Client) *telemetry.Reporter {
 	return telemetry.NewReporter(recorder, self, membership, pool, kv)
 }
+
+func newOrders(self member.Host, kv *platform.Client, e engines, store *configstore.Store, membership *peer.Membership, directory *backends.Directory, logger log.Interface, set *metrics.Set) *orders.Manager {
+	return orders.New(self, kv, e, store, membership, directory, logger, set)
+}
--- /dev/null
+++ b/hickoryd/internal/orders/manager.go
@@ -0,0 +1,358 @@
+// Package orders brings the engines to what the pools of the configuration
+// want. The engines of one pool in one failure domain get their orders from one
+// daemon, which holds a lease of the platform and a fencing number.
+package orders
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"net/netip"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/apex/log"
+	"golang.org/x/time/rate"
+
+	"github.com/hickoryfront/hickoryfront/core/backend"
+	"github.com/hickoryfront/hickoryfront/core/config"
+	"github.com/hickoryfront/hickoryfront/core/member"
+	"github.com/hickoryfront/hickoryfront/core/order"
+	"github.com/hickoryfront/hickoryfront/core/placement"
+	"github.com/hickoryfront/hickoryfront/core/ring"
+	"github.com/hickoryfront/hickoryfront/hickoryd/engine"
+	"github.com/hickoryfront/hickoryfront/hickoryd/platform"
+)
+
+const (
+	stepInterval = 500 * time.Millisecond
+	// ownRetry is the time between attempts at a group that another daemon
+	// still owns.
+	ownRetry     = 5 * time.Second
+	readTimeout  = 3 * time.Second
+	loadInterval = time.Second // between the load orders of this daemon
+	loadBurst    = 4
+)
+
+type (
+	// KV is what orders need of the platform.
+	KV interface {
+		Get(ctx context.Context, key string) (platform.Value, error)
+		CompareAndSwap(ctx context.Context, key string, data []byte, index uint64) (bool, error)
+		Acquire(ctx context.Context, key string, data []byte, lease string) (bool, error)
+		GrantLease(ctx context.Context, name string, ttl time.Duration) (string, error)
+		KeepLease(ctx context.Context, lease string) error
+		RevokeLease(ctx context.Context, lease string) error
+	}
+
+	// Engines gives orders.
+	Engines interface {
+		Order(ctx context.Context, address netip.AddrPort, request engine.OrderRequest) error
+		State(ctx context.Context, address netip.AddrPort) (engine.StateReply, error)
+	}
+
+	// Config is the configuration in force.
+	Config interface {
+		Current() *config.Document
+	}
+
+	// Fleet tells which daemons are homes.
+	Fleet interface {
+		Ring(now time.Time) *ring.Ring
+	}
+
+	// Directory is the view of the backend servers.
+	Directory interface {
+		Candidates(model string) []placement.Candidate
+	}
+
+	// Manager gives the orders of the groups that this daemon owns. It is safe
+	// for concurrent use.
+	Manager struct {
+		self      member.Host
+		kv        KV
+		engines   Engines
+		config    Config
+		fleet     Fleet
+		directory Directory
+		logger    log.Interface
+		limiter   *rate.Limiter
+		orders    map[order.Result]*metrics.Counter
+		tasks     sync.WaitGroup
+
+		mu         sync.Mutex
+		lease      string
+		leaseUntil time.Time
+		groups     map[groupKey]*owned
+	}
+
+	// owned is one group; group is nil until the ownership is taken.
+	owned struct {
+		group   *order.Group
+		nextTry time.Time
+	}
+
+	// task carries out one step towards an engine.
+	task struct {
+		manager *Manager
+		key     groupKey
+		group   *order.Group
+		action  order.Action
+	}
+)
+
+// New returns a manager that owns nothing yet.
+func New(self member.Host, kv KV, engines Engines, configuration Config, fleet Fleet, directory Directory, logger log.Interface, set *metrics.Set) *Manager {
+	return &Manager{
+		self: self, kv: kv, engines: engines, config: configuration, fleet: fleet, directory: directory, logger: logger,
+		limiter: rate.NewLimiter(rate.Every(loadInterval), loadBurst),
+		orders: map[order.Result]*metrics.Counter{
+			order.Done:    set.NewCounter(`hickoryfront_orders_total{result="done"}`),
+			order.Lost:    set.NewCounter(`hickoryfront_orders_total{result="lost"}`),
+			order.Busy:    set.NewCounter(`hickoryfront_orders_total{result="busy"}`),
+			order.Fenced:  set.NewCounter(`hickoryfront_orders_total{result="fenced"}`),
+			order.Refused: set.NewCounter(`hickoryfront_orders_total{result="refused"}`),
+		},
+		groups: map[groupKey]*owned{},
+	}
+}
+
+// Run gives orders until ctx ends.
+func (m *Manager) Run(ctx context.Context) {
+	var group sync.WaitGroup
+	group.Go(func() { m.leaseLoop(ctx) })
+	ticker := time.NewTicker(stepInterval)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		m.step(ctx)
+		select {
+		case <-ctx.Done():
+		case <-ticker.C:
+		}
+	}
+	m.tasks.Wait()
+	group.Wait()
+	m.release()
+}
+
+// leaseLoop keeps the lease apart from the orders, which may take long.
+func (m *Manager) leaseLoop(ctx context.Context) {
+	ticker := time.NewTicker(leaseTTL / 3)
+	defer ticker.Stop()
+	for {
+		if len(m.wanted(time.Now())) > 0 {
+			m.renew(ctx)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (m *Manager) release() {
+	m.mu.Lock()
+	lease := m.lease
+	m.mu.Unlock()
+	if lease == "" {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), readTimeout)
+	defer cancel()
+	_ = m.kv.RevokeLease(ctx, lease) // it lapses otherwise
+}
+
+// wanted returns the groups whose home is this daemon.
+func (m *Manager) wanted(now time.Time) map[groupKey][]backend.Server {
+	homes := m.fleet.Ring(now)
+	groups := map[groupKey][]backend.Server{}
+	for name, pool := range m.config.Current().Pools {
+		for _, server := range m.servers(pool.Model) {
+			key := groupKey{name, server.FailureDomain}
+			if homes.Home(keyPrefix+key.String()) == m.self.Name {
+				groups[key] = append(groups[key], server)
+			}
+		}
+	}
+	return groups
+}
+
+func (m *Manager) servers(model string) []backend.Server {
+	var servers []backend.Server
+	for _, c := range m.directory.Candidates(model) {
+		if c.Server.State == backend.StateLive {
+			servers = append(servers, c.Server)
+		}
+	}
+	slices.SortFunc(servers, func(a, b backend.Server) int { return strings.Compare(a.ID, b.ID) })
+	return servers
+}
+
+func (m *Manager) step(ctx context.Context) {
+	now := time.Now()
+	wanted := m.wanted(now)
+	m.drop(wanted)
+	if !m.holdsLease(now) {
+		return
+	}
+	for key, servers := range wanted {
+		m.stepGroup(ctx, key, servers)
+	}
+}
+
+// drop gives up the groups whose home moved.
+func (m *Manager) drop(wanted map[groupKey][]backend.Server) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	maps.DeleteFunc(m.groups, func(key groupKey, _ *owned) bool { return wanted[key] == nil })
+}
+
+func (m *Manager) holdsLease(now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.lease != "" && now.Before(m.leaseUntil)
+}
+
+func (m *Manager) stepGroup(ctx context.Context, key groupKey, servers []backend.Server) {
+	document := m.config.Current()
+	pool, ok := document.Pools[key.pool]
+	if !ok {
+		return
+	}
+	revision := document.Entries[config.EntryKey{Kind: config.KindPool, Name: key.pool}].Revision
+	group := m.prepare(ctx, key, revision)
+	if group == nil {
+		return
+	}
+	roles := order.Roles(pool, m.servers(pool.Model))
+	m.mu.Lock()
+	now := time.Now()
+	actions := group.Next(now, m.leaseUntil, pool, servers, roles, m.busy(pool.Model))
+	m.mu.Unlock()
+	for _, action := range actions {
+		t := &task{manager: m, key: key, group: group, action: action}
+		m.tasks.Go(func() { t.run(ctx) })
+	}
+}
+
+// prepare returns the group once its ownership covers the pool's revision.
+func (m *Manager) prepare(ctx context.Context, key groupKey, revision uint64) *order.Group {
+	now := time.Now()
+	m.mu.Lock()
+	held, ok := m.groups[key]
+	if !ok {
+		held = &owned{}
+		m.groups[key] = held
+	}
+	group, due := held.group, !now.Before(held.nextTry)
+	m.mu.Unlock()
+	if group != nil && group.Ownership().Revision >= revision {
+		return group
+	}
+	if !due {
+		return nil
+	}
+	var ownership order.Ownership
+	var err error
+	if group == nil {
+		ownership, err = m.own(ctx, key, revision)
+	} else {
+		ownership, err = m.raise(ctx, key, group.Ownership(), revision)
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if err != nil {
+		held.nextTry = time.Now().Add(ownRetry)
+		if errors.Is(err, errNotOwner) {
+			held.group = nil
+		}
+		return nil
+	}
+	if group == nil {
+		group = order.NewGroup(time.Now(), ownership, leaseTTL)
+		held.group = group
+		m.logger.WithField("group", key.String()).WithField("epoch", ownership.Epoch).Info("gives orders to engines")
+	}
+	group.SetRevision(ownership)
+	return group
+}
+
+// busy returns which engines of a model run requests.
+func (m *Manager) busy(model string) func(id string) bool {
+	loads := map[string]backend.Load{}
+	for _, c := range m.directory.Candidates(model) {
+		loads[c.Server.ID] = c.Load
+	}
+	return func(id string) bool { return loads[id].SlotsUsed > 0 || loads[id].PrefillBacklog > 0 }
+}
+
+// run carries out the step.
+func (t *task) run(ctx context.Context) {
+	if t.action.Order == nil {
+		t.read(ctx)
+		return
+	}
+	t.send(ctx)
+}
+
+func (t *task) read(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	reply, err := t.manager.engines.State(ctx, t.action.Server.Address)
+	t.manager.mu.Lock()
+	defer t.manager.mu.Unlock()
+	t.group.Read(time.Now(), t.action.Server.ID, order.State{
+		Role: backend.Role(reply.Role), Model: reply.Model, Version: reply.Version, Adapters: reply.Adapters,
+	}, err == nil)
+}
+
+func (t *task) send(ctx context.Context) {
+	m, o := t.manager, t.action.Order
+	result := order.Busy
+	if !o.Loads() || m.limiter.Allow() {
+		result = t.order(ctx)
+	}
+	m.orders[result].Inc()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !t.group.Sent(time.Now(), t.action.Server, result) {
+		if held, ok := m.groups[t.key]; ok && held.group == t.group {
+			held.group, held.nextTry = nil, time.Now().Add(ownRetry)
+		}
+		m.logger.WithField("group", t.key.String()).Warn("another daemon gives orders to engines")
+	}
+}
+
+// order sends the order, unless the lease may have lapsed since it was decided.
+// The order ends with the longest time that an order may be in flight.
+func (t *task) order(ctx context.Context) order.Result {
+	o, server := t.action.Order, t.action.Server
+	ctx, cancel := context.WithTimeout(ctx, order.LongestOrder)
+	defer cancel()
+	if !t.manager.holdsLease(time.Now()) {
+		return order.Busy // not sent; decided again under a new lease
+	}
+	err := t.manager.engines.Order(ctx, server.Address, engine.OrderRequest{Fence: o.Fence, Kind: string(o.Kind), Argument: o.Argument})
+	result := resultOf(err)
+	t.manager.logger.WithField("server", server.ID).WithField("order", string(o.Kind)).WithField("argument", o.Argument).
+		WithField("fence", o.Fence).WithError(err).Debug("order sent")
+	return result
+}
+
+func resultOf(err error) order.Result {
+	switch {
+	case err == nil:
+		return order.Done
+	case errors.Is(err, engine.ErrFenced):
+		return order.Fenced
+	case errors.Is(err, engine.ErrBusy), errors.Is(err, engine.ErrNotSent):
+		return order.Busy
+	case errors.Is(err, engine.ErrInvalid):
+		return order.Refused
+	}
+	return order.Lost
+}
--- /dev/null
+++ b/hickoryd/internal/orders/owner.go
@@ -0,0 +1,141 @@
+package orders
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/hickoryfront/hickoryfront/core/order"
+	"github.com/hickoryfront/hickoryfront/hickoryd/platform"
+)
+
+const (
+	keyPrefix = "hickoryfront/orders/"
+	// leaseTTL is the lifetime of the lease under which orders are given.
+	leaseTTL = 15 * time.Second
+	// leaseMargin covers clocks that run at slightly different speeds.
+	leaseMargin   = 2 * time.Second
+	fenceAttempts = 4
+)
+
+var (
+	errNotOwner = errors.New("another daemon gives the orders")
+	errBehind   = errors.New("orders of a newer pool revision were given")
+)
+
+// groupKey names the engines of one pool in one failure domain.
+type groupKey struct {
+	pool          string
+	failureDomain string
+}
+
+func (k groupKey) String() string {
+	return k.pool + "/" + k.failureDomain
+}
+
+func (k groupKey) ownerKey() string { return keyPrefix + k.String() + "/owner" }
+func (k groupKey) fenceKey() string { return keyPrefix + k.String() + "/fence" }
+
+// renew keeps the lease. It returns the time until which the lease is surely
+// held, counted from before the call.
+func (m *Manager) renew(ctx context.Context) {
+	m.mu.Lock()
+	lease := m.lease
+	m.mu.Unlock()
+	asked := time.Now()
+	if lease != "" {
+		err := m.kv.KeepLease(ctx, lease)
+		if err == nil {
+			m.setLease(lease, asked.Add(leaseTTL-leaseMargin))
+			return
+		}
+		if !errors.Is(err, platform.ErrLeaseLost) {
+			return // the lease ends by itself if this goes on
+		}
+		m.setLease("", time.Time{})
+	}
+	granted, err := m.kv.GrantLease(ctx, "orders of "+m.self.Name, leaseTTL)
+	if err != nil {
+		return
+	}
+	m.setLease(granted, asked.Add(leaseTTL-leaseMargin))
+}
+
+func (m *Manager) setLease(lease string, until time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if lease != m.lease {
+		clear(m.groups) // they were owned under another lease
+	}
+	m.lease, m.leaseUntil = lease, until
+}
+
+// own takes the ownership of a group: the lease's key first, then a fencing
+// epoch above every earlier one.
+func (m *Manager) own(ctx context.Context, key groupKey, revision uint64) (order.Ownership, error) {
+	m.mu.Lock()
+	lease := m.lease
+	m.mu.Unlock()
+	held, err := m.kv.Acquire(ctx, key.ownerKey(), []byte(m.self.Name), lease)
+	if err != nil {
+		return order.Ownership{}, err
+	}
+	if !held {
+		return order.Ownership{}, errNotOwner
+	}
+	return m.writeOwnership(ctx, key, func(current order.Ownership) (order.Ownership, error) {
+		if current.Revision > revision {
+			return current, errBehind
+		}
+		return order.Ownership{Epoch: current.Epoch + 1, Host: m.self.Name, Incarnation: m.self.Incarnation, Revision: revision}, nil
+	})
+}
+
+// raise stores a newer pool revision before orders for it are sent.
+func (m *Manager) raise(ctx context.Context, key groupKey, held order.Ownership, revision uint64) (order.Ownership, error) {
+	return m.writeOwnership(ctx, key, func(current order.Ownership) (order.Ownership, error) {
+		if current.Epoch != held.Epoch {
+			return current, errNotOwner
+		}
+		current.Revision = max(current.Revision, revision)
+		return current, nil
+	})
+}
+
+// writeOwnership changes the ownership record by compare-and-swap. A write
+// whose answer was lost is recognised by its attempt token.
+func (m *Manager) writeOwnership(ctx context.Context, key groupKey, change func(order.Ownership) (order.Ownership, error)) (order.Ownership, error) {
+	attempt := uuid.NewString()
+	for range fenceAttempts {
+		value, err := m.kv.Get(ctx, key.fenceKey())
+		if err != nil {
+			return order.Ownership{}, err
+		}
+		var current order.Ownership
+		if value.Index > 0 {
+			if err := json.Unmarshal(value.Data, &current); err != nil {
+				return current, fmt.Errorf("ownership of %s: %w", key, err)
+			}
+		}
+		if current.Attempt == attempt {
+			return current, nil
+		}
+		next, err := change(current)
+		if err != nil {
+			return current, err
+		}
+		next.Attempt = attempt
+		data, err := json.Marshal(next)
+		if err != nil {
+			return current, err
+		}
+		if won, err := m.kv.CompareAndSwap(ctx, key.fenceKey(), data, value.Index); err == nil && won {
+			return next, nil
+		}
+	}
+	return order.Ownership{}, errNotOwner
+}
