Generate the configuration page and the tables of errors from the checked tables

Cause: operators had no page of settings, entries and errors. Ruled out: a page by hand (it drifts), a hidden command (a test has to compare the page anyway). Conclusion: a test fails when a page is out of date or a refusal is not explained; -update writes the pages.

--- /dev/null
+++ b/hickoryd/internal/reference/reference.go
@@ -0,0 +1,158 @@
+// Package reference writes the reference pages from the tables that the program
+// itself checks against, so that the pages can't drift.
+package reference
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/hickoryfront/hickoryfront/core/config"
+	"github.com/hickoryfront/hickoryfront/core/refusal"
+	"github.com/hickoryfront/hickoryfront/core/setting"
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/operator"
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/settings"
+)
+
+const configurationIntro = `# Configuration
+
+This page is generated from the tables that the programs check against
+(` + "`go test ./internal/reference -update`" + ` in the module hickoryd).
+
+Everything is INI text. Unknown keys and keys that stand twice are refused; all
+wrong keys are reported at once, with section and key. Durations are written
+such as 500ms, 2s or 10m, addresses as an IP number with a port, lists with
+commas. A comment begins a line with ; or #.
+
+`
+
+const settingsIntro = `## Settings of a daemon
+
+Each host has one settings file, read at the start of ` + "`hickoryd serve`" + ` and
+checked by ` + "`hickoryd check`" + `. It says where the daemon runs. Everything else
+comes through the platform, as the entries below.
+
+`
+
+const entriesIntro = `## Entries
+
+Operators change entries with the command ` + "`hickory`" + `. An entry has a kind, a name
+(letters, digits, -, _ and .) and an INI text. One change may hold several
+entries and applies whole or not at all; it is refused when the configuration
+would not be valid with it, such as a service without its profile.
+
+`
+
+type (
+	// section is one kind of entry.
+	section struct {
+		title string
+		about string
+		keys  []setting.Key
+	}
+
+	// meaning explains one refusal.
+	meaning struct {
+		text string
+		ran  string
+	}
+)
+
+// meanings explains every kind of refusal.
+var meanings = map[refusal.Kind]meaning{
+	refusal.InvalidRequest:   {"the request can't be understood, or a value is out of bounds", "no"},
+	refusal.BodyTooLarge:     {"the body is over `maxBodyBytes` of the profile", "no"},
+	refusal.HeaderTooLong:    {"a header is over its limit", "no"},
+	refusal.UnknownService:   {"no service of this name is bound, or the path is not served", "no"},
+	refusal.UnknownModel:     {"no service serves the model, or several do: name one with `X-Service`", "no"},
+	refusal.UnknownWorkspace: {"the workspace in `X-Workspace` is not configured", "no"},
+	refusal.MissingKey:       {"a call that may not be repeated has no `Idempotency-Key`", "no"},
+	refusal.KeyReused:        {"the key came with another body before", "no"},
+	refusal.OutcomeUnknown:   {"the call may have run and its answer is lost; it is never run again under this key", "unknown"},
+	refusal.Overloaded:       {"the request would miss its targets; ask again after `Retry-After`", "no"},
+	refusal.Unavailable:      {"no server or host can take the request now", "no"},
+	refusal.ShuttingDown:     {"this host takes no new requests; ask again, another host answers", "no"},
+	refusal.ClaimUndecided:   {"nobody can tell now whether the key has run, so the call was not sent", "no"},
+	refusal.CrashesServers:   {"requests like this one crash backend servers; don't send it again", "no or unknown"},
+	refusal.BackendFailed:    {"a backend server failed and no retry is left", "no or unknown"},
+	refusal.BackendTimeout:   {"a backend server did not answer in time", "no or unknown"},
+}
+
+// Configuration returns the page of all settings and entries.
+func Configuration() string {
+	var page strings.Builder
+	page.WriteString(configurationIntro)
+	page.WriteString(settingsIntro)
+	writeKeys(&page, settings.Keys())
+	page.WriteString(entriesIntro)
+	for _, s := range sections() {
+		fmt.Fprintf(&page, "### %s\n\n%s\n\n", s.title, s.about)
+		writeKeys(&page, s.keys)
+	}
+	return page.String()
+}
+
+// Refusals returns the table of what callers may be refused for. It fails when
+// a kind is not explained.
+func Refusals() (string, error) {
+	var table strings.Builder
+	table.WriteString("| status | code | meaning | run |\n| --- | --- | --- | --- |\n")
+	for _, kind := range refusal.Kinds() {
+		m, ok := meanings[kind]
+		if !ok {
+			return "", fmt.Errorf("refusal %s is not explained", kind.Code)
+		}
+		fmt.Fprintf(&table, "| %d | `%s` | %s | %s |\n", kind.Status, kind.Code, m.text, m.ran)
+	}
+	return table.String(), nil
+}
+
+// OperatorErrors returns the table of the administration API's errors.
+func OperatorErrors() string {
+	var table strings.Builder
+	table.WriteString("| status | code | meaning |\n| --- | --- | --- |\n")
+	for _, kind := range operator.ErrorKinds() {
+		fmt.Fprintf(&table, "| %d | `%s` | %s |\n", kind.Status, kind.Code, kind.Meaning)
+	}
+	return table.String()
+}
+
+// Replace returns the page with the text between the markers of a name
+// replaced.
+func Replace(page, name, text string) (string, error) {
+	begin, end := "<!-- begin "+name+" -->\n", "<!-- end "+name+" -->"
+	before, rest, ok := strings.Cut(page, begin)
+	_, after, ended := strings.Cut(rest, end)
+	if !ok || !ended {
+		return "", fmt.Errorf("the page lacks the markers of %s", name)
+	}
+	return before + begin + text + end + after, nil
+}
+
+func sections() []section {
+	return []section{
+		{"profile", "How a service is run: targets, urgency, limits and retries.", config.ProfileKeys()},
+		{"service", "Binds a service to its profile. A service without an entry is refused as not run.", config.ServiceKeys()},
+		{"workspace", "A tenant that callers name in `X-Workspace`.", config.WorkspaceKeys()},
+		{"host", "A host of the system; `hickory drain` and `hickory undrain` write it.", config.HostKeys()},
+		{"pool", "What the engines of a model should run; see design/orders.md.", config.PoolKeys()},
+	}
+}
+
+func writeKeys(page *strings.Builder, keys []setting.Key) {
+	last := ""
+	for _, k := range keys {
+		if k.Section != last {
+			if last != "" {
+				page.WriteString("\n")
+			}
+			fmt.Fprintf(page, "`[%s]`\n\n| key | default | meaning |\n| --- | --- | --- |\n", k.Section)
+			last = k.Section
+		}
+		standard := "`" + k.Default + "`"
+		if k.Default == "" {
+			standard = ""
+		}
+		fmt.Fprintf(page, "| `%s` | %s | %s |\n", k.Name, standard, k.Help)
+	}
+	page.WriteString("\n")
+}
--- /dev/null
+++ b/hickoryd/internal/reference/reference_test.go
@@ -0,0 +1,57 @@
+package reference_test
+
+import (
+	"flag"
+	"os"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/reference"
+)
+
+const (
+	configurationPage = "../../../docs/CONFIGURATION.md"
+	apiPage           = "../../../docs/API.md"
+)
+
+var update = flag.Bool("update", false, "write the reference pages")
+
+func TestConfigurationPageIsCurrent(t *testing.T) {
+	compare(t, configurationPage, func(string) (string, error) { return reference.Configuration(), nil })
+}
+
+func TestAPIPageListsEveryError(t *testing.T) {
+	compare(t, apiPage, func(page string) (string, error) {
+		refusals, err := reference.Refusals()
+		if err != nil {
+			return "", err
+		}
+		if page, err = reference.Replace(page, "refusals", refusals); err != nil {
+			return "", err
+		}
+		return reference.Replace(page, "operator errors", reference.OperatorErrors())
+	})
+}
+
+// compare compares a page with what it should hold, or writes it.
+func compare(t *testing.T, path string, want func(page string) (string, error)) {
+	t.Helper()
+	page, err := os.ReadFile(path)
+	if err != nil && !*update {
+		t.Fatal(err)
+	}
+	wanted, err := want(string(page))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if *update {
+		if err := os.WriteFile(path, []byte(wanted), 0o644); err != nil {
+			t.Fatal(err)
+		}
+		return
+	}
+	if diff := cmp.Diff(wanted, string(page)); diff != "" {
+		t.Errorf("%s is out of date; run go test ./internal/reference -update (-want +got):\n%s", path, diff)
+	}
+}
