Prove that a commit's late answer does not lower the revision in force

Cause: trials on a scratch copy took guards out one by one; the check of the revision when a document is put in force could be removed without a failing test, and two tests hung in place of failing.

--- a/hickoryd/internal/configstore/store_test.go
+++ b/hickoryd/internal/configstore/store_test.go
@@ -63,6 +63,17 @@
 	return config.Change{Author: "asha", At: time.Now(), Attempt: attempt, Edits: edits}
 }
 
+// commitResult is what a commit on its own goroutine gave.
+type commitResult struct {
+	revision uint64
+	err      error
+}
+
+func commitTo(results chan<- commitResult, store *configstore.Store, c config.Change) {
+	revision, err := store.Commit(context.Background(), c)
+	results <- commitResult{revision, err}
+}
+
 func mustCommit(t *testing.T, store *configstore.Store, c config.Change) uint64 {
 	t.Helper()
 	revision, err := store.Commit(context.Background(), c)
@@ -89,16 +100,9 @@
 		base := mustCommit(t, a, change("first", profileEdit("p", 0, time.Second)))
 		synctest.Wait()
 		kv.set(func(m *memoryKV) { m.delay = time.Millisecond })
-		type result struct {
-			revision uint64
-			err      error
-		}
-		results := make(chan result, 2)
+		results := make(chan commitResult, 2)
 		for i, store := range []*configstore.Store{a, b} {
-			go func() {
-				revision, err := store.Commit(context.Background(), change(fmt.Sprint("race-", i), profileEdit("p", base, time.Duration(i+2)*time.Second)))
-				results <- result{revision, err}
-			}()
+			go commitTo(results, store, change(fmt.Sprint("race-", i), profileEdit("p", base, time.Duration(i+2)*time.Second)))
 		}
 		won, conflicts := 0, 0
 		for range 2 {
@@ -145,16 +149,16 @@
 				lost := &lostAnswer{memoryKV: kv, lost: written}
 				c := start(t, lost, "c")
 				synctest.Wait()
-				got := make(chan uint64, 1)
-				go func() { got <- mustCommit(t, c, change("mine", profileEdit("p", 0, time.Second))) }()
+				got := make(chan commitResult, 1)
+				go commitTo(got, c, change("mine", profileEdit("p", 0, time.Second)))
 				<-written
 				if tt.later < 0 {
 					mustCommit(t, b, change("delete", config.Edit{Kind: config.KindProfile, Name: "p", Base: 6}))
 				}
 				fill(t, b, "later", max(0, tt.later))
 				lost.release()
-				if revision := <-got; revision != 6 {
-					t.Errorf("committed at revision %d, want 6", revision)
+				if r := <-got; r.revision != 6 || r.err != nil {
+					t.Errorf("committed at revision %d with error %v, want 6", r.revision, r.err)
 				}
 				synctest.Wait()
 				entry, ok := b.Current().Entries[config.EntryKey{Kind: config.KindProfile, Name: "p"}]
@@ -320,6 +324,47 @@
 	})
 }
 
+// hookedKV calls a function after a write of the root has taken effect.
+type hookedKV struct {
+	*memoryKV
+	after func()
+}
+
+func (h *hookedKV) CompareAndSwap(ctx context.Context, key string, data []byte, index uint64) (bool, error) {
+	ok, err := h.memoryKV.CompareAndSwap(ctx, key, data, index)
+	if key == rootKey && ok && h.after != nil {
+		h.after()
+	}
+	return ok, err
+}
+
+// A peer's newer document arrives between a write and its answer.
+//
+// proof: operators race | config spread | 8
+func TestNewerDocumentDuringCommit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kv := newMemoryKV()
+		hooked := &hookedKV{memoryKV: kv}
+		a, b := start(t, hooked, "a"), start(t, kv, "b")
+		hooked.after = func() {
+			fill(t, b, "later", 3)
+			data, _, err := b.UpdateAfter(time.Now(), 0)
+			if err == nil {
+				err = a.Offer(data)
+			}
+			if err != nil {
+				t.Errorf("update: %v", err)
+			}
+		}
+		if got := mustCommit(t, a, change("first", profileEdit("p", 0, time.Second))); got != 1 {
+			t.Errorf("committed at revision %d, want 1", got)
+		}
+		if got := a.Current().Revision; got != 4 {
+			t.Errorf("the commit's answer put revision %d in force over 4", got)
+		}
+	})
+}
+
 // proof: daemon killed | config write | 8
 func TestFoldInterrupted(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -371,17 +416,14 @@
 			stores = append(stores, start(t, kv, fmt.Sprint("host-", i)))
 		}
 		kv.set(func(m *memoryKV) { m.delay = 3 * time.Millisecond })
-		errs := make(chan error, burst)
+		results := make(chan commitResult, burst)
 		for i := range burst {
-			go func() {
-				name := fmt.Sprint("p-", i)
-				_, err := stores[i%daemons].Commit(context.Background(), change(name, profileEdit(name, 0, time.Second)))
-				errs <- err
-			}()
+			name := fmt.Sprint("p-", i)
+			go commitTo(results, stores[i%daemons], change(name, profileEdit(name, 0, time.Second)))
 		}
 		for range burst {
-			if err := <-errs; err != nil {
-				t.Error(err)
+			if r := <-results; r.err != nil {
+				t.Error(r.err)
 			}
 		}
 		time.Sleep(time.Second)
