Prove the spread of changes and drains under faults with real processes

Cases: the writer of a change killed, cut off or silent right after its answer; a host that streams an answer drained while the platform is slow or down, while operators race, cut off from its peers, paused, or while another failure domain is lost.

--- a/hickorylab/faults/config_test.go
+++ b/hickorylab/faults/config_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/hickoryfront/hickoryfront/hickoryd/engine"
 	"github.com/hickoryfront/hickoryfront/hickorylab/cutproxy"
+	labengine "github.com/hickoryfront/hickoryfront/hickorylab/engine"
 	"github.com/hickoryfront/hickoryfront/hickorylab/harness"
 	"github.com/hickoryfront/hickoryfront/hickorylab/platform"
 )
@@ -19,6 +20,7 @@
 	// it was paused.
 	pastStallLimit  = 6 * time.Second
 	shortIsolation  = "[peers]\ntimeout = 2s\nisolation = 3s\n"
+	drainText       = "[host]\ndrain = true\n"
 	workspaceText   = "[workspace]\nshare = 2\n"
 	workspacesCount = 10
 )
@@ -242,3 +244,158 @@
 	}
 	return state.Version
 }
+
+// TestChangeReachesTheRest accepts a change while daemons die or lose each
+// other. Every daemon that lives gets it. Each host is alone in its failure domain.
+//
+// proof: daemon killed | config write | 8
+// proof: daemon killed | config spread | 8
+// proof: failure domain lost | config write | 8
+// proof: daemons cut off | config write | 8
+// proof: daemons cut off | config spread | 8
+// proof: silent connection | config spread | 8
+// proof: silent connection + daemon killed | config spread | 8
+func TestChangeReachesTheRest(t *testing.T) {
+	tests := []struct {
+		name   string
+		before func(c *harness.Cluster)
+		after  func(c *harness.Cluster)
+		dead   int // hosts that are gone, from the first
+	}{
+		{name: "its writer is killed at once", after: func(c *harness.Cluster) { c.Hosts[0].Kill() }, dead: 1},
+		{name: "the writer is cut off from its peers", before: func(c *harness.Cluster) { cutFirst(c, cutproxy.Refuse) }},
+		{name: "the writer's connections go silent", before: func(c *harness.Cluster) { cutFirst(c, cutproxy.Silence) }},
+		{
+			name: "the writer's connections go silent and it is killed", before: func(c *harness.Cluster) { cutFirst(c, cutproxy.Silence) },
+			after: func(c *harness.Cluster) { c.Hosts[0].Kill() }, dead: 1,
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := harness.Start(t, binaries, harness.Options{Cuttable: true})
+			revision := c.Revision(c.Hosts[0]) + 1
+			if tt.before != nil {
+				tt.before(c)
+			}
+			if status := c.Set(c.Hosts[0], "workspace", "w", workspaceText, 0); status != http.StatusOK {
+				t.Fatalf("the change was answered with status %d", status)
+			}
+			if tt.after != nil {
+				tt.after(c)
+			}
+			for _, host := range c.Hosts[tt.dead:] {
+				c.Await(host.Name+" to have the change", func() bool { return c.Revision(host) >= revision })
+			}
+		})
+	}
+}
+
+func cutFirst(c *harness.Cluster, mode cutproxy.Mode) {
+	for _, other := range c.Hosts[1:] {
+		c.Cut(c.Hosts[0], other, mode)
+	}
+}
+
+// TestDrainUnderFaults drains a host that streams an answer. The answer is
+// whole, the daemon ends, and the other hosts serve on.
+//
+// proof: none | drain | 7
+// proof: platform slow | drain | 7
+// proof: platform down | drain | 7
+// proof: operators race | drain | 7
+// proof: daemons cut off | drain | 7
+// proof: daemon paused | drain | 7
+// proof: failure domain lost | drain | 7
+func TestDrainUnderFaults(t *testing.T) {
+	byEntry := func(t *testing.T, c *harness.Cluster) {
+		if status := c.Set(c.Hosts[1], "host", c.Hosts[2].Name, drainText, 0); status != http.StatusOK {
+			t.Errorf("the drain was answered with status %d", status)
+		}
+	}
+	tests := []struct {
+		name  string
+		fault func(c *harness.Cluster)
+		drain func(t *testing.T, c *harness.Cluster)
+	}{
+		{name: "no fault", drain: byEntry},
+		{name: "platform slow", fault: func(c *harness.Cluster) { c.Platform.SetFaults(platform.Faults{DelayMS: 300}) }, drain: byEntry},
+		{
+			name: "platform down, by signal", fault: func(c *harness.Cluster) { c.Platform.SetFaults(platform.Faults{Down: true}) },
+			drain: func(_ *testing.T, c *harness.Cluster) { c.Hosts[2].Terminate() },
+		},
+		{name: "operators race", drain: drainByAll},
+		{
+			name: "cut off from its peers", drain: byEntry,
+			fault: func(c *harness.Cluster) {
+				c.Cut(c.Hosts[2], c.Hosts[0], cutproxy.Refuse)
+				c.Cut(c.Hosts[2], c.Hosts[1], cutproxy.Refuse)
+			},
+		},
+		{
+			name: "paused", fault: func(c *harness.Cluster) { c.Hosts[2].Pause() },
+			drain: func(t *testing.T, c *harness.Cluster) {
+				byEntry(t, c)
+				c.Hosts[2].Resume()
+			},
+		},
+		{name: "another failure domain is lost", fault: func(c *harness.Cluster) { c.Hosts[0].Kill() }, drain: byEntry},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			drainWhileStreaming(t, tt.fault, tt.drain)
+		})
+	}
+}
+
+func drainWhileStreaming(t *testing.T, fault func(c *harness.Cluster), drain func(t *testing.T, c *harness.Cluster)) {
+	const tokens = 200
+	c := harness.Start(t, binaries, harness.Options{Cuttable: true})
+	prompt := harness.Prompt("drained", 80)
+	started := make(chan struct{})
+	var reply harness.Reply
+	var group sync.WaitGroup
+	group.Go(func() {
+		reply = c.Complete(t.Context(), c.Hosts[2], harness.Completion{
+			Prompt: prompt, MaxTokens: tokens, Stream: true,
+			OnToken: func(number int) {
+				if number == 0 {
+					close(started)
+				}
+			},
+		})
+	})
+	<-started
+	if fault != nil {
+		fault(c)
+	}
+	drain(t, c)
+	group.Wait()
+	if want := labengine.Answer(prompt, tokens); reply.Text != want || !reply.Whole {
+		t.Errorf("the answer in flight was cut: %d of %d bytes, whole %v, error %v", len(reply.Text), len(want), reply.Whole, reply.Err)
+	}
+	<-c.Hosts[2].Exited()
+	c.Platform.SetFaults(platform.Faults{})
+	next := harness.Completion{Prompt: harness.Prompt("next", 80), MaxTokens: 4}
+	if answer := c.Complete(t.Context(), c.Hosts[1], next); !answer.Whole {
+		t.Errorf("after the drain another host answers %+v", answer)
+	}
+}
+
+// drainByAll drains a host through all daemons at once: one change wins.
+func drainByAll(t *testing.T, c *harness.Cluster) {
+	statuses := make([]int, len(c.Hosts))
+	var group sync.WaitGroup
+	for i, host := range c.Hosts {
+		group.Go(func() { statuses[i] = c.Set(host, "host", c.Hosts[2].Name, drainText, 0) })
+	}
+	group.Wait()
+	won := 0
+	for _, status := range statuses {
+		if status == http.StatusOK {
+			won++
+		}
+	}
+	if won != 1 {
+		t.Errorf("the drains were answered with %v, want one accepted", statuses)
+	}
+}
