Try commits under random faults of the platform, with fixed seeds

Three daemons, nine operators and 225 changes to six entries for each of 12 seeds; calls are slow, fail before or after their effect, or take effect up to 4 s later.

--- /dev/null
+++ b/hickoryd/internal/configstore/random_test.go
@@ -0,0 +1,228 @@
+package configstore_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/hickoryfront/hickoryfront/core/config"
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/configstore"
+	"github.com/hickoryfront/hickoryfront/hickoryd/platform"
+)
+
+const (
+	randomSeeds      = 12
+	randomStores     = 3
+	randomOperators  = 3 // of each store
+	randomChanges    = 25
+	randomNames      = 6
+	longestLateWrite = 4 * time.Second
+)
+
+type (
+	// randomKV is one daemon's connection to a platform that fails at random:
+	// calls are slow, fail before or after their effect, or take effect late.
+	randomKV struct {
+		*memoryKV
+		mu      sync.Mutex
+		random  *rand.Rand
+		healthy bool
+	}
+
+	// trial is one change with its fate as the operator was told.
+	trial struct {
+		attempt  string
+		revision uint64
+		err      error
+	}
+
+	// operators send changes one after the other.
+	operators struct {
+		store  *configstore.Store
+		name   string
+		random *rand.Rand
+		trials []trial
+	}
+
+	// witness sees every revision that a store puts in force.
+	witness struct {
+		store *configstore.Store
+		fell  bool
+	}
+)
+
+// pick returns the time that a call takes and which failure strikes it.
+func (r *randomKV) pick() (delay time.Duration, failure int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.healthy {
+		return 0, -1
+	}
+	return time.Duration(r.random.IntN(30)) * time.Millisecond, r.random.IntN(12)
+}
+
+func (r *randomKV) Get(ctx context.Context, key string) (platform.Value, error) {
+	delay, failure := r.pick()
+	time.Sleep(delay)
+	if failure == 0 {
+		return platform.Value{}, platform.ErrUnavailable
+	}
+	return r.memoryKV.Get(ctx, key)
+}
+
+func (r *randomKV) CompareAndSwap(ctx context.Context, key string, data []byte, index uint64) (bool, error) {
+	delay, failure := r.pick()
+	time.Sleep(delay)
+	switch failure {
+	case 0: // lost before its effect
+		return false, platform.ErrUnavailable
+	case 1, 2: // takes effect, answer lost
+		_, _ = r.memoryKV.CompareAndSwap(ctx, key, data, index)
+		return false, platform.ErrUnavailable
+	case 3, 4: // takes effect later, if it still can
+		late := time.Duration(rand.New(rand.NewPCG(index, uint64(len(data)))).Int64N(int64(longestLateWrite)))
+		time.AfterFunc(late, func() { _, _ = r.memoryKV.CompareAndSwap(context.Background(), key, data, index) })
+		return false, platform.ErrUnavailable
+	}
+	return r.memoryKV.CompareAndSwap(ctx, key, data, index)
+}
+
+func (r *randomKV) heal() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.healthy = true
+}
+
+func (o *operators) run() {
+	for i := range randomChanges {
+		attempt := fmt.Sprintf("%s-%d", o.name, i)
+		name := fmt.Sprint("p-", o.random.IntN(randomNames))
+		base := o.store.Current().Entries[config.EntryKey{Kind: config.KindProfile, Name: name}].Revision
+		edit := profileEdit(name, base, time.Duration(1+o.random.IntN(100))*time.Second)
+		if base > 0 && o.random.IntN(4) == 0 {
+			edit.Text = "" // delete
+		}
+		time.Sleep(time.Duration(o.random.IntN(50)) * time.Millisecond)
+		revision, err := o.store.Commit(context.Background(), change(attempt, edit))
+		o.trials = append(o.trials, trial{attempt, revision, err})
+	}
+}
+
+func (w *witness) run(done <-chan struct{}) {
+	last := uint64(0)
+	for {
+		changed := w.store.Changed()
+		if now := w.store.Current().Revision; now < last {
+			w.fell = true
+		} else {
+			last = now
+		}
+		select {
+		case <-changed:
+		case <-done:
+			return
+		}
+	}
+}
+
+// Operators on several daemons change the same entries while the platform fails
+// at random. What was accepted is in the history once, at the revision that was
+// told; what was refused is not in it; nothing ever goes back.
+//
+// proof: answer lost + operators race | config write | 8
+// proof: platform slow + operators race | config write | 8
+// proof: platform down + operators race | config write | 8
+func TestRandomFaults(t *testing.T) {
+	for seed := range uint64(randomSeeds) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { tryRandomFaults(t, seed) })
+		})
+	}
+}
+
+func tryRandomFaults(t *testing.T, seed uint64) {
+	kv := newMemoryKV()
+	var connections []*randomKV
+	var stores []*configstore.Store
+	var crowd []*operators
+	var witnesses []*witness
+	var working, watching sync.WaitGroup
+	done := make(chan struct{})
+	for s := range randomStores {
+		connection := &randomKV{memoryKV: kv, random: rand.New(rand.NewPCG(seed, uint64(s)))}
+		store := start(t, connection, fmt.Sprint("host-", s))
+		w := &witness{store: store}
+		watching.Go(func() { w.run(done) })
+		connections, stores, witnesses = append(connections, connection), append(stores, store), append(witnesses, w)
+		for n := range randomOperators {
+			o := &operators{store: store, name: fmt.Sprintf("%d-%d", s, n), random: rand.New(rand.NewPCG(seed, uint64(100*s+n)))}
+			crowd = append(crowd, o)
+			working.Go(o.run)
+		}
+	}
+	working.Wait()
+	for _, c := range connections {
+		c.heal()
+	}
+	time.Sleep(time.Minute) // late writes have arrived, polls have run
+	close(done)
+	watching.Wait()
+	checkHistory(t, stores[0], crowd)
+	for i, w := range witnesses {
+		if w.fell {
+			t.Errorf("host-%d went back to an older revision", i)
+		}
+		if diff := cmp.Diff(stores[0].Current(), stores[i].Current()); diff != "" {
+			t.Errorf("host-%d differs from host-0 (-0 +%d):\n%s", i, i, diff)
+		}
+	}
+}
+
+func checkHistory(t *testing.T, store *configstore.Store, crowd []*operators) {
+	t.Helper()
+	changes, err := store.History(context.Background(), randomStores*randomOperators*randomChanges+1, func(config.Change) bool { return true })
+	if err != nil {
+		t.Fatal(err)
+	}
+	revisions := map[string]uint64{}
+	for i, c := range changes { // newest first
+		if want := store.Current().Revision - uint64(i); c.Revision != want {
+			t.Fatalf("the history has revision %d in place of %d", c.Revision, want)
+		}
+		if _, ok := revisions[c.Attempt]; ok {
+			t.Errorf("change %s was written twice", c.Attempt)
+		}
+		revisions[c.Attempt] = c.Revision
+	}
+	accepted, refused, unknown := 0, 0, 0
+	for _, o := range crowd {
+		for _, told := range o.trials {
+			revision, written := revisions[told.attempt]
+			switch {
+			case told.err == nil:
+				accepted++
+				if revision != told.revision {
+					t.Errorf("change %s was accepted at revision %d and is in the history at %d", told.attempt, told.revision, revision)
+				}
+			case errors.Is(told.err, configstore.ErrUnconfirmed):
+				unknown++
+			default:
+				refused++
+				if written {
+					t.Errorf("change %s was refused with %q and is in the history at %d", told.attempt, told.err, revision)
+				}
+			}
+		}
+	}
+	t.Logf("%d changes accepted, %d refused, %d unconfirmed", accepted, refused, unknown)
+	if accepted == 0 || refused == 0 {
+		t.Errorf("%d accepted and %d refused: the trial shows nothing", accepted, refused)
+	}
+}
