Wait for changes of the host list instead of reading it every second

Cause: every daemon read the whole list once a second; with 12,000 servers that is some 2.7 MB each time. Ruled out: a longer pause (a leaving server must be known within seconds); longer waits than 3 s (a silent connection would hide a change). The stand-in keeps old lists for a minute only.

--- a/hickoryd/platform/hostlist.go
+++ b/hickoryd/platform/hostlist.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"net/netip"
+	"net/url"
 	"strconv"
 	"time"
 
@@ -14,12 +15,19 @@
 	"github.com/hickoryfront/hickoryfront/core/backend"
 )
 
-const backendServiceName = "backend"
+const (
+	backendServiceName = "backend"
+	// listWait bounds the wait for a change, and so the time in which a silent
+	// connection hides a server that leaves.
+	listWait = 3 * time.Second
+)
 
 type (
-	// HostList reads the platform's list of backend servers. The list lags.
+	// HostList reads the platform's list of backend servers. The list lags. One
+	// goroutine may use it at a time.
 	HostList struct {
 		client *Client
+		index  uint64 // of the list read last; 0: none, or the platform has none
 	}
 
 	catalogEntry struct {
@@ -37,19 +45,15 @@
 	return &HostList{client: client}
 }
 
-// Servers returns the listed backend servers. Entries that can't be used are
-// left out and named in the second value.
+// Servers returns the listed backend servers. After the first read it waits for
+// a change, for a bounded time. Entries that can't be used are left out and
+// named in the second value.
 func (h *HostList) Servers(ctx context.Context) ([]backend.Server, []string, error) {
-	ctx, cancel := context.WithTimeout(ctx, h.client.timeout)
-	defer cancel()
-	data, err := h.client.call(ctx, "list", http.MethodGet, "/v1/catalog/service/"+backendServiceName, nil, nil)
+	entries, err := h.read(ctx)
 	if err != nil {
+		h.index = 0 // the next read does not wait
 		return nil, nil, err
 	}
-	var entries []catalogEntry
-	if err := json.Unmarshal(data, &entries); err != nil {
-		return nil, nil, fmt.Errorf("%w: host list: %w", ErrUnavailable, err)
-	}
 	servers := make([]backend.Server, 0, len(entries))
 	var refused []string
 	for _, e := range entries {
@@ -63,6 +67,34 @@
 	return servers, refused, nil
 }
 
+func (h *HostList) read(ctx context.Context) ([]catalogEntry, error) {
+	ctx, cancel := context.WithTimeout(ctx, listWait+h.client.timeout)
+	defer cancel()
+	query := url.Values{}
+	if h.index > 0 {
+		query.Set("index", strconv.FormatUint(h.index, 10))
+		query.Set("wait", listWait.String())
+	}
+	h.client.calls["list"].Inc()
+	request, err := h.client.request(ctx, http.MethodGet, "/v1/catalog/service/"+backendServiceName, query, nil)
+	if err != nil {
+		return nil, err
+	}
+	response, data, err := h.client.roundTrip(request)
+	if err != nil {
+		return nil, err
+	}
+	if response.StatusCode != http.StatusOK {
+		return nil, h.client.statusError(response, data)
+	}
+	var entries []catalogEntry
+	if err := json.Unmarshal(data, &entries); err != nil {
+		return nil, fmt.Errorf("%w: host list: %w", ErrUnavailable, err)
+	}
+	h.index, _ = strconv.ParseUint(response.Header.Get(indexHeader), 10, 64)
+	return entries, nil
+}
+
 func (e catalogEntry) server() (backend.Server, error) {
 	ip, err := netip.ParseAddr(e.ServiceAddress)
 	if err != nil {
--- a/hickorylab/platform/platform.go
+++ b/hickorylab/platform/platform.go
@@ -20,6 +20,11 @@
 	maxValueBytes = 1 << 20
 	defaultWait   = 5 * time.Minute
 	sweepInterval = 100 * time.Millisecond
+	// listPollInterval is the time between looks of a reader that waits for a
+	// change of the host list.
+	listPollInterval = 50 * time.Millisecond
+	// longestLag bounds the old host lists that are kept.
+	longestLag = time.Minute
 )
 
 type (
@@ -57,6 +62,7 @@
 		changed  chan struct{} // closed and replaced on every write
 		services map[string]Service
 		history  []listing
+		listings uint64 // recorded so far
 		faults   Faults
 		counts   Counts
 		losses   uint64
@@ -79,6 +85,7 @@
 	}
 
 	listing struct {
+		index    uint64
 		at       time.Time
 		services []Service
 	}
@@ -110,7 +117,7 @@
 	case strings.HasPrefix(r.URL.Path, "/v1/session/"):
 		p.serveSession(w, r, strings.TrimPrefix(r.URL.Path, "/v1/session/"))
 	case strings.HasPrefix(r.URL.Path, "/v1/catalog/service/"):
-		p.serveCatalog(w)
+		p.serveCatalog(w, r)
 	case r.URL.Path == "/v1/agent/service/register":
 		p.register(w, r)
 	case strings.HasPrefix(r.URL.Path, "/v1/agent/service/deregister/"):
@@ -393,33 +400,60 @@
 	}
 }
 
-func (p *Platform) serveCatalog(w http.ResponseWriter) {
-	p.mu.Lock()
-	p.counts.Reads++
-	services := p.listAt(time.Now().Add(-time.Duration(p.faults.ListLagMS) * time.Millisecond))
-	p.mu.Unlock()
-	writeJSON(w, services)
+// serveCatalog answers with the list, or waits until it changes after an index.
+func (p *Platform) serveCatalog(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	after, _ := strconv.ParseUint(query.Get("index"), 10, 64)
+	deadline := time.Now().Add(waitOf(query.Get("wait")))
+	seen := p.visible(time.Now())
+	for after > 0 && seen.index <= after && time.Now().Before(deadline) {
+		if !pause(r, listPollInterval) {
+			return
+		}
+		seen = p.visible(time.Now())
+	}
+	p.countRead(after > 0)
+	w.Header().Set("X-Consul-Index", strconv.FormatUint(seen.index, 10))
+	writeJSON(w, seen.services)
 }
 
-// listAt returns the list as it was at the given time.
-func (p *Platform) listAt(at time.Time) []Service {
-	services := []Service{}
+// visible returns the list as readers see it, which is late by the set lag.
+func (p *Platform) visible(now time.Time) listing {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	at := now.Add(-time.Duration(p.faults.ListLagMS) * time.Millisecond)
+	seen := listing{index: 1, services: []Service{}}
 	for _, l := range p.history {
 		if l.at.After(at) {
 			break
 		}
-		services = l.services
+		seen = l
+	}
+	return seen
+}
+
+func (p *Platform) countRead(waited bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if waited {
+		p.counts.Watches++
+	} else {
+		p.counts.Reads++
 	}
-	return services
 }
 
 func (p *Platform) recordListing(now time.Time) {
-	l := listing{at: now, services: make([]Service, 0, len(p.services))}
+	const first = 2 // the index of the empty list is 1
+	l := listing{index: first + p.listings, at: now, services: make([]Service, 0, len(p.services))}
+	p.listings++
 	for _, s := range p.services {
 		l.services = append(l.services, s)
 	}
 	slices.SortFunc(l.services, func(a, b Service) int { return strings.Compare(a.ServiceID, b.ServiceID) })
 	p.history = append(p.history, l)
+	for len(p.history) > 1 && now.Sub(p.history[1].at) > longestLag {
+		p.history = p.history[1:]
+	}
 }
 
 func (p *Platform) register(w http.ResponseWriter, r *http.Request) {
