--- a/hickoryd/internal/dispatch/attach_test.go
+++ b/hickoryd/internal/dispatch/attach_test.go
@@ -101,7 +101,7 @@
 				test.owner.table = claim.NewTable(10)
 				k := dispatch.NewKeyed(owner, test.owner, test.owner, dispatch.NewRecordings(1000), metrics.NewSet())
 				var w work
-				answer, err := send(t.Context(), k, request("1", false), &w)
+				answer, err := send(t.Context(), k, keyedRequest("1", false), &w)
 				if test.body != "" && (err != nil || string(answer.Body) != test.body || answer.Status != 200) {
 					t.Errorf("answer %d %q, %v", answer.Status, answer.Body, err)
 				}
