Add the holders of a prefix that homes know to a decision

Cause: only the sampled servers were looked at, however long a prefix another one held. Ruled out: asking all homes (messages would grow with the fleet).

--- a/hickoryd/internal/backends/candidates.go
+++ b/hickoryd/internal/backends/candidates.go
@@ -46,6 +46,17 @@
 	return candidates
 }
 
+// Candidate returns one listed engine with its load.
+func (d *Directory) Candidate(id string) (placement.Candidate, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	r, ok := d.records[id]
+	if !ok || !r.listed {
+		return placement.Candidate{}, false
+	}
+	return placement.Candidate{Server: r.current(), Load: r.load}, true
+}
+
 // sample appends count random servers: a run of the list from a random start,
 // as the list is in random order.
 func sample(candidates []placement.Candidate, records []*record, count int) []placement.Candidate {
--- a/hickoryd/internal/dispatch/crash_test.go
+++ b/hickoryd/internal/dispatch/crash_test.go
@@ -130,6 +130,15 @@
 	f.ledger.Release(time.Now(), serverID, requestID)
 }
 
+func (f *fragile) Candidate(id string) (placement.Candidate, bool) {
+	for _, c := range f.Candidates("") {
+		if c.Server.ID == id {
+			return c, true
+		}
+	}
+	return placement.Candidate{}, false
+}
+
 func (f *fragile) Candidates(string) []placement.Candidate {
 	var candidates []placement.Candidate
 	for i := range fragileServers {
--- a/hickoryd/internal/dispatch/fakes_test.go
+++ b/hickoryd/internal/dispatch/fakes_test.go
@@ -234,6 +234,15 @@
 	return nil
 }
 
+func (l *lab) Candidate(id string) (placement.Candidate, bool) {
+	for _, c := range l.Candidates("") {
+		if c.Server.ID == id {
+			return c, true
+		}
+	}
+	return placement.Candidate{}, false
+}
+
 func (l *lab) Candidates(string) []placement.Candidate {
 	var candidates []placement.Candidate
 	if l.empty {
--- a/hickoryd/internal/dispatch/model.go
+++ b/hickoryd/internal/dispatch/model.go
@@ -89,6 +89,7 @@
 	// Directory is what placement sees of the servers.
 	Directory interface {
 		Candidates(model string) []placement.Candidate
+		Candidate(id string) (placement.Candidate, bool)
 		SetLeaving(id string)
 	}
 
--- a/hickoryd/internal/dispatch/reserve.go
+++ b/hickoryd/internal/dispatch/reserve.go
@@ -17,6 +17,8 @@
 	// turnCheckInterval bounds the wait of a request that is not first in its
 	// class, should nobody wake it: ageing changes who is first.
 	turnCheckInterval = 250 * time.Millisecond
+	// maxHolders bounds the holders of a prefix that are added to a decision.
+	maxHolders = 8
 	// leadPerToken estimates the time from a reservation until the slot is
 	// needed, by the prompt.
 	leadPerToken = 60 * time.Microsecond
@@ -148,7 +150,7 @@
 // server computes it itself.
 func (r *run) reservePrefill(ctx context.Context, now time.Time, id string, decode backend.Server, candidates []placement.Candidate) error {
 	prefills := ofRole(candidates, backend.RolePrefill)
-	r.addCached(ctx, now, prefills)
+	prefills = r.addCached(ctx, now, prefills)
 	plan := r.planOver(now, append(prefills, candidateOf(candidates, decode)))
 	r.direct = plan.Direct
 	if plan.Direct {
@@ -199,7 +201,7 @@
 	}
 	prefills := ofRole(r.models.directory.Candidates(r.request.Service.Model), backend.RolePrefill)
 	if r.reserved == nil {
-		r.addCached(ctx, now, prefills)
+		prefills = r.addCached(ctx, now, prefills)
 	}
 	for _, server := range r.planOver(now, prefills).Prefill {
 		if r.reserved == nil || server.ID != r.reserved.server.ID {
@@ -209,16 +211,39 @@
 	return servers
 }
 
-// addCached fills in what the servers are expected to hold of the prompt.
-func (r *run) addCached(ctx context.Context, now time.Time, candidates []placement.Candidate) {
+// addCached fills in what the servers are expected to hold of the prompt, and
+// adds the best holders that their homes know besides.
+func (r *run) addCached(ctx context.Context, now time.Time, candidates []placement.Candidate) []placement.Candidate {
 	servers := make([]backend.Server, 0, len(candidates))
 	for _, c := range candidates {
 		servers = append(servers, c.Server)
 	}
 	cached := r.models.prefixes.Cached(ctx, now, r.request.Service.Model, servers, r.prefixHashes())
 	for i := range candidates {
-		candidates[i].CachedTokens = cached[candidates[i].Server.ID]
+		id := candidates[i].Server.ID
+		candidates[i].CachedTokens = cached[id]
+		delete(cached, id)
 	}
+	for range min(maxHolders, len(cached)) {
+		id := largest(cached)
+		if c, ok := r.models.directory.Candidate(id); ok {
+			c.CachedTokens = cached[id]
+			candidates = append(candidates, c)
+		}
+		delete(cached, id)
+	}
+	return candidates
+}
+
+// largest returns the key of the largest value, the first by name of equals.
+func largest(values map[string]int) string {
+	best := ""
+	for id, value := range values {
+		if best == "" || value > values[best] || value == values[best] && id < best {
+			best = id
+		}
+	}
+	return best
 }
 
 func (r *run) prefixHashes() []uint64 {
