Measure the loss of a failure domain

Cause: nothing showed that deferrable requests give way when a domain is lost. Ruled out: a shedding rule of its own; class, headroom and predicted waits do it.

--- a/hickorylab/internal/command/benchpolicy/policy.go
+++ b/hickorylab/internal/command/benchpolicy/policy.go
@@ -25,6 +25,7 @@
 		loads       string
 		routers     string
 		faults      string
+		loseDomain  bool
 		length      time.Duration
 		seed        uint64
 		workers     int
@@ -61,6 +62,7 @@
 	flags.StringVar(&o.loads, "loads", "0.7,1,1.3,2", "loads in times capacity")
 	flags.StringVar(&o.routers, "routers", "7", "numbers of routers")
 	flags.StringVar(&o.faults, "faults", "no", "no, yes or both")
+	flags.BoolVar(&o.loseDomain, "loseDomain", false, "lose a failure domain in the middle third")
 	flags.DurationVar(&o.length, "length", 2*time.Minute, "length of the trace")
 	flags.Uint64Var(&o.seed, "seed", 1, "seed of the random numbers")
 	flags.IntVar(&o.workers, "workers", 0, "runs at the same time; 0: half of the processors")
@@ -104,7 +106,7 @@
 func (e usageError) Error() string { return e.reason }
 
 func (o *Options) matrix() (policybench.Matrix, error) {
-	m := policybench.Matrix{Length: o.length, Seed: o.seed, Workers: o.workers}
+	m := policybench.Matrix{Length: o.length, LoseDomain: o.loseDomain, Seed: o.seed, Workers: o.workers}
 	for name := range strings.SplitSeq(o.deployments, ",") {
 		d, ok := deployment(name)
 		if !ok {
--- a/hickorylab/policybench/aims_test.go
+++ b/hickorylab/policybench/aims_test.go
@@ -43,6 +43,22 @@
 	}
 }
 
+// When a failure domain is lost at full load, deferrable requests give way and
+// the interactive ones stay in target.
+func TestLossOfADomainShedsDeferrablesFirst(t *testing.T) {
+	t.Parallel()
+	r := policybench.Execute(policybench.Run{
+		Deployment: policybench.Boipara(), Policy: policybench.PolicyReserving, Load: 1, Routers: 7,
+		LoseDomain: true, Length: time.Minute, Seed: 1,
+	})
+	if r.InteractiveGood < 0.99 {
+		t.Errorf("%.4f of the interactive requests in target, want 0.99", r.InteractiveGood)
+	}
+	if r.DeferrableGood >= r.InteractiveGood || r.DeferrableDone != 1 {
+		t.Errorf("deferrable requests: %.4f in target, %.4f finished; want fewer in target and all finished", r.DeferrableGood, r.DeferrableDone)
+	}
+}
+
 // A run gives the same result every time.
 func TestRunsAreRepeatable(t *testing.T) {
 	run := policybench.Run{
--- a/hickorylab/policybench/bench.go
+++ b/hickorylab/policybench/bench.go
@@ -48,10 +48,17 @@
 		Load       float64 // times capacity
 		Routers    int
 		Faults     bool
+		LoseDomain bool // in the middle third, all engines of one failure domain
 		Length     time.Duration
 		Seed       uint64
 	}
 
+	// killable is an engine of either role.
+	killable interface {
+		kill()
+		where() *node
+	}
+
 	// bench is the state of one run.
 	bench struct {
 		run      Run
@@ -177,6 +184,19 @@
 	if b.run.Faults {
 		b.every(killInterval, killInterval/2, b.kill)
 	}
+	if b.run.LoseDomain {
+		b.loop.after(b.run.Length/3, b.loseDomain)
+	}
+}
+
+// loseDomain kills all engines of the first failure domain for a third of the
+// trace.
+func (b *bench) loseDomain() {
+	for _, e := range b.all() {
+		if e.where().server.FailureDomain == b.run.Deployment.Domains[0] {
+			b.killFor(e, b.run.Length/3)
+		}
+	}
 }
 
 func (r Run) homeInterval() time.Duration {
@@ -210,22 +230,31 @@
 	if b.loop.now.After(b.traceEnd) {
 		return
 	}
-	var all []interface{ kill() }
-	var nodes []*node
+	all := b.all()
+	// The choice depends on the time alone, so that all policies meet the same faults.
+	step := uint64(b.loop.now.Sub(epoch) / killInterval)
+	b.killFor(all[rand.New(rand.NewPCG(b.run.Seed, step)).IntN(len(all))], deadTime)
+}
+
+func (b *bench) killFor(e killable, d time.Duration) {
+	n := e.where()
+	e.kill()
+	b.homes.lost(n.server.ID)
+	b.loop.after(d, func() { n.dead = false })
+}
+
+// all returns all engines, pool by pool.
+func (b *bench) all() []killable {
+	var all []killable
 	for p := range b.prefills {
 		for _, e := range b.prefills[p] {
-			all, nodes = append(all, e), append(nodes, &e.node)
+			all = append(all, e)
 		}
 		for _, e := range b.decodes[p] {
-			all, nodes = append(all, e), append(nodes, &e.node)
+			all = append(all, e)
 		}
 	}
-	// The choice depends on the time alone, so that all policies meet the same faults.
-	step := uint64(b.loop.now.Sub(epoch) / killInterval)
-	at := rand.New(rand.NewPCG(b.run.Seed, step)).IntN(len(all))
-	all[at].kill()
-	b.homes.lost(nodes[at].server.ID)
-	b.loop.after(deadTime, func() { nodes[at].dead = false })
+	return all
 }
 
 // token counts a generated token and reports whether it was the last.
--- a/hickorylab/policybench/engine.go
+++ b/hickorylab/policybench/engine.go
@@ -388,6 +388,8 @@
 	}
 }
 
+func (n *node) where() *node { return n }
+
 // report keeps the loads that are read with a lag.
 func (n *node) report(load backend.Load) {
 	n.history = append(n.history, load)
--- a/hickorylab/policybench/matrix.go
+++ b/hickorylab/policybench/matrix.go
@@ -14,6 +14,7 @@
 		Loads       []float64
 		Routers     []int
 		Faults      []bool
+		LoseDomain  bool
 		Length      time.Duration
 		Seed        uint64
 		Workers     int // runs at the same time; 0: half of the processors
@@ -38,7 +39,8 @@
 					for _, policy := range m.Policies {
 						runs = append(runs, Run{
 							Deployment: d, Policy: policy, Load: load, Routers: routers, Faults: faults,
-							Length: m.Length, Seed: m.Seed,
+							LoseDomain: m.LoseDomain,
+							Length:     m.Length, Seed: m.Seed,
 						})
 					}
 				}
