Let aged requests use the headroom after 16 interactive grants

Cause: under interactive requests without end the headroom was never free, and a deferrable one could starve at the home, whatever its line said.

--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -91,6 +91,12 @@
 	}
 )
 
+// IsAged reports whether a deferrable ticket has waited so long that it takes
+// turns with interactive ones.
+func (t Ticket) IsAged(now time.Time) bool {
+	return t.Deferrable && t.AgeAfter > 0 && now.Sub(t.ArrivedAt) >= t.AgeAfter
+}
+
 // Error implements error.
 func (r *Refusal) Error() string {
 	return r.Reason.Error()
@@ -273,7 +279,7 @@
 		return nil
 	}
 	oldest := q.arrivals[0]
-	if oldest.ticket.AgeAfter <= 0 || now.Sub(oldest.ticket.ArrivedAt) < oldest.ticket.AgeAfter {
+	if !oldest.ticket.IsAged(now) {
 		return nil
 	}
 	return oldest
--- a/core/slot/capacity.go
+++ b/core/slot/capacity.go
@@ -15,6 +15,9 @@
 	// minExpected is the number of arrivals in that time below which no slot is
 	// left free.
 	minExpected = 0.01
+	// agedTurn is the number of interactive grants after which an aged request
+	// may use the headroom.
+	agedTurn = 16
 	// rateWindow is the time over which rates are averaged.
 	rateWindow = 5 * time.Second
 )
@@ -45,12 +48,28 @@
 func (a *account) room(now time.Time, r Reservation) int {
 	capacity := a.capacity()
 	room := capacity - a.used() + a.predictedFree(now, r)
-	if r.Deferrable {
+	if r.Deferrable && !a.isTurnOf(r) {
 		room -= a.headroom(now)
 	}
 	return room
 }
 
+// isTurnOf reports whether an aged request may use the headroom: it is never
+// overtaken for ever.
+func (a *account) isTurnOf(r Reservation) bool {
+	return r.Aged && a.overtaken >= agedTurn
+}
+
+func (a *account) noteGrant(now time.Time, r Reservation) {
+	switch {
+	case !r.Deferrable:
+		a.interactive.add(now)
+		a.overtaken++
+	case r.Aged:
+		a.overtaken = 0
+	}
+}
+
 // headroom is the number of slots that deferrable requests leave free, by the
 // square-root rule for random arrivals.
 func (a *account) headroom(now time.Time) int {
--- a/core/slot/ledger.go
+++ b/core/slot/ledger.go
@@ -34,6 +34,7 @@
 		Lifetime   time.Duration
 		Isolated   bool          // no other isolated request may use the server meanwhile
 		Deferrable bool          // leaves the last slots to interactive requests
+		Aged       bool          // deferrable, and has waited long
 		Lead       time.Duration // until the request needs the slot
 		Overcommit float64       // share of the slots predicted free by then that it may count on
 		TokenGap   time.Duration // target, to which the batch is limited; 0: none
@@ -48,6 +49,7 @@
 		KVBytes    uint64
 		Isolated   bool
 		Deferrable bool
+		Aged       bool
 		Lead       time.Duration
 		Overcommit float64
 		TokenGap   time.Duration
@@ -68,6 +70,7 @@
 		limit       int       // of the batch; 0: the server's slots
 		released    eventRate // of slots
 		interactive eventRate // grants
+		overtaken   int       // interactive grants since one to an aged request
 		foreign     foreignLoad
 		unreachable bool
 		unanswered  bool                 // a question of the last audit
@@ -175,9 +178,7 @@
 	if a.room(now, r) <= 0 || r.Isolated && a.holdsIsolated() {
 		return ErrFull
 	}
-	if !r.Deferrable {
-		a.interactive.add(now)
-	}
+	a.noteGrant(now, r)
 	r.GrantedAt = now
 	a.granted[r.RequestID] = r
 	return nil
--- a/core/slot/prefill_test.go
+++ b/core/slot/prefill_test.go
@@ -172,3 +172,35 @@
 		t.Errorf("deferrable request on the last slot a minute later: %v", err)
 	}
 }
+
+// However many interactive requests come, an aged one is overtaken 16 times
+// at most.
+func TestAgedRequestsAreNotOvertakenForEver(t *testing.T) {
+	now := time.Unix(1000, 0)
+	l := slot.New()
+	l.Track(backend.Server{ID: "d", Slots: 2})
+	brief := slot.Reservation{RequestID: "brief", Deferrable: true}
+	for i := range 16 {
+		now = now.Add(time.Second)
+		id := fmt.Sprint("ping ", i)
+		if err := l.Reserve(now, "d", slot.Reservation{RequestID: id}); err != nil {
+			t.Fatal(err)
+		}
+		if i > 0 {
+			l.Release(now, "d", fmt.Sprint("ping ", i-1))
+		}
+		brief.Aged = false
+		if err := l.Reserve(now, "d", brief); !errors.Is(err, slot.ErrFull) {
+			t.Fatalf("brief in the headroom after %d pings: %v, want ErrFull", i+1, err)
+		}
+	}
+	brief.Aged = true
+	if err := l.Reserve(now, "d", brief); err != nil {
+		t.Errorf("aged brief after 16 pings: %v", err)
+	}
+	l.Release(now, "d", "brief")
+	brief.RequestID = "next brief"
+	if err := l.Reserve(now, "d", brief); !errors.Is(err, slot.ErrFull) {
+		t.Errorf("next aged brief at once: %v, want ErrFull", err)
+	}
+}
--- a/hickoryd/internal/dispatch/force.go
+++ b/hickoryd/internal/dispatch/force.go
@@ -45,7 +45,7 @@
 	if free[first.ID] <= 0 {
 		return backend.Server{}, false
 	}
-	r.models.slots.Force(first, requestID, r.terms())
+	r.models.slots.Force(first, requestID, r.terms(time.Now()))
 	return first, true
 }
 
--- a/hickoryd/internal/dispatch/reserve.go
+++ b/hickoryd/internal/dispatch/reserve.go
@@ -128,7 +128,7 @@
 func (r *run) reserveSlot(ctx context.Context, now time.Time, id string, plan placement.Plan) (backend.Server, error) {
 	var silent []backend.Server
 	for _, server := range plan.Decode {
-		err := r.models.slots.Reserve(ctx, now, server, id, r.terms())
+		err := r.models.slots.Reserve(ctx, now, server, id, r.terms(now))
 		if err == nil {
 			return server, nil
 		}
@@ -282,10 +282,10 @@
 	return r.request.ArrivedAt.Add(r.request.Profile.FirstTokenTarget)
 }
 
-func (r *run) terms() slot.Terms {
+func (r *run) terms(now time.Time) slot.Terms {
 	weights := placement.Request{GoodputWeight: r.request.Profile.GoodputWeight, WasteWeight: r.request.Profile.WasteWeight}
 	return slot.Terms{
-		Lifetime: reserveLifetime, Isolated: r.isolated, Deferrable: r.isDeferrable(),
+		Lifetime: reserveLifetime, Isolated: r.isolated, Deferrable: r.isDeferrable(), Aged: r.ticket(now).IsAged(now),
 		Lead:       time.Duration(prefix.Tokens(r.request.Prompt)) * leadPerToken,
 		Overcommit: weights.Overcommit(), TokenGap: r.request.Profile.TokenGapTarget,
 	}
--- a/hickoryd/internal/home/reservations.go
+++ b/hickoryd/internal/home/reservations.go
@@ -269,7 +269,7 @@
 func (r *Reservations) reservation(now time.Time, requestID string, terms slot.Terms) slot.Reservation {
 	return slot.Reservation{
 		RequestID: requestID, Holder: r.Holder(), Deadline: now.Add(terms.Lifetime), Isolated: terms.Isolated,
-		Deferrable: terms.Deferrable, Lead: terms.Lead, Overcommit: terms.Overcommit, TokenGap: terms.TokenGap,
+		Deferrable: terms.Deferrable, Aged: terms.Aged, Lead: terms.Lead, Overcommit: terms.Overcommit, TokenGap: terms.TokenGap,
 	}
 }
 
--- a/hickoryd/internal/peer/reservations.go
+++ b/hickoryd/internal/peer/reservations.go
@@ -20,7 +20,7 @@
 	return &peerapi.ReserveRequest{
 		ServerId: serverID, RequestId: requestID, Holder: HostToWire(holder),
 		Lifetime: durationpb.New(terms.Lifetime), Isolated: terms.Isolated, Class: classOf(terms.Deferrable),
-		Lead: durationpb.New(terms.Lead), Overcommit: terms.Overcommit, TokenGap: durationpb.New(terms.TokenGap),
+		Lead: durationpb.New(terms.Lead), Overcommit: terms.Overcommit, Aged: terms.Aged, TokenGap: durationpb.New(terms.TokenGap),
 	}
 }
 
@@ -41,6 +41,7 @@
 		KVBytes:    request.GetKvBytes(),
 		Isolated:   request.GetIsolated(),
 		Deferrable: request.GetClass() == classDeferrable,
+		Aged:       request.GetAged(),
 		Lead:       request.GetLead().AsDuration(),
 		Overcommit: min(1, max(0, request.GetOvercommit())),
 		TokenGap:   request.GetTokenGap().AsDuration(),
--- a/hickorylab/policybench/router.go
+++ b/hickorylab/policybench/router.go
@@ -229,7 +229,7 @@
 		delay += r.reserveDelay()
 		err := r.bench.homes.slots.Reserve(r.bench.loop.now, server.ID, slot.Reservation{
 			RequestID: a.id, Holder: r.holder(), Deadline: r.bench.loop.now.Add(lifetime), Deferrable: a.deferrable(),
-			Lead: time.Duration(float64(a.prompt) / prefillRate * float64(time.Second)), Overcommit: r.overcommit(),
+			Aged: r.ticket(a.request).IsAged(r.bench.loop.now), Lead: time.Duration(float64(a.prompt) / prefillRate * float64(time.Second)), Overcommit: r.overcommit(),
 		})
 		r.view[server.ID] = r.bench.homes.load(server)
 		if err == nil {
