--- a/hickoryd/internal/dispatch/line.go
+++ b/hickoryd/internal/dispatch/line.go
@@ -29,6 +29,7 @@
 		owner  *lines
 		queue  *admission.Queue
 		wakeUp map[string]chan struct{} // by ticket
+		passed bool                     // no server took the first interactive ticket just now
 	}
 )
 
@@ -92,12 +93,34 @@
 }
 
 // isTurn reports whether a ticket may try the servers: it is the first of its
-// class.
+// class, and a deferrable one does not try before the first interactive one.
 func (q *line) isTurn(now time.Time, t admission.Ticket) bool {
 	q.owner.mu.Lock()
 	defer q.owner.mu.Unlock()
 	first, ok := q.queue.HeadOf(now, t.Deferrable)
-	return ok && first.ID == t.ID
+	if !ok || first.ID != t.ID {
+		return false
+	}
+	if head, ok := q.queue.Head(now); !t.Deferrable || ok && head.ID == t.ID {
+		return true
+	}
+	passed := q.passed
+	q.passed = false
+	return passed
+}
+
+// pass lets the first deferrable ticket try, as no server took the first
+// interactive one.
+func (q *line) pass(now time.Time, t admission.Ticket) {
+	if t.Deferrable {
+		return
+	}
+	q.owner.mu.Lock()
+	defer q.owner.mu.Unlock()
+	q.passed = true
+	if first, ok := q.queue.HeadOf(now, true); ok {
+		q.wake(first.ID)
+	}
 }
 
 // take removes a ticket that got its servers.
@@ -128,17 +151,20 @@
 // wakeHeads wakes the requests whose turn it is. The caller holds mu.
 func (q *line) wakeHeads(now time.Time) {
 	for _, deferrable := range []bool{false, true} {
-		first, ok := q.queue.HeadOf(now, deferrable)
-		if !ok {
-			continue
-		}
-		select {
-		case q.wakeUp[first.ID] <- struct{}{}:
-		default:
+		if first, ok := q.queue.HeadOf(now, deferrable); ok {
+			q.wake(first.ID)
 		}
 	}
 }
 
+// wake wakes one request. The caller holds mu.
+func (q *line) wake(id string) {
+	select {
+	case q.wakeUp[id] <- struct{}{}:
+	default:
+	}
+}
+
 // released wakes the first in line: a slot may have become free.
 func (l *lines) released(now time.Time, model string) {
 	l.mu.Lock()
@@ -148,18 +174,28 @@
 	}
 }
 
+// pollInterval is the time after which a ticket looks again whether it is its
+// turn, should nobody wake it.
+func (q *line) pollInterval(now time.Time, t admission.Ticket) time.Duration {
+	q.owner.mu.Lock()
+	defer q.owner.mu.Unlock()
+	head, ok := q.queue.Head(now)
+	if !t.Deferrable {
+		head, ok = q.queue.HeadOf(now, false)
+	}
+	if ok && head.ID == t.ID {
+		return slotPollInterval
+	}
+	return turnCheckInterval
+}
+
 // wait returns when a ticket is woken, at its deadline, or after one poll
 // interval if it is its turn.
 func (q *line) wait(ctx context.Context, now time.Time, t admission.Ticket) error {
 	q.owner.mu.Lock()
 	wake := q.wakeUp[t.ID]
 	q.owner.mu.Unlock()
-	pause := max(time.Millisecond, t.Deadline.Sub(now))
-	if q.isTurn(now, t) {
-		pause = min(pause, slotPollInterval)
-	} else {
-		pause = min(pause, turnCheckInterval)
-	}
+	pause := min(max(time.Millisecond, t.Deadline.Sub(now)), q.pollInterval(now, t))
 	timer := time.NewTimer(pause)
 	defer timer.Stop()
 	select {
--- a/hickoryd/internal/dispatch/line_test.go
+++ b/hickoryd/internal/dispatch/line_test.go
@@ -93,6 +93,30 @@
 	})
 }
 
+// While an aged request finds no server, interactive ones go on.
+func TestAgedRequestHoldsNobodyUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLab()
+		l.onReservePrefill = func(string, int) error { return slot.ErrBacklog }
+		models := newModels(t, l)
+		var done []string
+		var mu sync.Mutex
+		var group sync.WaitGroup
+		aged := waiting(config.ClassDeferrable, 10*time.Second)
+		aged.ID = "aged"
+		aged.Profile.AgeAfter = time.Millisecond
+		group.Go(waitingCaller{models, "aged", aged, &done, &mu}.run)
+		time.Sleep(time.Second)
+		ping := waiting(config.ClassInteractive, time.Second)
+		ping.ID, ping.Prompt = "ping", shortPrompt
+		group.Go(waitingCaller{models, "ping", ping, &done, &mu}.run)
+		group.Wait()
+		if want := []string{"ping"}; !slices.Equal(done, want) {
+			t.Errorf("answered %v, want %v", done, want)
+		}
+	})
+}
+
 // No prefill starts without a place in its server's queue, and a slot that was
 // reserved meanwhile is given back.
 func TestNoPrefillWithoutAPlaceInTheQueue(t *testing.T) {
--- a/hickoryd/internal/dispatch/reserve.go
+++ b/hickoryd/internal/dispatch/reserve.go
@@ -58,6 +58,7 @@
 				line.leave(now, ticket)
 				return backend.Server{}, err
 			}
+			line.pass(now, ticket)
 		}
 		if now.After(ticket.Deadline) {
 			r.retryAfter = line.advice(now, ticket)
