Keep stored answers over the replacement of every host

A key that is held, but whose former homes are not all cleared, counts as running (409 with Retry-After) instead of as lost. A host that stops waits up to 10 s for the next homes, and not at all when there are none.

Ruled out: the handover (logged as whole in the failing runs).

--- a/core/claim/claim.go
+++ b/core/claim/claim.go
@@ -183,7 +183,7 @@
 // completes the grant that it belongs to.
 func (t *Table) Adopt(g Grant) {
 	held, ok := t.grants[g.Key]
-	completes := ok && held.RequestID == g.RequestID && g.Settled && !held.Settled
+	completes := ok && held.RequestID == g.RequestID && held.lacks(g)
 	replaces := ok && held.RequestID != g.RequestID && !held.Settled && g.GrantedAt.After(held.GrantedAt)
 	if ok && !completes && !replaces {
 		return
@@ -251,6 +251,22 @@
 	return size
 }
 
+// Unanswered returns the grant as a journal keeps it: without its answer, which
+// others may still tell.
+func (g Grant) Unanswered() Grant {
+	g.Answer = nil
+	g.Settled = g.Unknown
+	return g
+}
+
+// lacks reports whether other tells more of how the same request ended.
+func (g *Grant) lacks(other Grant) bool {
+	if !g.Settled {
+		return other.Settled
+	}
+	return g.Answer == nil && other.Answer != nil
+}
+
 func (g *Grant) expired(now time.Time) bool {
 	return now.Sub(g.GrantedAt) > g.Horizon+clockSkew
 }
--- a/core/claim/claim_test.go
+++ b/core/claim/claim_test.go
@@ -116,3 +116,27 @@
 		}
 	}
 }
+
+// TestAdoptCompletes adopts a grant from several sources in every order.
+func TestAdoptCompletes(t *testing.T) {
+	now := time.Unix(1000, 0)
+	running := claim.Grant{Key: claim.Key{Value: "a"}, RequestID: "1", GrantedAt: now, Horizon: time.Hour}
+	settled, dropped := running, running
+	settled.Settled, settled.Answer = true, &claim.Answer{Status: 200}
+	dropped.Settled = true
+	sources := []claim.Grant{running, settled, dropped, settled.Unanswered()}
+	for first := range sources {
+		for second := range sources {
+			table := claim.NewTable(10)
+			table.Adopt(sources[first])
+			table.Adopt(sources[second])
+			table.Adopt(settled)
+			if held, ok := table.Lookup(now, running.Key); !ok || held.Answer == nil {
+				t.Errorf("sources %d and %d: %+v", first, second, held)
+			}
+		}
+	}
+	if settled.Answer == nil || settled.Unanswered().Settled {
+		t.Error("a journal's copy changed the grant, or says that it is settled")
+	}
+}
--- a/core/claim/home.go
+++ b/core/claim/home.go
@@ -135,13 +135,8 @@
 	if _, err := h.Member(); err != nil || h.home(h.epoch.Number, wanted.Key) != h.self.Host {
 		return NotHome, Grant{}, ErrNotHome
 	}
-	if _, held := h.table.Lookup(now, wanted.Key); !held {
-		if missing := h.missing(now, wanted.Key); len(missing) > 0 {
-			for _, m := range missing {
-				h.wanted[m] = true
-			}
-			return Undecided, Grant{}, ErrTakeover
-		}
+	if _, held := h.table.Lookup(now, wanted.Key); !held && !h.IsKnown(now, wanted.Key) {
+		return Undecided, Grant{}, ErrTakeover
 	}
 	return h.table.Claim(now, wanted)
 }
--- a/core/claim/home_test.go
+++ b/core/claim/home_test.go
@@ -134,6 +134,28 @@
 	}
 }
 
+// TestHeldKeyIsNotKnownBeforeTheTakeover reads a key from a journal whose answer
+// a companion has yet to tell.
+//
+// proof: none | drain | 2
+func TestHeldKeyIsNotKnownBeforeTheTakeover(t *testing.T) {
+	home, _, dead, key := takeover(t)
+	held := claim.Grant{Key: key, RequestID: "first", GrantedAt: start, Horizon: time.Hour}
+	home.LearnJournal(claim.Journal{Member: dead, Grants: []claim.Grant{held}})
+	wanted := claim.Grant{Key: key, RequestID: "second", Horizon: time.Hour}
+	if outcome, _, err := home.Claim(start, wanted); outcome != claim.Running || err != nil || home.IsKnown(start, key) {
+		t.Errorf("before: outcome %d, %v, known %v", outcome, err, home.IsKnown(start, key))
+	}
+	settled := held
+	settled.Settled, settled.Answer = true, &claim.Answer{Status: 200}
+	answer := listingOf(1)
+	answer.Grants = []claim.Grant{settled}
+	home.Learn(answer)
+	if outcome, _, err := home.Claim(start, wanted); outcome != claim.Settled || err != nil || !home.IsKnown(start, key) {
+		t.Errorf("after: outcome %d, %v, known %v", outcome, err, home.IsKnown(start, key))
+	}
+}
+
 // TestListingCountsOnlyForTheKeysItCovered lets h4 list the keys that moved from
 // it to h0, and then moves a key here that went from h4 to h3 first.
 func TestListingCountsOnlyForTheKeysItCovered(t *testing.T) {
--- a/core/claim/takeover.go
+++ b/core/claim/takeover.go
@@ -98,6 +98,16 @@
 	return companions
 }
 
+// IsKnown reports whether all that former homes may tell of a key is known. If
+// not, they are asked.
+func (h *Home) IsKnown(now time.Time, key Key) bool {
+	missing := h.missing(now, key)
+	for _, m := range missing {
+		h.wanted[m] = true
+	}
+	return len(missing) == 0
+}
+
 // missing returns the former homes of a key that are not cleared.
 func (h *Home) missing(now time.Time, key Key) []Member {
 	var missing []Member
--- a/hickoryd/internal/home/claims.go
+++ b/hickoryd/internal/home/claims.go
@@ -25,8 +25,8 @@
 	// journalBurst lets a few writes go out at once after a pause.
 	journalBurst = 4
 	// handoverTimeout bounds how long a daemon that stops waits for the next
-	// homes. It covers two reads of the epoch.
-	handoverTimeout = 3 * time.Second
+	// homes. They need two reads of the epoch.
+	handoverTimeout = 10 * time.Second
 )
 
 var (
@@ -170,9 +170,6 @@
 		c.metrics.undecided.Inc()
 		return claim.Undecided, grant, fmt.Errorf("%w: %w", ErrUndecided, err)
 	}
-	if outcome == claim.Running && !c.fleet.IsAlive(now, grant.Owner.Host, grant.Owner.Incarnation) {
-		outcome = claim.Unknown
-	}
 	return outcome, grant, nil
 }
 
@@ -183,6 +180,9 @@
 	defer c.mu.Unlock()
 	_, held := c.home.Lookup(now, wanted.Key)
 	outcome, grant, err = c.home.Claim(now, wanted)
+	if err == nil && outcome == claim.Running && c.isLost(now, grant) {
+		return claim.Unknown, grant, false, nil
+	}
 	if err != nil || outcome != claim.Granted {
 		return outcome, grant, false, err
 	}
@@ -196,6 +196,13 @@
 	return outcome, grant, true, err
 }
 
+// isLost reports whether nobody can tell any more how a request ended: its owner
+// is dead and all that former homes may tell is known. Until then its callers
+// are told to ask again. The caller holds mu.
+func (c *Claims) isLost(now time.Time, g claim.Grant) bool {
+	return !c.fleet.IsAlive(now, g.Owner.Host, g.Owner.Incarnation) && c.home.IsKnown(now, g.Key)
+}
+
 // commit makes a grant durable, or takes it back.
 func (c *Claims) commit(ctx context.Context, grant claim.Grant) error {
 	err := c.writer.Commit(ctx, grant)
@@ -270,9 +277,10 @@
 func (c *Claims) Close(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, handoverTimeout)
 	defer cancel()
-	for !c.isHandedOver() && ctx.Err() == nil {
+	for c.hasSuccessors(time.Now()) && !c.isHandedOver() && ctx.Err() == nil {
 		pause(ctx, epochTick)
 	}
+	c.logger.WithField("complete", c.isHandedOver()).Info("claims handed over")
 	c.mu.Lock()
 	current := c.log
 	if current == nil {
@@ -288,6 +296,16 @@
 	}
 }
 
+// hasSuccessors reports whether another daemon can be a home.
+func (c *Claims) hasSuccessors(now time.Time) bool {
+	for _, s := range c.fleet.Live(now) {
+		if s.Host.Name != c.self.Host && !s.Draining {
+			return true
+		}
+	}
+	return false
+}
+
 // isHandedOver reports whether this daemon is no home any more and every home
 // of the epoch in force has listed what is held here.
 func (c *Claims) isHandedOver() bool {
--- a/hickoryd/internal/journal/log.go
+++ b/hickoryd/internal/journal/log.go
@@ -130,8 +130,7 @@
 func (l *Log) next(grants []claim.Grant) *peerapi.JournalSegment {
 	next := proto.CloneOf(l.segment)
 	for _, g := range grants {
-		g.Answer = nil
-		next.Grants = append(next.Grants, peer.GrantToWire(g))
+		next.Grants = append(next.Grants, peer.GrantToWire(g.Unanswered()))
 	}
 	held := l.segment.GetGrants()
 	if len(held) == 0 || proto.Size(next) <= segmentBytes {
--- a/hickoryd/internal/journal/seal.go
+++ b/hickoryd/internal/journal/seal.go
@@ -84,8 +84,7 @@
 	}
 	for _, g := range grants {
 		if !held[g.RequestID] {
-			g.Answer = nil
-			last.Grants = append(last.Grants, peer.GrantToWire(g))
+			last.Grants = append(last.Grants, peer.GrantToWire(g.Unanswered()))
 		}
 	}
 	return true
