End the isolation of suspects that have outlived the crash

Cause: when an engine dies, all its requests went on one at a time per server until their ends, so answers of 200 tokens paused for up to 3.5 s after a kill, and long ones would have run out of their wait. A suspect now counts as innocent once it has run in isolation for as long as it had when its server was lost, and half a second more; its slot's home is told.

Ruled out: isolating only the first token (a request that crashes its engine after a second would be cleared before it does so).

--- a/core/crash/crash.go
+++ b/core/crash/crash.go
@@ -61,6 +61,14 @@
 	return digest.Sum64()
 }
 
+// Probation returns how long a suspect must run in isolation until it counts as
+// innocent, when its server was lost after the given time of running. A request
+// that crashes servers does so again at about the same time.
+func Probation(lostAfter time.Duration) time.Duration {
+	const margin = 500 * time.Millisecond
+	return lostAfter + margin
+}
+
 // NewTable returns an empty table of at most limit fingerprints, which must be
 // above 0.
 func NewTable(limit int) *Table {
--- a/hickoryd/internal/dispatch/attempt.go
+++ b/hickoryd/internal/dispatch/attempt.go
@@ -38,7 +38,8 @@
 		id     string
 		number int
 		offset int
-		sent   bool // the server may hold something of it
+		sent   bool      // the server may hold something of it
+		opened time.Time // when its first stream began
 	}
 
 	// limitedStream ends the context that its opening was limited by.
@@ -102,7 +103,7 @@
 // breaks or stays silent is resumed at its offset over a new connection.
 func (a *attempt) relay(ctx context.Context, stream TokenStream) error {
 	r := a.run
-	started := time.Now()
+	a.opened = time.Now()
 	resumes := 0
 	for {
 		before := r.assembly.Next()
@@ -116,7 +117,7 @@
 		}
 		if stream, err = a.resume(ctx, &resumes); err != nil {
 			r.failed[a.server.ID] = time.Now()
-			r.checkLoss(ctx, a.server, started)
+			r.checkLoss(ctx, a.server, a.opened)
 			return err
 		}
 	}
@@ -169,6 +170,7 @@
 		}
 		r.kv = nil // it was decoded from
 		r.text += token.Text
+		a.endProbation(time.Now())
 		if err := r.sink.Token(token); err != nil {
 			return errCallerGone
 		}
--- a/hickoryd/internal/dispatch/crashes.go
+++ b/hickoryd/internal/dispatch/crashes.go
@@ -35,6 +35,7 @@
 		return false
 	}
 	r.models.counters.crashes.Inc()
+	r.lostAfter = max(r.lostAfter, time.Since(started))
 	report, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	r.models.crashes.Report(report, time.Now(), r.fingerprint, server.ID)
@@ -60,7 +61,19 @@
 	return false
 }
 
-// survived clears the suspicion after a whole run in isolation.
+// endProbation clears the suspicion of a request that has run in isolation for
+// long enough, so that others need not wait for its server until its end.
+func (a *attempt) endProbation(now time.Time) {
+	r := a.run
+	if !r.isolated || r.lostAfter == 0 || now.Sub(a.opened) < crash.Probation(r.lostAfter) {
+		return
+	}
+	r.survived()
+	r.isolated = false
+	r.models.slots.Relax(a.server, a.id, r.terms())
+}
+
+// survived tells the fingerprint's home of a run in isolation that went well.
 func (r *run) survived() {
 	if !r.isolated {
 		return
--- a/hickoryd/internal/dispatch/fakes_test.go
+++ b/hickoryd/internal/dispatch/fakes_test.go
@@ -212,6 +212,8 @@
 	l.forced++
 }
 
+func (l *lab) Relax(backend.Server, string, slot.Terms) {}
+
 func (l *lab) Release(_, requestID string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/hickoryd/internal/dispatch/force.go
+++ b/hickoryd/internal/dispatch/force.go
@@ -12,7 +12,7 @@
 
 // isolatedWait is the longest wait of an isolated request, which must find a
 // server without another one.
-const isolatedWait = 30 * time.Second
+const isolatedWait = time.Minute
 
 // waitUntil is the time at which an attempt gives up waiting for a slot. A
 // later attempt continues an answer that has begun, so it waits anew.
--- a/hickoryd/internal/dispatch/model.go
+++ b/hickoryd/internal/dispatch/model.go
@@ -71,6 +71,8 @@
 		Reserve(ctx context.Context, now time.Time, server backend.Server, requestID string, terms slot.Terms) error
 		// Force takes a slot without its home; the home is told later.
 		Force(server backend.Server, requestID string, terms slot.Terms)
+		// Relax tells the home of new terms of a slot that is held.
+		Relax(server backend.Server, requestID string, terms slot.Terms)
 		Release(serverID, requestID string)
 		ReservePrefill(ctx context.Context, now time.Time, server backend.Server, p slot.Prefill) error
 		ReleasePrefill(serverID, requestID string)
@@ -131,6 +133,7 @@
 		failed      failedServers
 		fingerprint uint64
 		isolated    bool
+		lostAfter   time.Duration    // longest run that ended with the loss of its server
 		direct      bool             // the decode server computes the prompt
 		reserved    *reservedPrefill // place in a prefill queue
 		retryAfter  time.Duration    // of a refusal for want of servers
--- a/hickoryd/internal/home/reservations.go
+++ b/hickoryd/internal/home/reservations.go
@@ -137,6 +137,11 @@
 func (r *Reservations) Force(server backend.Server, requestID string, terms slot.Terms) {
 	r.forced.Inc()
 	r.hold(requestID)
+	r.Relax(server, requestID, terms)
+}
+
+// Relax tells the home of the terms of a slot that is held.
+func (r *Reservations) Relax(server backend.Server, requestID string, terms slot.Terms) {
 	n := notice{reservations: r, serverID: server.ID, tell: func(ctx context.Context, now time.Time, home string) error {
 		if len(r.Held([]string{requestID})) == 0 {
 			return nil
