--- a/hickoryd/internal/dispatch/attempt.go
+++ b/hickoryd/internal/dispatch/attempt.go
@@ -7,6 +7,7 @@
 	"io"
 	"time"
 
+	"github.com/hickoryfront/hickoryfront/core/answer"
 	"github.com/hickoryfront/hickoryfront/core/backend"
 	"github.com/hickoryfront/hickoryfront/core/prefix"
 	"github.com/hickoryfront/hickoryfront/hickoryd/engine"
@@ -58,7 +59,7 @@
 // proves that the KV cache is gone, it is computed once more.
 func (a *attempt) open(ctx context.Context) (TokenStream, error) {
 	r := a.run
-	prompt := r.request.Prompt + r.text
+	prompt := r.request.Prompt + r.text.String()
 	if r.isolated || r.direct {
 		r.dropKV()
 		return a.decode(ctx, prompt, nil)
@@ -152,9 +153,7 @@
 	dog := newWatchdog(stream.Close, r.models.counters.silences)
 	defer dog.stop()
 	for !r.assembly.Done() {
-		dog.start(r.patience())
-		token, err := stream.Next()
-		dog.stop()
+		token, err := a.next(stream, dog)
 		if errors.Is(err, io.EOF) {
 			return engine.ErrBroken
 		}
@@ -169,15 +168,32 @@
 			continue
 		}
 		r.kv = nil // it was decoded from
-		r.text += token.Text
+		r.text.WriteString(token.Text)
 		a.endProbation(time.Now())
 		if err := r.sink.Token(token); err != nil {
 			return errCallerGone
 		}
+		if stream.Pending() {
+			continue // it goes out together with the next token
+		}
+		if err := r.sink.Flush(); err != nil {
+			return errCallerGone
+		}
 	}
 	return nil
 }
 
+// next reads the next token. The watchdog runs only while there is something
+// to wait for.
+func (a *attempt) next(stream TokenStream, dog *watchdog) (answer.Token, error) {
+	if stream.Pending() {
+		return stream.Next()
+	}
+	dog.start(a.run.patience())
+	defer dog.stop()
+	return stream.Next()
+}
+
 // patience is the wait for the next token before the stream counts as silent.
 func (r *run) patience() time.Duration {
 	profile := r.request.Profile
@@ -190,6 +206,9 @@
 // release gives the slot back once the engine holds nothing of the attempt.
 func (a *attempt) release() {
 	a.run.releasePrefill()
+	if a.run.assembly.Done() {
+		a.run.models.lines.observe(a.run.request.Service.Name, time.Since(a.run.placedAt))
+	}
 	lines, model := a.run.models.lines, a.run.request.Service.Model
 	release := func() {
 		a.run.models.slots.Release(a.server.ID, a.id)
--- a/hickoryd/internal/dispatch/fakes_test.go
+++ b/hickoryd/internal/dispatch/fakes_test.go
@@ -46,7 +46,10 @@
 		onResume  func(ctx context.Context, server string, n int) (*fakeStream, error)
 		onReserve func(ctx context.Context, server string, n int) error
 		onCancel  func(server string, n int) error
-		onUptime  func(server string) (time.Duration, error)
+
+		onReservePrefill func(server string, n int) error
+
+		onUptime func(server string) (time.Duration, error)
 
 		mu       sync.Mutex
 		steps    []step
@@ -220,7 +223,10 @@
 	delete(l.reserved, requestID)
 }
 
-func (l *lab) ReservePrefill(context.Context, time.Time, backend.Server, slot.Prefill) error {
+func (l *lab) ReservePrefill(_ context.Context, _ time.Time, server backend.Server, _ slot.Prefill) error {
+	if l.onReservePrefill != nil {
+		return l.onReservePrefill(server.ID, l.count("reservePrefill"))
+	}
 	return nil
 }
 
@@ -312,8 +318,12 @@
 	return token, nil
 }
 
+func (s *fakeStream) Pending() bool { return false }
+
 func (s *fakeStream) Close() { s.once.Do(func() { close(s.closed) }) }
 
+func (s *sinkLog) Flush() error { return nil }
+
 func (s *sinkLog) Token(token answer.Token) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/hickoryd/internal/dispatch/prefill.go
+++ b/hickoryd/internal/dispatch/prefill.go
@@ -73,6 +73,7 @@
 	r.note(server, err)
 	r.releasePrefill()
 	if err == nil {
+		r.models.kvSize.observe(reply)
 		computed := max(0, reply.PromptTokens-reply.CachedTokens)
 		return &prefilled{server: server, id: attemptID, prompt: prompt, kv: reply.KV, computed: computed, at: started}, nil
 	}
@@ -119,7 +120,7 @@
 
 // holdsKV reports whether a result for the prompt as it stands is still held.
 func (r *run) holdsKV() bool {
-	return r.kv != nil && r.kv.prompt == r.request.Prompt+r.text
+	return r.kv != nil && r.kv.prompt == r.request.Prompt+r.text.String()
 }
 
 // dropKV gives up a result that no token was decoded from.
