Cut a daemon off in mid-stream, and note the figures of streams

The test demands a prefix of the right answer only, as four attempts may be used up by a longer cut.

--- a/hickorylab/faults/streams_test.go
+++ b/hickorylab/faults/streams_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/hickoryfront/hickoryfront/core/slot"
 	wire "github.com/hickoryfront/hickoryfront/hickoryd/engine"
+	"github.com/hickoryfront/hickoryfront/hickorylab/cutproxy"
 	"github.com/hickoryfront/hickoryfront/hickorylab/engine"
 	"github.com/hickoryfront/hickoryfront/hickorylab/harness"
 	"github.com/hickoryfront/hickoryfront/hickorylab/platform"
@@ -516,3 +517,47 @@
 	}
 	awaitIdle(c)
 }
+
+// A daemon is cut off from all others while it serves. The others end its
+// requests, as they must take it for dead, and it ends none of theirs.
+//
+// proof: daemons cut off | stream | 1
+// proof: daemons cut off | stream | 2
+func TestDaemonCutOffInMidStream(t *testing.T) {
+	c := harness.Start(t, binaries, harness.Options{Hosts: 4, Decode: 3, Profile: patientProfile, Cuttable: true})
+	cut := streams{cluster: c}
+	for i := range 4 {
+		cut.start(t.Context(), c.Hosts[0], fmt.Sprint("cut ", i), longPrompt, 700)
+	}
+	others := streams{cluster: c}
+	for i := range 6 {
+		others.start(t.Context(), c.Hosts[1+i%3], fmt.Sprint("other ", i), longPrompt, 900)
+	}
+	cut.awaitBegun()
+	others.awaitBegun()
+	for _, host := range c.Hosts[1:] {
+		c.Cut(c.Hosts[0], host, cutproxy.Silence)
+	}
+	others.checkWhole(t)
+	cut.group.Wait()
+	whole := 0
+	for _, one := range cut.all {
+		want := engine.Answer(one.prompt, one.tokens)
+		if one.reply.Whole {
+			whole++
+		}
+		if !strings.HasPrefix(want, one.reply.Text) || one.reply.Whole && one.reply.Text != want {
+			t.Errorf("the cut host's caller got what is not its answer: %d bytes of %d", len(one.reply.Text), len(want))
+		}
+	}
+	t.Logf("%d of %d answers of the cut host are whole", whole, len(cut.all))
+	for _, host := range []string{"host-2", "host-3", "host-4"} {
+		if cancelled := decodes(c, engine.KindCancelled, host); len(cancelled) > 0 {
+			t.Errorf("%d live decodes of %s were cancelled", len(cancelled), host)
+		}
+	}
+	for _, host := range c.Hosts[1:] {
+		c.Cut(c.Hosts[0], host, cutproxy.Pass)
+	}
+	awaitIdle(c)
+}
