Ask again each second until a dead holder's requests are judged

Cause: one of eight dead requests was held for 7.3 s where the others took 3.6 to 4.2 s. The pause between questions equalled the interval of audits, so an audit whose listing came a moment sooner asked nothing, took the question for closed, and the next audit came after three seconds. With the pause at an interval the new test says: round 1: asked [].

--- a/core/slot/audit.go
+++ b/core/slot/audit.go
@@ -13,8 +13,11 @@
 	// holds a running request.
 	RenewInterval = 30 * time.Second
 
-	// askInterval is the pause between two questions about one attempt.
+	// askInterval is the time between audits while questions are open.
 	askInterval = time.Second
+	// minAskPause keeps audits that overlap from asking twice. It is well under
+	// askInterval: an audit that asks nothing ends the short intervals.
+	minAskPause = askInterval / 2
 )
 
 const (
@@ -58,12 +61,12 @@
 			continue
 		}
 		a.running[text] = true
-		if _, granted := a.granted[text]; !granted && a.mayAsk(now, text, askInterval) {
+		if _, granted := a.granted[text]; !granted && a.mayAsk(now, text) {
 			questions[id.Holder] = append(questions[id.Holder], text)
 		}
 	}
 	for text, r := range a.granted {
-		if a.isDoubtful(now, r, alive) && a.mayAsk(now, text, askInterval) {
+		if a.isDoubtful(now, r, alive) && a.mayAsk(now, text) {
 			questions[r.Holder] = append(questions[r.Holder], text)
 		}
 	}
@@ -146,8 +149,8 @@
 }
 
 // mayAsk limits the questions about one attempt.
-func (a *account) mayAsk(now time.Time, requestID string, interval time.Duration) bool {
-	if asked, ok := a.asked[requestID]; ok && now.Sub(asked) < interval {
+func (a *account) mayAsk(now time.Time, requestID string) bool {
+	if asked, ok := a.asked[requestID]; ok && now.Sub(asked) < minAskPause {
 		return false
 	}
 	a.asked[requestID] = now
--- a/core/slot/audit_test.go
+++ b/core/slot/audit_test.go
@@ -113,3 +113,23 @@
 		})
 	}
 }
+
+// Audits whose listings take a little less or more time still ask each second.
+//
+// proof: daemon killed | cancel | 1
+func TestOpenQuestionsAreAskedEachSecond(t *testing.T) {
+	start := time.Unix(1000, 0)
+	l := newLedger(4)
+	id := attempt(holderB, "r")
+	for round := range 5 {
+		// Each listing is answered a millisecond sooner than the one before.
+		now := start.Add(time.Duration(round) * (time.Second - time.Millisecond))
+		if questions := l.Audit(now, "d", []string{id}, everyoneAlive); len(questions) != 1 {
+			t.Fatalf("round %d: asked %v", round, questions)
+		}
+		l.Judge(now, "d", id, slot.NoAnswer, lifetime)
+		if due := l.AuditDue("d", everyoneAlive); due != time.Second {
+			t.Fatalf("round %d: next audit after %v, want 1 s", round, due)
+		}
+	}
+}
