Prove orders to engines that fail, and a watch that goes silent

Cases: engines killed, started again with the old version, silent or leaving while orders are due, with and without a check of fencing numbers; a change behind a silent watch is in force within 9 s of virtual time.

--- a/hickoryd/internal/configstore/store_test.go
+++ b/hickoryd/internal/configstore/store_test.go
@@ -479,6 +479,35 @@
 	})
 }
 
+// silentKV holds back the answers to watches, as a connection that went silent
+// does, until the client gives up.
+type silentKV struct {
+	*memoryKV
+}
+
+func (s silentKV) Watch(ctx context.Context, key string, index uint64, wait time.Duration) (platform.Value, uint64, error) {
+	if index == 0 {
+		return s.memoryKV.Watch(ctx, key, index, wait)
+	}
+	const clientTimeout = 2 * time.Second // what the client of the platform adds to the wait
+	time.Sleep(wait + wait/16 + clientTimeout)
+	return platform.Value{}, 0, platform.ErrUnavailable
+}
+
+// proof: silent connection | config spread | 8
+func TestSilentWatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kv := newMemoryKV()
+		a, b := start(t, kv, "a"), start(t, silentKV{kv}, "b")
+		time.Sleep(time.Second)
+		mustCommit(t, a, change("x", profileEdit("p", 0, time.Second)))
+		time.Sleep(9 * time.Second) // the target for a change to be in force
+		if got := b.Current().Revision; got != 1 {
+			t.Errorf("behind a silent connection the daemon is at revision %d, want 1", got)
+		}
+	})
+}
+
 // proof: failure domain lost | config spread | 8
 func TestOneWatcherPerFailureDomain(t *testing.T) {
 	const domains, perDomain = 3, 4
--- a/hickoryd/internal/orders/manager_test.go
+++ b/hickoryd/internal/orders/manager_test.go
@@ -59,6 +59,8 @@
 		state   engine.StateReply
 		history []string // versions, in the order in which they were loaded
 		refused int
+		dead    bool                                      // no connection
+		silent  bool                                      // connections open and no answer comes
 		busy    int                                       // orders to answer with busy
 		lose    int                                       // orders whose answer is lost after the effect
 		hold    func(r engine.OrderRequest) time.Duration // time that an order spends on its way
@@ -202,15 +204,45 @@
 	return candidates
 }
 
-func (l *lab) State(_ context.Context, address netip.AddrPort) (engine.StateReply, error) {
+func (l *lab) State(ctx context.Context, address netip.AddrPort) (engine.StateReply, error) {
+	if err := l.connect(ctx, address); err != nil {
+		return engine.StateReply{}, err
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.engines[address].state, nil
 }
 
+// connect fails for a dead engine and waits in vain for a silent one.
+func (l *lab) connect(ctx context.Context, address netip.AddrPort) error {
+	l.mu.Lock()
+	dead, silent := l.engines[address].dead, l.engines[address].silent
+	l.mu.Unlock()
+	switch {
+	case dead:
+		return engine.ErrNotSent
+	case silent:
+		<-ctx.Done()
+		return engine.ErrBroken
+	}
+	return nil
+}
+
+// change changes every engine.
+func (l *lab) change(change func(*labEngine)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, e := range l.engines {
+		change(e)
+	}
+}
+
 // Order carries an order out after its time on the way, also when the sender
 // has given up meanwhile.
 func (l *lab) Order(ctx context.Context, address netip.AddrPort, r engine.OrderRequest) error {
+	if err := l.connect(ctx, address); err != nil {
+		return err
+	}
 	l.mu.Lock()
 	e := l.engines[address]
 	hold := e.hold
@@ -472,3 +504,53 @@
 		l.check(t, "3")
 	})
 }
+
+// Engines die, go silent, leave or come back as they were while orders are due.
+//
+// proof: backend server killed | order | 8
+// proof: silent connection | order | 8
+// proof: backend server leaving | order | 6
+// proof: failure domain lost | order | 8
+func TestEnginesFailDuringOrders(t *testing.T) {
+	tests := []struct {
+		name  string
+		fail  func(*labEngine)
+		heal  func(*labEngine)
+		while string // version that the engines run while they fail
+	}{
+		{name: "killed", fail: func(e *labEngine) { e.dead = true }, heal: func(e *labEngine) { e.dead = false }, while: "2"},
+		{
+			name: "killed and started with the old version", while: "1",
+			fail: func(e *labEngine) { e.dead, e.state.Version, e.state.Fence, e.history = true, "1", 0, nil },
+			heal: func(e *labEngine) { e.dead = false },
+		},
+		{name: "silent", fail: func(e *labEngine) { e.silent = true }, heal: func(e *labEngine) { e.silent = false }, while: "2"},
+		{
+			name: "leaving", while: "2",
+			fail: func(e *labEngine) { e.server.State = backend.StateLeaving },
+			heal: func(e *labEngine) { e.server.State = backend.StateLive },
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			forBoth(t, func(t *testing.T, fencing backend.Fencing) {
+				l := newLab(fencing, 3)
+				a := startDaemon(t, "a", newLeaseKV(), l)
+				a.set(0, "a")
+				time.Sleep(settleTime)
+				l.check(t, "2")
+				l.change(tt.fail)
+				a.set(3, "a")
+				time.Sleep(settleTime)
+				l.change(func(e *labEngine) {
+					if e.state.Version != tt.while {
+						t.Errorf("%s runs version %s while it fails, want %s", e.server.ID, e.state.Version, tt.while)
+					}
+				})
+				l.change(tt.heal)
+				time.Sleep(settleTime)
+				l.check(t, "3")
+			})
+		})
+	}
+}
