--- a/core/order/group.go
+++ b/core/order/group.go
@@ -79,9 +79,9 @@
 	return g.ownership
 }
 
-// SetRevision takes a newer revision of the pool after it was stored in the
-// ownership record.
-func (g *Group) SetRevision(ownership Ownership) {
+// SetOwnership takes a record that was stored with a newer revision of the
+// pool.
+func (g *Group) SetOwnership(ownership Ownership) {
 	g.ownership = ownership
 }
 
@@ -91,7 +91,6 @@
 func (g *Group) Next(now, leaseUntil time.Time, pool config.Pool, servers []backend.Server, roles map[string]backend.Role, busy func(id string) bool) []Action {
 	g.forget(servers)
 	var actions []Action
-	loads := g.loading()
 	limit := maxLoads(pool.LoadShare, len(servers))
 	for _, server := range servers {
 		e := g.engine(server.ID)
@@ -108,20 +107,25 @@
 			e.known, e.notBefore = false, now.Add(RereadInterval)
 			continue
 		}
-		if !g.maySend(now, leaseUntil, server) || (order.Loads() && loads >= limit) || (!order.Loads() && busy(server.ID)) {
-			continue
+		allowed := g.loading() < limit
+		if !order.Loads() {
+			allowed = !busy(server.ID)
 		}
-		if order.Loads() {
-			loads++
+		if allowed && g.maySend(now, leaseUntil, server) {
+			actions = append(actions, Action{Server: server, Order: g.issue(e, order)})
 		}
-		g.sequence++
-		order.Fence = FenceOf(g.ownership.Epoch, g.sequence)
-		e.inFlight, e.loading, e.known = true, order.Loads(), false
-		actions = append(actions, Action{Server: server, Order: &order})
 	}
 	return actions
 }
 
+// issue gives an order its fencing number and marks it as on its way.
+func (g *Group) issue(e *engine, order Order) *Order {
+	g.sequence++
+	order.Fence = FenceOf(g.ownership.Epoch, g.sequence)
+	e.inFlight, e.loading, e.known = true, order.Loads(), false
+	return &order
+}
+
 // maySend reports whether a server may get an order now. A server that checks
 // fencing numbers refuses what is out of date itself. One that ignores them may
 // still get orders of the last owner until the quiet time is over.
--- a/hickoryd/internal/orders/manager.go
+++ b/hickoryd/internal/orders/manager.go
@@ -239,30 +239,17 @@
 	}
 }
 
-// prepare returns the group once its ownership covers the pool's revision.
+// prepare returns the group once its ownership covers the pool's revision, and
+// nil before.
 func (m *Manager) prepare(ctx context.Context, key groupKey, revision uint64) *order.Group {
-	now := time.Now()
-	m.mu.Lock()
-	held, ok := m.groups[key]
-	if !ok {
-		held = &owned{}
-		m.groups[key] = held
-	}
-	group, due := held.group, !now.Before(held.nextTry)
-	m.mu.Unlock()
+	held, group, due := m.entry(key, time.Now())
 	if group != nil && group.Ownership().Revision >= revision {
 		return group
 	}
 	if !due {
 		return nil
 	}
-	var ownership order.Ownership
-	var err error
-	if group == nil {
-		ownership, err = m.own(ctx, key, revision)
-	} else {
-		ownership, err = m.raise(ctx, key, group.Ownership(), revision)
-	}
+	ownership, err := m.claim(ctx, key, group, revision)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if err != nil {
@@ -277,10 +264,31 @@
 		held.group = group
 		m.logger.WithField("group", key.String()).WithField("epoch", ownership.Epoch).Info("gives orders to engines")
 	}
-	group.SetRevision(ownership)
+	group.SetOwnership(ownership)
 	return group
 }
 
+// entry returns what is held of a group, its progress, and whether its
+// ownership may be tried now.
+func (m *Manager) entry(key groupKey, now time.Time) (held *owned, group *order.Group, due bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	held, ok := m.groups[key]
+	if !ok {
+		held = &owned{}
+		m.groups[key] = held
+	}
+	return held, held.group, !now.Before(held.nextTry)
+}
+
+// claim takes the ownership of a group, or stores a newer revision of its pool.
+func (m *Manager) claim(ctx context.Context, key groupKey, group *order.Group, revision uint64) (order.Ownership, error) {
+	if group == nil {
+		return m.own(ctx, key, revision)
+	}
+	return m.raise(ctx, key, group.Ownership(), revision)
+}
+
 // busy returns which engines of a model run requests.
 func (m *Manager) busy(model string) func(id string) bool {
 	loads := map[string]backend.Load{}
