Refuse new work in the smaller part of a fleet that can't read the platform

Cause: daemons that heard each other, but neither the platform nor the rest, served on under a configuration that the rest may have changed. Ruled out: refusing whenever the platform can't be read (an outage would stop every host); asking for the same hosts as before (replaced hosts count as well). Before and after: a daemon that heard one peer was ready after an hour without the platform (a case of the gate's test). Now, of five daemons of which two are cut off together while the platform is down, these two refuse as not run, the three others serve, and all serve again after the outage (test).

--- a/hickoryd/internal/node/gate.go
+++ b/hickoryd/internal/node/gate.go
@@ -42,6 +42,12 @@
 		caughtUp  atomic.Bool // stays true
 		lastTick  atomic.Int64
 		suspended atomic.Bool // stalled, and not yet verified again
+		minority  atomic.Bool // most of the fleet is not heard any more
+
+		// fleet is the most hosts that were alive lately, last seen at fleetAt.
+		// Only Observe touches them.
+		fleet   int
+		fleetAt time.Time
 	}
 )
 
@@ -51,12 +57,18 @@
 	// paused. It is longer than any step of the loop that ticks.
 	stallLimit = 5 * time.Second
 
+	// fleetMemory is how long hosts that are gone still count as part of the
+	// fleet. It is longer than a cut takes to be noticed, and than operators take
+	// to replace a few hosts.
+	fleetMemory = 10 * time.Minute
+
 	reasonDraining = "draining"
 	reasonNoConfig = "no configuration yet"
 	reasonNoList   = "no host list yet"
 	reasonBehind   = "configuration older than a peer's"
 	reasonPaused   = "was paused and has to check its configuration"
 	reasonIsolated = "cut off from platform and peers"
+	reasonMinority = "cut off from the platform and from most peers"
 )
 
 // NewGate returns a gate that closes after isolation without news. seeds are
@@ -92,6 +104,20 @@
 	g.suspended.Store(false)
 }
 
+// Observe compares the hosts that are alive with the fleet of the last minutes,
+// and reports whether they are the smaller part. The smaller part can't know
+// what the other changes, unless it reads the platform. One goroutine calls it.
+func (g *Gate) Observe(now time.Time) bool {
+	live := len(g.peers.Live(now))
+	forgotten := now.Sub(g.fleetAt) > fleetMemory && now.Sub(g.platform.LastRead()) <= g.isolation
+	if live >= g.fleet || forgotten {
+		g.fleet, g.fleetAt = live, now
+	}
+	minority := 2*live < g.fleet
+	g.minority.Store(minority)
+	return minority
+}
+
 func (g *Gate) stalled(now time.Time) bool {
 	last := g.lastTick.Load()
 	return last > 0 && now.Sub(time.Unix(0, last)) > stallLimit
@@ -115,6 +141,8 @@
 		return reasonNoList
 	case now.Sub(g.platform.LastRead()) > g.isolation && now.Sub(g.peers.LastHeard()) > g.isolation:
 		return reasonIsolated
+	case g.minority.Load() && now.Sub(g.platform.LastRead()) > g.isolation:
+		return reasonMinority
 	}
 	return ""
 }
--- a/hickoryd/internal/node/sync.go
+++ b/hickoryd/internal/node/sync.go
@@ -13,8 +13,12 @@
 const (
 	syncInterval = 200 * time.Millisecond
 	fetchTimeout = time.Second
-	// catchUpTimeout is below the gate's limit for a stalled process.
-	catchUpTimeout = 3 * time.Second
+	// catchUpTimeout bounds each step of the loop, so that a few of them stay
+	// below the gate's limit for a stalled process.
+	catchUpTimeout = 1500 * time.Millisecond
+	// minorityReads is the time between reads of the platform while most peers
+	// are gone.
+	minorityReads = 2 * time.Second
 )
 
 type (
@@ -49,6 +53,7 @@
 		clients   PeerClients
 		gate      *Gate
 		announced uint64
+		nextRead  time.Time // of a minority
 	}
 
 	// poolClients fetches over the daemon's connections.
@@ -73,6 +78,7 @@
 		}
 		s.announce()
 		s.catchUp(ctx)
+		s.readAsMinority(ctx)
 		select {
 		case <-ctx.Done():
 			return
@@ -112,12 +118,25 @@
 	}
 }
 
+// readAsMinority reads the platform often while most peers are gone: only that
+// tells whether this daemon is cut off.
+func (s *ConfigSync) readAsMinority(ctx context.Context) {
+	now := time.Now()
+	if !s.gate.Observe(now) || now.Before(s.nextRead) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
+	defer cancel()
+	_ = s.documents.Refresh(ctx) // the gate sees when it was last read
+	s.nextRead = time.Now().Add(minorityReads)
+}
+
 // verify compares the configuration of a process that was paused with the
 // platform's, or with a peer's while the platform does not answer.
 func (s *ConfigSync) verify(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
 	defer cancel()
-	if s.documents.Refresh(ctx) == nil {
+	if s.refresh(ctx) == nil {
 		s.gate.Verified()
 		return
 	}
@@ -133,6 +152,13 @@
 	}
 }
 
+// refresh leaves time for the peers when the platform is slow.
+func (s *ConfigSync) refresh(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout/2)
+	defer cancel()
+	return s.documents.Refresh(ctx)
+}
+
 func (s *ConfigSync) fetch(ctx context.Context, from member.Host) bool {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
--- a/hickoryd/internal/node/sync_test.go
+++ b/hickoryd/internal/node/sync_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/netip"
 	"testing"
 	"testing/synctest"
@@ -166,6 +167,56 @@
 	}
 }
 
+// A part of the fleet that hears only itself must not serve what the other part
+// may have changed.
+//
+// proof: daemons cut off + platform down | config spread | 8
+// proof: failure domain lost + platform down | config spread | 8
+func TestGateOfAMinority(t *testing.T) {
+	const isolation = 15 * time.Second
+	peers := func(n int) []member.State {
+		var states []member.State
+		for i := range n {
+			states = append(states, peerAt(fmt.Sprint("host-", i), uint16(i+1), 5))
+		}
+		return states
+	}
+	tests := []struct {
+		name       string
+		before     int // hosts alive
+		after      int
+		platformUp bool
+		wait       time.Duration // after the loss
+		ready      bool
+	}{
+		{name: "majority in an outage", before: 7, after: 4, wait: time.Hour, ready: true},
+		{name: "half in an outage", before: 4, after: 2, wait: time.Hour, ready: true},
+		{name: "minority in an outage, within the isolation time", before: 7, after: 3, wait: isolation, ready: true},
+		{name: "minority in an outage", before: 7, after: 3, wait: isolation + 1},
+		{name: "minority in a long outage", before: 7, after: 3, wait: time.Hour},
+		{name: "minority that reads the platform", before: 7, after: 3, wait: time.Hour, platformUp: true, ready: true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			now := time.Unix(1_000_000, 0)
+			s := &source{revision: 5, read: now, heard: now, peers: peers(tt.before)}
+			gate := node.NewGate(s, s, s, nil, isolation)
+			gate.Observe(now)
+			s.peers = peers(tt.after)
+			gate.Observe(now)
+			now = now.Add(tt.wait)
+			s.heard = now
+			if tt.platformUp {
+				s.read = now
+			}
+			gate.Observe(now)
+			if reason := gate.NotReady(now); (reason == "") != tt.ready {
+				t.Errorf("not ready because of %q, want ready %v", reason, tt.ready)
+			}
+		})
+	}
+}
+
 // proof: platform down | config spread | 8
 // proof: daemon paused | config spread | 8
 func TestConfigSync(t *testing.T) {
--- a/hickorylab/faults/config_test.go
+++ b/hickorylab/faults/config_test.go
@@ -399,3 +399,33 @@
 		t.Errorf("the drains were answered with %v, want one accepted", statuses)
 	}
 }
+
+// TestMinorityRefusesWhileTheRestServes cuts two of five daemons off, together,
+// while the platform is down.
+//
+// proof: daemons cut off + platform down | accept | 4
+func TestMinorityRefusesWhileTheRestServes(t *testing.T) {
+	c := harness.Start(t, binaries, harness.Options{Hosts: 5, Cuttable: true, Settings: shortIsolation})
+	minority, majority := c.Hosts[:2], c.Hosts[2:]
+	c.Platform.SetFaults(platform.Faults{Down: true})
+	for _, a := range minority {
+		for _, b := range majority {
+			c.Cut(a, b, cutproxy.Refuse)
+		}
+	}
+	for _, host := range minority {
+		c.Await(host.Name+" to refuse new work", func() bool { return !ready(host) })
+		if reply := c.Call(t.Context(), host, http.MethodGet, "/stock", "", ""); reply.Ran != "no" {
+			t.Errorf("%s of the minority answers %+v", host.Name, reply)
+		}
+	}
+	for _, host := range majority {
+		if !ready(host) {
+			t.Errorf("%s of the majority is not ready", host.Name)
+		}
+	}
+	c.Platform.SetFaults(platform.Faults{})
+	for _, host := range minority {
+		c.AwaitReady(host)
+	}
+}
