--- a/hickory/internal/command/drain/drain.go
+++ b/hickory/internal/command/drain/drain.go
@@ -13,12 +13,6 @@
 const drainText = "[host]\ndrain = true\n"
 
 type (
-	// Client reads and changes entries.
-	Client interface {
-		rollout.Client
-		Entry(ctx context.Context, kind, name string) (adminapi.Entry, error)
-	}
-
 	// Options are the options of the command.
 	Options struct {
 		rollout.Options
@@ -35,22 +29,15 @@
 		Short:   "let a host finish its work and stop",
 		Example: "  hickory drain host-3\n  hickory drain host-3 --timeout 5s --json\n",
 		Flags:   o.SetFlags,
-		Run: func(ctx context.Context, args []string) error {
-			if len(args) != 1 {
-				return factory.Usagef("give one host name")
-			}
-			o.Host = args[0]
-			client, err := f.Client()
-			if err != nil {
-				return err
-			}
+		Run: f.OneArg("host name", func(ctx context.Context, name string, client *adminapi.Client) error {
+			o.Host = name
 			return Run(ctx, o, client)
-		},
+		}),
 	}
 }
 
 // Run writes the host's entry.
-func Run(ctx context.Context, o *Options, client Client) error {
+func Run(ctx context.Context, o *Options, client rollout.EntryClient) error {
 	entry, err := client.Entry(ctx, "host", o.Host)
 	if err != nil && !errors.Is(err, adminapi.ErrNotFound) {
 		return err
--- a/hickory/internal/command/entrydelete/delete.go
+++ b/hickory/internal/command/entrydelete/delete.go
@@ -11,12 +11,6 @@
 )
 
 type (
-	// Client reads and changes entries.
-	Client interface {
-		rollout.Client
-		Entry(ctx context.Context, kind, name string) (adminapi.Entry, error)
-	}
-
 	// Options are the options of the command.
 	Options struct {
 		rollout.Options
@@ -34,22 +28,15 @@
 		Short:   "delete a " + kind + " entry",
 		Example: fmt.Sprintf("  hickory %s delete NAME\n", kind),
 		Flags:   o.SetFlags,
-		Run: func(ctx context.Context, args []string) error {
-			if len(args) != 1 {
-				return factory.Usagef("give one %s name", kind)
-			}
-			o.Name = args[0]
-			client, err := f.Client()
-			if err != nil {
-				return err
-			}
+		Run: f.OneArg(kind+" name", func(ctx context.Context, name string, client *adminapi.Client) error {
+			o.Name = name
 			return Run(ctx, o, client)
-		},
+		}),
 	}
 }
 
 // Run deletes the entry.
-func Run(ctx context.Context, o *Options, client Client) error {
+func Run(ctx context.Context, o *Options, client rollout.EntryClient) error {
 	entry, err := client.Entry(ctx, o.Kind, o.Name)
 	if err != nil {
 		return err
--- a/hickory/internal/command/entrydiff/diff.go
+++ b/hickory/internal/command/entrydiff/diff.go
@@ -51,20 +51,13 @@
 			flags.Uint64Var(&o.To, "to", 0, "newer revision (default: the current one)")
 			flags.BoolVar(&o.JSON, "json", false, "print JSON")
 		},
-		Run: func(ctx context.Context, args []string) error {
-			if len(args) != 1 {
-				return factory.Usagef("give one %s name", kind)
-			}
+		Run: f.OneArg(kind+" name", func(ctx context.Context, name string, client *adminapi.Client) error {
 			if o.File != "" && (o.From > 0 || o.To > 0) {
 				return factory.Usagef("give either --file or revisions")
 			}
-			o.Name = args[0]
-			client, err := f.Client()
-			if err != nil {
-				return err
-			}
+			o.Name = name
 			return Run(ctx, o, client)
-		},
+		}),
 	}
 }
 
--- a/hickory/internal/command/entryget/get.go
+++ b/hickory/internal/command/entryget/get.go
@@ -36,17 +36,10 @@
 		Short:   "print a " + kind + " entry",
 		Example: fmt.Sprintf("  hickory %s get NAME\n  hickory %s get --json NAME\n", kind, kind),
 		Flags:   func(flags *flag.FlagSet) { flags.BoolVar(&o.JSON, "json", false, "print JSON with the revision") },
-		Run: func(ctx context.Context, args []string) error {
-			if len(args) != 1 {
-				return factory.Usagef("give one %s name", kind)
-			}
-			o.Name = args[0]
-			client, err := f.Client()
-			if err != nil {
-				return err
-			}
+		Run: f.OneArg(kind+" name", func(ctx context.Context, name string, client *adminapi.Client) error {
+			o.Name = name
 			return Run(ctx, o, client)
-		},
+		}),
 	}
 }
 
--- a/hickory/internal/command/entrylist/list.go
+++ b/hickory/internal/command/entrylist/list.go
@@ -36,16 +36,9 @@
 		Short:   "list " + kind + " entries",
 		Example: fmt.Sprintf("  hickory %s list\n  hickory %s list --json\n", kind, kind),
 		Flags:   func(flags *flag.FlagSet) { flags.BoolVar(&o.JSON, "json", false, "print JSON") },
-		Run: func(ctx context.Context, args []string) error {
-			if len(args) > 0 {
-				return factory.Usagef("list takes no arguments")
-			}
-			client, err := f.Client()
-			if err != nil {
-				return err
-			}
+		Run: f.NoArgs(func(ctx context.Context, client *adminapi.Client) error {
 			return Run(ctx, o, client)
-		},
+		}),
 	}
 }
 
--- a/hickory/internal/command/entryset/set.go
+++ b/hickory/internal/command/entryset/set.go
@@ -13,12 +13,6 @@
 )
 
 type (
-	// Client reads and changes entries.
-	Client interface {
-		rollout.Client
-		Entry(ctx context.Context, kind, name string) (adminapi.Entry, error)
-	}
-
 	// Options are the options of the command.
 	Options struct {
 		rollout.Options
@@ -44,25 +38,18 @@
 			flags.StringVar(&o.File, "file", "", "INI file to read, - for standard input")
 			flags.Int64Var(&o.Base, "base", -1, "revision that the change is based on (default: the current one)")
 		},
-		Run: func(ctx context.Context, args []string) error {
-			if len(args) != 1 {
-				return factory.Usagef("give one %s name", kind)
-			}
+		Run: f.OneArg(kind+" name", func(ctx context.Context, name string, client *adminapi.Client) error {
 			if o.File == "" {
 				return factory.Usagef("give the INI text with --file")
 			}
-			o.Name = args[0]
-			client, err := f.Client()
-			if err != nil {
-				return err
-			}
+			o.Name = name
 			return Run(ctx, o, client)
-		},
+		}),
 	}
 }
 
 // Run writes the entry.
-func Run(ctx context.Context, o *Options, client Client) error {
+func Run(ctx context.Context, o *Options, client rollout.EntryClient) error {
 	text, err := o.Streams.ReadText(o.File)
 	if err != nil {
 		return err
--- a/hickory/internal/command/hostlist/list.go
+++ b/hickory/internal/command/hostlist/list.go
@@ -34,16 +34,9 @@
 		Short:   "list live hosts with failure domain, configuration revision and state",
 		Example: "  hickory host list\n  hickory host list --json\n",
 		Flags:   func(flags *flag.FlagSet) { flags.BoolVar(&o.JSON, "json", false, "print JSON") },
-		Run: func(ctx context.Context, args []string) error {
-			if len(args) > 0 {
-				return factory.Usagef("list takes no arguments")
-			}
-			client, err := f.Client()
-			if err != nil {
-				return err
-			}
+		Run: f.NoArgs(func(ctx context.Context, client *adminapi.Client) error {
 			return Run(ctx, o, client)
-		},
+		}),
 	}
 }
 
--- a/hickory/internal/command/servicebind/bind.go
+++ b/hickory/internal/command/servicebind/bind.go
@@ -14,12 +14,6 @@
 )
 
 type (
-	// Client reads and changes entries.
-	Client interface {
-		rollout.Client
-		Entry(ctx context.Context, kind, name string) (adminapi.Entry, error)
-	}
-
 	// Options are the options of the command.
 	Options struct {
 		rollout.Options
@@ -58,7 +52,7 @@
 }
 
 // Run binds the service.
-func Run(ctx context.Context, o *Options, client Client) error {
+func Run(ctx context.Context, o *Options, client rollout.EntryClient) error {
 	entry, err := client.Entry(ctx, "service", o.Service)
 	if err != nil && !errors.Is(err, adminapi.ErrNotFound) {
 		return err
--- a/hickory/internal/command/servicelist/list.go
+++ b/hickory/internal/command/servicelist/list.go
@@ -6,6 +6,7 @@
 	"flag"
 	"io"
 
+	"github.com/hickoryfront/hickoryfront/hickory/internal/adminapi"
 	"github.com/hickoryfront/hickoryfront/hickory/internal/factory"
 	"github.com/hickoryfront/hickoryfront/hickory/internal/fleet"
 	"github.com/hickoryfront/hickoryfront/hickory/internal/tableprinter"
@@ -26,16 +27,9 @@
 		Short:   "list services with their profiles and their requests on all hosts",
 		Example: "  hickory service list\n  hickory service list --json\n",
 		Flags:   func(flags *flag.FlagSet) { flags.BoolVar(&o.JSON, "json", false, "print JSON") },
-		Run: func(ctx context.Context, args []string) error {
-			if len(args) > 0 {
-				return factory.Usagef("list takes no arguments")
-			}
-			client, err := f.Client()
-			if err != nil {
-				return err
-			}
+		Run: f.NoArgs(func(ctx context.Context, client *adminapi.Client) error {
 			return Run(ctx, o, fleet.New(client))
-		},
+		}),
 	}
 }
 
--- a/hickory/internal/command/serviceunbind/unbind.go
+++ b/hickory/internal/command/serviceunbind/unbind.go
@@ -13,12 +13,6 @@
 )
 
 type (
-	// Client reads and changes entries.
-	Client interface {
-		rollout.Client
-		Entry(ctx context.Context, kind, name string) (adminapi.Entry, error)
-	}
-
 	// Options are the options of the command.
 	Options struct {
 		rollout.Options
@@ -35,22 +29,15 @@
 		Short:   "pass a service back to its legacy address, or refuse its calls when its profile has none",
 		Example: "  hickory service unbind cart\n",
 		Flags:   o.SetFlags,
-		Run: func(ctx context.Context, args []string) error {
-			if len(args) != 1 {
-				return factory.Usagef("give one service name")
-			}
-			o.Service = args[0]
-			client, err := f.Client()
-			if err != nil {
-				return err
-			}
+		Run: f.OneArg("service name", func(ctx context.Context, name string, client *adminapi.Client) error {
+			o.Service = name
 			return Run(ctx, o, client)
-		},
+		}),
 	}
 }
 
 // Run unbinds the service.
-func Run(ctx context.Context, o *Options, client Client) error {
+func Run(ctx context.Context, o *Options, client rollout.EntryClient) error {
 	entry, err := client.Entry(ctx, "service", o.Service)
 	if err != nil {
 		return err
@@ -69,7 +56,7 @@
 
 // unbound returns the legacy address and the text that passes calls to it. Both
 // are empty when the service's profile has no such address.
-func unbound(ctx context.Context, client Client, entry adminapi.Entry) (legacy, text string, err error) {
+func unbound(ctx context.Context, client rollout.EntryClient, entry adminapi.Entry) (legacy, text string, err error) {
 	service, err := config.ParseService(entry.Name, entry.Text)
 	if err != nil {
 		return "", "", err
--- a/hickory/internal/command/status/status.go
+++ b/hickory/internal/command/status/status.go
@@ -28,16 +28,9 @@
 		Short:   "print hosts, services and backend servers",
 		Example: "  hickory status\n  hickory status --json\n",
 		Flags:   func(flags *flag.FlagSet) { flags.BoolVar(&o.JSON, "json", false, "print JSON") },
-		Run: func(ctx context.Context, args []string) error {
-			if len(args) > 0 {
-				return factory.Usagef("status takes no arguments")
-			}
-			client, err := f.Client()
-			if err != nil {
-				return err
-			}
+		Run: f.NoArgs(func(ctx context.Context, client *adminapi.Client) error {
 			return Run(ctx, o, fleet.New(client))
-		},
+		}),
 	}
 }
 
--- a/hickory/internal/command/undrain/undrain.go
+++ b/hickory/internal/command/undrain/undrain.go
@@ -10,12 +10,6 @@
 )
 
 type (
-	// Client reads and changes entries.
-	Client interface {
-		rollout.Client
-		Entry(ctx context.Context, kind, name string) (adminapi.Entry, error)
-	}
-
 	// Options are the options of the command.
 	Options struct {
 		rollout.Options
@@ -32,22 +26,15 @@
 		Short:   "let a drained host serve again once it is started",
 		Example: "  hickory undrain host-3\n",
 		Flags:   o.SetFlags,
-		Run: func(ctx context.Context, args []string) error {
-			if len(args) != 1 {
-				return factory.Usagef("give one host name")
-			}
-			o.Host = args[0]
-			client, err := f.Client()
-			if err != nil {
-				return err
-			}
+		Run: f.OneArg("host name", func(ctx context.Context, name string, client *adminapi.Client) error {
+			o.Host = name
 			return Run(ctx, o, client)
-		},
+		}),
 	}
 }
 
 // Run deletes the host's entry.
-func Run(ctx context.Context, o *Options, client Client) error {
+func Run(ctx context.Context, o *Options, client rollout.EntryClient) error {
 	entry, err := client.Entry(ctx, "host", o.Host)
 	if err != nil {
 		return err
--- a/hickory/internal/factory/factory.go
+++ b/hickory/internal/factory/factory.go
@@ -78,6 +78,35 @@
 	return adminapi.New(address, f.Getenv(EnvToken), f.Getenv(EnvCA))
 }
 
+// NoArgs returns the run function of a command without arguments.
+func (f *Factory) NoArgs(run func(ctx context.Context, client *adminapi.Client) error) func(context.Context, []string) error {
+	return func(ctx context.Context, args []string) error {
+		if len(args) > 0 {
+			return Usagef("%q is not expected here; the command takes no arguments", args[0])
+		}
+		client, err := f.Client()
+		if err != nil {
+			return err
+		}
+		return run(ctx, client)
+	}
+}
+
+// OneArg returns the run function of a command with one argument, which what
+// describes.
+func (f *Factory) OneArg(what string, run func(ctx context.Context, arg string, client *adminapi.Client) error) func(context.Context, []string) error {
+	return func(ctx context.Context, args []string) error {
+		if len(args) != 1 {
+			return Usagef("give one %s", what)
+		}
+		client, err := f.Client()
+		if err != nil {
+			return err
+		}
+		return run(ctx, args[0], client)
+	}
+}
+
 // Author returns the name under which changes are recorded.
 func (f *Factory) Author() string {
 	if author := f.Getenv(EnvAuthor); author != "" {
--- a/hickory/internal/rollout/rollout.go
+++ b/hickory/internal/rollout/rollout.go
@@ -34,6 +34,12 @@
 		Seen() uint64
 	}
 
+	// EntryClient also reads the entry that a change is based on.
+	EntryClient interface {
+		Client
+		Entry(ctx context.Context, kind, name string) (adminapi.Entry, error)
+	}
+
 	// Options say how a change is sent.
 	Options struct {
 		Out     io.Writer
