Read the loads of a home's servers in turn

Cause: a home read every server's load five times a second; with the 33 servers of a home at the size aimed at that is 165 reads a second. Ruled out: a longer interval for all (homes of today have 4 or 5 servers and keep 200 ms). Before and after: at most 30 reads a second instead of 165 with 33 servers (TestLoadReadsAreBounded); unchanged up to 6 servers. Conclusion: with 33 servers a report is up to 1.1 s older; the home's own grants are exact in between.

--- a/hickoryd/internal/home/slots.go
+++ b/hickoryd/internal/home/slots.go
@@ -3,8 +3,10 @@
 package home
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -20,7 +22,11 @@
 
 const (
 	loadInterval = 200 * time.Millisecond
-	loadTimeout  = time.Second
+	// loadsPerInterval bounds the servers that are read in one interval, in
+	// rotation, so that a home of many servers stays within its share of
+	// processor and network.
+	loadsPerInterval = 6
+	loadTimeout      = time.Second
 )
 
 // ErrNotHome means that another daemon is the home.
@@ -71,6 +77,7 @@
 		reclaiming map[string]bool // by request id
 		reading    map[string]bool // servers whose load is being read
 		readers    sync.WaitGroup
+		lastRead   string // server whose load was read last; of Run alone
 	}
 )
 
@@ -200,7 +207,7 @@
 // readLoads begins to read the loads of all servers but those that have not
 // answered the last time yet: one that is frozen must not delay the others.
 func (s *Slots) readLoads(ctx context.Context) {
-	for _, server := range s.tracked() {
+	for _, server := range s.nextToRead() {
 		if s.beginRead(server.ID) {
 			reader := loadReader{slots: s, server: server}
 			s.readers.Go(func() { reader.run(ctx) })
@@ -224,6 +231,25 @@
 	delete(s.reading, serverID)
 }
 
+// nextToRead returns the servers whose turn it is.
+func (s *Slots) nextToRead() []backend.Server {
+	servers := s.tracked()
+	slices.SortFunc(servers, func(a, b backend.Server) int { return cmp.Compare(a.ID, b.ID) })
+	if len(servers) <= loadsPerInterval {
+		return servers
+	}
+	start, found := slices.BinarySearchFunc(servers, s.lastRead, func(a backend.Server, id string) int { return cmp.Compare(a.ID, id) })
+	if found {
+		start++
+	}
+	next := make([]backend.Server, 0, loadsPerInterval)
+	for i := range loadsPerInterval {
+		next = append(next, servers[(start+i)%len(servers)])
+	}
+	s.lastRead = next[len(next)-1].ID
+	return next
+}
+
 func (s *Slots) tracked() []backend.Server {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- /dev/null
+++ b/hickoryd/internal/home/slots_test.go
@@ -0,0 +1,86 @@
+package home_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/json"
+
+	"github.com/hickoryfront/hickoryfront/core/backend"
+	"github.com/hickoryfront/hickoryfront/core/member"
+	"github.com/hickoryfront/hickoryfront/core/ring"
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/home"
+)
+
+type (
+	// alone is the fleet of one daemon, which is the home of every server.
+	alone struct{}
+
+	listed []backend.Server
+
+	// countedEngines counts the load reports that were read.
+	countedEngines struct {
+		mu    sync.Mutex
+		reads map[string]int
+	}
+
+	noCancels struct{}
+)
+
+func (alone) Self() member.Host                         { return member.Host{Name: "host-1"} }
+func (alone) Ring(time.Time) *ring.Ring                 { return ring.New([]string{"host-1"}) }
+func (alone) IsAlive(time.Time, string, uint64) bool    { return true }
+func (l listed) Servers() []backend.Server              { return l }
+func (listed) ObserveRemote(backend.Load)               {}
+func (noCancels) Cancel(backend.Server, string, func()) {}
+
+func (e *countedEngines) Load(_ context.Context, server backend.Server) (backend.Load, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.reads[server.ID]++
+	return backend.Load{ServerID: server.ID, ObservedAt: time.Now(), SlotsTotal: 20}, nil
+}
+
+// TestLoadReadsAreBounded checks that a home of many servers reads each of them
+// in turn and does not read more in all.
+func TestLoadReadsAreBounded(t *testing.T) {
+	const period, maxPerSecond, perInterval = 60, 30, 6 // the period begins and ends with an interval
+	tests := map[string]struct{ servers, wantEach int }{
+		"5 servers of today":  {5, 5 * period},
+		"33 servers at scale": {33, period * 9 / 10},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var servers listed
+				for i := range test.servers {
+					servers = append(servers, backend.Server{ID: fmt.Sprintf("decode-%02d", i), Role: backend.RoleDecode, State: backend.StateLive, Slots: 20})
+				}
+				engines := &countedEngines{reads: map[string]int{}}
+				logger := &log.Logger{Handler: json.New(io.Discard), Level: log.InfoLevel}
+				slots := home.NewSlots(servers, engines, noCancels{}, logger, metrics.NewSet())
+				slots.Join(alone{})
+				ctx, cancel := context.WithTimeout(t.Context(), period*time.Second)
+				defer cancel()
+				slots.Run(ctx)
+				total := 0
+				for id, reads := range engines.reads {
+					total += reads
+					if reads < test.wantEach {
+						t.Errorf("%s was read %d times in %d s, want %d", id, reads, period, test.wantEach)
+					}
+				}
+				if total > maxPerSecond*period+perInterval || len(engines.reads) != test.servers {
+					t.Errorf("%d reads of %d servers in %d s", total, len(engines.reads), period)
+				}
+			})
+		})
+	}
+}
--- a/hickorylab/bench/fleet.go
+++ b/hickorylab/bench/fleet.go
@@ -31,11 +31,11 @@
 	plainService  = "cart"
 	workspaceName = "boipara"
 
-	callerPort   = 18080
-	operatorPort = 18081
-	peerPort     = 18082
+	callerPort   = 28080
+	operatorPort = 28081
+	peerPort     = 28082
 	serverPort   = 19000
-	platformPort = 18500
+	platformPort = 28500
 
 	domainCount  = 4
 	startTimeout = 60 * time.Second
