Tell reads from writes of the platform in bench control

Cause: the platform's limits differ for reads and writes. Before and after: the metrics page is read before the period now; its bytes were part of it.

--- a/hickorylab/bench/control.go
+++ b/hickorylab/bench/control.go
@@ -32,7 +32,8 @@
 		CPU        float64       `json:"cpuShare"` // of one core
 		Bytes      float64       `json:"bytesPerSecond"`
 		Memory     float64       `json:"memoryBytes"`
-		Calls      float64       `json:"platformCallsPerSecond"`
+		Reads      float64       `json:"platformReadsPerSecond"`
+		Writes     float64       `json:"platformWritesPerSecond"`
 		WorstCPU   float64       `json:"worstCpuShare"`
 		WorstBytes float64       `json:"worstBytesPerSecond"`
 		Spread     time.Duration `json:"worstSpreadNanoseconds"` // of a change to all daemons
@@ -77,11 +78,11 @@
 		if err != nil {
 			return report, fmt.Errorf("%d nodes, %d servers: %w", point.Nodes, point.Servers, err)
 		}
-		fmt.Fprintf(o.Progress, "%d nodes, %d servers, %d workspaces, %.2f changes/s: %.2f%% of a core, %.0f bytes/s, %.1f MB, %.2f calls/s, spread %s\n",
-			point.Nodes, point.Servers, point.Workspaces, point.Changes, 100*sample.CPU, sample.Bytes, sample.Memory/1e6, sample.Calls, sample.Spread)
+		fmt.Fprintf(o.Progress, "%d nodes, %d servers, %d workspaces, %.2f changes/s: %.2f%% of a core, %.0f bytes/s, %.1f MB, %.2f reads/s, %.2f writes/s, spread %s\n",
+			point.Nodes, point.Servers, point.Workspaces, point.Changes, 100*sample.CPU, sample.Bytes, sample.Memory/1e6, sample.Reads, sample.Writes, sample.Spread)
 		report.Samples = append(report.Samples, sample)
 	}
-	report.Fits = fitAll(report.Samples)
+	report.Fits = FitAll(report.Samples)
 	return report, nil
 }
 
@@ -149,7 +150,8 @@
 		s.CPU += cpu / count
 		s.Bytes += bytes / count
 		s.Memory += after[i].memory / count
-		s.Calls += (after[i].calls - before[i].calls) / period.Seconds() / count
+		s.Reads += (after[i].reads - before[i].reads) / period.Seconds() / count
+		s.Writes += (after[i].writes - before[i].writes) / period.Seconds() / count
 		s.WorstCPU = max(s.WorstCPU, cpu)
 		s.WorstBytes = max(s.WorstBytes, bytes)
 	}
--- a/hickorylab/bench/fit.go
+++ b/hickorylab/bench/fit.go
@@ -38,7 +38,8 @@
 		{"processor", "% of a core", func(s ControlSample) float64 { return perCent * s.CPU }},
 		{"bytes", "KB/s", func(s ControlSample) float64 { return s.Bytes / 1000 }},
 		{"memory", "MB", func(s ControlSample) float64 { return s.Memory / bytesOfMB }},
-		{"platform calls", "1/s", func(s ControlSample) float64 { return s.Calls }},
+		{"platform reads", "1/s", func(s ControlSample) float64 { return s.Reads }},
+		{"platform writes", "1/s", func(s ControlSample) float64 { return s.Writes }},
 	}
 }
 
@@ -62,8 +63,8 @@
 	}
 }
 
-// fitAll fits every quantity, or none when there are too few samples.
-func fitAll(samples []ControlSample) []Fit {
+// FitAll fits every quantity, or none when there are too few samples.
+func FitAll(samples []ControlSample) []Fit {
 	var fits []Fit
 	for _, q := range quantities() {
 		fit, err := fitOne(samples, q)
@@ -101,10 +102,10 @@
 // WriteTable prints samples, slopes and the projection to the given fleet.
 func (r ControlReport) WriteTable(out io.Writer, target ControlPoint) error {
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(w, "NODES\tSERVERS\tWORKSPACES\tCHANGES/S\tCPU %\tWORST CPU %\tBYTES/S\tWORST BYTES/S\tMEMORY MB\tPLATFORM CALLS/S\tWORST SPREAD")
+	fmt.Fprintln(w, "NODES\tSERVERS\tWORKSPACES\tCHANGES/S\tCPU %\tWORST CPU %\tBYTES/S\tWORST BYTES/S\tMEMORY MB\tREADS/S\tWRITES/S\tWORST SPREAD")
 	for _, s := range r.Samples {
-		fmt.Fprintf(w, "%d\t%d\t%d\t%.2f\t%.3f\t%.3f\t%.0f\t%.0f\t%.1f\t%.3f\t%s\n", s.Point.Nodes, s.Point.Servers, s.Point.Workspaces,
-			s.Point.Changes, perCent*s.CPU, perCent*s.WorstCPU, s.Bytes, s.WorstBytes, s.Memory/bytesOfMB, s.Calls, s.Spread.Round(1e6))
+		fmt.Fprintf(w, "%d\t%d\t%d\t%.2f\t%.3f\t%.3f\t%.0f\t%.0f\t%.1f\t%.3f\t%.3f\t%s\n", s.Point.Nodes, s.Point.Servers, s.Point.Workspaces,
+			s.Point.Changes, perCent*s.CPU, perCent*s.WorstCPU, s.Bytes, s.WorstBytes, s.Memory/bytesOfMB, s.Reads, s.Writes, s.Spread.Round(1e6))
 	}
 	fmt.Fprintf(w, "\nQUANTITY\tBASE\tPER NODE\tPER SERVER\tPER HOME SERVER\tPER WORKSPACE\tPER CHANGE/S\tWORST RESIDUAL\tAT %d/%d/%d/%.2f\n",
 		target.Nodes, target.Servers, target.Workspaces, target.Changes)
--- a/hickorylab/bench/usage.go
+++ b/hickorylab/bench/usage.go
@@ -16,21 +16,28 @@
 	clockTicks   = 100
 	bytesPerKiB  = 1024
 	callsMetric  = "hickoryfront_platform_calls_total{"
-	watchClass   = `class="watch"`
+	listMetric   = "hickoryfront_host_list_calls_total"
 	statUserTime = 11 // fields after the command's name
 )
 
+// writeClasses are the calls that the platform counts as writes.
+var writeClasses = map[string]bool{`class="put"}`: true, `class="delete"}`: true, `class="lease"}`: true}
+
 // reading is what one process has used since it started.
 type reading struct {
 	cpuSeconds float64
 	bytes      float64 // read and written, sockets included
 	memory     float64 // resident, in bytes
-	calls      float64 // of the platform
+	reads      float64 // of the platform; a waiting watch is one
+	writes     float64 // of the platform, leases included
 }
 
 func readUsage(d *daemon) (reading, error) {
-	var r reading
-	var err error
+	// The metrics go first: what they take is not part of the period then.
+	r, err := platformCalls(d)
+	if err != nil {
+		return r, err
+	}
 	if r.cpuSeconds, err = processorTime(d.command.Process.Pid); err != nil {
 		return r, err
 	}
@@ -41,8 +48,7 @@
 		return r, err
 	}
 	r.memory *= bytesPerKiB
-	r.calls, err = platformCalls(d)
-	return r, err
+	return r, nil
 }
 
 // processorTime returns user and system time.
@@ -89,29 +95,33 @@
 	return sum, nil
 }
 
-// platformCalls reads the daemon's own count; a waiting watch is one call.
-func platformCalls(d *daemon) (float64, error) {
+// platformCalls reads the daemon's own counts.
+func platformCalls(d *daemon) (reading, error) {
 	response, err := http.Get("http://" + d.operator + "/metrics")
 	if err != nil {
-		return 0, err
+		return reading{}, err
 	}
 	defer response.Body.Close()
-	return sumMetric(response.Body, callsMetric)
+	return countCalls(response.Body)
 }
 
-func sumMetric(text io.Reader, prefix string) (float64, error) {
-	var sum float64
+func countCalls(text io.Reader) (reading, error) {
+	var r reading
 	lines := bufio.NewScanner(text)
 	for lines.Scan() {
 		name, value, ok := strings.Cut(lines.Text(), " ")
-		if !ok || !strings.HasPrefix(name, prefix) {
+		if !ok || !(strings.HasPrefix(name, callsMetric) || name == listMetric) {
 			continue
 		}
 		number, err := strconv.ParseFloat(value, 64)
 		if err != nil {
-			return 0, err
+			return r, err
+		}
+		if writeClasses[strings.TrimPrefix(name, callsMetric)] {
+			r.writes += number
+		} else {
+			r.reads += number
 		}
-		sum += number
 	}
-	return sum, lines.Err()
+	return r, lines.Err()
 }
