Read the host list only when it has changed

Cause: the answer to a waiting read carries the whole list also when nothing changed. Ruled out: longer waits (a silent connection would hide a change). TestListWaitsForChanges counts the reads exactly, as before, with one more for each change. Daemons that ping a connection every 10 s are no longer sent away by the server's default of 5 minutes.

--- a/hickoryd/internal/node/servers.go
+++ b/hickoryd/internal/node/servers.go
@@ -11,6 +11,7 @@
 	"github.com/apex/log"
 	"github.com/gin-gonic/gin"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/keepalive"
 
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/transport"
 	"github.com/hickoryfront/hickoryfront/peerapi"
@@ -20,6 +21,8 @@
 	readHeaderTimeout = 5 * time.Second
 	idleTimeout       = 2 * time.Minute
 	maxHeaderBytes    = 16 << 10
+	// minPingInterval is below the interval in which daemons ping connections.
+	minPingInterval = 5 * time.Second
 )
 
 type (
@@ -71,7 +74,8 @@
 	if err != nil {
 		return nil, err
 	}
-	server := grpc.NewServer(grpc.Creds(security.PeerServer()))
+	server := grpc.NewServer(grpc.Creds(security.PeerServer()),
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: minPingInterval}))
 	peerapi.RegisterPeerServer(server, service)
 	return &peerServer{server: server, listener: listener, logger: logger}, nil
 }
--- a/hickoryd/platform/hostlist.go
+++ b/hickoryd/platform/hostlist.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/netip"
 	"net/url"
+	"slices"
 	"strconv"
 	"time"
 
@@ -20,6 +21,8 @@
 	// listWait bounds the wait for a change, and so the time in which a silent
 	// connection hides a server that leaves.
 	listWait = 3 * time.Second
+	// noEntries is a filter that no entry passes.
+	noEntries = `ServiceID == ""`
 )
 
 type (
@@ -28,6 +31,9 @@
 	HostList struct {
 		client *Client
 		index  uint64 // of the list read last; 0: none, or the platform has none
+
+		servers []backend.Server
+		refused []string // entries that can't be used
 	}
 
 	catalogEntry struct {
@@ -46,53 +52,70 @@
 }
 
 // Servers returns the listed backend servers. After the first read it waits for
-// a change, for a bounded time. Entries that can't be used are left out and
-// named in the second value.
+// a change, for a bounded time, and reads the list again only when it changed.
+// Entries that can't be used are left out and named in the second value.
 func (h *HostList) Servers(ctx context.Context) ([]backend.Server, []string, error) {
-	entries, err := h.read(ctx)
+	changed, err := h.awaitChange(ctx)
+	if err == nil && changed {
+		err = h.read(ctx)
+	}
 	if err != nil {
 		h.index = 0 // the next read does not wait
 		return nil, nil, err
 	}
-	servers := make([]backend.Server, 0, len(entries))
-	var refused []string
+	return slices.Clone(h.servers), h.refused, nil
+}
+
+// awaitChange waits until the list is another than the one read last. The
+// filter keeps the entries out of the answer.
+func (h *HostList) awaitChange(ctx context.Context) (bool, error) {
+	if h.index == 0 {
+		return true, nil
+	}
+	index, _, err := h.fetch(ctx, listWait, url.Values{
+		"index": {strconv.FormatUint(h.index, 10)}, "wait": {listWait.String()}, "filter": {noEntries},
+	})
+	return index != h.index, err
+}
+
+func (h *HostList) read(ctx context.Context) error {
+	index, entries, err := h.fetch(ctx, 0, nil)
+	if err != nil {
+		return err
+	}
+	h.index, h.servers, h.refused = index, make([]backend.Server, 0, len(entries)), nil
 	for _, e := range entries {
 		s, err := e.server()
 		if err != nil {
-			refused = append(refused, fmt.Sprintf("%s: %v", e.ServiceID, err))
+			h.refused = append(h.refused, fmt.Sprintf("%s: %v", e.ServiceID, err))
 			continue
 		}
-		servers = append(servers, s)
+		h.servers = append(h.servers, s)
 	}
-	return servers, refused, nil
+	return nil
 }
 
-func (h *HostList) read(ctx context.Context) ([]catalogEntry, error) {
-	ctx, cancel := context.WithTimeout(ctx, listWait+h.client.timeout)
+func (h *HostList) fetch(ctx context.Context, wait time.Duration, query url.Values) (uint64, []catalogEntry, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+h.client.timeout)
 	defer cancel()
-	query := url.Values{}
-	if h.index > 0 {
-		query.Set("index", strconv.FormatUint(h.index, 10))
-		query.Set("wait", listWait.String())
-	}
 	h.client.calls["list"].Inc()
 	request, err := h.client.request(ctx, http.MethodGet, "/v1/catalog/service/"+backendServiceName, query, nil)
 	if err != nil {
-		return nil, err
+		return 0, nil, err
 	}
 	response, data, err := h.client.roundTrip(request)
 	if err != nil {
-		return nil, err
+		return 0, nil, err
 	}
 	if response.StatusCode != http.StatusOK {
-		return nil, h.client.statusError(response, data)
+		return 0, nil, h.client.statusError(response, data)
 	}
 	var entries []catalogEntry
 	if err := json.Unmarshal(data, &entries); err != nil {
-		return nil, fmt.Errorf("%w: host list: %w", ErrUnavailable, err)
+		return 0, nil, fmt.Errorf("%w: host list: %w", ErrUnavailable, err)
 	}
-	h.index, _ = strconv.ParseUint(response.Header.Get(indexHeader), 10, 64)
-	return entries, nil
+	index, _ := strconv.ParseUint(response.Header.Get(indexHeader), 10, 64)
+	return index, entries, nil
 }
 
 func (e catalogEntry) server() (backend.Server, error) {
--- a/hickorylab/platform/hostlist_test.go
+++ b/hickorylab/platform/hostlist_test.go
@@ -71,7 +71,8 @@
 			t.Fatalf("%s: %q, want %q", step.name, got, step.want)
 		}
 	}
-	if counts := stand.Counts(); counts.Reads != 2 || counts.Watches != 3 {
-		t.Errorf("%d reads and %d watches, want 2 and 3", counts.Reads, counts.Watches)
+	// Read whole: at first, after each change and after the outage.
+	if counts := stand.Counts(); counts.Reads != 4 || counts.Watches != 3 {
+		t.Errorf("%d reads and %d watches, want 4 and 3", counts.Reads, counts.Watches)
 	}
 }
--- a/hickorylab/platform/platform.go
+++ b/hickorylab/platform/platform.go
@@ -23,6 +23,8 @@
 	// listPollInterval is the time between looks of a reader that waits for a
 	// change of the host list.
 	listPollInterval = 50 * time.Millisecond
+	// noEntries is the only filter of the host list that is understood.
+	noEntries = `ServiceID == ""`
 	// longestLag bounds the old host lists that are kept.
 	longestLag = time.Minute
 )
@@ -414,6 +416,9 @@
 	}
 	p.countRead(after > 0)
 	w.Header().Set("X-Consul-Index", strconv.FormatUint(seen.index, 10))
+	if query.Get("filter") == noEntries {
+		seen.services = []Service{}
+	}
 	writeJSON(w, seen.services)
 }
 
