--- a/hickoryd/internal/dispatch/model.go
+++ b/hickoryd/internal/dispatch/model.go
@@ -76,6 +76,8 @@
 		Reserve(ctx context.Context, now time.Time, server backend.Server, requestID string, terms slot.Terms) error
 		// Force takes a slot without its home; the home is told later.
 		Force(server backend.Server, requestID string, terms slot.Terms)
+		// Relax tells the home of new terms of a slot that is held.
+		Relax(server backend.Server, requestID string, terms slot.Terms)
 		Release(serverID, requestID string)
 		ReservePrefill(ctx context.Context, now time.Time, server backend.Server, p slot.Prefill) error
 		ReleasePrefill(serverID, requestID string)
@@ -138,6 +140,7 @@
 		failed      failedServers
 		fingerprint uint64
 		isolated    bool
+		lostAfter   time.Duration    // longest run that ended with the loss of its server
 		direct      bool             // the decode server computes the prompt
 		reserved    *reservedPrefill // place in a prefill queue
 		placedAt    time.Time        // start of the slot's reservation
