--- a/hickoryd/internal/dispatch/crashes.go
+++ b/hickoryd/internal/dispatch/crashes.go
@@ -70,7 +70,7 @@
 	}
 	r.survived()
 	r.isolated = false
-	r.models.slots.Relax(a.server, a.id, r.terms())
+	r.models.slots.Relax(a.server, a.id, r.terms(now))
 }
 
 // survived tells the fingerprint's home of a run in isolation that went well.
