Shorten the wait in line

Cause: one function joined, tried, waited and refused; a caller that left was promised a time as well. Ruled out: - Before and after: dispatch tests green with the race detector, three times.

--- a/hickoryd/internal/dispatch/reserve.go
+++ b/hickoryd/internal/dispatch/reserve.go
@@ -47,31 +47,38 @@
 	}
 	for {
 		now = time.Now()
-		if line.isTurn(now, ticket) {
-			server, err := r.place(ctx, now, ticket.ID)
-			if err == nil {
-				line.take(time.Now(), ticket)
-				return server, nil
-			}
-			if !isWorthWaiting(ctx, err) || !now.Before(ticket.Deadline) {
-				r.retryAfter = line.advice(now, ticket)
-				line.leave(now, ticket)
-				return backend.Server{}, err
+		server, err := r.takeTurn(ctx, now, line, ticket)
+		if err == nil {
+			return server, nil
+		}
+		if isWorthWaiting(ctx, err) && now.Before(ticket.Deadline) {
+			if err = line.wait(ctx, now, ticket); err == nil {
+				continue
 			}
-			line.pass(now, ticket)
 		}
-		if now.After(ticket.Deadline) {
+		if ctx.Err() == nil {
 			r.retryAfter = line.advice(now, ticket)
-			line.leave(now, ticket)
-			return backend.Server{}, errNoSlot
-		}
-		if err := line.wait(ctx, now, ticket); err != nil {
-			line.leave(time.Now(), ticket)
-			return backend.Server{}, err
 		}
+		line.leave(now, ticket)
+		return backend.Server{}, err
 	}
 }
 
+// takeTurn places the request if it is its turn. Otherwise, and when no server
+// takes it, the error is errNoSlot or errNoServer.
+func (r *run) takeTurn(ctx context.Context, now time.Time, line *line, ticket admission.Ticket) (backend.Server, error) {
+	if !line.isTurn(now, ticket) {
+		return backend.Server{}, errNoSlot
+	}
+	server, err := r.place(ctx, now, ticket.ID)
+	if err != nil {
+		line.pass(now, ticket)
+		return backend.Server{}, err
+	}
+	line.take(time.Now(), ticket)
+	return server, nil
+}
+
 // reserveIsolated polls for a server without another isolated request. It
 // stands in no line, as nobody may have to wait behind it.
 func (r *run) reserveIsolated(ctx context.Context, ticket admission.Ticket) (backend.Server, error) {
