Let a restarted engine take work again after it had left

Cause, found by reading: what a server said about leaving was kept until it left the list, also over its restart, so an engine that drained and was started again under its name got nothing. Directory and homes fed the mark to each other, as the home took the directory's state for the list's.

Now the home keeps what the server said apart from what the list says, the digest carries the server's incarnation, and a new incarnation takes the mark back; it also ends the queue of a prefill server's earlier life.

--- a/core/slot/ledger.go
+++ b/core/slot/ledger.go
@@ -64,7 +64,7 @@
 		server      backend.Server
 		granted     map[string]Reservation
 		reported    backend.Load
-		leaving     bool
+		leaving     bool      // as it said itself; the list may say so besides
 		limit       int       // of the batch; 0: the server's slots
 		released    eventRate // of slots
 		interactive eventRate // grants
@@ -89,9 +89,6 @@
 		l.servers[server.ID] = a
 	}
 	a.server = server
-	if server.State == backend.StateLeaving {
-		a.leaving = true
-	}
 }
 
 // Forget drops a server that is gone or whose home has moved. It returns the
@@ -140,9 +137,9 @@
 	if !ok {
 		return
 	}
-	if a.isRestart(load) {
+	if isRestart(a.reported, load) {
 		clear(a.granted)
-		a.leaving = a.server.State == backend.StateLeaving
+		a.leaving = false
 		a.reported = backend.Load{}
 		a.foreign = foreignLoad{}
 	}
@@ -166,7 +163,7 @@
 	if _, again := a.granted[r.RequestID]; again {
 		return nil
 	}
-	if a.leaving {
+	if a.leaving || a.server.State == backend.StateLeaving {
 		return ErrLeaving
 	}
 	if a.unreachable {
@@ -208,6 +205,7 @@
 	}
 	return backend.Load{
 		ServerID:       serverID,
+		Incarnation:    a.reported.Incarnation,
 		ObservedAt:     now,
 		SlotsUsed:      a.used(),
 		SlotsTotal:     a.capacity(),
@@ -220,9 +218,10 @@
 	}, true
 }
 
-func (a *account) isRestart(load backend.Load) bool {
-	known := a.reported.Incarnation
-	return known != "" && load.Incarnation != "" && load.Incarnation != known
+// isRestart reports whether a report comes from another life of the server than
+// the one before.
+func isRestart(before, now backend.Load) bool {
+	return before.Incarnation != "" && now.Incarnation != "" && now.Incarnation != before.Incarnation
 }
 
 func (a *account) holdsIsolated() bool {
--- a/core/slot/ledger_test.go
+++ b/core/slot/ledger_test.go
@@ -85,6 +85,21 @@
 	}
 }
 
+func TestRestartTakesLeavingBack(t *testing.T) {
+	now := time.Unix(1000, 0)
+	l := slot.New()
+	l.Track(backend.Server{ID: "d", Slots: 1})
+	l.Observe(backend.Load{ServerID: "d", ObservedAt: now, Incarnation: "1", Leaving: true})
+	l.Observe(backend.Load{ServerID: "d", ObservedAt: now.Add(time.Second), Incarnation: "2"})
+	if err := l.Reserve(now, "d", slot.Reservation{RequestID: "a"}); err != nil {
+		t.Errorf("the new life is taken for leaving: %v", err)
+	}
+	l.Track(backend.Server{ID: "d", Slots: 1, State: backend.StateLeaving})
+	if err := l.Reserve(now, "d", slot.Reservation{RequestID: "b"}); !errors.Is(err, slot.ErrLeaving) {
+		t.Errorf("the list says leaving: %v, want ErrLeaving", err)
+	}
+}
+
 func TestRestartFreesSlots(t *testing.T) {
 	now := time.Unix(1000, 0)
 	l := slot.New()
--- a/core/slot/prefill.go
+++ b/core/slot/prefill.go
@@ -34,12 +34,13 @@
 	}
 
 	prefillQueue struct {
-		granted  []Prefill // in the order of their grants
-		headAt   time.Time // start of the first
-		linkFree time.Time // end of the transfers reserved so far, in a fluid model
-		reported backend.Load
-		leaving  bool
-		silent   bool // does not answer its home
+		granted       []Prefill // in the order of their grants
+		headAt        time.Time // start of the first
+		linkFree      time.Time // end of the transfers reserved so far, in a fluid model
+		reported      backend.Load
+		leaving       bool // as it said itself
+		listedLeaving bool // the list says that it leaves
+		silent        bool // does not answer its home
 	}
 )
 
@@ -55,7 +56,7 @@
 		q = &prefillQueue{}
 		l.servers[server.ID] = q
 	}
-	q.leaving = q.leaving || server.State == backend.StateLeaving
+	q.listedLeaving = server.State == backend.StateLeaving
 }
 
 // Forget drops a server that is gone or whose home has moved.
@@ -71,9 +72,13 @@
 	}
 }
 
-// Observe takes in a load report.
+// Observe takes in a load report. A report of a new incarnation ends the queue
+// of the one before.
 func (l *PrefillLedger) Observe(load backend.Load) {
 	q, ok := l.servers[load.ServerID]
+	if ok && isRestart(q.reported, load) {
+		*q = prefillQueue{listedLeaving: q.listedLeaving}
+	}
 	if !ok || load.ObservedAt.Before(q.reported.ObservedAt) {
 		return
 	}
@@ -93,7 +98,7 @@
 	if q.find(p.RequestID) >= 0 {
 		return backlog, nil
 	}
-	if q.leaving {
+	if q.leaving || q.listedLeaving {
 		return 0, ErrLeaving
 	}
 	if q.silent {
--- a/hickoryd/internal/backends/candidates_test.go
+++ b/hickoryd/internal/backends/candidates_test.go
@@ -90,6 +90,33 @@
 	}
 }
 
+// A server that left and was started again takes work again.
+func TestRestartTakesLeavingBack(t *testing.T) {
+	d := directoryOf(listOf(1, 1))
+	now := time.Unix(1000, 0)
+	observe := func(seconds int, incarnation string, leaving bool) backend.State {
+		d.ObserveRemote(backend.Load{ServerID: "server-0", ObservedAt: now.Add(time.Duration(seconds) * time.Second), Incarnation: incarnation, Leaving: leaving})
+		server, _ := d.Lookup("server-0")
+		return server.State
+	}
+	steps := []struct {
+		incarnation string
+		leaving     bool
+		want        backend.State
+	}{
+		{"1", false, backend.StateLive},
+		{"1", true, backend.StateLeaving},
+		{"1", false, backend.StateLeaving},
+		{"2", false, backend.StateLive},
+		{"2", true, backend.StateLeaving},
+	}
+	for i, step := range steps {
+		if got := observe(i, step.incarnation, step.leaving); got != step.want {
+			t.Errorf("step %d: %s, want %s", i, got, step.want)
+		}
+	}
+}
+
 // One decision: the candidates and a plan over them.
 func BenchmarkDecision(b *testing.B) {
 	for _, servers := range []int{33, 1000, 12000} {
--- a/hickoryd/internal/backends/directory.go
+++ b/hickoryd/internal/backends/directory.go
@@ -39,7 +39,9 @@
 		server  backend.Server
 		load    backend.Load
 		leaving bool // learned from the server itself
-		listed  bool
+		// incarnation is the newest life of the server that was heard of.
+		incarnation string
+		listed      bool
 	}
 )
 
@@ -123,6 +125,10 @@
 	if load.ObservedAt.Before(r.load.ObservedAt) {
 		return
 	}
+	if load.Incarnation != "" && load.Incarnation != r.incarnation {
+		r.leaving = r.leaving && r.incarnation == ""
+		r.incarnation = load.Incarnation
+	}
 	r.load = load
 	r.leaving = r.leaving || load.Leaving
 }
--- a/hickoryd/internal/peer/convert.go
+++ b/hickoryd/internal/peer/convert.go
@@ -76,6 +76,7 @@
 		TokenGap:       durationpb.New(l.TokenGap),
 		Unreachable:    l.Unreachable,
 		LinkBacklog:    durationpb.New(l.LinkBacklog),
+		Incarnation:    l.Incarnation,
 	}
 }
 
@@ -92,5 +93,6 @@
 		TokenGap:       l.GetTokenGap().AsDuration(),
 		Unreachable:    l.GetUnreachable(),
 		LinkBacklog:    l.GetLinkBacklog().AsDuration(),
+		Incarnation:    l.GetIncarnation(),
 	}
 }
--- a/hickorylab/faults/streams_test.go
+++ b/hickorylab/faults/streams_test.go
@@ -561,3 +561,33 @@
 	}
 	awaitIdle(c)
 }
+
+// An engine that left and was started again under its name takes work again.
+//
+// proof: backend server leaving + backend server killed | reserve | 3
+func TestRestartedEngineTakesWorkAgain(t *testing.T) {
+	c := harness.Start(t, binaries, harness.Options{Decode: 1, Prefill: 1, Profile: patientProfile})
+	before := streams{cluster: c}
+	before.start(t.Context(), c.Hosts[0], "before", longPrompt, shortTokens)
+	before.checkWhole(t)
+	refuses := func(host *harness.Process) bool {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		return c.Complete(ctx, host, harness.Completion{Prompt: harness.Prompt("probe", longPrompt), MaxTokens: 1}).Status != http.StatusOK
+	}
+	for _, engineProcess := range c.Engines {
+		engineProcess.Switch(engine.Switches{Leaving: true})
+	}
+	for _, host := range c.Hosts {
+		c.Await(host.Name+" to see that the engines leave", func() bool { return refuses(host) })
+	}
+	for _, engineProcess := range c.Engines {
+		engineProcess.Kill()
+		engineProcess.Start()
+	}
+	after := streams{cluster: c}
+	for i, host := range c.Hosts {
+		after.start(t.Context(), host, fmt.Sprint("after ", i), longPrompt, shortTokens)
+	}
+	after.checkWhole(t)
+}
