Tell four hosts at once of a changed configuration

Cause: since heartbeats go to two hosts a period, a change that each daemon passes on to two misses some, which then wait for the next period. Ruled out: a larger fan-out of every heartbeat (bytes at 360 nodes). Before and after (7 daemons, real processes, one run each, load average 14 and 18): p50 12.3 and 8.5 ms, p99 491 and 13.8 ms, worst 500 and 17.8 ms; burst of 50 in force after 412 and 73 ms. Conclusion: only heartbeats that carry a change go to at least four.

--- a/hickoryd/internal/peer/heartbeat.go
+++ b/hickoryd/internal/peer/heartbeat.go
@@ -26,6 +26,9 @@
 	// retryDead is the number of periods between heartbeats to a dead host,
 	// which may only have been cut off.
 	retryDead = 10
+	// hurryFanout is the least number of hosts that learn of a change at once. Of
+	// a fleet in which each passes it on to four, 2 % are not reached that way.
+	hurryFanout = 4
 	// leaveFanout is the number of hosts that are told at once that a daemon
 	// stops.
 	leaveFanout = 8
@@ -37,6 +40,7 @@
 		round    []member.Host // partners not yet reached in this round
 		inFlight map[string]bool
 		periods  int
+		hurried  bool // the next heartbeats carry a change
 	}
 
 	// exchange is one heartbeat to one host. The name is empty when only the
@@ -77,11 +81,18 @@
 		case <-ctx.Done():
 			return
 		case <-m.hurry:
+			m.setHurried()
 		case <-ticker.C:
 		}
 	}
 }
 
+func (m *Membership) setHurried() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.schedule.hurried = true
+}
+
 // Leave tells some hosts that this daemon stops; they tell the others. It
 // returns when they have answered or ctx ends.
 func (m *Membership) Leave(ctx context.Context) {
@@ -150,7 +161,12 @@
 // its turn once.
 func (m *Membership) nextPartners() []member.Host {
 	var next []member.Host
-	for refilled := false; len(next) < m.options.Fanout; {
+	fanout := m.options.Fanout
+	if m.schedule.hurried {
+		fanout = max(fanout, hurryFanout)
+		m.schedule.hurried = false
+	}
+	for refilled := false; len(next) < fanout; {
 		if len(m.schedule.round) == 0 {
 			if refilled {
 				break
