Free slots between the polls in the test of the waiting line

The test frees a slot at the very instant at which the requests poll. The ping had tried just before it and passed the turn on, as it must when no server takes it; the brief tried just after it. Both are allowed at one instant.

Ruled out: a fault of the line; freed between two polls, the slot goes to the ping every time.

--- a/hickoryd/internal/dispatch/line_test.go
+++ b/hickoryd/internal/dispatch/line_test.go
@@ -15,6 +15,9 @@
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/dispatch"
 )
 
+// slotFreeOffset falls between the polls of waiting requests.
+const slotFreeOffset = 7 * time.Millisecond
+
 // gate grants reservations only as many as were let through.
 type gate struct {
 	mu   sync.Mutex
@@ -82,6 +85,9 @@
 		start("first brief", config.ClassDeferrable)
 		start("second brief", config.ClassDeferrable)
 		start("ping", config.ClassInteractive)
+		// A slot becomes free between two tries: at the very instant of a try,
+		// either request may be the first to look.
+		time.Sleep(slotFreeOffset)
 		for range 3 {
 			slots.let(1)
 			time.Sleep(time.Second)
