Keep the networks of measurements and tests apart

Cause: the measured fleets took 127.20 to 127.219 and tests 127.64 to 127.191, so a process could find its address taken by a foreign one. Seen: hosts of a measured fleet joined a test's cluster, and a replay test waited 60 s for engines that were never listed, with a measured fleet on the machine. Ruled out: the waiting reads of the host list (read through; its tests pass). Before: overlapping ranges. After: measurements use 127.200 to 127.249. Conclusion: the replay test's one failure fits this cause; it was not repeated.

--- a/hickorylab/bench/fleet.go
+++ b/hickorylab/bench/fleet.go
@@ -119,9 +119,10 @@
 	return f, f.serve(f.address(0, 1, platformPort), f.platform)
 }
 
-// networkOf keeps fleets apart, also those of two measurements at once.
+// networkOf keeps fleets apart, also those of two measurements at once, and apart
+// from the clusters of tests.
 func networkOf(number int) string {
-	const first, count = 20, 200
+	const first, count = 200, 50
 	return fmt.Sprintf("127.%d", first+(os.Getpid()*7+number)%count)
 }
 
--- a/hickorylab/harness/harness.go
+++ b/hickorylab/harness/harness.go
@@ -123,7 +123,7 @@
 	tb.Helper()
 	for range 1 << 13 {
 		number := int(networks.Add(1)) + os.Getpid()*61
-		network := fmt.Sprintf("127.%d.%d", 64+number/200%128, 1+number%200)
+		network := fmt.Sprintf("127.%d.%d", 64+number/200%128, 1+number%200) // measurements use 127.200 and up
 		held, err := net.Listen("tcp", fmt.Sprintf("%s.251:%d", network, platformPort))
 		if err == nil {
 			tb.Cleanup(func() { held.Close() })
