Go through the list of servers only when it has changed

Ruled out: searching less often (a leaving server must be known at once); the ring, whose answers are remembered already.

The directory's version changes exactly when its servers do; a test walks through the cases.

--- a/hickoryd/internal/backends/candidates_test.go
+++ b/hickoryd/internal/backends/candidates_test.go
@@ -132,3 +132,42 @@
 		})
 	}
 }
+
+// TestVersionFollowsTheServers checks that the version changes whenever Servers
+// returns something else, so that nobody misses a server that leaves.
+func TestVersionFollowsTheServers(t *testing.T) {
+	const id = "server-1"
+	load := func(at int64, incarnation string, leaving bool) backend.Load {
+		return backend.Load{ServerID: id, ObservedAt: time.Unix(at, 0), Incarnation: incarnation, Leaving: leaving}
+	}
+	d := directoryOf(listOf(3, 1))
+	steps := []struct {
+		name    string
+		step    func()
+		changes bool
+	}{
+		{"load report", func() { d.ObserveRemote(load(1, "a", false)) }, false},
+		{"server says that it leaves", func() { d.SetLeaving(id) }, true},
+		{"it says so again", func() { d.SetLeaving(id) }, false},
+		{"new life of the server", func() { d.ObserveRemote(load(2, "b", false)) }, true},
+		{"load report that it leaves", func() { d.ObserveRemote(load(3, "b", true)) }, true},
+		{"older load report", func() { d.ObserveRemote(load(2, "c", false)) }, false},
+	}
+	for _, s := range steps {
+		version, state := d.Version(), stateOf(d, id)
+		s.step()
+		changed := stateOf(d, id) != state
+		if changed != s.changes || (d.Version() != version) != s.changes {
+			t.Errorf("%s: servers changed %v, version changed %v, want %v", s.name, changed, d.Version() != version, s.changes)
+		}
+	}
+}
+
+func stateOf(d *backends.Directory, id string) backend.State {
+	for _, s := range d.Servers() {
+		if s.ID == id {
+			return s.State
+		}
+	}
+	return ""
+}
--- a/hickoryd/internal/backends/directory.go
+++ b/hickoryd/internal/backends/directory.go
@@ -32,6 +32,7 @@
 		records map[string]*record
 		pools   map[poolKey]*pool
 		listed  bool
+		version uint64 // of what Servers returns
 	}
 
 	// record is what is known of one server.
@@ -79,6 +80,13 @@
 	return d.listed
 }
 
+// Version changes whenever Servers would return something else.
+func (d *Directory) Version() uint64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.version
+}
+
 // Servers returns all known servers, with what they said about leaving.
 func (d *Directory) Servers() []backend.Server {
 	d.mu.Lock()
@@ -125,19 +133,28 @@
 	if load.ObservedAt.Before(r.load.ObservedAt) {
 		return
 	}
+	leaving := r.leaving
 	if load.Incarnation != "" && load.Incarnation != r.incarnation {
-		r.leaving = r.leaving && r.incarnation == ""
+		leaving = leaving && r.incarnation == ""
 		r.incarnation = load.Incarnation
 	}
 	r.load = load
-	r.leaving = r.leaving || load.Leaving
+	d.setLeaving(r, leaving || load.Leaving)
 }
 
 // SetLeaving marks a server that said that it leaves.
 func (d *Directory) SetLeaving(id string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.record(id).leaving = true
+	d.setLeaving(d.record(id), true)
+}
+
+// setLeaving notes whether a server leaves. The caller holds mu.
+func (d *Directory) setLeaving(r *record, leaving bool) {
+	if r.leaving != leaving {
+		r.leaving = leaving
+		d.version++
+	}
 }
 
 // record returns what is known of a server, which may not be listed yet. The
@@ -202,6 +219,7 @@
 		delete(d.records, id)
 	}
 	if changed {
+		d.version++
 		d.index()
 	}
 }
--- a/hickoryd/internal/home/prefixes_test.go
+++ b/hickoryd/internal/home/prefixes_test.go
@@ -30,6 +30,7 @@
 	snapshots int
 }
 
+func (l *cachingLab) Version() uint64           { return 1 }
 func (l *cachingLab) Servers() []backend.Server { return []backend.Server{cachingServer} }
 
 func (l *cachingLab) Load(context.Context, backend.Server) (backend.Load, error) {
--- a/hickoryd/internal/home/reservations_test.go
+++ b/hickoryd/internal/home/reservations_test.go
@@ -58,6 +58,7 @@
 	return member.State{Host: other}, f.known
 }
 
+func (l *lab) Version() uint64            { return 1 }
 func (l *lab) Servers() []backend.Server  { return []backend.Server{server} }
 func (l *lab) ObserveRemote(backend.Load) {}
 func (l *lab) Load(context.Context, backend.Server) (backend.Load, error) {
--- a/hickoryd/internal/home/slots.go
+++ b/hickoryd/internal/home/slots.go
@@ -42,6 +42,8 @@
 
 	// Directory is what homes need of the backend servers.
 	Directory interface {
+		// Version changes whenever Servers would return something else.
+		Version() uint64
 		Servers() []backend.Server
 		ObserveRemote(load backend.Load)
 	}
@@ -79,6 +81,9 @@
 		readers    sync.WaitGroup
 		lastRead   string       // server whose load was read last; of Run alone
 		owned      ownedServers // of Run alone
+
+		adoptedRing    *ring.Ring // of Run alone
+		adoptedVersion uint64     // of Run alone
 	}
 )
 
@@ -179,15 +184,27 @@
 
 // adopt tracks the servers whose home is this daemon and forgets the others.
 func (s *Slots) adopt(now time.Time) {
+	homes, version := s.membership.Ring(now), s.directory.Version()
+	if homes != s.adoptedRing || version != s.adoptedVersion {
+		s.adoptListed(homes)
+		s.adoptedRing, s.adoptedVersion = homes, version
+	}
+	alive := s.aliveAt(now)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.prefills.Expire(now, prefillLimit, alive)
+}
+
+// adoptListed goes through the list, whose length is that of the whole fleet.
+func (s *Slots) adoptListed(homes *ring.Ring) {
 	listed := s.directory.Servers()
-	s.owned.follow(s.membership.Ring(now), s.membership.Self().Name, len(listed))
+	s.owned.follow(homes, s.membership.Self().Name, len(listed))
 	mine := map[string]backend.Server{}
 	for _, server := range listed {
 		if server.Role != backend.RolePlain && s.owned.has(server.ID) {
 			mine[server.ID] = server
 		}
 	}
-	alive := s.aliveAt(now)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for id := range s.servers {
@@ -202,7 +219,6 @@
 		}
 	}
 	s.servers = mine
-	s.prefills.Expire(now, prefillLimit, alive)
 }
 
 // readLoads begins to read the loads of all servers but those that have not
--- a/hickoryd/internal/home/slots_test.go
+++ b/hickoryd/internal/home/slots_test.go
@@ -37,6 +37,7 @@
 func (alone) Self() member.Host                         { return member.Host{Name: "host-1"} }
 func (alone) Ring(time.Time) *ring.Ring                 { return ring.New([]string{"host-1"}) }
 func (alone) IsAlive(time.Time, string, uint64) bool    { return true }
+func (l listed) Version() uint64                        { return 1 }
 func (l listed) Servers() []backend.Server              { return l }
 func (listed) ObserveRemote(backend.Load)               {}
 func (noCancels) Cancel(backend.Server, string, func()) {}
