Answer a refused completion with a key by the refusal's own status

Cause: a completion with a key that was refused before its first byte came as 200 with the error in its body: the copy of an answer wrote its empty body, and with it the status, before it looked at the refusal.

Ruled out: the refusal itself; its code and X-Request-Ran were set, too late.

After: nothing is written or flushed before the refusal.

--- a/hickoryd/internal/dispatch/attach.go
+++ b/hickoryd/internal/dispatch/attach.go
@@ -193,13 +193,15 @@
 			writeHead(to, part)
 			started = true
 		}
-		if _, err := to.Write(part.Body); err != nil && started {
-			return started, context.Canceled
-		}
 		if part.Refusal != nil && !started {
-			return started, part.Refusal
+			return started, part.Refusal // nothing is written: the refusal has a status of its own
+		}
+		if len(part.Body) > 0 {
+			if _, err := to.Write(part.Body); err != nil {
+				return started, context.Canceled
+			}
 		}
-		if flusher, ok := to.(http.Flusher); ok {
+		if flusher, ok := to.(http.Flusher); ok && started {
 			flusher.Flush()
 		}
 		if part.Done {
--- a/hickoryd/internal/dispatch/attach_test.go
+++ b/hickoryd/internal/dispatch/attach_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -115,3 +116,48 @@
 		})
 	}
 }
+
+type (
+	// refusingSource is a run that ends without an answer.
+	refusingSource struct {
+		dispatch.Source
+		refusal *refusal.Refusal
+	}
+
+	// touchedWriter notes whether anything was written, the status included.
+	touchedWriter struct {
+		http.ResponseWriter
+		touched bool
+	}
+)
+
+func (s refusingSource) Next(context.Context) (dispatch.Part, error) {
+	return dispatch.Part{Refusal: s.refusal, Done: true}, nil
+}
+
+func (refusingSource) Close() {}
+
+func (w *touchedWriter) Header() http.Header { return http.Header{} }
+func (w *touchedWriter) WriteHeader(int)     { w.touched = true }
+func (w *touchedWriter) Flush()              { w.touched = true }
+
+func (w *touchedWriter) Write(data []byte) (int, error) {
+	w.touched = true
+	return len(data), nil
+}
+
+// A refusal before the first byte leaves the status open: the caller gets that
+// of the refusal, not 200.
+//
+// proof: none | answer | 4
+func TestCopyOfARefusalWritesNothing(t *testing.T) {
+	full := refusal.NotRun(refusal.Overloaded, "full")
+	w := &touchedWriter{}
+	started, err := dispatch.Copy(t.Context(), w, refusingSource{refusal: full})
+	if started || refusal.Of(err) != full {
+		t.Errorf("started %v, error %v, want the refusal", started, err)
+	}
+	if w.touched {
+		t.Error("something was written before the refusal")
+	}
+}
--- a/hickorylab/harness/harness.go
+++ b/hickorylab/harness/harness.go
@@ -431,6 +431,11 @@
 	return runs
 }
 
+// Answers reports whether an engine accepts connections.
+func (p *Process) Answers() bool {
+	return dials(p.Address)
+}
+
 // Held returns the number of requests that an engine holds in memory. An
 // engine that does not answer counts as holding one.
 func (p *Process) Held() int {
