Count a known red test as no proof

Cause: the proof page listed five cells of a test that KNOWN-RED.txt lists. Ruled out: dropping the test; it stays as it is. Before: those cells were marked proved. After: they are not. Conclusion: the page claims only what passes.

--- a/hickorylab/faults/steps_test.go
+++ b/hickorylab/faults/steps_test.go
@@ -151,14 +151,9 @@
 	}
 }
 
-// TestFailureDomainLostInMidStream kills a daemon and the engines beside it at
-// once, at each step, while completions through another daemon go on.
-//
-// proof: failure domain lost | prefill | 3
-// proof: failure domain lost | transfer | 3
-// proof: failure domain lost | first token | 3
-// proof: failure domain lost | stream | 3
-// proof: failure domain lost | last token | 3
+// TestFailureDomainLostAtEachStep kills a daemon and the engines beside it at
+// once, at each step of a completion through another daemon. KNOWN-RED.txt lists
+// it, so it proves nothing yet.
 func TestFailureDomainLostAtEachStep(t *testing.T) {
 	t.Parallel()
 	c := harness.Start(t, binaries, harness.Options{EngineFlags: stepEngines, Profile: stepProfile})
