Wait with one function instead of six

Cause: six packages of the daemon each had their own wait that ends with a context, under three names and with three kinds of result.

Ruled out: a library for backoff at these places; they wait once, for a known time. The lab and the operators' command keep theirs: they can't import an internal package of the daemon, and one shared module for eight lines is more than it saves.

Before: six copies, 66 lines. After: timing.Sleep. Recording.Started and cutproxy's SilenceOpen, which nothing called, are gone. Behaviour is the same: all tests of the daemon pass with the race detector, and so do the tests of the faults that cut, replace and leave (89 s). The other fault tests were not run again.

Conclusion: the conversions of claims and the commands' constructors that look alike were read and left: each names its own direction, or its own options.

--- a/hickoryd/internal/configstore/commit.go
+++ b/hickoryd/internal/configstore/commit.go
@@ -12,6 +12,7 @@
 	"github.com/cenkalti/backoff/v4"
 
 	"github.com/hickoryfront/hickoryfront/core/config"
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/timing"
 	"github.com/hickoryfront/hickoryfront/hickoryd/platform"
 )
 
@@ -152,7 +153,7 @@
 		rest, err := c.round(ctx, batch)
 		batch = expire(time.Now(), rest, err)
 		if err != nil {
-			sleep(ctx, pause.NextBackOff())
+			_ = timing.Sleep(ctx, pause.NextBackOff()) // the loop sees the end of ctx
 			continue
 		}
 		pause.Reset()
--- a/hickoryd/internal/configstore/follow.go
+++ b/hickoryd/internal/configstore/follow.go
@@ -8,6 +8,7 @@
 
 	"github.com/hickoryfront/hickoryfront/core/member"
 	"github.com/hickoryfront/hickoryfront/core/ring"
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/timing"
 )
 
 const (
@@ -55,7 +56,7 @@
 			nextPoll = time.Now().Add(s.poll(ctx))
 		default:
 			index = 0
-			sleep(ctx, min(roleInterval, nextPoll.Sub(now)))
+			_ = timing.Sleep(ctx, min(roleInterval, nextPoll.Sub(now))) // the loop sees the end of ctx
 		}
 	}
 }
@@ -81,7 +82,7 @@
 		_, _, err = s.take(ctx, value)
 	}
 	if err != nil && !errors.Is(err, errStale) { // a newer one may come from a peer first
-		sleep(ctx, retryInterval)
+		_ = timing.Sleep(ctx, retryInterval) // the loop sees the end of ctx
 		return 0
 	}
 	if next < index {
--- a/hickoryd/internal/configstore/store.go
+++ b/hickoryd/internal/configstore/store.go
@@ -230,12 +230,3 @@
 func segmentKey(revision uint64) string {
 	return fmt.Sprintf("%s%d", segmentPrefix, revision)
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/hickoryd/internal/dispatch/canceller.go
+++ b/hickoryd/internal/dispatch/canceller.go
@@ -9,6 +9,7 @@
 	"github.com/cenkalti/backoff/v4"
 
 	"github.com/hickoryfront/hickoryfront/core/backend"
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/timing"
 )
 
 const (
@@ -103,7 +104,7 @@
 		backoff.WithInitialInterval(cancelInterval), backoff.WithMaxInterval(maxCancelInterval), backoff.WithMaxElapsedTime(0))
 	for !w.try() {
 		w.owner.repeated.Inc()
-		if wait(w.owner.ctx, pauses.NextBackOff()) != nil {
+		if timing.Sleep(w.owner.ctx, pauses.NextBackOff()) != nil {
 			return
 		}
 	}
--- a/hickoryd/internal/dispatch/crashes.go
+++ b/hickoryd/internal/dispatch/crashes.go
@@ -8,6 +8,7 @@
 	"github.com/hickoryfront/hickoryfront/core/backend"
 	"github.com/hickoryfront/hickoryfront/core/crash"
 	"github.com/hickoryfront/hickoryfront/hickoryd/engine"
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/timing"
 )
 
 const (
@@ -56,7 +57,7 @@
 		case errors.Is(err, engine.ErrNotSent):
 			return probe.Err() == nil
 		}
-		_ = wait(probe, probeInterval) // ends with probe at the latest
+		_ = timing.Sleep(probe, probeInterval) // ends with probe at the latest
 	}
 	return false
 }
--- a/hickoryd/internal/dispatch/keyed.go
+++ b/hickoryd/internal/dispatch/keyed.go
@@ -11,6 +11,7 @@
 
 	"github.com/hickoryfront/hickoryfront/core/claim"
 	"github.com/hickoryfront/hickoryfront/core/refusal"
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/timing"
 )
 
 const (
@@ -123,7 +124,7 @@
 				return source, err
 			}
 		}
-		if time.Since(started) >= claimPatience || wait(ctx, claimInterval) != nil {
+		if time.Since(started) >= claimPatience || timing.Sleep(ctx, claimInterval) != nil {
 			k.giveUp(recording, wanted, true)
 			if ctx.Err() != nil {
 				return nil, ctx.Err()
--- a/hickoryd/internal/dispatch/model.go
+++ b/hickoryd/internal/dispatch/model.go
@@ -306,14 +306,3 @@
 	}
 	return priorityInteractive
 }
-
-func wait(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
--- a/hickoryd/internal/dispatch/recording.go
+++ b/hickoryd/internal/dispatch/recording.go
@@ -152,13 +152,6 @@
 // Flush implements http.Flusher: every write is seen at once.
 func (r *Recording) Flush() {}
 
-// Started reports whether any of the answer was written.
-func (r *Recording) Started() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.status != 0
-}
-
 // Attach counts a reader until the returned function is called.
 func (r *Recording) Attach() (detach func()) {
 	r.mu.Lock()
--- a/hickoryd/internal/dispatch/reserve.go
+++ b/hickoryd/internal/dispatch/reserve.go
@@ -11,6 +11,7 @@
 	"github.com/hickoryfront/hickoryfront/core/placement"
 	"github.com/hickoryfront/hickoryfront/core/prefix"
 	"github.com/hickoryfront/hickoryfront/core/slot"
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/timing"
 )
 
 const (
@@ -88,7 +89,7 @@
 		if err == nil || !isWorthWaiting(ctx, err) || !now.Before(ticket.Deadline) {
 			return server, err
 		}
-		if err := wait(ctx, slotPollInterval); err != nil {
+		if err := timing.Sleep(ctx, slotPollInterval); err != nil {
 			return backend.Server{}, err
 		}
 	}
--- a/hickoryd/internal/home/claims.go
+++ b/hickoryd/internal/home/claims.go
@@ -14,6 +14,7 @@
 	"github.com/hickoryfront/hickoryfront/core/claim"
 	"github.com/hickoryfront/hickoryfront/core/member"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/journal"
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/timing"
 )
 
 const (
@@ -278,7 +279,7 @@
 	ctx, cancel := context.WithTimeout(ctx, handoverTimeout)
 	defer cancel()
 	for c.hasSuccessors(time.Now()) && !c.isHandedOver() && ctx.Err() == nil {
-		pause(ctx, epochTick)
+		_ = timing.Sleep(ctx, epochTick) // the loop sees the end of ctx
 	}
 	c.logger.WithField("complete", c.isHandedOver()).Info("claims handed over")
 	c.mu.Lock()
@@ -323,15 +324,6 @@
 	return true
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // enter takes in an epoch. The caller holds mu.
 func (c *Claims) enter(now time.Time, epoch claim.Epoch) {
 	if !c.home.Enter(epoch) {
--- a/hickoryd/internal/home/reservations.go
+++ b/hickoryd/internal/home/reservations.go
@@ -12,6 +12,7 @@
 	"github.com/hickoryfront/hickoryfront/core/backend"
 	"github.com/hickoryfront/hickoryfront/core/slot"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/peer"
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/timing"
 	"github.com/hickoryfront/hickoryfront/peerapi"
 )
 
@@ -298,7 +299,7 @@
 		ctx, cancel := context.WithTimeout(n.reservations.ctx, tellTimeout)
 		err := n.tell(ctx, now, n.reservations.peers.Ring(now).Home(n.serverID))
 		cancel()
-		if err == nil || !sleep(n.reservations.ctx, tellInterval) {
+		if err == nil || timing.Sleep(n.reservations.ctx, tellInterval) != nil {
 			return
 		}
 	}
@@ -321,18 +322,6 @@
 	return result
 }
 
-// sleep returns false when ctx ends first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 func reserveError(outcome peerapi.ReserveResponse_Outcome) error {
 	switch outcome {
 	case peerapi.ReserveResponse_OUTCOME_GRANTED:
--- a/hickoryd/internal/node/node.go
+++ b/hickoryd/internal/node/node.go
@@ -24,6 +24,7 @@
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/peerserver"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/settings"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/telemetry"
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/timing"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/transport"
 )
 
@@ -152,7 +153,7 @@
 	defer cancel()
 	n.logger.WithField("inFlight", n.handler.InFlight()).Info("draining")
 	n.gate.Drain()
-	sleep(ctx, balancerPeriod)
+	_ = timing.Sleep(ctx, balancerPeriod) // a second signal ends the pause
 	n.awaitIdle(ctx)
 	n.keyed.Close(ctx)
 	n.claims.Close(ctx)
@@ -176,7 +177,7 @@
 
 func (n *Node) awaitIdle(ctx context.Context) {
 	for n.handler.InFlight() > 0 && ctx.Err() == nil {
-		sleep(ctx, drainPollInterval)
+		_ = timing.Sleep(ctx, drainPollInterval) // the loop sees the end of ctx
 	}
 	if cut := n.handler.InFlight(); cut > 0 {
 		n.logger.WithField("requests", cut).Error("requests cut off: shutdown period over or signalled again")
@@ -187,7 +188,7 @@
 // back.
 func (n *Node) awaitHandlers(ctx context.Context) {
 	for n.handler.InFlight() > 0 && ctx.Err() == nil {
-		sleep(ctx, drainPollInterval)
+		_ = timing.Sleep(ctx, drainPollInterval) // the loop sees the end of ctx
 	}
 }
 
--- a/hickoryd/internal/node/registration.go
+++ b/hickoryd/internal/node/registration.go
@@ -10,6 +10,7 @@
 	"github.com/apex/log"
 
 	"github.com/hickoryfront/hickoryfront/core/member"
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/timing"
 	"github.com/hickoryfront/hickoryfront/hickoryd/platform"
 )
 
@@ -79,7 +80,7 @@
 		if len(r.peers.Live(time.Now())) == 1 {
 			wait = retryInterval
 		}
-		sleep(ctx, wait)
+		_ = timing.Sleep(ctx, wait) // the loop sees the end of ctx
 	}
 }
 
@@ -140,12 +141,3 @@
 		}})
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/hickoryd/internal/telemetry/keeper.go
+++ b/hickoryd/internal/telemetry/keeper.go
@@ -10,6 +10,7 @@
 	"github.com/hickoryfront/hickoryfront/core/burn"
 	"github.com/hickoryfront/hickoryfront/core/member"
 	"github.com/hickoryfront/hickoryfront/core/ring"
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/timing"
 	"github.com/hickoryfront/hickoryfront/hickoryd/platform"
 )
 
@@ -79,7 +80,7 @@
 		if !k.restored {
 			wait = restoreInterval
 		}
-		if pause(ctx, wait) {
+		if timing.Sleep(ctx, wait) == nil {
 			k.Store(ctx, time.Now())
 		}
 	}
@@ -164,15 +165,3 @@
 func (k *Keeper) key() string {
 	return SnapshotPrefix + k.self.Name
 }
-
-// pause waits and reports whether ctx goes on.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/hickorylab/cutproxy/cutproxy.go
+++ b/hickorylab/cutproxy/cutproxy.go
@@ -81,16 +81,6 @@
 	}
 }
 
-// SilenceOpen makes the connections that are open now silent for good. New
-// ones work.
-func (p *Proxy) SilenceOpen() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for l := range p.links {
-		l.silence()
-	}
-}
-
 // Close ends the proxy and its connections.
 func (p *Proxy) Close() {
 	p.listener.Close()
