--- a/hickory/internal/adminapi/client.go
+++ b/hickory/internal/adminapi/client.go
@@ -14,6 +14,8 @@
 	"net/url"
 	"os"
 	"time"
+
+	"github.com/hickoryfront/hickoryfront/core/burn"
 )
 
 const (
@@ -145,6 +147,13 @@
 	return status, err
 }
 
+// BurnReport returns the burn of all services over all hosts.
+func (c *Client) BurnReport(ctx context.Context) (burn.Report, error) {
+	var report burn.Report
+	err := c.do(ctx, http.MethodGet, "/admin/v1/report/burn", nil, &report)
+	return report, err
+}
+
 func (c *Client) do(ctx context.Context, method, path string, body, reply any) error {
 	data, err := json.Marshal(body)
 	if err != nil {
--- a/hickory/internal/command/root/root.go
+++ b/hickory/internal/command/root/root.go
@@ -12,6 +12,7 @@
 	"github.com/hickoryfront/hickoryfront/hickory/internal/command/entryget"
 	"github.com/hickoryfront/hickoryfront/hickory/internal/command/entrylist"
 	"github.com/hickoryfront/hickoryfront/hickory/internal/command/entryset"
+	"github.com/hickoryfront/hickoryfront/hickory/internal/command/reportburn"
 	"github.com/hickoryfront/hickoryfront/hickory/internal/command/status"
 	"github.com/hickoryfront/hickoryfront/hickory/internal/factory"
 )
@@ -35,6 +36,9 @@
 	for _, kind := range []string{"profile", "service", "workspace", "host"} {
 		commander.Register(entryGroup(f, kind), "configuration")
 	}
+	commander.Register(&group{factory: f, noun: "report", short: "print reports over all hosts", commands: []subcommands.Command{
+		reportburn.New(f),
+	}}, "")
 	if err := flags.Parse(args); err != nil {
 		return int(subcommands.ExitUsageError)
 	}
--- a/hickoryd/internal/node/node.go
+++ b/hickoryd/internal/node/node.go
@@ -81,6 +81,7 @@
 		Operator     *operator.Handler
 		PeerServer   *peerserver.Server
 		Drain        *DrainWatch
+		Keeper       *telemetry.Keeper
 	}
 )
 
@@ -98,7 +99,7 @@
 			newPlatform, newHostList, newPool, newDirectory, newSlots, newMembership, newClaims,
 			newStore, newRegistration, newGate, newSync, newCanceller, newModels, newPlain, newRouter,
 			newCaller, newOperator, newPeerService, newDrainWatch, newEngines, New,
-			telemetry.New, service.New,
+			telemetry.New, newKeeper, newReporter, service.New,
 		),
 		fx.Invoke(join, register),
 	)
@@ -110,7 +111,7 @@
 	n := &Node{
 		settings: p.Settings, logger: p.Logger, gate: p.Gate, membership: p.Membership, registration: p.Registration,
 		canceller: p.Canceller, pool: p.Pool, handler: p.Caller, drained: p.Drain,
-		loops: []runner{p.Security, p.Directory, p.Slots, p.Membership, p.Store, p.Sync, p.Registration, p.Drain},
+		loops: []runner{p.Security, p.Directory, p.Slots, p.Membership, p.Store, p.Sync, p.Registration, p.Drain, p.Keeper},
 	}
 	var err error
 	if n.callers, err = newHTTPServer(p.Settings.Listen.Caller, routes(p.Caller), p.Security, p.Logger); err != nil {
@@ -257,14 +258,22 @@
 	return caller.New(models, plain, client, store, gate, recorder, s.Limits.Requests)
 }
 
-func newOperator(s settings.Settings, store *configstore.Store, membership *peer.Membership, directory *backends.Directory, gate *Gate, set *metrics.Set) *operator.Handler {
-	return operator.New(s.Auth.OperatorToken, store, membership, directory, gate, set)
+func newOperator(s settings.Settings, store *configstore.Store, membership *peer.Membership, directory *backends.Directory, gate *Gate, reports *telemetry.Reporter, set *metrics.Set) *operator.Handler {
+	return operator.New(s.Auth.OperatorToken, store, membership, directory, gate, reports, set)
 }
 
-func newPeerService(membership *peer.Membership, slots *home.Slots, claims *home.Claims, store *configstore.Store) *peerserver.Server {
-	return peerserver.New(membership, slots, claims, store)
+func newPeerService(membership *peer.Membership, slots *home.Slots, claims *home.Claims, store *configstore.Store, recorder *telemetry.Recorder) *peerserver.Server {
+	return peerserver.New(membership, slots, claims, store, recorder)
 }
 
 func newDrainWatch(s settings.Settings, store *configstore.Store, shutdown fx.Shutdowner, logger log.Interface) *DrainWatch {
 	return NewDrainWatch(s.Host.Name, store, shutdown, logger)
 }
+
+func newKeeper(recorder *telemetry.Recorder, self member.Host, kv *platform.Client, membership *peer.Membership, logger log.Interface, set *metrics.Set) *telemetry.Keeper {
+	return telemetry.NewKeeper(recorder, self, kv, membership, logger, set)
+}
+
+func newReporter(recorder *telemetry.Recorder, self member.Host, membership *peer.Membership, pool *peer.Pool, kv *platform.Client) *telemetry.Reporter {
+	return telemetry.NewReporter(recorder, self, membership, pool, kv)
+}
--- a/hickoryd/internal/operator/operator.go
+++ b/hickoryd/internal/operator/operator.go
@@ -15,6 +15,7 @@
 	"github.com/google/uuid"
 
 	"github.com/hickoryfront/hickoryfront/core/backend"
+	"github.com/hickoryfront/hickoryfront/core/burn"
 	"github.com/hickoryfront/hickoryfront/core/config"
 	"github.com/hickoryfront/hickoryfront/core/member"
 	"github.com/hickoryfront/hickoryfront/core/placement"
@@ -46,6 +47,11 @@
 		NotReady(now time.Time) string
 	}
 
+	// Reports merges what the hosts have counted.
+	Reports interface {
+		Burn(ctx context.Context, now time.Time) burn.Report
+	}
+
 	// Handler serves operators. It is safe for concurrent use.
 	Handler struct {
 		token      string
@@ -53,6 +59,7 @@
 		membership Membership
 		directory  Directory
 		readiness  Readiness
+		reports    Reports
 		set        *metrics.Set
 	}
 
@@ -112,9 +119,9 @@
 )
 
 // New returns a handler that accepts the bearer token.
-func New(token string, configuration Config, membership Membership, directory Directory, readiness Readiness, set *metrics.Set) *Handler {
+func New(token string, configuration Config, membership Membership, directory Directory, readiness Readiness, reports Reports, set *metrics.Set) *Handler {
 	return &Handler{
-		token: token, config: configuration, membership: membership, directory: directory, readiness: readiness, set: set,
+		token: token, config: configuration, membership: membership, directory: directory, readiness: readiness, reports: reports, set: set,
 	}
 }
 
@@ -128,6 +135,7 @@
 	api.GET("/entries/:kind/:name", h.getEntry)
 	api.POST("/changes", h.change)
 	api.GET("/status", h.status)
+	api.GET("/report/burn", h.reportBurn)
 }
 
 func (h *Handler) authenticate(c *gin.Context) {
@@ -214,6 +222,10 @@
 	c.JSON(http.StatusOK, status)
 }
 
+func (h *Handler) reportBurn(c *gin.Context) {
+	c.JSON(http.StatusOK, h.reports.Burn(c.Request.Context(), time.Now()))
+}
+
 func (h *Handler) loads(document *config.Document) map[string]backend.Load {
 	loads := map[string]backend.Load{}
 	for _, s := range document.Services {
--- a/hickoryd/internal/peerserver/server.go
+++ b/hickoryd/internal/peerserver/server.go
@@ -42,6 +42,11 @@
 		Current() *config.Document
 	}
 
+	// Burn gives the service-level counters of this host in their stored form.
+	Burn interface {
+		EncodedSnapshot(now time.Time) ([]byte, error)
+	}
+
 	// Server implements the Peer service.
 	Server struct {
 		peerapi.UnimplementedPeerServer
@@ -49,12 +54,13 @@
 		slots      Slots
 		claims     Claims
 		config     Config
+		burn       Burn
 	}
 )
 
 // New returns a server.
-func New(membership Membership, slots Slots, claims Claims, configuration Config) *Server {
-	return &Server{membership: membership, slots: slots, claims: claims, config: configuration}
+func New(membership Membership, slots Slots, claims Claims, configuration Config, burn Burn) *Server {
+	return &Server{membership: membership, slots: slots, claims: claims, config: configuration, burn: burn}
 }
 
 // Heartbeat implements the Peer service.
@@ -138,6 +144,15 @@
 	return &peerapi.FetchConfigResponse{Revision: document.Revision, Document: data}, nil
 }
 
+// Burn implements the Peer service.
+func (s *Server) Burn(context.Context, *peerapi.BurnRequest) (*peerapi.BurnResponse, error) {
+	data, err := s.burn.EncodedSnapshot(time.Now())
+	if err != nil {
+		return nil, err
+	}
+	return &peerapi.BurnResponse{Snapshot: data}, nil
+}
+
 func reserveOutcome(err error) peerapi.ReserveResponse_Outcome {
 	switch {
 	case err == nil:
