--- a/hickory/internal/adminapi/client.go
+++ b/hickory/internal/adminapi/client.go
@@ -13,6 +13,9 @@
 	"net/http"
 	"net/url"
 	"os"
+	"strconv"
+	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/hickoryfront/hickoryfront/core/burn"
@@ -23,6 +26,13 @@
 	maxReplyBytes  = 64 << 20
 )
 
+const (
+	codeNotFound    = "notFound"
+	codeConflict    = "conflict"
+	codeUnconfirmed = "unconfirmed"
+	revisionHeader  = "X-Config-Revision"
+)
+
 var (
 	// ErrConflict means that another operator changed the entry first.
 	ErrConflict = errors.New("conflict")
@@ -32,6 +42,8 @@
 	ErrRefused = errors.New("refused")
 	// ErrUnreachable means that the daemon did not answer.
 	ErrUnreachable = errors.New("daemon unreachable")
+	// ErrUnconfirmed means that a change may have taken effect.
+	ErrUnconfirmed = errors.New("unconfirmed")
 )
 
 type (
@@ -53,10 +65,48 @@
 
 	// Host is one host of the system.
 	Host struct {
-		Name           string `json:"name"`
-		FailureDomain  string `json:"failureDomain"`
-		ConfigRevision uint64 `json:"configRevision"`
-		Draining       bool   `json:"draining"`
+		Name            string `json:"name"`
+		FailureDomain   string `json:"failureDomain"`
+		ConfigRevision  uint64 `json:"configRevision"`
+		Draining        bool   `json:"draining"`
+		OperatorAddress string `json:"operatorAddress"`
+	}
+
+	// ChangeRequest asks for a change of several entries at once. When it is
+	// sent again, it carries the same attempt token.
+	ChangeRequest struct {
+		Author  string `json:"author"`
+		Edits   []Edit `json:"edits"`
+		Attempt string `json:"attempt"`
+		Since   uint64 `json:"since"` // newest revision seen before it was first sent
+		DryRun  bool   `json:"dryRun,omitempty"`
+	}
+
+	// Change is one change of the history.
+	Change struct {
+		Revision uint64    `json:"revision"`
+		Author   string    `json:"author"`
+		At       time.Time `json:"at"`
+		Edits    []Edit    `json:"edits"`
+	}
+
+	// Service is one service with the requests that one daemon has answered.
+	Service struct {
+		Name     string `json:"name"`
+		Kind     string `json:"kind"`
+		Model    string `json:"model,omitempty"`
+		Profile  string `json:"profile"`
+		Enabled  bool   `json:"enabled"`
+		Legacy   string `json:"legacy,omitempty"`
+		Answered uint64 `json:"answered"`
+		Refused  uint64 `json:"refused"`
+	}
+
+	// Version is a daemon's build.
+	Version struct {
+		Version   string `json:"version"`
+		GoVersion string `json:"goVersion"`
+		Revision  string `json:"revision,omitempty"`
 	}
 
 	// Server is one backend server.
@@ -73,10 +123,11 @@
 
 	// Status is what one daemon knows.
 	Status struct {
-		Host           string   `json:"host"`
-		ConfigRevision uint64   `json:"configRevision"`
-		Hosts          []Host   `json:"hosts"`
-		Servers        []Server `json:"servers"`
+		Host           string    `json:"host"`
+		ConfigRevision uint64    `json:"configRevision"`
+		Hosts          []Host    `json:"hosts"`
+		Services       []Service `json:"services"`
+		Servers        []Server  `json:"servers"`
 	}
 
 	// Client speaks to one daemon.
@@ -84,6 +135,7 @@
 		base  string
 		token string
 		http  *http.Client
+		seen  atomic.Uint64
 	}
 
 	errorReply struct {
@@ -91,11 +143,6 @@
 		Message string `json:"message"`
 	}
 
-	changeRequest struct {
-		Author string `json:"author"`
-		Edits  []Edit `json:"edits"`
-	}
-
 	changeReply struct {
 		Revision uint64 `json:"revision"`
 	}
@@ -133,13 +180,49 @@
 	return entry, err
 }
 
-// Change applies edits together and returns the new revision.
-func (c *Client) Change(ctx context.Context, author string, edits ...Edit) (uint64, error) {
+// Change applies a change and returns its revision. ErrConflict: another
+// operator was first; ErrUnconfirmed and ErrUnreachable: it may have taken
+// effect, send the same request again.
+func (c *Client) Change(ctx context.Context, request ChangeRequest) (uint64, error) {
 	var reply changeReply
-	err := c.do(ctx, http.MethodPost, "/admin/v1/changes", changeRequest{Author: author, Edits: edits}, &reply)
+	err := c.do(ctx, http.MethodPost, "/admin/v1/changes", request, &reply)
 	return reply.Revision, err
 }
 
+// Check asks whether edits would be valid, and returns the revision that they
+// were checked against.
+func (c *Client) Check(ctx context.Context, edits ...Edit) (uint64, error) {
+	var reply changeReply
+	err := c.do(ctx, http.MethodPost, "/admin/v1/checks", ChangeRequest{Edits: edits}, &reply)
+	return reply.Revision, err
+}
+
+// History returns the changes of an entry, newest first; "" stands for any.
+func (c *Client) History(ctx context.Context, kind, name string, limit int) ([]Change, error) {
+	var changes []Change
+	query := url.Values{"kind": {kind}, "name": {name}, "limit": {strconv.Itoa(limit)}}
+	err := c.do(ctx, http.MethodGet, "/admin/v1/history?"+query.Encode(), nil, &changes)
+	return changes, err
+}
+
+// Version returns the daemon's build.
+func (c *Client) Version(ctx context.Context) (Version, error) {
+	var version Version
+	err := c.do(ctx, http.MethodGet, "/admin/v1/version", nil, &version)
+	return version, err
+}
+
+// Seen returns the newest configuration revision that a reply named.
+func (c *Client) Seen() uint64 {
+	return c.seen.Load()
+}
+
+// At returns a client of another daemon's operator address.
+func (c *Client) At(address string) *Client {
+	scheme, _, _ := strings.Cut(c.base, "://")
+	return &Client{base: scheme + "://" + address, token: c.token, http: c.http}
+}
+
 // Status returns what the daemon knows.
 func (c *Client) Status(ctx context.Context) (Status, error) {
 	var status Status
@@ -174,6 +257,9 @@
 	if err != nil {
 		return fmt.Errorf("%w: %w", ErrUnreachable, err)
 	}
+	if revision, err := strconv.ParseUint(response.Header.Get(revisionHeader), 10, 64); err == nil {
+		c.seen.Store(max(c.seen.Load(), revision))
+	}
 	if response.StatusCode != http.StatusOK {
 		return statusError(response.StatusCode, answer)
 	}
@@ -185,11 +271,13 @@
 	if json.Unmarshal(data, &reply) != nil {
 		reply.Message = fmt.Sprintf("status %d", status)
 	}
-	switch status {
-	case http.StatusConflict:
+	switch reply.Code {
+	case codeConflict:
 		return fmt.Errorf("%w: %s", ErrConflict, reply.Message)
-	case http.StatusNotFound:
+	case codeNotFound:
 		return fmt.Errorf("%w: %s", ErrNotFound, reply.Message)
+	case codeUnconfirmed:
+		return fmt.Errorf("%w: %s", ErrUnconfirmed, reply.Message)
 	}
 	return fmt.Errorf("%w: %s", ErrRefused, reply.Message)
 }
--- a/hickory/internal/command/drain/drain.go
+++ b/hickory/internal/command/drain/drain.go
@@ -4,38 +4,37 @@
 import (
 	"context"
 	"errors"
-	"fmt"
-	"io"
 
 	"github.com/hickoryfront/hickoryfront/hickory/internal/adminapi"
 	"github.com/hickoryfront/hickoryfront/hickory/internal/factory"
+	"github.com/hickoryfront/hickoryfront/hickory/internal/rollout"
 )
 
 const drainText = "[host]\ndrain = true\n"
 
 type (
-	// Changer reads and changes entries.
-	Changer interface {
+	// Client reads and changes entries.
+	Client interface {
+		rollout.Client
 		Entry(ctx context.Context, kind, name string) (adminapi.Entry, error)
-		Change(ctx context.Context, author string, edits ...adminapi.Edit) (uint64, error)
 	}
 
 	// Options are the options of the command.
 	Options struct {
-		Out    io.Writer
-		Host   string
-		Author string
+		rollout.Options
+		Host string
 	}
 )
 
 // New returns the command.
 func New(f *factory.Factory) *factory.Command {
-	o := &Options{Out: f.Streams.Out, Author: f.Author()}
+	o := &Options{Options: rollout.Options{Out: f.Streams.Out, Author: f.Author()}}
 	return &factory.Command{
 		Streams: f.Streams,
 		Use:     "drain",
 		Short:   "let a host finish its work and stop",
-		Example: "  hickory drain host-3\n",
+		Example: "  hickory drain host-3\n  hickory drain host-3 --timeout 5s --json\n",
+		Flags:   o.SetFlags,
 		Run: func(ctx context.Context, args []string) error {
 			if len(args) != 1 {
 				return factory.Usagef("give one host name")
@@ -51,15 +50,11 @@
 }
 
 // Run writes the host's entry.
-func Run(ctx context.Context, o *Options, changer Changer) error {
-	entry, err := changer.Entry(ctx, "host", o.Host)
+func Run(ctx context.Context, o *Options, client Client) error {
+	entry, err := client.Entry(ctx, "host", o.Host)
 	if err != nil && !errors.Is(err, adminapi.ErrNotFound) {
 		return err
 	}
-	revision, err := changer.Change(ctx, o.Author, adminapi.Edit{Kind: "host", Name: o.Host, Text: drainText, Base: entry.Revision})
-	if err != nil {
-		return err
-	}
-	_, err = fmt.Fprintf(o.Out, "host %s drains from revision %d on\n", o.Host, revision)
-	return err
+	return rollout.Submit(ctx, &o.Options, client, "drain of host "+o.Host,
+		adminapi.Edit{Kind: "host", Name: o.Host, Text: drainText, Base: entry.Revision})
 }
--- a/hickory/internal/command/entrydelete/delete.go
+++ b/hickory/internal/command/entrydelete/delete.go
@@ -4,36 +4,36 @@
 import (
 	"context"
 	"fmt"
-	"io"
 
 	"github.com/hickoryfront/hickoryfront/hickory/internal/adminapi"
 	"github.com/hickoryfront/hickoryfront/hickory/internal/factory"
+	"github.com/hickoryfront/hickoryfront/hickory/internal/rollout"
 )
 
 type (
-	// Changer reads and changes entries.
-	Changer interface {
+	// Client reads and changes entries.
+	Client interface {
+		rollout.Client
 		Entry(ctx context.Context, kind, name string) (adminapi.Entry, error)
-		Change(ctx context.Context, author string, edits ...adminapi.Edit) (uint64, error)
 	}
 
 	// Options are the options of the command.
 	Options struct {
-		Out    io.Writer
-		Kind   string
-		Name   string
-		Author string
+		rollout.Options
+		Kind string
+		Name string
 	}
 )
 
 // New returns the command for a kind.
 func New(f *factory.Factory, kind string) *factory.Command {
-	o := &Options{Out: f.Streams.Out, Kind: kind, Author: f.Author()}
+	o := &Options{Options: rollout.Options{Out: f.Streams.Out, Author: f.Author()}, Kind: kind}
 	return &factory.Command{
 		Streams: f.Streams,
 		Use:     "delete",
 		Short:   "delete a " + kind + " entry",
 		Example: fmt.Sprintf("  hickory %s delete NAME\n", kind),
+		Flags:   o.SetFlags,
 		Run: func(ctx context.Context, args []string) error {
 			if len(args) != 1 {
 				return factory.Usagef("give one %s name", kind)
@@ -49,15 +49,11 @@
 }
 
 // Run deletes the entry.
-func Run(ctx context.Context, o *Options, changer Changer) error {
-	entry, err := changer.Entry(ctx, o.Kind, o.Name)
+func Run(ctx context.Context, o *Options, client Client) error {
+	entry, err := client.Entry(ctx, o.Kind, o.Name)
 	if err != nil {
 		return err
 	}
-	revision, err := changer.Change(ctx, o.Author, adminapi.Edit{Kind: o.Kind, Name: o.Name, Base: entry.Revision})
-	if err != nil {
-		return err
-	}
-	_, err = fmt.Fprintf(o.Out, "%s %s is deleted at revision %d\n", o.Kind, o.Name, revision)
-	return err
+	what := fmt.Sprintf("deletion of %s %s", o.Kind, o.Name)
+	return rollout.Submit(ctx, &o.Options, client, what, adminapi.Edit{Kind: o.Kind, Name: o.Name, Base: entry.Revision})
 }
--- a/hickory/internal/command/entryset/set.go
+++ b/hickory/internal/command/entryset/set.go
@@ -6,43 +6,41 @@
 	"errors"
 	"flag"
 	"fmt"
-	"io"
-	"os"
 
 	"github.com/hickoryfront/hickoryfront/hickory/internal/adminapi"
 	"github.com/hickoryfront/hickoryfront/hickory/internal/factory"
+	"github.com/hickoryfront/hickoryfront/hickory/internal/rollout"
 )
 
-const standardInput = "-"
-
 type (
-	// Changer reads and changes entries.
-	Changer interface {
+	// Client reads and changes entries.
+	Client interface {
+		rollout.Client
 		Entry(ctx context.Context, kind, name string) (adminapi.Entry, error)
-		Change(ctx context.Context, author string, edits ...adminapi.Edit) (uint64, error)
 	}
 
 	// Options are the options of the command.
 	Options struct {
-		In     io.Reader
-		Out    io.Writer
-		Kind   string
-		Name   string
-		File   string
-		Author string
-		Base   int64 // revision that the operator has seen; below 0: the current one
+		rollout.Options
+		Streams factory.Streams
+		Kind    string
+		Name    string
+		File    string
+		Base    int64 // revision that the operator has seen; below 0: the current one
 	}
 )
 
 // New returns the command for a kind.
 func New(f *factory.Factory, kind string) *factory.Command {
-	o := &Options{In: f.Streams.In, Out: f.Streams.Out, Kind: kind, Author: f.Author()}
+	o := &Options{Options: rollout.Options{Out: f.Streams.Out, Author: f.Author()}, Streams: f.Streams, Kind: kind}
 	return &factory.Command{
 		Streams: f.Streams,
 		Use:     "set",
 		Short:   "create or replace a " + kind + " entry",
-		Example: fmt.Sprintf("  hickory %s set --file FILE NAME\n  hickory %s set --base 12 --file - NAME < FILE\n", kind, kind),
+		Example: fmt.Sprintf("  hickory %s set NAME --file FILE\n  hickory %s set NAME --base 12 --file - < FILE\n"+
+			"  hickory %s set NAME --file FILE --dry-run\n", kind, kind, kind),
 		Flags: func(flags *flag.FlagSet) {
+			o.SetFlags(flags)
 			flags.StringVar(&o.File, "file", "", "INI file to read, - for standard input")
 			flags.Int64Var(&o.Base, "base", -1, "revision that the change is based on (default: the current one)")
 		},
@@ -64,39 +62,21 @@
 }
 
 // Run writes the entry.
-func Run(ctx context.Context, o *Options, changer Changer) error {
-	text, err := readText(o)
+func Run(ctx context.Context, o *Options, client Client) error {
+	text, err := o.Streams.ReadText(o.File)
 	if err != nil {
 		return err
 	}
-	base, err := baseRevision(ctx, o, changer)
-	if err != nil {
-		return err
+	if text == "" {
+		return factory.Usagef("the text is empty; use \"hickory %s delete %s\" to delete the entry", o.Kind, o.Name)
 	}
-	revision, err := changer.Change(ctx, o.Author, adminapi.Edit{Kind: o.Kind, Name: o.Name, Text: text, Base: base})
-	if err != nil {
+	entry, err := client.Entry(ctx, o.Kind, o.Name)
+	if err != nil && !errors.Is(err, adminapi.ErrNotFound) {
 		return err
 	}
-	_, err = fmt.Fprintf(o.Out, "%s %s is at revision %d\n", o.Kind, o.Name, revision)
-	return err
-}
-
-func readText(o *Options) (string, error) {
-	if o.File == standardInput {
-		data, err := io.ReadAll(o.In)
-		return string(data), err
-	}
-	data, err := os.ReadFile(o.File)
-	return string(data), err
-}
-
-func baseRevision(ctx context.Context, o *Options, changer Changer) (uint64, error) {
+	base := entry.Revision
 	if o.Base >= 0 {
-		return uint64(o.Base), nil
-	}
-	entry, err := changer.Entry(ctx, o.Kind, o.Name)
-	if errors.Is(err, adminapi.ErrNotFound) {
-		return 0, nil
+		base = uint64(o.Base)
 	}
-	return entry.Revision, err
+	return rollout.Submit(ctx, &o.Options, client, o.Kind+" "+o.Name, adminapi.Edit{Kind: o.Kind, Name: o.Name, Text: text, Base: base})
 }
--- a/hickory/internal/command/root/root.go
+++ b/hickory/internal/command/root/root.go
@@ -7,13 +7,24 @@
 
 	"github.com/google/subcommands"
 
+	"github.com/hickoryfront/hickoryfront/hickory/internal/command/apply"
 	"github.com/hickoryfront/hickoryfront/hickory/internal/command/drain"
+	"github.com/hickoryfront/hickoryfront/hickory/internal/command/entrycheck"
 	"github.com/hickoryfront/hickoryfront/hickory/internal/command/entrydelete"
+	"github.com/hickoryfront/hickoryfront/hickory/internal/command/entrydiff"
 	"github.com/hickoryfront/hickoryfront/hickory/internal/command/entryget"
+	"github.com/hickoryfront/hickoryfront/hickory/internal/command/entryhistory"
 	"github.com/hickoryfront/hickoryfront/hickory/internal/command/entrylist"
 	"github.com/hickoryfront/hickoryfront/hickory/internal/command/entryset"
+	"github.com/hickoryfront/hickoryfront/hickory/internal/command/hostlist"
 	"github.com/hickoryfront/hickoryfront/hickory/internal/command/reportburn"
+	"github.com/hickoryfront/hickoryfront/hickory/internal/command/servicebind"
+	"github.com/hickoryfront/hickoryfront/hickory/internal/command/servicelist"
+	"github.com/hickoryfront/hickoryfront/hickory/internal/command/serviceunbind"
+	"github.com/hickoryfront/hickoryfront/hickory/internal/command/servicewatch"
 	"github.com/hickoryfront/hickoryfront/hickory/internal/command/status"
+	"github.com/hickoryfront/hickoryfront/hickory/internal/command/undrain"
+	"github.com/hickoryfront/hickoryfront/hickory/internal/command/version"
 	"github.com/hickoryfront/hickoryfront/hickory/internal/factory"
 )
 
@@ -26,15 +37,18 @@
 }
 
 // Run runs the command line and returns its exit code: 0 for success, 1 for
-// failures and 2 for usage errors.
+// failures, 2 for usage errors, 3 for conflicts with another operator, and 4
+// for changes that are accepted but not yet in force on every live host.
 func Run(ctx context.Context, f *factory.Factory, args []string) int {
 	flags := flag.NewFlagSet("hickory", flag.ContinueOnError)
 	flags.SetOutput(f.Streams.Err)
 	commander := newCommander(f, flags, "hickory")
-	commander.Register(status.New(f), "")
-	commander.Register(drain.New(f), "")
-	for _, kind := range []string{"profile", "service", "workspace", "host"} {
-		commander.Register(entryGroup(f, kind), "configuration")
+	for _, command := range []subcommands.Command{status.New(f), drain.New(f), undrain.New(f), version.New(f)} {
+		commander.Register(command, "")
+	}
+	commander.Register(apply.New(f), "configuration")
+	for _, g := range groups(f) {
+		commander.Register(g, "configuration")
 	}
 	commander.Register(&group{factory: f, noun: "report", short: "print reports over all hosts", commands: []subcommands.Command{
 		reportburn.New(f),
@@ -45,9 +59,24 @@
 	return int(commander.Execute(ctx))
 }
 
-func entryGroup(f *factory.Factory, kind string) *group {
-	return &group{factory: f, noun: kind, short: "list, print and change " + kind + " entries", commands: []subcommands.Command{
-		entrylist.New(f, kind), entryget.New(f, kind), entryset.New(f, kind), entrydelete.New(f, kind),
+// groups returns the nouns of the configuration.
+func groups(f *factory.Factory) []*group {
+	profiles := entryGroup(f, "profile", entrylist.New(f, "profile"))
+	workspaces := entryGroup(f, "workspace", entrylist.New(f, "workspace"))
+	pools := entryGroup(f, "pool", entrylist.New(f, "pool"))
+	services := entryGroup(f, "service", servicelist.New(f))
+	services.commands = append(services.commands, servicebind.New(f), serviceunbind.New(f), servicewatch.New(f))
+	hosts := &group{factory: f, noun: "host", short: "list hosts and the changes of their entries", commands: []subcommands.Command{
+		hostlist.New(f), entryget.New(f, "host"), entryhistory.New(f, "host"),
+	}}
+	return []*group{profiles, services, workspaces, pools, hosts}
+}
+
+// entryGroup returns the verbs that every kind of entry has, and its list.
+func entryGroup(f *factory.Factory, kind string, list subcommands.Command) *group {
+	return &group{factory: f, noun: kind, short: "list, print, check and change " + kind + " entries", commands: []subcommands.Command{
+		list, entryget.New(f, kind), entryset.New(f, kind), entrydelete.New(f, kind),
+		entrycheck.New(f, kind), entrydiff.New(f, kind), entryhistory.New(f, kind),
 	}}
 }
 
--- /dev/null
+++ b/hickory/internal/command/servicelist/list.go
@@ -0,0 +1,52 @@
+// Package servicelist lists the services with their profiles and requests.
+package servicelist
+
+import (
+	"context"
+	"flag"
+	"io"
+
+	"github.com/hickoryfront/hickoryfront/hickory/internal/factory"
+	"github.com/hickoryfront/hickoryfront/hickory/internal/fleet"
+	"github.com/hickoryfront/hickoryfront/hickory/internal/tableprinter"
+)
+
+// Options are the options of the command.
+type Options struct {
+	Out  io.Writer
+	JSON bool
+}
+
+// New returns the command.
+func New(f *factory.Factory) *factory.Command {
+	o := &Options{Out: f.Streams.Out}
+	return &factory.Command{
+		Streams: f.Streams,
+		Use:     "list",
+		Short:   "list services with their profiles and their requests on all hosts",
+		Example: "  hickory service list\n  hickory service list --json\n",
+		Flags:   func(flags *flag.FlagSet) { flags.BoolVar(&o.JSON, "json", false, "print JSON") },
+		Run: func(ctx context.Context, args []string) error {
+			if len(args) > 0 {
+				return factory.Usagef("list takes no arguments")
+			}
+			client, err := f.Client()
+			if err != nil {
+				return err
+			}
+			return Run(ctx, o, fleet.New(client))
+		},
+	}
+}
+
+// Run lists the services.
+func Run(ctx context.Context, o *Options, reader fleet.Reader) error {
+	status, err := reader.Status(ctx)
+	if err != nil {
+		return err
+	}
+	if o.JSON {
+		return tableprinter.JSON(o.Out, status.Services)
+	}
+	return fleet.ServiceTable(o.Out, status)
+}
--- /dev/null
+++ b/hickory/internal/command/serviceunbind/unbind.go
@@ -0,0 +1,90 @@
+// Package serviceunbind takes a service off the system.
+package serviceunbind
+
+import (
+	"context"
+	"fmt"
+	"strings"
+
+	"github.com/hickoryfront/hickoryfront/core/config"
+	"github.com/hickoryfront/hickoryfront/hickory/internal/adminapi"
+	"github.com/hickoryfront/hickoryfront/hickory/internal/factory"
+	"github.com/hickoryfront/hickoryfront/hickory/internal/rollout"
+)
+
+type (
+	// Client reads and changes entries.
+	Client interface {
+		rollout.Client
+		Entry(ctx context.Context, kind, name string) (adminapi.Entry, error)
+	}
+
+	// Options are the options of the command.
+	Options struct {
+		rollout.Options
+		Service string
+	}
+)
+
+// New returns the command.
+func New(f *factory.Factory) *factory.Command {
+	o := &Options{Options: rollout.Options{Out: f.Streams.Out, Author: f.Author()}}
+	return &factory.Command{
+		Streams: f.Streams,
+		Use:     "unbind",
+		Short:   "pass a service back to its legacy address, or refuse its calls when its profile has none",
+		Example: "  hickory service unbind cart\n",
+		Flags:   o.SetFlags,
+		Run: func(ctx context.Context, args []string) error {
+			if len(args) != 1 {
+				return factory.Usagef("give one service name")
+			}
+			o.Service = args[0]
+			client, err := f.Client()
+			if err != nil {
+				return err
+			}
+			return Run(ctx, o, client)
+		},
+	}
+}
+
+// Run unbinds the service.
+func Run(ctx context.Context, o *Options, client Client) error {
+	entry, err := client.Entry(ctx, "service", o.Service)
+	if err != nil {
+		return err
+	}
+	legacy, text, err := unbound(ctx, client, entry)
+	if err != nil {
+		return err
+	}
+	what := fmt.Sprintf("unbinding of service %s; its calls are refused as not run", o.Service)
+	if legacy != "" {
+		what = fmt.Sprintf("unbinding of service %s; its calls go to %s", o.Service, legacy)
+	}
+	return rollout.Submit(ctx, &o.Options, client, what,
+		adminapi.Edit{Kind: "service", Name: o.Service, Text: text, Base: entry.Revision})
+}
+
+// unbound returns the legacy address and the text that passes calls to it. Both
+// are empty when the service's profile has no such address.
+func unbound(ctx context.Context, client Client, entry adminapi.Entry) (legacy, text string, err error) {
+	service, err := config.ParseService(entry.Name, entry.Text)
+	if err != nil {
+		return "", "", err
+	}
+	bound, err := client.Entry(ctx, "profile", service.Profile)
+	if err != nil {
+		return "", "", err
+	}
+	profile, err := config.ParseProfile(bound.Name, bound.Text)
+	if err != nil || profile.LegacyAddress == "" {
+		return "", "", err
+	}
+	lines := []string{"[service]", "kind = " + string(service.Kind), "profile = " + service.Profile, "enabled = false"}
+	if service.Model != "" {
+		lines = append(lines, "model = "+service.Model)
+	}
+	return profile.LegacyAddress, strings.Join(lines, "\n") + "\n", nil
+}
--- a/hickory/internal/command/status/status.go
+++ b/hickory/internal/command/status/status.go
@@ -1,4 +1,4 @@
-// Package status prints the hosts and backend servers that a daemon knows.
+// Package status prints the hosts, services and backend servers.
 package status
 
 import (
@@ -6,25 +6,18 @@
 	"flag"
 	"fmt"
 	"io"
-	"strconv"
 
 	"github.com/hickoryfront/hickoryfront/hickory/internal/adminapi"
 	"github.com/hickoryfront/hickoryfront/hickory/internal/factory"
+	"github.com/hickoryfront/hickoryfront/hickory/internal/fleet"
 	"github.com/hickoryfront/hickoryfront/hickory/internal/tableprinter"
 )
 
-type (
-	// Reader reads the status.
-	Reader interface {
-		Status(ctx context.Context) (adminapi.Status, error)
-	}
-
-	// Options are the options of the command.
-	Options struct {
-		Out  io.Writer
-		JSON bool
-	}
-)
+// Options are the options of the command.
+type Options struct {
+	Out  io.Writer
+	JSON bool
+}
 
 // New returns the command.
 func New(f *factory.Factory) *factory.Command {
@@ -32,7 +25,7 @@
 	return &factory.Command{
 		Streams: f.Streams,
 		Use:     "status",
-		Short:   "print hosts and backend servers",
+		Short:   "print hosts, services and backend servers",
 		Example: "  hickory status\n  hickory status --json\n",
 		Flags:   func(flags *flag.FlagSet) { flags.BoolVar(&o.JSON, "json", false, "print JSON") },
 		Run: func(ctx context.Context, args []string) error {
@@ -43,13 +36,13 @@
 			if err != nil {
 				return err
 			}
-			return Run(ctx, o, client)
+			return Run(ctx, o, fleet.New(client))
 		},
 	}
 }
 
 // Run prints the status.
-func Run(ctx context.Context, o *Options, reader Reader) error {
+func Run(ctx context.Context, o *Options, reader fleet.Reader) error {
 	status, err := reader.Status(ctx)
 	if err != nil {
 		return err
@@ -57,23 +50,15 @@
 	if o.JSON {
 		return tableprinter.JSON(o.Out, status)
 	}
-	if err := tableprinter.Table(o.Out, []string{"host", "failure domain", "revision", "state"}, hostRows(status.Hosts)); err != nil {
+	if err := fleet.HostTable(o.Out, status.Hosts); err != nil {
 		return err
 	}
 	fmt.Fprintln(o.Out)
-	return tableprinter.Table(o.Out, []string{"server", "role", "serves", "failure domain", "state", "slots"}, serverRows(status.Servers))
-}
-
-func hostRows(hosts []adminapi.Host) [][]string {
-	rows := make([][]string, 0, len(hosts))
-	for _, h := range hosts {
-		state := "serving"
-		if h.Draining {
-			state = "draining"
-		}
-		rows = append(rows, []string{h.Name, h.FailureDomain, strconv.FormatUint(h.ConfigRevision, 10), state})
+	if err := fleet.ServiceTable(o.Out, status); err != nil {
+		return err
 	}
-	return rows
+	fmt.Fprintln(o.Out)
+	return tableprinter.Table(o.Out, []string{"server", "role", "serves", "failure domain", "state", "slots"}, serverRows(status.Servers))
 }
 
 func serverRows(servers []adminapi.Server) [][]string {
--- a/hickory/internal/factory/factory.go
+++ b/hickory/internal/factory/factory.go
@@ -13,6 +13,7 @@
 	"github.com/google/subcommands"
 
 	"github.com/hickoryfront/hickoryfront/hickory/internal/adminapi"
+	"github.com/hickoryfront/hickoryfront/hickory/internal/rollout"
 )
 
 const (
@@ -22,8 +23,17 @@
 	EnvToken = "HICKORY_TOKEN"
 	// EnvCA names the file of the certificate authority.
 	EnvCA = "HICKORY_CA"
+	// EnvAuthor names the author of changes; default: the user.
+	EnvAuthor = "HICKORY_AUTHOR"
 
-	programName = "hickory"
+	// ExitConflict means that another operator changed the entry first.
+	ExitConflict subcommands.ExitStatus = 3
+	// ExitMissing means that a change is accepted, but not yet in force on
+	// every live host.
+	ExitMissing subcommands.ExitStatus = 4
+
+	programName   = "hickory"
+	standardInput = "-"
 )
 
 // ErrUsage marks a command line that can't be understood.
@@ -70,12 +80,25 @@
 
 // Author returns the name under which changes are recorded.
 func (f *Factory) Author() string {
+	if author := f.Getenv(EnvAuthor); author != "" {
+		return author
+	}
 	if current, err := user.Current(); err == nil {
 		return current.Username
 	}
 	return "unknown"
 }
 
+// ReadText reads a file, or the standard input when path is "-".
+func (s Streams) ReadText(path string) (string, error) {
+	if path == standardInput {
+		data, err := io.ReadAll(s.In)
+		return string(data), err
+	}
+	data, err := os.ReadFile(path)
+	return string(data), err
+}
+
 // Usagef returns an error of the command line.
 func Usagef(format string, args ...any) error {
 	return fmt.Errorf("%w: %s", ErrUsage, fmt.Sprintf(format, args...))
@@ -99,16 +122,42 @@
 	}
 }
 
-// Execute implements subcommands.Command.
+// Execute implements subcommands.Command. Flags may stand after arguments.
 func (c *Command) Execute(ctx context.Context, flags *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	err := c.Run(ctx, flags.Args())
+	args, err := positional(flags)
+	if err != nil {
+		return subcommands.ExitUsageError // the flags have said why
+	}
+	err = c.Run(ctx, args)
+	if err != nil {
+		fmt.Fprintf(c.Streams.Err, "%s: %v\n", programName, err)
+	}
+	return exitStatus(err)
+}
+
+// positional parses the flags that stand after arguments and returns the
+// arguments.
+func positional(flags *flag.FlagSet) ([]string, error) {
+	var args []string
+	for rest := flags.Args(); len(rest) > 0; rest = flags.Args() {
+		args = append(args, rest[0])
+		if err := flags.Parse(rest[1:]); err != nil {
+			return nil, err
+		}
+	}
+	return args, nil
+}
+
+func exitStatus(err error) subcommands.ExitStatus {
 	switch {
 	case err == nil:
 		return subcommands.ExitSuccess
 	case errors.Is(err, ErrUsage):
-		fmt.Fprintf(c.Streams.Err, "%s: %v\n", programName, err)
 		return subcommands.ExitUsageError
+	case errors.Is(err, adminapi.ErrConflict):
+		return ExitConflict
+	case errors.Is(err, rollout.ErrMissing):
+		return ExitMissing
 	}
-	fmt.Fprintf(c.Streams.Err, "%s: %v\n", programName, err)
 	return subcommands.ExitFailure
 }
--- /dev/null
+++ b/hickory/internal/rollout/rollout.go
@@ -0,0 +1,153 @@
+// Package rollout sends a change and waits until it is in force on every live
+// host.
+package rollout
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/hickoryfront/hickoryfront/hickory/internal/adminapi"
+	"github.com/hickoryfront/hickoryfront/hickory/internal/tableprinter"
+)
+
+const (
+	defaultTimeout = 30 * time.Second
+	pollInterval   = 100 * time.Millisecond
+	resendInterval = 500 * time.Millisecond
+)
+
+// ErrMissing means that a change is accepted, but not yet in force on every
+// live host.
+var ErrMissing = errors.New("accepted, but not yet in force everywhere")
+
+type (
+	// Client is what a change needs of a daemon.
+	Client interface {
+		Change(ctx context.Context, request adminapi.ChangeRequest) (uint64, error)
+		Status(ctx context.Context) (adminapi.Status, error)
+		Seen() uint64
+	}
+
+	// Options say how a change is sent.
+	Options struct {
+		Out     io.Writer
+		Author  string
+		NoWait  bool
+		Timeout time.Duration // for sending and waiting together
+		DryRun  bool
+		JSON    bool
+	}
+
+	// Result is what became of a change.
+	Result struct {
+		Revision uint64          `json:"revision"`
+		DryRun   bool            `json:"dryRun,omitempty"`
+		Hosts    []adminapi.Host `json:"hosts,omitempty"`   // the last report of each live host
+		Missing  []string        `json:"missing,omitempty"` // live hosts that don't report the revision
+	}
+)
+
+// SetFlags adds the flags that all changes share.
+func (o *Options) SetFlags(flags *flag.FlagSet) {
+	flags.BoolVar(&o.NoWait, "no-wait", false, "don't wait until every live host has the change")
+	flags.DurationVar(&o.Timeout, "timeout", defaultTimeout, "longest time to send the change and to wait for the hosts")
+	flags.BoolVar(&o.DryRun, "dry-run", false, "check the change and write nothing")
+	flags.BoolVar(&o.JSON, "json", false, "print JSON")
+}
+
+// Submit sends a change, waits until it is in force and prints the result.
+// what names the change in the text that is printed.
+func Submit(ctx context.Context, o *Options, client Client, what string, edits ...adminapi.Edit) error {
+	ctx, cancel := context.WithTimeout(ctx, o.Timeout)
+	defer cancel()
+	request := adminapi.ChangeRequest{
+		Author: o.Author, Edits: edits, Attempt: rand.Text(), Since: client.Seen(), DryRun: o.DryRun,
+	}
+	revision, err := send(ctx, client, request)
+	if err != nil {
+		return err
+	}
+	result := Result{Revision: revision, DryRun: o.DryRun}
+	if !o.DryRun && !o.NoWait {
+		result = wait(ctx, client, revision)
+	}
+	if err := result.print(o, what); err != nil {
+		return err
+	}
+	if len(result.Missing) > 0 {
+		return fmt.Errorf("%w: revision %d is missing on %s; look at these hosts with \"hickory status\"",
+			ErrMissing, revision, strings.Join(result.Missing, ", "))
+	}
+	return nil
+}
+
+// send sends the change until its fate is known. Repeats carry the same
+// attempt token, so that the change takes effect once.
+func send(ctx context.Context, client Client, request adminapi.ChangeRequest) (uint64, error) {
+	for {
+		revision, err := client.Change(ctx, request)
+		if !errors.Is(err, adminapi.ErrUnconfirmed) && !errors.Is(err, adminapi.ErrUnreachable) {
+			return revision, err
+		}
+		if !pause(ctx, resendInterval) {
+			return 0, fmt.Errorf("%w; look at the history before you repeat it", err)
+		}
+	}
+}
+
+// wait polls until every live host reports the revision or ctx ends.
+func wait(ctx context.Context, client Client, revision uint64) Result {
+	result := Result{Revision: revision, Missing: []string{"all hosts: no daemon has answered"}}
+	for {
+		status, err := client.Status(ctx)
+		if err == nil {
+			result.Hosts, result.Missing = status.Hosts, missing(status.Hosts, revision)
+		}
+		if len(result.Missing) == 0 || !pause(ctx, pollInterval) {
+			return result
+		}
+	}
+}
+
+func missing(hosts []adminapi.Host, revision uint64) []string {
+	var names []string
+	for _, h := range hosts {
+		if h.ConfigRevision < revision {
+			names = append(names, fmt.Sprintf("%s (at %d)", h.Name, h.ConfigRevision))
+		}
+	}
+	return names
+}
+
+func (r Result) print(o *Options, what string) error {
+	if o.JSON {
+		return tableprinter.JSON(o.Out, r)
+	}
+	var err error
+	switch {
+	case r.DryRun:
+		_, err = fmt.Fprintf(o.Out, "%s would be accepted on top of revision %d\n", what, r.Revision)
+	case len(r.Hosts) > 0 && len(r.Missing) == 0:
+		_, err = fmt.Fprintf(o.Out, "%s is at revision %d, in force on all %d hosts\n", what, r.Revision, len(r.Hosts))
+	default:
+		_, err = fmt.Fprintf(o.Out, "%s is accepted at revision %d\n", what, r.Revision)
+	}
+	return err
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- a/hickoryd/internal/node/drainwatch.go
+++ b/hickoryd/internal/node/drainwatch.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/apex/log"
 	"go.uber.org/fx"
@@ -10,12 +9,11 @@
 	"github.com/hickoryfront/hickoryfront/core/config"
 )
 
-const drainWatchInterval = 500 * time.Millisecond
-
 type (
 	// HostEntries is the configuration in force.
 	HostEntries interface {
 		Current() *config.Document
+		Changed() <-chan struct{}
 	}
 
 	// DrainWatch stops the daemon when the operators drain its host.
@@ -34,15 +32,17 @@
 
 // Run watches until the host is drained or ctx ends.
 func (d *DrainWatch) Run(ctx context.Context) {
-	ticker := time.NewTicker(drainWatchInterval)
-	defer ticker.Stop()
-	for !d.entries.Current().Hosts[d.host].Drain {
+	for {
+		changed := d.entries.Changed()
+		if d.entries.Current().Hosts[d.host].Drain {
+			d.logger.Info("drained by configuration")
+			_ = d.shutdown.Shutdown() // only fails when the daemon stops already
+			return
+		}
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-changed:
 		}
 	}
-	d.logger.Info("drained by configuration")
-	_ = d.shutdown.Shutdown() // only fails when the daemon stops already
 }
