--- /dev/null
+++ b/core/balance/balance.go
@@ -0,0 +1,189 @@
+// Package balance chooses backend servers by what this host has in flight at
+// them, how they did lately and where they run.
+package balance
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/hickoryfront/hickoryfront/core/fleet"
+	"github.com/hickoryfront/hickoryfront/core/health"
+)
+
+const (
+	// foreignWeight is the load, in requests, that a server of another failure
+	// domain must be below one of the own domain to be preferred.
+	foreignWeight = 1.0
+	// failureWeight is the load, in requests, that a failure rate of 1 counts as.
+	failureWeight = 20.0
+	// fullPeriod is the time for which a server that had no room is passed over.
+	fullPeriod = 60 * time.Millisecond
+)
+
+type (
+	// Table holds this host's load at each server. It is not safe for concurrent
+	// use.
+	Table struct {
+		health *health.Table
+		loads  map[string]*load
+	}
+
+	// Want says which servers may be chosen.
+	Want struct {
+		Service string
+		Stage   fleet.Stage
+		// FailureDomain is preferred.
+		FailureDomain string
+		// Excluded are the incarnations that were tried.
+		Excluded []string
+	}
+
+	load struct {
+		requests  int
+		tokens    int
+		fullUntil time.Time
+	}
+)
+
+// NewTable returns a table without load.
+func NewTable() *Table {
+	return &Table{health: health.NewTable(), loads: make(map[string]*load)}
+}
+
+// Begin counts a request with so many tokens at a server.
+func (t *Table) Begin(server string, tokens int) {
+	l, ok := t.loads[server]
+	if !ok {
+		l = &load{}
+		t.loads[server] = l
+	}
+	l.requests++
+	l.tokens += tokens
+}
+
+// End takes a request off a server.
+func (t *Table) End(server string, tokens int) {
+	l, ok := t.loads[server]
+	if !ok {
+		return
+	}
+	l.requests--
+	l.tokens -= tokens
+}
+
+// Report takes in how a request went at a server.
+func (t *Table) Report(now time.Time, server string, result health.Result) {
+	t.health.Report(now, server, result)
+}
+
+// Full notes that a server had no room at now.
+func (t *Table) Full(now time.Time, server string) {
+	l, ok := t.loads[server]
+	if !ok {
+		l = &load{}
+		t.loads[server] = l
+	}
+	l.fullUntil = now.Add(fullPeriod)
+}
+
+// Retain forgets servers without load that are not known any more.
+func (t *Table) Retain(servers []fleet.Server) {
+	known := make(map[string]bool, len(servers))
+	for _, s := range servers {
+		known[s.ID] = true
+	}
+	for id, l := range t.loads {
+		if !known[id] && l.requests <= 0 {
+			delete(t.loads, id)
+		}
+	}
+	t.health.Retain(func(server string) bool { return known[server] })
+}
+
+// Pick returns the best server, preferring those that are not ejected. It
+// returns false where there is none.
+func (t *Table) Pick(now time.Time, servers []fleet.Server, want Want) (fleet.Server, bool) {
+	if s, ok := t.pick(now, servers, want, false); ok {
+		return s, true
+	}
+	return t.pick(now, servers, want, true)
+}
+
+func (t *Table) pick(now time.Time, servers []fleet.Server, want Want, isEjectedAllowed bool) (fleet.Server, bool) {
+	var best fleet.Server
+	var bestCost float64
+	isFound := false
+	for _, s := range servers {
+		if !want.allows(s) || (!isEjectedAllowed && t.health.IsEjected(now, s.ID)) {
+			continue
+		}
+		cost := t.cost(s, want)
+		if !isFound || cost < bestCost {
+			best, bestCost, isFound = s, cost, true
+		}
+	}
+	return best, isFound
+}
+
+// Order returns the servers that may have room, best first. Ejected ones and
+// those that were full a moment ago are left out.
+func (t *Table) Order(now time.Time, servers []fleet.Server, want Want) []fleet.Server {
+	type candidate struct {
+		server fleet.Server
+		cost   float64
+	}
+	var candidates []candidate
+	for _, s := range servers {
+		if !want.allows(s) || t.health.IsEjected(now, s.ID) || t.isFull(now, s.ID) {
+			continue
+		}
+		candidates = append(candidates, candidate{s, t.cost(s, want)})
+	}
+	slices.SortFunc(candidates, func(a, b candidate) int {
+		switch {
+		case a.cost < b.cost:
+			return -1
+		case a.cost > b.cost:
+			return 1
+		default:
+			return 0
+		}
+	})
+	ordered := make([]fleet.Server, len(candidates))
+	for i, c := range candidates {
+		ordered[i] = c.server
+	}
+	return ordered
+}
+
+// Count returns the number of servers that may be chosen, ejected or not.
+func (t *Table) Count(servers []fleet.Server, want Want) int {
+	count := 0
+	for _, s := range servers {
+		if want.allows(s) {
+			count++
+		}
+	}
+	return count
+}
+
+func (t *Table) isFull(now time.Time, server string) bool {
+	l, ok := t.loads[server]
+	return ok && now.Before(l.fullUntil)
+}
+
+func (t *Table) cost(s fleet.Server, want Want) float64 {
+	cost := rand.Float64() * 0.5 // servers of equal load take turns
+	if l, ok := t.loads[s.ID]; ok {
+		cost += float64(l.requests)
+	}
+	if s.FailureDomain != want.FailureDomain {
+		cost += foreignWeight
+	}
+	return cost + failureWeight*t.health.Rate(s.ID)
+}
+
+func (w Want) allows(s fleet.Server) bool {
+	return s.Service == w.Service && s.Stage == w.Stage && !s.IsDraining && !slices.Contains(w.Excluded, s.ID)
+}
--- /dev/null
+++ b/core/budget/budget.go
@@ -0,0 +1,78 @@
+// Package budget bounds the repeats that a host sends to a service, as its
+// share of a budget that all hosts keep together.
+package budget
+
+import "time"
+
+const (
+	// Window is the time over which repeats are counted against requests.
+	Window = 10 * time.Second
+	// bucketPeriod is the resolution of the window.
+	bucketPeriod = 500 * time.Millisecond
+	buckets      = int(Window/bucketPeriod) + 1
+	// reserve is the part of the budget that is never spent: arrivals that cross
+	// the border of a window, and hosts whose share of the traffic shifts.
+	reserve = 0.2
+)
+
+type (
+	// Terms are the budget that all hosts keep together.
+	Terms struct {
+		// Ratio is the part of the requests that may be repeated.
+		Ratio float64
+		// Slack is the number of repeats allowed besides, of all hosts together.
+		Slack float64
+	}
+
+	// Budget is one host's share for one service. It is not safe for concurrent
+	// use.
+	Budget struct {
+		terms   Terms
+		start   time.Time
+		counts  [buckets]count
+		current int64
+	}
+
+	count struct {
+		requests int
+		repeats  int
+	}
+)
+
+// New returns a budget that is unspent at start.
+func New(start time.Time, terms Terms) *Budget {
+	return &Budget{terms: terms, start: start}
+}
+
+// Request counts a caller's request at now.
+func (b *Budget) Request(now time.Time) {
+	b.at(now).requests++
+}
+
+// Take spends one repeat at now, where hosts hosts share the budget. It reports
+// whether the repeat may be sent.
+func (b *Budget) Take(now time.Time, hosts int) bool {
+	bucket := b.at(now)
+	var requests, repeats int
+	for _, c := range b.counts {
+		requests += c.requests
+		repeats += c.repeats
+	}
+	allowed := (1 - reserve) * (b.terms.Ratio*float64(requests) + b.terms.Slack/float64(max(hosts, 1)))
+	if float64(repeats+1) > allowed {
+		return false
+	}
+	bucket.repeats++
+	return true
+}
+
+// at returns the bucket of now and empties those that have left the window.
+func (b *Budget) at(now time.Time) *count {
+	number := int64(now.Sub(b.start) / bucketPeriod)
+	first := max(b.current+1, number-int64(buckets)+1)
+	for n := first; n <= number; n++ {
+		b.counts[n%int64(buckets)] = count{}
+	}
+	b.current = max(b.current, number)
+	return &b.counts[b.current%int64(buckets)]
+}
--- /dev/null
+++ b/hickoryd/internal/command/edge.go
@@ -0,0 +1,108 @@
+package command
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/json"
+	"github.com/google/subcommands"
+	"go.uber.org/fx"
+
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/edge"
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/linelog"
+)
+
+const (
+	// settingsVariable names the settings file where no flag does.
+	settingsVariable = "HICKORYFRONT_SETTINGS"
+	// lastLines is how long the last log lines may take at the end.
+	lastLines = 100 * time.Millisecond
+)
+
+// Edge runs the daemon on the users' platform.
+type Edge struct {
+	output   io.Writer
+	errors   io.Writer
+	settings string
+}
+
+// NewEdge returns the edge command.
+func NewEdge(output, errors io.Writer) *Edge { return &Edge{output: output, errors: errors} }
+
+// Name implements subcommands.Command.
+func (*Edge) Name() string { return "edge" }
+
+// Synopsis implements subcommands.Command.
+func (*Edge) Synopsis() string { return "run the daemon on the users' platform" }
+
+// Usage implements subcommands.Command.
+func (*Edge) Usage() string {
+	return "hickoryd edge [--settings FILE]\n\nRuns the daemon on the users' platform until it is signalled.\n" +
+		"Without --settings, " + settingsVariable + " names the file.\n\nExample:\n  hickoryd edge --settings host-1.ini\n\n"
+}
+
+// SetFlags implements subcommands.Command.
+func (e *Edge) SetFlags(flags *flag.FlagSet) {
+	flags.StringVar(&e.settings, "settings", os.Getenv(settingsVariable), "settings file")
+}
+
+// Execute implements subcommands.Command.
+func (e *Edge) Execute(ctx context.Context, flags *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if e.settings == "" || flags.NArg() > 0 {
+		fmt.Fprintf(e.errors, "hickoryd: give the settings file with --settings or %s\n", settingsVariable)
+		return subcommands.ExitUsageError
+	}
+	loaded, err := edge.LoadSettings(e.settings)
+	if err != nil {
+		fmt.Fprintf(e.errors, "hickoryd: %v\n", err)
+		return subcommands.ExitUsageError
+	}
+	if err := e.run(ctx, loaded); err != nil {
+		fmt.Fprintf(e.errors, "hickoryd: %v\n", err)
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
+
+func (e *Edge) run(ctx context.Context, s edge.Settings) error {
+	lines := linelog.New(e.output)
+	defer lines.Close(lastLines)
+	logger := (&log.Logger{Handler: json.New(lines), Level: log.MustParseLevel(s.LogLevel)}).WithField("host", s.Name)
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	defer signal.Stop(reload)
+	var daemon *edge.Daemon
+	app := fx.New(edge.Options(s, logger), fx.Populate(&daemon))
+	stopped := app.Wait()
+	if err := app.Start(ctx); err != nil {
+		return err
+	}
+	for {
+		select {
+		case <-reload:
+			e.reload(daemon, logger)
+			continue
+		case <-stopped:
+		}
+		break
+	}
+	stopping, cancel := context.WithTimeout(ctx, app.StopTimeout())
+	defer cancel()
+	return app.Stop(stopping)
+}
+
+func (e *Edge) reload(daemon *edge.Daemon, logger log.Interface) {
+	next, err := edge.LoadSettings(e.settings)
+	if err != nil {
+		logger.WithError(err).Error("settings not read again; the old ones stay")
+		return
+	}
+	daemon.Reload(next)
+}
--- /dev/null
+++ b/hickoryd/internal/edge/settings.go
@@ -0,0 +1,90 @@
+// Package edge is the daemon on the users' platform: it wires the store, the
+// other hosts, the callers and the backend servers together.
+package edge
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/hickoryfront/hickoryfront/core/setting"
+)
+
+// ErrInvalid marks settings that fail their checks.
+var ErrInvalid = errors.New("invalid settings")
+
+// Settings are the settings of a host on the users' platform.
+type Settings struct {
+	Name          string
+	FailureDomain string
+
+	Caller   netip.AddrPort
+	Ready    netip.AddrPort
+	Peer     netip.AddrPort
+	Operator netip.AddrPort
+
+	Store        netip.AddrPort
+	StorePoll    time.Duration
+	StoreTimeout time.Duration
+
+	Seeds []netip.AddrPort
+
+	RepeatRatio float64
+	RepeatSlack float64
+
+	MemoryMB int
+	Grace    time.Duration
+	LogLevel string
+}
+
+// LoadSettings reads and checks a settings file. The error names all wrong keys.
+func LoadSettings(path string) (Settings, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, fmt.Errorf("%w: %w", ErrInvalid, err)
+	}
+	s, err := ParseSettings(text)
+	if err != nil {
+		return s, fmt.Errorf("%w: %s: %w", ErrInvalid, path, err)
+	}
+	return s, nil
+}
+
+// ParseSettings checks the text of a settings file.
+func ParseSettings(text []byte) (Settings, error) {
+	var s Settings
+	if err := setting.Parse(text, bindings(&s)); err != nil {
+		return s, err
+	}
+	if s.StoreTimeout > s.StorePoll {
+		return s, setting.Errors{{Section: "store", Name: "timeout", Reason: "must not be longer than poll"}}
+	}
+	return s, nil
+}
+
+// Keys returns all settings in order.
+func Keys() []setting.Key {
+	return setting.Keys(bindings(&Settings{}))
+}
+
+func bindings(s *Settings) []setting.Binding {
+	return []setting.Binding{
+		setting.Bind("host", "name", "", "name of this host, unique in the fleet", setting.Required(&s.Name)),
+		setting.Bind("host", "failureDomain", "", "failure domain of this host", setting.Required(&s.FailureDomain)),
+		setting.Bind("host", "memoryMB", "128", "memory that the process may use, in MB", setting.Integer(&s.MemoryMB)),
+		setting.Bind("listen", "caller", "", "address for callers", setting.AddrPort(&s.Caller)),
+		setting.Bind("listen", "ready", "", "address of the readiness check", setting.AddrPort(&s.Ready)),
+		setting.Bind("listen", "peer", "", "address for the other hosts", setting.AddrPort(&s.Peer)),
+		setting.Bind("listen", "operator", "", "address of metrics and status", setting.AddrPort(&s.Operator)),
+		setting.Bind("store", "address", "", "address of the platform's store", setting.AddrPort(&s.Store)),
+		setting.Bind("store", "poll", "700ms", "time between two reads of the backend servers", setting.Duration(&s.StorePoll)),
+		setting.Bind("store", "timeout", "500ms", "longest wait for an answer of the store", setting.Duration(&s.StoreTimeout)),
+		setting.Bind("peers", "seeds", "", "addresses of other hosts to ask before the list of hosts is known", setting.AddrPorts(&s.Seeds)),
+		setting.Bind("repeats", "ratio", "0.2", "repeats to a service for each request, all hosts together", setting.Number(&s.RepeatRatio)),
+		setting.Bind("repeats", "slack", "20", "repeats to a service in 10 s besides, all hosts together", setting.Number(&s.RepeatSlack)),
+		setting.Bind("shutdown", "grace", "8s", "time from the signal to the end of the process", setting.Duration(&s.Grace)),
+		setting.Bind("log", "level", "info", "debug, info, warn or error", setting.OneOf(&s.LogLevel, "debug", "info", "warn", "error")),
+	}
+}
--- /dev/null
+++ b/hickoryd/internal/edge/wiring.go
@@ -0,0 +1,107 @@
+package edge
+
+import (
+	"context"
+	"net/http"
+	"runtime/debug"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/apex/log"
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+
+	"github.com/hickoryfront/hickoryfront/core/budget"
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/edgecaller"
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/edgedispatch"
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/edgehost"
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/registry"
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/upstream"
+	"github.com/hickoryfront/hickoryfront/platform"
+)
+
+const (
+	// memoryShare is the part of the host's memory that the runtime aims at; the
+	// rest holds the sockets' buffers and the program.
+	memoryShare = 0.6
+	// collectPercent is the growth of the heap between two collections. Memory
+	// costs more than processor time here.
+	collectPercent = 50
+	// storeConnections is the number of connections to the store: one watches,
+	// the others read and write.
+	storeConnections = 4
+	// stopMargin is the time that a stop may take beyond the grace period.
+	stopMargin = 5 * time.Second
+)
+
+// life is the time in which the daemon's loops run.
+type life struct {
+	context.Context
+	end context.CancelFunc
+}
+
+// Options returns the wiring of a daemon.
+func Options(s Settings, logger log.Interface) fx.Option {
+	return fx.Options(
+		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
+		fx.StopTimeout(s.Grace+stopMargin),
+		fx.Supply(s),
+		fx.Provide(
+			func() log.Interface { return logger },
+			metrics.NewSet,
+			newLife, newPool, newStore, newHosts, newRegistry, newDispatcher, newHandler, newHostServer, New,
+		),
+		fx.Invoke(limitMemory, register),
+	)
+}
+
+func register(lifecycle fx.Lifecycle, d *Daemon) {
+	lifecycle.Append(fx.Hook{OnStart: d.Start, OnStop: d.Stop})
+}
+
+func limitMemory(s Settings) {
+	debug.SetGCPercent(collectPercent)
+	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryMB) * (1 << 20)))
+}
+
+func newLife() *life {
+	ctx, end := context.WithCancel(context.Background())
+	return &life{ctx, end}
+}
+
+func newPool(s Settings, set *metrics.Set) *upstream.Pool {
+	return upstream.NewPool(s.Caller.Addr(), set)
+}
+
+func newStore(s Settings) *platform.Store {
+	transport := &http.Transport{
+		MaxIdleConnsPerHost: storeConnections, IdleConnTimeout: 30 * time.Second, DisableCompression: true,
+		ReadBufferSize: 2 << 10, WriteBufferSize: 1 << 10,
+	}
+	return platform.NewStore(&http.Client{Transport: transport}, s.Store)
+}
+
+func newHosts(s Settings, logger log.Interface) *edgehost.Client {
+	return edgehost.NewClient(s.Peer, s.Seeds, logger)
+}
+
+func newRegistry(s Settings, store *platform.Store, hosts *edgehost.Client, logger log.Interface, set *metrics.Set) *registry.Registry {
+	return registry.New(registry.Options{
+		Self: platform.Host{Name: s.Name, Peer: s.Peer, FailureDomain: s.FailureDomain},
+		Poll: s.StorePoll, Timeout: s.StoreTimeout,
+	}, store, hosts, logger, set)
+}
+
+func newDispatcher(l *life, s Settings, r *registry.Registry, pool *upstream.Pool, hosts *edgehost.Client, logger log.Interface, set *metrics.Set) *edgedispatch.Dispatcher {
+	return edgedispatch.New(l, edgedispatch.Options{
+		FailureDomain: s.FailureDomain, Budget: budget.Terms{Ratio: s.RepeatRatio, Slack: s.RepeatSlack},
+	}, r, pool, hosts, logger, set)
+}
+
+func newHandler(r *registry.Registry, d *edgedispatch.Dispatcher, logger log.Interface, set *metrics.Set) *edgecaller.Handler {
+	return edgecaller.New(r, d, logger, set)
+}
+
+func newHostServer(r *registry.Registry, d *edgedispatch.Dispatcher) *edgehost.Server {
+	return edgehost.NewServer(r, d)
+}
--- /dev/null
+++ b/hickoryd/internal/edgecaller/caller.go
@@ -0,0 +1,252 @@
+// Package edgecaller serves callers on the users' platform: it finds the route
+// of a request, reads it whole, and writes the answer.
+package edgecaller
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/apex/log"
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/hickoryfront/hickoryfront/core/route"
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/edgedispatch"
+	"github.com/hickoryfront/hickoryfront/platform"
+)
+
+const (
+	// defaultBody bounds a body in bytes where the operators set no limit.
+	defaultBody = 4 << 20
+	// bodyTimeout is the longest time that a body may take where the operators
+	// set no limit.
+	bodyTimeout = 10 * time.Second
+	// defaultTimeout bounds a request whose route sets no time-out.
+	defaultTimeout = 30 * time.Second
+	// startRetryAfter tells a caller to come back when the host knows its routes.
+	startRetryAfter = 500 * time.Millisecond
+	// maxHeldBytes bounds the bodies that are held at once, as a part of the
+	// memory of the smallest host.
+	maxHeldBytes = 24 << 20
+)
+
+var (
+	errNoRoutes = &edgedispatch.Failure{Status: http.StatusServiceUnavailable, RetryAfter: startRetryAfter, Reason: "no configuration yet"}
+	errBusy     = &edgedispatch.Failure{Status: http.StatusServiceUnavailable, RetryAfter: startRetryAfter, Reason: "too many bodies held"}
+)
+
+type (
+	// Routes returns the routes in force, or nil.
+	Routes interface {
+		Table() *route.Table
+	}
+
+	// Dispatcher answers requests.
+	Dispatcher interface {
+		Serve(ctx context.Context, o *edgedispatch.Order, sink edgedispatch.Sink) error
+	}
+
+	// Handler serves callers. It is safe for concurrent use.
+	Handler struct {
+		routes     Routes
+		dispatcher Dispatcher
+		logger     log.Interface
+		isLeaving  atomic.Bool
+		held       atomic.Int64
+		inFlight   atomic.Int64
+
+		requests *metrics.Counter
+		set      *metrics.Set
+	}
+)
+
+// New returns a handler.
+func New(routes Routes, dispatcher Dispatcher, logger log.Interface, set *metrics.Set) *Handler {
+	h := &Handler{routes: routes, dispatcher: dispatcher, logger: logger, set: set, requests: set.NewCounter(`hickoryfront_edge_requests_total`)}
+	set.NewGauge(`hickoryfront_edge_requests_in_flight`, func() float64 { return float64(h.inFlight.Load()) })
+	return h
+}
+
+// Leave makes callers open no more requests on their connections.
+func (h *Handler) Leave() {
+	h.isLeaving.Store(true)
+}
+
+// InFlight returns the number of requests without a complete answer.
+func (h *Handler) InFlight() int64 {
+	return h.inFlight.Load()
+}
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	arrived := time.Now()
+	h.inFlight.Add(1)
+	defer h.inFlight.Add(-1)
+	h.requests.Inc()
+	s := &sink{writer: w, controller: http.NewResponseController(w), handler: h}
+	order, err := h.read(r, w, arrived)
+	defer h.held.Add(-int64(len(order.Body)))
+	if err == nil {
+		s.id = order.Request.ID
+		err = h.dispatcher.Serve(r.Context(), order, s)
+	}
+	h.finish(r, order, s, err)
+}
+
+// finish ends the answer. One that has begun and can't be finished must not
+// look complete.
+func (h *Handler) finish(r *http.Request, o *edgedispatch.Order, s *sink, err error) {
+	h.observe(o, s, err)
+	var failure *edgedispatch.Failure
+	switch {
+	case err == nil:
+	case errors.As(err, &failure):
+		s.fail(failure)
+	default:
+		panic(http.ErrAbortHandler)
+	}
+	if r.Context().Err() != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// read decodes a request and reads its body. The order is never nil.
+func (h *Handler) read(r *http.Request, w http.ResponseWriter, arrived time.Time) (*edgedispatch.Order, error) {
+	o := &edgedispatch.Order{Method: r.Method, Target: targetOf(r), Host: r.Host, Header: r.Header, Arrived: arrived}
+	var err error
+	o.Request, err = platform.DecodeRequest(r.Header)
+	if errors.Is(err, platform.ErrNoRequestID) {
+		return o, &edgedispatch.Failure{Status: http.StatusBadRequest, Reason: err.Error()}
+	}
+	if err != nil {
+		h.logger.WithError(err).WithField("request", o.Request.ID).Warn("header passed over")
+	}
+	table := h.routes.Table()
+	if table == nil {
+		return o, errNoRoutes
+	}
+	o.Version = table.Version()
+	o.Route = table.Find(r.Host, pathOf(o.Target))
+	if o.Route == nil {
+		return o, &edgedispatch.Failure{Status: http.StatusNotFound, Reason: "no route"}
+	}
+	if err := h.readBody(o, r, w, table.Limits()); err != nil {
+		return o, err
+	}
+	o.Deadline = deadlineOf(o)
+	o.Fingerprint = fingerprint(o)
+	return o, nil
+}
+
+func (h *Handler) readBody(o *edgedispatch.Order, r *http.Request, w http.ResponseWriter, limits route.Limits) error {
+	limit := limits.BodyBytes
+	if limit <= 0 {
+		limit = defaultBody
+	}
+	if r.ContentLength == 0 {
+		return nil
+	}
+	if r.ContentLength > limit {
+		return &edgedispatch.Failure{Status: http.StatusRequestEntityTooLarge, Reason: "body too long"}
+	}
+	if h.held.Load()+max(r.ContentLength, 0) > maxHeldBytes {
+		return errBusy
+	}
+	controller := http.NewResponseController(w)
+	if err := controller.SetReadDeadline(o.Arrived.Add(bodyTimeout)); err != nil {
+		h.logger.WithError(err).Warn("no time limit on a body")
+	}
+	body, err := readAll(io.LimitReader(r.Body, limit+1), r.ContentLength)
+	o.Body = body
+	h.held.Add(int64(len(body)))
+	if err != nil {
+		return &edgedispatch.Failure{Status: http.StatusRequestTimeout, Reason: "body not read: " + err.Error()}
+	}
+	if int64(len(body)) > limit {
+		return &edgedispatch.Failure{Status: http.StatusRequestEntityTooLarge, Reason: "body too long"}
+	}
+	if err := controller.SetReadDeadline(time.Time{}); err != nil {
+		h.logger.WithError(err).Warn("time limit on a body not lifted")
+	}
+	return nil
+}
+
+// readAll reads a body of the given length, or of unknown length where that is
+// negative.
+func readAll(r io.Reader, length int64) ([]byte, error) {
+	if length < 0 {
+		return io.ReadAll(r)
+	}
+	body := make([]byte, length)
+	n, err := io.ReadFull(r, body)
+	return body[:n], err
+}
+
+// targetOf returns path and query as the caller sent them.
+func targetOf(r *http.Request) string {
+	if strings.HasPrefix(r.RequestURI, "/") {
+		return r.RequestURI
+	}
+	return r.URL.RequestURI()
+}
+
+func pathOf(target string) string {
+	path, _, _ := strings.Cut(target, "?")
+	return path
+}
+
+func deadlineOf(o *edgedispatch.Order) time.Time {
+	limit := o.Route.Timeout
+	if limit <= 0 {
+		limit = defaultTimeout
+	}
+	if o.Request.TimeLeft > 0 {
+		limit = min(limit, o.Request.TimeLeft)
+	}
+	return o.Arrived.Add(limit)
+}
+
+// fingerprint names what is run: service, path and body.
+func fingerprint(o *edgedispatch.Order) uint64 {
+	digest := xxhash.New()
+	_, _ = digest.WriteString(o.Route.Service + "\x00" + o.Target + "\x00")
+	_, _ = digest.Write(o.Body)
+	return digest.Sum64()
+}
+
+// observe counts and logs the outcome of a request.
+func (h *Handler) observe(o *edgedispatch.Order, s *sink, err error) {
+	name := "none"
+	if o.Route != nil {
+		name = o.Route.Name
+	}
+	took := time.Since(o.Arrived)
+	status := s.status
+	outcome := "answered"
+	var failure *edgedispatch.Failure
+	switch {
+	case errors.As(err, &failure):
+		outcome, status = "failed", failure.Status
+	case err != nil:
+		outcome = "cut"
+	}
+	h.set.GetOrCreateHistogram(`hickoryfront_edge_request_seconds{outcome="` + outcome + `"}`).Update(took.Seconds())
+	h.set.GetOrCreateCounter(`hickoryfront_edge_answers_total{status="` + strconv.Itoa(status) + `"}`).Inc()
+	entry := h.logger.WithFields(log.Fields{
+		"request": o.Request.ID, "route": name, "configVersion": o.Version, "status": status, "outcome": outcome,
+		"took": took.Round(time.Millisecond / 10).String(), "bytes": s.bytes,
+	})
+	if !s.first.IsZero() {
+		entry = entry.WithField("firstByte", s.first.Sub(o.Arrived).Round(time.Millisecond/10).String())
+	}
+	if err != nil {
+		entry = entry.WithField("reason", err.Error())
+	}
+	entry.Info("request ended")
+}
--- /dev/null
+++ b/hickoryd/internal/edgedispatch/dispatch.go
@@ -0,0 +1,270 @@
+// Package edgedispatch serves callers' requests from the platform's backend
+// servers: it chooses servers, sends, repeats what may be repeated, and gives
+// up what can't be served.
+package edgedispatch
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/apex/log"
+
+	"github.com/hickoryfront/hickoryfront/core/balance"
+	"github.com/hickoryfront/hickoryfront/core/budget"
+	"github.com/hickoryfront/hickoryfront/core/crash"
+	"github.com/hickoryfront/hickoryfront/core/fleet"
+	"github.com/hickoryfront/hickoryfront/core/health"
+	"github.com/hickoryfront/hickoryfront/core/route"
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/registry"
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/upstream"
+	"github.com/hickoryfront/hickoryfront/platform"
+)
+
+const (
+	// crashTableSize bounds the fingerprints that are remembered.
+	crashTableSize = 4096
+	// releaseTimeout is the longest wait for a reservation to be given back.
+	releaseTimeout = time.Second
+)
+
+// ErrCut means that the answer has begun and can't be finished.
+var ErrCut = errors.New("the answer was cut off")
+
+type (
+	// Fleet knows the backend servers and the number of hosts.
+	Fleet interface {
+		Servers() *registry.Snapshot
+		Hosts() int
+	}
+
+	// Neighbors hears of servers that were lost with a request in flight.
+	Neighbors interface {
+		ReportLoss(ctx context.Context, fingerprint uint64, server string)
+	}
+
+	// Sink takes an answer for the caller.
+	Sink interface {
+		// Start sends status and headers.
+		Start(status int, header http.Header) error
+		// Write sends a part of the body at once.
+		Write(part []byte) error
+	}
+
+	// Order is a caller's request with its route.
+	Order struct {
+		Request     platform.Request
+		Route       *route.Route
+		Version     uint64
+		Method      string
+		Target      string
+		Host        string
+		Header      http.Header
+		Body        []byte
+		Fingerprint uint64
+		Arrived     time.Time
+		// Deadline is when the caller or the route gives up.
+		Deadline time.Time
+	}
+
+	// Failure is an answer of the system's own.
+	Failure struct {
+		Status int
+		// RetryAfter tells the caller when to come back, or is zero.
+		RetryAfter time.Duration
+		Reason     string
+	}
+
+	// Options tune the dispatcher.
+	Options struct {
+		FailureDomain string
+		Budget        budget.Terms
+	}
+
+	// Dispatcher serves requests. It is safe for concurrent use.
+	Dispatcher struct {
+		options   Options
+		fleet     Fleet
+		pool      *upstream.Pool
+		neighbors Neighbors
+		logger    log.Interface
+		counters  counters
+		// life ends with the process; work that outlives its request runs in it.
+		life context.Context
+
+		mu      sync.Mutex
+		table   *balance.Table
+		budgets map[string]*budget.Budget
+		crashes *crash.Table
+		seen    uint64
+	}
+
+	counters struct {
+		repeats, denied, refused, cut, resumed, preparedLocally, wasted *metrics.Counter
+	}
+)
+
+// New returns a dispatcher whose background work ends with life.
+func New(life context.Context, options Options, f Fleet, pool *upstream.Pool, neighbors Neighbors, logger log.Interface, set *metrics.Set) *Dispatcher {
+	return &Dispatcher{
+		life: life, options: options, fleet: f, pool: pool, neighbors: neighbors, logger: logger,
+		table: balance.NewTable(), budgets: make(map[string]*budget.Budget), crashes: crash.NewTable(crashTableSize),
+		counters: counters{
+			repeats:         set.NewCounter(`hickoryfront_edge_repeats_total`),
+			denied:          set.NewCounter(`hickoryfront_edge_repeats_denied_total`),
+			refused:         set.NewCounter(`hickoryfront_edge_refused_total`),
+			cut:             set.NewCounter(`hickoryfront_edge_cut_total`),
+			resumed:         set.NewCounter(`hickoryfront_edge_resumed_total`),
+			preparedLocally: set.NewCounter(`hickoryfront_edge_prompts_read_at_decode_total`),
+			wasted:          set.NewCounter(`hickoryfront_edge_handles_unused_total`),
+		},
+	}
+}
+
+// Serve answers a request. The error is a *Failure where nothing was sent to the
+// caller yet, and ErrCut where the answer has begun.
+func (d *Dispatcher) Serve(ctx context.Context, o *Order, sink Sink) error {
+	if d.isCrasher(o) {
+		return &Failure{Status: http.StatusServiceUnavailable, Reason: "request has crashed backend servers"}
+	}
+	d.countRequest(o)
+	ctx, cancel := context.WithDeadline(ctx, o.Deadline)
+	defer cancel()
+	if o.Route.Kind == route.Streaming && o.Route.IsGeneration {
+		return d.serveGeneration(ctx, o, sink)
+	}
+	return d.servePlain(ctx, o, sink)
+}
+
+// ReportLoss takes in another host's report that a server was lost while it ran
+// a request.
+func (d *Dispatcher) ReportLoss(now time.Time, fingerprint uint64, server string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.crashes.Report(now, fingerprint, server)
+}
+
+// Error implements error.
+func (f *Failure) Error() string {
+	return fmt.Sprintf("%d: %s", f.Status, f.Reason)
+}
+
+func (d *Dispatcher) isCrasher(o *Order) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.crashes.Check(o.Arrived, o.Fingerprint) == crash.Refuse
+}
+
+func (d *Dispatcher) countRequest(o *Order) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.budgetOf(o).Request(o.Arrived)
+}
+
+func (d *Dispatcher) budgetOf(o *Order) *budget.Budget {
+	held, ok := d.budgets[o.Route.Service]
+	if !ok {
+		held = budget.New(o.Arrived, d.options.Budget)
+		d.budgets[o.Route.Service] = held
+	}
+	return held
+}
+
+// mayRepeat spends one repeat of a request's service.
+func (d *Dispatcher) mayRepeat(o *Order) bool {
+	hosts := d.fleet.Hosts()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.budgetOf(o).Take(time.Now(), hosts) {
+		d.counters.repeats.Inc()
+		return true
+	}
+	d.counters.denied.Inc()
+	return false
+}
+
+func (d *Dispatcher) pick(want balance.Want) (fleet.Server, bool) {
+	servers := d.servers()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.table.Pick(time.Now(), servers, want)
+}
+
+func (d *Dispatcher) order(want balance.Want) []fleet.Server {
+	servers := d.servers()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.table.Order(time.Now(), servers, want)
+}
+
+func (d *Dispatcher) servers() []fleet.Server {
+	snapshot := d.fleet.Servers()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if snapshot.Version != d.seen {
+		d.seen = snapshot.Version
+		d.table.Retain(snapshot.Servers)
+	}
+	return snapshot.Servers
+}
+
+func (d *Dispatcher) begin(server string, tokens int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.table.Begin(server, tokens)
+}
+
+func (d *Dispatcher) end(server string, tokens int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.table.End(server, tokens)
+}
+
+func (d *Dispatcher) report(server string, result health.Result) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.table.Report(time.Now(), server, result)
+}
+
+func (d *Dispatcher) full(server string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.table.Full(time.Now(), server)
+}
+
+// lost looks, after a connection broke while a server ran a request, whether the
+// server is gone, and tells all hosts if so.
+func (d *Dispatcher) lost(o *Order, server fleet.Server) {
+	go d.runLost(o.Fingerprint, server)
+}
+
+func (d *Dispatcher) runLost(fingerprint uint64, server fleet.Server) {
+	ctx, cancel := context.WithTimeout(d.life, releaseTimeout)
+	defer cancel()
+	if d.pool.IsReachable(ctx, server.Address) {
+		return
+	}
+	d.logger.WithFields(log.Fields{"server": server.ID, "fingerprint": fingerprint}).Warn("backend server lost while it ran a request")
+	d.ReportLoss(time.Now(), fingerprint, server.ID)
+	d.neighbors.ReportLoss(d.life, fingerprint, server.ID)
+}
+
+func (d *Dispatcher) outbound(o *Order, a platform.Attempt) upstream.Request {
+	a.TimeLeft = time.Until(o.Deadline)
+	return upstream.Request{
+		ID: o.Request.ID, Method: o.Method, Target: o.Target, Host: o.Host,
+		Header: platform.Outbound(o.Header, a), Body: o.Body,
+	}
+}
+
+// fields returns what every line about a request says.
+func (o *Order) fields() log.Fields {
+	return log.Fields{
+		"request": o.Request.ID, "route": o.Route.Name, "configVersion": o.Version,
+		"age": time.Since(o.Arrived).Round(time.Millisecond / 10).String(),
+	}
+}
--- /dev/null
+++ b/hickoryd/internal/edgedispatch/generation.go
@@ -0,0 +1,419 @@
+package edgedispatch
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/hickoryfront/hickoryfront/core/balance"
+	"github.com/hickoryfront/hickoryfront/core/fleet"
+	"github.com/hickoryfront/hickoryfront/core/health"
+	"github.com/hickoryfront/hickoryfront/core/stream"
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/timing"
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/upstream"
+	"github.com/hickoryfront/hickoryfront/platform"
+)
+
+const (
+	// holdLifetime is how long a reservation waits for its request: a prompt's
+	// reading and its transfer.
+	holdLifetime = 1900 * time.Millisecond
+	// holdTimeout is the longest wait for the answer to a reservation.
+	holdTimeout = 300 * time.Millisecond
+	// roomPoll is the time between two searches for room.
+	roomPoll = 40 * time.Millisecond
+	// patienceShare is the part of the target latency for which a request waits
+	// for room.
+	patienceShare = 0.7
+	// fullRetryAfter tells a caller to come back when memory may be free: about
+	// the time in which a running request ends.
+	fullRetryAfter = 1500 * time.Millisecond
+	// prefillTimeoutShare is the part of the target latency that the reading of a
+	// prompt may take.
+	prefillTimeoutShare = 0.6
+	// maxPlacements bounds the servers that one stream is offered to.
+	maxPlacements = 5
+	// silenceLimit is the pause after which a stream that can be resumed goes on
+	// at another server.
+	silenceLimit = 1200 * time.Millisecond
+)
+
+// errSilent means that a stream paused for too long.
+var errSilent = errors.New("the stream fell silent")
+
+type (
+	// generation is one request to model servers with its tries.
+	generation struct {
+		*Dispatcher
+		order *Order
+		sink  Sink
+		relay *stream.Relay
+		tried []string
+		// runs is the number of decode servers that may have run the request.
+		runs      int
+		prefills  int
+		isStarted bool
+		// sent is set once a repeat of this request would count.
+		sent bool
+	}
+
+	// seat is room at a decode server.
+	seat struct {
+		server fleet.Server
+		hold   string
+		tokens int
+	}
+)
+
+func (d *Dispatcher) serveGeneration(ctx context.Context, o *Order, sink Sink) error {
+	g := &generation{Dispatcher: d, order: o, sink: sink, relay: stream.NewRelay(o.Request.LastEvent, o.Request.IsResumed)}
+	var last error
+	for range maxPlacements {
+		err := g.place(ctx)
+		if err == nil {
+			return nil
+		}
+		last = err
+		var failure *Failure
+		if errors.As(err, &failure) {
+			if g.isStarted {
+				return fmt.Errorf("%w: %s", ErrCut, failure.Reason)
+			}
+			return failure
+		}
+		if errors.Is(err, ErrCut) || ctx.Err() != nil || !g.mayGoOn(err) {
+			break
+		}
+		g.logger.WithFields(o.fields()).WithFields(log.Fields{"error": err.Error(), "runs": g.runs, "events": g.relay.Last()}).Info("stream placed again")
+	}
+	return g.failure(ctx, last)
+}
+
+// mayGoOn reports whether the request may be offered to another server.
+func (g *generation) mayGoOn(err error) bool {
+	if errors.Is(err, upstream.ErrNotSent) || errors.Is(err, errNotRun) {
+		return true
+	}
+	return g.order.Route.IsResumable && g.runs < max(g.order.Route.MaxServers, 1)
+}
+
+func (g *generation) failure(ctx context.Context, last error) error {
+	if g.isStarted {
+		return fmt.Errorf("%w: %w", ErrCut, last)
+	}
+	reason := "no backend server"
+	if last != nil {
+		reason = last.Error()
+	}
+	switch {
+	case g.runs == 0 && ctx.Err() == nil:
+		return &Failure{Status: http.StatusServiceUnavailable, RetryAfter: fullRetryAfter, Reason: reason}
+	case g.runs == 0:
+		return &Failure{Status: http.StatusServiceUnavailable, Reason: reason}
+	case ctx.Err() != nil:
+		return &Failure{Status: http.StatusGatewayTimeout, Reason: reason}
+	default:
+		return &Failure{Status: http.StatusBadGateway, Reason: reason}
+	}
+}
+
+// place runs the request at one decode server.
+func (g *generation) place(ctx context.Context) error {
+	room, err := g.takeRoom(ctx)
+	if err != nil {
+		return err
+	}
+	g.begin(room.server.ID, room.tokens)
+	defer g.end(room.server.ID, room.tokens)
+	source, err := g.prefill(ctx, room.server)
+	if err != nil {
+		g.releaseHold(room)
+		return err
+	}
+	if g.sent && !g.mayRepeat(g.order) {
+		g.releaseHold(room)
+		g.releaseHandle(source)
+		return &Failure{Status: http.StatusServiceUnavailable, RetryAfter: fullRetryAfter, Reason: "retry budget is used up"}
+	}
+	return g.decode(ctx, room, source)
+}
+
+// takeRoom reserves memory and a slot at a decode server, and waits for room a
+// while.
+func (g *generation) takeRoom(ctx context.Context) (seat, error) {
+	tokens := g.tokens()
+	patience := g.order.Arrived.Add(time.Duration(patienceShare * float64(g.order.Route.TargetLatency)))
+	if g.isStarted {
+		patience = time.Now().Add(silenceLimit)
+	}
+	want := balance.Want{Service: g.order.Route.Service, Stage: fleet.Decode, FailureDomain: g.options.FailureDomain, Excluded: g.tried}
+	for {
+		for _, server := range g.Dispatcher.order(want) {
+			hold, err := g.hold(ctx, server, tokens)
+			if err == nil {
+				return seat{server: server, hold: hold, tokens: tokens}, nil
+			}
+			if ctx.Err() != nil {
+				return seat{}, fmt.Errorf("%w: %w", upstream.ErrNotSent, ctx.Err())
+			}
+		}
+		if time.Now().After(patience) {
+			return seat{}, &Failure{Status: http.StatusServiceUnavailable, RetryAfter: fullRetryAfter, Reason: "no decode server has room"}
+		}
+		if err := timing.Sleep(ctx, roomPoll); err != nil {
+			return seat{}, fmt.Errorf("%w: %w", upstream.ErrNotSent, err)
+		}
+	}
+}
+
+// tokens returns the memory that the request needs.
+func (g *generation) tokens() int {
+	output := g.order.Request.OutputHint
+	if output == 0 {
+		output = g.order.Request.MaxOutputTokens / 2
+	}
+	return g.order.Request.PromptTokens + output
+}
+
+func (g *generation) hold(ctx context.Context, server fleet.Server, tokens int) (string, error) {
+	ctx, cancel := context.WithTimeout(ctx, holdTimeout)
+	defer cancel()
+	call, err := platform.HoldCall(server.ID, tokens, holdLifetime)
+	if err != nil {
+		return "", err
+	}
+	status, body, err := g.pool.Call(ctx, server.Address, call)
+	switch {
+	case errors.Is(err, upstream.ErrNotSent):
+		g.report(server.ID, health.Unreachable)
+		return "", err
+	case err != nil:
+		g.report(server.ID, health.Broken)
+		return "", err
+	case status != http.StatusOK:
+		g.full(server.ID)
+		return "", fmt.Errorf("%w: reservation answered %d", errNotRun, status)
+	}
+	hold, err := platform.DecodeHold(body)
+	if err != nil {
+		g.report(server.ID, health.Broken)
+	}
+	return hold, err
+}
+
+// prefill has the prompt read at a prefill server and returns where its KV cache
+// is fetched from. Without a prefill server the decode server reads the prompt.
+func (g *generation) prefill(ctx context.Context, decode fleet.Server) (handleAt, error) {
+	want := balance.Want{Service: g.order.Route.Service, Stage: fleet.Prefill, FailureDomain: decode.FailureDomain}
+	for range 2 {
+		server, ok := g.pick(want)
+		if !ok {
+			break
+		}
+		if g.prefills > 0 && !g.mayRepeat(g.order) {
+			break
+		}
+		handle, err := g.prefillAt(ctx, server)
+		if err == nil {
+			return handle, nil
+		}
+		if ctx.Err() != nil {
+			return handleAt{}, fmt.Errorf("%w: %w", upstream.ErrNotSent, ctx.Err())
+		}
+		g.logger.WithFields(g.order.fields()).WithFields(log.Fields{"server": server.ID, "error": err.Error()}).Info("prompt not read")
+		want.Excluded = append(want.Excluded, server.ID)
+	}
+	g.counters.preparedLocally.Inc()
+	return handleAt{}, nil
+}
+
+// handleAt is a KV cache that waits at the server that read the prompt.
+type handleAt struct {
+	server fleet.Server
+	id     string
+}
+
+func (g *generation) prefillAt(ctx context.Context, server fleet.Server) (handleAt, error) {
+	tokens := g.order.Request.PromptTokens
+	g.begin(server.ID, tokens)
+	defer g.end(server.ID, tokens)
+	timeout := time.Duration(prefillTimeoutShare * float64(g.order.Route.TargetLatency))
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	attempt := platform.Attempt{ServerID: server.ID, IsPrefill: true, LastEvent: g.relay.Last(), IsResumed: g.relay.IsResumed()}
+	answer, err := g.pool.Do(ctx, server.Address, g.outbound(g.order, attempt))
+	if errors.Is(err, upstream.ErrNotSent) {
+		g.report(server.ID, health.Unreachable)
+		return handleAt{}, err
+	}
+	g.prefills++
+	if err != nil {
+		g.report(server.ID, health.Broken)
+		return handleAt{}, err
+	}
+	defer answer.Close()
+	body := discard(answer)
+	if answer.StatusCode != http.StatusOK {
+		g.report(server.ID, health.Failure)
+		return handleAt{}, fmt.Errorf("%w: reading the prompt answered %d", errNotRun, answer.StatusCode)
+	}
+	handle, err := platform.DecodeHandle(body)
+	if err != nil {
+		g.report(server.ID, health.Broken)
+		return handleAt{}, err
+	}
+	g.report(server.ID, health.Success)
+	return handleAt{server: server, id: handle.ID}, nil
+}
+
+// decode runs the request at a decode server and relays its events.
+func (g *generation) decode(ctx context.Context, room seat, source handleAt) error {
+	g.tried = append(g.tried, room.server.ID)
+	attempt := platform.Attempt{
+		ServerID: room.server.ID, Hold: room.hold, LastEvent: g.relay.Last(), IsResumed: g.relay.IsResumed(),
+	}
+	if source.id != "" {
+		attempt.Source = platform.Source(source.server.Address, source.id)
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	watchdog := g.watch(cancel)
+	if watchdog != nil {
+		defer watchdog.Stop()
+	}
+	g.sent = true
+	answer, err := g.pool.Do(ctx, room.server.Address, g.outbound(g.order, attempt))
+	if errors.Is(err, upstream.ErrNotSent) {
+		g.report(room.server.ID, health.Unreachable)
+		g.releaseHandle(source)
+		return err
+	}
+	if err != nil {
+		g.runs++
+		g.broken(ctx, room.server)
+		g.releaseHandle(source)
+		return err
+	}
+	defer answer.Close()
+	if answer.Reply.IsNotRun {
+		body := discard(answer)
+		g.releaseHandle(source)
+		g.releaseHold(room)
+		g.full(room.server.ID)
+		return fmt.Errorf("%w: status %d: %.80s", errNotRun, answer.StatusCode, body)
+	}
+	g.runs++
+	if answer.StatusCode >= http.StatusMultipleChoices {
+		return g.refusedByServer(room.server, answer)
+	}
+	if !answer.Reply.HasStamp || answer.Reply.IsEncoded {
+		g.report(room.server.ID, health.Broken)
+		return fmt.Errorf("%w: status %d", errInvalid, answer.StatusCode)
+	}
+	if err := g.forward(ctx, answer, watchdog); err != nil {
+		if !errors.Is(err, ErrCut) {
+			g.broken(ctx, room.server)
+		}
+		return err
+	}
+	g.report(room.server.ID, health.Success)
+	return nil
+}
+
+// refusedByServer passes a server's own failure on, unless the request may go on
+// elsewhere.
+func (g *generation) refusedByServer(server fleet.Server, answer *upstream.Answer) error {
+	g.report(server.ID, health.Failure)
+	body := discard(answer)
+	err := fmt.Errorf("%w: status %d", errInvalid, answer.StatusCode)
+	if g.isStarted || g.mayGoOn(err) || !answer.Reply.HasStamp {
+		return err
+	}
+	reply := &wholeReply{response: answer.Response, body: body}
+	return reply.send(g.sink)
+}
+
+// watch returns a timer that ends the attempt when a stream that can be resumed
+// falls silent, or nil.
+func (g *generation) watch(cancel context.CancelCauseFunc) *time.Timer {
+	if !g.order.Route.IsResumable || g.runs+1 >= g.order.Route.MaxServers {
+		return nil
+	}
+	return time.AfterFunc(silenceLimit, func() { cancel(errSilent) })
+}
+
+// forward relays events until the stream ends.
+func (g *generation) forward(ctx context.Context, answer *upstream.Answer, watchdog *time.Timer) error {
+	if !g.isStarted {
+		header := http.Header{}
+		platform.CopyReply(header, answer.Header)
+		g.isStarted = true
+		if err := g.sink.Start(answer.StatusCode, header); err != nil {
+			return fmt.Errorf("%w: %w", ErrCut, err)
+		}
+	}
+	events := stream.NewReader(answer.Body)
+	for {
+		event, err := events.Next()
+		if err != nil {
+			return g.ended(ctx, events, err)
+		}
+		if watchdog != nil {
+			watchdog.Reset(silenceLimit)
+		}
+		if !g.relay.Accept(event) {
+			continue
+		}
+		if err := g.sink.Write(event.Bytes); err != nil {
+			return fmt.Errorf("%w: %w", ErrCut, err)
+		}
+	}
+}
+
+// ended returns nil where the stream ended as it should.
+func (g *generation) ended(ctx context.Context, events *stream.Reader, err error) error {
+	if events.IsComplete(err) {
+		return nil
+	}
+	if ctx.Err() != nil {
+		return fmt.Errorf("%w: stream ended after event %d: %w", upstream.ErrMayHaveRun, g.relay.Last(), ctx.Err())
+	}
+	return fmt.Errorf("%w: stream ended after event %d: %w", upstream.ErrMayHaveRun, g.relay.Last(), err)
+}
+
+// broken takes in that a server broke off a request, unless the caller left.
+func (g *generation) broken(ctx context.Context, server fleet.Server) {
+	isSilent := errors.Is(context.Cause(ctx), errSilent)
+	if ctx.Err() != nil && !isSilent {
+		return
+	}
+	g.report(server.ID, health.Broken)
+	if !isSilent {
+		g.lost(g.order, server)
+	}
+}
+
+func (g *generation) releaseHold(room seat) {
+	if room.hold != "" {
+		go g.runRelease(room.server, platform.ReleaseHoldCall(room.server.ID, room.hold))
+	}
+}
+
+func (g *generation) releaseHandle(source handleAt) {
+	if source.id != "" {
+		g.counters.wasted.Inc()
+		go g.runRelease(source.server, platform.ReleaseHandleCall(source.server.ID, source.id))
+	}
+}
+
+func (g *generation) runRelease(server fleet.Server, call platform.Call) {
+	ctx, cancel := context.WithTimeout(g.life, releaseTimeout)
+	defer cancel()
+	if _, _, err := g.pool.Call(ctx, server.Address, call); err != nil {
+		g.logger.WithError(err).WithField("server", server.ID).Debug("release not answered; it lapses by itself")
+	}
+}
--- /dev/null
+++ b/hickoryd/internal/edgedispatch/plain.go
@@ -0,0 +1,241 @@
+package edgedispatch
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/hickoryfront/hickoryfront/core/balance"
+	"github.com/hickoryfront/hickoryfront/core/fleet"
+	"github.com/hickoryfront/hickoryfront/core/health"
+	"github.com/hickoryfront/hickoryfront/core/route"
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/upstream"
+	"github.com/hickoryfront/hickoryfront/platform"
+)
+
+const (
+	// wholeAnswer is the size of an answer, in bytes, up to which it is read
+	// whole before the caller gets any of it, so that it can still be repeated.
+	wholeAnswer = 256 << 10
+	// maxSends bounds the servers that one request is offered to.
+	maxSends = 4
+	// slowShare is the part of the target latency after which a request that may
+	// be repeated is sent to another server.
+	slowShare = 0.6
+	// shortRetryAfter tells a caller to come back when a server may be free.
+	shortRetryAfter = 300 * time.Millisecond
+)
+
+var (
+	// errNotRun means that the server states that it did not run the request.
+	errNotRun = errors.New("the server did not run the request")
+	// errInvalid means that the answer is not one that a caller may get.
+	errInvalid = errors.New("the answer is not valid")
+	// errSlow means that the server took too long for a first try.
+	errSlow = errors.New("the server is slow")
+)
+
+// plainCall is one request to a plain service with its tries.
+type plainCall struct {
+	*Dispatcher
+	order *Order
+	tried []string
+	// runs is the number of servers that may have run the request.
+	runs int
+}
+
+func (d *Dispatcher) servePlain(ctx context.Context, o *Order, sink Sink) error {
+	call := &plainCall{Dispatcher: d, order: o}
+	var last error
+	var held *wholeReply
+	for sends := 0; sends < maxSends; sends++ {
+		server, ok := d.pick(balance.Want{Service: o.Route.Service, FailureDomain: d.options.FailureDomain, Excluded: call.tried})
+		if !ok {
+			break
+		}
+		if sends > 0 && !errors.Is(last, upstream.ErrNotSent) && !d.mayRepeat(o) {
+			break
+		}
+		reply, err := call.try(ctx, server, sink)
+		if errors.Is(err, ErrCut) {
+			return err
+		}
+		if err == nil && reply == nil {
+			return nil // it went through as a stream
+		}
+		if err == nil && (reply.response.StatusCode < http.StatusInternalServerError || !call.mayRunAgain()) {
+			return reply.send(sink)
+		}
+		if err == nil {
+			held = reply
+		}
+		last = err
+		if ctx.Err() != nil || !call.isFree(err) && !call.mayRunAgain() {
+			break
+		}
+	}
+	if held != nil {
+		return held.send(sink)
+	}
+	return call.failure(ctx, last)
+}
+
+// wholeReply is an answer that was read whole.
+type wholeReply struct {
+	response *http.Response
+	body     []byte
+}
+
+func (r *wholeReply) send(sink Sink) error {
+	header := http.Header{}
+	platform.CopyReply(header, r.response.Header)
+	if len(r.body) > 0 {
+		header.Set("Content-Length", strconv.Itoa(len(r.body)))
+	}
+	if err := sink.Start(r.response.StatusCode, header); err != nil {
+		return fmt.Errorf("%w: %w", ErrCut, err)
+	}
+	if err := sink.Write(r.body); err != nil {
+		return fmt.Errorf("%w: %w", ErrCut, err)
+	}
+	return nil
+}
+
+// isFree reports whether a failed try can't have run the request.
+func (c *plainCall) isFree(err error) bool {
+	return errors.Is(err, upstream.ErrNotSent) || errors.Is(err, errNotRun)
+}
+
+func (c *plainCall) mayRunAgain() bool {
+	return c.order.Route.IsRepeatable() && c.runs < max(c.order.Route.MaxServers, 1)
+}
+
+// try sends the request to one server. The reply is nil where it was too long to
+// hold and went through.
+func (c *plainCall) try(ctx context.Context, server fleet.Server, sink Sink) (*wholeReply, error) {
+	c.tried = append(c.tried, server.ID)
+	c.begin(server.ID, 0)
+	defer c.end(server.ID, 0)
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	if c.order.Route.Kind == route.Safe && c.runs+1 < c.order.Route.MaxServers {
+		slow := time.AfterFunc(time.Duration(slowShare*float64(c.order.Route.TargetLatency)), func() { cancel(errSlow) })
+		defer slow.Stop()
+	}
+	reply, err := c.exchange(ctx, server, sink)
+	c.judge(ctx, server, reply, err)
+	return reply, err
+}
+
+func (c *plainCall) exchange(ctx context.Context, server fleet.Server, sink Sink) (*wholeReply, error) {
+	answer, err := c.pool.Do(ctx, server.Address, c.outbound(c.order, platform.Attempt{ServerID: server.ID}))
+	if err != nil {
+		if errors.Is(err, upstream.ErrMayHaveRun) {
+			c.runs++
+		}
+		return nil, err
+	}
+	defer answer.Close()
+	if answer.Reply.IsNotRun {
+		_, _ = io.Copy(io.Discard, io.LimitReader(answer.Body, wholeAnswer)) // only so that the connection can be kept
+		return nil, fmt.Errorf("%w: status %d", errNotRun, answer.StatusCode)
+	}
+	c.runs++
+	if !answer.Reply.HasStamp || answer.Reply.IsEncoded {
+		return nil, fmt.Errorf("%w: status %d, stamped %t, encoded %t", errInvalid, answer.StatusCode, answer.Reply.HasStamp, answer.Reply.IsEncoded)
+	}
+	body, err := io.ReadAll(io.LimitReader(answer.Body, wholeAnswer))
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", upstream.ErrMayHaveRun, err)
+	}
+	if len(body) == wholeAnswer && !answer.IsWhole() {
+		return nil, c.passOn(answer, body, sink)
+	}
+	return &wholeReply{response: answer.Response, body: body}, nil
+}
+
+// passOn sends a long answer on as it comes.
+func (c *plainCall) passOn(answer *upstream.Answer, begun []byte, sink Sink) error {
+	header := http.Header{}
+	platform.CopyReply(header, answer.Header)
+	err := sink.Start(answer.StatusCode, header)
+	buffer := begun
+	for err == nil {
+		if err = sink.Write(buffer); err != nil {
+			break
+		}
+		buffer = buffer[:cap(buffer)]
+		n, readErr := answer.Body.Read(buffer)
+		buffer = buffer[:n]
+		if readErr == io.EOF && n == 0 {
+			return nil
+		}
+		if readErr != nil && readErr != io.EOF {
+			err = readErr
+		}
+	}
+	return fmt.Errorf("%w: %w", ErrCut, err)
+}
+
+// judge takes in how the try went.
+func (c *plainCall) judge(ctx context.Context, server fleet.Server, reply *wholeReply, err error) {
+	result := health.Success
+	switch {
+	case err == nil && reply != nil && reply.response.StatusCode >= http.StatusInternalServerError:
+		result = health.Failure
+	case err == nil:
+	case errors.Is(context.Cause(ctx), errSlow):
+		result = health.Broken
+	case ctx.Err() != nil && !errors.Is(context.Cause(ctx), context.DeadlineExceeded):
+		return // the caller left
+	case errors.Is(err, upstream.ErrNotSent):
+		result = health.Unreachable
+	case errors.Is(err, errNotRun):
+		c.full(server.ID)
+		result = health.Failure
+	default:
+		result = health.Broken
+		if ctx.Err() == nil {
+			c.lost(c.order, server)
+		}
+	}
+	c.report(server.ID, result)
+	if result != health.Success {
+		c.logger.WithFields(c.order.fields()).WithFields(log.Fields{
+			"server": server.ID, "tries": len(c.tried), "runs": c.runs, "result": resultNames[result], "error": fmt.Sprint(err),
+		}).Info("try failed")
+	}
+}
+
+var resultNames = map[health.Result]string{
+	health.Success: "success", health.Failure: "failure", health.Broken: "broken", health.Unreachable: "unreachable",
+}
+
+// failure returns the final answer where no server's can be had.
+func (c *plainCall) failure(ctx context.Context, last error) *Failure {
+	reason := "no backend server"
+	if last != nil {
+		reason = last.Error()
+	}
+	if c.runs > 0 {
+		if ctx.Err() != nil {
+			return &Failure{Status: http.StatusGatewayTimeout, Reason: reason}
+		}
+		return &Failure{Status: http.StatusBadGateway, Reason: reason}
+	}
+	return &Failure{Status: http.StatusServiceUnavailable, RetryAfter: shortRetryAfter, Reason: reason}
+}
+
+// discard reads what is left of a short answer, so that its connection is kept.
+func discard(answer *upstream.Answer) []byte {
+	var body bytes.Buffer
+	_, _ = io.Copy(&body, io.LimitReader(answer.Body, wholeAnswer)) // a cut answer only costs its connection
+	return body.Bytes()
+}
--- a/hickoryd/main.go
+++ b/hickoryd/main.go
@@ -16,6 +16,7 @@
 	subcommands.Register(subcommands.HelpCommand(), "")
 	subcommands.Register(command.NewServe(os.Stderr), "")
 	subcommands.Register(command.NewCheck(os.Stdout, os.Stderr), "")
+	subcommands.Register(command.NewEdge(os.Stdout, os.Stderr), "")
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
 }
