--- a/hickoryd/internal/edge/daemon.go
+++ b/hickoryd/internal/edge/daemon.go
@@ -111,9 +111,9 @@
 func (d *Daemon) Stop(ctx context.Context) error {
 	started := time.Now()
 	d.isLeaving.Store(true)
-	d.handler.Leave()
-	d.logger.WithField("inFlight", d.handler.InFlight()).Info("daemon stopping")
 	until := started.Add(time.Duration(exitShare * float64(d.settings.Grace)))
+	d.handler.Leave(until)
+	d.logger.WithField("inFlight", d.handler.InFlight()).Info("daemon stopping")
 	for time.Now().Before(until) && (time.Since(started) < balancerPeriod || d.handler.InFlight() > 0) {
 		if err := timing.Sleep(ctx, leavePoll); err != nil {
 			break
--- a/hickoryd/internal/edgecaller/caller.go
+++ b/hickoryd/internal/edgecaller/caller.go
@@ -31,6 +31,11 @@
 	defaultTimeout = 30 * time.Second
 	// startRetryAfter tells a caller to come back when the host knows its routes.
 	startRetryAfter = 500 * time.Millisecond
+	// usualStream is the time that nearly all streams take: 160 events of 13
+	// tokens at some milliseconds a token.
+	usualStream = 5 * time.Second
+	// leaveRetryAfter tells a caller to come back, by another host.
+	leaveRetryAfter = 20 * time.Millisecond
 	// maxHeldBytes bounds the bodies that are held at once, as a part of the
 	// memory of the smallest host.
 	maxHeldBytes = 24 << 20
@@ -57,9 +62,10 @@
 		routes     Routes
 		dispatcher Dispatcher
 		logger     log.Interface
-		isLeaving  atomic.Bool
-		held       atomic.Int64
-		inFlight   atomic.Int64
+		// leaving is when the process ends, or nil while it stays.
+		leaving  atomic.Pointer[time.Time]
+		held     atomic.Int64
+		inFlight atomic.Int64
 
 		requests *metrics.Counter
 		set      *metrics.Set
@@ -73,9 +79,10 @@
 	return h
 }
 
-// Leave makes callers open no more requests on their connections.
-func (h *Handler) Leave() {
-	h.isLeaving.Store(true)
+// Leave makes callers send no more requests on their connections. What can't be
+// finished by the given end is refused at once.
+func (h *Handler) Leave(end time.Time) {
+	h.leaving.Store(&end)
 }
 
 // InFlight returns the number of requests without a complete answer.
@@ -136,14 +143,33 @@
 	if o.Route == nil {
 		return o, &edgedispatch.Failure{Status: http.StatusNotFound, Reason: "no route"}
 	}
+	o.Deadline = deadlineOf(o)
+	if err := h.checkLeaving(o); err != nil {
+		return o, err
+	}
 	if err := h.readBody(o, r, w, table.Limits()); err != nil {
 		return o, err
 	}
-	o.Deadline = deadlineOf(o)
 	o.Fingerprint = fingerprint(o)
 	return o, nil
 }
 
+// checkLeaving refuses what a leaving host can't be sure to finish.
+func (h *Handler) checkLeaving(o *edgedispatch.Order) error {
+	end := h.leaving.Load()
+	if end == nil {
+		return nil
+	}
+	need := o.Route.Timeout
+	if o.Route.Kind == route.Streaming {
+		need = min(need, usualStream)
+	}
+	if o.Arrived.Add(need).Before(*end) {
+		return nil
+	}
+	return &edgedispatch.Failure{Status: http.StatusServiceUnavailable, RetryAfter: leaveRetryAfter, Reason: "host is leaving"}
+}
+
 func (h *Handler) readBody(o *edgedispatch.Order, r *http.Request, w http.ResponseWriter, limits route.Limits) error {
 	limit := limits.BodyBytes
 	if limit <= 0 {
--- a/hickoryd/internal/edgecaller/sink.go
+++ b/hickoryd/internal/edgecaller/sink.go
@@ -58,7 +58,7 @@
 
 func (s *sink) begin(status int) {
 	s.status = status
-	if s.handler.isLeaving.Load() {
+	if s.handler.leaving.Load() != nil {
 		s.writer.Header().Set("Connection", "close")
 	}
 	s.writer.WriteHeader(status)
--- a/hickoryd/internal/edgedispatch/dispatch.go
+++ b/hickoryd/internal/edgedispatch/dispatch.go
@@ -19,6 +19,8 @@
 	"github.com/hickoryfront/hickoryfront/core/crash"
 	"github.com/hickoryfront/hickoryfront/core/fleet"
 	"github.com/hickoryfront/hickoryfront/core/health"
+	"github.com/hickoryfront/hickoryfront/core/output"
+	"github.com/hickoryfront/hickoryfront/core/reading"
 	"github.com/hickoryfront/hickoryfront/core/route"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/registry"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/upstream"
@@ -98,6 +100,8 @@
 
 		mu      sync.Mutex
 		table   *balance.Table
+		reading *reading.Estimator
+		output  *output.Estimator
 		budgets map[string]*budget.Budget
 		crashes *crash.Table
 		seen    uint64
@@ -112,7 +116,7 @@
 func New(life context.Context, options Options, f Fleet, pool *upstream.Pool, neighbors Neighbors, logger log.Interface, set *metrics.Set) *Dispatcher {
 	return &Dispatcher{
 		life: life, options: options, fleet: f, pool: pool, neighbors: neighbors, logger: logger,
-		table: balance.NewTable(), budgets: make(map[string]*budget.Budget), crashes: crash.NewTable(crashTableSize),
+		table: balance.NewTable(), reading: reading.NewEstimator(), output: output.NewEstimator(), budgets: make(map[string]*budget.Budget), crashes: crash.NewTable(crashTableSize),
 		counters: counters{
 			repeats:         set.NewCounter(`hickoryfront_edge_repeats_total`),
 			denied:          set.NewCounter(`hickoryfront_edge_repeats_denied_total`),
@@ -208,10 +212,41 @@
 	if snapshot.Version != d.seen {
 		d.seen = snapshot.Version
 		d.table.Retain(snapshot.Servers)
+		d.reading.Retain(snapshot.Servers)
 	}
 	return snapshot.Servers
 }
 
+// pickPrefill returns the prefill server that reads a prompt first.
+func (d *Dispatcher) pickPrefill(o *Order, tried []string, domain string) (fleet.Server, time.Duration, bool) {
+	candidates := d.order(balance.Want{Service: o.Route.Service, Stage: fleet.Prefill, FailureDomain: domain, Excluded: tried})
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.reading.Pick(time.Now(), candidates, domain)
+}
+
+func (d *Dispatcher) beginReading(server string, tokens int) reading.Ticket {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.reading.Begin(time.Now(), server, tokens)
+}
+
+func (d *Dispatcher) endReading(t reading.Ticket, err error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if err == nil {
+		d.reading.Done(time.Now(), t)
+		return
+	}
+	d.reading.Failed(time.Now(), t, errors.Is(err, errNotRun))
+}
+
+func (d *Dispatcher) expectedOutput(o *Order) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.output.Expect(o.Request.OutputHint, o.Request.MaxOutputTokens)
+}
+
 func (d *Dispatcher) begin(server string, tokens int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/hickoryd/internal/edgedispatch/generation.go
+++ b/hickoryd/internal/edgedispatch/generation.go
@@ -32,9 +32,14 @@
 	// fullRetryAfter tells a caller to come back when memory may be free: about
 	// the time in which a running request ends.
 	fullRetryAfter = 1500 * time.Millisecond
-	// prefillTimeoutShare is the part of the target latency that the reading of a
-	// prompt may take.
-	prefillTimeoutShare = 0.6
+	// prefillTimeout is the longest wait for a prompt to be read: a prompt that is
+	// given up was read in vain, so only a silent server should take so long.
+	prefillTimeout = 1500 * time.Millisecond
+	// readLocallyAfter is the wait at the prefill servers from which the decode
+	// server reads the prompt: it takes about as long, at half the speed.
+	readLocallyAfter = 350 * time.Millisecond
+	// maxPrefills bounds the prefill servers that one prompt is offered to.
+	maxPrefills = 2
 	// maxPlacements bounds the servers that one stream is offered to.
 	maxPlacements = 5
 	// silenceLimit is the pause after which a stream that can be resumed goes on
@@ -58,7 +63,15 @@
 		prefills  int
 		isStarted bool
 		// sent is set once a repeat of this request would count.
-		sent bool
+		sent   bool
+		timing streamTiming
+	}
+
+	// streamTiming is how a stream reached the caller.
+	streamTiming struct {
+		roomAt, promptAt, firstAt, lastAt time.Time
+		longestGap                        time.Duration
+		events                            int
 	}
 
 	// seat is room at a decode server.
@@ -71,6 +84,7 @@
 
 func (d *Dispatcher) serveGeneration(ctx context.Context, o *Order, sink Sink) error {
 	g := &generation{Dispatcher: d, order: o, sink: sink, relay: stream.NewRelay(o.Request.LastEvent, o.Request.IsResumed)}
+	defer g.logStream()
 	var last error
 	for range maxPlacements {
 		err := g.place(ctx)
@@ -127,6 +141,7 @@
 	if err != nil {
 		return err
 	}
+	g.timing.roomAt = time.Now()
 	g.begin(room.server.ID, room.tokens)
 	defer g.end(room.server.ID, room.tokens)
 	source, err := g.prefill(ctx, room.server)
@@ -134,6 +149,7 @@
 		g.releaseHold(room)
 		return err
 	}
+	g.timing.promptAt = time.Now()
 	if g.sent && !g.mayRepeat(g.order) {
 		g.releaseHold(room)
 		g.releaseHandle(source)
@@ -145,7 +161,7 @@
 // takeRoom reserves memory and a slot at a decode server, and waits for room a
 // while.
 func (g *generation) takeRoom(ctx context.Context) (seat, error) {
-	tokens := g.tokens()
+	tokens := g.order.Request.PromptTokens + g.expectedOutput(g.order)
 	patience := g.order.Arrived.Add(time.Duration(patienceShare * float64(g.order.Route.TargetLatency)))
 	if g.isStarted {
 		patience = time.Now().Add(silenceLimit)
@@ -170,15 +186,6 @@
 	}
 }
 
-// tokens returns the memory that the request needs.
-func (g *generation) tokens() int {
-	output := g.order.Request.OutputHint
-	if output == 0 {
-		output = g.order.Request.MaxOutputTokens / 2
-	}
-	return g.order.Request.PromptTokens + output
-}
-
 func (g *generation) hold(ctx context.Context, server fleet.Server, tokens int) (string, error) {
 	ctx, cancel := context.WithTimeout(ctx, holdTimeout)
 	defer cancel()
@@ -206,12 +213,12 @@
 }
 
 // prefill has the prompt read at a prefill server and returns where its KV cache
-// is fetched from. Without a prefill server the decode server reads the prompt.
+// is fetched from. Where none has time for it, the decode server reads it.
 func (g *generation) prefill(ctx context.Context, decode fleet.Server) (handleAt, error) {
-	want := balance.Want{Service: g.order.Route.Service, Stage: fleet.Prefill, FailureDomain: decode.FailureDomain}
-	for range 2 {
-		server, ok := g.pick(want)
-		if !ok {
+	var tried []string
+	for range maxPrefills {
+		server, wait, ok := g.pickPrefill(g.order, tried, decode.FailureDomain)
+		if !ok || wait > readLocallyAfter {
 			break
 		}
 		if g.prefills > 0 && !g.mayRepeat(g.order) {
@@ -225,7 +232,7 @@
 			return handleAt{}, fmt.Errorf("%w: %w", upstream.ErrNotSent, ctx.Err())
 		}
 		g.logger.WithFields(g.order.fields()).WithFields(log.Fields{"server": server.ID, "error": err.Error()}).Info("prompt not read")
-		want.Excluded = append(want.Excluded, server.ID)
+		tried = append(tried, server.ID)
 	}
 	g.counters.preparedLocally.Inc()
 	return handleAt{}, nil
@@ -238,12 +245,16 @@
 }
 
 func (g *generation) prefillAt(ctx context.Context, server fleet.Server) (handleAt, error) {
-	tokens := g.order.Request.PromptTokens
-	g.begin(server.ID, tokens)
-	defer g.end(server.ID, tokens)
-	timeout := time.Duration(prefillTimeoutShare * float64(g.order.Route.TargetLatency))
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	ctx, cancel := context.WithTimeout(ctx, prefillTimeout)
 	defer cancel()
+	ticket := g.beginReading(server.ID, g.order.Request.PromptTokens)
+	handle, err := g.read(ctx, server)
+	g.endReading(ticket, err)
+	return handle, err
+}
+
+// read sends the prompt to a prefill server.
+func (g *generation) read(ctx context.Context, server fleet.Server) (handleAt, error) {
 	attempt := platform.Attempt{ServerID: server.ID, IsPrefill: true, LastEvent: g.relay.Last(), IsResumed: g.relay.IsResumed()}
 	answer, err := g.pool.Do(ctx, server.Address, g.outbound(g.order, attempt))
 	if errors.Is(err, upstream.ErrNotSent) {
@@ -258,7 +269,6 @@
 	defer answer.Close()
 	body := discard(answer)
 	if answer.StatusCode != http.StatusOK {
-		g.report(server.ID, health.Failure)
 		return handleAt{}, fmt.Errorf("%w: reading the prompt answered %d", errNotRun, answer.StatusCode)
 	}
 	handle, err := platform.DecodeHandle(body)
@@ -368,6 +378,7 @@
 		if !g.relay.Accept(event) {
 			continue
 		}
+		g.timing.event(time.Now())
 		if err := g.sink.Write(event.Bytes); err != nil {
 			return fmt.Errorf("%w: %w", ErrCut, err)
 		}
@@ -417,3 +428,30 @@
 		g.logger.WithError(err).WithField("server", server.ID).Debug("release not answered; it lapses by itself")
 	}
 }
+
+func (t *streamTiming) event(now time.Time) {
+	if t.events == 0 {
+		t.firstAt = now
+	} else {
+		t.longestGap = max(t.longestGap, now.Sub(t.lastAt))
+	}
+	t.lastAt = now
+	t.events++
+}
+
+// logStream writes how the stream went.
+func (g *generation) logStream() {
+	since := func(at time.Time) string {
+		if at.IsZero() {
+			return ""
+		}
+		return at.Sub(g.order.Arrived).Round(time.Millisecond).String()
+	}
+	r := g.order.Request
+	g.logger.WithFields(g.order.fields()).WithFields(log.Fields{
+		"promptTokens": r.PromptTokens, "maxOutputTokens": r.MaxOutputTokens, "outputHint": r.OutputHint,
+		"servers": g.tried, "runs": g.runs, "prefills": g.prefills, "events": g.timing.events,
+		"room": since(g.timing.roomAt), "prompt": since(g.timing.promptAt), "first": since(g.timing.firstAt), "last": since(g.timing.lastAt),
+		"longestGap": g.timing.longestGap.Round(time.Millisecond).String(),
+	}).Info("stream ended")
+}
