Tell callers when to come back, and let those who did wait for room to spare

Cause: refused callers came back after 1.5 s into the same burst. Conclusion: a request that can't be on time is told when to come back; memory, not order, is what binds.

--- /dev/null
+++ b/core/waiting/waiting.go
@@ -0,0 +1,83 @@
+// Package waiting decides how a request waits for memory at the decode servers:
+// how often it looks, how much room it leaves to others, and when it is refused.
+package waiting
+
+import "time"
+
+const (
+	// timelyShare is the part of the target latency until which a request that
+	// finds room can be on time: the rest reads and moves its prompt.
+	timelyShare = 0.75
+	// timelyPause is the time between two searches of a timely request.
+	timelyPause = 40 * time.Millisecond
+	// latePause is the time between two searches of a late request.
+	latePause = 150 * time.Millisecond
+	// lateHeadroom is the room, in usual requests, that a late request leaves
+	// free, so that timely ones of all hosts go first.
+	lateHeadroom = 1.0
+	// lateTargets is how long a late request waits, in target latencies: callers
+	// leave a stream that has not begun after four.
+	lateTargets = 0.7
+	// shortestReturn and longestReturn bound how long a refused caller stays away:
+	// bursts last a few seconds, and callers come back within a third of the time
+	// that they have left.
+	shortestReturn = 2 * time.Second
+	longestReturn  = 4500 * time.Millisecond
+	// longestReturnShare is the part of the time left that callers stay away at
+	// most.
+	longestReturnShare = 0.32
+)
+
+type (
+	// Promise is what the caller of a request was promised.
+	Promise struct {
+		// Asked is when the caller asked for the first time, Arrived when this
+		// attempt came.
+		Asked    time.Time
+		Arrived  time.Time
+		Deadline time.Time
+		// Target is the time in which the first event is due.
+		Target time.Duration
+		// IsUnderWay is set where the caller has a part of the answer.
+		IsUnderWay bool
+		// Usual is the memory of a usual request in tokens.
+		Usual int
+		// Spread, 0 to 1, keeps refused callers from coming back together.
+		Spread float64
+	}
+
+	// Turn says how a request goes on waiting.
+	Turn struct {
+		// Headroom is the memory, in tokens, that must be free besides.
+		Headroom int
+		Pause    time.Duration
+		// IsOver is set where the request is refused, and RetryAfter tells when
+		// the caller should come back, unless it is zero.
+		IsOver     bool
+		RetryAfter time.Duration
+	}
+)
+
+// TurnAt returns how a request that has found no room waits at now.
+func TurnAt(now time.Time, p Promise) Turn {
+	isReturned := p.Asked.Before(p.Arrived)
+	switch {
+	case p.IsUnderWay && now.Before(p.Deadline):
+		return Turn{Pause: timelyPause}
+	case now.Before(p.Asked.Add(time.Duration(timelyShare * float64(p.Target)))):
+		return Turn{Pause: timelyPause}
+	case isReturned && now.Before(p.Arrived.Add(time.Duration(lateTargets*float64(p.Target)))):
+		return Turn{Pause: latePause, Headroom: int(lateHeadroom * float64(p.Usual))}
+	case isReturned:
+		return Turn{IsOver: true}
+	default:
+		return Turn{IsOver: true, RetryAfter: returnAfter(now, p)}
+	}
+}
+
+// returnAfter returns how long a refused caller stays away.
+func returnAfter(now time.Time, p Promise) time.Duration {
+	after := shortestReturn + time.Duration(p.Spread*float64(longestReturn-shortestReturn))
+	most := time.Duration(longestReturnShare * float64(p.Deadline.Sub(now)))
+	return max(min(after, most), 0)
+}
--- a/hickoryd/internal/edgedispatch/dispatch.go
+++ b/hickoryd/internal/edgedispatch/dispatch.go
@@ -30,6 +30,9 @@
 const (
 	// crashTableSize bounds the fingerprints that are remembered.
 	crashTableSize = 4096
+	// returnMargin is the spent time from which a caller has come back: the way
+	// from the caller takes less.
+	returnMargin = 100 * time.Millisecond
 	// releaseTimeout is the longest wait for a reservation to be given back.
 	releaseTimeout = time.Second
 )
@@ -104,7 +107,9 @@
 		output  *output.Estimator
 		budgets map[string]*budget.Budget
 		crashes *crash.Table
-		seen    uint64
+		// patience is the longest time that callers of a route wait.
+		patience map[string]time.Duration
+		seen     uint64
 	}
 
 	counters struct {
@@ -116,7 +121,7 @@
 func New(life context.Context, options Options, f Fleet, pool *upstream.Pool, neighbors Neighbors, logger log.Interface, set *metrics.Set) *Dispatcher {
 	return &Dispatcher{
 		life: life, options: options, fleet: f, pool: pool, neighbors: neighbors, logger: logger,
-		table: balance.NewTable(), reading: reading.NewEstimator(), output: output.NewEstimator(), budgets: make(map[string]*budget.Budget), crashes: crash.NewTable(crashTableSize),
+		table: balance.NewTable(), reading: reading.NewEstimator(), output: output.NewEstimator(), budgets: make(map[string]*budget.Budget), crashes: crash.NewTable(crashTableSize), patience: make(map[string]time.Duration),
 		counters: counters{
 			repeats:         set.NewCounter(`hickoryfront_edge_repeats_total`),
 			denied:          set.NewCounter(`hickoryfront_edge_repeats_denied_total`),
@@ -247,6 +252,20 @@
 	return d.output.Expect(o.Request.OutputHint, o.Request.MaxOutputTokens)
 }
 
+// askedAt returns when the caller of a request asked for the first time. A
+// caller that comes back has less time left than one that asks.
+func (d *Dispatcher) askedAt(o *Order) time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	whole := max(d.patience[o.Route.Name], o.Request.TimeLeft)
+	d.patience[o.Route.Name] = whole
+	spent := whole - o.Request.TimeLeft
+	if o.Request.TimeLeft <= 0 || spent < returnMargin {
+		return o.Arrived
+	}
+	return o.Arrived.Add(-spent)
+}
+
 func (d *Dispatcher) begin(server string, tokens int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/hickoryd/internal/edgedispatch/generation.go
+++ b/hickoryd/internal/edgedispatch/generation.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -13,6 +14,7 @@
 	"github.com/hickoryfront/hickoryfront/core/fleet"
 	"github.com/hickoryfront/hickoryfront/core/health"
 	"github.com/hickoryfront/hickoryfront/core/stream"
+	"github.com/hickoryfront/hickoryfront/core/waiting"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/timing"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/upstream"
 	"github.com/hickoryfront/hickoryfront/platform"
@@ -24,11 +26,9 @@
 	holdLifetime = 1900 * time.Millisecond
 	// holdTimeout is the longest wait for the answer to a reservation.
 	holdTimeout = 300 * time.Millisecond
-	// roomPoll is the time between two searches for room.
-	roomPoll = 40 * time.Millisecond
-	// patienceShare is the part of the target latency for which a request waits
-	// for room.
-	patienceShare = 0.7
+	// usualRequest is the memory of a usual request in tokens, from the
+	// deployments' sheets.
+	usualRequest = 4000
 	// fullRetryAfter tells a caller to come back when memory may be free: about
 	// the time in which a running request ends.
 	fullRetryAfter = 1500 * time.Millisecond
@@ -55,6 +55,8 @@
 	generation struct {
 		*Dispatcher
 		order *Order
+		// asked is when the caller asked for the first time.
+		asked time.Time
 		sink  Sink
 		relay *stream.Relay
 		tried []string
@@ -83,7 +85,7 @@
 )
 
 func (d *Dispatcher) serveGeneration(ctx context.Context, o *Order, sink Sink) error {
-	g := &generation{Dispatcher: d, order: o, sink: sink, relay: stream.NewRelay(o.Request.LastEvent, o.Request.IsResumed)}
+	g := &generation{Dispatcher: d, order: o, sink: sink, asked: d.askedAt(o), relay: stream.NewRelay(o.Request.LastEvent, o.Request.IsResumed)}
 	defer g.logStream()
 	var last error
 	for range maxPlacements {
@@ -158,18 +160,20 @@
 	return g.decode(ctx, room, source)
 }
 
-// takeRoom reserves memory and a slot at a decode server, and waits for room a
-// while.
+// takeRoom reserves memory and a slot at a decode server. A request that can
+// still be on time looks for room often; one that is late yields to those, and
+// is served when there is room to spare.
 func (g *generation) takeRoom(ctx context.Context) (seat, error) {
 	tokens := g.order.Request.PromptTokens + g.expectedOutput(g.order)
-	patience := g.order.Arrived.Add(time.Duration(patienceShare * float64(g.order.Route.TargetLatency)))
-	if g.isStarted {
-		patience = time.Now().Add(silenceLimit)
-	}
 	want := balance.Want{Service: g.order.Route.Service, Stage: fleet.Decode, FailureDomain: g.options.FailureDomain, Excluded: g.tried}
 	for {
+		now := time.Now()
+		turn := waiting.TurnAt(now, g.promise())
+		if turn.IsOver {
+			return seat{}, &Failure{Status: http.StatusServiceUnavailable, RetryAfter: turn.RetryAfter, Reason: "no decode server has room"}
+		}
 		for _, server := range g.Dispatcher.order(want) {
-			hold, err := g.hold(ctx, server, tokens)
+			hold, err := g.hold(ctx, server, tokens+turn.Headroom)
 			if err == nil {
 				return seat{server: server, hold: hold, tokens: tokens}, nil
 			}
@@ -177,15 +181,20 @@
 				return seat{}, fmt.Errorf("%w: %w", upstream.ErrNotSent, ctx.Err())
 			}
 		}
-		if time.Now().After(patience) {
-			return seat{}, &Failure{Status: http.StatusServiceUnavailable, RetryAfter: fullRetryAfter, Reason: "no decode server has room"}
-		}
-		if err := timing.Sleep(ctx, roomPoll); err != nil {
+		if err := timing.Sleep(ctx, turn.Pause); err != nil {
 			return seat{}, fmt.Errorf("%w: %w", upstream.ErrNotSent, err)
 		}
 	}
 }
 
+// promise returns what the caller was promised.
+func (g *generation) promise() waiting.Promise {
+	return waiting.Promise{
+		Asked: g.asked, Arrived: g.order.Arrived, Spread: rand.Float64(), Deadline: g.order.Deadline, Target: g.order.Route.TargetLatency,
+		IsUnderWay: g.isStarted, Usual: usualRequest,
+	}
+}
+
 func (g *generation) hold(ctx context.Context, server fleet.Server, tokens int) (string, error) {
 	ctx, cancel := context.WithTimeout(ctx, holdTimeout)
 	defer cancel()
