Change surplus prefill servers to generation before traffic starts

One host, by a key in the store and its revision as fencing token, orders the surplus to change; it waits for the list of servers to be complete.

--- a/core/budget/budget.go
+++ b/core/budget/budget.go
@@ -52,18 +52,29 @@
 // Take spends one repeat at now, where hosts hosts share the budget. It reports
 // whether the repeat may be sent.
 func (b *Budget) Take(now time.Time, hosts int) bool {
-	bucket := b.at(now)
+	if !b.Has(now, hosts) {
+		return false
+	}
+	b.Spend(now)
+	return true
+}
+
+// Has reports whether a repeat may be sent at now, where hosts hosts share the
+// budget.
+func (b *Budget) Has(now time.Time, hosts int) bool {
+	b.at(now)
 	var requests, repeats int
 	for _, c := range b.counts {
 		requests += c.requests
 		repeats += c.repeats
 	}
 	allowed := (1 - reserve) * (b.terms.Ratio*float64(requests) + b.terms.Slack/float64(max(hosts, 1)))
-	if float64(repeats+1) > allowed {
-		return false
-	}
-	bucket.repeats++
-	return true
+	return float64(repeats+1) <= allowed
+}
+
+// Spend counts a repeat that was sent at now.
+func (b *Budget) Spend(now time.Time) {
+	b.at(now).repeats++
 }
 
 // at returns the bucket of now and empties those that have left the window.
--- a/hickoryd/internal/edge/daemon.go
+++ b/hickoryd/internal/edge/daemon.go
@@ -19,6 +19,7 @@
 
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/edgecaller"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/edgehost"
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/edgeorder"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/registry"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/timing"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/upstream"
@@ -56,6 +57,7 @@
 	pool     *upstream.Pool
 	hosts    *edgehost.Client
 	handler  *edgecaller.Handler
+	keeper   *edgeorder.Keeper
 	logger   log.Interface
 	set      *metrics.Set
 
@@ -68,8 +70,8 @@
 }
 
 // New returns a daemon that is not started.
-func New(s Settings, l *life, r *registry.Registry, pool *upstream.Pool, hosts *edgehost.Client, handler *edgecaller.Handler, hostServer *edgehost.Server, logger log.Interface, set *metrics.Set) *Daemon {
-	d := &Daemon{settings: s, life: l, registry: r, pool: pool, hosts: hosts, handler: handler, logger: logger, set: set}
+func New(s Settings, l *life, r *registry.Registry, pool *upstream.Pool, hosts *edgehost.Client, handler *edgecaller.Handler, hostServer *edgehost.Server, keeper *edgeorder.Keeper, logger log.Interface, set *metrics.Set) *Daemon {
+	d := &Daemon{settings: s, life: l, registry: r, pool: pool, hosts: hosts, handler: handler, keeper: keeper, logger: logger, set: set}
 	quiet := stdlog.New(io.Discard, "", 0) // callers' broken connections are not worth a line
 	d.caller = &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes, ErrorLog: quiet,
@@ -99,7 +101,7 @@
 		}
 		go d.runServer(listener, s.serve)
 	}
-	for _, loop := range []func(context.Context){d.registry.RunServers, d.registry.RunConfiguration, d.registry.RunHosts, d.pool.Run} {
+	for _, loop := range []func(context.Context){d.registry.RunServers, d.registry.RunConfiguration, d.registry.RunHosts, d.pool.Run, d.keeper.Run} {
 		d.loops.Add(1)
 		go d.runLoop(loop)
 	}
--- a/hickoryd/internal/edge/wiring.go
+++ b/hickoryd/internal/edge/wiring.go
@@ -15,6 +15,7 @@
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/edgecaller"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/edgedispatch"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/edgehost"
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/edgeorder"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/registry"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/upstream"
 	"github.com/hickoryfront/hickoryfront/platform"
@@ -49,7 +50,7 @@
 		fx.Provide(
 			func() log.Interface { return logger },
 			metrics.NewSet,
-			newLife, newPool, newStore, newHosts, newRegistry, newDispatcher, newHandler, newHostServer, New,
+			newLife, newPool, newStore, newHosts, newRegistry, newDispatcher, newHandler, newHostServer, newKeeper, New,
 		),
 		fx.Invoke(limitMemory, register),
 	)
@@ -105,3 +106,7 @@
 func newHostServer(r *registry.Registry, d *edgedispatch.Dispatcher) *edgehost.Server {
 	return edgehost.NewServer(r, d)
 }
+
+func newKeeper(s Settings, r *registry.Registry, store *platform.Store, pool *upstream.Pool, logger log.Interface, set *metrics.Set) *edgeorder.Keeper {
+	return edgeorder.New(s.Name, s.PrefillShare, r, store, pool, logger, set)
+}
--- a/hickoryd/internal/edgedispatch/dispatch.go
+++ b/hickoryd/internal/edgedispatch/dispatch.go
@@ -196,6 +196,22 @@
 	return false
 }
 
+// hasRepeat reports whether a repeat of a request's service may be sent.
+func (d *Dispatcher) hasRepeat(o *Order) bool {
+	hosts := d.fleet.Hosts()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.budgetOf(o).Has(time.Now(), hosts)
+}
+
+// spendRepeat counts a send that the platform counts as a repeat.
+func (d *Dispatcher) spendRepeat(o *Order) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.counters.repeats.Inc()
+	d.budgetOf(o).Spend(time.Now())
+}
+
 func (d *Dispatcher) pick(want balance.Want) (fleet.Server, bool) {
 	servers := d.servers()
 	d.mu.Lock()
--- a/hickoryd/internal/edgedispatch/generation.go
+++ b/hickoryd/internal/edgedispatch/generation.go
@@ -61,8 +61,10 @@
 		relay *stream.Relay
 		tried []string
 		// runs is the number of decode servers that may have run the request.
-		runs      int
-		prefills  int
+		runs     int
+		prefills int
+		// isRead is set once a prefill server has read the prompt.
+		isRead    bool
 		isStarted bool
 		// sent is set once a repeat of this request would count.
 		sent   bool
@@ -230,13 +232,20 @@
 		if !ok || wait > readLocallyAfter {
 			break
 		}
-		if g.prefills > 0 && !g.mayRepeat(g.order) {
-			break
+		if !g.hasRepeat(g.order) {
+			break // a refusal would count as a repeat
+		}
+		if g.isRead {
+			g.spendRepeat(g.order)
 		}
 		handle, err := g.prefillAt(ctx, server)
 		if err == nil {
+			g.isRead = true
 			return handle, nil
 		}
+		if !errors.Is(err, upstream.ErrNotSent) {
+			g.spendRepeat(g.order)
+		}
 		if ctx.Err() != nil {
 			return handleAt{}, fmt.Errorf("%w: %w", upstream.ErrNotSent, ctx.Err())
 		}
--- a/hickoryd/internal/registry/registry.go
+++ b/hickoryd/internal/registry/registry.go
@@ -255,3 +255,9 @@
 
 // maxUnreadable bounds the keys that are remembered as unreadable.
 const maxUnreadable = 1000
+
+// IsStoreLost reports whether the store does not answer this host.
+func (r *Registry) IsStoreLost() bool {
+	isLost, _ := r.connection()
+	return isLost
+}
