Test the decisions of the platform's front, and refuse a stream that lacks an event

Cause: the new core packages had no tests, and a run that left out an event was joined without notice (ORDER). Before: no tests.

--- /dev/null
+++ b/core/balance/balance_test.go
@@ -0,0 +1,75 @@
+package balance_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/hickoryfront/hickoryfront/core/balance"
+	"github.com/hickoryfront/hickoryfront/core/fleet"
+	"github.com/hickoryfront/hickoryfront/core/health"
+)
+
+var (
+	start   = time.Unix(1000, 0)
+	servers = []fleet.Server{
+		{ID: "near", Service: "s", FailureDomain: "x"},
+		{ID: "far", Service: "s", FailureDomain: "y"},
+		{ID: "leaving", Service: "s", FailureDomain: "x", IsDraining: true},
+		{ID: "other", Service: "t", FailureDomain: "x"},
+	}
+)
+
+func TestPick(t *testing.T) {
+	tests := []struct {
+		name     string
+		arrange  func(b *balance.Table)
+		excluded []string
+		want     string
+	}{
+		{name: "own failure domain", arrange: func(*balance.Table) {}, want: "near"},
+		{
+			name: "less load", want: "far",
+			arrange: func(b *balance.Table) {
+				for range 3 {
+					b.Begin("near", 0)
+				}
+			},
+		},
+		{
+			name: "not the one that fails", want: "far",
+			arrange: func(b *balance.Table) {
+				for range 2 {
+					b.Report(start, "near", health.Failure)
+				}
+			},
+		},
+		{name: "not one that was tried", arrange: func(*balance.Table) {}, excluded: []string{"near"}, want: "far"},
+		{name: "never one that leaves", arrange: func(*balance.Table) {}, excluded: []string{"near", "far"}},
+		{
+			name: "an ejected one rather than none", excluded: []string{"far"}, want: "near",
+			arrange: func(b *balance.Table) { b.Report(start, "near", health.Unreachable) },
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := balance.NewTable()
+			tt.arrange(b)
+			got, _ := b.Pick(start, servers, balance.Want{Service: "s", FailureDomain: "x", Excluded: tt.excluded})
+			if got.ID != tt.want {
+				t.Errorf("picked %q, want %q", got.ID, tt.want)
+			}
+		})
+	}
+}
+
+func TestOrderPassesOverFullServers(t *testing.T) {
+	b := balance.NewTable()
+	b.Full(start, "near")
+	want := balance.Want{Service: "s", FailureDomain: "x"}
+	if got := b.Order(start, servers, want); len(got) != 1 || got[0].ID != "far" {
+		t.Errorf("order %v", got)
+	}
+	if got := b.Order(start.Add(time.Second), servers, want); len(got) != 2 {
+		t.Errorf("order a second later %v", got)
+	}
+}
--- /dev/null
+++ b/core/output/output_test.go
@@ -0,0 +1,36 @@
+package output_test
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/hickoryfront/hickoryfront/core/output"
+)
+
+func TestExpectIsBounded(t *testing.T) {
+	e := output.NewEstimator()
+	if got := e.Expect(9792, 2080); got > 2080 {
+		t.Errorf("expects %d tokens of at most 2080", got)
+	}
+	if got := e.Expect(0, 2080); got <= 0 {
+		t.Errorf("expects %d tokens without a hint", got)
+	}
+}
+
+// The expectation must be closer to the truth than the hint itself.
+func TestExpectBeatsTheHint(t *testing.T) {
+	e := output.NewEstimator()
+	random := rand.New(rand.NewPCG(1, 2))
+	var byHint, byExpectation float64
+	for range 2000 {
+		truth := 500 * math.Exp(0.7*random.NormFloat64())
+		hint := truth * math.Exp(0.5*random.NormFloat64())
+		expected := float64(e.Expect(int(hint), 0))
+		byHint += math.Abs(hint - truth)
+		byExpectation += math.Abs(expected - truth)
+	}
+	if byExpectation >= byHint {
+		t.Errorf("mean error %.0f, by the hint alone %.0f", byExpectation/2000, byHint/2000)
+	}
+}
--- /dev/null
+++ b/core/stage/stage_test.go
@@ -0,0 +1,92 @@
+package stage_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/hickoryfront/hickoryfront/core/fleet"
+	"github.com/hickoryfront/hickoryfront/core/stage"
+)
+
+var start = time.Unix(1000, 0)
+
+// servers returns a service of so many prefill and decode servers in three
+// failure domains.
+func servers(prefill, decode int) []fleet.Server {
+	var all []fleet.Server
+	for i := range prefill + decode {
+		s := fleet.Server{ID: fmt.Sprintf("i-%02d", i), Service: "m", Stage: fleet.Decode, FailureDomain: fmt.Sprint(i % 3)}
+		if i < prefill {
+			s.Stage = fleet.Prefill
+		}
+		all = append(all, s)
+	}
+	return all
+}
+
+func TestWanted(t *testing.T) {
+	tests := []struct {
+		total int
+		want  int
+	}{{0, 0}, {1, 0}, {2, 1}, {3, 1}, {9, 3}, {18, 5}, {90, 25}}
+	for _, tt := range tests {
+		if got := stage.Wanted(tt.total, 0.28); got != tt.want {
+			t.Errorf("%d of %d servers read prompts, want %d", got, tt.total, tt.want)
+		}
+	}
+}
+
+func TestPlan(t *testing.T) {
+	tests := []struct {
+		name    string
+		servers []fleet.Server
+		isFirst bool
+		after   time.Duration
+		want    int
+	}{
+		{name: "as planned", servers: servers(3, 6), isFirst: true},
+		{name: "surplus at the start is changed at once", servers: servers(7, 11), isFirst: true, want: 2},
+		{name: "later a surplus must last", servers: servers(7, 11)},
+		{name: "a surplus that lasted is changed one by one", servers: servers(7, 11), after: 11 * time.Second, want: 1},
+		{name: "too few prefill servers", servers: servers(1, 8), after: 11 * time.Second, want: 1},
+		{name: "one decode server is left as it is", servers: servers(0, 1), isFirst: true},
+		{name: "one prefill server alone serves nothing", servers: servers(1, 0), isFirst: true, want: 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			p := stage.NewPlanner(0.28)
+			got := p.Plan(start, tt.servers, tt.isFirst)
+			if tt.after > 0 {
+				got = p.Plan(start.Add(tt.after), tt.servers, tt.isFirst)
+			}
+			if len(got) != tt.want {
+				t.Errorf("%d changes, want %d: %v", len(got), tt.want, got)
+			}
+		})
+	}
+}
+
+func TestOrderedChangesAreNotOrderedAgain(t *testing.T) {
+	p := stage.NewPlanner(0.28)
+	all := servers(4, 5)
+	for _, c := range p.Plan(start, all, true) {
+		p.Ordered(start, c)
+	}
+	if got := p.Plan(start.Add(time.Second), all, true); len(got) != 0 {
+		t.Errorf("ordered again: %v", got)
+	}
+	// An order without an answer may be carried out for some seconds; then it is
+	// taken as lost.
+	if got := p.Plan(start.Add(20*time.Second), all, true); len(got) != 1 {
+		t.Errorf("%d changes after an order that was lost, want 1", len(got))
+	}
+}
+
+func TestDrainingServersDoNotCount(t *testing.T) {
+	all := servers(4, 5)
+	all[0].IsDraining = true
+	if got := stage.NewPlanner(0.28).Plan(start, all, true); len(got) != 1 {
+		t.Errorf("%d changes, want 1 of 8 servers", len(got))
+	}
+}
--- a/core/stream/stream.go
+++ b/core/stream/stream.go
@@ -6,6 +6,7 @@
 	"bufio"
 	"bytes"
 	"errors"
+	"fmt"
 	"io"
 	"strconv"
 )
@@ -17,8 +18,12 @@
 	initialBuffer = 1 << 10
 )
 
-// ErrTooLong means that an event exceeds the limit.
-var ErrTooLong = errors.New("event is too long")
+var (
+	// ErrTooLong means that an event exceeds the limit.
+	ErrTooLong = errors.New("event is too long")
+	// ErrGap means that a run left out an event.
+	ErrGap = errors.New("the stream lacks an event")
+)
 
 type (
 	// Event is one event with its bytes as they came.
@@ -99,16 +104,19 @@
 }
 
 // Accept reports whether the caller gets an event. Events that it has already
-// are passed over.
-func (r *Relay) Accept(e Event) bool {
+// are passed over; one that is missing is ErrGap.
+func (r *Relay) Accept(e Event) (bool, error) {
 	if !e.HasID {
-		return true
+		return true, nil
 	}
 	if r.isResumed && e.ID <= r.last {
-		return false
+		return false, nil
+	}
+	if r.isResumed && e.ID != r.last+1 {
+		return false, fmt.Errorf("%w: %d after %d", ErrGap, e.ID, r.last)
 	}
 	r.last, r.isResumed = e.ID, true
-	return true
+	return true, nil
 }
 
 // Last is the newest event that the caller has.
--- /dev/null
+++ b/core/stream/stream_test.go
@@ -0,0 +1,111 @@
+package stream_test
+
+import (
+	"errors"
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/hickoryfront/hickoryfront/core/stream"
+)
+
+func TestReader(t *testing.T) {
+	broken := errors.New("connection reset")
+	tests := []struct {
+		name       string
+		body       io.Reader
+		want       []string
+		isComplete bool
+	}{
+		{name: "events", body: strings.NewReader("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"), want: []string{"id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"}, isComplete: true},
+		{name: "byte by byte", body: iotest.OneByteReader(strings.NewReader("id: 1\ndata: a\n\n")), want: []string{"id: 1\ndata: a\n\n"}, isComplete: true},
+		{name: "carriage returns", body: strings.NewReader("id: 1\r\ndata: a\r\n\r\n"), want: []string{"id: 1\r\ndata: a\r\n\r\n"}, isComplete: true},
+		{name: "long event", body: strings.NewReader("data: " + strings.Repeat("x", 5000) + "\n\n"), want: []string{"data: " + strings.Repeat("x", 5000) + "\n\n"}, isComplete: true},
+		{name: "ends inside an event", body: strings.NewReader("id: 1\ndata: a\n\nid: 2\nda"), want: []string{"id: 1\ndata: a\n\n"}},
+		{name: "ends inside an empty line", body: strings.NewReader("id: 1\ndata: a\n"), want: nil},
+		{name: "reset between events", body: io.MultiReader(strings.NewReader("id: 1\n\n"), iotest.ErrReader(broken)), want: []string{"id: 1\n\n"}},
+		{name: "empty", body: strings.NewReader(""), isComplete: true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := stream.NewReader(tt.body)
+			var got []string
+			for {
+				event, err := r.Next()
+				if err != nil {
+					if r.IsComplete(err) != tt.isComplete {
+						t.Errorf("complete %t, want %t", !tt.isComplete, tt.isComplete)
+					}
+					break
+				}
+				got = append(got, string(event.Bytes))
+			}
+			if diff := cmp.Diff(tt.want, got); diff != "" {
+				t.Errorf("events (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+func TestRelayJoinsRuns(t *testing.T) {
+	event := func(id uint64) stream.Event { return stream.Event{ID: id, HasID: true} }
+	tests := []struct {
+		name      string
+		last      uint64
+		isResumed bool
+		runs      []uint64
+		want      []uint64
+		wantErr   bool
+	}{
+		{name: "one run", runs: []uint64{1, 2, 3}, want: []uint64{1, 2, 3}},
+		{name: "a second run repeats nothing", runs: []uint64{1, 2, 2, 3}, want: []uint64{1, 2, 3}},
+		{name: "goes on where the caller is", last: 7, isResumed: true, runs: []uint64{7, 8}, want: []uint64{8}},
+		{name: "a gap breaks the stream", runs: []uint64{1, 3}, want: []uint64{1}, wantErr: true},
+		{name: "a gap after the caller's position breaks it", last: 7, isResumed: true, runs: []uint64{9}, wantErr: true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			relay := stream.NewRelay(tt.last, tt.isResumed)
+			var got []uint64
+			var failed error
+			for _, id := range tt.runs {
+				isNew, err := relay.Accept(event(id))
+				if err != nil {
+					failed = err
+					break
+				}
+				if isNew {
+					got = append(got, id)
+				}
+			}
+			if diff := cmp.Diff(tt.want, got); diff != "" {
+				t.Errorf("events (-want +got):\n%s", diff)
+			}
+			if errors.Is(failed, stream.ErrGap) != tt.wantErr {
+				t.Errorf("error %v", failed)
+			}
+		})
+	}
+}
+
+func FuzzReader(f *testing.F) {
+	f.Add("id: 1\ndata: a\n\n")
+	f.Add("\n\n\r\n\r\n")
+	f.Fuzz(func(t *testing.T, body string) {
+		r := stream.NewReader(strings.NewReader(body))
+		var joined strings.Builder
+		for {
+			event, err := r.Next()
+			if err != nil {
+				break
+			}
+			joined.Write(event.Bytes)
+		}
+		if !strings.HasPrefix(body, joined.String()) {
+			t.Errorf("events %q are no part of %q", joined.String(), body)
+		}
+	})
+}
--- a/hickoryd/internal/edgedispatch/generation.go
+++ b/hickoryd/internal/edgedispatch/generation.go
@@ -393,7 +393,11 @@
 		if watchdog != nil {
 			watchdog.Reset(silenceLimit)
 		}
-		if !g.relay.Accept(event) {
+		isNew, err := g.relay.Accept(event)
+		if err != nil {
+			return fmt.Errorf("%w: %w", upstream.ErrMayHaveRun, err)
+		}
+		if !isNew {
 			continue
 		}
 		g.timing.event(time.Now())
