--- a/hickoryd/internal/edge/daemon.go
+++ b/hickoryd/internal/edge/daemon.go
@@ -41,8 +41,6 @@
 	// exitShare is the part of the grace period after which requests in flight
 	// are cut off, so that the process ends by itself.
 	exitShare = 0.94
-	// leavePoll is the time between two looks for requests in flight.
-	leavePoll = 50 * time.Millisecond
 	// peerBuffer is the size of a host connection's buffers in bytes.
 	peerBuffer = 4 << 10
 	// callerProbe is the pause between probes of a caller's silent connection.
@@ -116,10 +114,13 @@
 	until := started.Add(time.Duration(exitShare * float64(d.settings.Grace)))
 	d.handler.Leave(until)
 	d.logger.WithField("inFlight", d.handler.InFlight()).Info("daemon stopping")
-	for time.Now().Before(until) && (time.Since(started) < balancerPeriod || d.handler.InFlight() > 0) {
-		if err := timing.Sleep(ctx, leavePoll); err != nil {
-			break
-		}
+	if err := timing.Sleep(ctx, balancerPeriod); err != nil {
+		d.logger.WithError(err).Warn("stop cut short")
+	}
+	finishing, cancel := context.WithDeadline(ctx, until)
+	defer cancel()
+	if err := d.caller.Shutdown(finishing); err != nil {
+		d.logger.WithError(err).WithField("inFlight", d.handler.InFlight()).Warn("requests cut off at the end of the grace period")
 	}
 	d.logger.WithFields(log.Fields{"inFlight": d.handler.InFlight(), "took": time.Since(started).String()}).Info("daemon stopped")
 	d.life.end()
