Move runs off servers that leave

On news of a drain each stream's memory is copied to a server with room while it runs, then stopped and gone on from there.

--- a/core/waiting/waiting.go
+++ b/core/waiting/waiting.go
@@ -12,9 +12,6 @@
 	timelyPause = 40 * time.Millisecond
 	// latePause is the time between two searches of a late request.
 	latePause = 150 * time.Millisecond
-	// lateHeadroom is the room, in usual requests, that a late request leaves
-	// free, so that timely ones of all hosts go first.
-	lateHeadroom = 1.0
 	// lateTargets is how long a late request waits, in target latencies: callers
 	// leave a stream that has not begun after four.
 	lateTargets = 0.7
@@ -40,17 +37,13 @@
 		Target time.Duration
 		// IsUnderWay is set where the caller has a part of the answer.
 		IsUnderWay bool
-		// Usual is the memory of a usual request in tokens.
-		Usual int
 		// Spread, 0 to 1, keeps refused callers from coming back together.
 		Spread float64
 	}
 
 	// Turn says how a request goes on waiting.
 	Turn struct {
-		// Headroom is the memory, in tokens, that must be free besides.
-		Headroom int
-		Pause    time.Duration
+		Pause time.Duration
 		// IsOver is set where the request is refused, and RetryAfter tells when
 		// the caller should come back, unless it is zero.
 		IsOver     bool
@@ -67,7 +60,7 @@
 	case now.Before(p.Asked.Add(time.Duration(timelyShare * float64(p.Target)))):
 		return Turn{Pause: timelyPause}
 	case isReturned && now.Before(p.Arrived.Add(time.Duration(lateTargets*float64(p.Target)))):
-		return Turn{Pause: latePause, Headroom: int(lateHeadroom * float64(p.Usual))}
+		return Turn{Pause: latePause}
 	case isReturned:
 		return Turn{IsOver: true}
 	default:
--- a/hickoryd/internal/edgedispatch/dispatch.go
+++ b/hickoryd/internal/edgedispatch/dispatch.go
@@ -113,7 +113,7 @@
 	}
 
 	counters struct {
-		repeats, denied, refused, cut, resumed, preparedLocally, wasted *metrics.Counter
+		repeats, denied, refused, cut, resumed, preparedLocally, wasted, moved *metrics.Counter
 	}
 )
 
@@ -129,6 +129,7 @@
 			cut:             set.NewCounter(`hickoryfront_edge_cut_total`),
 			resumed:         set.NewCounter(`hickoryfront_edge_resumed_total`),
 			preparedLocally: set.NewCounter(`hickoryfront_edge_prompts_read_at_decode_total`),
+			moved:           set.NewCounter(`hickoryfront_edge_runs_moved_total`),
 			wasted:          set.NewCounter(`hickoryfront_edge_handles_unused_total`),
 		},
 	}
--- a/hickoryd/internal/edgedispatch/generation.go
+++ b/hickoryd/internal/edgedispatch/generation.go
@@ -26,9 +26,6 @@
 	holdLifetime = 1900 * time.Millisecond
 	// holdTimeout is the longest wait for the answer to a reservation.
 	holdTimeout = 300 * time.Millisecond
-	// usualRequest is the memory of a usual request in tokens, from the
-	// deployments' sheets.
-	usualRequest = 4000
 	// fullRetryAfter tells a caller to come back when memory may be free: about
 	// the time in which a running request ends.
 	fullRetryAfter = 1500 * time.Millisecond
@@ -69,6 +66,9 @@
 		// sent is set once a repeat of this request would count.
 		sent   bool
 		timing streamTiming
+		// resumeAt is where a run that was moved goes on.
+		resumeAt *movedRun
+		isMoved  bool
 	}
 
 	// streamTiming is how a stream reached the caller.
@@ -103,6 +103,11 @@
 			}
 			return failure
 		}
+		moved := (*movedRun)(nil)
+		if errors.As(err, &moved) {
+			g.resumeAt = moved
+			continue
+		}
 		if errors.Is(err, ErrCut) || ctx.Err() != nil || !g.mayGoOn(err) {
 			break
 		}
@@ -141,6 +146,10 @@
 
 // place runs the request at one decode server.
 func (g *generation) place(ctx context.Context) error {
+	if moved := g.resumeAt; moved != nil {
+		g.resumeAt = nil
+		return g.goOn(ctx, moved)
+	}
 	room, err := g.takeRoom(ctx)
 	if err != nil {
 		return err
@@ -175,7 +184,7 @@
 			return seat{}, &Failure{Status: http.StatusServiceUnavailable, RetryAfter: turn.RetryAfter, Reason: "no decode server has room"}
 		}
 		for _, server := range g.Dispatcher.order(want) {
-			hold, err := g.hold(ctx, server, tokens+turn.Headroom)
+			hold, err := g.hold(ctx, server, tokens)
 			if err == nil {
 				return seat{server: server, hold: hold, tokens: tokens}, nil
 			}
@@ -193,7 +202,7 @@
 func (g *generation) promise() waiting.Promise {
 	return waiting.Promise{
 		Asked: g.asked, Arrived: g.order.Arrived, Spread: rand.Float64(), Deadline: g.order.Deadline, Target: g.order.Route.TargetLatency,
-		IsUnderWay: g.isStarted, Usual: usualRequest,
+		IsUnderWay: g.isStarted,
 	}
 }
 
@@ -321,7 +330,7 @@
 		return err
 	}
 	if err != nil {
-		g.runs++
+		g.countRun()
 		g.broken(ctx, room.server)
 		g.releaseHandle(source)
 		return err
@@ -334,7 +343,7 @@
 		g.full(room.server.ID)
 		return fmt.Errorf("%w: status %d: %.80s", errNotRun, answer.StatusCode, body)
 	}
-	g.runs++
+	g.countRun()
 	if answer.StatusCode >= http.StatusMultipleChoices {
 		return g.refusedByServer(room.server, answer)
 	}
@@ -342,7 +351,11 @@
 		g.report(room.server.ID, health.Broken)
 		return fmt.Errorf("%w: status %d", errInvalid, answer.StatusCode)
 	}
-	if err := g.forward(ctx, answer, watchdog); err != nil {
+	err = g.forward(ctx, answer, watchdog, room.server)
+	if moved := (*movedRun)(nil); errors.As(err, &moved) {
+		return err
+	}
+	if err != nil {
 		if !errors.Is(err, ErrCut) {
 			g.broken(ctx, room.server)
 		}
@@ -352,6 +365,15 @@
 	return nil
 }
 
+// countRun counts a server that may have run the request. A run that goes on
+// from its own memory is the same run.
+func (g *generation) countRun() {
+	if !g.isMoved {
+		g.runs++
+	}
+	g.isMoved = false
+}
+
 // refusedByServer passes a server's own failure on, unless the request may go on
 // elsewhere.
 func (g *generation) refusedByServer(server fleet.Server, answer *upstream.Answer) error {
@@ -375,7 +397,7 @@
 }
 
 // forward relays events until the stream ends.
-func (g *generation) forward(ctx context.Context, answer *upstream.Answer, watchdog *time.Timer) error {
+func (g *generation) forward(ctx context.Context, answer *upstream.Answer, watchdog *time.Timer, server fleet.Server) error {
 	if !g.isStarted {
 		header := http.Header{}
 		platform.CopyReply(header, answer.Header)
@@ -385,11 +407,17 @@
 		}
 	}
 	events := stream.NewReader(answer.Body)
+	move := newMove(g, server)
+	defer move.stop()
 	for {
 		event, err := events.Next()
 		if err != nil {
+			if moved := move.result(); moved != nil && !events.IsComplete(err) {
+				return moved
+			}
 			return g.ended(ctx, events, err)
 		}
+		move.check(ctx)
 		if watchdog != nil {
 			watchdog.Reset(silenceLimit)
 		}
