Soak real hosts of the platform's front under random faults, without the kit

Adds stand-ins that speak the platform's protocol (metastore, worker) and a soak of three real hosts with kills, stops, pauses, crashes, drains, outages of the store for all and for one host, lost history and configuration changes. It checks answers, runs against refusals, recovery and memory that stays reserved.

--- a/hickorylab/harness/harness.go
+++ b/hickorylab/harness/harness.go
@@ -117,9 +117,24 @@
 
 var networks atomic.Uint32
 
-// freeNetwork returns the first three octets of addresses that no other test
+// NewProcess returns a process of a test's own that is not started. Its log and
+// its end are the test's.
+func NewProcess(tb testing.TB, dir, name string, args ...string) *Process {
+	p := &Process{Name: name, cluster: &Cluster{tb: tb, dir: dir}, args: args}
+	tb.Cleanup(p.end)
+	return p
+}
+
+// end ends a process that still runs.
+func (p *Process) end() {
+	if p.command != nil {
+		p.Kill()
+	}
+}
+
+// FreeNetwork returns the first three octets of addresses that no other test
 // program uses. A listener holds them until the test ends.
-func freeNetwork(tb testing.TB) string {
+func FreeNetwork(tb testing.TB) string {
 	tb.Helper()
 	for range 1 << 13 {
 		number := int(networks.Add(1)) + os.Getpid()*61
@@ -156,7 +171,7 @@
 	tb.Helper()
 	c := &Cluster{
 		tb: tb, binaries: binaries, options: withDefaults(o), dir: tb.TempDir(), done: make(chan struct{}),
-		network: freeNetwork(tb), Engines: map[string]*Process{},
+		network: FreeNetwork(tb), Engines: map[string]*Process{},
 		Proxies: map[string]*cutproxy.Proxy{},
 	}
 	tb.Cleanup(c.close)
--- /dev/null
+++ b/hickorylab/metastore/metastore.go
@@ -0,0 +1,319 @@
+// Package metastore is a stand-in for the users' metadata store: keys with
+// revisions, ranges, watches, transactions and leases, and its faults.
+package metastore
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/netip"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Modes of service.
+const (
+	// Serve answers.
+	Serve Mode = iota
+	// Refuse answers every call with 503.
+	Refuse
+	// Silence never answers.
+	Silence
+)
+
+// pageItems bounds a page of a range.
+const pageItems = 50
+
+type (
+	// Mode says how callers are served.
+	Mode int
+
+	// Store is the stand-in. It is safe for concurrent use.
+	Store struct {
+		mu       sync.Mutex
+		revision uint64
+		items    map[string]item
+		history  []item
+		// compacted is the revision up to which history is gone.
+		compacted uint64
+		leases    map[uint64]time.Time
+		ttls      map[uint64]time.Duration
+		changed   chan struct{}
+		modes     map[netip.Addr]Mode
+		calls     int
+	}
+
+	item struct {
+		Key       string `json:"key"`
+		Value     []byte `json:"value,omitempty"`
+		Revision  uint64 `json:"revision"`
+		Created   uint64 `json:"created,omitempty"`
+		Lease     uint64 `json:"lease,omitempty"`
+		Tombstone bool   `json:"tombstone,omitempty"`
+		At        uint64 `json:"at,omitempty"`
+	}
+
+	transaction struct {
+		Expected []item   `json:"expected"`
+		Puts     []item   `json:"put-items"`
+		Remove   []string `json:"remove"`
+	}
+)
+
+// New returns an empty store.
+func New() *Store {
+	return &Store{
+		revision: 1, items: make(map[string]item), leases: make(map[uint64]time.Time), ttls: make(map[uint64]time.Duration),
+		changed: make(chan struct{}), modes: make(map[netip.Addr]Mode),
+	}
+}
+
+// SetMode says how the callers of an address are served. The zero address means
+// all that have no mode of their own.
+func (s *Store) SetMode(caller netip.Addr, mode Mode) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.modes[caller] = mode
+}
+
+// Put writes a key.
+func (s *Store) Put(key string, value any) uint64 {
+	text, err := json.Marshal(value)
+	if err != nil {
+		panic(err) // only for values that a test can't mean
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.commit(transaction{Puts: []item{{Key: key, Value: text}}})
+}
+
+// Remove removes a key.
+func (s *Store) Remove(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.commit(transaction{Remove: []string{key}})
+}
+
+// Compact drops the history.
+func (s *Store) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history, s.compacted = nil, s.revision
+}
+
+// Calls returns the number of calls so far.
+func (s *Store) Calls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	s.calls++
+	mode := s.modeOf(r)
+	s.mu.Unlock()
+	switch mode {
+	case Refuse:
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	case Silence:
+		<-r.Context().Done()
+		return
+	}
+	query := r.URL.Query()
+	path := strings.TrimPrefix(r.URL.Path, "/hickoryfront/")
+	name, argument, _ := strings.Cut(path, "/")
+	switch name {
+	case "kv-key":
+		s.serveKey(w, query.Get("key"))
+	case "kv-range":
+		s.serveRange(w, query.Get("path-prefix"), query.Get("after"))
+	case "kv-watch":
+		s.serveWatch(w, r)
+	case "kv-txn":
+		s.serveTransaction(w, r)
+	case "kv-lease":
+		s.serveLease(w, r)
+	case "kv-keep", "kv-lease-end":
+		s.serveKeep(w, argument, name == "kv-lease-end")
+	default:
+		w.WriteHeader(http.StatusNotFound)
+	}
+}
+
+func (s *Store) modeOf(r *http.Request) Mode {
+	if caller, err := netip.ParseAddrPort(r.RemoteAddr); err == nil {
+		if mode, ok := s.modes[caller.Addr()]; ok {
+			return mode
+		}
+	}
+	return s.modes[netip.Addr{}]
+}
+
+func (s *Store) serveKey(w http.ResponseWriter, key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	held, ok := s.items[key]
+	if !ok {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	held.At = s.revision
+	answer(w, held)
+}
+
+func (s *Store) serveRange(w http.ResponseWriter, prefix, after string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	var page []item
+	for key, held := range s.items {
+		if strings.HasPrefix(key, prefix) && key > after {
+			page = append(page, held)
+		}
+	}
+	slices.SortFunc(page, func(a, b item) int { return strings.Compare(a.Key, b.Key) })
+	isTruncated := len(page) > pageItems
+	answer(w, map[string]any{"items": page[:min(len(page), pageItems)], "truncated": isTruncated, "at": s.revision})
+}
+
+func (s *Store) serveWatch(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	after, _ := strconv.ParseUint(query.Get("after"), 10, 64)
+	wait, _ := strconv.Atoi(query.Get("wait-ms"))
+	deadline := time.After(time.Duration(wait) * time.Millisecond)
+	for {
+		s.mu.Lock()
+		s.expire()
+		events, isGone, at, changed := s.eventsAfter(query.Get("path-prefix"), after), after < s.compacted, s.revision, s.changed
+		s.mu.Unlock()
+		if isGone {
+			w.WriteHeader(http.StatusGone)
+			return
+		}
+		if len(events) > 0 {
+			answer(w, map[string]any{"events": events, "at": at})
+			return
+		}
+		select {
+		case <-changed:
+		case <-deadline:
+			answer(w, map[string]any{"events": []item{}, "at": at})
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (s *Store) eventsAfter(prefix string, after uint64) []item {
+	var events []item
+	for _, event := range s.history {
+		if event.Revision > after && strings.HasPrefix(event.Key, prefix) {
+			events = append(events, event)
+		}
+	}
+	return events
+}
+
+func (s *Store) serveTransaction(w http.ResponseWriter, r *http.Request) {
+	var t transaction
+	if json.NewDecoder(r.Body).Decode(&t) != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	for _, condition := range t.Expected {
+		if s.items[condition.Key].Revision != condition.Revision {
+			w.WriteHeader(http.StatusPreconditionFailed)
+			return
+		}
+	}
+	for _, put := range t.Puts {
+		if _, ok := s.leases[put.Lease]; put.Lease != 0 && !ok {
+			w.WriteHeader(http.StatusNotFound)
+			return
+		}
+	}
+	answer(w, map[string]any{"revision": s.commit(t)})
+}
+
+func (s *Store) serveLease(w http.ResponseWriter, r *http.Request) {
+	var body struct {
+		TTL float64 `json:"ttl-ms"`
+	}
+	if json.NewDecoder(r.Body).Decode(&body) != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	ttl := time.Duration(body.TTL) * time.Millisecond
+	s.leases[s.revision], s.ttls[s.revision] = time.Now().Add(ttl), ttl
+	answer(w, map[string]any{"lease": s.revision, "ttl-ms": body.TTL})
+}
+
+func (s *Store) serveKeep(w http.ResponseWriter, argument string, isEnd bool) {
+	lease, _ := strconv.ParseUint(argument, 10, 64)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	if _, ok := s.leases[lease]; !ok {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	s.leases[lease] = time.Now().Add(s.ttls[lease])
+	if isEnd {
+		s.leases[lease] = time.Time{}
+		s.expire()
+	}
+	answer(w, map[string]any{"ttl-ms": float64(s.ttls[lease].Milliseconds())})
+}
+
+// commit applies a transaction whose conditions hold.
+func (s *Store) commit(t transaction) uint64 {
+	s.revision++
+	for _, put := range t.Puts {
+		put.Revision, put.Created = s.revision, s.revision
+		if held, ok := s.items[put.Key]; ok {
+			put.Created = held.Created
+		}
+		s.items[put.Key] = put
+		s.history = append(s.history, put)
+	}
+	for _, key := range t.Remove {
+		delete(s.items, key)
+		s.history = append(s.history, item{Key: key, Revision: s.revision, Tombstone: true})
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return s.revision
+}
+
+// expire ends leases and removes their keys.
+func (s *Store) expire() {
+	for lease, until := range s.leases {
+		if time.Now().Before(until) {
+			continue
+		}
+		delete(s.leases, lease)
+		for key, held := range s.items {
+			if held.Lease == lease {
+				s.commit(transaction{Remove: []string{key}})
+			}
+		}
+	}
+}
+
+func answer(w http.ResponseWriter, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(body) // the caller may have left
+}
