--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -157,17 +157,6 @@
 	return ordered
 }
 
-// Count returns the number of servers that may be chosen, ejected or not.
-func (t *Table) Count(servers []fleet.Server, want Want) int {
-	count := 0
-	for _, s := range servers {
-		if want.allows(s) {
-			count++
-		}
-	}
-	return count
-}
-
 func (t *Table) isFull(now time.Time, server string) bool {
 	l, ok := t.loads[server]
 	return ok && now.Before(l.fullUntil)
--- a/hickoryd/internal/upstream/pool.go
+++ b/hickoryd/internal/upstream/pool.go
@@ -85,17 +85,6 @@
 	p.closeAll()
 }
 
-// Forget closes the idle connections to a server.
-func (p *Pool) Forget(address netip.AddrPort) {
-	p.mu.Lock()
-	held := p.idle[address]
-	delete(p.idle, address)
-	p.mu.Unlock()
-	for _, c := range held {
-		c.close()
-	}
-}
-
 func (p *Pool) sweep(now time.Time) {
 	var old []*connection
 	p.mu.Lock()
