Keep prefill servers by the rule for pooled queues, and read the store as often as drains need

Now the share is 0.18 plus 0.45 times the square root of the servers (3 of 9, 5 of 18, 20 of 90), the polls follow the drain timeout, callers who came back wait 2.5 targets, and a holder orders what is due as the list fills up.

--- a/core/stage/stage.go
+++ b/core/stage/stage.go
@@ -15,6 +15,9 @@
 	// settlePeriod is how long a surplus must last before a server changes: a
 	// server that crashed is back within some seconds, and a change takes as long.
 	settlePeriod = 10 * time.Second
+	// reserveFactor is the reserve of prefill servers, as for queues of random
+	// arrivals.
+	reserveFactor = 0.45
 	// pendingPeriod is how long an order is waited for: one without an answer may
 	// be carried out seconds later.
 	pendingPeriod = 15 * time.Second
@@ -29,7 +32,7 @@
 
 	// Planner plans changes. It is not safe for concurrent use.
 	Planner struct {
-		// share is the part of a service's servers that reads prompts.
+		// share is the part of a service's servers that reads prompts at the peak.
 		share   float64
 		since   map[string]time.Time
 		pending map[string]pendingOrder
@@ -106,12 +109,15 @@
 	return changes
 }
 
-// Wanted returns the number of prefill servers among total model servers.
+// Wanted returns the number of prefill servers among total model servers: the
+// share that reads at the peak, and a reserve for its variation that grows with
+// the square root, since many servers even out their queues.
 func Wanted(total int, share float64) int {
 	if total < 2 {
 		return 0
 	}
-	return min(max(int(math.Round(share*float64(total))), 1), total-1)
+	wanted := share*float64(total) + reserveFactor*math.Sqrt(float64(total))
+	return min(max(int(math.Round(wanted)), 1), total-1)
 }
 
 // stageOf returns the stage that a server has or is taking.
--- a/core/waiting/waiting.go
+++ b/core/waiting/waiting.go
@@ -14,7 +14,7 @@
 	latePause = 150 * time.Millisecond
 	// lateTargets is how long a late request waits, in target latencies: callers
 	// leave a stream that has not begun after four.
-	lateTargets = 0.7
+	lateTargets = 2.5
 	// shortestReturn and longestReturn bound how long a refused caller stays away:
 	// bursts last a few seconds, and callers come back within a third of the time
 	// that they have left.
--- a/hickoryd/internal/edge/settings.go
+++ b/hickoryd/internal/edge/settings.go
@@ -12,6 +12,13 @@
 	"github.com/hickoryfront/hickoryfront/core/setting"
 )
 
+const (
+	// pollShare leaves room for the jitter of the polls.
+	pollShare = 0.85
+	// shortestPoll bounds the calls to the store.
+	shortestPoll = 300 * time.Millisecond
+)
+
 // ErrInvalid marks settings that fail their checks.
 var ErrInvalid = errors.New("invalid settings")
 
@@ -26,7 +33,7 @@
 	Operator netip.AddrPort
 
 	Store        netip.AddrPort
-	StorePoll    time.Duration
+	DrainTimeout time.Duration
 	StoreTimeout time.Duration
 
 	Seeds []netip.AddrPort
@@ -61,12 +68,19 @@
 	if err := setting.Parse(text, bindings(&s)); err != nil {
 		return s, err
 	}
-	if s.StoreTimeout > s.StorePoll {
-		return s, setting.Errors{{Section: "store", Name: "timeout", Reason: "must not be longer than poll"}}
+	if s.StorePoll() < shortestPoll {
+		return s, setting.Errors{{Section: "store", Name: "drainTimeout", Reason: "must be at least 400ms longer than twice timeout"}}
 	}
 	return s, nil
 }
 
+// StorePoll returns the time between two reads of the backend servers: after it,
+// a read that gets no answer and a question to other hosts fit into the drain
+// timeout.
+func (s Settings) StorePoll() time.Duration {
+	return time.Duration(float64(s.DrainTimeout-2*s.StoreTimeout) * pollShare)
+}
+
 // Keys returns all settings in order.
 func Keys() []setting.Key {
 	return setting.Keys(bindings(&Settings{}))
@@ -82,12 +96,12 @@
 		setting.Bind("listen", "peer", "", "address for the other hosts", setting.AddrPort(&s.Peer)),
 		setting.Bind("listen", "operator", "", "address of metrics and status", setting.AddrPort(&s.Operator)),
 		setting.Bind("store", "address", "", "address of the platform's store", setting.AddrPort(&s.Store)),
-		setting.Bind("store", "poll", "700ms", "time between two reads of the backend servers", setting.Duration(&s.StorePoll)),
+		setting.Bind("store", "drainTimeout", "2s", "time in which a backend server that leaves must get no more work", setting.Duration(&s.DrainTimeout)),
 		setting.Bind("store", "timeout", "500ms", "longest wait for an answer of the store", setting.Duration(&s.StoreTimeout)),
 		setting.Bind("peers", "seeds", "", "addresses of other hosts to ask before the list of hosts is known", setting.AddrPorts(&s.Seeds)),
 		setting.Bind("repeats", "ratio", "0.2", "repeats to a service for each request, all hosts together", setting.Number(&s.RepeatRatio)),
 		setting.Bind("repeats", "slack", "20", "repeats to a service in 10 s besides, all hosts together", setting.Number(&s.RepeatSlack)),
-		setting.Bind("stages", "prefillShare", "0.28", "part of a service's model servers that reads prompts; 0 leaves them as they are", setting.Fraction(&s.PrefillShare)),
+		setting.Bind("stages", "prefillShare", "0.18", "part of a service's model servers that reads prompts at the peak, before a reserve; 0 leaves them as they are", setting.Fraction(&s.PrefillShare)),
 		setting.Bind("shutdown", "grace", "8s", "time from the signal to the end of the process", setting.Duration(&s.Grace)),
 		setting.Bind("log", "level", "info", "debug, info, warn or error", setting.OneOf(&s.LogLevel, "debug", "info", "warn", "error")),
 	}
--- a/hickoryd/internal/edgeorder/keeper.go
+++ b/hickoryd/internal/edgeorder/keeper.go
@@ -27,7 +27,7 @@
 	holderLifetime = 10 * time.Second
 	// orderPeriod is the part of it in which orders are given, so that the next
 	// holder's come well after.
-	orderPeriod = 4 * time.Second
+	orderPeriod = 6 * time.Second
 	// handoverPeriod is how long a new holder waits for orders of the one before.
 	handoverPeriod = 4 * time.Second
 	// refusedPeriod is how long a host leaves the matter to the holder.
@@ -136,12 +136,14 @@
 		}
 		m.ends = m.ends.Add(handoverPeriod)
 	}
-	for _, c := range k.planner.Plan(time.Now(), k.fleet.Servers().Servers, isFirst) {
-		if time.Now().After(m.ends) {
-			return nil // the rest is planned again
+	for time.Now().Before(m.ends) {
+		for _, c := range k.planner.Plan(time.Now(), k.fleet.Servers().Servers, isFirst) {
+			if err := k.order(ctx, m, c); err != nil {
+				k.logger.WithError(err).WithField("server", c.Server.ID).Warn("order failed")
+			}
 		}
-		if err := k.order(ctx, m, c); err != nil {
-			k.logger.WithError(err).WithField("server", c.Server.ID).Warn("order failed")
+		if err := timing.Sleep(ctx, planPeriod); err != nil {
+			return err
 		}
 	}
 	return nil
