Notice history that was lost while watches heard nothing

Polls now go on from the last event heard, and a loss has the configuration read again. Ruled out: a slow link (the document is small), a lost answer (host's log).

--- a/hickoryd/internal/edgedispatch/generation.go
+++ b/hickoryd/internal/edgedispatch/generation.go
@@ -26,6 +26,10 @@
 	holdLifetime = 1900 * time.Millisecond
 	// holdTimeout is the longest wait for the answer to a reservation.
 	holdTimeout = 300 * time.Millisecond
+	// memoryMargin is the memory that is reserved for each expected token: with
+	// five to ten requests on a server some are longer than expected, and one that
+	// finds no memory has its prompt read again.
+	memoryMargin = 1.35
 	// fullRetryAfter tells a caller to come back when memory may be free: about
 	// the time in which a running request ends.
 	fullRetryAfter = 1500 * time.Millisecond
@@ -175,7 +179,7 @@
 // still be on time looks for room often; one that is late yields to those, and
 // is served when there is room to spare.
 func (g *generation) takeRoom(ctx context.Context) (seat, error) {
-	tokens := g.order.Request.PromptTokens + g.expectedOutput(g.order)
+	tokens := g.order.Request.PromptTokens + int(memoryMargin*float64(g.expectedOutput(g.order)))
 	want := balance.Want{Service: g.order.Route.Service, Stage: fleet.Decode, FailureDomain: g.options.FailureDomain, Excluded: g.tried}
 	for {
 		now := time.Now()
--- a/hickoryd/internal/registry/follow.go
+++ b/hickoryd/internal/registry/follow.go
@@ -74,6 +74,7 @@
 	page, err := r.store.Watch(ctx, platform.ServersPrefix, after, noWait)
 	if errors.Is(err, platform.ErrCompacted) {
 		r.logger.WithField("after", after).Info("history of the store is gone")
+		r.readAgain()
 		return r.readServers(ctx)
 	}
 	if err != nil {
@@ -81,10 +82,20 @@
 	}
 	r.storeAnswered(time.Now())
 	changes := r.decodeServers(page.Items)
-	r.adoptServers(func(list *fleet.List) { list.Apply(time.Now(), changes, page.At) })
+	r.adoptServers(func(list *fleet.List) { list.Apply(time.Now(), changes, newest(page.Items, after)) })
 	return true, nil
 }
 
+// newest returns the revision to go on from after events. Where there are none
+// that is the old one: a watch may hear nothing while changes are made, and the
+// loss of their history must show.
+func newest(events []platform.Item, after uint64) uint64 {
+	for _, event := range events {
+		after = max(after, event.Revision)
+	}
+	return after
+}
+
 // readServers reads the whole list.
 func (r *Registry) readServers(ctx context.Context) (bool, error) {
 	var items []platform.Item
@@ -163,7 +174,7 @@
 			continue
 		}
 		next, err := r.syncConfiguration(ctx, after, changed)
-		if err != nil && ctx.Err() == nil {
+		if err != nil && ctx.Err() == nil && !isClosed(changed) && !errors.Is(err, platform.ErrCompacted) {
 			r.failures.Inc()
 			_ = timing.Sleep(ctx, retryPeriod+rand.N(retryPeriod)) // the loop's condition sees the end of ctx
 		}
@@ -191,7 +202,7 @@
 			return 0, err
 		}
 		r.adoptDocument(time.Now(), page.Items[0].Value, "store")
-		return max(page.At, page.Items[0].Revision), nil
+		return page.Items[0].Revision, nil
 	}
 	page, err := r.store.Watch(ctx, platform.ConfigurationKey, after, wait)
 	if err != nil {
@@ -202,7 +213,16 @@
 			r.adoptDocument(time.Now(), item.Value, "store")
 		}
 	}
-	return max(page.At, after), nil
+	return newest(page.Items, after), nil
+}
+
+func isClosed(channel <-chan struct{}) bool {
+	select {
+	case <-channel:
+		return true
+	default:
+		return false
+	}
 }
 
 // loopCancel ends a call when the store is lost, until ctx ends.
--- a/hickoryd/internal/registry/registry.go
+++ b/hickoryd/internal/registry/registry.go
@@ -213,6 +213,13 @@
 	r.logger.WithError(err).WithField("lastAnswer", now.Sub(r.answered).String()).Warn("store lost")
 }
 
+// readAgain has the configuration read again.
+func (r *Registry) readAgain() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.signal()
+}
+
 func (r *Registry) signal() {
 	close(r.changed)
 	r.changed = make(chan struct{})
