--- a/hickoryd/internal/registry/follow.go
+++ b/hickoryd/internal/registry/follow.go
@@ -174,7 +174,7 @@
 			continue
 		}
 		next, err := r.syncConfiguration(ctx, after, changed)
-		if err != nil && ctx.Err() == nil && !isClosed(changed) && !errors.Is(err, platform.ErrCompacted) {
+		if err != nil && ctx.Err() == nil && !isClosed(changed) {
 			r.failures.Inc()
 			_ = timing.Sleep(ctx, retryPeriod+rand.N(retryPeriod)) // the loop's condition sees the end of ctx
 		}
@@ -202,7 +202,7 @@
 			return 0, err
 		}
 		r.adoptDocument(time.Now(), page.Items[0].Value, "store")
-		return page.Items[0].Revision, nil
+		return max(page.At, page.Items[0].Revision), nil // a read hears everything
 	}
 	page, err := r.store.Watch(ctx, platform.ConfigurationKey, after, wait)
 	if err != nil {
--- a/hickoryd/internal/registry/registry_test.go
+++ b/hickoryd/internal/registry/registry_test.go
@@ -1,6 +1,7 @@
 package registry_test
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"net/http"
@@ -30,6 +31,8 @@
 	version           int
 	servers           map[string]string // id to state
 	isDeaf            bool              // watches hear nothing
+	calls             int
+	configuredAt      uint64 // revision of the configuration; 0: the newest
 	isDown            bool
 }
 
@@ -42,13 +45,14 @@
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.calls++
 	if s.isDown {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
 	switch r.URL.Path {
 	case "/hickoryfront/kv-key":
-		write(w, map[string]any{"key": "op/config", "value": encode(map[string]any{"version": s.version}), "revision": s.revision, "at": s.revision})
+		write(w, map[string]any{"key": "op/config", "value": encode(map[string]any{"version": s.version}), "revision": cmp.Or(s.configuredAt, s.revision), "at": s.revision})
 	case "/hickoryfront/kv-range":
 		write(w, map[string]any{"items": s.items(), "at": s.revision})
 	case "/hickoryfront/kv-watch":
@@ -160,6 +164,20 @@
 	await(t, "the configuration is in force", func() bool { return r.Table().Version() == 2 })
 }
 
+// The configuration is older than the history that the store keeps.
+func TestOldConfigurationIsNotReadOverAndOver(t *testing.T) {
+	s := &store{revision: 90, history: 80, version: 1, servers: map[string]string{"a": "ready"}, configuredAt: 5}
+	start(t, s, &peers{})
+	var before int
+	s.set(func() { before = s.calls })
+	time.Sleep(400 * time.Millisecond)
+	s.set(func() {
+		if made := s.calls - before; made > 40 { // a poll each 20 ms, and a margin
+			t.Errorf("%d calls in 400 ms", made)
+		}
+	})
+}
+
 // A host that the store turns away learns from other hosts.
 func TestOtherHostsTellWhatTheStoreDoesNot(t *testing.T) {
 	s := &store{revision: 5, version: 1, servers: map[string]string{"a": "ready"}}
