--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -17,6 +17,9 @@
 	foreignWeight = 1.0
 	// failureWeight is the load, in requests, that a failure rate of 1 counts as.
 	failureWeight = 20.0
+	// changingPeriod is the time for which a server that changes its stage is
+	// passed over; the change itself takes longer, and shows in the list.
+	changingPeriod = 2 * time.Second
 	// fullPeriod is the time for which a server that had no room is passed over.
 	fullPeriod = 60 * time.Millisecond
 )
@@ -79,12 +82,24 @@
 
 // Full notes that a server had no room at now.
 func (t *Table) Full(now time.Time, server string) {
+	t.passOver(now.Add(fullPeriod), server)
+}
+
+// Changing notes that a server takes no new work at now since it changes its
+// stage.
+func (t *Table) Changing(now time.Time, server string) {
+	t.passOver(now.Add(changingPeriod), server)
+}
+
+func (t *Table) passOver(until time.Time, server string) {
 	l, ok := t.loads[server]
 	if !ok {
 		l = &load{}
 		t.loads[server] = l
 	}
-	l.fullUntil = now.Add(fullPeriod)
+	if until.After(l.fullUntil) {
+		l.fullUntil = until
+	}
 }
 
 // Retain forgets servers without load that are not known any more.
--- a/core/balance/balance_test.go
+++ b/core/balance/balance_test.go
@@ -73,3 +73,13 @@
 		t.Errorf("order a second later %v", got)
 	}
 }
+
+func TestChangingServersArePassedOverForLonger(t *testing.T) {
+	b := balance.NewTable()
+	b.Changing(start, "near")
+	b.Full(start, "near")
+	want := balance.Want{Service: "s", FailureDomain: "x"}
+	if got := b.Order(start.Add(time.Second), servers, want); len(got) != 1 || got[0].ID != "far" {
+		t.Errorf("order a second later %v", got)
+	}
+}
--- a/core/stage/stage.go
+++ b/core/stage/stage.go
@@ -65,6 +65,9 @@
 	var changes []Change
 	for service, members := range byService(servers) {
 		due := p.planService(members)
+		if !isFirst {
+			due = towardsDecode(due)
+		}
 		if len(due) == 0 {
 			delete(p.since, service)
 			continue
@@ -83,6 +86,13 @@
 	return changes
 }
 
+// towardsDecode leaves out changes to prefill: under load a server that changes
+// takes no work until its streams have ended, and decode servers can read
+// prompts meanwhile.
+func towardsDecode(changes []Change) []Change {
+	return slices.DeleteFunc(changes, func(c Change) bool { return c.To != fleet.Decode })
+}
+
 // planService returns the changes that give a service its share of prefill
 // servers.
 func (p *Planner) planService(members []fleet.Server) []Change {
--- a/hickoryd/internal/edgedispatch/dispatch.go
+++ b/hickoryd/internal/edgedispatch/dispatch.go
@@ -307,6 +307,12 @@
 	d.table.Full(time.Now(), server)
 }
 
+func (d *Dispatcher) changing(server string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.table.Changing(time.Now(), server)
+}
+
 // lost looks, after a connection broke while a server ran a request, whether the
 // server is gone, and tells all hosts if so.
 func (d *Dispatcher) lost(o *Order, server fleet.Server) {
