Write the pages of the platform's front, and keep the log from failing at the end

Cause: the front had no pages; a line that was logged after the end of the process's log would have panicked on a closed channel. Before: no pages.

--- a/hickoryd/internal/command/edge.go
+++ b/hickoryd/internal/command/edge.go
@@ -31,6 +31,7 @@
 	output   io.Writer
 	errors   io.Writer
 	settings string
+	isCheck  bool
 }
 
 // NewEdge returns the edge command.
@@ -44,13 +45,14 @@
 
 // Usage implements subcommands.Command.
 func (*Edge) Usage() string {
-	return "hickoryd edge [--settings FILE]\n\nRuns the daemon on the users' platform until it is signalled.\n" +
+	return "hickoryd edge [--settings FILE] [--check]\n\nRuns the daemon on the users' platform until it is signalled.\n" +
 		"Without --settings, " + settingsVariable + " names the file.\n\nExample:\n  hickoryd edge --settings host-1.ini\n\n"
 }
 
 // SetFlags implements subcommands.Command.
 func (e *Edge) SetFlags(flags *flag.FlagSet) {
 	flags.StringVar(&e.settings, "settings", os.Getenv(settingsVariable), "settings file")
+	flags.BoolVar(&e.isCheck, "check", false, "check the settings file and exit")
 }
 
 // Execute implements subcommands.Command.
@@ -64,6 +66,10 @@
 		fmt.Fprintf(e.errors, "hickoryd: %v\n", err)
 		return subcommands.ExitUsageError
 	}
+	if e.isCheck {
+		fmt.Fprintf(e.output, "%s is valid\n", e.settings)
+		return subcommands.ExitSuccess
+	}
 	if err := e.run(ctx, loaded); err != nil {
 		fmt.Fprintf(e.errors, "hickoryd: %v\n", err)
 		return subcommands.ExitFailure
--- /dev/null
+++ b/hickoryd/internal/edge/settings_test.go
@@ -0,0 +1,63 @@
+package edge_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/edge"
+)
+
+const whole = `[host]
+name = h1
+failureDomain = z1
+[listen]
+caller = 10.1.0.1:80
+ready = 10.1.0.1:81
+peer = 10.1.0.1:82
+operator = 10.1.0.1:9464
+[store]
+address = 10.200.1.7:8142
+drainTimeout = 2000ms
+[peers]
+seeds = 10.1.0.2:82,10.1.0.3:82
+`
+
+func TestParseSettings(t *testing.T) {
+	tests := []struct {
+		name string
+		text string
+		want []string // parts of the error
+	}{
+		{name: "whole", text: whole},
+		{name: "all wrong keys at once", text: strings.Replace(strings.Replace(whole, "10.1.0.1:80", "nowhere", 1), "2000ms", "soon", 1), want: []string{"caller", "drainTimeout"}},
+		{name: "unknown key", text: whole + "[host2]\nx = 1\n", want: []string{"host2"}},
+		{name: "drain timeout too short", text: strings.Replace(whole, "2000ms", "1100ms", 1), want: []string{"drainTimeout"}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			_, err := edge.ParseSettings([]byte(tt.text))
+			if (err != nil) != (len(tt.want) > 0) {
+				t.Fatalf("error %v", err)
+			}
+			for _, part := range tt.want {
+				if !strings.Contains(err.Error(), part) {
+					t.Errorf("error %q does not name %s", err, part)
+				}
+			}
+		})
+	}
+}
+
+// A poll, a read without answer and a question to other hosts must fit into the
+// drain timeout.
+func TestStorePollFitsTheDrainTimeout(t *testing.T) {
+	s, err := edge.ParseSettings([]byte(whole))
+	if err != nil {
+		t.Fatal(err)
+	}
+	const jitter, question = 1.125, 250 * time.Millisecond
+	if longest := time.Duration(jitter*float64(s.StorePoll())) + s.StoreTimeout + question; longest > s.DrainTimeout {
+		t.Errorf("a drain may be known after %v only", longest)
+	}
+}
--- a/hickoryd/internal/linelog/writer.go
+++ b/hickoryd/internal/linelog/writer.go
@@ -23,12 +23,13 @@
 	out     io.Writer
 	lines   chan []byte
 	dropped atomic.Int64
+	stop    chan struct{}
 	written chan struct{}
 }
 
 // New returns a writer to out. Its lines are written until it is closed.
 func New(out io.Writer) *Writer {
-	w := &Writer{out: out, lines: make(chan []byte, pendingLines), written: make(chan struct{})}
+	w := &Writer{out: out, lines: make(chan []byte, pendingLines), stop: make(chan struct{}), written: make(chan struct{})}
 	go w.run()
 	return w
 }
@@ -48,9 +49,9 @@
 	return w.dropped.Load()
 }
 
-// Close writes what waits, for at most the given time.
+// Close writes what waits, for at most the given time. Later lines may be lost.
 func (w *Writer) Close(limit time.Duration) {
-	close(w.lines)
+	close(w.stop)
 	select {
 	case <-w.written:
 	case <-time.After(limit):
@@ -59,21 +60,44 @@
 
 func (w *Writer) run() {
 	defer close(w.written)
-	var started time.Time
-	count := 0
-	var told int64
-	for line := range w.lines {
-		if now := time.Now(); now.Sub(started) > ratePeriod {
-			started, count = now, 0
-		}
-		if count++; count > lineRate {
-			w.dropped.Add(1)
+	rate := rateLimit{}
+	for {
+		select {
+		case line := <-w.lines:
+			w.write(line, &rate)
 			continue
+		default:
 		}
-		_, _ = w.out.Write(line) // nobody is left to tell
-		if dropped := w.dropped.Load(); dropped != told {
-			fmt.Fprintf(w.out, `{"level":"warn","message":"log lines dropped","fields":{"total":%d}}`+"\n", dropped)
-			told = dropped
+		select {
+		case line := <-w.lines:
+			w.write(line, &rate)
+		case <-w.stop:
+			if len(w.lines) == 0 {
+				return
+			}
 		}
 	}
 }
+
+// rateLimit counts the lines of a period.
+type rateLimit struct {
+	started time.Time
+	count   int
+	// told is the number of dropped lines that was written last.
+	told int64
+}
+
+func (w *Writer) write(line []byte, rate *rateLimit) {
+	if now := time.Now(); now.Sub(rate.started) > ratePeriod {
+		rate.started, rate.count = now, 0
+	}
+	if rate.count++; rate.count > lineRate {
+		w.dropped.Add(1)
+		return
+	}
+	_, _ = w.out.Write(line) // nobody is left to tell
+	if dropped := w.dropped.Load(); dropped != rate.told {
+		fmt.Fprintf(w.out, `{"level":"warn","message":"log lines dropped","fields":{"total":%d}}`+"\n", dropped)
+		rate.told = dropped
+	}
+}
--- /dev/null
+++ b/hickoryd/internal/linelog/writer_test.go
@@ -0,0 +1,67 @@
+package linelog_test
+
+import (
+	"bytes"
+	"io"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/linelog"
+)
+
+// guarded is a buffer that two goroutines use.
+type guarded struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (g *guarded) Write(p []byte) (int, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.text.Write(p)
+}
+
+func (g *guarded) String() string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.text.String()
+}
+
+func TestLinesAreWritten(t *testing.T) {
+	out := &guarded{}
+	w := linelog.New(out)
+	for range 3 {
+		_, _ = io.WriteString(w, "a line\n")
+	}
+	w.Close(time.Minute)
+	if got := out.String(); got != strings.Repeat("a line\n", 3) {
+		t.Errorf("wrote %q", got)
+	}
+	_, _ = io.WriteString(w, "too late\n") // must not panic
+}
+
+// A reader that takes nothing must cost lines, never time.
+func TestStuckReaderDropsLines(t *testing.T) {
+	reader, stuck := io.Pipe()
+	defer reader.Close()
+	w := linelog.New(stuck)
+	const lines = 10000
+	for range lines {
+		_, _ = io.WriteString(w, "a line\n")
+	}
+	if w.Dropped() < lines-1000 {
+		t.Errorf("%d of %d lines were dropped", w.Dropped(), lines)
+	}
+}
+
+func BenchmarkStuckReader(b *testing.B) {
+	reader, stuck := io.Pipe()
+	defer reader.Close()
+	w := linelog.New(stuck)
+	line := []byte(strings.Repeat("x", 300) + "\n")
+	for b.Loop() {
+		_, _ = w.Write(line)
+	}
+}
--- a/hickoryd/internal/reference/reference.go
+++ b/hickoryd/internal/reference/reference.go
@@ -9,6 +9,7 @@
 	"github.com/hickoryfront/hickoryfront/core/config"
 	"github.com/hickoryfront/hickoryfront/core/refusal"
 	"github.com/hickoryfront/hickoryfront/core/setting"
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/edge"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/operator"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/settings"
 )
@@ -57,6 +58,14 @@
 	}
 )
 
+// edgeIntro introduces the settings of a host on the users' platform.
+const edgeIntro = `## Settings of a host on the users' platform
+
+Read at the start of ` + "`hickoryd edge`" + `, and checked by ` + "`hickoryd edge --check`" + `.
+The platform renders them from ` + "`deploy/settings.ini.tmpl`" + `.
+
+`
+
 // meanings explains every kind of refusal.
 var meanings = map[refusal.Kind]meaning{
 	refusal.InvalidRequest:   {"the request can't be understood, or a value is out of bounds", "no"},
@@ -83,6 +92,8 @@
 	page.WriteString(configurationIntro)
 	page.WriteString(settingsIntro)
 	writeKeys(&page, settings.Keys())
+	page.WriteString(edgeIntro)
+	writeKeys(&page, edge.Keys())
 	page.WriteString(entriesIntro)
 	for _, s := range sections() {
 		fmt.Fprintf(&page, "### %s\n\n%s\n\n", s.title, s.about)
