Build the programs of fault tests in one place

Cause: two packages of tests with real processes had the same TestMain. Before: two copies. After: harness.Main; no test changed.

--- a/hickorylab/edgesoak/main_test.go
+++ b/hickorylab/edgesoak/main_test.go
@@ -3,7 +3,6 @@
 package edgesoak_test
 
 import (
-	"fmt"
 	"os"
 	"testing"
 
@@ -13,19 +12,5 @@
 var binaries harness.Binaries
 
 func TestMain(m *testing.M) {
-	os.Exit(runTests(m))
-}
-
-func runTests(m *testing.M) int {
-	dir, err := os.MkdirTemp("", "hickoryfront")
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return 1
-	}
-	defer os.RemoveAll(dir)
-	if binaries, err = harness.Build(dir); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return 1
-	}
-	return m.Run()
+	os.Exit(harness.Main(m, &binaries))
 }
--- a/hickorylab/harness/harness.go
+++ b/hickorylab/harness/harness.go
@@ -149,6 +149,22 @@
 	return ""
 }
 
+// Main builds the programs for the tests of a package and runs them. It returns
+// the exit code.
+func Main(m *testing.M, binaries *Binaries) int {
+	dir, err := os.MkdirTemp("", "hickoryfront")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(dir)
+	if *binaries, err = Build(dir); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	return m.Run()
+}
+
 // Build builds the programs into dir. Its working directory is any package of
 // the workspace.
 func Build(dir string) (Binaries, error) {
