Bound a search for room to sixteen servers

Cause: in a burst each request that waits asked all decode servers every 60 ms; at 360 hosts before 12,000 servers that grows without bound.

--- a/hickoryd/internal/edgedispatch/generation.go
+++ b/hickoryd/internal/edgedispatch/generation.go
@@ -26,6 +26,9 @@
 	holdLifetime = 1900 * time.Millisecond
 	// holdTimeout is the longest wait for the answer to a reservation.
 	holdTimeout = 300 * time.Millisecond
+	// searchLimit bounds the servers that one search for room asks. Those that had
+	// none are passed over by the next, so that a few searches ask all of a hundred.
+	searchLimit = 16
 	// memoryMargin is the memory that is reserved for each expected token: with
 	// five to ten requests on a server some are longer than expected, and one that
 	// finds no memory has its prompt read again.
@@ -187,7 +190,8 @@
 		if turn.IsOver {
 			return seat{}, &Failure{Status: http.StatusServiceUnavailable, RetryAfter: turn.RetryAfter, Reason: "no decode server has room"}
 		}
-		for _, server := range g.Dispatcher.order(want) {
+		candidates := g.Dispatcher.order(want)
+		for _, server := range candidates[:min(len(candidates), searchLimit)] {
 			hold, err := g.hold(ctx, server, tokens)
 			if err == nil {
 				return seat{server: server, hold: hold, tokens: tokens}, nil
