--- /dev/null
+++ b/hickoryd/internal/edgedispatch/prefill.go
@@ -0,0 +1,102 @@
+package edgedispatch
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/hickoryfront/hickoryfront/core/fleet"
+	"github.com/hickoryfront/hickoryfront/core/health"
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/upstream"
+	"github.com/hickoryfront/hickoryfront/platform"
+)
+
+const (
+	// prefillTimeout is the longest wait for a prompt to be read: a prompt that is
+	// given up was read in vain, so only a silent server should take so long.
+	prefillTimeout = 1500 * time.Millisecond
+	// readLocallyAfter is the wait at the prefill servers from which the decode
+	// server reads the prompt: it takes about as long, at half the speed.
+	readLocallyAfter = 350 * time.Millisecond
+	// maxPrefills bounds the prefill servers that one prompt is offered to.
+	maxPrefills = 2
+)
+
+// prefill has the prompt read at a prefill server and returns where its KV cache
+// is fetched from. Where none has time for it, the decode server reads it.
+func (g *generation) prefill(ctx context.Context, decode fleet.Server) (handleAt, error) {
+	var tried []string
+	for range maxPrefills {
+		server, wait, ok := g.pickPrefill(g.order, tried, decode.FailureDomain)
+		if !ok || wait > readLocallyAfter {
+			break
+		}
+		if !g.hasRepeat(g.order) {
+			break // a refusal would count as a repeat
+		}
+		if g.isRead {
+			g.spendRepeat(g.order)
+		}
+		handle, err := g.prefillAt(ctx, server)
+		if err == nil {
+			g.isRead = true
+			return handle, nil
+		}
+		if !errors.Is(err, upstream.ErrNotSent) {
+			g.spendRepeat(g.order)
+		}
+		if ctx.Err() != nil {
+			return handleAt{}, fmt.Errorf("%w: %w", upstream.ErrNotSent, ctx.Err())
+		}
+		g.logger.WithFields(g.order.fields()).WithFields(log.Fields{"server": server.ID, "error": err.Error()}).Info("prompt not read")
+		tried = append(tried, server.ID)
+	}
+	g.counters.preparedLocally.Inc()
+	return handleAt{}, nil
+}
+
+// handleAt is a KV cache that waits at the server that read the prompt.
+type handleAt struct {
+	server fleet.Server
+	id     string
+}
+
+func (g *generation) prefillAt(ctx context.Context, server fleet.Server) (handleAt, error) {
+	ctx, cancel := context.WithTimeout(ctx, prefillTimeout)
+	defer cancel()
+	ticket := g.beginReading(server.ID, g.order.Request.PromptTokens)
+	handle, err := g.read(ctx, server)
+	g.endReading(ticket, err)
+	return handle, err
+}
+
+// read sends the prompt to a prefill server.
+func (g *generation) read(ctx context.Context, server fleet.Server) (handleAt, error) {
+	attempt := platform.Attempt{ServerID: server.ID, IsPrefill: true, LastEvent: g.relay.Last(), IsResumed: g.relay.IsResumed()}
+	answer, err := g.pool.Do(ctx, server.Address, g.outbound(g.order, attempt))
+	if errors.Is(err, upstream.ErrNotSent) {
+		g.report(server.ID, health.Unreachable)
+		return handleAt{}, err
+	}
+	g.prefills++
+	if err != nil {
+		g.report(server.ID, health.Broken)
+		return handleAt{}, err
+	}
+	defer answer.Close()
+	body := discard(answer)
+	if answer.StatusCode != http.StatusOK {
+		return handleAt{}, fmt.Errorf("%w: reading the prompt answered %d", errNotRun, answer.StatusCode)
+	}
+	handle, err := platform.DecodeHandle(body)
+	if err != nil {
+		g.report(server.ID, health.Broken)
+		return handleAt{}, err
+	}
+	g.report(server.ID, health.Success)
+	return handleAt{server: server, id: handle.ID}, nil
+}
