--- /dev/null
+++ b/hickoryd/internal/edgedispatch/dispatch_test.go
@@ -0,0 +1,214 @@
+package edgedispatch_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+
+	"github.com/hickoryfront/hickoryfront/core/budget"
+	"github.com/hickoryfront/hickoryfront/core/fleet"
+	"github.com/hickoryfront/hickoryfront/core/route"
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/edgedispatch"
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/registry"
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/upstream"
+	"github.com/hickoryfront/hickoryfront/platform"
+)
+
+type (
+	// servers is a fixed list of backend servers.
+	servers []fleet.Server
+
+	// sink keeps an answer.
+	sink struct {
+		status int
+		body   strings.Builder
+	}
+
+	nobody struct{}
+)
+
+func (s servers) Servers() *registry.Snapshot { return &registry.Snapshot{Version: 1, Servers: s} }
+func (s servers) Hosts() int                  { return 1 }
+
+func (nobody) ReportLoss(context.Context, uint64, string) {}
+
+func (s *sink) Start(status int, _ http.Header) error {
+	s.status = status
+	return nil
+}
+
+func (s *sink) Write(part []byte) error {
+	s.body.Write(part)
+	return nil
+}
+
+// start returns a registered server that is served by f.
+func start(t *testing.T, id string, stage fleet.Stage, f http.HandlerFunc) fleet.Server {
+	t.Helper()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+		f(w, r)
+	}))
+	t.Cleanup(server.Close)
+	return fleet.Server{ID: id, Service: "s", Stage: stage, Address: netip.MustParseAddrPort(server.Listener.Addr().String())}
+}
+
+// serve sends one request through a dispatcher and returns the status that the
+// caller gets; 0 is a cut answer.
+func serve(t *testing.T, list servers, r route.Route) (int, string) {
+	t.Helper()
+	logger := &log.Logger{Handler: discard.New(), Level: log.InfoLevel}
+	pool := upstream.NewPool(netip.Addr{}, metrics.NewSet())
+	d := edgedispatch.New(t.Context(), edgedispatch.Options{Budget: budget.Terms{Slack: 100}}, list, pool, nobody{}, logger, metrics.NewSet())
+	r.Service, r.Timeout, r.TargetLatency = "s", 5*time.Second, 300*time.Millisecond
+	now := time.Now()
+	o := &edgedispatch.Order{
+		Request: platform.Request{ID: "r1", PromptTokens: 10, MaxOutputTokens: 10, TimeLeft: r.Timeout}, Route: &r,
+		Method: http.MethodPost, Target: "/x", Host: "h", Header: http.Header{"Request-Id": {"r1"}}, Arrived: now, Deadline: now.Add(r.Timeout),
+	}
+	got := &sink{}
+	err := d.Serve(t.Context(), o, got)
+	var failure *edgedispatch.Failure
+	switch {
+	case err == nil:
+		return got.status, got.body.String()
+	case errors.As(err, &failure):
+		return failure.Status, ""
+	default:
+		return 0, got.body.String()
+	}
+}
+
+func ok(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Server-Stamp", "stamp")
+	_, _ = io.WriteString(w, "ok")
+}
+
+func full(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Not-Run", "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+func failing(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Server-Stamp", "stamp")
+	w.WriteHeader(http.StatusInternalServerError)
+}
+
+func broken(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+
+func unsigned(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "who am I") }
+
+func TestPlain(t *testing.T) {
+	safe, unsafe := route.Route{Kind: route.Safe, MaxServers: 2}, route.Route{Kind: route.Unsafe, MaxServers: 1}
+	tests := []struct {
+		name   string
+		route  route.Route
+		first  http.HandlerFunc
+		want   int
+		second int64 // requests at the second server
+	}{
+		{name: "answered", route: unsafe, first: ok, want: http.StatusOK},
+		{name: "not run goes to another server", route: unsafe, first: full, want: http.StatusOK, second: 1},
+		{name: "may have run is not repeated", route: unsafe, first: broken, want: http.StatusBadGateway},
+		{name: "a server's failure is passed on", route: unsafe, first: failing, want: http.StatusInternalServerError},
+		{name: "an answer without signature is none", route: unsafe, first: unsigned, want: http.StatusBadGateway},
+		{name: "a safe call is repeated when its answer is lost", route: safe, first: broken, want: http.StatusOK, second: 1},
+		{name: "a safe call is repeated after a failure", route: safe, first: failing, want: http.StatusOK, second: 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var second atomic.Int64
+			first := start(t, "first", fleet.NoStage, tt.first)
+			other := start(t, "second", fleet.NoStage, func(w http.ResponseWriter, r *http.Request) {
+				second.Add(1)
+				ok(w, r)
+			})
+			other.FailureDomain = "elsewhere" // so that the first is preferred
+			status, _ := serve(t, servers{first, other}, tt.route)
+			if status != tt.want || second.Load() != tt.second {
+				t.Errorf("status %d, want %d; %d requests at the second server, want %d", status, tt.want, second.Load(), tt.second)
+			}
+		})
+	}
+}
+
+// decoder grants reservations while room is set, and serves runs by f.
+func decoder(t *testing.T, id string, room *atomic.Bool, f http.HandlerFunc) fleet.Server {
+	return start(t, id, fleet.Decode, func(w http.ResponseWriter, r *http.Request) {
+		switch {
+		case strings.HasSuffix(r.URL.Path, "/hold-take") && room.Load():
+			_, _ = io.WriteString(w, `{"hold":"h"}`)
+		case strings.HasSuffix(r.URL.Path, "/hold-take"):
+			full(w, r)
+		case strings.HasPrefix(r.URL.Path, "/hickoryfront/"):
+			w.WriteHeader(http.StatusNotFound)
+		default:
+			f(w, r)
+		}
+	})
+}
+
+func events(ids ...string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Server-Stamp", "stamp")
+		for _, id := range ids {
+			_, _ = io.WriteString(w, "id: "+id+"\n\n")
+		}
+	}
+}
+
+func eventsThenBreak(ids ...string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		events(ids...)(w, r)
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func TestStreams(t *testing.T) {
+	once := route.Route{Kind: route.Streaming, IsGeneration: true, MaxServers: 1}
+	resumable := route.Route{Kind: route.Streaming, IsGeneration: true, IsResumable: true, MaxServers: 2}
+	tests := []struct {
+		name   string
+		route  route.Route
+		first  http.HandlerFunc
+		second http.HandlerFunc // nil: no room there
+		want   int
+		body   string
+	}{
+		{name: "whole", route: once, first: events("1", "2"), want: http.StatusOK, body: "id: 1\n\nid: 2\n\n"},
+		{name: "breaks and may not be resumed", route: once, first: eventsThenBreak("1"), second: events("2"), body: "id: 1\n\n"},
+		{name: "is resumed without repeats", route: resumable, first: eventsThenBreak("1", "2"), second: events("2", "3"), want: http.StatusOK, body: "id: 1\n\nid: 2\n\nid: 3\n\n"},
+		{name: "a resumed run that leaves out an event is cut", route: resumable, first: eventsThenBreak("1"), second: events("3"), body: "id: 1\n\n"},
+		{name: "a run is not called not run when room is lost after it", route: resumable, first: broken, want: http.StatusBadGateway},
+		{name: "no room is a refusal", route: once, want: http.StatusServiceUnavailable},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var firstRoom, secondRoom atomic.Bool
+			firstRoom.Store(tt.first != nil)
+			secondRoom.Store(tt.second != nil)
+			first := decoder(t, "first", &firstRoom, func(w http.ResponseWriter, r *http.Request) {
+				firstRoom.Store(false)
+				tt.first(w, r)
+			})
+			second := decoder(t, "second", &secondRoom, func(w http.ResponseWriter, r *http.Request) { tt.second(w, r) })
+			second.FailureDomain = "elsewhere" // so that the first is preferred
+			status, body := serve(t, servers{first, second}, tt.route)
+			if status != tt.want || body != tt.body {
+				t.Errorf("status %d, want %d; body %q, want %q", status, tt.want, body, tt.body)
+			}
+		})
+	}
+}
--- a/hickoryd/internal/edgedispatch/timing.go
+++ b/hickoryd/internal/edgedispatch/timing.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/apex/log"
-
 )
 
 // streamTiming is how a stream reached the caller.
