Cut a stream that has begun when no repeat is left for it

A stream that had begun and found the retry budget used up ended with an error that was a cut and a refusal at once; the refusal was written into the stream, which then looked complete. Ruled out: a clean end of the server's connection (the run is logged as crashed). Before: the test fails (status 503 after event 1). After: it passes. Conclusion: a cut is never a refusal as well; the caller's side checks it, too.

--- a/hickoryd/internal/edgecaller/caller.go
+++ b/hickoryd/internal/edgecaller/caller.go
@@ -113,7 +113,7 @@
 	var failure *edgedispatch.Failure
 	switch {
 	case err == nil:
-	case errors.As(err, &failure):
+	case errors.As(err, &failure) && s.status == 0:
 		s.fail(failure)
 	default:
 		panic(http.ErrAbortHandler)
@@ -257,7 +257,7 @@
 	outcome := "answered"
 	var failure *edgedispatch.Failure
 	switch {
-	case errors.As(err, &failure):
+	case errors.As(err, &failure) && s.status == 0:
 		outcome, status = "failed", failure.Status
 	case err != nil:
 		outcome = "cut"
--- a/hickoryd/internal/edgedispatch/dispatch_test.go
+++ b/hickoryd/internal/edgedispatch/dispatch_test.go
@@ -66,11 +66,11 @@
 
 // serve sends one request through a dispatcher and returns the status that the
 // caller gets; 0 is a cut answer.
-func serve(t *testing.T, list servers, r route.Route) (int, string) {
+func serve(t *testing.T, list servers, r route.Route, repeats float64) (int, string) {
 	t.Helper()
 	logger := &log.Logger{Handler: discard.New(), Level: log.InfoLevel}
 	pool := upstream.NewPool(netip.Addr{}, metrics.NewSet())
-	d := edgedispatch.New(t.Context(), edgedispatch.Options{Budget: budget.Terms{Slack: 100}}, list, pool, nobody{}, logger, metrics.NewSet())
+	d := edgedispatch.New(t.Context(), edgedispatch.Options{Budget: budget.Terms{Slack: repeats}}, list, pool, nobody{}, logger, metrics.NewSet())
 	r.Service, r.Timeout, r.TargetLatency = "s", 5*time.Second, 300*time.Millisecond
 	now := time.Now()
 	o := &edgedispatch.Order{
@@ -135,7 +135,7 @@
 				ok(w, r)
 			})
 			other.FailureDomain = "elsewhere" // so that the first is preferred
-			status, _ := serve(t, servers{first, other}, tt.route)
+			status, _ := serve(t, servers{first, other}, tt.route, 100)
 			if status != tt.want || second.Load() != tt.second {
 				t.Errorf("status %d, want %d; %d requests at the second server, want %d", status, tt.want, second.Load(), tt.second)
 			}
@@ -186,12 +186,15 @@
 		second http.HandlerFunc // nil: no room there
 		want   int
 		body   string
+		// hasNoRepeat is set where the retry budget is used up.
+		hasNoRepeat bool
 	}{
 		{name: "whole", route: once, first: events("1", "2"), want: http.StatusOK, body: "id: 1\n\nid: 2\n\n"},
 		{name: "breaks and may not be resumed", route: once, first: eventsThenBreak("1"), second: events("2"), body: "id: 1\n\n"},
 		{name: "is resumed without repeats", route: resumable, first: eventsThenBreak("1", "2"), second: events("2", "3"), want: http.StatusOK, body: "id: 1\n\nid: 2\n\nid: 3\n\n"},
 		{name: "a resumed run that leaves out an event is cut", route: resumable, first: eventsThenBreak("1"), second: events("3"), body: "id: 1\n\n"},
 		{name: "a run is not called not run when room is lost after it", route: resumable, first: broken, want: http.StatusBadGateway},
+		{name: "a stream that has begun is cut when no repeat is left", route: resumable, first: eventsThenBreak("1"), second: events("2"), hasNoRepeat: true, body: "id: 1\n\n"},
 		{name: "no room is a refusal", route: once, want: http.StatusServiceUnavailable},
 	}
 	for _, tt := range tests {
@@ -205,7 +208,11 @@
 			})
 			second := decoder(t, "second", &secondRoom, func(w http.ResponseWriter, r *http.Request) { tt.second(w, r) })
 			second.FailureDomain = "elsewhere" // so that the first is preferred
-			status, body := serve(t, servers{first, second}, tt.route)
+			repeats := 100.0
+			if tt.hasNoRepeat {
+				repeats = 0
+			}
+			status, body := serve(t, servers{first, second}, tt.route, repeats)
 			if status != tt.want || body != tt.body {
 				t.Errorf("status %d, want %d; body %q, want %q", status, tt.want, body, tt.body)
 			}
--- a/hickoryd/internal/edgedispatch/generation.go
+++ b/hickoryd/internal/edgedispatch/generation.go
@@ -86,7 +86,7 @@
 
 func (g *generation) failure(ctx context.Context, last error) error {
 	if g.isStarted {
-		return fmt.Errorf("%w: %w", ErrCut, last)
+		return fmt.Errorf("%w: %v", ErrCut, last) // a cut answer is not a refusal as well
 	}
 	reason := "no backend server"
 	if last != nil {
