--- a/hickoryd/internal/registry/registry_test.go
+++ b/hickoryd/internal/registry/registry_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"path"
 	"sync"
 	"testing"
 	"time"
@@ -50,12 +51,12 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	switch r.URL.Path {
-	case "/hickoryfront/kv-key":
+	switch path.Base(r.URL.Path) {
+	case "kv-key":
 		write(w, map[string]any{"key": "op/config", "value": encode(map[string]any{"version": s.version}), "revision": cmp.Or(s.configuredAt, s.revision), "at": s.revision})
-	case "/hickoryfront/kv-range":
+	case "kv-range":
 		write(w, map[string]any{"items": s.items(), "at": s.revision})
-	case "/hickoryfront/kv-watch":
+	case "kv-watch":
 		s.serveWatch(w, r)
 	default:
 		w.WriteHeader(http.StatusNotFound)
