Name the list of other hosts for what it is

Cause: read as a newcomer: connectionsTo returned hosts, and the comment on the number of hosts asked gave no reason. Before and after: the same behaviour.

--- a/hickoryd/internal/edgehost/client.go
+++ b/hickoryd/internal/edgehost/client.go
@@ -23,8 +23,8 @@
 )
 
 const (
-	// fetchFrom is the number of hosts that are asked at once: one of two
-	// answers unless the store turns most hosts away.
+	// fetchFrom is the number of hosts that are asked at once: the store turns
+	// about a third of the hosts away at the worst, so that one of three knows.
 	fetchFrom = 3
 	// reportTimeout is the longest wait for a host that is told of a loss.
 	reportTimeout = time.Second
@@ -125,7 +125,7 @@
 
 // ReportLoss tells all hosts that a server was lost while it ran a request.
 func (c *Client) ReportLoss(ctx context.Context, fingerprint uint64, server string) {
-	for _, address := range c.some(len(c.connectionsTo())) {
+	for _, address := range c.others() {
 		go c.runReport(ctx, address, &peerapi.ReportLossRequest{Fingerprint: fingerprint, ServerId: server})
 	}
 }
@@ -154,26 +154,26 @@
 
 // some returns up to count other hosts in random order.
 func (c *Client) some(count int) []netip.AddrPort {
-	hosts := c.connectionsTo()
+	hosts := c.others()
 	rand.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
 	return hosts[:min(count, len(hosts))]
 }
 
-// connectionsTo returns the other hosts, or the seeds while none are known.
-func (c *Client) connectionsTo() []netip.AddrPort {
+// others returns the other hosts, or the seeds while none are known.
+func (c *Client) others() []netip.AddrPort {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	known := c.hosts
 	if len(known) < 2 {
 		known = append(slices.Clone(known), c.seeds...)
 	}
-	others := make([]netip.AddrPort, 0, len(known))
+	hosts := make([]netip.AddrPort, 0, len(known))
 	for _, address := range known {
-		if address != c.self && !slices.Contains(others, address) {
-			others = append(others, address)
+		if address != c.self && !slices.Contains(hosts, address) {
+			hosts = append(hosts, address)
 		}
 	}
-	return others
+	return hosts
 }
 
 func (c *Client) connection(address netip.AddrPort) (peerapi.EdgeClient, error) {
