Cut connections that are being made, in the test's proxy

Host-1's log names all hosts of the majority as dead again and again but host-5: a connection that was being made when the cut was set kept passing, since the proxy read the mode before it dialled and registered the link after. Ruled out: the daemon (the log shows messages over the cut), an address shared with the other run (8 runs of the test in two programs side by side passed). Before: a new test of the proxy fails at once. After: it passes, 900 times with the race detector. Conclusion: the link looks at the mode again once it is registered.

--- a/hickorylab/cutproxy/cutproxy.go
+++ b/hickorylab/cutproxy/cutproxy.go
@@ -67,6 +67,11 @@
 	return p, nil
 }
 
+// Address returns where the proxy listens.
+func (p *Proxy) Address() string {
+	return p.listener.Addr().String()
+}
+
 // Set changes the mode of a source, for open connections and new ones. The
 // zero address means every source that has no mode of its own.
 func (p *Proxy) Set(source netip.Addr, mode Mode) {
@@ -125,8 +130,8 @@
 		return
 	}
 	l.server = server
-	l.apply(mode)
 	l.proxy.add(l)
+	l.apply(l.proxy.mode(l.source)) // it may have changed since the connection began
 	defer l.proxy.remove(l)
 	var group sync.WaitGroup
 	group.Go(pipe{link: l, from: l.client, to: server}.run)
--- /dev/null
+++ b/hickorylab/cutproxy/cutproxy_test.go
@@ -0,0 +1,54 @@
+package cutproxy_test
+
+import (
+	"io"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/hickoryfront/hickoryfront/hickorylab/cutproxy"
+)
+
+// listen returns a listener whose connections echo what they get.
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() { _, _ = io.Copy(c, c) }()
+		}
+	}()
+	return listener
+}
+
+// A connection that is being made while the source is cut must not pass.
+func TestCutReachesConnectionsBeingMade(t *testing.T) {
+	target := listen(t)
+	for range 300 {
+		proxy, err := cutproxy.Listen("127.0.0.1:0", target.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		c, err := net.Dial("tcp", proxy.Address())
+		if err != nil {
+			t.Fatal(err)
+		}
+		proxy.Set(netip.Addr{}, cutproxy.Refuse)
+		_ = c.SetDeadline(time.Now().Add(10 * time.Second))
+		_, _ = c.Write([]byte("x"))
+		if n, err := c.Read(make([]byte, 1)); n > 0 {
+			t.Fatalf("a connection passes after the cut: %d bytes, %v", n, err)
+		}
+		c.Close()
+		proxy.Close()
+	}
+}
