--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -164,7 +164,7 @@
 	if !isHeld {
 		return
 	}
-	if l.isDown || (l.hasOutage && now.Sub(l.restored) < ReturnPeriod) {
+	if l.isUncertain(now) {
 		if held.vanished.IsZero() {
 			held.vanished = now
 			l.servers[c.ID] = held
@@ -175,9 +175,15 @@
 	l.version++
 }
 
+// isUncertain reports whether a registration that is missing at now may come
+// back.
+func (l *List) isUncertain(now time.Time) bool {
+	return l.isDown || (l.hasOutage && now.Sub(l.restored) < ReturnPeriod)
+}
+
 // expire removes what vanished around an outage and has not come back.
 func (l *List) expire(now time.Time) {
-	if l.isDown || (l.hasOutage && now.Sub(l.restored) < ReturnPeriod) {
+	if l.isUncertain(now) {
 		return
 	}
 	for id, e := range l.servers {
--- a/hickoryd/internal/edgedispatch/decode.go
+++ b/hickoryd/internal/edgedispatch/decode.go
@@ -53,7 +53,7 @@
 	}
 	defer answer.Close()
 	if answer.Reply.IsNotRun {
-		body := discard(answer)
+		body := readRest(answer)
 		g.releaseHandle(source)
 		g.releaseHold(room)
 		g.full(room.server.ID)
@@ -115,7 +115,7 @@
 // elsewhere.
 func (g *generation) refusedByServer(server fleet.Server, answer *upstream.Answer) error {
 	g.report(server.ID, health.Failure)
-	body := discard(answer)
+	body := readRest(answer)
 	err := fmt.Errorf("%w: status %d", errInvalid, answer.StatusCode)
 	if g.isStarted || g.mayGoOn(err) || !answer.Reply.HasStamp {
 		return err
--- a/hickoryd/internal/edgedispatch/plain.go
+++ b/hickoryd/internal/edgedispatch/plain.go
@@ -144,7 +144,7 @@
 	}
 	defer answer.Close()
 	if answer.Reply.IsNotRun {
-		_, _ = io.Copy(io.Discard, io.LimitReader(answer.Body, wholeAnswer)) // only so that the connection can be kept
+		readRest(answer)
 		return nil, fmt.Errorf("%w: status %d", errNotRun, answer.StatusCode)
 	}
 	c.runs++
@@ -233,8 +233,8 @@
 	return &Failure{Status: http.StatusServiceUnavailable, RetryAfter: shortRetryAfter, Reason: reason}
 }
 
-// discard reads what is left of a short answer, so that its connection is kept.
-func discard(answer *upstream.Answer) []byte {
+// readRest reads what is left of a short answer, so that its connection is kept.
+func readRest(answer *upstream.Answer) []byte {
 	var body bytes.Buffer
 	_, _ = io.Copy(&body, io.LimitReader(answer.Body, wholeAnswer)) // a cut answer only costs its connection
 	return body.Bytes()
--- a/hickoryd/internal/edgedispatch/prefill.go
+++ b/hickoryd/internal/edgedispatch/prefill.go
@@ -88,7 +88,7 @@
 		return handleAt{}, err
 	}
 	defer answer.Close()
-	body := discard(answer)
+	body := readRest(answer)
 	if answer.StatusCode != http.StatusOK {
 		return handleAt{}, fmt.Errorf("%w: reading the prompt answered %d", errNotRun, answer.StatusCode)
 	}
