Wait for a takeover of claims before a key is refused

TestFailureDomainLostAtEachStep failed in 2 of 8 runs here, both times at the first step with 503 claimUndecided: the host that dies is the home of the key, and dies before it has answered the claim. The caller waited 2 s; another home takes the keys over only after peers.timeout, one epoch read and a listing, and 3 s later where the dead host kept the epoch. Ruled out: lack of servers and a second run (the refusal says not run, and no server had the request).

The wait now follows from peers.timeout. TestClaimWaitsForATakeover failed before (503 after 2 s) and passes.

--- a/hickoryd/internal/dispatch/attach_test.go
+++ b/hickoryd/internal/dispatch/attach_test.go
@@ -100,7 +100,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				test.owner.table = claim.NewTable(10)
-				k := dispatch.NewKeyed(owner, test.owner, test.owner, dispatch.NewRecordings(1000), metrics.NewSet())
+				k := dispatch.NewKeyed(owner, test.owner, test.owner, dispatch.NewRecordings(1000), takeoverTime, metrics.NewSet())
 				var w work
 				answer, err := send(t.Context(), k, keyedRequest("1", false), &w)
 				if test.body != "" && (err != nil || string(answer.Body) != test.body || answer.Status != 200) {
--- a/hickoryd/internal/dispatch/keyed.go
+++ b/hickoryd/internal/dispatch/keyed.go
@@ -15,8 +15,6 @@
 )
 
 const (
-	// claimPatience is how long a caller waits for a home that is taken over.
-	claimPatience = 2 * time.Second
 	claimInterval = 100 * time.Millisecond
 	// claimRetryAfter is what a refused caller is told to wait.
 	claimRetryAfter = time.Second
@@ -64,9 +62,12 @@
 		claims     Claims
 		attacher   Attacher
 		recordings *Recordings
-		attached   *metrics.Counter
-		replayed   *metrics.Counter
-		group      sync.WaitGroup
+		// takeoverTime is how long a caller waits for a home that died: until
+		// another has taken its keys over.
+		takeoverTime time.Duration
+		attached     *metrics.Counter
+		replayed     *metrics.Counter
+		group        sync.WaitGroup
 	}
 
 	// execution is one run of a claimed request.
@@ -97,10 +98,11 @@
 // errReleased means that the key was held by a request that did not run.
 var errReleased = errors.New("the request that held the key was not run")
 
-// NewKeyed returns a runner of requests with keys.
-func NewKeyed(owner claim.Owner, claims Claims, attacher Attacher, recordings *Recordings, set *metrics.Set) *Keyed {
+// NewKeyed returns a runner of requests with keys. takeoverTime is the longest
+// time in which the keys of a dead home are taken over.
+func NewKeyed(owner claim.Owner, claims Claims, attacher Attacher, recordings *Recordings, takeoverTime time.Duration, set *metrics.Set) *Keyed {
 	return &Keyed{
-		owner: owner, claims: claims, attacher: attacher, recordings: recordings,
+		owner: owner, claims: claims, attacher: attacher, recordings: recordings, takeoverTime: takeoverTime,
 		attached: set.NewCounter(`hickoryfront_claims_attached_total`),
 		replayed: set.NewCounter(`hickoryfront_claims_replayed_total`),
 	}
@@ -124,7 +126,7 @@
 				return source, err
 			}
 		}
-		if time.Since(started) >= claimPatience || timing.Sleep(ctx, claimInterval) != nil {
+		if time.Since(started) >= k.takeoverTime || timing.Sleep(ctx, claimInterval) != nil {
 			k.giveUp(recording, wanted, true)
 			if ctx.Err() != nil {
 				return nil, ctx.Err()
--- a/hickoryd/internal/dispatch/keyed_test.go
+++ b/hickoryd/internal/dispatch/keyed_test.go
@@ -21,6 +21,10 @@
 const (
 	horizon  = 10 * time.Minute
 	workTime = 5 * time.Second
+
+	// peersTimeout is the standard of peers.timeout.
+	peersTimeout = 3 * time.Second
+	takeoverTime = 5 * time.Second
 )
 
 var (
@@ -31,11 +35,13 @@
 type (
 	// claims is the home of all keys.
 	claims struct {
-		mu          sync.Mutex
-		table       *claim.Table
-		loseClaims  int           // this many claims take effect and get no answer
-		loseSettles int           // this many settles get no answer and no effect
-		pause       time.Duration // of the owner, after its claim was granted
+		mu         sync.Mutex
+		table      *claim.Table
+		loseClaims int // this many claims take effect and get no answer
+		// unreachableUntil is when the next home has taken the keys over.
+		unreachableUntil time.Time
+		loseSettles      int           // this many settles get no answer and no effect
+		pause            time.Duration // of the owner, after its claim was granted
 	}
 
 	// work writes an answer after some time and counts its runs.
@@ -50,6 +56,9 @@
 func (c *claims) Claim(_ context.Context, now time.Time, wanted claim.Grant) (claim.Outcome, claim.Grant, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if now.Before(c.unreachableUntil) {
+		return claim.Undecided, claim.Grant{}, errLost
+	}
 	outcome, grant, err := c.table.Claim(now, wanted)
 	if c.loseClaims > 0 {
 		c.loseClaims--
@@ -99,7 +108,7 @@
 }
 
 func newKeyed(c *claims) *dispatch.Keyed {
-	return dispatch.NewKeyed(owner, c, c, dispatch.NewRecordings(1000), metrics.NewSet())
+	return dispatch.NewKeyed(owner, c, c, dispatch.NewRecordings(1000), takeoverTime, metrics.NewSet())
 }
 
 func keyedRequest(id string, releasable bool) dispatch.KeyedRequest {
@@ -228,6 +237,23 @@
 	}
 }
 
+// TestClaimWaitsForATakeover kills the home of a key before its claim is
+// answered: the next home answers once the host counts as dead and its keys are
+// taken over. The caller gets its answer, without sending the key again.
+//
+// proof: host killed | claim | 5
+func TestClaimWaitsForATakeover(t *testing.T) {
+	inBubble(t, func(t *testing.T, c *claims, k *dispatch.Keyed) {
+		var w work
+		c.unreachableUntil = time.Now().Add(peersTimeout + time.Second)
+		answer, err := send(t.Context(), k, keyedRequest("1", false), &w)
+		wantAnswer(t, answer, err)
+		if w.runs != 1 {
+			t.Errorf("%d runs", w.runs)
+		}
+	})
+}
+
 // TestHeldKeyOfARequestThatDidNotRun loses the withdrawal too: the resend finds
 // the key held by a request that was not run, and takes it over.
 //
--- a/hickoryd/internal/node/wiring.go
+++ b/hickoryd/internal/node/wiring.go
@@ -126,8 +126,8 @@
 	return home.NewClaims(ownerOf(self), s.Limits.Claims, kv, membership, homes, horizonOf(store), logger, set)
 }
 
-func newKeyed(self member.Host, router *home.Router, recordings *dispatch.Recordings, set *metrics.Set) *dispatch.Keyed {
-	return dispatch.NewKeyed(ownerOf(self), router, router, recordings, set)
+func newKeyed(s settings.Settings, self member.Host, router *home.Router, recordings *dispatch.Recordings, set *metrics.Set) *dispatch.Keyed {
+	return dispatch.NewKeyed(ownerOf(self), router, router, recordings, home.TakeoverTime(s.Peers.Timeout), set)
 }
 
 func newRecordings(s settings.Settings) *dispatch.Recordings {
