Late requests leave room to those that can be on time

Looking for room less often (150 against 40 ms) does not rank them behind.

TestLateRequestLeavesRoom failed before (status 200 where 503 is right).

--- a/core/waiting/waiting.go
+++ b/core/waiting/waiting.go
@@ -12,6 +12,9 @@
 	timelyPause = 40 * time.Millisecond
 	// latePause is the time between two searches of a late request.
 	latePause = 150 * time.Millisecond
+	// lateHeadroom is what a late request leaves free where it takes room: what a
+	// short request needs that can still be on time.
+	lateHeadroom = 1.0
 	// lateTargets is how long a late request waits, in target latencies: callers
 	// leave a stream that has not begun after four.
 	lateTargets = 2.5
@@ -44,6 +47,9 @@
 	// Turn says how a request goes on waiting.
 	Turn struct {
 		Pause time.Duration
+		// Headroom is the memory that has to stay free at a server where this
+		// request takes room, in requests of its size.
+		Headroom float64
 		// IsOver is set where the request is refused, and RetryAfter tells when
 		// the caller should come back, unless it is zero.
 		IsOver     bool
@@ -60,7 +66,7 @@
 	case now.Before(p.Asked.Add(time.Duration(timelyShare * float64(p.Target)))):
 		return Turn{Pause: timelyPause}
 	case isReturned && now.Before(p.Arrived.Add(time.Duration(lateTargets*float64(p.Target)))):
-		return Turn{Pause: latePause}
+		return Turn{Pause: latePause, Headroom: lateHeadroom}
 	case isReturned:
 		return Turn{IsOver: true}
 	default:
--- a/core/waiting/waiting_test.go
+++ b/core/waiting/waiting_test.go
@@ -10,7 +10,7 @@
 var start = time.Unix(1000, 0)
 
 func isYielding(turn waiting.Turn) bool {
-	return turn.Pause >= 100*time.Millisecond
+	return turn.Pause >= 100*time.Millisecond && turn.Headroom >= 0.5
 }
 
 func TestTurnAt(t *testing.T) {
--- a/hickoryd/internal/edgedispatch/dispatch_test.go
+++ b/hickoryd/internal/edgedispatch/dispatch_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"io"
 	"net/http"
@@ -25,6 +26,12 @@
 	"github.com/hickoryfront/hickoryfront/platform"
 )
 
+const (
+	// wholePatience is the time that a caller has when it asks for the first time.
+	wholePatience = 5 * time.Second
+	promptTokens  = 100
+)
+
 type (
 	// servers is a fixed list of backend servers.
 	servers []fleet.Server
@@ -64,18 +71,29 @@
 	return fleet.Server{ID: id, Service: "s", Stage: stage, Address: netip.MustParseAddrPort(server.Listener.Addr().String())}
 }
 
+// newDispatcher returns a dispatcher of one host.
+func newDispatcher(t *testing.T, list servers, repeats float64) *edgedispatch.Dispatcher {
+	t.Helper()
+	logger := &log.Logger{Handler: discard.New(), Level: log.InfoLevel}
+	pool := upstream.NewPool(netip.Addr{}, metrics.NewSet())
+	return edgedispatch.New(t.Context(), edgedispatch.Options{Budget: budget.Terms{Slack: repeats}}, list, pool, nobody{}, logger, metrics.NewSet())
+}
+
 // serve sends one request through a dispatcher and returns the status that the
 // caller gets; 0 is a cut answer.
 func serve(t *testing.T, list servers, r route.Route, repeats float64) (int, string) {
 	t.Helper()
-	logger := &log.Logger{Handler: discard.New(), Level: log.InfoLevel}
-	pool := upstream.NewPool(netip.Addr{}, metrics.NewSet())
-	d := edgedispatch.New(t.Context(), edgedispatch.Options{Budget: budget.Terms{Slack: repeats}}, list, pool, nobody{}, logger, metrics.NewSet())
-	r.Service, r.Timeout, r.TargetLatency = "s", 5*time.Second, 300*time.Millisecond
+	return send(t, newDispatcher(t, list, repeats), r, wholePatience)
+}
+
+// send sends one request whose caller has so much time left.
+func send(t *testing.T, d *edgedispatch.Dispatcher, r route.Route, timeLeft time.Duration) (int, string) {
+	t.Helper()
+	r.Service, r.Timeout, r.TargetLatency = "s", wholePatience, 300*time.Millisecond
 	now := time.Now()
 	o := &edgedispatch.Order{
-		Request: platform.Request{ID: "r1", PromptTokens: 10, MaxOutputTokens: 10, TimeLeft: r.Timeout}, Route: &r,
-		Method: http.MethodPost, Target: "/x", Host: "h", Header: http.Header{"Request-Id": {"r1"}}, Arrived: now, Deadline: now.Add(r.Timeout),
+		Request: platform.Request{ID: "r1", PromptTokens: promptTokens, MaxOutputTokens: 10, TimeLeft: timeLeft}, Route: &r,
+		Method: http.MethodPost, Target: "/x", Host: "h", Header: http.Header{"Request-Id": {"r1"}}, Arrived: now, Deadline: now.Add(timeLeft),
 	}
 	got := &sink{}
 	err := d.Serve(t.Context(), o, got)
@@ -219,3 +237,53 @@
 		})
 	}
 }
+
+// TestLateRequestLeavesRoom sends a caller that comes back to a server whose
+// memory is enough for one request, or for two. The first is left to those that
+// can still be on time.
+func TestLateRequestLeavesRoom(t *testing.T) {
+	tests := []struct {
+		name     string
+		memory   int
+		timeLeft time.Duration
+		want     int
+	}{
+		{name: "a timely request takes the last room", memory: 150, timeLeft: wholePatience, want: http.StatusOK},
+		{name: "a late one leaves it", memory: 150, timeLeft: wholePatience / 2, want: http.StatusServiceUnavailable},
+		{name: "a late one takes what is to spare", memory: 300, timeLeft: wholePatience / 2, want: http.StatusOK},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			var memory, held atomic.Int64
+			memory.Store(1 << 20)
+			server := start(t, "first", fleet.Decode, func(w http.ResponseWriter, r *http.Request) {
+				var body struct{ Tokens int64 }
+				switch {
+				case strings.HasSuffix(r.URL.Path, "/hold-take") && json.NewDecoder(r.Body).Decode(&body) == nil && body.Tokens <= memory.Load():
+					held.Store(body.Tokens)
+					_, _ = io.WriteString(w, `{"hold":"h"}`)
+				case strings.HasSuffix(r.URL.Path, "/hold-take"):
+					full(w, r)
+				case strings.HasPrefix(r.URL.Path, "/hickoryfront/"):
+					w.WriteHeader(http.StatusOK)
+				default:
+					events("1")(w, r)
+				}
+			})
+			d := newDispatcher(t, servers{server}, 100)
+			once := route.Route{Name: "r", Kind: route.Streaming, IsGeneration: true, MaxServers: 1}
+			if status, _ := send(t, d, once, wholePatience); status != http.StatusOK {
+				t.Fatalf("status %d of the first request", status)
+			}
+			memory.Store(int64(tt.memory))
+			status, _ := send(t, d, once, tt.timeLeft)
+			if status != tt.want {
+				t.Errorf("status %d, want %d", status, tt.want)
+			}
+			if status == http.StatusOK && held.Load() > 2*promptTokens-1 {
+				t.Errorf("%d tokens held by a request of %d", held.Load(), promptTokens)
+			}
+		})
+	}
+}
--- a/hickoryd/internal/edgedispatch/room.go
+++ b/hickoryd/internal/edgedispatch/room.go
@@ -21,6 +21,9 @@
 	// holdLifetime is how long a reservation waits for its request: a prompt's
 	// reading and its transfer.
 	holdLifetime = 1900 * time.Millisecond
+	// probeLifetime is how long memory that was reserved only to see whether it is
+	// free stays reserved where its release is lost.
+	probeLifetime = 100 * time.Millisecond
 	// holdTimeout is the longest wait for the answer to a reservation.
 	holdTimeout = 300 * time.Millisecond
 	// searchLimit bounds the servers that one search for room asks. Those that had
@@ -53,7 +56,7 @@
 		}
 		candidates := g.Dispatcher.order(want)
 		for _, server := range candidates[:min(len(candidates), searchLimit)] {
-			hold, err := g.hold(ctx, server, tokens)
+			hold, err := g.holdWithin(ctx, server, tokens, turn.Headroom)
 			if err == nil {
 				return seat{server: server, hold: hold, tokens: tokens}, nil
 			}
@@ -75,10 +78,31 @@
 	}
 }
 
-func (g *generation) hold(ctx context.Context, server fleet.Server, tokens int) (string, error) {
+// holdWithin reserves memory at a server where headroom, in requests of this
+// size, stays free.
+func (g *generation) holdWithin(ctx context.Context, server fleet.Server, tokens int, headroom float64) (string, error) {
+	if headroom > 0 {
+		if err := g.probe(ctx, server, tokens+int(headroom*float64(tokens))); err != nil {
+			return "", err
+		}
+	}
+	return g.hold(ctx, server, tokens, holdLifetime)
+}
+
+// probe finds out whether so much memory is free, and leaves it free.
+func (g *generation) probe(ctx context.Context, server fleet.Server, tokens int) error {
+	hold, err := g.hold(ctx, server, tokens, probeLifetime)
+	if err != nil {
+		return err
+	}
+	_, _, err = g.pool.Call(ctx, server.Address, platform.ReleaseHoldCall(server.ID, hold))
+	return err
+}
+
+func (g *generation) hold(ctx context.Context, server fleet.Server, tokens int, lifetime time.Duration) (string, error) {
 	ctx, cancel := context.WithTimeout(ctx, holdTimeout)
 	defer cancel()
-	call, err := platform.HoldCall(server.ID, tokens, holdLifetime)
+	call, err := platform.HoldCall(server.ID, tokens, lifetime)
 	if err != nil {
 		return "", err
 	}
