--- a/core/waiting/waiting.go
+++ b/core/waiting/waiting.go
@@ -14,7 +14,7 @@
 	latePause = 150 * time.Millisecond
 	// lateHeadroom is what a late request leaves free where it takes room: what a
 	// short request needs that can still be on time.
-	lateHeadroom = 1.0
+	lateHeadroom = 0.5
 	// lateTargets is how long a late request waits, in target latencies: callers
 	// leave a stream that has not begun after four.
 	lateTargets = 2.5
