Don't take servers that die together for a request's doing

A new log line at each report showed it: prefill-1 lost, decode-1 32 ms later, both killed by the test as one failure domain; the request had just been moved from the one to the other. Ruled out: a second report of the same server, and a kept connection to a dead one.

A loss soon after another, after much less running than there, is the same event; after a run shorter than 500 ms a suspect waits until 250 ms have passed. A request that crashes servers still costs two of them. TestServersLostTogether and TestServersLostTogetherAtTheStart failed before.

--- a/core/crash/crash.go
+++ b/core/crash/crash.go
@@ -17,6 +17,12 @@
 	// sameLoss is the time in which reports about one server are taken for
 	// reports of the same loss.
 	sameLoss = time.Second
+	// domainLoss is the time within which the servers of a failure domain die: the
+	// lab's tests end processes one after the other within some ten ms.
+	domainLoss = 250 * time.Millisecond
+	// shortRun is twice that: the part of a run after which a second loss counts
+	// is then longer than domainLoss.
+	shortRun = 2 * domainLoss
 )
 
 const (
@@ -69,6 +75,35 @@
 	return lostAfter + margin
 }
 
+// IsSameEvent reports whether a server was lost together with the one before,
+// as those of one failure domain are: soon after it, and after the request had
+// run for much less than there. A request that crashes servers does so at about
+// the same time.
+func IsSameEvent(sinceLoss, lostAfter, ran time.Duration) bool {
+	return lostAfter > 0 && sinceLoss < sameLoss && ran < lostAfter/2
+}
+
+// Pause returns how long a suspect waits before it runs again. After a short run
+// its next loss would not tell a crash from the end of a failure domain.
+func Pause(sinceLoss, lostAfter time.Duration) time.Duration {
+	if lostAfter == 0 || lostAfter >= shortRun {
+		return 0
+	}
+	return max(0, domainLoss-sinceLoss)
+}
+
+// String names the verdict in logs.
+func (v Verdict) String() string {
+	switch v {
+	case Refuse:
+		return "refuse"
+	case Isolate:
+		return "isolate"
+	default:
+		return "clear"
+	}
+}
+
 // NewTable returns an empty table of at most limit fingerprints, which must be
 // above 0.
 func NewTable(limit int) *Table {
--- a/hickoryd/internal/dispatch/crash_test.go
+++ b/hickoryd/internal/dispatch/crash_test.go
@@ -36,6 +36,7 @@
 		dead    map[string]chan struct{} // closed when the server has died
 		lost    int
 		relaxed int
+		runs    []string      // servers that have begun to run a request, in order
 		gap     time.Duration // between tokens, when set
 	}
 
@@ -72,6 +73,9 @@
 	if f.isDead(server.ID) {
 		return nil, engine.ErrNotSent
 	}
+	f.mu.Lock()
+	f.runs = append(f.runs, server.ID)
+	f.mu.Unlock()
 	if strings.Contains(request.Prompt, culpritPrompt) {
 		time.AfterFunc(3*tokenGap, func() { f.kill(server.ID) })
 	}
@@ -108,6 +112,14 @@
 	}
 }
 
+// killLast kills the server that has begun a run last.
+func (f *fragile) killLast() {
+	f.mu.Lock()
+	last := f.runs[len(f.runs)-1]
+	f.mu.Unlock()
+	f.kill(last)
+}
+
 func (f *fragile) Holder() slot.Holder { return slot.Holder{Host: "host-1", Incarnation: 1} }
 
 func (f *fragile) Reserve(_ context.Context, now time.Time, server backend.Server, requestID string, terms slot.Terms) error {
@@ -270,3 +282,46 @@
 		}
 	})
 }
+
+// Servers of one failure domain die together: the second takes the request that
+// was just moved to it along. That is no evidence against the request.
+//
+// proof: failure domain lost | stream | 3
+func TestServersLostTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFragile()
+		f.gap = 100 * time.Millisecond
+		innocent := &caller{models: f.models(), prompt: "innocent", id: "innocent"}
+		noticed := 5 * f.gap
+		time.AfterFunc(noticed-f.gap/2, f.killLast)
+		time.AfterFunc(noticed+f.gap/10, f.killLast)
+		innocent.run(t.Context())
+		if innocent.err != nil || innocent.sink.text.String() != wholeAnswer() {
+			t.Errorf("%q, %v", innocent.sink.text.String(), innocent.err)
+		}
+		if f.lost != 2 {
+			t.Errorf("%d servers lost, want 2", f.lost)
+		}
+	})
+}
+
+// The same, where the first is lost just after the request was sent to it.
+//
+// proof: failure domain lost | first token | 3
+func TestServersLostTogetherAtTheStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFragile()
+		f.gap = 20 * time.Millisecond
+		innocent := &caller{models: f.models(), prompt: "innocent", id: "innocent"}
+		time.AfterFunc(f.gap/2, f.killLast)
+		time.AfterFunc(2*f.gap+f.gap/2, func() {
+			for i := range fragileServers / 2 {
+				f.kill(fmt.Sprintf("decode-%d", i))
+			}
+		})
+		innocent.run(t.Context())
+		if innocent.err != nil || innocent.sink.text.String() != wholeAnswer() {
+			t.Errorf("%q, %v", innocent.sink.text.String(), innocent.err)
+		}
+	})
+}
--- a/hickoryd/internal/dispatch/crashes.go
+++ b/hickoryd/internal/dispatch/crashes.go
@@ -26,7 +26,7 @@
 	case crash.Isolate:
 		r.isolated = true
 	}
-	return nil
+	return timing.Sleep(ctx, crash.Pause(time.Since(r.lostAt), r.lostAfter))
 }
 
 // checkLoss reports a server that died while it ran this request, and returns
@@ -36,7 +36,12 @@
 		return false
 	}
 	r.models.counters.crashes.Inc()
-	r.lostAfter = max(r.lostAfter, time.Since(started))
+	now := time.Now()
+	ran := now.Sub(started)
+	if crash.IsSameEvent(now.Sub(r.lostAt), r.lostAfter, ran) {
+		return true
+	}
+	r.lostAt, r.lostAfter = now, max(r.lostAfter, ran)
 	report, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	r.models.crashes.Report(report, time.Now(), r.fingerprint, server.ID)
--- a/hickoryd/internal/dispatch/model.go
+++ b/hickoryd/internal/dispatch/model.go
@@ -141,6 +141,7 @@
 		fingerprint uint64
 		isolated    bool
 		lostAfter   time.Duration    // longest run that ended with the loss of its server
+		lostAt      time.Time        // when that loss was noticed
 		direct      bool             // the decode server computes the prompt
 		reserved    *reservedPrefill // place in a prefill queue
 		placedAt    time.Time        // start of the slot's reservation
--- a/hickoryd/internal/home/crashes.go
+++ b/hickoryd/internal/home/crashes.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/apex/log"
 
 	"github.com/hickoryfront/hickoryfront/core/crash"
 	"github.com/hickoryfront/hickoryfront/core/ring"
@@ -25,17 +26,18 @@
 // told to the home of its fingerprint and to the host that would be the home
 // after it. It is safe for concurrent use.
 type Crashes struct {
-	peers Peers
-	pool  *peer.Pool
-	quiet quietHomes
+	peers  Peers
+	pool   *peer.Pool
+	quiet  quietHomes
+	logger log.Interface
 
 	mu    sync.Mutex
 	table *crash.Table
 }
 
 // NewCrashes returns an empty table.
-func NewCrashes(peers Peers, pool *peer.Pool, set *metrics.Set) *Crashes {
-	c := &Crashes{peers: peers, pool: pool, table: crash.NewTable(maxFingerprints)}
+func NewCrashes(peers Peers, pool *peer.Pool, logger log.Interface, set *metrics.Set) *Crashes {
+	c := &Crashes{peers: peers, pool: pool, logger: logger, table: crash.NewTable(maxFingerprints)}
 	set.NewGauge(`hickoryfront_crash_suspects`, func() float64 { return float64(c.Len()) })
 	return c
 }
@@ -97,7 +99,11 @@
 func (c *Crashes) ReportLocal(now time.Time, fingerprint uint64, serverID string) crash.Verdict {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.table.Report(now, fingerprint, serverID)
+	verdict := c.table.Report(now, fingerprint, serverID)
+	c.logger.WithFields(log.Fields{
+		"fingerprint": strconv.FormatUint(fingerprint, 16), "server": serverID, "verdict": verdict.String(),
+	}).Info("backend server lost with a request in flight")
+	return verdict
 }
 
 // SurvivedLocal takes in a whole run.
--- a/hickoryd/internal/home/crashes_bench_test.go
+++ b/hickoryd/internal/home/crashes_bench_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials/insecure"
 
@@ -40,9 +42,9 @@
 	pool := peer.NewPool(insecure.NewCredentials(), netip.Addr{})
 	defer pool.Close()
 	remote := pair{address: netip.MustParseAddrPort(listener.Addr().String())}
-	crashes := home.NewCrashes(remote, pool, metrics.NewSet())
+	crashes := home.NewCrashes(remote, pool, &log.Logger{Handler: discard.New()}, metrics.NewSet())
 	server := grpc.NewServer()
-	peerapi.RegisterPeerServer(server, peerserver.New(peerserver.Parts{Crashes: home.NewCrashes(loneView{}, pool, metrics.NewSet())}))
+	peerapi.RegisterPeerServer(server, peerserver.New(peerserver.Parts{Crashes: home.NewCrashes(loneView{}, pool, &log.Logger{Handler: discard.New()}, metrics.NewSet())}))
 	go server.Serve(listener)
 	defer server.Stop()
 	b.Run("remote", func(b *testing.B) {
