Tell callers that come back from less patient ones

Two of three callers that asked for the first time were treated as late: rare looks for room, no second chance. One caller with a long deadline would have done the same anywhere.

A less patient caller in TestLateRequestLeavesRoom was refused before.

--- a/hickoryd/internal/edgedispatch/dispatch.go
+++ b/hickoryd/internal/edgedispatch/dispatch.go
@@ -20,6 +20,7 @@
 	"github.com/hickoryfront/hickoryfront/core/fleet"
 	"github.com/hickoryfront/hickoryfront/core/health"
 	"github.com/hickoryfront/hickoryfront/core/output"
+	"github.com/hickoryfront/hickoryfront/core/patience"
 	"github.com/hickoryfront/hickoryfront/core/reading"
 	"github.com/hickoryfront/hickoryfront/core/route"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/registry"
@@ -30,9 +31,6 @@
 const (
 	// crashTableSize bounds the fingerprints that are remembered.
 	crashTableSize = 4096
-	// returnMargin is the spent time from which a caller has come back: the way
-	// from the caller takes less.
-	returnMargin = 100 * time.Millisecond
 	// releaseTimeout is the longest wait for a reservation to be given back.
 	releaseTimeout = time.Second
 )
@@ -107,8 +105,8 @@
 		output  *output.Estimator
 		budgets map[string]*budget.Budget
 		crashes *crash.Table
-		// patience is the longest time that callers of a route wait.
-		patience map[string]time.Duration
+		// patience is that of the callers, by route.
+		patience map[string]*patience.Estimator
 		seen     uint64
 	}
 
@@ -121,7 +119,7 @@
 func New(life context.Context, options Options, f Fleet, pool *upstream.Pool, neighbors Neighbors, logger log.Interface, set *metrics.Set) *Dispatcher {
 	return &Dispatcher{
 		life: life, options: options, fleet: f, pool: pool, neighbors: neighbors, logger: logger,
-		table: balance.NewTable(), reading: reading.NewEstimator(), output: output.NewEstimator(), budgets: make(map[string]*budget.Budget), crashes: crash.NewTable(crashTableSize), patience: make(map[string]time.Duration),
+		table: balance.NewTable(), reading: reading.NewEstimator(), output: output.NewEstimator(), budgets: make(map[string]*budget.Budget), crashes: crash.NewTable(crashTableSize), patience: make(map[string]*patience.Estimator),
 		counters: counters{
 			repeats:         set.NewCounter(`hickoryfront_edge_repeats_total`),
 			denied:          set.NewCounter(`hickoryfront_edge_repeats_denied_total`),
@@ -274,13 +272,12 @@
 func (d *Dispatcher) askedAt(o *Order) time.Time {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	whole := max(d.patience[o.Route.Name], o.Request.TimeLeft)
-	d.patience[o.Route.Name] = whole
-	spent := whole - o.Request.TimeLeft
-	if o.Request.TimeLeft <= 0 || spent < returnMargin {
-		return o.Arrived
+	held, ok := d.patience[o.Route.Name]
+	if !ok {
+		held = patience.New()
+		d.patience[o.Route.Name] = held
 	}
-	return o.Arrived.Add(-spent)
+	return o.Arrived.Add(-held.Spent(o.Request.TimeLeft))
 }
 
 func (d *Dispatcher) begin(server string, tokens int) {
--- a/hickoryd/internal/edgedispatch/dispatch_test.go
+++ b/hickoryd/internal/edgedispatch/dispatch_test.go
@@ -249,6 +249,7 @@
 		want     int
 	}{
 		{name: "a timely request takes the last room", memory: 150, timeLeft: wholePatience, want: http.StatusOK},
+		{name: "so does that of a less patient caller", memory: 150, timeLeft: wholePatience * 86 / 100, want: http.StatusOK},
 		{name: "a late one leaves it", memory: 150, timeLeft: wholePatience / 2, want: http.StatusServiceUnavailable},
 		{name: "a late one takes what is to spare", memory: 300, timeLeft: wholePatience / 2, want: http.StatusOK},
 	}
@@ -273,8 +274,11 @@
 			})
 			d := newDispatcher(t, servers{server}, 100)
 			once := route.Route{Name: "r", Kind: route.Streaming, IsGeneration: true, MaxServers: 1}
-			if status, _ := send(t, d, once, wholePatience); status != http.StatusOK {
-				t.Fatalf("status %d of the first request", status)
+			for i := range 20 { // callers of different patience
+				left := wholePatience - time.Duration(i%10)*wholePatience/100
+				if status, _ := send(t, d, once, left); status != http.StatusOK {
+					t.Fatalf("status %d of a first request", status)
+				}
 			}
 			memory.Store(int64(tt.memory))
 			status, _ := send(t, d, once, tt.timeLeft)
--- a/hickoryd/internal/edgedispatch/timing.go
+++ b/hickoryd/internal/edgedispatch/timing.go
@@ -36,7 +36,7 @@
 		"promptTokens": r.PromptTokens, "maxOutputTokens": r.MaxOutputTokens, "outputHint": r.OutputHint,
 		"servers": g.tried, "runs": g.runs, "prefills": g.prefills, "events": g.timing.events,
 		"askedBefore": g.order.Arrived.Sub(g.asked).Round(time.Millisecond).String(),
-		"room": since(g.timing.roomAt), "prompt": since(g.timing.promptAt), "first": since(g.timing.firstAt), "last": since(g.timing.lastAt),
+		"room":        since(g.timing.roomAt), "prompt": since(g.timing.promptAt), "first": since(g.timing.firstAt), "last": since(g.timing.lastAt),
 		"longestGap": g.timing.longestGap.Round(time.Millisecond).String(),
 	}).Info("stream ended")
 }
