Give a replaced server no more work, and its prompts to another

Found in the log by the errors of 'stream placed again'.

421 now ejects the registration and is logged; the KV cache, which was not fetched, is offered to the next decode server. TestReplacedServerGetsNoMoreWork failed before (3 requests at the replaced server; 6 prompts for 3 requests).

--- a/hickoryd/internal/edgedispatch/decode.go
+++ b/hickoryd/internal/edgedispatch/decode.go
@@ -54,9 +54,14 @@
 	defer answer.Close()
 	if answer.Reply.IsNotRun {
 		body := readRest(answer)
-		g.releaseHandle(source)
 		g.releaseHold(room)
-		g.full(room.server.ID)
+		if answer.Reply.IsMisdirected {
+			g.misdirected(room.server)
+			g.unused = source // it was not fetched
+		} else {
+			g.releaseHandle(source)
+			g.full(room.server.ID)
+		}
 		go g.runLookAt(room.server)
 		return fmt.Errorf("%w: status %d: %.80s", errNotRun, answer.StatusCode, body)
 	}
--- a/hickoryd/internal/edgedispatch/dispatch.go
+++ b/hickoryd/internal/edgedispatch/dispatch.go
@@ -304,6 +304,13 @@
 	d.table.Full(time.Now(), server)
 }
 
+// misdirected takes in that a registration is out of date: its address belongs to
+// another process, or the server has another stage.
+func (d *Dispatcher) misdirected(server fleet.Server) {
+	d.report(server.ID, health.Unreachable)
+	d.logger.WithFields(log.Fields{"server": server.ID, "stage": server.Stage, "address": server.Address}).Info("backend server has been replaced or has another stage")
+}
+
 func (d *Dispatcher) changing(server string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/hickoryd/internal/edgedispatch/dispatch_test.go
+++ b/hickoryd/internal/edgedispatch/dispatch_test.go
@@ -291,3 +291,37 @@
 		})
 	}
 }
+
+// TestReplacedServerGetsNoMoreWork sends two requests where another process has
+// taken a server's address and still grants reservations to the old one: it costs
+// one request a detour, not each one until the list says so, and no prompt is read
+// twice.
+func TestReplacedServerGetsNoMoreWork(t *testing.T) {
+	var room atomic.Bool
+	room.Store(true)
+	var misdirected, prompts atomic.Int64
+	replaced := decoder(t, "replaced", &room, func(w http.ResponseWriter, _ *http.Request) {
+		misdirected.Add(1)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+	})
+	other := decoder(t, "other", &room, events("1"))
+	other.FailureDomain = "elsewhere" // so that the first is preferred
+	reader := start(t, "reader", fleet.Prefill, func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasPrefix(r.URL.Path, "/hickoryfront/") {
+			return // a handle is given back
+		}
+		prompts.Add(1)
+		_, _ = io.WriteString(w, `{"handle":"h","tokens":100,"version":1}`)
+	})
+	d := newDispatcher(t, servers{replaced, other, reader}, 100)
+	once := route.Route{Name: "r", Kind: route.Streaming, IsGeneration: true, MaxServers: 1}
+	for range 3 {
+		if status, _ := send(t, d, once, wholePatience); status != http.StatusOK {
+			t.Errorf("status %d", status)
+		}
+		time.Sleep(100 * time.Millisecond) // longer than a full server is passed over
+	}
+	if misdirected.Load() != 1 || prompts.Load() != 3 {
+		t.Errorf("%d requests at the replaced server, %d prompts read; want 1 and 3", misdirected.Load(), prompts.Load())
+	}
+}
--- a/hickoryd/internal/edgedispatch/generation.go
+++ b/hickoryd/internal/edgedispatch/generation.go
@@ -34,6 +34,8 @@
 		// runs is the number of decode servers that may have run the request.
 		runs     int
 		prefills int
+		// unused is a KV cache that was read for a server that did not fetch it.
+		unused handleAt
 		// isRead is set once a prefill server has read the prompt.
 		isRead    bool
 		isStarted bool
@@ -49,6 +51,7 @@
 func (d *Dispatcher) serveGeneration(ctx context.Context, o *Order, sink Sink) error {
 	g := &generation{Dispatcher: d, order: o, sink: sink, asked: d.askedAt(o), relay: stream.NewRelay(o.Request.LastEvent, o.Request.IsResumed)}
 	defer g.logStream()
+	defer func() { g.releaseHandle(g.unused) }()
 	var last error
 	for range maxPlacements {
 		err := g.place(ctx)
--- a/hickoryd/internal/edgedispatch/plain.go
+++ b/hickoryd/internal/edgedispatch/plain.go
@@ -145,6 +145,9 @@
 	defer answer.Close()
 	if answer.Reply.IsNotRun {
 		readRest(answer)
+		if answer.Reply.IsMisdirected {
+			c.misdirected(server)
+		}
 		return nil, fmt.Errorf("%w: status %d", errNotRun, answer.StatusCode)
 	}
 	c.runs++
--- a/hickoryd/internal/edgedispatch/prefill.go
+++ b/hickoryd/internal/edgedispatch/prefill.go
@@ -22,6 +22,9 @@
 	// readLocallyAfter is the wait at the prefill servers from which the decode
 	// server reads the prompt: it takes about as long, at half the speed.
 	readLocallyAfter = 350 * time.Millisecond
+	// unusedLifetime is how long a KV cache that a server has not fetched is offered
+	// to another; the users' shortest lifetime of handles is 500 ms.
+	unusedLifetime = 300 * time.Millisecond
 	// maxPrefills bounds the prefill servers that one prompt is offered to.
 	maxPrefills = 2
 )
@@ -29,6 +32,13 @@
 // prefill has the prompt read at a prefill server and returns where its KV cache
 // is fetched from. Where none has time for it, the decode server reads it.
 func (g *generation) prefill(ctx context.Context, decode fleet.Server) (handleAt, error) {
+	if unused := g.unused; unused.id != "" {
+		g.unused = handleAt{}
+		if time.Since(unused.readAt) < unusedLifetime {
+			return unused, nil
+		}
+		g.releaseHandle(unused)
+	}
 	var tried []string
 	for range maxPrefills {
 		server, wait, ok := g.pickPrefill(g.order, tried, decode.FailureDomain)
@@ -63,6 +73,7 @@
 type handleAt struct {
 	server fleet.Server
 	id     string
+	readAt time.Time
 }
 
 func (g *generation) prefillAt(ctx context.Context, server fleet.Server) (handleAt, error) {
@@ -89,6 +100,9 @@
 	}
 	defer answer.Close()
 	body := readRest(answer)
+	if answer.Reply.IsMisdirected {
+		g.misdirected(server)
+	}
 	if answer.StatusCode != http.StatusOK {
 		return handleAt{}, fmt.Errorf("%w: reading the prompt answered %d", errNotRun, answer.StatusCode)
 	}
@@ -98,5 +112,5 @@
 		return handleAt{}, err
 	}
 	g.report(server.ID, health.Success)
-	return handleAt{server: server, id: handle.ID}, nil
+	return handleAt{server: server, id: handle.ID, readAt: time.Now()}, nil
 }
--- a/hickoryd/internal/edgedispatch/room.go
+++ b/hickoryd/internal/edgedispatch/room.go
@@ -114,6 +114,9 @@
 	case err != nil:
 		g.report(server.ID, health.Broken)
 		return "", err
+	case status == http.StatusMisdirectedRequest:
+		g.misdirected(server)
+		return "", fmt.Errorf("%w: reservation answered %d", errNotRun, status)
 	case status != http.StatusOK:
 		g.full(server.ID)
 		return "", fmt.Errorf("%w: reservation answered %d", errNotRun, status)
