Tell all hosts of a replaced server

Ruled out: a change of stage (no host logged one).

A host that is answered 421 asks for the server's report; if that answers 421 too, another process has the address, by its own word.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -22,6 +22,9 @@
 	changingPeriod = 2 * time.Second
 	// fullPeriod is the time for which a server that had no room is passed over.
 	fullPeriod = 60 * time.Millisecond
+	// gonePeriod is the time for which a server that has ended is left out: three
+	// times the longest lag of the list of servers that the users state, 3 s.
+	gonePeriod = 9 * time.Second
 )
 
 type (
@@ -54,6 +57,7 @@
 		requests  int
 		tokens    int
 		fullUntil time.Time
+		goneUntil time.Time
 	}
 )
 
@@ -64,11 +68,7 @@
 
 // Begin counts a request with so many tokens at a server.
 func (t *Table) Begin(server string, tokens int) {
-	l, ok := t.loads[server]
-	if !ok {
-		l = &load{}
-		t.loads[server] = l
-	}
+	l := t.load(server)
 	l.requests++
 	l.tokens += tokens
 }
@@ -108,12 +108,28 @@
 	t.passOver(now.Add(changingPeriod), server)
 }
 
-func (t *Table) passOver(until time.Time, server string) {
+// Gone notes at now that an incarnation of a server has ended, though it is still
+// registered.
+func (t *Table) Gone(now time.Time, server string) {
+	t.load(server).goneUntil = now.Add(gonePeriod)
+}
+
+func (t *Table) load(server string) *load {
 	l, ok := t.loads[server]
 	if !ok {
 		l = &load{}
 		t.loads[server] = l
 	}
+	return l
+}
+
+func (t *Table) isGone(now time.Time, server string) bool {
+	l, ok := t.loads[server]
+	return ok && now.Before(l.goneUntil)
+}
+
+func (t *Table) passOver(until time.Time, server string) {
+	l := t.load(server)
 	if until.After(l.fullUntil) {
 		l.fullUntil = until
 	}
@@ -147,7 +163,7 @@
 	var bestCost float64
 	isFound := false
 	for _, s := range servers {
-		if !want.allows(s) || (!isEjectedAllowed && t.health.IsEjected(now, s.ID)) {
+		if !want.allows(s) || t.isGone(now, s.ID) || (!isEjectedAllowed && t.health.IsEjected(now, s.ID)) {
 			continue
 		}
 		cost := t.cost(s, want)
@@ -167,7 +183,7 @@
 	}
 	var candidates []candidate
 	for _, s := range servers {
-		if !want.allows(s) || t.health.IsEjected(now, s.ID) || t.isFull(now, s.ID) {
+		if !want.allows(s) || t.isGone(now, s.ID) || t.health.IsEjected(now, s.ID) || t.isFull(now, s.ID) {
 			continue
 		}
 		candidates = append(candidates, candidate{s, t.cost(s, want)})
--- a/core/balance/balance_test.go
+++ b/core/balance/balance_test.go
@@ -74,6 +74,27 @@
 	}
 }
 
+func TestGoneServersGetNothing(t *testing.T) {
+	table := balance.NewTable()
+	servers := []fleet.Server{{ID: "a", Service: "s"}, {ID: "b", Service: "s"}}
+	want := balance.Want{Service: "s"}
+	table.Gone(start, "a")
+	if got := table.Order(start, servers, want); len(got) != 1 || got[0].ID != "b" {
+		t.Errorf("order %v", got)
+	}
+	table.Gone(start, "b")
+	if got, ok := table.Pick(start, servers, want); ok {
+		t.Errorf("picked %s", got.ID)
+	}
+	if _, ok := table.Pick(start.Add(time.Minute), servers, want); !ok {
+		t.Error("left out for a minute")
+	}
+	table.Retain(nil)
+	if _, ok := table.Pick(start, servers, want); !ok {
+		t.Error("what has left the list is remembered")
+	}
+}
+
 func TestChangingServersArePassedOverForLonger(t *testing.T) {
 	b := balance.NewTable()
 	b.Changing(start, "near")
--- a/hickoryd/internal/edgedispatch/decode.go
+++ b/hickoryd/internal/edgedispatch/decode.go
@@ -61,8 +61,8 @@
 		} else {
 			g.releaseHandle(source)
 			g.full(room.server.ID)
+			go g.runLookAt(room.server)
 		}
-		go g.runLookAt(room.server)
 		return fmt.Errorf("%w: status %d: %.80s", errNotRun, answer.StatusCode, body)
 	}
 	g.countRun()
@@ -87,26 +87,6 @@
 	return nil
 }
 
-// runLookAt asks a server that has rejected a request with a reservation whether
-// it changes its stage.
-func (g *generation) runLookAt(server fleet.Server) {
-	ctx, cancel := context.WithTimeout(g.life, releaseTimeout)
-	defer cancel()
-	status, body, err := g.pool.Call(ctx, server.Address, platform.ReportCall(server.ID))
-	if err != nil || status != http.StatusOK {
-		return // the rejection itself was noted
-	}
-	report, err := platform.DecodeReport(body)
-	if err != nil {
-		g.logger.WithError(err).WithField("server", server.ID).Warn("report passed over")
-		return
-	}
-	if report.IsSwitching || report.Stage != server.Stage {
-		g.changing(server.ID)
-		g.logger.WithField("server", server.ID).Info("backend server changes its stage")
-	}
-}
-
 // countRun counts a server that may have run the request. A run that goes on
 // from its own memory is the same run.
 func (g *generation) countRun() {
--- a/hickoryd/internal/edgedispatch/dispatch.go
+++ b/hickoryd/internal/edgedispatch/dispatch.go
@@ -48,6 +48,8 @@
 	// Neighbors hears of servers that were lost with a request in flight.
 	Neighbors interface {
 		ReportLoss(ctx context.Context, fingerprint uint64, server string)
+		// ReportReplaced tells that another process has a server's address.
+		ReportReplaced(ctx context.Context, server string)
 	}
 
 	// Sink takes an answer for the caller.
@@ -156,6 +158,14 @@
 	d.crashes.Report(now, fingerprint, server)
 }
 
+// ReportReplaced takes in another host's report that another process has a
+// server's address.
+func (d *Dispatcher) ReportReplaced(now time.Time, server string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.table.Gone(now, server)
+}
+
 // Error implements error.
 func (f *Failure) Error() string {
 	return fmt.Sprintf("%d: %s", f.Status, f.Reason)
@@ -308,7 +318,36 @@
 // another process, or the server has another stage.
 func (d *Dispatcher) misdirected(server fleet.Server) {
 	d.report(server.ID, health.Unreachable)
-	d.logger.WithFields(log.Fields{"server": server.ID, "stage": server.Stage, "address": server.Address}).Info("backend server has been replaced or has another stage")
+	go d.runLookAt(server)
+}
+
+// runLookAt asks a server that has rejected a request what it is. The word of
+// another process at its address is passed on to all hosts.
+func (d *Dispatcher) runLookAt(server fleet.Server) {
+	ctx, cancel := context.WithTimeout(d.life, releaseTimeout)
+	defer cancel()
+	status, body, err := d.pool.Call(ctx, server.Address, platform.ReportCall(server.ID))
+	logger := d.logger.WithFields(log.Fields{"server": server.ID, "stage": server.Stage, "address": server.Address})
+	switch {
+	case err != nil:
+		return // the rejection itself was noted
+	case status == http.StatusMisdirectedRequest:
+		logger.Info("backend server has been replaced")
+		d.ReportReplaced(time.Now(), server.ID)
+		d.neighbors.ReportReplaced(d.life, server.ID)
+		return
+	case status != http.StatusOK:
+		return
+	}
+	report, err := platform.DecodeReport(body)
+	if err != nil {
+		logger.WithError(err).Warn("report passed over")
+		return
+	}
+	if report.IsSwitching || report.Stage != server.Stage {
+		d.changing(server.ID)
+		logger.Info("backend server changes its stage")
+	}
 }
 
 func (d *Dispatcher) changing(server string) {
--- a/hickoryd/internal/edgedispatch/dispatch_test.go
+++ b/hickoryd/internal/edgedispatch/dispatch_test.go
@@ -49,6 +49,7 @@
 func (s servers) Hosts() int                  { return 1 }
 
 func (nobody) ReportLoss(context.Context, uint64, string) {}
+func (nobody) ReportReplaced(context.Context, string)     {}
 
 func (s *sink) Start(status int, _ http.Header) error {
 	s.status = status
--- a/hickoryd/internal/edgehost/client.go
+++ b/hickoryd/internal/edgehost/client.go
@@ -125,20 +125,36 @@
 
 // ReportLoss tells all hosts that a server was lost while it ran a request.
 func (c *Client) ReportLoss(ctx context.Context, fingerprint uint64, server string) {
+	c.tellAll(ctx, func(ctx context.Context, peer peerapi.EdgeClient) error {
+		_, err := peer.ReportLoss(ctx, &peerapi.ReportLossRequest{Fingerprint: fingerprint, ServerId: server})
+		return err
+	})
+}
+
+// ReportReplaced tells all hosts that another process has a server's address.
+func (c *Client) ReportReplaced(ctx context.Context, server string) {
+	c.tellAll(ctx, func(ctx context.Context, peer peerapi.EdgeClient) error {
+		_, err := peer.ReportReplaced(ctx, &peerapi.ReportReplacedRequest{ServerId: server})
+		return err
+	})
+}
+
+// tellAll makes a call at all other hosts, without waiting for them.
+func (c *Client) tellAll(ctx context.Context, call func(context.Context, peerapi.EdgeClient) error) {
 	for _, address := range c.others() {
-		go c.runReport(ctx, address, &peerapi.ReportLossRequest{Fingerprint: fingerprint, ServerId: server})
+		go c.runTell(ctx, address, call)
 	}
 }
 
-func (c *Client) runReport(ctx context.Context, address netip.AddrPort, loss *peerapi.ReportLossRequest) {
+func (c *Client) runTell(ctx context.Context, address netip.AddrPort, call func(context.Context, peerapi.EdgeClient) error) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	peer, err := c.connection(address)
 	if err == nil {
-		_, err = peer.ReportLoss(ctx, loss)
+		err = call(ctx, peer)
 	}
 	if err != nil {
-		c.logger.WithError(err).WithField("host", address.String()).Debug("loss not reported")
+		c.logger.WithError(err).WithField("host", address.String()).Debug("host not told")
 	}
 }
 
--- a/hickoryd/internal/edgehost/server.go
+++ b/hickoryd/internal/edgehost/server.go
@@ -15,9 +15,11 @@
 		Knowledge(now time.Time, version, revision uint64) registry.Knowledge
 	}
 
-	// Losses takes reports of servers that were lost with a request in flight.
+	// Losses takes reports of servers that were lost with a request in flight, and
+	// of servers whose address another process has.
 	Losses interface {
 		ReportLoss(now time.Time, fingerprint uint64, server string)
+		ReportReplaced(now time.Time, server string)
 	}
 
 	// Server answers the other hosts.
@@ -54,6 +56,12 @@
 	return &peerapi.ReportLossResponse{}, nil
 }
 
+// ReportReplaced implements peerapi.EdgeServer.
+func (s *Server) ReportReplaced(_ context.Context, request *peerapi.ReportReplacedRequest) (*peerapi.ReportReplacedResponse, error) {
+	s.losses.ReportReplaced(time.Now(), request.GetServerId())
+	return &peerapi.ReportReplacedResponse{}, nil
+}
+
 func encodeServer(s fleet.Server) *peerapi.ServerRegistration {
 	return &peerapi.ServerRegistration{
 		Id: s.ID, Service: s.Service, Address: s.Address.String(), FailureDomain: s.FailureDomain,
