--- a/core/waiting/waiting.go
+++ b/core/waiting/waiting.go
@@ -12,9 +12,9 @@
 	timelyPause = 40 * time.Millisecond
 	// latePause is the time between two searches of a late request.
 	latePause = 150 * time.Millisecond
-	// lateHeadroom is what a late request leaves free where it takes room: what a
-	// short request needs that can still be on time.
-	lateHeadroom = 0.5
+	// lateHeadroom is what a late request leaves free where it takes room: what one of
+	// its size needs that can still be on time.
+	lateHeadroom = 1.0
 	// lateTargets is how long a late request waits, in target latencies: callers
 	// leave a stream that has not begun after four.
 	lateTargets = 2.5
--- a/hickoryd/internal/dispatch/keyed_test.go
+++ b/hickoryd/internal/dispatch/keyed_test.go
@@ -241,7 +241,7 @@
 // answered: the next home answers once the host counts as dead and its keys are
 // taken over. The caller gets its answer, without sending the key again.
 //
-// proof: host killed | claim | 5
+// proof: daemon killed | claim | 5
 func TestClaimWaitsForATakeover(t *testing.T) {
 	inBubble(t, func(t *testing.T, c *claims, k *dispatch.Keyed) {
 		var w work
