Count a second loss unless the first run was long

On the busy machine the culprit's second run ended in less than half of the first's time, and counted as the same event. Losses count as one event now only where the first run lasted 500 ms and the second server was lost within 250 ms of it; after shorter runs the pause alone tells them apart.

--- a/core/crash/crash.go
+++ b/core/crash/crash.go
@@ -20,8 +20,8 @@
 	// domainLoss is the time within which the servers of a failure domain die: the
 	// lab's tests end processes one after the other within some ten ms.
 	domainLoss = 250 * time.Millisecond
-	// shortRun is twice that: the part of a run after which a second loss counts
-	// is then longer than domainLoss.
+	// shortRun is twice that: a request that crashed a server after so long does not
+	// crash the next within domainLoss.
 	shortRun = 2 * domainLoss
 )
 
@@ -76,11 +76,11 @@
 }
 
 // IsSameEvent reports whether a server was lost together with the one before,
-// as those of one failure domain are: soon after it, and after the request had
-// run for much less than there. A request that crashes servers does so at about
-// the same time.
-func IsSameEvent(sinceLoss, lostAfter, ran time.Duration) bool {
-	return lostAfter > 0 && sinceLoss < sameLoss && ran < lostAfter/2
+// as those of one failure domain are: soon after it, while there the request had
+// run for much longer. A request that crashes servers does so at about the same
+// time.
+func IsSameEvent(sinceLoss, lostAfter time.Duration) bool {
+	return lostAfter >= shortRun && sinceLoss < domainLoss
 }
 
 // Pause returns how long a suspect waits before it runs again. After a short run
--- a/hickoryd/internal/dispatch/crash_test.go
+++ b/hickoryd/internal/dispatch/crash_test.go
@@ -36,8 +36,12 @@
 		dead    map[string]chan struct{} // closed when the server has died
 		lost    int
 		relaxed int
-		runs    []string      // servers that have begun to run a request, in order
-		gap     time.Duration // between tokens, when set
+		// crashAfter is when the culprit's runs kill their servers: the first, the
+		// second, and so on; the last holds for all further ones.
+		crashAfter []time.Duration
+		culprits   int           // runs of the culprit
+		runs       []string      // servers that have begun to run a request, in order
+		gap        time.Duration // between tokens, when set
 	}
 
 	fragileStream struct {
@@ -47,7 +51,7 @@
 )
 
 func newFragile() *fragile {
-	f := &fragile{ledger: slot.New(), crashes: crash.NewTable(100), dead: map[string]chan struct{}{}}
+	f := &fragile{crashAfter: []time.Duration{3 * tokenGap}, ledger: slot.New(), crashes: crash.NewTable(100), dead: map[string]chan struct{}{}}
 	for i := range fragileServers {
 		id := fmt.Sprintf("decode-%d", i)
 		f.dead[id] = make(chan struct{})
@@ -75,9 +79,10 @@
 	}
 	f.mu.Lock()
 	f.runs = append(f.runs, server.ID)
-	f.mu.Unlock()
+	defer f.mu.Unlock()
 	if strings.Contains(request.Prompt, culpritPrompt) {
-		time.AfterFunc(3*tokenGap, func() { f.kill(server.ID) })
+		time.AfterFunc(f.crashAfter[min(f.culprits, len(f.crashAfter)-1)], func() { f.kill(server.ID) })
+		f.culprits++
 	}
 	stream := whole()
 	stream.gap = f.gap
@@ -325,3 +330,22 @@
 		}
 	})
 }
+
+// The second run of a request that crashes servers ends much sooner than the
+// first, as on a busy machine: it still costs two servers.
+//
+// proof: crashing request | stream | 3
+func TestCrashingRequestThatCrashesSooner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFragile()
+		f.crashAfter = []time.Duration{6 * tokenGap, tokenGap}
+		c := &caller{models: f.models(), prompt: culpritPrompt, id: "culprit"}
+		c.run(t.Context())
+		if r := refusal.Of(c.err); r == nil || r.Kind != refusal.CrashesServers {
+			t.Errorf("%v, want a refusal as crashesServers", c.err)
+		}
+		if f.lost > crash.RefuseAfter {
+			t.Errorf("%d servers lost, want at most %d", f.lost, crash.RefuseAfter)
+		}
+	})
+}
--- a/hickoryd/internal/dispatch/crashes.go
+++ b/hickoryd/internal/dispatch/crashes.go
@@ -38,7 +38,7 @@
 	r.models.counters.crashes.Inc()
 	now := time.Now()
 	ran := now.Sub(started)
-	if crash.IsSameEvent(now.Sub(r.lostAt), r.lostAfter, ran) {
+	if crash.IsSameEvent(now.Sub(r.lostAt), r.lostAfter) {
 		return true
 	}
 	r.lostAt, r.lostAfter = now, max(r.lostAfter, ran)
