--- a/hickoryd/internal/linelog/writer_test.go
+++ b/hickoryd/internal/linelog/writer_test.go
@@ -8,6 +8,9 @@
 	"testing"
 	"time"
 
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/json"
+
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/linelog"
 )
 
@@ -65,3 +68,19 @@
 		_, _ = w.Write(line)
 	}
 }
+
+// BenchmarkStreamLine writes the longest usual line, with the fields of 'stream
+// ended', through the logging library.
+func BenchmarkStreamLine(b *testing.B) {
+	w := linelog.New(io.Discard)
+	defer w.Close(time.Minute)
+	var logger log.Interface = &log.Logger{Handler: json.New(w), Level: log.InfoLevel}
+	logger = logger.WithField("host", "host-1")
+	for b.Loop() {
+		logger.WithFields(log.Fields{
+			"request": "7156336abf8b1cc6", "route": "r-xu6h7bp", "configVersion": 12, "age": "3.4s",
+			"promptTokens": 3646, "maxOutputTokens": 2080, "outputHint": 1109, "servers": []string{"i-8b33f8ed99"}, "runs": 1, "prefills": 1,
+			"events": 59, "askedBefore": "0s", "room": "5ms", "prompt": "140ms", "first": "156ms", "last": "3.4s", "longestGap": "67ms",
+		}).Info("stream ended")
+	}
+}
