Headroom in usual requests, and none at a late request's last search

Cause, found by reading: with headroom of its own size a late request that needs more than half of a server's memory found no room on an idle fleet. Headroom is the mean reservation of its service now, and the last search before it is given up leaves nothing.

--- a/core/waiting/waiting.go
+++ b/core/waiting/waiting.go
@@ -12,8 +12,8 @@
 	timelyPause = 40 * time.Millisecond
 	// latePause is the time between two searches of a late request.
 	latePause = 150 * time.Millisecond
-	// lateHeadroom is what a late request leaves free where it takes room: what one of
-	// its size needs that can still be on time.
+	// lateHeadroom is what a late request leaves free where it takes room: what a
+	// usual one needs that can still be on time.
 	lateHeadroom = 1.0
 	// lateTargets is how long a late request waits, in target latencies: callers
 	// leave a stream that has not begun after four.
@@ -48,7 +48,7 @@
 	Turn struct {
 		Pause time.Duration
 		// Headroom is the memory that has to stay free at a server where this
-		// request takes room, in requests of its size.
+		// request takes room, in usual requests.
 		Headroom float64
 		// IsOver is set where the request is refused, and RetryAfter tells when
 		// the caller should come back, unless it is zero.
@@ -65,8 +65,8 @@
 		return Turn{Pause: timelyPause}
 	case now.Before(p.Asked.Add(time.Duration(timelyShare * float64(p.Target)))):
 		return Turn{Pause: timelyPause}
-	case isReturned && now.Before(p.Arrived.Add(time.Duration(lateTargets*float64(p.Target)))):
-		return Turn{Pause: latePause, Headroom: lateHeadroom}
+	case isReturned && now.Before(lateUntil(p)):
+		return Turn{Pause: latePause, Headroom: headroomAt(now, p)}
 	case isReturned:
 		return Turn{IsOver: true}
 	default:
@@ -74,6 +74,21 @@
 	}
 }
 
+// headroomAt returns what a late request leaves free at now. Its last search
+// leaves nothing: one that needs most of a server's memory would find no room
+// otherwise.
+func headroomAt(now time.Time, p Promise) float64 {
+	if now.Add(latePause).After(lateUntil(p)) {
+		return 0
+	}
+	return lateHeadroom
+}
+
+// lateUntil returns until when a late request waits.
+func lateUntil(p Promise) time.Time {
+	return p.Arrived.Add(time.Duration(lateTargets * float64(p.Target)))
+}
+
 // returnAfter returns how long a refused caller stays away.
 func returnAfter(now time.Time, p Promise) time.Duration {
 	after := shortestReturn + time.Duration(p.Spread*float64(longestReturn-shortestReturn))
--- a/core/waiting/waiting_test.go
+++ b/core/waiting/waiting_test.go
@@ -31,6 +31,7 @@
 		{name: "a timely request looks for room", promise: first, after: 300 * time.Millisecond},
 		{name: "one that can't be on time comes back later", promise: first, after: 700 * time.Millisecond, isOver: true, comesBack: true, shortestBack: time.Second},
 		{name: "one that came back yields to timely ones", promise: returned, after: 3100 * time.Millisecond, hasToYield: true},
+		{name: "its last search leaves nothing to others", promise: returned, after: 5200 * time.Millisecond},
 		{name: "one that came back in vain is given up", promise: returned, after: 6 * time.Second, isOver: true},
 		{name: "a stream under way goes on looking", promise: underWay, after: 5 * time.Second},
 		{name: "but not beyond its deadline", promise: underWay, after: 15 * time.Second, isOver: true},
--- a/hickoryd/internal/edgedispatch/dispatch.go
+++ b/hickoryd/internal/edgedispatch/dispatch.go
@@ -31,6 +31,9 @@
 const (
 	// crashTableSize bounds the fingerprints that are remembered.
 	crashTableSize = 4096
+	// tokensWeight is the weight of the newest request in the mean reservation: the
+	// mean of the last twenty.
+	tokensWeight = 0.05
 	// releaseTimeout is the longest wait for a reservation to be given back.
 	releaseTimeout = time.Second
 )
@@ -107,6 +110,8 @@
 		output  *output.Estimator
 		budgets map[string]*budget.Budget
 		crashes *crash.Table
+		// tokens is the mean reservation, by service.
+		tokens map[string]float64
 		// patience is that of the callers, by route.
 		patience map[string]*patience.Estimator
 		seen     uint64
@@ -121,7 +126,7 @@
 func New(life context.Context, options Options, f Fleet, pool *upstream.Pool, neighbors Neighbors, logger log.Interface, set *metrics.Set) *Dispatcher {
 	return &Dispatcher{
 		life: life, options: options, fleet: f, pool: pool, neighbors: neighbors, logger: logger,
-		table: balance.NewTable(), reading: reading.NewEstimator(), output: output.NewEstimator(), budgets: make(map[string]*budget.Budget), crashes: crash.NewTable(crashTableSize), patience: make(map[string]*patience.Estimator),
+		table: balance.NewTable(), reading: reading.NewEstimator(), output: output.NewEstimator(), budgets: make(map[string]*budget.Budget), crashes: crash.NewTable(crashTableSize), tokens: make(map[string]float64), patience: make(map[string]*patience.Estimator),
 		counters: counters{
 			repeats:         set.NewCounter(`hickoryfront_edge_repeats_total`),
 			denied:          set.NewCounter(`hickoryfront_edge_repeats_denied_total`),
@@ -277,6 +282,20 @@
 	return d.output.Expect(o.Request.OutputHint, o.Request.MaxOutputTokens)
 }
 
+// usualTokens takes in what a request of a service reserves and returns what its
+// requests do on average.
+func (d *Dispatcher) usualTokens(service string, tokens int) float64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	mean, ok := d.tokens[service]
+	if !ok {
+		mean = float64(tokens)
+	}
+	mean += (float64(tokens) - mean) * tokensWeight
+	d.tokens[service] = mean
+	return mean
+}
+
 // askedAt returns when the caller of a request asked for the first time. A
 // caller that comes back has less time left than one that asks.
 func (d *Dispatcher) askedAt(o *Order) time.Time {
--- a/hickoryd/internal/edgedispatch/room.go
+++ b/hickoryd/internal/edgedispatch/room.go
@@ -47,6 +47,7 @@
 // is served when there is room to spare.
 func (g *generation) takeRoom(ctx context.Context) (seat, error) {
 	tokens := g.order.Request.PromptTokens + int(memoryMargin*float64(g.expectedOutput(g.order)))
+	usual := g.usualTokens(g.order.Route.Service, tokens)
 	want := balance.Want{Service: g.order.Route.Service, Stage: fleet.Decode, FailureDomain: g.options.FailureDomain, Excluded: g.tried}
 	for {
 		now := time.Now()
@@ -54,9 +55,10 @@
 		if turn.IsOver {
 			return seat{}, &Failure{Status: http.StatusServiceUnavailable, RetryAfter: turn.RetryAfter, Reason: "no decode server has room"}
 		}
+		headroom := int(turn.Headroom * usual)
 		candidates := g.Dispatcher.order(want)
 		for _, server := range candidates[:min(len(candidates), searchLimit)] {
-			hold, err := g.holdWithin(ctx, server, tokens, turn.Headroom)
+			hold, err := g.holdWithin(ctx, server, tokens, headroom)
 			if err == nil {
 				return seat{server: server, hold: hold, tokens: tokens}, nil
 			}
@@ -78,11 +80,10 @@
 	}
 }
 
-// holdWithin reserves memory at a server where headroom, in requests of this
-// size, stays free.
-func (g *generation) holdWithin(ctx context.Context, server fleet.Server, tokens int, headroom float64) (string, error) {
+// holdWithin reserves memory at a server where so many tokens stay free besides.
+func (g *generation) holdWithin(ctx context.Context, server fleet.Server, tokens, headroom int) (string, error) {
 	if headroom > 0 {
-		if err := g.probe(ctx, server, tokens+int(headroom*float64(tokens))); err != nil {
+		if err := g.probe(ctx, server, tokens+headroom); err != nil {
 			return "", err
 		}
 	}
