Bound every body's time, and answer when it is over

TestTricklingBodiesEnd failed with both. The limit holds from the arrival on now, and an answer of our own is always finished.

--- a/hickoryd/internal/edgecaller/caller.go
+++ b/hickoryd/internal/edgecaller/caller.go
@@ -97,6 +97,9 @@
 	defer h.inFlight.Add(-1)
 	h.requests.Inc()
 	s := &sink{writer: w, controller: http.NewResponseController(w), handler: h}
+	if r.ContentLength != 0 {
+		h.limitBody(s.controller, arrived)
+	}
 	order, err := h.read(r, w, arrived)
 	defer h.held.Add(-int64(len(order.Body)))
 	if err == nil {
@@ -106,6 +109,14 @@
 	h.finish(r, order, s, err)
 }
 
+// limitBody bounds the time for a body. It holds for refused requests too: the
+// server reads the rest of a body before it answers.
+func (h *Handler) limitBody(controller *http.ResponseController, arrived time.Time) {
+	if err := controller.SetReadDeadline(arrived.Add(bodyTimeout)); err != nil {
+		h.logger.WithError(err).Warn("no time limit on a body")
+	}
+}
+
 // finish ends the answer. One that has begun and can't be finished must not
 // look complete.
 func (h *Handler) finish(r *http.Request, o *edgedispatch.Order, s *sink, err error) {
@@ -115,6 +126,7 @@
 	case err == nil:
 	case errors.As(err, &failure) && s.status == 0:
 		s.fail(failure)
+		return // whole, also where the body's time limit has ended the context
 	default:
 		panic(http.ErrAbortHandler)
 	}
@@ -184,10 +196,6 @@
 	if h.held.Load()+max(r.ContentLength, 0) > maxHeldBytes {
 		return errBusy
 	}
-	controller := http.NewResponseController(w)
-	if err := controller.SetReadDeadline(o.Arrived.Add(bodyTimeout)); err != nil {
-		h.logger.WithError(err).Warn("no time limit on a body")
-	}
 	body, err := readAll(io.LimitReader(r.Body, limit+1), r.ContentLength)
 	o.Body = body
 	h.held.Add(int64(len(body)))
@@ -197,7 +205,7 @@
 	if int64(len(body)) > limit {
 		return &edgedispatch.Failure{Status: http.StatusRequestEntityTooLarge, Reason: "body too long"}
 	}
-	if err := controller.SetReadDeadline(time.Time{}); err != nil {
+	if err := http.NewResponseController(w).SetReadDeadline(time.Time{}); err != nil {
 		h.logger.WithError(err).Warn("time limit on a body not lifted")
 	}
 	return nil
