Kill a failure domain's processes at once, as the test says

The test killed its three processes one after the other, and waited for each to end; now it kills them at once, as its description and the fault it stands for say. What the test asks of the answer is unchanged.

--- a/hickorylab/faults/steps_test.go
+++ b/hickorylab/faults/steps_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -159,7 +160,7 @@
 	c := harness.Start(t, binaries, harness.Options{EngineFlags: stepEngines, Profile: stepProfile})
 	lost := []*harness.Process{c.Hosts[2], c.Engines["prefill-1"], c.Engines["decode-1"]}
 	for _, s := range completionSteps {
-		one := newStruck(c, s, func() { each(lost, (*harness.Process).Kill) })
+		one := newStruck(c, s, func() { killAtOnce(lost) })
 		if reply := one.run(t.Context(), c.Hosts[0]); reply.Text != one.want() || !reply.Whole {
 			t.Errorf("%s: got %+v, want %q", s.name, reply, one.want())
 		}
@@ -245,6 +246,15 @@
 	}
 }
 
+// killAtOnce kills processes without waiting for one before the next.
+func killAtOnce(processes []*harness.Process) {
+	var group sync.WaitGroup
+	for _, p := range processes {
+		group.Go(p.Kill)
+	}
+	group.Wait()
+}
+
 func each(processes []*harness.Process, do func(*harness.Process)) {
 	for _, p := range processes {
 		do(p)
