Guard the keys that were logged as unreadable, and read pages in one place

Found by reading: servers and hosts are followed by two goroutines, and both note entries that can't be read in one map without a lock. A daemon that meets such entries in both lists can end with 'concurrent map writes'.

Simplified without a change of behaviour: one loop reads the pages of a prefix for both lists; the loop over servers notes an answer of the store once, not twice; two branches with the same result and an argument that nobody read are gone.

--- a/hickoryd/internal/registry/follow.go
+++ b/hickoryd/internal/registry/follow.go
@@ -40,14 +40,11 @@
 	for ctx.Err() == nil {
 		var err error
 		isComplete, err = r.syncServers(ctx, isComplete)
-		now := time.Now()
-		switch {
-		case ctx.Err() != nil:
+		if ctx.Err() != nil {
 			return
-		case err == nil:
-			r.storeAnswered(now)
-		default:
-			r.storeLost(now, err)
+		}
+		if err != nil {
+			r.storeLost(time.Now(), err)
 			r.askPeers(ctx)
 		}
 		r.adoptServers(func(list *fleet.List) { list.Tick(time.Now()) })
@@ -98,27 +95,34 @@
 
 // readServers reads the whole list.
 func (r *Registry) readServers(ctx context.Context) (bool, error) {
-	var items []platform.Item
-	var at uint64
+	items, at, err := r.readAll(ctx, platform.ServersPrefix, false)
+	if err != nil {
+		return false, err
+	}
+	r.storeAnswered(time.Now())
+	changes := r.decodeServers(items)
+	r.adoptServers(func(list *fleet.List) { list.Replace(time.Now(), changes, at) })
+	return true, nil
+}
+
+// readAll reads all keys with a prefix. The revision is that of the first page:
+// pages are no snapshot, and what changed since has to be read again.
+func (r *Registry) readAll(ctx context.Context, prefix string, isStale bool) (items []platform.Item, at uint64, err error) {
 	after := ""
 	for {
-		page, err := r.rangePage(ctx, platform.ServersPrefix, after, false)
+		page, err := r.rangePage(ctx, prefix, after, isStale)
 		if err != nil {
-			return false, err
+			return nil, 0, err
 		}
 		if at == 0 {
-			at = page.At // pages are no snapshot: what changed since is read again
+			at = page.At
 		}
 		items = append(items, page.Items...)
 		if !page.IsTruncated || len(page.Items) == 0 {
-			break
+			return items, at, nil
 		}
 		after = page.Items[len(page.Items)-1].Key
 	}
-	r.storeAnswered(time.Now())
-	changes := r.decodeServers(items)
-	r.adoptServers(func(list *fleet.List) { list.Replace(time.Now(), changes, at) })
-	return true, nil
 }
 
 func (r *Registry) rangePage(ctx context.Context, prefix, after string, isStale bool) (platform.Page, error) {
@@ -141,9 +145,8 @@
 		r.logger.WithError(err).Debug("no other host answers")
 		return
 	}
-	now := time.Now()
 	if known.Document != nil {
-		r.adoptDocument(now, known.Document, "host")
+		r.adoptDocument(known.Document, "host")
 	}
 	if known.HasServers {
 		r.adoptServers(func(list *fleet.List) { list.Adopt(known.Servers, known.Revision) })
@@ -195,13 +198,10 @@
 	r.calls.Inc()
 	if after == 0 {
 		page, err := r.store.Get(ctx, platform.ConfigurationKey)
-		if errors.Is(err, platform.ErrNotFound) {
-			return 0, err
-		}
 		if err != nil {
 			return 0, err
 		}
-		r.adoptDocument(time.Now(), page.Items[0].Value, "store")
+		r.adoptDocument(page.Items[0].Value, "store")
 		return max(page.At, page.Items[0].Revision), nil // a read hears everything
 	}
 	page, err := r.store.Watch(ctx, platform.ConfigurationKey, after, wait)
@@ -210,7 +210,7 @@
 	}
 	for _, item := range page.Items {
 		if item.Key == platform.ConfigurationKey && !item.IsRemoved {
-			r.adoptDocument(time.Now(), item.Value, "store")
+			r.adoptDocument(item.Value, "store")
 		}
 	}
 	return newest(page.Items, after), nil
@@ -287,26 +287,19 @@
 
 // readHosts reads the list of hosts.
 func (r *Registry) readHosts(ctx context.Context) {
+	items, _, err := r.readAll(ctx, platform.HostsPrefix, true)
+	if err != nil {
+		r.logger.WithError(err).Debug("list of hosts not read")
+		return
+	}
 	var hosts []netip.AddrPort
-	after := ""
-	for {
-		page, err := r.rangePage(ctx, platform.HostsPrefix, after, true)
+	for _, item := range items {
+		host, err := platform.DecodeHost(item)
 		if err != nil {
-			r.logger.WithError(err).Debug("list of hosts not read")
-			return
-		}
-		for _, item := range page.Items {
-			host, err := platform.DecodeHost(item)
-			if err != nil {
-				r.logUnreadable(item, err)
-				continue
-			}
-			hosts = append(hosts, host.Peer)
-		}
-		if !page.IsTruncated || len(page.Items) == 0 {
-			break
+			r.logUnreadable(item, err)
+			continue
 		}
-		after = page.Items[len(page.Items)-1].Key
+		hosts = append(hosts, host.Peer)
 	}
 	if len(hosts) > 0 {
 		r.setHosts(hosts)
--- a/hickoryd/internal/registry/registry.go
+++ b/hickoryd/internal/registry/registry.go
@@ -21,6 +21,9 @@
 	"github.com/hickoryfront/hickoryfront/platform"
 )
 
+// maxUnreadable bounds the keys that are remembered as unreadable.
+const maxUnreadable = 1000
+
 type (
 	// Peers asks other hosts what they know.
 	Peers interface {
@@ -80,11 +83,12 @@
 		isLost   bool
 		// changed is closed and replaced when the store is lost or regained.
 		changed chan struct{}
-
+		// unreadable are the keys that were logged as such.
 		unreadable map[string]bool
-		calls      *metrics.Counter
-		failures   *metrics.Counter
-		peerCalls  *metrics.Counter
+
+		calls     *metrics.Counter
+		failures  *metrics.Counter
+		peerCalls *metrics.Counter
 	}
 )
 
@@ -149,7 +153,7 @@
 }
 
 // adoptDocument puts a configuration in force if it is newer.
-func (r *Registry) adoptDocument(now time.Time, document []byte, source string) {
+func (r *Registry) adoptDocument(document []byte, source string) {
 	decoded, err := platform.DecodeConfiguration(document)
 	if err != nil {
 		r.logger.WithError(err).WithField("source", source).Error("configuration passed over")
@@ -266,6 +270,8 @@
 }
 
 func (r *Registry) logUnreadable(item platform.Item, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	if len(r.unreadable) > maxUnreadable || r.unreadable[item.Key] {
 		return
 	}
@@ -273,9 +279,6 @@
 	r.logger.WithError(err).WithFields(log.Fields{"key": item.Key, "revision": item.Revision}).Warn("registration passed over")
 }
 
-// maxUnreadable bounds the keys that are remembered as unreadable.
-const maxUnreadable = 1000
-
 // IsStoreLost reports whether the store does not answer this host.
 func (r *Registry) IsStoreLost() bool {
 	isLost, _ := r.connection()
--- a/hickoryd/internal/registry/registry_test.go
+++ b/hickoryd/internal/registry/registry_test.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -55,7 +56,7 @@
 	case "kv-key":
 		write(w, map[string]any{"key": "op/config", "value": encode(map[string]any{"version": s.version}), "revision": cmp.Or(s.configuredAt, s.revision), "at": s.revision})
 	case "kv-range":
-		write(w, map[string]any{"items": s.items(), "at": s.revision})
+		write(w, map[string]any{"items": s.items(r.URL.Query().Get("path-prefix")), "at": s.revision})
 	case "kv-watch":
 		s.serveWatch(w, r)
 	default:
@@ -80,14 +81,14 @@
 		write(w, map[string]any{"events": []any{}, "at": s.revision})
 		return
 	}
-	write(w, map[string]any{"events": s.items(), "at": s.revision})
+	write(w, map[string]any{"events": s.items("servers/"), "at": s.revision})
 }
 
-func (s *store) items() []any {
+func (s *store) items(prefix string) []any {
 	items := []any{}
 	for id, state := range s.servers {
 		value := encode(map[string]any{"service": "s", "address": "127.0.0.1:1", "state": state})
-		items = append(items, map[string]any{"key": "servers/" + id, "value": value, "revision": s.revision, "created": 1})
+		items = append(items, map[string]any{"key": prefix + id, "value": value, "revision": s.revision, "created": 1})
 	}
 	return items
 }
@@ -212,3 +213,25 @@
 		t.Error("servers are forgotten with the return of the store")
 	}
 }
+
+// Servers and hosts are read side by side, and both lists may hold what can't be
+// read: the race detector sees whether they share more than they may.
+func TestUnreadableEntriesOfBothLists(t *testing.T) {
+	s := &store{revision: 5, version: 1, servers: map[string]string{"a": "ready"}}
+	for i := range 300 {
+		s.servers[fmt.Sprint("odd-", i)] = "odd"
+	}
+	r := start(t, s, &peers{})
+	ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+	defer cancel()
+	var group sync.WaitGroup
+	group.Go(func() { r.RunHosts(ctx) })
+	for ctx.Err() == nil {
+		s.set(func() { s.history, s.revision = s.revision+1, s.revision+2 }) // the list of servers is read anew
+		time.Sleep(time.Millisecond)
+	}
+	group.Wait()
+	if !r.IsReady() {
+		t.Error("one readable server is not enough")
+	}
+}
