Send tries, judge answers and give up in one place each

Simplified without a change of behaviour, found by reading the change again: - Three senders and a reservation each looked for 421 by themselves; send makes every try of a request now and notes a registration that is out of date. - What a final failure is called (503, 504, 502) stood in plain calls and in generations, as did the question whether a failed try can have run the request. - Whether an error is an answer of our own was worked out twice for each request. - Three counters were never counted (hickoryfront_edge_refused_total, _cut_total and _resumed_total were always 0; hickoryfront_edge_answers_total tells) and are gone. The tests are unchanged and pass with the race detector.

--- a/hickoryd/internal/edgecaller/caller.go
+++ b/hickoryd/internal/edgecaller/caller.go
@@ -100,7 +100,7 @@
 	if r.ContentLength != 0 {
 		h.limitBody(s.controller, arrived)
 	}
-	order, err := h.read(r, w, arrived)
+	order, err := h.read(r, s.controller, arrived)
 	defer h.held.Add(-int64(len(order.Body)))
 	if err == nil {
 		s.id = order.Request.ID
@@ -120,23 +120,29 @@
 // finish ends the answer. One that has begun and can't be finished must not
 // look complete.
 func (h *Handler) finish(r *http.Request, o *edgedispatch.Order, s *sink, err error) {
-	h.observe(o, s, err)
-	var failure *edgedispatch.Failure
-	switch {
-	case err == nil:
-	case errors.As(err, &failure) && s.status == 0:
+	failure := failureOf(s, err)
+	h.observe(o, s, failure, err)
+	if failure != nil {
 		s.fail(failure)
 		return // whole, also where the body's time limit has ended the context
-	default:
-		panic(http.ErrAbortHandler)
 	}
-	if r.Context().Err() != nil {
+	if err != nil || r.Context().Err() != nil {
 		panic(http.ErrAbortHandler)
 	}
 }
 
+// failureOf returns the answer of our own that an error stands for, or nil where
+// there is none or another answer has begun.
+func failureOf(s *sink, err error) *edgedispatch.Failure {
+	var failure *edgedispatch.Failure
+	if s.status == 0 && errors.As(err, &failure) {
+		return failure
+	}
+	return nil
+}
+
 // read decodes a request and reads its body. The order is never nil.
-func (h *Handler) read(r *http.Request, w http.ResponseWriter, arrived time.Time) (*edgedispatch.Order, error) {
+func (h *Handler) read(r *http.Request, controller *http.ResponseController, arrived time.Time) (*edgedispatch.Order, error) {
 	o := &edgedispatch.Order{Method: r.Method, Target: targetOf(r), Host: r.Host, Header: r.Header, Arrived: arrived}
 	var err error
 	o.Request, err = platform.DecodeRequest(r.Header)
@@ -159,7 +165,7 @@
 	if err := h.checkLeaving(o); err != nil {
 		return o, err
 	}
-	if err := h.readBody(o, r, w, table.Limits()); err != nil {
+	if err := h.readBody(o, r, controller, table.Limits()); err != nil {
 		return o, err
 	}
 	o.Fingerprint = fingerprint(o)
@@ -182,7 +188,7 @@
 	return &edgedispatch.Failure{Status: http.StatusServiceUnavailable, RetryAfter: leaveRetryAfter, Reason: "host is leaving"}
 }
 
-func (h *Handler) readBody(o *edgedispatch.Order, r *http.Request, w http.ResponseWriter, limits route.Limits) error {
+func (h *Handler) readBody(o *edgedispatch.Order, r *http.Request, controller *http.ResponseController, limits route.Limits) error {
 	limit := limits.BodyBytes
 	if limit <= 0 {
 		limit = defaultBody
@@ -205,7 +211,7 @@
 	if int64(len(body)) > limit {
 		return &edgedispatch.Failure{Status: http.StatusRequestEntityTooLarge, Reason: "body too long"}
 	}
-	if err := http.NewResponseController(w).SetReadDeadline(time.Time{}); err != nil {
+	if err := controller.SetReadDeadline(time.Time{}); err != nil {
 		h.logger.WithError(err).Warn("time limit on a body not lifted")
 	}
 	return nil
@@ -255,7 +261,7 @@
 }
 
 // observe counts and logs the outcome of a request.
-func (h *Handler) observe(o *edgedispatch.Order, s *sink, err error) {
+func (h *Handler) observe(o *edgedispatch.Order, s *sink, failure *edgedispatch.Failure, err error) {
 	name := "none"
 	if o.Route != nil {
 		name = o.Route.Name
@@ -263,9 +269,8 @@
 	took := time.Since(o.Arrived)
 	status := s.status
 	outcome := "answered"
-	var failure *edgedispatch.Failure
 	switch {
-	case errors.As(err, &failure) && s.status == 0:
+	case failure != nil:
 		outcome, status = "failed", failure.Status
 	case err != nil:
 		outcome = "cut"
--- a/hickoryd/internal/edgedispatch/decode.go
+++ b/hickoryd/internal/edgedispatch/decode.go
@@ -26,9 +26,7 @@
 // decode runs the request at a decode server and relays its events.
 func (g *generation) decode(ctx context.Context, room seat, source handleAt) error {
 	g.tried = append(g.tried, room.server.ID)
-	attempt := platform.Attempt{
-		ServerID: room.server.ID, Hold: room.hold, LastEvent: g.relay.Last(), IsResumed: g.relay.IsResumed(),
-	}
+	attempt := platform.Attempt{Hold: room.hold, LastEvent: g.relay.Last(), IsResumed: g.relay.IsResumed()}
 	if source.id != "" {
 		attempt.Source = platform.Source(source.server.Address, source.id)
 	}
@@ -39,7 +37,7 @@
 		defer watchdog.Stop()
 	}
 	g.sent = true
-	answer, err := g.pool.Do(ctx, room.server.Address, g.outbound(g.order, attempt))
+	answer, err := g.send(ctx, room.server, g.order, attempt)
 	if errors.Is(err, upstream.ErrNotSent) {
 		g.report(room.server.ID, health.Unreachable)
 		g.releaseHandle(source)
@@ -56,7 +54,6 @@
 		body := readRest(answer)
 		g.releaseHold(room)
 		if answer.Reply.IsMisdirected {
-			g.misdirected(room.server)
 			g.unused = source // it was not fetched
 		} else {
 			g.releaseHandle(source)
--- a/hickoryd/internal/edgedispatch/dispatch.go
+++ b/hickoryd/internal/edgedispatch/dispatch.go
@@ -118,7 +118,7 @@
 	}
 
 	counters struct {
-		repeats, denied, refused, cut, resumed, preparedLocally, wasted, moved *metrics.Counter
+		repeats, denied, preparedLocally, wasted, moved *metrics.Counter
 	}
 )
 
@@ -130,9 +130,6 @@
 		counters: counters{
 			repeats:         set.NewCounter(`hickoryfront_edge_repeats_total`),
 			denied:          set.NewCounter(`hickoryfront_edge_repeats_denied_total`),
-			refused:         set.NewCounter(`hickoryfront_edge_refused_total`),
-			cut:             set.NewCounter(`hickoryfront_edge_cut_total`),
-			resumed:         set.NewCounter(`hickoryfront_edge_resumed_total`),
 			preparedLocally: set.NewCounter(`hickoryfront_edge_prompts_read_at_decode_total`),
 			moved:           set.NewCounter(`hickoryfront_edge_runs_moved_total`),
 			wasted:          set.NewCounter(`hickoryfront_edge_handles_unused_total`),
@@ -233,7 +230,8 @@
 	return d.table.Pick(time.Now(), servers, want)
 }
 
-func (d *Dispatcher) order(want balance.Want) []fleet.Server {
+// ranked returns the servers that may have room, best first.
+func (d *Dispatcher) ranked(want balance.Want) []fleet.Server {
 	servers := d.servers()
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -254,7 +252,7 @@
 
 // pickPrefill returns the prefill server that reads a prompt first.
 func (d *Dispatcher) pickPrefill(o *Order, tried []string, domain string) (fleet.Server, time.Duration, bool) {
-	candidates := d.order(balance.Want{Service: o.Route.Service, Stage: fleet.Prefill, FailureDomain: domain, Excluded: tried})
+	candidates := d.ranked(balance.Want{Service: o.Route.Service, Stage: fleet.Prefill, FailureDomain: domain, Excluded: tried})
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.reading.Pick(time.Now(), candidates, domain)
@@ -392,11 +390,39 @@
 	d.neighbors.ReportLoss(d.life, fingerprint, server.ID)
 }
 
-func (d *Dispatcher) outbound(o *Order, a platform.Attempt) upstream.Request {
-	a.TimeLeft = time.Until(o.Deadline)
-	return upstream.Request{
+// send makes one try of a request at a server. A registration that is out of
+// date shows in the answer, and is noted.
+func (d *Dispatcher) send(ctx context.Context, server fleet.Server, o *Order, a platform.Attempt) (*upstream.Answer, error) {
+	a.ServerID, a.TimeLeft = server.ID, time.Until(o.Deadline)
+	answer, err := d.pool.Do(ctx, server.Address, upstream.Request{
 		ID: o.Request.ID, Method: o.Method, Target: o.Target, Host: o.Host,
 		Header: platform.Outbound(o.Header, a), Body: o.Body,
+	})
+	if err == nil && answer.Reply.IsMisdirected {
+		d.misdirected(server)
+	}
+	return answer, err
+}
+
+// isFree reports whether a failed try can't have run the request.
+func isFree(err error) bool {
+	return errors.Is(err, upstream.ErrNotSent) || errors.Is(err, errNotRun)
+}
+
+// finalFailure returns the final answer where no server's can be had, after so
+// many servers may have run the request. retryAfter holds where none has.
+func finalFailure(ctx context.Context, runs int, last error, retryAfter time.Duration) *Failure {
+	reason := "no backend server"
+	if last != nil {
+		reason = last.Error()
+	}
+	switch {
+	case runs == 0:
+		return &Failure{Status: http.StatusServiceUnavailable, RetryAfter: retryAfter, Reason: reason}
+	case ctx.Err() != nil:
+		return &Failure{Status: http.StatusGatewayTimeout, Reason: reason}
+	default:
+		return &Failure{Status: http.StatusBadGateway, Reason: reason}
 	}
 }
 
--- a/hickoryd/internal/edgedispatch/generation.go
+++ b/hickoryd/internal/edgedispatch/generation.go
@@ -10,7 +10,6 @@
 	"github.com/apex/log"
 
 	"github.com/hickoryfront/hickoryfront/core/stream"
-	"github.com/hickoryfront/hickoryfront/hickoryd/internal/upstream"
 )
 
 const (
@@ -81,7 +80,7 @@
 
 // mayGoOn reports whether the request may be offered to another server.
 func (g *generation) mayGoOn(err error) bool {
-	if errors.Is(err, upstream.ErrNotSent) || errors.Is(err, errNotRun) {
+	if isFree(err) {
 		return true
 	}
 	return g.order.Route.IsResumable && g.runs < max(g.order.Route.MaxServers, 1)
@@ -91,20 +90,11 @@
 	if g.isStarted {
 		return fmt.Errorf("%w: %v", ErrCut, last) // a cut answer is not a refusal as well
 	}
-	reason := "no backend server"
-	if last != nil {
-		reason = last.Error()
-	}
-	switch {
-	case g.runs == 0 && ctx.Err() == nil:
-		return &Failure{Status: http.StatusServiceUnavailable, RetryAfter: fullRetryAfter, Reason: reason}
-	case g.runs == 0:
-		return &Failure{Status: http.StatusServiceUnavailable, Reason: reason}
-	case ctx.Err() != nil:
-		return &Failure{Status: http.StatusGatewayTimeout, Reason: reason}
-	default:
-		return &Failure{Status: http.StatusBadGateway, Reason: reason}
+	retryAfter := fullRetryAfter
+	if ctx.Err() != nil {
+		retryAfter = 0 // the caller's time is over
 	}
+	return finalFailure(ctx, g.runs, last, retryAfter)
 }
 
 // place runs the request at one decode server.
--- a/hickoryd/internal/edgedispatch/move.go
+++ b/hickoryd/internal/edgedispatch/move.go
@@ -103,7 +103,7 @@
 func (m *move) moveOff(ctx context.Context) (*movedRun, error) {
 	want := balance.Want{Service: m.order.Route.Service, Stage: fleet.Decode, FailureDomain: m.server.FailureDomain, Excluded: []string{m.server.ID}}
 	for {
-		for _, target := range m.Dispatcher.order(want) {
+		for _, target := range m.ranked(want) {
 			_, err := m.copy(ctx, target, false)
 			if err == nil {
 				return m.finish(ctx, target)
--- a/hickoryd/internal/edgedispatch/plain.go
+++ b/hickoryd/internal/edgedispatch/plain.go
@@ -77,14 +77,14 @@
 			held = reply
 		}
 		last = err
-		if ctx.Err() != nil || !call.isFree(err) && !call.mayRunAgain() {
+		if ctx.Err() != nil || !isFree(err) && !call.mayRunAgain() {
 			break
 		}
 	}
 	if held != nil {
 		return held.send(sink)
 	}
-	return call.failure(ctx, last)
+	return finalFailure(ctx, call.runs, last, shortRetryAfter)
 }
 
 // wholeReply is an answer that was read whole.
@@ -108,11 +108,6 @@
 	return nil
 }
 
-// isFree reports whether a failed try can't have run the request.
-func (c *plainCall) isFree(err error) bool {
-	return errors.Is(err, upstream.ErrNotSent) || errors.Is(err, errNotRun)
-}
-
 func (c *plainCall) mayRunAgain() bool {
 	return c.order.Route.IsRepeatable() && c.runs < max(c.order.Route.MaxServers, 1)
 }
@@ -135,7 +130,7 @@
 }
 
 func (c *plainCall) exchange(ctx context.Context, server fleet.Server, sink Sink) (*wholeReply, error) {
-	answer, err := c.pool.Do(ctx, server.Address, c.outbound(c.order, platform.Attempt{ServerID: server.ID}))
+	answer, err := c.send(ctx, server, c.order, platform.Attempt{})
 	if err != nil {
 		if errors.Is(err, upstream.ErrMayHaveRun) {
 			c.runs++
@@ -145,9 +140,6 @@
 	defer answer.Close()
 	if answer.Reply.IsNotRun {
 		readRest(answer)
-		if answer.Reply.IsMisdirected {
-			c.misdirected(server)
-		}
 		return nil, fmt.Errorf("%w: status %d", errNotRun, answer.StatusCode)
 	}
 	c.runs++
@@ -221,21 +213,6 @@
 	health.Success: "success", health.Failure: "failure", health.Broken: "broken", health.Unreachable: "unreachable",
 }
 
-// failure returns the final answer where no server's can be had.
-func (c *plainCall) failure(ctx context.Context, last error) *Failure {
-	reason := "no backend server"
-	if last != nil {
-		reason = last.Error()
-	}
-	if c.runs > 0 {
-		if ctx.Err() != nil {
-			return &Failure{Status: http.StatusGatewayTimeout, Reason: reason}
-		}
-		return &Failure{Status: http.StatusBadGateway, Reason: reason}
-	}
-	return &Failure{Status: http.StatusServiceUnavailable, RetryAfter: shortRetryAfter, Reason: reason}
-}
-
 // readRest reads what is left of a short answer, so that its connection is kept.
 func readRest(answer *upstream.Answer) []byte {
 	var body bytes.Buffer
--- a/hickoryd/internal/edgedispatch/prefill.go
+++ b/hickoryd/internal/edgedispatch/prefill.go
@@ -87,8 +87,8 @@
 
 // read sends the prompt to a prefill server.
 func (g *generation) read(ctx context.Context, server fleet.Server) (handleAt, error) {
-	attempt := platform.Attempt{ServerID: server.ID, IsPrefill: true, LastEvent: g.relay.Last(), IsResumed: g.relay.IsResumed()}
-	answer, err := g.pool.Do(ctx, server.Address, g.outbound(g.order, attempt))
+	attempt := platform.Attempt{IsPrefill: true, LastEvent: g.relay.Last(), IsResumed: g.relay.IsResumed()}
+	answer, err := g.send(ctx, server, g.order, attempt)
 	if errors.Is(err, upstream.ErrNotSent) {
 		g.report(server.ID, health.Unreachable)
 		return handleAt{}, err
@@ -100,9 +100,6 @@
 	}
 	defer answer.Close()
 	body := readRest(answer)
-	if answer.Reply.IsMisdirected {
-		g.misdirected(server)
-	}
 	if answer.StatusCode != http.StatusOK {
 		return handleAt{}, fmt.Errorf("%w: reading the prompt answered %d", errNotRun, answer.StatusCode)
 	}
--- a/hickoryd/internal/edgedispatch/room.go
+++ b/hickoryd/internal/edgedispatch/room.go
@@ -56,7 +56,7 @@
 			return seat{}, &Failure{Status: http.StatusServiceUnavailable, RetryAfter: turn.RetryAfter, Reason: "no decode server has room"}
 		}
 		headroom := int(turn.Headroom * usual)
-		candidates := g.Dispatcher.order(want)
+		candidates := g.ranked(want)
 		for _, server := range candidates[:min(len(candidates), searchLimit)] {
 			hold, err := g.holdWithin(ctx, server, tokens, headroom)
 			if err == nil {
@@ -115,11 +115,12 @@
 	case err != nil:
 		g.report(server.ID, health.Broken)
 		return "", err
-	case status == http.StatusMisdirectedRequest:
-		g.misdirected(server)
-		return "", fmt.Errorf("%w: reservation answered %d", errNotRun, status)
 	case status != http.StatusOK:
-		g.full(server.ID)
+		if status == http.StatusMisdirectedRequest {
+			g.misdirected(server)
+		} else {
+			g.full(server.ID)
+		}
 		return "", fmt.Errorf("%w: reservation answered %d", errNotRun, status)
 	}
 	hold, err := platform.DecodeHold(body)
