--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -3,6 +3,7 @@
 package balance
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -188,16 +189,7 @@
 		}
 		candidates = append(candidates, candidate{s, t.cost(s, want)})
 	}
-	slices.SortFunc(candidates, func(a, b candidate) int {
-		switch {
-		case a.cost < b.cost:
-			return -1
-		case a.cost > b.cost:
-			return 1
-		default:
-			return 0
-		}
-	})
+	slices.SortFunc(candidates, func(a, b candidate) int { return cmp.Compare(a.cost, b.cost) })
 	ordered := make([]fleet.Server, len(candidates))
 	for i, c := range candidates {
 		ordered[i] = c.server
--- a/core/crash/crash.go
+++ b/core/crash/crash.go
@@ -58,12 +58,15 @@
 	}
 )
 
-// Fingerprint returns the fingerprint of a prompt of a service.
-func Fingerprint(service, prompt string) uint64 {
+// Fingerprint returns the fingerprint of what a service runs, such as a prompt, or
+// the path and body of a request.
+func Fingerprint[T string | []byte](service string, parts ...T) uint64 {
 	digest := xxhash.New()
 	_, _ = digest.WriteString(service)
-	_, _ = digest.Write([]byte{0})
-	_, _ = digest.WriteString(prompt)
+	for _, part := range parts {
+		_, _ = digest.Write([]byte{0})
+		_, _ = digest.Write([]byte(part))
+	}
 	return digest.Sum64()
 }
 
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -151,15 +151,21 @@
 		return
 	}
 	next := entry{server: *c.Server, revision: c.Revision}
-	if isHeld && held.server.IsDraining && held.server.Created == next.server.Created {
-		next.server.IsDraining = true // a drain is final for one registration
-	}
+	held.keepDrain(&next.server)
 	if !isHeld || held.server != next.server {
 		l.version++
 	}
 	l.servers[c.ID] = next
 }
 
+// keepDrain marks a newer view of the same registration as draining where the one
+// held, if any, is: a drain is final.
+func (e entry) keepDrain(next *Server) {
+	if e.server.IsDraining && e.server.Created == next.Created {
+		next.IsDraining = true
+	}
+}
+
 func (l *List) remove(now time.Time, c Change, held entry, isHeld bool) {
 	if !isHeld {
 		return
@@ -203,9 +209,7 @@
 	next := make(map[string]entry, len(servers))
 	for _, s := range servers {
 		held, isHeld := l.servers[s.ID]
-		if isHeld && held.server.IsDraining && held.server.Created == s.Created {
-			s.IsDraining = true // a drain is final for one registration
-		}
+		held.keepDrain(&s)
 		if !isHeld || held.server != s {
 			l.version++
 		}
--- a/core/reading/reading.go
+++ b/core/reading/reading.go
@@ -106,11 +106,6 @@
 	}
 }
 
-// Reading returns how long a prompt takes to be read without a queue.
-func (e *Estimator) Reading(tokens int) time.Duration {
-	return e.duration(tokens)
-}
-
 // Retain forgets servers that are not known any more.
 func (e *Estimator) Retain(servers []fleet.Server) {
 	known := make(map[string]bool, len(servers))
--- a/hickory/internal/command/requestexplain/explain.go
+++ b/hickory/internal/command/requestexplain/explain.go
@@ -8,7 +8,6 @@
 	"fmt"
 	"io"
 	"maps"
-	"os"
 	"slices"
 	"strings"
 
@@ -17,10 +16,7 @@
 	"github.com/hickoryfront/hickoryfront/hickory/internal/tableprinter"
 )
 
-const (
-	timeFormat    = "15:04:05.000"
-	standardInput = "-"
-)
+const timeFormat = "15:04:05.000"
 
 // ErrNotFound means that no log names the request.
 var ErrNotFound = errors.New("request not found")
@@ -77,21 +73,18 @@
 func readAll(o *Options, reader *requestlog.Reader) error {
 	files := o.Files
 	if len(files) == 0 {
-		files = []string{standardInput}
+		files = []string{factory.StandardInput}
 	}
 	for _, name := range files {
-		if err := readFile(o.Streams.In, name, reader); err != nil {
+		if err := readFile(o.Streams, name, reader); err != nil {
 			return fmt.Errorf("log %s: %w", name, err)
 		}
 	}
 	return nil
 }
 
-func readFile(in io.Reader, name string, reader *requestlog.Reader) error {
-	if name == standardInput {
-		return reader.Read(in)
-	}
-	file, err := os.Open(name)
+func readFile(streams factory.Streams, name string, reader *requestlog.Reader) error {
+	file, err := streams.Open(name)
 	if err != nil {
 		return err
 	}
--- a/hickory/internal/factory/factory.go
+++ b/hickory/internal/factory/factory.go
@@ -32,8 +32,10 @@
 	// every live host.
 	ExitMissing subcommands.ExitStatus = 4
 
-	programName   = "hickory"
-	standardInput = "-"
+	// StandardInput names the standard input where a file is asked for.
+	StandardInput = "-"
+
+	programName = "hickory"
 )
 
 // ErrUsage marks a command line that can't be understood.
@@ -130,13 +132,22 @@
 	return "unknown"
 }
 
-// ReadText reads a file, or the standard input when path is "-".
+// Open opens a file, or the standard input when path is "-".
+func (s Streams) Open(path string) (io.ReadCloser, error) {
+	if path == StandardInput {
+		return io.NopCloser(s.In), nil
+	}
+	return os.Open(path)
+}
+
+// ReadText reads what Open opens.
 func (s Streams) ReadText(path string) (string, error) {
-	if path == standardInput {
-		data, err := io.ReadAll(s.In)
-		return string(data), err
+	in, err := s.Open(path)
+	if err != nil {
+		return "", err
 	}
-	data, err := os.ReadFile(path)
+	defer in.Close()
+	data, err := io.ReadAll(in)
 	return string(data), err
 }
 
--- a/hickoryd/internal/dispatch/crashes.go
+++ b/hickoryd/internal/dispatch/crashes.go
@@ -37,14 +37,13 @@
 	}
 	r.models.counters.crashes.Inc()
 	now := time.Now()
-	ran := now.Sub(started)
 	if crash.IsSameEvent(now.Sub(r.lostAt), r.lostAfter) {
 		return true
 	}
-	r.lostAt, r.lostAfter = now, max(r.lostAfter, ran)
+	r.lostAt, r.lostAfter = now, max(r.lostAfter, now.Sub(started))
 	report, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
-	r.models.crashes.Report(report, time.Now(), r.fingerprint, server.ID)
+	r.models.crashes.Report(report, now, r.fingerprint, server.ID)
 	return true
 }
 
--- a/hickoryd/internal/edgecaller/caller.go
+++ b/hickoryd/internal/edgecaller/caller.go
@@ -14,8 +14,8 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
-	"github.com/cespare/xxhash/v2"
 
+	"github.com/hickoryfront/hickoryfront/core/crash"
 	"github.com/hickoryfront/hickoryfront/core/route"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/edgedispatch"
 	"github.com/hickoryfront/hickoryfront/platform"
@@ -168,7 +168,7 @@
 	if err := h.readBody(o, r, controller, table.Limits()); err != nil {
 		return o, err
 	}
-	o.Fingerprint = fingerprint(o)
+	o.Fingerprint = crash.Fingerprint(o.Route.Service, []byte(o.Target), o.Body)
 	return o, nil
 }
 
@@ -252,14 +252,6 @@
 	return o.Arrived.Add(limit)
 }
 
-// fingerprint names what is run: service, path and body.
-func fingerprint(o *edgedispatch.Order) uint64 {
-	digest := xxhash.New()
-	_, _ = digest.WriteString(o.Route.Service + "\x00" + o.Target + "\x00")
-	_, _ = digest.Write(o.Body)
-	return digest.Sum64()
-}
-
 // observe counts and logs the outcome of a request.
 func (h *Handler) observe(o *edgedispatch.Order, s *sink, failure *edgedispatch.Failure, err error) {
 	name := "none"
--- a/hickoryd/internal/edgedispatch/decode.go
+++ b/hickoryd/internal/edgedispatch/decode.go
@@ -118,10 +118,8 @@
 // forward relays events until the stream ends.
 func (g *generation) forward(ctx context.Context, answer *upstream.Answer, watchdog *time.Timer, server fleet.Server) error {
 	if !g.isStarted {
-		header := http.Header{}
-		platform.CopyReply(header, answer.Header)
 		g.isStarted = true
-		if err := g.sink.Start(answer.StatusCode, header); err != nil {
+		if err := g.sink.Start(answer.StatusCode, platform.ReplyHeader(answer.Header)); err != nil {
 			return fmt.Errorf("%w: %w", ErrCut, err)
 		}
 	}
--- a/hickoryd/internal/edgedispatch/plain.go
+++ b/hickoryd/internal/edgedispatch/plain.go
@@ -94,8 +94,7 @@
 }
 
 func (r *wholeReply) send(sink Sink) error {
-	header := http.Header{}
-	platform.CopyReply(header, r.response.Header)
+	header := platform.ReplyHeader(r.response.Header)
 	if len(r.body) > 0 {
 		header.Set("Content-Length", strconv.Itoa(len(r.body)))
 	}
@@ -158,9 +157,7 @@
 
 // passOn sends a long answer on as it comes.
 func (c *plainCall) passOn(answer *upstream.Answer, begun []byte, sink Sink) error {
-	header := http.Header{}
-	platform.CopyReply(header, answer.Header)
-	err := sink.Start(answer.StatusCode, header)
+	err := sink.Start(answer.StatusCode, platform.ReplyHeader(answer.Header))
 	buffer := begun
 	for err == nil {
 		if err = sink.Write(buffer); err != nil {
