--- a/hickorylab/engine/http.go
+++ b/hickorylab/engine/http.go
@@ -14,6 +14,7 @@
 
 	"github.com/hickoryfront/hickoryfront/core/prefix"
 	wire "github.com/hickoryfront/hickoryfront/hickoryd/engine"
+	"github.com/hickoryfront/hickoryfront/hickorylab/internal/jsonreply"
 )
 
 const (
@@ -50,7 +51,7 @@
 	mux.HandleFunc("GET "+wire.PathState, e.serveState)
 	mux.HandleFunc("GET "+kvPath+"{handle}", e.serveKV)
 	mux.HandleFunc("POST /lab/switches", e.serveSwitches)
-	mux.HandleFunc("GET /lab/log", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, e.Log()) })
+	mux.HandleFunc("GET /lab/log", func(w http.ResponseWriter, _ *http.Request) { jsonreply.Write(w, e.Log()) })
 	return mux
 }
 
@@ -71,7 +72,7 @@
 		return
 	}
 	tokens := prefix.Tokens(body.Prompt)
-	writeJSON(w, wire.PrefillReply{
+	jsonreply.Write(w, wire.PrefillReply{
 		KV:           wire.KV{Source: address, Handle: body.RequestID, Bytes: int64(tokens) * e.options.KVBytesPerToken},
 		PromptTokens: tokens,
 		CachedTokens: p.cached,
@@ -162,7 +163,7 @@
 	e.mu.Lock()
 	delete(e.kv, handle)
 	e.mu.Unlock()
-	writeJSON(w, kvExport{Prompt: result.prompt})
+	jsonreply.Write(w, kvExport{Prompt: result.prompt})
 }
 
 func (e *Engine) serveResume(w http.ResponseWriter, r *http.Request) {
@@ -240,7 +241,7 @@
 		return
 	}
 	e.cancelRequest(body.RequestID)
-	writeJSON(w, struct{}{})
+	jsonreply.Write(w, struct{}{})
 }
 
 func (e *Engine) serveRequests(w http.ResponseWriter, _ *http.Request) {
@@ -252,7 +253,7 @@
 			reply.Requests = append(reply.Requests, wire.RequestInfo{RequestID: id, StartedAt: r.startedAt})
 		}
 	}
-	writeJSON(w, reply)
+	jsonreply.Write(w, reply)
 }
 
 func (e *Engine) serveLoad(w http.ResponseWriter, _ *http.Request) {
@@ -271,20 +272,20 @@
 		reply.Batch = oldest.batch
 		reply.TokenGapUS = oldest.gap.Microseconds()
 	}
-	writeJSON(w, reply)
+	jsonreply.Write(w, reply)
 }
 
 func (e *Engine) serveCacheEvents(w http.ResponseWriter, r *http.Request) {
 	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	writeJSON(w, e.cache.after(time.Now(), after, e.options.EventLag))
+	jsonreply.Write(w, e.cache.after(time.Now(), after, e.options.EventLag))
 }
 
 func (e *Engine) serveCacheSnapshot(w http.ResponseWriter, _ *http.Request) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	writeJSON(w, wire.CacheSnapshotReply{Sequence: e.cache.sequence, Blocks: e.cache.blocks.Keys()})
+	jsonreply.Write(w, wire.CacheSnapshotReply{Sequence: e.cache.sequence, Blocks: e.cache.blocks.Keys()})
 }
 
 func (e *Engine) serveOrder(w http.ResponseWriter, r *http.Request) {
@@ -299,7 +300,7 @@
 		return
 	}
 	e.orders.apply(body)
-	writeJSON(w, struct{}{})
+	jsonreply.Write(w, struct{}{})
 }
 
 func (o *orderState) apply(order wire.OrderRequest) {
@@ -320,7 +321,7 @@
 func (e *Engine) serveState(w http.ResponseWriter, _ *http.Request) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	writeJSON(w, wire.StateReply{
+	jsonreply.Write(w, wire.StateReply{
 		Role: e.orders.role, Model: e.orders.model, Version: e.orders.version, Adapters: e.orders.adapters, Fence: e.orders.fence,
 	})
 }
@@ -388,8 +389,3 @@
 	}
 	return http.StatusServiceUnavailable
 }
-
-func writeJSON(w http.ResponseWriter, value any) {
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(value) // the client may be gone
-}
--- a/hickorylab/metastore/metastore.go
+++ b/hickorylab/metastore/metastore.go
@@ -11,6 +11,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/hickoryfront/hickoryfront/hickorylab/internal/jsonreply"
 )
 
 // Modes of service.
@@ -164,7 +166,7 @@
 		return
 	}
 	held.At = s.revision
-	answer(w, held)
+	jsonreply.Write(w, held)
 }
 
 func (s *Store) serveRange(w http.ResponseWriter, prefix, after string) {
@@ -179,7 +181,7 @@
 	}
 	slices.SortFunc(page, func(a, b item) int { return strings.Compare(a.Key, b.Key) })
 	isTruncated := len(page) > pageItems
-	answer(w, map[string]any{"items": page[:min(len(page), pageItems)], "truncated": isTruncated, "at": s.revision})
+	jsonreply.Write(w, map[string]any{"items": page[:min(len(page), pageItems)], "truncated": isTruncated, "at": s.revision})
 }
 
 func (s *Store) serveWatch(w http.ResponseWriter, r *http.Request) {
@@ -197,13 +199,13 @@
 			return
 		}
 		if len(events) > 0 {
-			answer(w, map[string]any{"events": events, "at": at})
+			jsonreply.Write(w, map[string]any{"events": events, "at": at})
 			return
 		}
 		select {
 		case <-changed:
 		case <-deadline:
-			answer(w, map[string]any{"events": []item{}, "at": at})
+			jsonreply.Write(w, map[string]any{"events": []item{}, "at": at})
 			return
 		case <-r.Context().Done():
 			return
@@ -242,7 +244,7 @@
 			return
 		}
 	}
-	answer(w, map[string]any{"revision": s.commit(t)})
+	jsonreply.Write(w, map[string]any{"revision": s.commit(t)})
 }
 
 func (s *Store) serveLease(w http.ResponseWriter, r *http.Request) {
@@ -258,7 +260,7 @@
 	s.revision++
 	ttl := time.Duration(body.TTL) * time.Millisecond
 	s.leases[s.revision], s.ttls[s.revision] = time.Now().Add(ttl), ttl
-	answer(w, map[string]any{"lease": s.revision, "ttl-ms": body.TTL})
+	jsonreply.Write(w, map[string]any{"lease": s.revision, "ttl-ms": body.TTL})
 }
 
 func (s *Store) serveKeep(w http.ResponseWriter, argument string, isEnd bool) {
@@ -275,7 +277,7 @@
 		s.leases[lease] = time.Time{}
 		s.expire()
 	}
-	answer(w, map[string]any{"ttl-ms": float64(s.ttls[lease].Milliseconds())})
+	jsonreply.Write(w, map[string]any{"ttl-ms": float64(s.ttls[lease].Milliseconds())})
 }
 
 // commit applies a transaction whose conditions hold.
@@ -312,8 +314,3 @@
 		}
 	}
 }
-
-func answer(w http.ResponseWriter, body any) {
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(body) // the caller may have left
-}
--- a/hickorylab/platform/platform.go
+++ b/hickorylab/platform/platform.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/google/uuid"
+
+	"github.com/hickoryfront/hickoryfront/hickorylab/internal/jsonreply"
 )
 
 const (
@@ -229,7 +231,7 @@
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	writeJSON(w, found)
+	jsonreply.Write(w, found)
 }
 
 // await blocks until a key changes after index, for at most wait.
@@ -366,7 +368,7 @@
 		}
 		s := &session{id: uuid.NewString(), ttl: ttl, expires: time.Now().Add(ttl)}
 		p.sessions[s.id] = s
-		writeJSON(w, map[string]string{"ID": s.id})
+		jsonreply.Write(w, map[string]string{"ID": s.id})
 	case "renew":
 		s, ok := p.sessions[id]
 		if !ok {
@@ -374,7 +376,7 @@
 			return
 		}
 		s.expires = time.Now().Add(s.ttl)
-		writeJSON(w, []map[string]string{{"ID": s.id}})
+		jsonreply.Write(w, []map[string]string{{"ID": s.id}})
 	case "destroy":
 		p.endSession(id)
 		fmt.Fprint(w, "true")
@@ -419,7 +421,7 @@
 	if query.Get("filter") == noEntries {
 		seen.services = []Service{}
 	}
-	writeJSON(w, seen.services)
+	jsonreply.Write(w, seen.services)
 }
 
 // visible returns the list as readers see it, which is late by the set lag.
@@ -492,7 +494,7 @@
 		}
 		p.SetFaults(f)
 	case "/lab/counts":
-		writeJSON(w, p.Counts())
+		jsonreply.Write(w, p.Counts())
 	default:
 		http.NotFound(w, r)
 	}
@@ -521,8 +523,3 @@
 		return false
 	}
 }
-
-func writeJSON(w http.ResponseWriter, value any) {
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(value) // the client may be gone
-}
--- a/hickorylab/worker/worker.go
+++ b/hickorylab/worker/worker.go
@@ -14,6 +14,7 @@
 	"sync"
 	"time"
 
+	"github.com/hickoryfront/hickoryfront/hickorylab/internal/jsonreply"
 	"github.com/hickoryfront/hickoryfront/hickorylab/metastore"
 )
 
@@ -228,7 +229,7 @@
 	time.Sleep(readTime)
 	handle := r.Header.Get("Request-Id") + "-" + strconv.FormatInt(time.Now().UnixNano(), 36)
 	s.fleet.put(s.address + "/" + handle)
-	answer(w, http.StatusOK, map[string]any{"handle": handle, "tokens": promptTokens(r), "version": 1})
+	jsonreply.Write(w, map[string]any{"handle": handle, "tokens": promptTokens(r), "version": 1})
 }
 
 func (s *Server) serveDecode(w http.ResponseWriter, r *http.Request, body []byte) {
@@ -317,13 +318,13 @@
 	if body.Last {
 		s.fleet.put(body.To + "/" + handle)
 	}
-	answer(w, http.StatusOK, map[string]any{"handle": handle, "created": made.made})
+	jsonreply.Write(w, map[string]any{"handle": handle, "created": made.made})
 }
 
 func (s *Server) serveReport(w http.ResponseWriter) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	answer(w, http.StatusOK, map[string]any{
+	jsonreply.Write(w, map[string]any{
 		"stage": s.stage, "busy": false, "sequence": s.orders, "running": len(s.running), "kv-cache-used": s.used, "kv-cache-total": Memory,
 	})
 }
@@ -371,7 +372,7 @@
 	s.holds[hold] = body.Tokens
 	s.mu.Unlock()
 	time.AfterFunc(holdTime, func() { s.release(hold) })
-	answer(w, http.StatusOK, map[string]any{"hold": hold})
+	jsonreply.Write(w, map[string]any{"hold": hold})
 }
 
 func (s *Server) reserve(tokens int) bool {
@@ -430,9 +431,3 @@
 	w.Header().Set("Not-Run", "1")
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
-
-func answer(w http.ResponseWriter, status int, body any) {
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(body) // the caller may have left
-}
