--- /dev/null
+++ b/hickory/internal/command/requestexplain/explain.go
@@ -0,0 +1,123 @@
+// Package requestexplain prints the way of one request from the hosts' logs.
+package requestexplain
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"slices"
+	"strings"
+
+	"github.com/hickoryfront/hickoryfront/hickory/internal/factory"
+	"github.com/hickoryfront/hickoryfront/hickory/internal/requestlog"
+	"github.com/hickoryfront/hickoryfront/hickory/internal/tableprinter"
+)
+
+const (
+	timeFormat    = "15:04:05.000"
+	standardInput = "-"
+)
+
+// ErrNotFound means that no log names the request.
+var ErrNotFound = errors.New("request not found")
+
+// Options are the options of the command.
+type Options struct {
+	Streams   factory.Streams
+	RequestID string
+	Files     []string
+	JSON      bool
+}
+
+// New returns the command.
+func New(f *factory.Factory) *factory.Command {
+	o := &Options{Streams: f.Streams}
+	return &factory.Command{
+		Streams: f.Streams,
+		Use:     "explain",
+		Short:   "print what the hosts' logs say of one request, and the cause of its end",
+		Example: "  hickory request explain 7156336abf8b1cc6 /var/log/hickoryfront/*.log\n  cat all.log | hickory request explain 7156336abf8b1cc6\n",
+		Flags:   func(flags *flag.FlagSet) { flags.BoolVar(&o.JSON, "json", false, "print JSON") },
+		Run: func(_ context.Context, args []string) error {
+			if len(args) == 0 || args[0] == "" {
+				return factory.Usagef("give the request's id, then the hosts' log files, or the logs on standard input")
+			}
+			o.RequestID, o.Files = args[0], args[1:]
+			return Run(o)
+		},
+	}
+}
+
+// Run prints the request's way and its verdict.
+func Run(o *Options) error {
+	reader := requestlog.NewReader(o.RequestID)
+	if err := readAll(o, reader); err != nil {
+		return err
+	}
+	story := reader.Story()
+	if len(story.Lines) == 0 {
+		return fmt.Errorf("%w: %s", ErrNotFound, story.Verdict())
+	}
+	if o.JSON {
+		return tableprinter.JSON(o.Streams.Out, report{Story: story, Verdict: story.Verdict()})
+	}
+	return writeStory(o.Streams.Out, story)
+}
+
+// report is the command's JSON.
+type report struct {
+	requestlog.Story
+	Verdict string `json:"verdict"`
+}
+
+func readAll(o *Options, reader *requestlog.Reader) error {
+	files := o.Files
+	if len(files) == 0 {
+		files = []string{standardInput}
+	}
+	for _, name := range files {
+		if err := readFile(o.Streams.In, name, reader); err != nil {
+			return fmt.Errorf("log %s: %w", name, err)
+		}
+	}
+	return nil
+}
+
+func readFile(in io.Reader, name string, reader *requestlog.Reader) error {
+	if name == standardInput {
+		return reader.Read(in)
+	}
+	file, err := os.Open(name)
+	if err != nil {
+		return err
+	}
+	defer file.Close()
+	return reader.Read(file)
+}
+
+func writeStory(out io.Writer, story requestlog.Story) error {
+	rows := make([][]string, 0, len(story.Lines))
+	for _, l := range story.Lines {
+		rows = append(rows, []string{l.Time.UTC().Format(timeFormat), l.Text("host"), l.Message, details(l)})
+	}
+	if err := tableprinter.Table(out, []string{"time", "host", "message", "details"}, rows); err != nil {
+		return err
+	}
+	_, err := fmt.Fprintf(out, "\n%s\n", story.Verdict())
+	return err
+}
+
+// details returns a line's fields but those that have a column of their own.
+func details(l requestlog.Line) string {
+	var parts []string
+	for _, name := range slices.Sorted(maps.Keys(l.Fields)) {
+		if value := l.Text(name); value != "" && name != "host" && name != "request" {
+			parts = append(parts, name+"="+value)
+		}
+	}
+	return strings.Join(parts, " ")
+}
--- a/hickory/internal/command/root/root.go
+++ b/hickory/internal/command/root/root.go
@@ -18,6 +18,7 @@
 	"github.com/hickoryfront/hickoryfront/hickory/internal/command/entryset"
 	"github.com/hickoryfront/hickoryfront/hickory/internal/command/hostlist"
 	"github.com/hickoryfront/hickoryfront/hickory/internal/command/reportburn"
+	"github.com/hickoryfront/hickoryfront/hickory/internal/command/requestexplain"
 	"github.com/hickoryfront/hickoryfront/hickory/internal/command/servicebind"
 	"github.com/hickoryfront/hickoryfront/hickory/internal/command/servicelist"
 	"github.com/hickoryfront/hickoryfront/hickory/internal/command/serviceunbind"
@@ -53,6 +54,9 @@
 	commander.Register(&group{factory: f, noun: "report", short: "print reports over all hosts", commands: []subcommands.Command{
 		reportburn.New(f),
 	}}, "")
+	commander.Register(&group{factory: f, noun: "request", short: "explain what became of a request", commands: []subcommands.Command{
+		requestexplain.New(f),
+	}}, "")
 	if err := flags.Parse(args); err != nil {
 		return int(subcommands.ExitUsageError)
 	}
