--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -42,6 +42,14 @@
 		Excluded []string
 	}
 
+	// Load is what this host has in flight at a server, and how the server did.
+	Load struct {
+		Requests    int
+		Tokens      int
+		FailureRate float64
+		IsEjected   bool
+	}
+
 	load struct {
 		requests  int
 		tokens    int
@@ -80,6 +88,15 @@
 	t.health.Report(now, server, result)
 }
 
+// Load returns the load of a server at now.
+func (t *Table) Load(now time.Time, server string) Load {
+	held := Load{FailureRate: t.health.Rate(server), IsEjected: t.health.IsEjected(now, server)}
+	if l, ok := t.loads[server]; ok {
+		held.Requests, held.Tokens = l.requests, l.tokens
+	}
+	return held
+}
+
 // Full notes that a server had no room at now.
 func (t *Table) Full(now time.Time, server string) {
 	t.passOver(now.Add(fullPeriod), server)
--- a/core/budget/budget.go
+++ b/core/budget/budget.go
@@ -33,6 +33,14 @@
 		current int64
 	}
 
+	// Usage is what was sent in one window.
+	Usage struct {
+		Requests int
+		Repeats  int
+		// Allowed is the most repeats that may be sent.
+		Allowed float64
+	}
+
 	count struct {
 		requests int
 		repeats  int
@@ -62,14 +70,21 @@
 // Has reports whether a repeat may be sent at now, where hosts hosts share the
 // budget.
 func (b *Budget) Has(now time.Time, hosts int) bool {
+	usage := b.Usage(now, hosts)
+	return float64(usage.Repeats+1) <= usage.Allowed
+}
+
+// Usage returns what was sent in the window that ends at now, where hosts hosts
+// share the budget.
+func (b *Budget) Usage(now time.Time, hosts int) Usage {
 	b.at(now)
-	var requests, repeats int
+	var u Usage
 	for _, c := range b.counts {
-		requests += c.requests
-		repeats += c.repeats
+		u.Requests += c.requests
+		u.Repeats += c.repeats
 	}
-	allowed := (1 - reserve) * (b.terms.Ratio*float64(requests) + b.terms.Slack/float64(max(hosts, 1)))
-	return float64(repeats+1) <= allowed
+	u.Allowed = (1 - reserve) * (b.terms.Ratio*float64(u.Requests) + b.terms.Slack/float64(max(hosts, 1)))
+	return u
 }
 
 // Spend counts a repeat that was sent at now.
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -97,6 +97,11 @@
 	return nil
 }
 
+// Len returns the number of routes.
+func (t *Table) Len() int {
+	return len(t.configuration.Routes)
+}
+
 // Version returns the version of the configuration.
 func (t *Table) Version() uint64 {
 	return t.configuration.Version
--- /dev/null
+++ b/hickory/internal/command/edgeservers/servers.go
@@ -0,0 +1,95 @@
+// Package edgeservers lists the backend servers as one host on the users'
+// platform sees them.
+package edgeservers
+
+import (
+	"cmp"
+	"context"
+	"flag"
+	"fmt"
+	"strconv"
+
+	"github.com/hickoryfront/hickoryfront/core/hoststate"
+	"github.com/hickoryfront/hickoryfront/hickory/internal/edgeapi"
+	"github.com/hickoryfront/hickoryfront/hickory/internal/factory"
+	"github.com/hickoryfront/hickoryfront/hickory/internal/tableprinter"
+)
+
+type (
+	// Asker asks a host for its state.
+	Asker interface {
+		State(ctx context.Context, address string) (hoststate.State, error)
+	}
+
+	// Options are the options of the command.
+	Options struct {
+		Streams factory.Streams
+		Address string
+		Service string
+		JSON    bool
+	}
+)
+
+// New returns the command.
+func New(f *factory.Factory) *factory.Command {
+	o := &Options{Streams: f.Streams}
+	return &factory.Command{
+		Streams: f.Streams,
+		Use:     "servers",
+		Short:   "list the backend servers as one host sees them: stage, requests, memory, failures",
+		Example: "  hickory edge servers 10.0.0.1:9464\n  hickory edge servers 10.0.0.1:9464 --service model --json\n",
+		Flags: func(flags *flag.FlagSet) {
+			flags.StringVar(&o.Service, "service", "", "list the servers of one service only")
+			flags.BoolVar(&o.JSON, "json", false, "print JSON")
+		},
+		Run: func(ctx context.Context, args []string) error {
+			addresses, err := f.Addresses(args)
+			if err != nil {
+				return err
+			}
+			if len(addresses) != 1 {
+				return factory.Usagef("give one host's operator address; each host has its own view")
+			}
+			o.Address = addresses[0]
+			return Run(ctx, o, edgeapi.New())
+		},
+	}
+}
+
+// Run prints the servers.
+func Run(ctx context.Context, o *Options, asker Asker) error {
+	state, err := asker.State(ctx, o.Address)
+	if err != nil {
+		return err
+	}
+	servers := []hoststate.Server{}
+	for _, s := range state.Servers {
+		if o.Service == "" || s.Service == o.Service {
+			servers = append(servers, s)
+		}
+	}
+	if o.JSON {
+		return tableprinter.JSON(o.Streams.Out, servers)
+	}
+	rows := make([][]string, 0, len(servers))
+	for _, s := range servers {
+		rows = append(rows, []string{
+			s.ID, s.Service, cmp.Or(s.Stage, "-"), s.FailureDomain, s.Address.String(), work(s),
+			strconv.Itoa(s.Requests), strconv.Itoa(s.Tokens), fmt.Sprintf("%.0f %%", 100*s.FailureRate),
+		})
+	}
+	headings := []string{"server", "service", "stage", "domain", "address", "work", "requests", "tokens", "failures"}
+	return tableprinter.Table(o.Streams.Out, headings, rows)
+}
+
+// work says whether a server gets work.
+func work(s hoststate.Server) string {
+	switch {
+	case s.IsDraining:
+		return "draining"
+	case s.IsEjected:
+		return "ejected"
+	default:
+		return "yes"
+	}
+}
--- /dev/null
+++ b/hickory/internal/command/edgestatus/status.go
@@ -0,0 +1,131 @@
+// Package edgestatus lists hosts on the users' platform with their state.
+package edgestatus
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/hickoryfront/hickoryfront/core/hoststate"
+	"github.com/hickoryfront/hickoryfront/hickory/internal/edgeapi"
+	"github.com/hickoryfront/hickoryfront/hickory/internal/factory"
+	"github.com/hickoryfront/hickoryfront/hickory/internal/tableprinter"
+)
+
+const noValue = "-"
+
+type (
+	// Asker asks hosts for their state.
+	Asker interface {
+		States(ctx context.Context, addresses []string) []edgeapi.Answer
+	}
+
+	// Options are the options of the command.
+	Options struct {
+		Streams   factory.Streams
+		Addresses []string
+		JSON      bool
+	}
+)
+
+// New returns the command.
+func New(f *factory.Factory) *factory.Command {
+	o := &Options{Streams: f.Streams}
+	return &factory.Command{
+		Streams: f.Streams,
+		Use:     "status",
+		Short:   "list hosts with readiness, configuration, store and retry budgets",
+		Example: "  hickory edge status 10.0.0.1:9464 10.0.0.2:9464\n  HICKORY_ADDRESS=10.0.0.1:9464 hickory edge status --json\n",
+		Flags:   func(flags *flag.FlagSet) { flags.BoolVar(&o.JSON, "json", false, "print JSON") },
+		Run: func(ctx context.Context, args []string) error {
+			var err error
+			if o.Addresses, err = f.Addresses(args); err != nil {
+				return err
+			}
+			return Run(ctx, o, edgeapi.New())
+		},
+	}
+}
+
+// Run prints the hosts. Hosts that don't answer are an error, after the others.
+func Run(ctx context.Context, o *Options, asker Asker) error {
+	var states []hoststate.State
+	var failed []error
+	for _, a := range asker.States(ctx, o.Addresses) {
+		if a.Err != nil {
+			failed = append(failed, a.Err)
+			continue
+		}
+		states = append(states, a.State)
+	}
+	var err error
+	if o.JSON {
+		err = tableprinter.JSON(o.Streams.Out, states)
+	} else {
+		err = writeTable(o, states)
+	}
+	return errors.Join(append(failed, err)...)
+}
+
+func writeTable(o *Options, states []hoststate.State) error {
+	newest := uint64(0)
+	for _, s := range states {
+		newest = max(newest, s.Configuration.Version)
+	}
+	rows := make([][]string, 0, len(states))
+	for _, s := range states {
+		rows = append(rows, []string{
+			s.Host, s.FailureDomain, readiness(s), configuration(s, newest), store(s), strconv.FormatInt(s.InFlight, 10),
+			strconv.Itoa(len(s.Servers)), strconv.Itoa(len(s.Hosts)), budgets(s),
+		})
+	}
+	headings := []string{"host", "domain", "state", "configuration", "store", "in flight", "servers", "hosts", "repeats in 10 s"}
+	return tableprinter.Table(o.Streams.Out, headings, rows)
+}
+
+func readiness(s hoststate.State) string {
+	switch {
+	case s.IsLeaving:
+		return "leaving"
+	case s.IsReady:
+		return "ready"
+	default:
+		return "not ready"
+	}
+}
+
+func configuration(s hoststate.State, newest uint64) string {
+	switch version := s.Configuration.Version; {
+	case version == 0:
+		return "none"
+	case version < newest:
+		return fmt.Sprintf("%d (newest %d)", version, newest)
+	default:
+		return strconv.FormatUint(version, 10)
+	}
+}
+
+func store(s hoststate.State) string {
+	if !s.Store.IsLost {
+		return "answers"
+	}
+	if s.Store.LastAnswer.IsZero() {
+		return "lost, never answered"
+	}
+	return "lost, answered " + s.At.Sub(s.Store.LastAnswer).Round(100*time.Millisecond).String() + " ago"
+}
+
+func budgets(s hoststate.State) string {
+	parts := make([]string, 0, len(s.Budgets))
+	for _, b := range s.Budgets {
+		parts = append(parts, fmt.Sprintf("%s %d of %.0f", b.Service, b.Repeats, b.Allowed))
+	}
+	if len(parts) == 0 {
+		return noValue
+	}
+	return strings.Join(parts, ", ")
+}
--- a/hickory/internal/command/root/root.go
+++ b/hickory/internal/command/root/root.go
@@ -9,6 +9,8 @@
 
 	"github.com/hickoryfront/hickoryfront/hickory/internal/command/apply"
 	"github.com/hickoryfront/hickoryfront/hickory/internal/command/drain"
+	"github.com/hickoryfront/hickoryfront/hickory/internal/command/edgeservers"
+	"github.com/hickoryfront/hickoryfront/hickory/internal/command/edgestatus"
 	"github.com/hickoryfront/hickoryfront/hickory/internal/command/entrycheck"
 	"github.com/hickoryfront/hickoryfront/hickory/internal/command/entrydelete"
 	"github.com/hickoryfront/hickoryfront/hickory/internal/command/entrydiff"
@@ -54,6 +56,9 @@
 	commander.Register(&group{factory: f, noun: "report", short: "print reports over all hosts", commands: []subcommands.Command{
 		reportburn.New(f),
 	}}, "")
+	commander.Register(&group{factory: f, noun: "edge", short: "show hosts on the users' platform and what they believe", commands: []subcommands.Command{
+		edgestatus.New(f), edgeservers.New(f),
+	}}, "")
 	commander.Register(&group{factory: f, noun: "request", short: "explain what became of a request", commands: []subcommands.Command{
 		requestexplain.New(f),
 	}}, "")
--- a/hickory/internal/command/root/root_test.go
+++ b/hickory/internal/command/root/root_test.go
@@ -7,14 +7,17 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 
+	"github.com/hickoryfront/hickoryfront/core/hoststate"
 	"github.com/hickoryfront/hickoryfront/hickory/internal/adminapi"
 	"github.com/hickoryfront/hickoryfront/hickory/internal/command/root"
 	"github.com/hickoryfront/hickoryfront/hickory/internal/factory"
@@ -25,6 +28,18 @@
 	requestLog  = `{"fields":{"host":"host-1","outcome":"failed","reason":"503: no decode server has room","request":"r1","status":503,"took":"700ms"},"level":"info","timestamp":"2026-05-07T05:31:51Z","message":"request ended"}` + "\n"
 )
 
+// lostStore is a host that the store turns away.
+var lostStore = hoststate.State{
+	Host: "host-7", FailureDomain: "z1", At: time.Unix(1000, 0), IsReady: true, InFlight: 2,
+	Configuration: hoststate.Configuration{Version: 4, Routes: 9},
+	Store:         hoststate.Store{IsLost: true, LastAnswer: time.Unix(1000, 0).Add(-1500 * time.Millisecond)},
+	Servers: []hoststate.Server{
+		{ID: "s1", Service: "model", Stage: "decode", FailureDomain: "z1", Address: netip.MustParseAddrPort("10.0.0.9:80"), Requests: 1, Tokens: 4000, FailureRate: 0.6, IsEjected: true},
+		{ID: "s2", Service: "shop", FailureDomain: "z2", Address: netip.MustParseAddrPort("10.0.0.8:80")},
+	},
+	Budgets: []hoststate.Budget{{Service: "model", Requests: 40, Repeats: 1, Allowed: 8}},
+}
+
 // daemon answers the administration API from memory.
 type daemon struct {
 	entries  []adminapi.Entry
@@ -33,6 +48,7 @@
 	fail     int    // changes to answer as unconfirmed after their effect
 	changes  []adminapi.ChangeRequest
 	revision uint64
+	state    hoststate.State
 }
 
 func (d *daemon) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -50,6 +66,8 @@
 		reply(w, http.StatusOK, slices.DeleteFunc(slices.Clone(d.entries), func(e adminapi.Entry) bool { return kind != "" && e.Kind != kind }))
 	case strings.HasPrefix(path, "entries/"):
 		d.entry(w, strings.TrimPrefix(path, "entries/"))
+	case r.URL.Path == hoststate.Path:
+		reply(w, http.StatusOK, d.state)
 	case path == "status":
 		second := d.revision
 		if d.lagging > 0 {
@@ -176,6 +194,12 @@
 		{name: "undrain of a host that does not drain", args: "undrain host-2", code: 1, errs: "not found"},
 		{name: "host list", args: "host list", out: "host-2"},
 		{name: "status", args: "status", out: "cart"},
+		{name: "edge status", daemon: daemon{state: lostStore}, args: "edge status", out: "host-7  z1      ready  4              lost, answered 1.5s ago  2          2        0      model 1 of 8"},
+		{name: "edge status as JSON", daemon: daemon{state: lostStore}, args: "edge status --json", out: `"isLost": true`},
+		{name: "edge status of a host that is away", args: "edge status 127.0.0.1:1", code: 1, errs: "host did not answer"},
+		{name: "edge servers", daemon: daemon{state: lostStore}, args: "edge servers", out: "s1      model    decode  z1      10.0.0.9:80  ejected  1         4000    60 %"},
+		{name: "edge servers of a service", daemon: daemon{state: lostStore}, args: "edge servers --service shop --json", out: `"id": "s2"`},
+		{name: "edge servers of two hosts", args: "edge servers 10.0.0.1:1 10.0.0.2:1", code: 2, errs: "each host has its own view"},
 		{name: "request explain", input: requestLog, args: "request explain r1", out: "failed with status 503 after 700ms: 503: no decode server has room"},
 		{name: "request explain as JSON", input: requestLog, args: "request explain r1 - --json", out: `"verdict": "failed`},
 		{name: "request explain of an unknown id", input: requestLog, args: "request explain r2", code: 1, errs: "request not found"},
--- a/hickory/internal/factory/factory.go
+++ b/hickory/internal/factory/factory.go
@@ -78,6 +78,18 @@
 	return adminapi.New(address, f.Getenv(EnvToken), f.Getenv(EnvCA))
 }
 
+// Addresses returns the operator addresses that the arguments name, or the one of
+// the environment.
+func (f *Factory) Addresses(args []string) ([]string, error) {
+	if len(args) > 0 {
+		return args, nil
+	}
+	if address := f.Getenv(EnvAddress); address != "" {
+		return []string{address}, nil
+	}
+	return nil, Usagef("name hosts by their operator addresses, such as 10.0.0.1:9464, or set %s", EnvAddress)
+}
+
 // NoArgs returns the run function of a command without arguments.
 func (f *Factory) NoArgs(run func(ctx context.Context, client *adminapi.Client) error) func(context.Context, []string) error {
 	return func(ctx context.Context, args []string) error {
--- a/hickoryd/internal/edge/daemon.go
+++ b/hickoryd/internal/edge/daemon.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -17,7 +18,9 @@
 	"github.com/apex/log"
 	"google.golang.org/grpc"
 
+	"github.com/hickoryfront/hickoryfront/core/hoststate"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/edgecaller"
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/edgedispatch"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/edgehost"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/edgeorder"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/registry"
@@ -55,6 +58,7 @@
 	pool     *upstream.Pool
 	hosts    *edgehost.Client
 	handler  *edgecaller.Handler
+	dispatch *edgedispatch.Dispatcher
 	keeper   *edgeorder.Keeper
 	logger   log.Interface
 	set      *metrics.Set
@@ -68,14 +72,14 @@
 }
 
 // New returns a daemon that is not started.
-func New(s Settings, l *life, r *registry.Registry, pool *upstream.Pool, hosts *edgehost.Client, handler *edgecaller.Handler, hostServer *edgehost.Server, keeper *edgeorder.Keeper, logger log.Interface, set *metrics.Set) *Daemon {
-	d := &Daemon{settings: s, life: l, registry: r, pool: pool, hosts: hosts, handler: handler, keeper: keeper, logger: logger, set: set}
+func New(s Settings, l *life, r *registry.Registry, pool *upstream.Pool, hosts *edgehost.Client, handler *edgecaller.Handler, dispatch *edgedispatch.Dispatcher, hostServer *edgehost.Server, keeper *edgeorder.Keeper, logger log.Interface, set *metrics.Set) *Daemon {
+	d := &Daemon{settings: s, life: l, registry: r, pool: pool, hosts: hosts, handler: handler, dispatch: dispatch, keeper: keeper, logger: logger, set: set}
 	quiet := stdlog.New(io.Discard, "", 0) // callers' broken connections are not worth a line
 	d.caller = &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes, ErrorLog: quiet,
 	}
 	d.ready = &http.Server{Handler: d.readiness(), ReadHeaderTimeout: headerTimeout, ErrorLog: quiet}
-	d.operator = &http.Server{Handler: d.metrics(), ReadHeaderTimeout: headerTimeout, ErrorLog: quiet}
+	d.operator = &http.Server{Handler: d.operators(), ReadHeaderTimeout: headerTimeout, ErrorLog: quiet}
 	d.peers = grpc.NewServer(grpc.ReadBufferSize(peerBuffer), grpc.WriteBufferSize(peerBuffer))
 	peerapi.RegisterEdgeServer(d.peers, hostServer)
 	return d
@@ -159,9 +163,10 @@
 	}
 }
 
-func (d *Daemon) metrics() http.Handler {
+func (d *Daemon) operators() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", d.serveMetrics)
+	mux.HandleFunc("GET "+hoststate.Path, d.serveState)
 	return mux
 }
 
@@ -169,3 +174,18 @@
 	d.set.WritePrometheus(w)
 	metrics.WriteProcessMetrics(w)
 }
+
+func (d *Daemon) serveState(w http.ResponseWriter, _ *http.Request) {
+	now := time.Now()
+	isLeaving := d.isLeaving.Load()
+	state := hoststate.State{
+		Host: d.settings.Name, FailureDomain: d.settings.FailureDomain, At: now,
+		IsReady: !isLeaving && d.registry.IsReady(), IsLeaving: isLeaving, InFlight: d.handler.InFlight(),
+	}
+	d.registry.Describe(&state)
+	d.dispatch.Describe(now, &state)
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(state); err != nil {
+		d.logger.WithError(err).Debug("operator left before the state was sent")
+	}
+}
--- /dev/null
+++ b/hickoryd/internal/edgedispatch/describe.go
@@ -0,0 +1,38 @@
+package edgedispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/hickoryfront/hickoryfront/core/fleet"
+	"github.com/hickoryfront/hickoryfront/core/hoststate"
+)
+
+// Describe fills in what this host believes of the backend servers, and what is
+// left of its retry budgets, at now.
+func (d *Dispatcher) Describe(now time.Time, s *hoststate.State) {
+	servers, hosts := d.servers(), d.fleet.Hosts()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, server := range servers {
+		s.Servers = append(s.Servers, d.describeServer(now, server))
+	}
+	for service, held := range d.budgets {
+		usage := held.Usage(now, hosts)
+		s.Budgets = append(s.Budgets, hoststate.Budget{Service: service, Requests: usage.Requests, Repeats: usage.Repeats, Allowed: usage.Allowed})
+	}
+	slices.SortFunc(s.Servers, func(a, b hoststate.Server) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.ID, b.ID))
+	})
+	slices.SortFunc(s.Budgets, func(a, b hoststate.Budget) int { return cmp.Compare(a.Service, b.Service) })
+}
+
+// describeServer needs the lock.
+func (d *Dispatcher) describeServer(now time.Time, s fleet.Server) hoststate.Server {
+	load := d.table.Load(now, s.ID)
+	return hoststate.Server{
+		ID: s.ID, Service: s.Service, Stage: string(s.Stage), Address: s.Address, FailureDomain: s.FailureDomain, IsDraining: s.IsDraining,
+		Requests: load.Requests, Tokens: load.Tokens, FailureRate: load.FailureRate, IsEjected: load.IsEjected,
+	}
+}
--- a/hickoryd/internal/registry/registry.go
+++ b/hickoryd/internal/registry/registry.go
@@ -7,6 +7,7 @@
 	"bytes"
 	"context"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -15,6 +16,7 @@
 	"github.com/apex/log"
 
 	"github.com/hickoryfront/hickoryfront/core/fleet"
+	"github.com/hickoryfront/hickoryfront/core/hoststate"
 	"github.com/hickoryfront/hickoryfront/core/route"
 	"github.com/hickoryfront/hickoryfront/platform"
 )
@@ -116,6 +118,17 @@
 	return max(len(r.hosts), 1)
 }
 
+// Describe fills in what this host knows of the store.
+func (r *Registry) Describe(s *hoststate.State) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s.Store = hoststate.Store{IsLost: r.isLost, LastAnswer: r.answered}
+	s.Hosts = slices.Clone(r.hosts)
+	if table := r.table.Load(); table != nil {
+		s.Configuration = hoststate.Configuration{Version: table.Version(), Routes: table.Len()}
+	}
+}
+
 // IsReady reports whether requests can be served.
 func (r *Registry) IsReady() bool {
 	return r.table.Load() != nil && len(r.snapshot.Load().Servers) > 0
