Log why and at which server an attempt at a stream ended

Cause: a canceled attempt was logged as "context canceled" or "use of closed network connection", without its server, so a silent server could not be told from one that broke off, nor from a caller that left. No logic changes.

--- a/hickoryd/internal/edgedispatch/decode.go
+++ b/hickoryd/internal/edgedispatch/decode.go
@@ -48,7 +48,7 @@
 		g.countRun()
 		g.recordBroken(ctx, held.server)
 		g.releaseHandle(source)
-		return err
+		return withCause(ctx, err)
 	}
 	defer response.Close()
 	if response.Metadata.IsNotRun {
@@ -160,10 +160,16 @@
 	if events.IsComplete(err) {
 		return nil
 	}
-	if ctx.Err() != nil {
-		return fmt.Errorf("%w: stream ended after event %d: %w", upstream.ErrMayHaveRun, g.relay.LastID(), ctx.Err())
+	return withCause(ctx, fmt.Errorf("%w: stream ended after event %d: %w", upstream.ErrMayHaveRun, g.relay.LastID(), err))
+}
+
+// withCause adds to the error of an attempt the reason why this host has canceled the
+// attempt, if it has.
+func withCause(ctx context.Context, err error) error {
+	if cause := context.Cause(ctx); cause != nil {
+		return fmt.Errorf("%w: %w", cause, err)
 	}
-	return fmt.Errorf("%w: stream ended after event %d: %w", upstream.ErrMayHaveRun, g.relay.LastID(), err)
+	return err
 }
 
 // recordBroken records that a server broke off a request. It does nothing if the
@@ -174,7 +180,10 @@
 		return
 	}
 	g.recordResult(server.ID, health.Broken)
-	if !isSilent {
-		g.checkReachable(g.request, server)
+	if isSilent {
+		g.silences++
+		g.counters.silences.Inc()
+		return
 	}
+	g.checkReachable(g.request, server)
 }
--- a/hickoryd/internal/edgedispatch/dispatch.go
+++ b/hickoryd/internal/edgedispatch/dispatch.go
@@ -137,7 +137,7 @@
 	}
 
 	counters struct {
-		retries, retriesDenied, decodePrefills, unusedHandles, migrations *metrics.Counter
+		retries, retriesDenied, decodePrefills, unusedHandles, migrations, silences, truncated *metrics.Counter
 	}
 )
 
@@ -152,6 +152,8 @@
 			decodePrefills: set.NewCounter(`hickoryfront_edge_prompts_read_at_decode_total`),
 			migrations:     set.NewCounter(`hickoryfront_edge_runs_moved_total`),
 			unusedHandles:  set.NewCounter(`hickoryfront_edge_handles_unused_total`),
+			silences:       set.NewCounter(`hickoryfront_edge_silent_streams_total`),
+			truncated:      set.NewCounter(`hickoryfront_edge_truncated_streams_total`),
 		},
 	}
 }
--- a/hickoryd/internal/edgedispatch/generation.go
+++ b/hickoryd/internal/edgedispatch/generation.go
@@ -34,6 +34,9 @@
 		tried []string
 		// runs is the number of decode servers that may have run the request.
 		runs int
+		// silences is the number of attempts that were given up because the server sent
+		// no event.
+		silences int
 		// prefills is the number of prompts sent to prefill servers.
 		prefills int
 		// unusedHandle is a KV cache that the decode server did not fetch.
@@ -82,7 +85,7 @@
 		if errors.Is(err, ErrTruncated) || ctx.Err() != nil || !g.mayRetry(err) {
 			break
 		}
-		g.logger.WithFields(r.logFields()).WithFields(log.Fields{"error": err.Error(), "runs": g.runs, "events": g.relay.LastID()}).Info("stream retried on another server")
+		g.logger.WithFields(r.logFields()).WithFields(log.Fields{"server": g.lastServer(), "error": err.Error(), "runs": g.runs, "events": g.relay.LastID()}).Info("stream retried on another server")
 	}
 	return g.failure(ctx, last)
 }
@@ -99,6 +102,7 @@
 // failure returns the error of a request whose last attempt failed with last.
 func (g *generation) failure(ctx context.Context, last error) error {
 	if g.isStarted {
+		g.counters.truncated.Inc()
 		return fmt.Errorf("%w: %v", ErrTruncated, last) // %v: a truncated response must not match a *Failure
 	}
 	retryAfter := fullRetryAfter
@@ -108,6 +112,15 @@
 	return finalFailure(ctx, g.runs, last, retryAfter)
 }
 
+// lastServer returns the ID of the decode server that the request was sent to last, or ""
+// if it was sent to none.
+func (g *generation) lastServer() string {
+	if len(g.tried) == 0 {
+		return ""
+	}
+	return g.tried[len(g.tried)-1]
+}
+
 // attempt makes one attempt at a decode server: it reserves memory, has the prompt
 // prefilled and runs the request. If a run was migrated, attempt resumes that instead.
 func (g *generation) attempt(ctx context.Context) error {
