--- a/hickoryd/internal/edgedispatch/silence_test.go
+++ b/hickoryd/internal/edgedispatch/silence_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/hickoryfront/hickoryfront/core/retrybudget"
 	"github.com/hickoryfront/hickoryfront/core/route"
+	"github.com/hickoryfront/hickoryfront/core/serverlist"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/edgedispatch"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/upstream"
 )
@@ -86,3 +87,63 @@
 		})
 	}
 }
+
+// TestSilentServerFinishesItsStream guards against a stream that is truncated because its
+// server paused for longer than the silence timeout while no other server could take over.
+func TestSilentServerFinishesItsStream(t *testing.T) {
+	const pause = 1700 * time.Millisecond
+	tests := []struct {
+		name   string
+		first  http.HandlerFunc
+		second http.HandlerFunc // nil: the server has no free capacity
+		// prefill is how long a prefill takes; 0: there is no prefill server.
+		prefill time.Duration
+		// hasNoRetry is set if the retry budget is used up.
+		hasNoRetry bool
+		want       string
+		seconds    int64 // runs at the second server
+	}{
+		{name: "no other server has capacity", first: eventsAroundSilence([]string{"1"}, pause, "2", "3"), want: "123"},
+		{name: "no other server has capacity before the first event", first: eventsAroundSilence(nil, pause, "1", "2"), want: "12"},
+		{name: "the retry budget is used up", first: eventsAroundSilence([]string{"1"}, pause, "2"), second: events("2"), hasNoRetry: true, want: "12"},
+		{name: "the server goes on while the other server gets the prompt", first: eventsAroundSilence([]string{"1"}, pause, "2", "3"), second: events("2", "3"), prefill: time.Second, want: "123"},
+		{name: "another server takes over from one that stays silent", first: eventsAroundSilence([]string{"1"}, endlessSilence), second: events("2", "3"), prefill: 20 * time.Millisecond, want: "123", seconds: 1},
+		{name: "another server takes over before the first event", first: eventsAroundSilence(nil, endlessSilence), second: events("1", "2"), want: "12", seconds: 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			var firstHasCapacity, secondHasCapacity atomic.Bool
+			firstHasCapacity.Store(true)
+			secondHasCapacity.Store(tt.second != nil)
+			first := startDecodeServer(t, "first", &firstHasCapacity, func(w http.ResponseWriter, r *http.Request) {
+				firstHasCapacity.Store(false)
+				tt.first(w, r)
+			})
+			var seconds atomic.Int64
+			second := startDecodeServer(t, "second", &secondHasCapacity, func(w http.ResponseWriter, r *http.Request) {
+				seconds.Add(1)
+				tt.second(w, r)
+			})
+			second.FailureDomain = "elsewhere" // the first server is preferred
+			list := servers{first, second}
+			if tt.prefill > 0 {
+				list = append(list, startServer(t, "prefill", serverlist.Prefill, func(w http.ResponseWriter, r *http.Request) {
+					if r.Method != http.MethodDelete {
+						time.Sleep(tt.prefill)
+						_, _ = io.WriteString(w, `{"handle":"h","tokens":100,"version":1}`)
+					}
+				}))
+			}
+			retries := 100.0
+			if tt.hasNoRetry {
+				retries = 0
+			}
+			status, body := serve(t, list, resumable, retries)
+			got := strings.ReplaceAll(strings.ReplaceAll(body, "id: ", ""), "\n", "")
+			if status != http.StatusOK || got != tt.want || seconds.Load() != tt.seconds {
+				t.Errorf("status %d, want 200; events %s, want %s; %d runs at the second server, want %d", status, got, tt.want, seconds.Load(), tt.seconds)
+			}
+		})
+	}
+}
