Give up a silent stream only once another server can take over

Cause: the silence watchdog canceled the attempt after 1.2 s, and only then did the host look for memory at another server, a prefill and a retry. Where one of these was missing, a stream that had begun was truncated although its server was sound and would have gone on. The class: a run is given up before its replacement is secured. Change: silence starts the preparation of another server beside the attempt; the attempt is canceled once memory, KV cache and retry are there, and any event before that ends the preparation. A call that the host itself cancels no longer counts against the server's health. The budget is checked before memory is reserved and a prompt is read, not only after. Why it works: between the cancellation and the next send nothing is left that can be refused for want of capacity or budget.

--- a/hickoryd/internal/edgedispatch/decode.go
+++ b/hickoryd/internal/edgedispatch/decode.go
@@ -14,29 +14,37 @@
 	"github.com/hickoryfront/hickoryfront/platform"
 )
 
-const (
-	// silenceTimeout is the time without an event after which a resumable stream is
-	// resumed on another server.
-	silenceTimeout = 1200 * time.Millisecond
-)
-
-// errSilent means that a stream sent no event for silenceTimeout.
-var errSilent = fmt.Errorf("no stream event for %v", silenceTimeout)
-
 // decode runs the request at a decode server, on the memory reserved there, and
 // relays the events of the run. The server fetches the KV cache that source names.
+//
+// If the server stays silent and another one is ready to resume the stream, decode ends
+// and the next attempt is the one at the other server.
 func (g *generation) decode(ctx context.Context, held reservation, source kvHandle) error {
 	g.tried = append(g.tried, held.server.ID)
+	attemptCtx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	watch := g.watchSilence(ctx, cancel)
+	err := g.runAttempt(attemptCtx, watch, held, source)
+	successor := watch.stop()
+	if successor == nil {
+		return err
+	}
+	var failure *Failure
+	migrated := (*migratedRun)(nil)
+	if err == nil || errors.Is(err, ErrTruncated) || errors.As(err, &failure) || errors.As(err, &migrated) {
+		g.discard(successor.placement)
+		return err
+	}
+	g.successor = successor
+	return err
+}
+
+// runAttempt makes the attempt of decode.
+func (g *generation) runAttempt(ctx context.Context, watch *silenceWatch, held reservation, source kvHandle) error {
 	attempt := platform.Attempt{Reservation: held.id, LastEventID: g.relay.LastID(), IsResumed: g.relay.IsResumed()}
 	if source.id != "" {
 		attempt.KVSource = platform.KVSource(source.server.Address, source.id)
 	}
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	watchdog := g.startWatchdog(cancel)
-	if watchdog != nil {
-		defer watchdog.Stop()
-	}
 	g.isSent = true
 	response, err := g.send(ctx, held.server, g.request, attempt)
 	if errors.Is(err, upstream.ErrNotSent) {
@@ -71,7 +79,7 @@
 		g.recordResult(held.server.ID, health.Broken)
 		return fmt.Errorf("%w: status %d", errInvalid, response.StatusCode)
 	}
-	err = g.forward(ctx, response, watchdog, held.server)
+	err = g.forward(ctx, response, watch, held.server)
 	if migrated := (*migratedRun)(nil); errors.As(err, &migrated) {
 		return err
 	}
@@ -107,18 +115,8 @@
 	return buffered.send(g.sink)
 }
 
-// startWatchdog returns a timer that cancels the attempt when a resumable stream sends no
-// event for silenceTimeout. It returns nil if the stream can't be resumed on another
-// server.
-func (g *generation) startWatchdog(cancel context.CancelCauseFunc) *time.Timer {
-	if !g.request.Route.IsResumable || g.runs+1 >= g.request.Route.MaxServers {
-		return nil
-	}
-	return time.AfterFunc(silenceTimeout, func() { cancel(errSilent) })
-}
-
 // forward relays events to the caller until the stream ends or its run is migrated.
-func (g *generation) forward(ctx context.Context, response *upstream.Response, watchdog *time.Timer, server serverlist.Server) error {
+func (g *generation) forward(ctx context.Context, response *upstream.Response, watch *silenceWatch, server serverlist.Server) error {
 	if !g.isStarted {
 		g.isStarted = true
 		if err := g.sink.Start(response.StatusCode, platform.ResponseHeader(response.Header)); err != nil {
@@ -137,10 +135,8 @@
 			return g.streamError(ctx, events, err)
 		}
 		migration.check(ctx)
-		if watchdog != nil {
-			watchdog.Reset(silenceTimeout)
-		}
 		isNew, err := g.relay.Accept(event)
+		watch.observe(g.relay)
 		if err != nil {
 			return fmt.Errorf("%w: %w", upstream.ErrMayHaveRun, err)
 		}
--- a/hickoryd/internal/edgedispatch/generation.go
+++ b/hickoryd/internal/edgedispatch/generation.go
@@ -21,7 +21,17 @@
 	maxStreamAttempts = 5
 )
 
+// errNoRetry refuses a request that was sent to a decode server and needs another one.
+var errNoRetry = &Failure{Status: http.StatusServiceUnavailable, RetryAfter: fullRetryAfter, Reason: "retry budget is used up"}
+
 type (
+	// placement is all that an attempt at a decode server needs: the memory reserved
+	// there and the KV cache that the server fetches.
+	placement struct {
+		held   reservation
+		source kvHandle
+	}
+
 	// generation is one request to model servers, with the state of its attempts.
 	generation struct {
 		*Dispatcher
@@ -49,6 +59,8 @@
 		// send counts as a retry.
 		isSent bool
 		timing streamTiming
+		// successor is what the next attempt uses, or nil.
+		successor *successor
 		// migrated is where the next attempt resumes a migrated run, or nil.
 		migrated *migratedRun
 		// isMigrated is set when a migrated run is resumed, and cleared by the next call
@@ -62,7 +74,7 @@
 func (d *Dispatcher) serveGeneration(ctx context.Context, r *Request, sink Sink) error {
 	g := &generation{Dispatcher: d, request: r, sink: sink, firstAttempt: d.firstAttemptAt(r), relay: eventstream.NewRelay(r.Metadata.LastEventID, r.Metadata.IsResumed)}
 	defer g.logStream()
-	defer func() { g.releaseHandle(g.unusedHandle) }()
+	defer g.releaseUnused()
 	var last error
 	for range maxStreamAttempts {
 		err := g.attempt(ctx)
@@ -90,6 +102,14 @@
 	return g.failure(ctx, last)
 }
 
+// releaseUnused releases what no attempt has used.
+func (g *generation) releaseUnused() {
+	g.releaseHandle(g.unusedHandle)
+	if g.successor != nil {
+		g.discard(g.successor.placement)
+	}
+}
+
 // mayRetry reports whether the request may be sent to another server after an
 // attempt that failed with err.
 func (g *generation) mayRetry(err error) bool {
@@ -128,23 +148,55 @@
 		g.migrated = nil
 		return g.resumeRun(ctx, migrated)
 	}
-	held, err := g.reserve(ctx)
+	placed, err := g.nextPlacement(ctx)
 	if err != nil {
 		return err
 	}
+	defer g.endRequest(placed.held.server.ID, placed.held.tokens)
+	return g.decode(ctx, placed.held, placed.source)
+}
+
+// nextPlacement returns the placement of the successor, or a new one if there is none.
+func (g *generation) nextPlacement(ctx context.Context) (placement, error) {
+	next := g.successor
+	if next == nil {
+		return g.place(ctx)
+	}
+	g.successor = nil
+	g.prefills, g.isPrefilled = next.state.prefills, next.state.isPrefilled
+	g.timing.reservedAt, g.timing.prefilledAt = next.state.timing.reservedAt, next.state.timing.prefilledAt
+	return next.placement, nil
+}
+
+// place secures all that an attempt needs: memory at a decode server, the KV cache of the
+// prompt and, if the request was sent before, a retry. The request counts as load of the
+// server from then on.
+func (g *generation) place(ctx context.Context) (placement, error) {
+	if g.isSent && !g.hasRetry(g.request) {
+		return placement{}, errNoRetry
+	}
+	held, err := g.reserve(ctx)
+	if err != nil {
+		return placement{}, err
+	}
 	g.timing.reservedAt = time.Now()
 	g.beginRequest(held.server.ID, held.tokens)
-	defer g.endRequest(held.server.ID, held.tokens)
-	source, err := g.prefill(ctx, held.server)
+	placed := placement{held: held}
+	placed.source, err = g.prefill(ctx, held.server)
+	if err == nil && g.isSent && !g.takeRetry(g.request) {
+		err = errNoRetry
+	}
 	if err != nil {
-		g.releaseReservation(held)
-		return err
+		g.discard(placed)
+		return placement{}, err
 	}
 	g.timing.prefilledAt = time.Now()
-	if g.isSent && !g.takeRetry(g.request) {
-		g.releaseReservation(held)
-		g.releaseHandle(source)
-		return &Failure{Status: http.StatusServiceUnavailable, RetryAfter: fullRetryAfter, Reason: "retry budget is used up"}
-	}
-	return g.decode(ctx, held, source)
+	return placed, nil
+}
+
+// discard gives up a placement that no attempt uses.
+func (g *generation) discard(p placement) {
+	g.endRequest(p.held.server.ID, p.held.tokens)
+	g.releaseReservation(p.held)
+	g.releaseHandle(p.source)
 }
--- a/hickoryd/internal/edgedispatch/prefill.go
+++ b/hickoryd/internal/edgedispatch/prefill.go
@@ -96,6 +96,9 @@
 func (g *generation) sendPrompt(ctx context.Context, server serverlist.Server) (kvHandle, error) {
 	attempt := platform.Attempt{IsPrefill: true, LastEventID: g.relay.LastID(), IsResumed: g.relay.IsResumed()}
 	response, err := g.send(ctx, server, g.request, attempt)
+	if err != nil && errors.Is(ctx.Err(), context.Canceled) {
+		return kvHandle{}, err // this host has ended the call, which shows nothing about the server
+	}
 	if errors.Is(err, upstream.ErrNotSent) {
 		g.recordResult(server.ID, health.Unreachable)
 		return kvHandle{}, err
--- a/hickoryd/internal/edgedispatch/reserve.go
+++ b/hickoryd/internal/edgedispatch/reserve.go
@@ -116,6 +116,8 @@
 	}
 	status, body, err := g.pool.Call(ctx, server.Address, call)
 	switch {
+	case err != nil && errors.Is(ctx.Err(), context.Canceled):
+		return "", err // this host has ended the call, which shows nothing about the server
 	case errors.Is(err, upstream.ErrNotSent):
 		g.recordResult(server.ID, health.Unreachable)
 		return "", err
