Don't read the position of a stream while its run is migrated

Change: the line "run migrated off a draining server" gives the number of events that the server states with the handle. Measured: the tests of the package pass with the race detector.

--- a/hickoryd/internal/edgedispatch/migrate.go
+++ b/hickoryd/internal/edgedispatch/migrate.go
@@ -28,6 +28,8 @@
 	migratedRun struct {
 		server serverlist.Server
 		handle string
+		// events is the number of events that the run has generated.
+		events uint64
 	}
 
 	// migration moves a run to another server when its own server drains or is
@@ -98,7 +100,7 @@
 	if err != nil {
 		entry.WithError(err).Info("run not migrated off a draining server")
 	} else {
-		entry.WithFields(log.Fields{"to": migrated.server.ID, "events": m.relay.LastID()}).Info("run migrated off a draining server")
+		entry.WithFields(log.Fields{"to": migrated.server.ID, "events": migrated.events}).Info("run migrated off a draining server")
 	}
 	m.done <- migrated
 }
@@ -128,10 +130,10 @@
 func (m *migration) complete(ctx context.Context, target serverlist.Server) (*migratedRun, error) {
 	handle, err := m.transfer(ctx, target, true)
 	if err == nil {
-		return &migratedRun{server: target, handle: handle.ID}, nil
+		return &migratedRun{server: target, handle: handle.ID, events: handle.Events}, nil
 	}
 	if handle.ID != "" {
-		return &migratedRun{server: m.server, handle: handle.ID}, nil // the run has stopped and resumes at its own server
+		return &migratedRun{server: m.server, handle: handle.ID, events: handle.Events}, nil // the run has stopped and resumes at its own server
 	}
 	return nil, err
 }
