Wait for the last transfer of a migrated run until the deadline

Cause: a sound server may fall silent for a second or so. The last transfer stops the run, and the host waited 1.5 s for its response: after that the handle was lost and the stream truncated. A first transfer without a response ended the migration for good, so the run stayed on the leaving server until it was cut there. The same class as: the host ends by its own time limit what the server would have completed. Change: the last transfer has no limit but the request's deadline; a transfer that got no response, or that the server still carries out (409), is repeated; the end of the stream ends only the search for a server, and a complete stream waits for nothing.

--- a/hickoryd/internal/edgedispatch/decode.go
+++ b/hickoryd/internal/edgedispatch/decode.go
@@ -129,10 +129,13 @@
 	for {
 		event, err := events.Next()
 		if err != nil {
-			if migrated := migration.result(); migrated != nil && !events.IsComplete(err) {
+			if events.IsComplete(err) {
+				return nil
+			}
+			if migrated := migration.result(ctx); migrated != nil {
 				return migrated
 			}
-			return g.streamError(ctx, events, err)
+			return withCause(ctx, fmt.Errorf("%w: stream ended after event %d: %w", upstream.ErrMayHaveRun, g.relay.LastID(), err))
 		}
 		migration.check(ctx)
 		isNew, err := g.relay.Accept(event)
@@ -150,15 +153,6 @@
 	}
 }
 
-// streamError returns the error of a stream that ended with err, or nil if the
-// stream is complete.
-func (g *generation) streamError(ctx context.Context, events *eventstream.Reader, err error) error {
-	if events.IsComplete(err) {
-		return nil
-	}
-	return withCause(ctx, fmt.Errorf("%w: stream ended after event %d: %w", upstream.ErrMayHaveRun, g.relay.LastID(), err))
-}
-
 // withCause adds to the error of an attempt the reason why this host has canceled the
 // attempt, if it has.
 func withCause(ctx context.Context, err error) error {
--- a/hickoryd/internal/edgedispatch/dispatch_test.go
+++ b/hickoryd/internal/edgedispatch/dispatch_test.go
@@ -75,7 +75,7 @@
 
 // newDispatcher returns the dispatcher of a single host with a budget of the given
 // number of retries.
-func newDispatcher(t *testing.T, list servers, retries float64) *edgedispatch.Dispatcher {
+func newDispatcher(t *testing.T, list edgedispatch.Registry, retries float64) *edgedispatch.Dispatcher {
 	t.Helper()
 	logger := &log.Logger{Handler: discard.New(), Level: log.InfoLevel}
 	pool := upstream.NewPool(netip.Addr{}, metrics.NewSet())
--- a/hickoryd/internal/edgedispatch/migrate.go
+++ b/hickoryd/internal/edgedispatch/migrate.go
@@ -16,12 +16,23 @@
 )
 
 const (
-	// transferTimeout limits one transfer of a run's KV cache.
+	// transferTimeout limits a transfer of the KV cache of a run that goes on meanwhile. The
+	// last transfer has no limit but the request's deadline: the run has stopped, and only
+	// the response tells where it can be resumed.
 	transferTimeout = 1500 * time.Millisecond
-	// migrationPause is the time between two searches for a server with free capacity.
+	// migrationPause is the time between two searches for a server with free capacity, and
+	// between two transfers of which the first had no response.
 	migrationPause = 120 * time.Millisecond
 )
 
+var (
+	// errNoTarget means that no server has room for a run.
+	errNoTarget = errors.New("no decode server to migrate the run to")
+	// errTransferInProgress means that the run's server still carries out a transfer
+	// whose response was not awaited.
+	errTransferInProgress = errors.New("an earlier transfer of the run is in progress")
+)
+
 type (
 	// migratedRun is the server at which a run resumes after it was migrated off a
 	// draining server, and the handle of the run's KV cache there.
@@ -42,7 +53,9 @@
 		checkedVersion uint64
 		started        bool
 		done           chan *migratedRun
-		cancel         context.CancelFunc
+		// cancel ends the migration, cancelSearch only until the run is stopped.
+		cancel       context.CancelFunc
+		cancelSearch context.CancelFunc
 	}
 )
 
@@ -68,7 +81,9 @@
 	}
 	m.started = true
 	ctx, m.cancel = context.WithCancel(ctx)
-	go m.run(ctx)
+	searchCtx, cancelSearch := context.WithCancel(ctx)
+	m.cancelSearch = cancelSearch
+	go m.run(ctx, searchCtx)
 }
 
 // stop cancels a migration that is in progress.
@@ -78,24 +93,25 @@
 	}
 }
 
-// result returns where the run resumes, or nil if it was not migrated. It waits up to
-// transferTimeout for a migration that is in progress.
-func (m *migration) result() *migratedRun {
+// result returns where the run resumes after its stream has ended, or nil if the run was
+// not migrated. It waits for the response to the last transfer, until ctx ends.
+func (m *migration) result(ctx context.Context) *migratedRun {
 	if !m.started {
 		return nil
 	}
+	m.cancelSearch()
 	select {
 	case migrated := <-m.done:
 		return migrated
-	case <-time.After(transferTimeout):
+	case <-ctx.Done():
 		return nil
 	}
 }
 
 // run migrates the run: it transfers the KV cache while the run continues, then stops
 // the run and transfers what was added since.
-func (m *migration) run(ctx context.Context) {
-	migrated, err := m.migrate(ctx)
+func (m *migration) run(ctx, searchCtx context.Context) {
+	migrated, err := m.migrate(ctx, searchCtx)
 	entry := m.logger.WithFields(m.request.logFields()).WithField("server", m.server.ID)
 	if err != nil {
 		entry.WithError(err).Info("run not migrated off a draining server")
@@ -105,27 +121,44 @@
 	m.done <- migrated
 }
 
-// migrate searches for a server with free capacity until the run ends, and migrates
-// the run to the first one.
-func (m *migration) migrate(ctx context.Context) (*migratedRun, error) {
+// migrate transfers the run to the first server with free capacity and then stops the
+// run. It tries until searchCtx ends.
+func (m *migration) migrate(ctx, searchCtx context.Context) (*migratedRun, error) {
 	criteria := balance.Criteria{Service: m.request.Route.Service, Stage: serverlist.Decode, FailureDomain: m.server.FailureDomain, Excluded: []string{m.server.ID}}
 	for {
-		for _, target := range m.rankServers(criteria) {
-			_, err := m.transfer(ctx, target, false)
-			if err == nil {
-				return m.complete(ctx, target)
-			}
-			if !errors.Is(err, errNotRun) {
-				return nil, err // the run has ended, or its server has failed
-			}
-			m.markFull(target.ID)
+		target, err := m.transferToAny(searchCtx, criteria)
+		if err == nil && searchCtx.Err() == nil {
+			return m.complete(ctx, target)
 		}
-		if err := timing.Sleep(ctx, migrationPause); err != nil {
+		if errors.Is(err, errInvalid) {
+			return nil, err // the server doesn't run the request any more
+		}
+		if err := timing.Sleep(searchCtx, migrationPause); err != nil {
 			return nil, err
 		}
 	}
 }
 
+// transferToAny transfers the KV cache of the run, which goes on, to the first server that
+// has room. It returns that server.
+func (m *migration) transferToAny(ctx context.Context, criteria balance.Criteria) (serverlist.Server, error) {
+	err := errNoTarget
+	for _, target := range m.rankServers(criteria) {
+		if _, err = m.transferRunning(ctx, target); !errors.Is(err, errNotRun) {
+			return target, err
+		}
+		m.markFull(target.ID)
+	}
+	return serverlist.Server{}, err
+}
+
+// transferRunning transfers the KV cache of the run, which goes on, to target.
+func (m *migration) transferRunning(ctx context.Context, target serverlist.Server) (platform.KVHandle, error) {
+	ctx, cancel := context.WithTimeout(ctx, transferTimeout)
+	defer cancel()
+	return m.transfer(ctx, target, false)
+}
+
 // complete stops the run and transfers the part of its KV cache that is new.
 func (m *migration) complete(ctx context.Context, target serverlist.Server) (*migratedRun, error) {
 	handle, err := m.transfer(ctx, target, true)
@@ -142,8 +175,6 @@
 // run stops first. A handle returned together with an error is at the run's own
 // server.
 func (m *migration) transfer(ctx context.Context, target serverlist.Server, isLast bool) (platform.KVHandle, error) {
-	ctx, cancel := context.WithTimeout(ctx, transferTimeout)
-	defer cancel()
 	call, err := platform.MigrateCall(m.server.ID, m.request.Metadata.ID, target.Address, isLast)
 	if err != nil {
 		return platform.KVHandle{}, err
@@ -158,6 +189,8 @@
 		return handle, err
 	case http.StatusServiceUnavailable:
 		return handle, fmt.Errorf("%w: transfer returned status %d", errNotRun, status)
+	case http.StatusConflict:
+		return handle, errTransferInProgress
 	default:
 		return handle, fmt.Errorf("%w: transfer returned status %d", errInvalid, status)
 	}
--- /dev/null
+++ b/hickoryd/internal/edgedispatch/migrate_test.go
@@ -0,0 +1,162 @@
+package edgedispatch_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/hickoryfront/hickoryfront/core/route"
+	"github.com/hickoryfront/hickoryfront/core/serverlist"
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/registry"
+)
+
+type (
+	// changingServers is a list of backend servers that changes.
+	changingServers struct {
+		mu      sync.Mutex
+		version uint64
+		list    servers
+	}
+
+	// migrationSource is a decode server that drains while it streams events, and from
+	// which the run is migrated.
+	migrationSource struct {
+		// transferTime and stopTime are how long the server takes to respond to the first
+		// transfer of the running run, and to the one that stops the run.
+		transferTime, stopTime time.Duration
+		transfers              atomic.Int64
+		// events is the number of events after which the stream ends, if it is not stopped.
+		events int
+		// drainAt is the number of the event after which the server drains.
+		drainAt  int
+		onDrain  func()
+		stopped  chan struct{}
+		stopOnce sync.Once
+	}
+)
+
+func (c *changingServers) Servers() *registry.Snapshot {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return &registry.Snapshot{Version: c.version, Servers: c.list}
+}
+
+func (c *changingServers) HostCount() int { return 1 }
+
+func (c *changingServers) set(list servers) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.version++
+	c.list = list
+}
+
+func (s *migrationSource) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch {
+	case strings.HasSuffix(r.URL.Path, "/hold-take"):
+		_, _ = io.WriteString(w, `{"hold":"h"}`)
+	case strings.HasSuffix(r.URL.Path, "/kv-move"):
+		s.serveTransfer(w, r)
+	case strings.HasPrefix(r.URL.Path, "/hickoryfront/"):
+		w.WriteHeader(http.StatusNotFound)
+	default:
+		s.stream(w, r)
+	}
+}
+
+func (s *migrationSource) serveTransfer(w http.ResponseWriter, r *http.Request) {
+	var body struct{ Last bool }
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	switch {
+	case body.Last:
+		s.stopOnce.Do(func() { close(s.stopped) })
+		time.Sleep(s.stopTime)
+	case s.transfers.Add(1) == 1:
+		time.Sleep(s.transferTime)
+	}
+	_, _ = io.WriteString(w, `{"handle":"run","created":1}`)
+}
+
+// stream sends events until the run is stopped or ends.
+func (s *migrationSource) stream(w http.ResponseWriter, r *http.Request) {
+	for id := 1; id <= s.events; id++ {
+		sendEvents(w, fmt.Sprint(id))
+		if id == s.drainAt {
+			s.onDrain()
+		}
+		select {
+		case <-s.stopped:
+			panic(http.ErrAbortHandler)
+		case <-r.Context().Done():
+			return
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+}
+
+// TestMigrationOutlastsSilence guards against a stream that is truncated because the
+// server that its run is migrated off pauses while it stops the run.
+func TestMigrationOutlastsSilence(t *testing.T) {
+	const pause = 1700 * time.Millisecond
+	tests := []struct {
+		name                   string
+		transferTime, stopTime time.Duration
+		events                 int
+		isEnding               bool // the run ends at its own server, before it is migrated
+	}{
+		{name: "the server pauses when it has stopped the run", stopTime: pause, events: 1000},
+		{name: "the server pauses during the first transfer", transferTime: pause, events: 1000},
+		{name: "the run ends during the first transfer", transferTime: pause, events: 5, isEnding: true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			var resumed atomic.Bool
+			list := &changingServers{}
+			source := &migrationSource{transferTime: tt.transferTime, stopTime: tt.stopTime, events: tt.events, drainAt: 2, stopped: make(chan struct{})}
+			first := startServer(t, "first", serverlist.Decode, source.ServeHTTP)
+			second := startServer(t, "second", serverlist.Decode, func(w http.ResponseWriter, r *http.Request) {
+				last, err := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+				if err != nil || !strings.HasSuffix(r.Header.Get("Kv-Source"), "/run") {
+					full(w, r)
+					return
+				}
+				resumed.Store(true)
+				sendEvents(w, fmt.Sprint(last+1), fmt.Sprint(last+2))
+			})
+			source.onDrain = func() {
+				draining := first
+				draining.IsDraining = true
+				list.set(servers{draining, second})
+			}
+			list.set(servers{first})
+			d := newDispatcher(t, list, 100)
+			started := time.Now()
+			status, body := send(t, d, route.Route{Kind: route.Streaming, IsGeneration: true, MaxServers: 1}, callerTimeout)
+			if status != http.StatusOK || !isWhole(body) || resumed.Load() == tt.isEnding {
+				t.Errorf("status %d, want 200; resumed %t, want %t; body ends with %q", status, resumed.Load(), !tt.isEnding, body[max(0, len(body)-30):])
+			}
+			if took := time.Since(started); tt.isEnding && took > pause/2 {
+				t.Errorf("the response ended after %v, although the run had ended", took)
+			}
+		})
+	}
+}
+
+// isWhole reports whether body has the events 1, 2, 3 and so on.
+func isWhole(body string) bool {
+	var want strings.Builder
+	for id := 1; want.Len() < len(body); id++ {
+		fmt.Fprintf(&want, "id: %d\n\n", id)
+	}
+	return body != "" && body == want.String()
+}
