Let a slow server finish a safe request while another one is tried

Cause: the attempt was canceled at that time, also while a long response was being forwarded, and only then did the host look for another server and a retry in the budget. The same class as: a run is given up before its replacement has succeeded. Change: the attempt goes on while another server is tried, and the first complete response is forwarded. Nothing is canceled before that, and never for want of a server or of budget.

--- a/hickoryd/internal/edgedispatch/decode.go
+++ b/hickoryd/internal/edgedispatch/decode.go
@@ -111,7 +111,7 @@
 	if g.isStarted || g.mayRetry(err) || !response.Metadata.HasStamp {
 		return err
 	}
-	buffered := &bufferedResponse{response: response.Response, body: body}
+	buffered := &plainResponse{response: response.Response, body: body}
 	return buffered.send(g.sink)
 }
 
--- a/hickoryd/internal/edgedispatch/plain.go
+++ b/hickoryd/internal/edgedispatch/plain.go
@@ -28,8 +28,10 @@
 	// maxPlainAttempts is the maximum number of servers that one request is sent to.
 	maxPlainAttempts = 4
 	// slowShare is the part of the target latency after which a safe request without
-	// a response is sent to another server.
+	// a response is sent to another server as well.
 	slowShare = 0.6
+	// minSlow keeps routes with a short target latency from sending every request twice.
+	minSlow = 10 * time.Millisecond
 	// shortRetryAfter is the Retry-After of a plain request that no server has run:
 	// the time after which a server may be free.
 	shortRetryAfter = 300 * time.Millisecond
@@ -43,174 +45,237 @@
 	// errSlow means that the server did not respond within slowShare of the target
 	// latency while another server may still be tried.
 	errSlow = fmt.Errorf("no response from the server within %.0f%% of the target latency", slowShare*100)
+	// errAnswered means that another server has responded first.
+	errAnswered = errors.New("another server has responded")
+	// errServerFailure means that the server has run the request and responded with an
+	// error.
+	errServerFailure = errors.New("the server responded with an error")
 )
 
-// plainCall is one request to a plain service, with the state of its attempts.
-type plainCall struct {
-	*Dispatcher
-	request *Request
-	tried   []string
-	// runs is the number of servers that may have run the request.
-	runs int
-}
+type (
+	// plainCall is one request to a plain service, with the state of its attempts. A
+	// safe request may have several attempts in progress at the same time.
+	plainCall struct {
+		*Dispatcher
+		request *Request
+		tried   []string
+		// runs is the number of servers that may have run the request and have not
+		// completed it.
+		runs int
+		// inProgress is the number of attempts that have not ended.
+		inProgress int
+		results    chan plainResult
+	}
+
+	// plainAttempt is one attempt of a plainCall at a server.
+	plainAttempt struct {
+		*Dispatcher
+		request *Request
+		server  serverlist.Server
+		number  int
+		started time.Time
+	}
+
+	// plainResult is the result of an attempt: a response or an error.
+	plainResult struct {
+		response *plainResponse
+		err      error
+		// mayHaveRun is set if the server may have run the request.
+		mayHaveRun bool
+	}
+
+	// plainResponse is a response that was read completely, or up to
+	// maxBufferedResponseBytes.
+	plainResponse struct {
+		response *http.Response
+		body     []byte
+		// rest is where the rest of a longer response is read from, or nil.
+		rest *upstream.Response
+	}
+)
 
 // servePlain makes attempts at servers until one completes the request or the request
-// can't be retried.
+// can't be retried. A slow attempt goes on while another server is tried, and the first
+// complete response is sent.
 func (d *Dispatcher) servePlain(ctx context.Context, r *Request, sink Sink) error {
-	call := &plainCall{Dispatcher: d, request: r}
+	attemptsCtx, cancel := context.WithCancelCause(ctx)
+	defer cancel(errAnswered)
+	call := &plainCall{Dispatcher: d, request: r, results: make(chan plainResult, maxPlainAttempts)}
+	slow := time.NewTicker(max(slowAfter(r.Route), minSlow))
+	defer slow.Stop()
 	var last error
-	var buffered *bufferedResponse
-	for attempts := 0; attempts < maxPlainAttempts; attempts++ {
-		server, ok := d.pick(balance.Criteria{Service: r.Route.Service, FailureDomain: d.options.FailureDomain, Excluded: call.tried})
-		if !ok {
-			break
+	var failure *plainResponse // a server's error response
+	for call.inProgress > 0 || call.startNext(attemptsCtx, last) {
+		select {
+		case <-slow.C:
+			if call.mayHedge() {
+				call.startNext(attemptsCtx, errSlow)
+			}
+			continue
+		case result := <-call.results:
+			call.inProgress--
+			if result.mayHaveRun {
+				call.runs++
+			}
+			switch {
+			case result.err != nil:
+				last = result.err
+			case result.response.response.StatusCode < http.StatusInternalServerError:
+				return result.response.send(sink)
+			default:
+				failure, last = result.response, errServerFailure
+			}
 		}
-		if attempts > 0 && !errors.Is(last, upstream.ErrNotSent) && !d.takeRetry(r) {
-			break
-		}
-		response, err := call.attempt(ctx, server, sink)
-		if errors.Is(err, ErrTruncated) {
-			return err
-		}
-		if err == nil && response == nil {
-			return nil // the response was streamed to the caller
-		}
-		if err == nil && (response.response.StatusCode < http.StatusInternalServerError || !call.mayRetry()) {
-			return response.send(sink)
-		}
-		if err == nil {
-			buffered = response
-		}
-		last = err
-		if ctx.Err() != nil || !cannotHaveRun(err) && !call.mayRetry() {
+		if ctx.Err() != nil || call.inProgress == 0 && !cannotHaveRun(last) && !call.mayRetry() {
 			break
 		}
 	}
-	if buffered != nil {
-		return buffered.send(sink)
+	if failure != nil {
+		return failure.send(sink)
 	}
 	return finalFailure(ctx, call.runs, last, shortRetryAfter)
 }
 
-// bufferedResponse is a response that was read completely.
-type bufferedResponse struct {
-	response *http.Response
-	body     []byte
+// slowAfter returns the time after which a request without a response is sent to another
+// server as well.
+func slowAfter(r *route.Route) time.Duration {
+	return time.Duration(slowShare * float64(r.LatencyTarget))
 }
 
-func (r *bufferedResponse) send(sink Sink) error {
-	header := platform.ResponseHeader(r.response.Header)
-	if len(r.body) > 0 {
-		header.Set("Content-Length", strconv.Itoa(len(r.body)))
+// startNext starts an attempt at another server. last is the error of the attempt before.
+// It reports false if there is no other server or the retry budget is used up.
+func (c *plainCall) startNext(ctx context.Context, last error) bool {
+	if len(c.tried) == maxPlainAttempts {
+		return false
 	}
-	if err := sink.Start(r.response.StatusCode, header); err != nil {
-		return fmt.Errorf("%w: %w", ErrTruncated, err)
-	}
-	if err := sink.Write(r.body); err != nil {
-		return fmt.Errorf("%w: %w", ErrTruncated, err)
+	server, ok := c.pick(balance.Criteria{Service: c.request.Route.Service, FailureDomain: c.options.FailureDomain, Excluded: c.tried})
+	if !ok || len(c.tried) > 0 && !errors.Is(last, upstream.ErrNotSent) && !c.takeRetry(c.request) {
+		return false
 	}
-	return nil
+	c.tried = append(c.tried, server.ID)
+	c.inProgress++
+	attempt := &plainAttempt{Dispatcher: c.Dispatcher, request: c.request, server: server, number: len(c.tried), started: time.Now()}
+	go attempt.run(ctx, c.results)
+	return true
 }
 
-// mayRetry reports whether the request may be sent to another server although a server
-// may have run it already.
+// mayRetry reports whether the request may be sent to another server although servers
+// may have run it already or are running it.
 func (c *plainCall) mayRetry() bool {
-	return c.request.Route.IsRetryable() && c.runs < max(c.request.Route.MaxServers, 1)
+	return c.request.Route.IsRetryable() && c.runs+c.inProgress < max(c.request.Route.MaxServers, 1)
 }
 
-// attempt sends the request to one server and records the outcome. The response is nil
-// if it was too long to be buffered and was streamed to the caller.
-func (c *plainCall) attempt(ctx context.Context, server serverlist.Server, sink Sink) (*bufferedResponse, error) {
-	c.tried = append(c.tried, server.ID)
-	c.beginRequest(server.ID, 0)
-	defer c.endRequest(server.ID, 0)
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	if c.request.Route.Kind == route.Safe && c.runs+1 < c.request.Route.MaxServers {
-		slow := time.AfterFunc(time.Duration(slowShare*float64(c.request.Route.LatencyTarget)), func() { cancel(errSlow) })
-		defer slow.Stop()
-	}
-	response, err := c.exchange(ctx, server, sink)
-	c.recordOutcome(ctx, server, response, err)
-	return response, err
+// mayHedge reports whether a slow request may be sent to another server as well.
+func (c *plainCall) mayHedge() bool {
+	return c.request.Route.Kind == route.Safe && c.request.Route.LatencyTarget > 0 && c.mayRetry()
 }
 
-// exchange sends the request to one server and reads the response.
-func (c *plainCall) exchange(ctx context.Context, server serverlist.Server, sink Sink) (*bufferedResponse, error) {
-	response, err := c.send(ctx, server, c.request, platform.Attempt{})
+// run sends the request to the server and records the outcome.
+func (a *plainAttempt) run(ctx context.Context, results chan<- plainResult) {
+	a.beginRequest(a.server.ID, 0)
+	defer a.endRequest(a.server.ID, 0)
+	result := a.exchange(ctx)
+	a.recordOutcome(ctx, result)
+	results <- result
+}
+
+// exchange sends the request to the server and reads the response, a long one up to
+// maxBufferedResponseBytes.
+func (a *plainAttempt) exchange(ctx context.Context) plainResult {
+	response, err := a.send(ctx, a.server, a.request, platform.Attempt{})
 	if err != nil {
-		if errors.Is(err, upstream.ErrMayHaveRun) {
-			c.runs++
-		}
-		return nil, err
+		return plainResult{err: err, mayHaveRun: errors.Is(err, upstream.ErrMayHaveRun)}
 	}
-	defer response.Close()
 	if response.Metadata.IsNotRun {
+		defer response.Close()
 		readRest(response)
-		return nil, fmt.Errorf("%w: status %d", errNotRun, response.StatusCode)
+		return plainResult{err: fmt.Errorf("%w: status %d", errNotRun, response.StatusCode)}
 	}
-	c.runs++
 	if !response.Metadata.HasStamp || response.Metadata.IsEncoded {
-		return nil, fmt.Errorf("%w: status %d, stamped %t, encoded %t", errInvalid, response.StatusCode, response.Metadata.HasStamp, response.Metadata.IsEncoded)
+		defer response.Close()
+		err := fmt.Errorf("%w: status %d, stamped %t, encoded %t", errInvalid, response.StatusCode, response.Metadata.HasStamp, response.Metadata.IsEncoded)
+		return plainResult{err: err, mayHaveRun: true}
 	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedResponseBytes))
+	if err == nil && len(body) == maxBufferedResponseBytes && !response.IsComplete() {
+		return plainResult{response: &plainResponse{response: response.Response, body: body, rest: response}, mayHaveRun: true}
+	}
+	response.Close()
 	if err != nil {
-		return nil, fmt.Errorf("%w: %w", upstream.ErrMayHaveRun, err)
+		return plainResult{err: fmt.Errorf("%w: %w", upstream.ErrMayHaveRun, err), mayHaveRun: true}
+	}
+	return plainResult{response: &plainResponse{response: response.Response, body: body}, mayHaveRun: true}
+}
+
+// send sends the response to the caller and closes it.
+func (r *plainResponse) send(sink Sink) error {
+	if r.rest != nil {
+		defer r.rest.Close()
 	}
-	if len(body) == maxBufferedResponseBytes && !response.IsComplete() {
-		return nil, c.forward(response, body, sink)
+	header := platform.ResponseHeader(r.response.Header)
+	if len(r.body) > 0 && r.rest == nil {
+		header.Set("Content-Length", strconv.Itoa(len(r.body)))
 	}
-	return &bufferedResponse{response: response.Response, body: body}, nil
+	if err := sink.Start(r.response.StatusCode, header); err != nil {
+		return fmt.Errorf("%w: %w", ErrTruncated, err)
+	}
+	if err := sink.Write(r.body); err != nil {
+		return fmt.Errorf("%w: %w", ErrTruncated, err)
+	}
+	if r.rest == nil {
+		return nil
+	}
+	if err := r.sendRest(sink); err != nil {
+		return fmt.Errorf("%w: %w", ErrTruncated, err)
+	}
+	return nil
 }
 
-// forward streams a long response to the caller. prefix is the part that was already
-// read.
-func (c *plainCall) forward(response *upstream.Response, prefix []byte, sink Sink) error {
-	err := sink.Start(response.StatusCode, platform.ResponseHeader(response.Header))
-	buffer := prefix
-	for err == nil {
-		if err = sink.Write(buffer); err != nil {
-			break
+// sendRest streams the part of the response that was not read yet.
+func (r *plainResponse) sendRest(sink Sink) error {
+	buffer := r.body[:cap(r.body)]
+	for {
+		n, readErr := r.rest.Body.Read(buffer)
+		if n > 0 {
+			if err := sink.Write(buffer[:n]); err != nil {
+				return err
+			}
 		}
-		buffer = buffer[:cap(buffer)]
-		n, readErr := response.Body.Read(buffer)
-		buffer = buffer[:n]
-		if readErr == io.EOF && n == 0 {
+		if readErr == io.EOF {
 			return nil
 		}
-		if readErr != nil && readErr != io.EOF {
-			err = readErr
+		if readErr != nil {
+			return readErr
 		}
 	}
-	return fmt.Errorf("%w: %w", ErrTruncated, err)
 }
 
 // recordOutcome records the outcome of an attempt in the server's health.
-func (c *plainCall) recordOutcome(ctx context.Context, server serverlist.Server, response *bufferedResponse, err error) {
+func (a *plainAttempt) recordOutcome(ctx context.Context, r plainResult) {
 	result := health.Success
 	switch {
-	case err == nil && response != nil && response.response.StatusCode >= http.StatusInternalServerError:
+	case r.err == nil && r.response.response.StatusCode >= http.StatusInternalServerError:
 		result = health.Failure
-	case err == nil:
-	case errors.Is(context.Cause(ctx), errSlow):
+	case r.err == nil:
+	case errors.Is(context.Cause(ctx), errAnswered) && time.Since(a.started) > slowAfter(a.request.Route):
 		result = health.Broken
 	case ctx.Err() != nil && !errors.Is(context.Cause(ctx), context.DeadlineExceeded):
-		return // the caller disconnected
-	case errors.Is(err, upstream.ErrNotSent):
+		return // the caller disconnected, or another server has responded
+	case errors.Is(r.err, upstream.ErrNotSent):
 		result = health.Unreachable
-	case errors.Is(err, errNotRun):
-		c.markFull(server.ID)
+	case errors.Is(r.err, errNotRun):
+		a.markFull(a.server.ID)
 		result = health.Failure
 	default:
 		result = health.Broken
 		if ctx.Err() == nil {
-			c.checkReachable(c.request, server)
+			a.checkReachable(a.request, a.server)
 		}
 	}
-	c.recordResult(server.ID, result)
+	a.recordResult(a.server.ID, result)
 	if result != health.Success {
-		c.logger.WithFields(c.request.logFields()).WithFields(log.Fields{
-			"server": server.ID, "tries": len(c.tried), "runs": c.runs, "result": resultNames[result], "error": fmt.Sprint(err),
+		a.logger.WithFields(a.request.logFields()).WithFields(log.Fields{
+			"server": a.server.ID, "tries": a.number, "mayHaveRun": r.mayHaveRun, "result": resultNames[result], "error": fmt.Sprint(r.err),
 		}).Info("attempt failed")
 	}
 }
