Read the last event of a migrating run under its lock

Cause: serveMigration of the stand-in read lastEvent after it had released the lock, while the stream's goroutine wrote it. Change: lastEvent is read under the lock.

--- a/hickorylab/worker/worker.go
+++ b/hickorylab/worker/worker.go
@@ -308,6 +308,10 @@
 	}
 	s.mu.Lock()
 	current, ok := s.running[body.ID]
+	var created uint64
+	if ok {
+		created = current.lastEvent
+	}
 	if ok && body.Last {
 		delete(s.running, body.ID)
 		close(current.migrated)
@@ -321,7 +325,7 @@
 	if body.Last {
 		s.group.addHandle(body.To + "/" + handle)
 	}
-	jsonreply.Write(w, map[string]any{"handle": handle, "created": current.lastEvent})
+	jsonreply.Write(w, map[string]any{"handle": handle, "created": created})
 }
 
 func (s *Server) serveReport(w http.ResponseWriter) {
