Let a stand-in server fall silent and go on

Cause: a sound server may send nothing for a second and go on where it was. The stand-ins could only serve or crash, so that no test ran that case, and the soak could not tell a response that a crash broke off from one that a host did. Change: Server.Pause holds back all that the server receives and sends for a duration, at its connections, so that it covers streams, plain requests, prefills and the server's own interfaces; the kernel still accepts connections. A crash ends the pause. Group.Arrivals counts the receipts of a request whether it ran or not, and Group.IsBrokenOff says that a server crashed while it served the request or held the KV cache of its migrated run.

--- a/hickorylab/worker/worker.go
+++ b/hickorylab/worker/worker.go
@@ -31,6 +31,8 @@
 	migratedSuffix = "-moved"
 	// reservationTTL is the time after which a reservation is released.
 	reservationTTL = 2 * time.Second
+	// flushTime is the time in which the end of a response has left the process.
+	flushTime = 50 * time.Millisecond
 )
 
 type (
@@ -44,6 +46,11 @@
 		// runs counts how often the servers ran each request, by its ID. A run that
 		// migrates between servers counts once.
 		runs map[string]int
+		// arrivals counts how often the servers received each request, by its ID, whether
+		// they ran it or not.
+		arrivals map[string]int
+		// brokenOff holds the IDs of the requests that a crash of their server broke off.
+		brokenOff map[string]bool
 		// handles holds the KV caches that are not fetched yet, by server address and
 		// handle.
 		handles map[string]bool
@@ -56,6 +63,8 @@
 		address string
 
 		mu            sync.Mutex
+		silence       *silence
+		isCrashed     bool
 		stage         string
 		id            string
 		state         string
@@ -64,6 +73,7 @@
 		usedTokens    int
 		reservations  map[string]int
 		running       map[string]*run
+		serving       map[string]int // requests being served, by ID
 		appliedOrders int
 	}
 
@@ -76,7 +86,9 @@
 
 // NewGroup returns a group whose servers register in a store.
 func NewGroup(store *metastore.Store) *Group {
-	return &Group{store: store, runs: make(map[string]int), handles: make(map[string]bool)}
+	return &Group{
+		store: store, runs: make(map[string]int), arrivals: make(map[string]int), brokenOff: make(map[string]bool), handles: make(map[string]bool),
+	}
 }
 
 // Runs returns how many times the servers ran a request.
@@ -86,6 +98,21 @@
 	return g.runs[id]
 }
 
+// Arrivals returns how many times the servers received a request.
+func (g *Group) Arrivals(id string) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.arrivals[id]
+}
+
+// IsBrokenOff reports whether a server crashed that was serving a request, or that held
+// the KV cache of its migrated run.
+func (g *Group) IsBrokenOff(id string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.brokenOff[id]
+}
+
 // UnfetchedHandles returns the number of KV caches that no server has fetched.
 func (g *Group) UnfetchedHandles() int {
 	g.mu.Lock()
@@ -110,13 +137,14 @@
 	id := fmt.Sprintf("i-%06d", s.group.incarnations)
 	s.group.mu.Unlock()
 	s.mu.Lock()
-	s.id, s.state, s.listener = id, "ready", listener
-	s.usedTokens, s.appliedOrders = 0, 0
-	s.reservations, s.running = make(map[string]int), make(map[string]*run)
+	s.silence = newSilence()
+	s.id, s.state, s.listener = id, "ready", silentListener{Listener: listener, silence: s.silence}
+	s.usedTokens, s.appliedOrders, s.isCrashed = 0, 0, false
+	s.reservations, s.running, s.serving = make(map[string]int), make(map[string]*run), make(map[string]int)
 	s.server = &http.Server{Handler: s, ReadHeaderTimeout: time.Minute}
-	server := s.server
+	server, silent := s.server, s.listener
 	s.mu.Unlock()
-	go s.runServer(server, listener)
+	go s.runServer(server, silent)
 	s.register()
 	return nil
 }
@@ -130,6 +158,11 @@
 func (s *Server) Crash() {
 	s.mu.Lock()
 	server, id := s.server, s.id
+	if !s.isCrashed {
+		s.isCrashed = true
+		close(s.silence.ended)
+		s.group.breakOff(s.address, s.serving)
+	}
 	s.mu.Unlock()
 	_ = server.Close() // a crash is intended, so its errors are irrelevant
 	s.group.store.Remove("servers/" + id)
@@ -194,6 +227,7 @@
 }
 
 func (s *Server) serveRequest(w http.ResponseWriter, r *http.Request, stage string) {
+	defer s.beginServing(r.Header.Get("Request-Id"))()
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
@@ -211,6 +245,29 @@
 	}
 }
 
+// beginServing records that a request is being served. The returned function records
+// that it is not any more.
+func (s *Server) beginServing(id string) (end func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.group.countArrival(id)
+	serving := s.serving
+	serving[id]++
+	if s.isCrashed {
+		s.group.breakOff(s.address, serving)
+	}
+	return func() {
+		time.AfterFunc(flushTime, func() {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			serving[id]--
+			if serving[id] == 0 {
+				delete(serving, id)
+			}
+		})
+	}
+}
+
 // ResponseBody returns the body of the response of a plain server to a request.
 func ResponseBody(method, target, body string) string {
 	return "answer to " + method + " " + target + " " + body
@@ -414,6 +471,28 @@
 	g.runs[r.Header.Get("Request-Id")]++
 }
 
+func (g *Group) countArrival(id string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.arrivals[id]++
+}
+
+// breakOff records that the server at an address has crashed while it was serving
+// requests.
+func (g *Group) breakOff(address string, serving map[string]int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for id := range serving {
+		g.brokenOff[id] = true
+	}
+	for handle := range g.handles {
+		name, isHere := strings.CutPrefix(handle, address+"/")
+		if id, isMigrated := strings.CutSuffix(name, migratedSuffix); isHere && isMigrated {
+			g.brokenOff[id] = true
+		}
+	}
+}
+
 func (g *Group) addHandle(handle string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
