--- a/core/serverlist/serverlist.go
+++ b/core/serverlist/serverlist.go
@@ -43,6 +43,9 @@
 		// FailureDomain is the domain that the server runs in.
 		FailureDomain string
 		Stage         Stage
+		// SoftwareVersion is the version of the server's software, or empty if it is
+		// not registered. Versions have no order.
+		SoftwareVersion string
 		// Slots is the number of requests that the server runs at once.
 		Slots int
 		// IsDraining is set if the server takes no new work.
--- a/hickoryd/internal/edgehost/edgehost_test.go
+++ b/hickoryd/internal/edgehost/edgehost_test.go
@@ -28,7 +28,7 @@
 
 func (h *host) ViewSince(_ time.Time, version, _ uint64) registry.StoreView {
 	view := registry.StoreView{
-		Servers:    []serverlist.Server{{ID: "s1", Service: "model", Address: netip.MustParseAddrPort("10.0.0.9:80"), Stage: serverlist.Decode, Slots: 4, CreateRevision: 3}},
+		Servers:    []serverlist.Server{{ID: "s1", Service: "model", Address: netip.MustParseAddrPort("10.0.0.9:80"), Stage: serverlist.Decode, SoftwareVersion: "v1.2", Slots: 4, CreateRevision: 3}},
 		HasServers: true, Revision: 7, IsStoreReachable: true, Hosts: []netip.AddrPort{netip.MustParseAddrPort("10.0.0.1:1")},
 	}
 	if version < 5 {
--- a/hickoryd/internal/edgehost/server.go
+++ b/hickoryd/internal/edgehost/server.go
@@ -71,5 +71,6 @@
 	return &peerapi.ServerRegistration{
 		Id: s.ID, Service: s.Service, Address: s.Address.String(), FailureDomain: s.FailureDomain,
 		Stage: string(s.Stage), Slots: int32(s.Slots), IsDraining: s.IsDraining, Created: s.CreateRevision,
+		SoftwareVersion: s.SoftwareVersion,
 	}
 }
--- a/hickoryd/internal/registry/registry.go
+++ b/hickoryd/internal/registry/registry.go
@@ -203,7 +203,8 @@
 	for _, s := range after {
 		if old, ok := known[s.ID]; !ok || old != s {
 			r.logger.WithFields(log.Fields{
-				"server": s.ID, "service": s.Service, "address": s.Address, "stage": s.Stage, "draining": s.IsDraining, "known": ok,
+				"server": s.ID, "service": s.Service, "address": s.Address, "stage": s.Stage,
+				"softwareVersion": s.SoftwareVersion, "draining": s.IsDraining, "known": ok,
 			}).Info("backend server registered")
 		}
 		delete(known, s.ID)
