Pick and rank servers of a required software version

Change: balance.Criteria has SoftwareVersion; empty allows any. Pick does not fall back to another version, also where the only server of the required version is ejected. No caller sets it yet.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -43,6 +43,8 @@
 	Criteria struct {
 		Service string
 		Stage   serverlist.Stage
+		// SoftwareVersion is the required software version, or empty for any.
+		SoftwareVersion string
 		// FailureDomain is the preferred failure domain.
 		FailureDomain string
 		// Excluded are the IDs of incarnations that were attempted before.
@@ -220,5 +222,10 @@
 }
 
 func (c Criteria) matches(s serverlist.Server) bool {
-	return s.Service == c.Service && s.Stage == c.Stage && !s.IsDraining && !slices.Contains(c.Excluded, s.ID)
+	return s.Service == c.Service && s.Stage == c.Stage && c.allowsVersion(s.SoftwareVersion) &&
+		!s.IsDraining && !slices.Contains(c.Excluded, s.ID)
+}
+
+func (c Criteria) allowsVersion(version string) bool {
+	return c.SoftwareVersion == "" || c.SoftwareVersion == version
 }
--- a/core/balance/balance_test.go
+++ b/core/balance/balance_test.go
@@ -1,6 +1,7 @@
 package balance_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -62,6 +63,60 @@
 	}
 }
 
+func TestSoftwareVersionIsRequired(t *testing.T) {
+	versions := []serverlist.Server{
+		{ID: "a", Service: "s", SoftwareVersion: "v1"},
+		{ID: "b", Service: "s", SoftwareVersion: "v2"},
+		{ID: "c", Service: "s", SoftwareVersion: "v10"},
+		{ID: "d", Service: "s"},
+	}
+	tests := []struct {
+		name     string
+		version  string
+		excluded []string
+		want     []string
+	}{
+		{name: "any version", want: []string{"a", "b", "c", "d"}},
+		{name: "one version", version: "v1", want: []string{"a"}},
+		{name: "no server of the version", version: "v3"},
+		{name: "only server of the version excluded", version: "v2", excluded: []string{"b"}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := balance.NewTable()
+			b.Report(start, "a", health.Failure) // a failing server of the version comes before others
+			criteria := balance.Criteria{Service: "s", SoftwareVersion: tt.version, Excluded: tt.excluded}
+			var ranked []string
+			for _, s := range b.Rank(start, versions, criteria) {
+				ranked = append(ranked, s.ID)
+			}
+			slices.Sort(ranked)
+			if !slices.Equal(ranked, tt.want) {
+				t.Errorf("ranked %v, want %v", ranked, tt.want)
+			}
+			picked, ok := b.Pick(start, versions, criteria)
+			if ok != (len(tt.want) > 0) || (ok && !slices.Contains(tt.want, picked.ID)) {
+				t.Errorf("picked %q, %v; want one of %v", picked.ID, ok, tt.want)
+			}
+		})
+	}
+}
+
+// An ejected server of the required version must not be replaced by a server of
+// another version.
+func TestEjectedServerKeepsSoftwareVersion(t *testing.T) {
+	b := balance.NewTable()
+	b.Report(start, "a", health.Unreachable)
+	versions := []serverlist.Server{{ID: "a", Service: "s", SoftwareVersion: "v1"}, {ID: "b", Service: "s", SoftwareVersion: "v2"}}
+	criteria := balance.Criteria{Service: "s", SoftwareVersion: "v1"}
+	if got, _ := b.Pick(start, versions, criteria); got.ID != "a" {
+		t.Errorf("picked %q, want a", got.ID)
+	}
+	if got := b.Rank(start, versions, criteria); len(got) != 0 {
+		t.Errorf("ranking %v, want none", got)
+	}
+}
+
 func TestRankSkipsFullServers(t *testing.T) {
 	b := balance.NewTable()
 	b.MarkFull(start, "near")
