Report and find the origins of streams among hosts

Hosts had no call to tell each other which software version began a stream. Change: the peer protocol has ReportOrigins (a batch, in the background) and FindOrigin (asks the given hosts at once, at most 200 ms, and returns the first origin found, or the merged findings). Server takes an OriginReceiver. The daemon passes none yet, so both calls are unimplemented there.

--- a/hickoryd/internal/edge/wiring.go
+++ b/hickoryd/internal/edge/wiring.go
@@ -106,7 +106,7 @@
 }
 
 func newEdgeServer(r *registry.Registry, d *edgedispatch.Dispatcher) *edgehost.Server {
-	return edgehost.NewServer(r, d)
+	return edgehost.NewServer(r, d, nil)
 }
 
 func newController(s Settings, r *registry.Registry, store *platform.Store, pool *upstream.Pool, logger log.Interface, set *metrics.Set) *edgeorder.Controller {
--- a/hickoryd/internal/edgehost/client.go
+++ b/hickoryd/internal/edgehost/client.go
@@ -1,6 +1,7 @@
 // Package edgehost is the gRPC client and server between the hosts that route on the
-// users' platform. Hosts fetch from each other what they have read from the store, and
-// report failed backend servers to each other.
+// users' platform. Hosts fetch from each other what they have read from the store, report
+// failed backend servers to each other, and report and find the software versions that
+// began streams.
 package edgehost
 
 import (
@@ -20,6 +21,7 @@
 	"google.golang.org/grpc/credentials/insecure"
 
 	"github.com/hickoryfront/hickoryfront/core/serverlist"
+	"github.com/hickoryfront/hickoryfront/core/streamorigin"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/registry"
 	"github.com/hickoryfront/hickoryfront/peerapi"
 )
@@ -31,6 +33,9 @@
 	fetchFanout = 3
 	// reportTimeout limits a report to another host.
 	reportTimeout = time.Second
+	// findTimeout limits the search for the origin of a stream, for which a caller
+	// waits.
+	findTimeout = 200 * time.Millisecond
 	// bufferBytes is the size of a connection's read buffer and of its write buffer.
 	// It is small because messages are few and small.
 	bufferBytes = 4 << 10
@@ -151,6 +156,65 @@
 	})
 }
 
+// ReportOrigins reports the origins of streams to the host at address in the background.
+func (c *Client) ReportOrigins(ctx context.Context, address netip.AddrPort, origins []streamorigin.Origin) {
+	request := &peerapi.ReportOriginsRequest{Origins: make([]*peerapi.StreamOrigin, 0, len(origins))}
+	for _, o := range origins {
+		request.Origins = append(request.Origins, encodeOrigin(o))
+	}
+	go c.runNotify(ctx, address, func(ctx context.Context, peer peerapi.EdgeClient) error {
+		_, err := peer.ReportOrigins(ctx, request)
+		return err
+	})
+}
+
+// FindOrigin queries the hosts at addresses for the origin of the stream that began in
+// a caller's attempt, and for the software versions of its service during the window
+// before now. It returns as soon as one host has found the origin, and otherwise the
+// merged responses of the hosts that responded in time.
+func (c *Client) FindOrigin(ctx context.Context, addresses []netip.AddrPort, requestID, service string, window time.Duration) (streamorigin.Finding, error) {
+	ctx, cancel := context.WithTimeout(ctx, findTimeout)
+	defer cancel()
+	request := &peerapi.FindOriginRequest{RequestId: requestID, Service: service, WindowMs: encodeWindow(window)}
+	responses := make(chan *peerapi.FindOriginResponse, len(addresses))
+	for _, address := range addresses {
+		go c.runFindOrigin(ctx, address, request, responses)
+	}
+	var merged streamorigin.Finding
+	hasResponse := false
+	for range addresses {
+		response := <-responses
+		if response == nil {
+			continue
+		}
+		hasResponse = true
+		merged = merged.Merge(decodeFinding(response))
+		if merged.IsFound {
+			break
+		}
+	}
+	if !hasResponse {
+		return merged, ErrNoResponse
+	}
+	return merged, nil
+}
+
+func (c *Client) runFindOrigin(ctx context.Context, address netip.AddrPort, request *peerapi.FindOriginRequest, responses chan<- *peerapi.FindOriginResponse) {
+	response, err := c.findOrigin(ctx, address, request)
+	if err != nil {
+		c.logger.WithError(err).WithField("host", address.String()).Debug("host did not respond")
+	}
+	responses <- response
+}
+
+func (c *Client) findOrigin(ctx context.Context, address netip.AddrPort, request *peerapi.FindOriginRequest) (*peerapi.FindOriginResponse, error) {
+	peer, err := c.edgeClient(address)
+	if err != nil {
+		return nil, err
+	}
+	return peer.FindOrigin(ctx, request)
+}
+
 // notifyAll makes a call to each other host in the background.
 func (c *Client) notifyAll(ctx context.Context, call func(context.Context, peerapi.EdgeClient) error) {
 	for _, address := range c.otherHosts() {
@@ -271,3 +335,20 @@
 		Stage: serverlist.Stage(s.GetStage()), SoftwareVersion: s.GetSoftwareVersion(), Slots: int(s.GetSlots()), IsDraining: s.GetIsDraining(), CreateRevision: s.GetCreated(),
 	}, nil
 }
+
+func encodeOrigin(o streamorigin.Origin) *peerapi.StreamOrigin {
+	return &peerapi.StreamOrigin{RequestId: o.RequestID, Service: o.Service, SoftwareVersion: o.SoftwareVersion}
+}
+
+// encodeWindow returns a window in milliseconds, rounded up so that it covers the whole
+// window.
+func encodeWindow(window time.Duration) uint32 {
+	return uint32((window + time.Millisecond - 1) / time.Millisecond)
+}
+
+func decodeFinding(response *peerapi.FindOriginResponse) streamorigin.Finding {
+	return streamorigin.Finding{
+		IsFound: response.GetIsFound(), SoftwareVersion: response.GetSoftwareVersion(),
+		IsSole: response.GetIsSole(), SoleVersion: response.GetSoleVersion(), IsMixed: response.GetIsMixed(),
+	}
+}
--- a/hickoryd/internal/edgehost/edgehost_test.go
+++ b/hickoryd/internal/edgehost/edgehost_test.go
@@ -1,9 +1,12 @@
 package edgehost_test
 
 import (
+	"cmp"
 	"context"
+	"errors"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -13,17 +16,31 @@
 	"google.golang.org/grpc"
 
 	"github.com/hickoryfront/hickoryfront/core/serverlist"
+	"github.com/hickoryfront/hickoryfront/core/streamorigin"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/edgehost"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/registry"
 	"github.com/hickoryfront/hickoryfront/peerapi"
 )
 
+const (
+	// findTimeout is the time limit of Client.FindOrigin.
+	findTimeout = 200 * time.Millisecond
+	// attempts is how often a call is made whose result depends on that limit.
+	attempts = 10
+)
+
 // host is a host that knows one server and records the reports it receives.
 type host struct {
 	mu       sync.Mutex
 	lost     []string
 	replaced []string
+	origins  []streamorigin.Origin
 	reported chan struct{}
+	// finding is the response of FindOrigin for the request "r1" of the service
+	// "model" over a window of 1.5 s. It is sent when silence is closed, or at once
+	// if silence is nil.
+	finding streamorigin.Finding
+	silence chan struct{}
 }
 
 func (h *host) ViewSince(_ time.Time, version, _ uint64) registry.StoreView {
@@ -41,6 +58,23 @@
 
 func (h *host) ReportReplaced(_ time.Time, server string) { h.record(&h.replaced, server) }
 
+func (h *host) ReportOrigins(_ time.Time, origins []streamorigin.Origin) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.origins = append(h.origins, origins...)
+	h.reported <- struct{}{}
+}
+
+func (h *host) FindOrigin(_ time.Time, requestID, service string, window time.Duration) streamorigin.Finding {
+	if h.silence != nil {
+		<-h.silence
+	}
+	if requestID != "r1" || service != "model" || window != 1500*time.Millisecond {
+		return streamorigin.Finding{}
+	}
+	return h.finding
+}
+
 func (h *host) record(list *[]string, server string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -53,18 +87,29 @@
 func newPair(t *testing.T) (*host, *edgehost.Client) {
 	t.Helper()
 	h := &host{reported: make(chan struct{}, 10)}
+	client := newClient(t, serve(t, h, h))
+	return h, client
+}
+
+// serve starts a gRPC server of h and returns its address. origins may be nil.
+func serve(t *testing.T, h *host, origins edgehost.OriginReceiver) netip.AddrPort {
+	t.Helper()
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	server := grpc.NewServer()
-	peerapi.RegisterEdgeServer(server, edgehost.NewServer(h, h))
+	peerapi.RegisterEdgeServer(server, edgehost.NewServer(h, h, origins))
 	go func() { _ = server.Serve(listener) }() // ends when the test stops the server
 	t.Cleanup(server.Stop)
-	seeds := []netip.AddrPort{netip.MustParseAddrPort(listener.Addr().String())}
+	return netip.MustParseAddrPort(listener.Addr().String())
+}
+
+func newClient(t *testing.T, seeds ...netip.AddrPort) *edgehost.Client {
+	t.Helper()
 	client := edgehost.NewClient(netip.MustParseAddrPort("127.0.0.1:1"), seeds, &log.Logger{Handler: discard.New(), Level: log.ErrorLevel})
 	t.Cleanup(client.Close)
-	return h, client
+	return client
 }
 
 func TestFetch(t *testing.T) {
@@ -105,3 +150,98 @@
 		t.Errorf("lost %v, replaced %v; want [s1] and [s2]", h.lost, h.replaced)
 	}
 }
+
+func TestReportOrigins(t *testing.T) {
+	h := &host{reported: make(chan struct{}, 10)}
+	address := serve(t, h, h)
+	origins := []streamorigin.Origin{
+		{RequestID: "r1", Service: "model", SoftwareVersion: "v1.2"},
+		{RequestID: "r2", Service: "other"},
+	}
+	newClient(t).ReportOrigins(context.Background(), address, origins)
+	<-h.reported
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !slices.Equal(h.origins, origins) {
+		t.Errorf("origins %+v, want %+v", h.origins, origins)
+	}
+}
+
+func TestFindOrigin(t *testing.T) {
+	const window = 1500*time.Millisecond - 1 // rounded up to whole milliseconds
+	found := streamorigin.Finding{IsFound: true, SoftwareVersion: "v1.2", IsMixed: true}
+	sole := streamorigin.Finding{IsSole: true, SoleVersion: "v1"}
+	otherSole := streamorigin.Finding{IsSole: true, SoleVersion: "v2"}
+	silence := make(chan struct{})
+	t.Cleanup(func() { close(silence) })
+	// closed is an address at which no host listens.
+	closed := netip.MustParseAddrPort("127.0.0.1:2")
+	start := func(finding streamorigin.Finding) netip.AddrPort {
+		h := &host{finding: finding}
+		return serve(t, h, h)
+	}
+	silent := &host{silence: silence, finding: found}
+	silentAddress, oldAddress := serve(t, silent, silent), serve(t, &host{}, nil)
+	tests := []struct {
+		name      string
+		addresses []netip.AddrPort
+		requestID string
+		want      streamorigin.Finding
+		err       error
+	}{
+		{name: "no host", err: edgehost.ErrNoResponse},
+		{name: "host is down", addresses: []netip.AddrPort{closed}, err: edgehost.ErrNoResponse},
+		{name: "host does not respond", addresses: []netip.AddrPort{silentAddress}, err: edgehost.ErrNoResponse},
+		{name: "host without origins", addresses: []netip.AddrPort{oldAddress}, err: edgehost.ErrNoResponse},
+		{name: "found", addresses: []netip.AddrPort{start(found)}, want: found},
+		{name: "found by one of the hosts", addresses: []netip.AddrPort{closed, silentAddress, oldAddress, start(found)}, want: found},
+		{name: "unknown to all hosts", addresses: []netip.AddrPort{start(streamorigin.Finding{}), closed}},
+		{name: "unknown request", requestID: "r2", addresses: []netip.AddrPort{start(found)}},
+		{name: "sole version", addresses: []netip.AddrPort{start(streamorigin.Finding{}), silentAddress, start(sole)}, want: sole},
+		{name: "different sole versions", addresses: []netip.AddrPort{start(otherSole), start(sole)}, want: streamorigin.Finding{IsMixed: true}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			client := newClient(t)
+			requestID := cmp.Or(tt.requestID, "r1")
+			var got streamorigin.Finding
+			var err error
+			for range attempts {
+				began := time.Now()
+				got, err = client.FindOrigin(t.Context(), tt.addresses, requestID, "model", window)
+				// A busy host may respond too late, which is no wrong response.
+				if time.Since(began) < findTimeout || (got == tt.want && errors.Is(err, tt.err)) {
+					break
+				}
+			}
+			if !errors.Is(err, tt.err) {
+				t.Fatalf("error %v, want %v", err, tt.err)
+			}
+			if got != tt.want {
+				t.Errorf("finding %+v, want %+v", got, tt.want)
+			}
+		})
+	}
+}
+
+// FindOrigin must not wait for a host that does not respond when another host has found
+// the origin.
+func TestFindOriginReturnsFirstFound(t *testing.T) {
+	silence := make(chan struct{})
+	t.Cleanup(func() { close(silence) })
+	silent := &host{silence: silence}
+	fast := &host{finding: streamorigin.Finding{IsFound: true, SoftwareVersion: "v1"}}
+	addresses := []netip.AddrPort{serve(t, silent, silent), serve(t, fast, fast)}
+	client := newClient(t)
+	fastest := time.Hour
+	for range attempts {
+		began := time.Now()
+		got, err := client.FindOrigin(t.Context(), addresses, "r1", "model", 1500*time.Millisecond)
+		if err == nil && got.IsFound {
+			fastest = min(fastest, time.Since(began))
+		}
+	}
+	if fastest >= findTimeout {
+		t.Errorf("found after %v at the earliest, want less than the time limit %v", fastest, findTimeout)
+	}
+}
--- a/hickoryd/internal/edgehost/server.go
+++ b/hickoryd/internal/edgehost/server.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/hickoryfront/hickoryfront/core/serverlist"
+	"github.com/hickoryfront/hickoryfront/core/streamorigin"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/registry"
 	"github.com/hickoryfront/hickoryfront/peerapi"
 )
@@ -27,17 +28,31 @@
 		ReportReplaced(now time.Time, server string)
 	}
 
+	// OriginReceiver receives the origins of streams that other hosts began, and
+	// finds those that it knows.
+	OriginReceiver interface {
+		// ReportOrigins receives the origins of streams.
+		ReportOrigins(now time.Time, origins []streamorigin.Origin)
+		// FindOrigin returns what this host knows of the origin of the stream that
+		// began in a caller's attempt, and of the software versions of its service
+		// during the window before now.
+		FindOrigin(now time.Time, requestID, service string, window time.Duration) streamorigin.Finding
+	}
+
 	// Server serves the calls of the other hosts.
 	Server struct {
 		peerapi.UnimplementedEdgeServer
 		source   Source
 		receiver ReportReceiver
+		origins  OriginReceiver
 	}
 )
 
-// NewServer returns a server that responds from source and passes reports to receiver.
-func NewServer(source Source, receiver ReportReceiver) *Server {
-	return &Server{source: source, receiver: receiver}
+// NewServer returns a server that responds from source and origins, and passes reports to
+// receiver and origins. If origins is nil, the calls that concern the origins of streams
+// are unimplemented.
+func NewServer(source Source, receiver ReportReceiver, origins OriginReceiver) *Server {
+	return &Server{source: source, receiver: receiver, origins: origins}
 }
 
 // FetchState implements peerapi.EdgeServer.
@@ -67,6 +82,38 @@
 	return &peerapi.ReportReplacedResponse{}, nil
 }
 
+// ReportOrigins implements peerapi.EdgeServer.
+func (s *Server) ReportOrigins(ctx context.Context, request *peerapi.ReportOriginsRequest) (*peerapi.ReportOriginsResponse, error) {
+	if s.origins == nil {
+		return s.UnimplementedEdgeServer.ReportOrigins(ctx, request)
+	}
+	origins := make([]streamorigin.Origin, 0, len(request.GetOrigins()))
+	for _, o := range request.GetOrigins() {
+		origins = append(origins, decodeOrigin(o))
+	}
+	s.origins.ReportOrigins(time.Now(), origins)
+	return &peerapi.ReportOriginsResponse{}, nil
+}
+
+// FindOrigin implements peerapi.EdgeServer.
+func (s *Server) FindOrigin(ctx context.Context, request *peerapi.FindOriginRequest) (*peerapi.FindOriginResponse, error) {
+	if s.origins == nil {
+		return s.UnimplementedEdgeServer.FindOrigin(ctx, request)
+	}
+	window := time.Duration(request.GetWindowMs()) * time.Millisecond
+	return encodeFinding(s.origins.FindOrigin(time.Now(), request.GetRequestId(), request.GetService(), window)), nil
+}
+
+func decodeOrigin(o *peerapi.StreamOrigin) streamorigin.Origin {
+	return streamorigin.Origin{RequestID: o.GetRequestId(), Service: o.GetService(), SoftwareVersion: o.GetSoftwareVersion()}
+}
+
+func encodeFinding(f streamorigin.Finding) *peerapi.FindOriginResponse {
+	return &peerapi.FindOriginResponse{
+		IsFound: f.IsFound, SoftwareVersion: f.SoftwareVersion, IsSole: f.IsSole, SoleVersion: f.SoleVersion, IsMixed: f.IsMixed,
+	}
+}
+
 func encodeServer(s serverlist.Server) *peerapi.ServerRegistration {
 	return &peerapi.ServerRegistration{
 		Id: s.ID, Service: s.Service, Address: s.Address.String(), FailureDomain: s.FailureDomain,
