Return the peer addresses of the hosts from the registry

Change: Registry.Hosts returns the list as last read. It is shared, so a call per stream allocates nothing.

--- a/hickoryd/internal/registry/registry.go
+++ b/hickoryd/internal/registry/registry.go
@@ -123,6 +123,14 @@
 	return r.snapshot.Load()
 }
 
+// Hosts returns the peer addresses of the hosts of the system, or nil before they are
+// known. The caller must not modify the slice.
+func (r *Registry) Hosts() []netip.AddrPort {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.hosts
+}
+
 // HostCount returns the number of hosts of the system. It is at least 1.
 func (r *Registry) HostCount() int {
 	r.mu.Lock()
--- a/hickoryd/internal/registry/registry_test.go
+++ b/hickoryd/internal/registry/registry_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"net/netip"
 	"path"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -209,6 +210,21 @@
 	}
 }
 
+func TestHostsFromPeers(t *testing.T) {
+	s := &store{revision: 5, version: 1, servers: map[string]string{"a": "ready"}}
+	p := &peers{}
+	r := start(t, s, p)
+	if got := r.Hosts(); got != nil {
+		t.Errorf("hosts %v before any is known, want none", got)
+	}
+	want := []netip.AddrPort{netip.MustParseAddrPort("10.0.0.2:1"), netip.MustParseAddrPort("10.0.0.1:1")}
+	p.mu.Lock()
+	p.view = registry.StoreView{Hosts: want}
+	p.mu.Unlock()
+	s.set(func() { s.isDown = true })
+	await(t, "the hosts are known", func() bool { return slices.Equal(r.Hosts(), want) })
+}
+
 // Backend servers can't renew their registrations while the store is down, so the
 // registrations expire although the servers run. Servers that are missing when the
 // store is reachable again must be kept.
