--- a/hickoryd/internal/registry/registry.go
+++ b/hickoryd/internal/registry/registry.go
@@ -123,6 +123,14 @@
 	return r.snapshot.Load()
 }
 
+// Hosts returns the peer addresses of the hosts of the system, or nil before they are
+// known. The caller must not modify the slice.
+func (r *Registry) Hosts() []netip.AddrPort {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.hosts
+}
+
 // HostCount returns the number of hosts of the system. It is at least 1.
 func (r *Registry) HostCount() int {
 	r.mu.Lock()
@@ -203,7 +211,8 @@
 	for _, s := range after {
 		if old, ok := known[s.ID]; !ok || old != s {
 			r.logger.WithFields(log.Fields{
-				"server": s.ID, "service": s.Service, "address": s.Address, "stage": s.Stage, "draining": s.IsDraining, "known": ok,
+				"server": s.ID, "service": s.Service, "address": s.Address, "stage": s.Stage,
+				"softwareVersion": s.SoftwareVersion, "draining": s.IsDraining, "known": ok,
 			}).Info("backend server registered")
 		}
 		delete(known, s.ID)
