--- a/hickoryd/internal/edgedispatch/decode.go
+++ b/hickoryd/internal/edgedispatch/decode.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/hickoryfront/hickoryfront/core/eventstream"
@@ -147,6 +148,9 @@
 			continue
 		}
 		g.timing.recordEvent(time.Now())
+		if !slices.Contains(g.softwareVersions, server.SoftwareVersion) {
+			g.softwareVersions = append(g.softwareVersions, server.SoftwareVersion)
+		}
 		if err := g.sink.Write(event.Bytes); err != nil {
 			return fmt.Errorf("%w: %w", ErrTruncated, err)
 		}
--- a/hickoryd/internal/edgedispatch/dispatch.go
+++ b/hickoryd/internal/edgedispatch/dispatch.go
@@ -137,7 +137,7 @@
 	}
 
 	counters struct {
-		retries, retriesDenied, decodePrefills, unusedHandles, migrations, silences, truncated *metrics.Counter
+		retries, retriesDenied, decodePrefills, unusedHandles, migrations, silences, truncated, mixed *metrics.Counter
 	}
 )
 
@@ -153,6 +153,7 @@
 			migrations:     set.NewCounter(`hickoryfront_edge_runs_moved_total`),
 			unusedHandles:  set.NewCounter(`hickoryfront_edge_handles_unused_total`),
 			silences:       set.NewCounter(`hickoryfront_edge_silent_streams_total`),
+			mixed:          set.NewCounter(`hickoryfront_edge_mixed_streams_total`),
 			truncated:      set.NewCounter(`hickoryfront_edge_truncated_streams_total`),
 		},
 	}
--- a/hickoryd/internal/edgedispatch/generation.go
+++ b/hickoryd/internal/edgedispatch/generation.go
@@ -47,6 +47,8 @@
 		// silences is the number of attempts that were given up because the server sent
 		// no event.
 		silences int
+		// softwareVersions are those of the servers whose events the caller has received.
+		softwareVersions []string
 		// prefills is the number of prompts sent to prefill servers.
 		prefills int
 		// unusedHandle is a KV cache that the decode server did not fetch.
