--- /dev/null
+++ b/hickoryd/internal/edgedispatch/version_test.go
@@ -0,0 +1,307 @@
+package edgedispatch_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+
+	"github.com/hickoryfront/hickoryfront/core/retrybudget"
+	"github.com/hickoryfront/hickoryfront/core/serverlist"
+	"github.com/hickoryfront/hickoryfront/core/streamorigin"
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/edgedispatch"
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/upstream"
+	"github.com/hickoryfront/hickoryfront/platform"
+)
+
+type (
+	// originPeers are other hosts with a finding about every stream. They record what is
+	// reported to them.
+	originPeers struct {
+		noPeers
+		finding streamorigin.Finding
+		err     error
+
+		mu       sync.Mutex
+		reported []streamorigin.Origin
+	}
+
+	// hostList is a list of backend servers and hosts.
+	hostList struct{ *changingServers }
+
+	// resumption is a caller's request that resumes a stream.
+	resumption struct {
+		id, resumes string
+		lastEvent   uint64
+	}
+)
+
+func (hostList) Hosts() []netip.AddrPort {
+	return []netip.AddrPort{netip.MustParseAddrPort("127.0.0.1:1"), netip.MustParseAddrPort("127.0.0.2:1")}
+}
+
+func (p *originPeers) ReportOrigins(_ context.Context, _ netip.AddrPort, origins []streamorigin.Origin) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.reported = append(p.reported, origins...)
+}
+
+func (p *originPeers) FindOrigin(context.Context, []netip.AddrPort, string, string, time.Duration) (streamorigin.Finding, error) {
+	return p.finding, p.err
+}
+
+func (p *originPeers) hasReport(want streamorigin.Origin) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, origin := range p.reported {
+		if origin == want {
+			return true
+		}
+	}
+	return false
+}
+
+// startVersion returns a decode server of a software version. A run sends the events from
+// the one after that which the caller has up to number last, each with the version, and
+// then ends by end.
+func startVersion(t *testing.T, id, version string, last int, end http.HandlerFunc) serverlist.Server {
+	var hasCapacity atomic.Bool
+	hasCapacity.Store(true)
+	server := startDecodeServer(t, id, &hasCapacity, func(w http.ResponseWriter, r *http.Request) {
+		first, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+		w.Header().Set("Server-Stamp", "stamp")
+		for number := first + 1; number <= last; number++ {
+			_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", number, version)
+		}
+		_ = http.NewResponseController(w).Flush()
+		end(w, r)
+	})
+	server.SoftwareVersion = version
+	return server
+}
+
+func complete(http.ResponseWriter, *http.Request) {}
+
+func silent(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }
+
+// versionsOf returns the events of a body as "1:v1 2:v1".
+func versionsOf(body string) string {
+	return strings.TrimSpace(strings.NewReplacer("id: ", "", "\ndata: ", ":", "\n\n", " ").Replace(body))
+}
+
+func newVersionDispatcher(t *testing.T, list *changingServers, peers *originPeers) *edgedispatch.Dispatcher {
+	t.Helper()
+	logger := &log.Logger{Handler: discard.New(), Level: log.InfoLevel}
+	return edgedispatch.New(t.Context(), edgedispatch.Options{Budget: retrybudget.Limits{Slack: 100}}, hostList{list},
+		upstream.NewPool(netip.Addr{}, metrics.NewSet()), peers, logger, metrics.NewSet())
+}
+
+// resume sends a request that resumes a stream and returns what send returns.
+func resume(t *testing.T, d *edgedispatch.Dispatcher, from resumption) (int, string) {
+	t.Helper()
+	r := resumable
+	r.Name, r.Service, r.Timeout, r.LatencyTarget = "r", "s", callerTimeout, 300*time.Millisecond
+	now := time.Now()
+	header := http.Header{"Request-Id": {from.id}}
+	metadata := platform.Request{ID: from.id, PromptTokens: promptTokens, MaxOutputTokens: 10, TimeLeft: callerTimeout}
+	if from.resumes != "" {
+		header.Set("Last-Event-Id", strconv.FormatUint(from.lastEvent, 10))
+		metadata.LastEventID, metadata.IsResumed, metadata.ResumesID = from.lastEvent, true, from.resumes
+	}
+	got := &sink{}
+	err := d.Serve(t.Context(), &edgedispatch.Request{
+		Metadata: metadata, Route: &r, Method: http.MethodPost, Target: "/x", Host: "h", Header: header, Arrived: now, Deadline: now.Add(callerTimeout),
+	}, got)
+	var failure *edgedispatch.Failure
+	switch {
+	case err == nil:
+		return got.status, versionsOf(got.body.String())
+	case errors.As(err, &failure):
+		return failure.Status, failure.Reason
+	default:
+		return 0, versionsOf(got.body.String())
+	}
+}
+
+// TestStreamKeepsItsSoftwareVersion guards against a response with events of servers of two
+// software versions: it breaks off at one server, or the server stays silent, and other
+// versions have capacity.
+func TestStreamKeepsItsSoftwareVersion(t *testing.T) {
+	tests := []struct {
+		name   string
+		end    http.HandlerFunc // of the first server's run, after event 2
+		others []string         // versions of the other servers, the preferred one first
+		want   string
+		status int
+	}{
+		{name: "broken off", end: broken, others: []string{"v2", "v1"}, want: "1:v1 2:v1 3:v1", status: http.StatusOK},
+		{name: "silent", end: silent, others: []string{"v2", "v1"}, want: "1:v1 2:v1 3:v1", status: http.StatusOK},
+		{name: "broken off without another server of the version", end: broken, others: []string{"v2", "v3"}, want: "1:v1 2:v1"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			list := &changingServers{}
+			var others servers
+			for i, version := range tt.others {
+				other := startVersion(t, fmt.Sprint("other", i), version, 3, complete)
+				if i > 0 {
+					other.FailureDomain = "elsewhere" // the others are preferred
+				}
+				others = append(others, other)
+			}
+			first := startVersion(t, "first", "v1", 2, func(w http.ResponseWriter, r *http.Request) {
+				list.set(append(others, list.Servers().Servers...))
+				tt.end(w, r)
+			})
+			list.set(servers{first})
+			d := newVersionDispatcher(t, list, &originPeers{})
+			started := time.Now()
+			status, got := resume(t, d, resumption{id: "r1"})
+			if status != tt.status || got != tt.want {
+				t.Errorf("status %d, want %d; events %s, want %s", status, tt.status, got, tt.want)
+			}
+			if took := time.Since(started); tt.status == 0 && took > callerTimeout/2 {
+				t.Errorf("the response ended after %v, want at once: no server can go on with the stream", took)
+			}
+		})
+	}
+}
+
+// TestMigrationKeepsSoftwareVersion guards against a run that is migrated to a server of
+// another software version.
+func TestMigrationKeepsSoftwareVersion(t *testing.T) {
+	tests := []struct {
+		name       string
+		hasSame    bool // whether another server has the version
+		wantServer string
+	}{
+		{name: "to a server of the version", hasSame: true, wantServer: "same"},
+		{name: "not without a server of the version"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			var resumedAt atomic.Value
+			resumedAt.Store("")
+			target := func(id, version string) serverlist.Server {
+				s := startServer(t, id, serverlist.Decode, func(w http.ResponseWriter, r *http.Request) {
+					if strings.HasPrefix(r.URL.Path, "/hickoryfront/") {
+						_, _ = io.WriteString(w, `{"hold":"h"}`)
+						return
+					}
+					resumedAt.Store(id)
+					last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+					sendEvents(w, fmt.Sprint(last+1))
+				})
+				s.SoftwareVersion = version
+				return s
+			}
+			source := &migrationSource{events: 30, drainAt: 2, stopped: make(chan struct{})}
+			first := startServer(t, "first", serverlist.Decode, source.ServeHTTP)
+			first.SoftwareVersion = "v1"
+			others := servers{target("new", "v2")}
+			if tt.hasSame {
+				same := target("same", "v1")
+				same.FailureDomain = "elsewhere" // the new version is preferred
+				others = append(others, same)
+			}
+			list := &changingServers{}
+			list.set(servers{first})
+			source.onDrain = func() {
+				draining := first
+				draining.IsDraining = true
+				list.set(append(servers{draining}, others...))
+			}
+			status, body := send(t, newVersionDispatcher(t, list, &originPeers{}), resumable, callerTimeout)
+			if got := resumedAt.Load().(string); status != http.StatusOK || !isWhole(body) || got != tt.wantServer {
+				t.Errorf("status %d, want 200; run resumed at %q, want %q; body %q", status, got, tt.wantServer, body)
+			}
+		})
+	}
+}
+
+// TestCallerResumesAtSoftwareVersion guards against a stream that goes on at another
+// software version when its caller resumes it, at the host that began it or at another.
+func TestCallerResumesAtSoftwareVersion(t *testing.T) {
+	from := resumption{id: "r2", resumes: "r1", lastEvent: 2}
+	unknown := errors.New("no host has responded")
+	tests := []struct {
+		name     string
+		versions []string // of the servers, the preferred one first
+		finding  streamorigin.Finding
+		err      error
+		status   int
+		want     string // events; "" for a refusal
+	}{
+		{name: "another host began the stream", versions: []string{"v2", "v1"}, finding: streamorigin.Finding{IsFound: true, SoftwareVersion: "v1"}, status: http.StatusOK, want: "3:v1"},
+		{name: "no server of the version is left", versions: []string{"v2", "v3"}, finding: streamorigin.Finding{IsFound: true, SoftwareVersion: "v1"}, status: http.StatusServiceUnavailable},
+		{name: "the origin is unknown and several versions serve", versions: []string{"v2", "v1"}, finding: streamorigin.Finding{IsMixed: true}, status: http.StatusServiceUnavailable},
+		{name: "the origin is unknown and no other host responds", versions: []string{"v2", "v1"}, err: unknown, status: http.StatusServiceUnavailable},
+		{name: "the service has had one version only", versions: []string{"v1"}, finding: streamorigin.Finding{IsSole: true, SoleVersion: "v1"}, status: http.StatusOK, want: "3:v1"},
+		{name: "the service had another version only", versions: []string{"v2"}, finding: streamorigin.Finding{IsSole: true, SoleVersion: "v1"}, status: http.StatusServiceUnavailable},
+		{name: "all hosts have started again", versions: []string{"v1"}, status: http.StatusOK, want: "3:v1"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			list := &changingServers{}
+			var all servers
+			for i, version := range tt.versions {
+				s := startVersion(t, fmt.Sprint("s", i), version, 3, complete)
+				if i > 0 {
+					s.FailureDomain = "elsewhere" // the others are preferred
+				}
+				all = append(all, s)
+			}
+			list.set(all)
+			d := newVersionDispatcher(t, list, &originPeers{finding: tt.finding, err: tt.err})
+			started := time.Now()
+			status, got := resume(t, d, from)
+			if status != tt.status || tt.want != "" && got != tt.want {
+				t.Errorf("status %d, want %d; got %q, want %q", status, tt.status, got, tt.want)
+			}
+			if took := time.Since(started); tt.want == "" && took > time.Second {
+				t.Errorf("refused after %v, want at once", took)
+			}
+		})
+	}
+}
+
+// TestHostKnowsItsOwnStreams begins a stream whose caller then resumes it at the same host,
+// and checks what the host tells the others.
+func TestHostKnowsItsOwnStreams(t *testing.T) {
+	first := startVersion(t, "first", "v1", 2, broken)
+	list := &changingServers{}
+	list.set(servers{first})
+	peers := &originPeers{}
+	d := newVersionDispatcher(t, list, peers)
+	if status, got := resume(t, d, resumption{id: "r1"}); status != 0 || got != "1:v1 2:v1" {
+		t.Fatalf("status %d, events %s; want a truncated stream", status, got)
+	}
+	other := startVersion(t, "other", "v2", 3, complete)
+	same := startVersion(t, "same", "v1", 3, complete)
+	same.FailureDomain = "elsewhere" // the other version is preferred
+	list.set(servers{other, same})
+	if status, got := resume(t, d, resumption{id: "r2", resumes: "r1", lastEvent: 2}); status != http.StatusOK || got != "3:v1" {
+		t.Errorf("status %d, events %s; want event 3 of v1", status, got)
+	}
+	want := streamorigin.Origin{RequestID: "r1", Service: "s", SoftwareVersion: "v1"}
+	for deadline := time.Now().Add(5 * time.Second); !peers.hasReport(want); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("reported %v, want %v once a second version serves", peers.reported, want)
+		}
+	}
+}
