Keep a stream at the software version that began it

Cause: the host chose servers without regard to their software version, in three places: when a caller resumes a stream (the case in the record), when a broken or silent stream goes on at another server within one response, and when the run of a leaving server is migrated. The class: work that goes on elsewhere was placed like new work, without the constraints that it has inherited. Change: the version of the server that begins the response is part of the stream. All choices of a decode server go through one set of criteria that contains it. A host records the version of each stream it begins, and while a service has several versions also reports it to two other hosts; a host that resumes a stream for its caller asks these. If nobody knows the version and several have served, the request is refused; if no server of the version is left, it is refused at once. Why it works: an event is forwarded only from a server that matches the recorded version, and a host that doesn't know the version forwards none.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -171,7 +171,7 @@
 	var bestCost float64
 	isFound := false
 	for _, s := range servers {
-		if !criteria.matches(s) || t.isEnded(now, s.ID) || (!isEjectedAllowed && t.health.IsEjected(now, s.ID)) {
+		if !criteria.Matches(s) || t.isEnded(now, s.ID) || (!isEjectedAllowed && t.health.IsEjected(now, s.ID)) {
 			continue
 		}
 		cost := t.cost(s, criteria)
@@ -192,7 +192,7 @@
 	}
 	var candidates []candidate
 	for _, s := range servers {
-		if !criteria.matches(s) || t.isEnded(now, s.ID) || t.health.IsEjected(now, s.ID) || t.isSkipped(now, s.ID) {
+		if !criteria.Matches(s) || t.isEnded(now, s.ID) || t.health.IsEjected(now, s.ID) || t.isSkipped(now, s.ID) {
 			continue
 		}
 		candidates = append(candidates, candidate{s, t.cost(s, criteria)})
@@ -221,7 +221,8 @@
 	return cost + failureWeight*t.health.FailureRate(s.ID)
 }
 
-func (c Criteria) matches(s serverlist.Server) bool {
+// Matches reports whether a server may be chosen.
+func (c Criteria) Matches(s serverlist.Server) bool {
 	return s.Service == c.Service && s.Stage == c.Stage && c.allowsVersion(s.SoftwareVersion) &&
 		!s.IsDraining && !slices.Contains(c.Excluded, s.ID)
 }
--- a/core/streamorigin/finding.go
+++ b/core/streamorigin/finding.go
@@ -31,3 +31,19 @@
 	}
 	return merged
 }
+
+// Resolve returns the software version at which the stream may go on, or false if that is
+// unknown. listed are the software versions of the servers that are listed now: if hosts
+// know of no other version, the only one began the stream.
+func (f Finding) Resolve(listed []string) (version string, ok bool) {
+	switch {
+	case f.IsFound:
+		return f.SoftwareVersion, true
+	case f.IsSole:
+		return f.SoleVersion, true
+	case !f.IsMixed && len(listed) == 1:
+		return listed[0], true
+	default:
+		return "", false
+	}
+}
--- a/core/streamorigin/finding_test.go
+++ b/core/streamorigin/finding_test.go
@@ -40,3 +40,27 @@
 		})
 	}
 }
+
+func TestResolve(t *testing.T) {
+	tests := []struct {
+		name    string
+		finding streamorigin.Finding
+		listed  []string
+		want    string
+		wantOK  bool
+	}{
+		{name: "found", finding: streamorigin.Finding{IsFound: true, SoftwareVersion: "v1", IsMixed: true}, listed: []string{"v2"}, want: "v1", wantOK: true},
+		{name: "sole", finding: streamorigin.Finding{IsSole: true, SoleVersion: "v1"}, listed: []string{"v2"}, want: "v1", wantOK: true},
+		{name: "mixed", finding: streamorigin.Finding{IsMixed: true}, listed: []string{"v2"}},
+		{name: "no history, one listed", listed: []string{"v1"}, want: "v1", wantOK: true},
+		{name: "no history, two listed", listed: []string{"v1", "v2"}},
+		{name: "no history, none listed"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			if got, ok := tt.finding.Resolve(tt.listed); got != tt.want || ok != tt.wantOK {
+				t.Errorf("version %q, %t; want %q, %t", got, ok, tt.want, tt.wantOK)
+			}
+		})
+	}
+}
--- a/core/streamorigin/table.go
+++ b/core/streamorigin/table.go
@@ -83,6 +83,19 @@
 	return Origin{RequestID: requestID, Service: l.service, SoftwareVersion: l.softwareVersion}, true
 }
 
+// Origins returns the origins of the streams of a service that have not expired at now.
+func (t *Table) Origins(now time.Time, service string) []Origin {
+	t.removeExpired(now)
+	var origins []Origin
+	for _, id := range t.entries.Keys() {
+		e, _ := t.entries.Peek(id)
+		if l := e.label.Value(); l.service == service {
+			origins = append(origins, Origin{RequestID: id, Service: service, SoftwareVersion: l.softwareVersion})
+		}
+	}
+	return origins
+}
+
 // Len returns the number of origins in the table.
 func (t *Table) Len() int {
 	return t.entries.Len()
--- a/core/streamorigin/table_test.go
+++ b/core/streamorigin/table_test.go
@@ -158,3 +158,15 @@
 		}
 	}
 }
+
+func TestOriginsOfService(t *testing.T) {
+	table := streamorigin.NewTable(10, time.Minute)
+	kept := streamorigin.Origin{RequestID: "r2", Service: "s", SoftwareVersion: "v1"}
+	table.Record(start, streamorigin.Origin{RequestID: "r1", Service: "s", SoftwareVersion: "v1"})
+	table.Record(start.Add(time.Second), kept)
+	table.Record(start.Add(time.Second), streamorigin.Origin{RequestID: "r3", Service: "other", SoftwareVersion: "v1"})
+	got := table.Origins(start.Add(time.Minute), "s")
+	if len(got) != 1 || got[0] != kept {
+		t.Errorf("origins %v, want %v: r1 has expired, r3 is of another service", got, kept)
+	}
+}
--- a/hickoryd/internal/edge/wiring.go
+++ b/hickoryd/internal/edge/wiring.go
@@ -97,7 +97,7 @@
 
 func newDispatcher(l *lifetime, s Settings, r *registry.Registry, pool *upstream.Pool, peers *edgehost.Client, logger log.Interface, set *metrics.Set) *edgedispatch.Dispatcher {
 	return edgedispatch.New(l, edgedispatch.Options{
-		FailureDomain: s.FailureDomain, Budget: retrybudget.Limits{Ratio: s.RetryRatio, Slack: s.RetrySlack},
+		FailureDomain: s.FailureDomain, Self: s.Peer, Budget: retrybudget.Limits{Ratio: s.RetryRatio, Slack: s.RetrySlack},
 	}, r, pool, peers, logger, set)
 }
 
@@ -106,7 +106,7 @@
 }
 
 func newEdgeServer(r *registry.Registry, d *edgedispatch.Dispatcher) *edgehost.Server {
-	return edgehost.NewServer(r, d, nil)
+	return edgehost.NewServer(r, d, d)
 }
 
 func newController(s Settings, r *registry.Registry, store *platform.Store, pool *upstream.Pool, logger log.Interface, set *metrics.Set) *edgeorder.Controller {
--- a/hickoryd/internal/edgedispatch/decode.go
+++ b/hickoryd/internal/edgedispatch/decode.go
@@ -120,6 +120,7 @@
 func (g *generation) forward(ctx context.Context, response *upstream.Response, watch *silenceWatch, server serverlist.Server) error {
 	if !g.isStarted {
 		g.isStarted = true
+		g.beginStream(server)
 		if err := g.sink.Start(response.StatusCode, platform.ResponseHeader(response.Header)); err != nil {
 			return fmt.Errorf("%w: %w", ErrTruncated, err)
 		}
@@ -140,7 +141,7 @@
 		}
 		migration.check(ctx)
 		isNew, err := g.relay.Accept(event)
-		watch.observe(g.relay)
+		watch.observe(g.relay, g.softwareVersion)
 		if err != nil {
 			return fmt.Errorf("%w: %w", upstream.ErrMayHaveRun, err)
 		}
--- a/hickoryd/internal/edgedispatch/dispatch.go
+++ b/hickoryd/internal/edgedispatch/dispatch.go
@@ -13,6 +13,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -28,6 +29,7 @@
 	"github.com/hickoryfront/hickoryfront/core/retrybudget"
 	"github.com/hickoryfront/hickoryfront/core/route"
 	"github.com/hickoryfront/hickoryfront/core/serverlist"
+	"github.com/hickoryfront/hickoryfront/core/streamorigin"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/registry"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/upstream"
 	"github.com/hickoryfront/hickoryfront/platform"
@@ -53,15 +55,26 @@
 	Registry interface {
 		Servers() *registry.Snapshot
 		HostCount() int
+		// Hosts returns the peer addresses of all hosts.
+		Hosts() []netip.AddrPort
+		// IsStoreUnreachable reports whether the list may be out of date, because the
+		// store does not respond to this host.
+		IsStoreUnreachable() bool
 	}
 
-	// Peers notifies the other hosts about failed servers.
+	// Peers notifies the other hosts about failed servers and the origins of streams, and
+	// queries them for those.
 	Peers interface {
 		// ReportLoss reports that a server failed while it ran the request with the
 		// given fingerprint.
 		ReportLoss(ctx context.Context, fingerprint uint64, server string)
 		// ReportReplaced reports that another process listens at a server's address.
 		ReportReplaced(ctx context.Context, server string)
+		// ReportOrigins reports the origins of streams to the host at address.
+		ReportOrigins(ctx context.Context, address netip.AddrPort, origins []streamorigin.Origin)
+		// FindOrigin returns what the hosts at addresses know of the origin of a stream. It
+		// returns an error if none responds.
+		FindOrigin(ctx context.Context, addresses []netip.AddrPort, requestID, service string, window time.Duration) (streamorigin.Finding, error)
 	}
 
 	// Sink writes a response to the caller.
@@ -106,7 +119,9 @@
 	Options struct {
 		// FailureDomain is this host's.
 		FailureDomain string
-		Budget        retrybudget.Limits
+		// Self is this host's peer address.
+		Self   netip.AddrPort
+		Budget retrybudget.Limits
 	}
 
 	// Dispatcher serves requests. It is safe for concurrent use.
@@ -117,6 +132,7 @@
 		peers    Peers
 		logger   log.Interface
 		counters counters
+		origins  *origins
 		// background ends with the process. Work that outlives its request uses it
 		// instead of the request's context.
 		background context.Context
@@ -144,7 +160,7 @@
 // New returns a dispatcher whose background work ends with the context background.
 func New(background context.Context, options Options, r Registry, pool *upstream.Pool, peers Peers, logger log.Interface, set *metrics.Set) *Dispatcher {
 	return &Dispatcher{
-		background: background, options: options, registry: r, pool: pool, peers: peers, logger: logger,
+		background: background, options: options, registry: r, pool: pool, peers: peers, logger: logger, origins: newOrigins(),
 		balancer: balance.NewTable(), prefillQueue: prefillqueue.NewEstimator(), outputLength: outputlength.NewEstimator(), budgets: make(map[string]*retrybudget.Budget), crashes: crash.NewTable(crashTableSize), meanTokens: make(map[string]float64), callerRetry: make(map[string]*callerretry.Estimator),
 		counters: counters{
 			retries:        set.NewCounter(`hickoryfront_edge_repeats_total`),
@@ -272,6 +288,9 @@
 // the state kept for servers that are no longer listed.
 func (d *Dispatcher) servers() []serverlist.Server {
 	snapshot := d.registry.Servers()
+	if toReport := d.origins.observe(time.Now(), snapshot); len(toReport) > 0 {
+		d.reportOrigins(toReport)
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if snapshot.Version != d.serversVersion {
--- a/hickoryd/internal/edgedispatch/dispatch_test.go
+++ b/hickoryd/internal/edgedispatch/dispatch_test.go
@@ -20,6 +20,7 @@
 	"github.com/hickoryfront/hickoryfront/core/retrybudget"
 	"github.com/hickoryfront/hickoryfront/core/route"
 	"github.com/hickoryfront/hickoryfront/core/serverlist"
+	"github.com/hickoryfront/hickoryfront/core/streamorigin"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/edgedispatch"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/registry"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/upstream"
@@ -48,10 +49,18 @@
 
 func (s servers) Servers() *registry.Snapshot { return &registry.Snapshot{Version: 1, Servers: s} }
 func (s servers) HostCount() int              { return 1 }
+func (s servers) Hosts() []netip.AddrPort     { return nil }
+func (s servers) IsStoreUnreachable() bool    { return false }
 
 func (noPeers) ReportLoss(context.Context, uint64, string) {}
 func (noPeers) ReportReplaced(context.Context, string)     {}
 
+func (noPeers) ReportOrigins(context.Context, netip.AddrPort, []streamorigin.Origin) {}
+
+func (noPeers) FindOrigin(context.Context, []netip.AddrPort, string, string, time.Duration) (streamorigin.Finding, error) {
+	return streamorigin.Finding{}, nil
+}
+
 func (s *sink) Start(status int, _ http.Header) error {
 	s.status = status
 	return nil
--- a/hickoryd/internal/edgedispatch/generation.go
+++ b/hickoryd/internal/edgedispatch/generation.go
@@ -47,6 +47,9 @@
 		// silences is the number of attempts that were given up because the server sent
 		// no event.
 		silences int
+		// softwareVersion is the one that began the stream, at which it must go on, or "" if
+		// no response has started.
+		softwareVersion string
 		// softwareVersions are those of the servers whose events the caller has received.
 		softwareVersions []string
 		// prefills is the number of prompts sent to prefill servers.
@@ -77,6 +80,13 @@
 	g := &generation{Dispatcher: d, request: r, sink: sink, firstAttempt: d.firstAttemptAt(r), relay: eventstream.NewRelay(r.Metadata.LastEventID, r.Metadata.IsResumed)}
 	defer g.logStream()
 	defer g.releaseUnused()
+	if r.Metadata.IsResumed {
+		version, err := d.resolveOrigin(ctx, r)
+		if err != nil {
+			return err
+		}
+		g.softwareVersion = version
+	}
 	var last error
 	for range maxStreamAttempts {
 		err := g.attempt(ctx)
--- a/hickoryd/internal/edgedispatch/migrate.go
+++ b/hickoryd/internal/edgedispatch/migrate.go
@@ -124,7 +124,10 @@
 // migrate transfers the run to the first server with free capacity and then stops the
 // run. It tries until searchCtx ends.
 func (m *migration) migrate(ctx, searchCtx context.Context) (*migratedRun, error) {
-	criteria := balance.Criteria{Service: m.request.Route.Service, Stage: serverlist.Decode, FailureDomain: m.server.FailureDomain, Excluded: []string{m.server.ID}}
+	criteria := balance.Criteria{
+		Service: m.request.Route.Service, Stage: serverlist.Decode, SoftwareVersion: m.server.SoftwareVersion,
+		FailureDomain: m.server.FailureDomain, Excluded: []string{m.server.ID},
+	}
 	for {
 		target, err := m.transferToAny(searchCtx, criteria)
 		if err == nil && searchCtx.Err() == nil {
--- a/hickoryd/internal/edgedispatch/migrate_test.go
+++ b/hickoryd/internal/edgedispatch/migrate_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/netip"
 	"strconv"
 	"strings"
 	"sync"
@@ -50,6 +51,10 @@
 
 func (c *changingServers) HostCount() int { return 1 }
 
+func (c *changingServers) Hosts() []netip.AddrPort { return nil }
+
+func (c *changingServers) IsStoreUnreachable() bool { return false }
+
 func (c *changingServers) set(list servers) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- /dev/null
+++ b/hickoryd/internal/edgedispatch/origin.go
@@ -0,0 +1,241 @@
+package edgedispatch
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/hickoryfront/hickoryfront/core/rendezvous"
+	"github.com/hickoryfront/hickoryfront/core/serverlist"
+	"github.com/hickoryfront/hickoryfront/core/streamorigin"
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/registry"
+)
+
+const (
+	// maxOrigins is the maximum number of streams whose origin a host holds.
+	maxOrigins = 20000
+	// originLifetime is how long a host holds the origin of a stream after its last use.
+	originLifetime = time.Minute
+	// versionRetention is how long the software versions of removed servers are
+	// remembered, and how long origins are reported after a service had several versions.
+	versionRetention = 10 * time.Minute
+	// listLag is the longest time by which the server list of a host is out of date, as the
+	// platform states it.
+	listLag = 3 * time.Second
+	// observePeriod is the time between two observations of an unchanged server list.
+	observePeriod = time.Second
+	// originHomes is the number of hosts that the origin of a stream is reported to, and
+	// originLookups the number of hosts that are queried for it. More are queried, because
+	// the hosts may know different lists of hosts.
+	originHomes   = 2
+	originLookups = 16
+	// unknownRetryAfter is the Retry-After of a request that resumes a stream of unknown
+	// origin: the retry reaches another host.
+	unknownRetryAfter = 300 * time.Millisecond
+)
+
+// errUnknownOrigin refuses a request that resumes a stream whose software version no host
+// knows, while servers of several versions serve.
+var errUnknownOrigin = &Failure{Status: http.StatusServiceUnavailable, RetryAfter: unknownRetryAfter, Reason: "software version that began the stream is unknown"}
+
+// origins holds the software versions that began streams, and those that services have
+// had. It is safe for concurrent use.
+type origins struct {
+	mu      sync.Mutex
+	table   *streamorigin.Table
+	history *streamorigin.History
+	// observed is the version of the server list that was observed last, at observedAt.
+	observed   uint64
+	observedAt time.Time
+	// mixed are the services with several software versions at the last observation.
+	mixed map[string]bool
+	// hosts is the list from which homes was built.
+	hosts []netip.AddrPort
+	homes *rendezvous.HostSet
+}
+
+func newOrigins() *origins {
+	return &origins{
+		table: streamorigin.NewTable(maxOrigins, originLifetime), history: streamorigin.NewHistory(versionRetention),
+		mixed: make(map[string]bool), homes: rendezvous.New(nil),
+	}
+}
+
+// observe adds the server list to the history. It returns the origins that have to be
+// reported, because their services have several software versions for the first time.
+func (o *origins) observe(now time.Time, snapshot *registry.Snapshot) []streamorigin.Origin {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if snapshot.Version == o.observed && now.Sub(o.observedAt) < observePeriod {
+		return nil
+	}
+	o.observed, o.observedAt = snapshot.Version, now
+	o.history.Observe(now, snapshot.Servers)
+	var toReport []streamorigin.Origin
+	mixed := make(map[string]bool)
+	for _, service := range servicesOf(snapshot.Servers) {
+		if !o.history.IsMixed(now, service, versionRetention) {
+			continue
+		}
+		mixed[service] = true
+		if !o.mixed[service] {
+			toReport = append(toReport, o.table.Origins(now, service)...)
+		}
+	}
+	o.mixed = mixed
+	return toReport
+}
+
+// record adds the origin of a stream. It reports whether the origin has to be reported.
+func (o *origins) record(now time.Time, origin streamorigin.Origin) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.table.Record(now, origin)
+	return o.mixed[origin.Service]
+}
+
+// find returns what this host knows of the origin of a stream.
+func (o *origins) find(now time.Time, requestID, service string, window time.Duration) streamorigin.Finding {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var f streamorigin.Finding
+	if origin, ok := o.table.Lookup(now, requestID); ok && origin.Service == service {
+		f.IsFound, f.SoftwareVersion = true, origin.SoftwareVersion
+	}
+	f.SoleVersion, f.IsSole = o.history.Sole(now, service, window)
+	f.IsMixed = o.history.IsMixed(now, service, window)
+	return f
+}
+
+// homesOf returns the n hosts of highest weight for a stream, without self.
+func (o *origins) homesOf(requestID string, n int, hosts []netip.AddrPort, self netip.AddrPort) []netip.AddrPort {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if !slices.Equal(hosts, o.hosts) {
+		names := make([]string, len(hosts))
+		for i, host := range hosts {
+			names[i] = host.String()
+		}
+		o.hosts, o.homes = hosts, rendezvous.New(names)
+	}
+	homes := make([]netip.AddrPort, 0, n)
+	for _, name := range o.homes.Homes(requestID, n+1) {
+		if address := netip.MustParseAddrPort(name); address != self && len(homes) < n {
+			homes = append(homes, address)
+		}
+	}
+	return homes
+}
+
+// ReportOrigins records other hosts' reports of the origins of streams.
+func (d *Dispatcher) ReportOrigins(now time.Time, reported []streamorigin.Origin) {
+	for _, origin := range reported {
+		d.origins.record(now, origin)
+	}
+}
+
+// FindOrigin returns what this host knows of the origin of the stream that began in a
+// caller's attempt, and of the software versions of its service during the window before
+// now.
+func (d *Dispatcher) FindOrigin(now time.Time, requestID, service string, window time.Duration) streamorigin.Finding {
+	d.servers() // observes the list
+	return d.origins.find(now, requestID, service, window)
+}
+
+// recordOrigin records the software version that begins a stream, and reports it to other
+// hosts if the service has several.
+func (d *Dispatcher) recordOrigin(origin streamorigin.Origin) {
+	if d.origins.record(time.Now(), origin) {
+		d.reportOrigins([]streamorigin.Origin{origin})
+	}
+}
+
+// reportOrigins reports origins to the hosts that hold them.
+func (d *Dispatcher) reportOrigins(toReport []streamorigin.Origin) {
+	hosts := d.registry.Hosts()
+	byHost := make(map[netip.AddrPort][]streamorigin.Origin)
+	for _, origin := range toReport {
+		for _, home := range d.origins.homesOf(origin.RequestID, originHomes, hosts, d.options.Self) {
+			byHost[home] = append(byHost[home], origin)
+		}
+	}
+	for home, batch := range byHost {
+		d.peers.ReportOrigins(d.background, home, batch)
+	}
+}
+
+// resolveOrigin returns the software version at which the stream that the request resumes
+// may go on. The error is errUnknownOrigin if that is not known.
+func (d *Dispatcher) resolveOrigin(ctx context.Context, r *Request) (string, error) {
+	window := r.Route.Timeout + listLag
+	finding := d.FindOrigin(time.Now(), r.Metadata.ResumesID, r.Route.Service, window)
+	hosts := d.origins.homesOf(r.Metadata.ResumesID, originLookups, d.registry.Hosts(), d.options.Self)
+	if !finding.IsFound && len(hosts) > 0 {
+		found, err := d.peers.FindOrigin(ctx, hosts, r.Metadata.ResumesID, r.Route.Service, window)
+		if err != nil && d.registry.IsStoreUnreachable() {
+			return "", errUnknownOrigin // this host's own server list may be out of date
+		}
+		finding = finding.Merge(found)
+	}
+	version, ok := finding.Resolve(versionsOf(d.servers(), r.Route.Service))
+	d.logger.WithFields(r.logFields()).WithFields(log.Fields{
+		"resumes": r.Metadata.ResumesID, "softwareVersion": version, "known": ok, "found": finding.IsFound, "mixed": finding.IsMixed,
+	}).Info("stream resumed by its caller")
+	if !ok {
+		return "", errUnknownOrigin
+	}
+	return version, nil
+}
+
+// beginStream records the software version of the stream, whose response starts with the
+// events of server. All further events have to come from servers of this version.
+func (g *generation) beginStream(server serverlist.Server) {
+	g.softwareVersion = server.SoftwareVersion
+	if !g.request.Route.IsResumable {
+		return
+	}
+	id := g.request.Metadata.ID
+	if g.request.Metadata.ResumesID != "" {
+		id = g.request.Metadata.ResumesID
+	}
+	g.recordOrigin(streamorigin.Origin{RequestID: id, Service: g.request.Route.Service, SoftwareVersion: g.softwareVersion})
+}
+
+// checkVersion returns a *Failure if the stream has a software version of which no server
+// is left that the request was not sent to.
+func (g *generation) checkVersion(servers []serverlist.Server) error {
+	if g.softwareVersion == "" {
+		return nil
+	}
+	if slices.ContainsFunc(servers, g.decodeCriteria().Matches) {
+		return nil
+	}
+	return &Failure{Status: http.StatusServiceUnavailable, Reason: fmt.Sprintf("no decode server of software version %q is left", g.softwareVersion)}
+}
+
+func servicesOf(servers []serverlist.Server) []string {
+	var services []string
+	for _, s := range servers {
+		if !slices.Contains(services, s.Service) {
+			services = append(services, s.Service)
+		}
+	}
+	return services
+}
+
+// versionsOf returns the software versions of a service's servers that generate events.
+func versionsOf(servers []serverlist.Server, service string) []string {
+	var versions []string
+	for _, s := range servers {
+		if s.Service == service && s.Stage != serverlist.Prefill && !slices.Contains(versions, s.SoftwareVersion) {
+			versions = append(versions, s.SoftwareVersion)
+		}
+	}
+	return versions
+}
--- a/hickoryd/internal/edgedispatch/reserve.go
+++ b/hickoryd/internal/edgedispatch/reserve.go
@@ -51,15 +51,17 @@
 func (g *generation) reserve(ctx context.Context) (reservation, error) {
 	tokens := g.request.Metadata.PromptTokens + int(memoryMargin*float64(g.expectedOutputTokens(g.request)))
 	meanTokens := g.meanReservation(g.request.Route.Service, tokens)
-	criteria := balance.Criteria{Service: g.request.Route.Service, Stage: serverlist.Decode, FailureDomain: g.options.FailureDomain, Excluded: g.tried}
 	for {
+		if err := g.checkVersion(g.servers()); err != nil {
+			return reservation{}, err
+		}
 		now := time.Now()
 		decision := capacitywait.Decide(now, g.waitConditions())
 		if decision.IsRefused {
 			return reservation{}, &Failure{Status: http.StatusServiceUnavailable, RetryAfter: decision.RetryAfter, Reason: "no decode server has room"}
 		}
 		headroom := int(decision.Headroom * meanTokens)
-		candidates := g.rankServers(criteria)
+		candidates := g.rankServers(g.decodeCriteria())
 		for _, server := range candidates[:min(len(candidates), maxServersPerSearch)] {
 			id, err := g.reserveWithHeadroom(ctx, server, tokens, headroom)
 			if err == nil {
@@ -75,6 +77,14 @@
 	}
 }
 
+// decodeCriteria select the decode servers that the request may be sent to.
+func (g *generation) decodeCriteria() balance.Criteria {
+	return balance.Criteria{
+		Service: g.request.Route.Service, Stage: serverlist.Decode, SoftwareVersion: g.softwareVersion,
+		FailureDomain: g.options.FailureDomain, Excluded: g.tried,
+	}
+}
+
 // waitConditions returns the times and targets that decide how long the request
 // waits for capacity.
 func (g *generation) waitConditions() capacitywait.Request {
--- a/hickoryd/internal/edgedispatch/silence.go
+++ b/hickoryd/internal/edgedispatch/silence.go
@@ -69,8 +69,8 @@
 }
 
 // observe records that the server has sent an event, after which the stream is at the
-// position of relay. It ends a preparation in progress.
-func (w *silenceWatch) observe(relay *eventstream.Relay) {
+// position of relay and goes on at softwareVersion. It ends a preparation in progress.
+func (w *silenceWatch) observe(relay *eventstream.Relay, softwareVersion string) {
 	if w == nil {
 		return
 	}
@@ -79,7 +79,7 @@
 	if w.successor != nil {
 		return
 	}
-	w.relay = *relay
+	w.relay, w.template.softwareVersion = *relay, softwareVersion
 	w.endPlacement()
 	w.timer.Reset(silenceTimeout)
 }
