Stop a migrating run only when its copy lags little behind

What callers saw: a stream off a leaving server paused until its caller left, where transfers were slow. Cause: the run was stopped after one transfer, however long that had taken; the last transfer, during which the stream pauses, can take as long. Change: the transfer, which copies only what is new, is repeated while the run goes on, until one takes less than 200 ms. Measured: TestMigrationOutlastsSilence, "the first transfer is slow", fails on (1 transfer before the run is stopped, want 2) and passes now.

--- a/hickoryd/internal/edgedispatch/migrate.go
+++ b/hickoryd/internal/edgedispatch/migrate.go
@@ -20,8 +20,11 @@
 	// last transfer has no limit but the request's deadline: the run has stopped, and only
 	// the response tells where it can be resumed.
 	transferTimeout = 1500 * time.Millisecond
+	// maxStopTime is the longest transfer after which the run is stopped: the last transfer,
+	// during which the stream pauses, takes about as long as the one before.
+	maxStopTime = 200 * time.Millisecond
 	// migrationPause is the time between two searches for a server with free capacity, and
-	// between two transfers of which the first had no response.
+	// between two transfers.
 	migrationPause = 120 * time.Millisecond
 )
 
@@ -49,6 +52,8 @@
 		*generation
 		// server is the run's own server.
 		server serverlist.Server
+		// target is the server that has a copy of the run's KV cache, or nil.
+		target *serverlist.Server
 		// checkedVersion is the version of the server list that was checked last.
 		checkedVersion uint64
 		started        bool
@@ -122,16 +127,22 @@
 }
 
 // migrate transfers the run to the first server with free capacity and then stops the
-// run. It tries until searchCtx ends.
+// run. It repeats the transfer, which copies only what is new, until the copy lags so
+// little behind the run that the stream does not pause for long. It tries until searchCtx
+// ends.
 func (m *migration) migrate(ctx, searchCtx context.Context) (*migratedRun, error) {
 	criteria := balance.Criteria{Service: m.request.Route.Service, Stage: serverlist.Decode, FailureDomain: m.server.FailureDomain, Excluded: []string{m.server.ID}}
 	for {
-		target, err := m.transferToAny(searchCtx, criteria)
-		if err == nil && searchCtx.Err() == nil {
+		target, took, err := m.transferToAny(searchCtx, criteria)
+		switch {
+		case err == nil && searchCtx.Err() == nil && took <= maxStopTime:
 			return m.complete(ctx, target)
-		}
-		if errors.Is(err, errInvalid) {
+		case err == nil:
+			m.target = &target
+		case errors.Is(err, errInvalid):
 			return nil, err // the server doesn't run the request any more
+		case errors.Is(err, errNotRun):
+			m.target = nil
 		}
 		if err := timing.Sleep(searchCtx, migrationPause); err != nil {
 			return nil, err
@@ -139,24 +150,31 @@
 	}
 }
 
-// transferToAny transfers the KV cache of the run, which goes on, to the first server that
-// has room. It returns that server.
-func (m *migration) transferToAny(ctx context.Context, criteria balance.Criteria) (serverlist.Server, error) {
+// transferToAny transfers the KV cache of the run, which goes on, to the server that has a
+// copy already, or to the first one that has room. It returns that server and how long the
+// transfer took.
+func (m *migration) transferToAny(ctx context.Context, criteria balance.Criteria) (serverlist.Server, time.Duration, error) {
+	targets := m.rankServers(criteria)
+	if m.target != nil {
+		targets = []serverlist.Server{*m.target}
+	}
 	err := errNoTarget
-	for _, target := range m.rankServers(criteria) {
-		if _, err = m.transferRunning(ctx, target); !errors.Is(err, errNotRun) {
-			return target, err
+	for _, target := range targets {
+		started := time.Now()
+		if err = m.transferRunning(ctx, target); !errors.Is(err, errNotRun) {
+			return target, time.Since(started), err
 		}
 		m.markFull(target.ID)
 	}
-	return serverlist.Server{}, err
+	return serverlist.Server{}, 0, err
 }
 
 // transferRunning transfers the KV cache of the run, which goes on, to target.
-func (m *migration) transferRunning(ctx context.Context, target serverlist.Server) (platform.KVHandle, error) {
+func (m *migration) transferRunning(ctx context.Context, target serverlist.Server) error {
 	ctx, cancel := context.WithTimeout(ctx, transferTimeout)
 	defer cancel()
-	return m.transfer(ctx, target, false)
+	_, err := m.transfer(ctx, target, false)
+	return err
 }
 
 // complete stops the run and transfers the part of its KV cache that is new.
--- a/hickoryd/internal/edgedispatch/migrate_test.go
+++ b/hickoryd/internal/edgedispatch/migrate_test.go
@@ -111,11 +111,13 @@
 		name                   string
 		transferTime, stopTime time.Duration
 		events                 int
-		isEnding               bool // the run ends at its own server, before it is migrated
+		transfers              int64 // least number of transfers before the run is stopped
+		isEnding               bool  // the run ends at its own server, before it is migrated
 	}{
 		{name: "the server pauses when it has stopped the run", stopTime: pause, events: 1000},
 		{name: "the server pauses during the first transfer", transferTime: pause, events: 1000},
 		{name: "the run ends during the first transfer", transferTime: pause, events: 5, isEnding: true},
+		{name: "the first transfer is slow", transferTime: 500 * time.Millisecond, events: 1000, transfers: 2},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -145,6 +147,9 @@
 			if status != http.StatusOK || !isWhole(body) || resumed.Load() == tt.isEnding {
 				t.Errorf("status %d, want 200; resumed %t, want %t; body ends with %q", status, resumed.Load(), !tt.isEnding, body[max(0, len(body)-30):])
 			}
+			if got := source.transfers.Load(); got < tt.transfers {
+				t.Errorf("the run was stopped after %d transfers, want at least %d", got, tt.transfers)
+			}
 			if took := time.Since(started); tt.isEnding && took > pause/2 {
 				t.Errorf("the response ended after %v, although the run had ended", took)
 			}
