Query hosts whose registrations have lapsed for the origin of a stream

Cause: the homes of an origin were chosen from the current list of hosts only. When the store was away, the hosts' registrations lapse although the hosts go on, and a stream that began at another host could not be resumed. Measured: TestLapsedHostsAreQueried passes with the race detector.

--- a/hickoryd/internal/edgedispatch/dispatch.go
+++ b/hickoryd/internal/edgedispatch/dispatch.go
@@ -288,7 +288,7 @@
 // the state kept for servers that are no longer listed.
 func (d *Dispatcher) servers() []serverlist.Server {
 	snapshot := d.registry.Servers()
-	if toReport := d.origins.observe(time.Now(), snapshot); len(toReport) > 0 {
+	if toReport := d.origins.observe(time.Now(), snapshot, d.registry.Hosts()); len(toReport) > 0 {
 		d.reportOrigins(toReport)
 	}
 	d.mu.Lock()
--- a/hickoryd/internal/edgedispatch/origin.go
+++ b/hickoryd/internal/edgedispatch/origin.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"iter"
+	"maps"
 	"net/http"
 	"net/netip"
 	"slices"
@@ -55,21 +57,24 @@
 	observedAt time.Time
 	// mixed are the services with several software versions at the last observation.
 	mixed map[string]bool
-	// hosts is the list from which homes was built.
-	hosts []netip.AddrPort
-	homes *rendezvous.HostSet
+	// hosts is the list of hosts, from which homes was built. recentHosts are those of
+	// earlier lists with the time until which they count, from which recentHomes was built.
+	hosts       []netip.AddrPort
+	homes       *rendezvous.HostSet
+	recentHosts map[netip.AddrPort]time.Time
+	recentHomes *rendezvous.HostSet
 }
 
 func newOrigins() *origins {
 	return &origins{
 		table: streamorigin.NewTable(maxOrigins, originLifetime), history: streamorigin.NewHistory(versionRetention),
-		mixed: make(map[string]bool), homes: rendezvous.New(nil),
+		mixed: make(map[string]bool), homes: rendezvous.New(nil), recentHosts: make(map[netip.AddrPort]time.Time), recentHomes: rendezvous.New(nil),
 	}
 }
 
-// observe adds the server list to the history. It returns the origins that have to be
+// observe adds the server list to the history and keeps the list of hosts. It returns the origins that have to be
 // reported, because their services have several software versions for the first time.
-func (o *origins) observe(now time.Time, snapshot *registry.Snapshot) []streamorigin.Origin {
+func (o *origins) observe(now time.Time, snapshot *registry.Snapshot, hosts []netip.AddrPort) []streamorigin.Origin {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if snapshot.Version == o.observed && now.Sub(o.observedAt) < observePeriod {
@@ -77,6 +82,7 @@
 	}
 	o.observed, o.observedAt = snapshot.Version, now
 	o.history.Observe(now, snapshot.Servers)
+	o.updateHosts(now, hosts)
 	var toReport []streamorigin.Origin
 	mixed := make(map[string]bool)
 	for _, service := range servicesOf(snapshot.Servers) {
@@ -113,26 +119,46 @@
 	return f
 }
 
-// homesOf returns the n hosts of highest weight for a stream, without self.
-func (o *origins) homesOf(requestID string, n int, hosts []netip.AddrPort, self netip.AddrPort) []netip.AddrPort {
+// homesOf returns up to n hosts of highest weight for a stream, without self. hosts is the
+// current list. Hosts that it no longer has are included if there are fewer than n, as a
+// host's registration may lapse while the host goes on.
+func (o *origins) homesOf(now time.Time, requestID string, n int, hosts []netip.AddrPort, self netip.AddrPort) []netip.AddrPort {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if !slices.Equal(hosts, o.hosts) {
-		names := make([]string, len(hosts))
-		for i, host := range hosts {
-			names[i] = host.String()
-		}
-		o.hosts, o.homes = hosts, rendezvous.New(names)
-	}
+	o.updateHosts(now, hosts)
 	homes := make([]netip.AddrPort, 0, n)
-	for _, name := range o.homes.Homes(requestID, n+1) {
-		if address := netip.MustParseAddrPort(name); address != self && len(homes) < n {
-			homes = append(homes, address)
+	for _, set := range []*rendezvous.HostSet{o.homes, o.recentHomes} {
+		for _, name := range set.Homes(requestID, n+1) {
+			address := netip.MustParseAddrPort(name)
+			if address != self && len(homes) < n && !slices.Contains(homes, address) {
+				homes = append(homes, address)
+			}
 		}
 	}
 	return homes
 }
 
+// updateHosts builds the sets of hosts again if the list has changed. The caller holds mu.
+func (o *origins) updateHosts(now time.Time, hosts []netip.AddrPort) {
+	if slices.Equal(hosts, o.hosts) {
+		return
+	}
+	for _, host := range o.hosts {
+		o.recentHosts[host] = now.Add(originLifetime)
+	}
+	maps.DeleteFunc(o.recentHosts, func(_ netip.AddrPort, until time.Time) bool { return !now.Before(until) })
+	o.hosts = hosts
+	o.homes, o.recentHomes = newHostSet(slices.Values(hosts)), newHostSet(maps.Keys(o.recentHosts))
+}
+
+func newHostSet(hosts iter.Seq[netip.AddrPort]) *rendezvous.HostSet {
+	var names []string
+	for host := range hosts {
+		names = append(names, host.String())
+	}
+	return rendezvous.New(names)
+}
+
 // ReportOrigins records other hosts' reports of the origins of streams.
 func (d *Dispatcher) ReportOrigins(now time.Time, reported []streamorigin.Origin) {
 	for _, origin := range reported {
@@ -158,10 +184,10 @@
 
 // reportOrigins reports origins to the hosts that hold them.
 func (d *Dispatcher) reportOrigins(toReport []streamorigin.Origin) {
-	hosts := d.registry.Hosts()
+	now, hosts := time.Now(), d.registry.Hosts()
 	byHost := make(map[netip.AddrPort][]streamorigin.Origin)
 	for _, origin := range toReport {
-		for _, home := range d.origins.homesOf(origin.RequestID, originHomes, hosts, d.options.Self) {
+		for _, home := range d.origins.homesOf(now, origin.RequestID, originHomes, hosts, d.options.Self) {
 			byHost[home] = append(byHost[home], origin)
 		}
 	}
@@ -173,9 +199,9 @@
 // resolveOrigin returns the software version at which the stream that the request resumes
 // may go on. The error is errUnknownOrigin if that is not known.
 func (d *Dispatcher) resolveOrigin(ctx context.Context, r *Request) (string, error) {
-	window := r.Route.Timeout + listLag
-	finding := d.FindOrigin(time.Now(), r.Metadata.ResumesID, r.Route.Service, window)
-	hosts := d.origins.homesOf(r.Metadata.ResumesID, originLookups, d.registry.Hosts(), d.options.Self)
+	now, window := time.Now(), r.Route.Timeout+listLag
+	finding := d.FindOrigin(now, r.Metadata.ResumesID, r.Route.Service, window)
+	hosts := d.origins.homesOf(now, r.Metadata.ResumesID, originLookups, d.registry.Hosts(), d.options.Self)
 	if !finding.IsFound && len(hosts) > 0 {
 		found, err := d.peers.FindOrigin(ctx, hosts, r.Metadata.ResumesID, r.Route.Service, window)
 		if err != nil && d.registry.IsStoreUnreachable() {
--- a/hickoryd/internal/edgedispatch/version_test.go
+++ b/hickoryd/internal/edgedispatch/version_test.go
@@ -36,10 +36,14 @@
 
 		mu       sync.Mutex
 		reported []streamorigin.Origin
+		queried  []netip.AddrPort
 	}
 
 	// hostList is a list of backend servers and hosts.
-	hostList struct{ *changingServers }
+	hostList struct {
+		*changingServers
+		hosts *atomic.Pointer[[]netip.AddrPort]
+	}
 
 	// resumption is a caller's request that resumes a stream.
 	resumption struct {
@@ -48,17 +52,32 @@
 	}
 )
 
-func (hostList) Hosts() []netip.AddrPort {
-	return []netip.AddrPort{netip.MustParseAddrPort("127.0.0.1:1"), netip.MustParseAddrPort("127.0.0.2:1")}
+func newHostList(list *changingServers) hostList {
+	l := hostList{list, &atomic.Pointer[[]netip.AddrPort]{}}
+	l.setHosts("127.0.0.1:1", "127.0.0.2:1")
+	return l
+}
+
+func (l hostList) setHosts(addresses ...string) {
+	var hosts []netip.AddrPort
+	for _, address := range addresses {
+		hosts = append(hosts, netip.MustParseAddrPort(address))
+	}
+	l.hosts.Store(&hosts)
 }
 
+func (l hostList) Hosts() []netip.AddrPort { return *l.hosts.Load() }
+
 func (p *originPeers) ReportOrigins(_ context.Context, _ netip.AddrPort, origins []streamorigin.Origin) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.reported = append(p.reported, origins...)
 }
 
-func (p *originPeers) FindOrigin(context.Context, []netip.AddrPort, string, string, time.Duration) (streamorigin.Finding, error) {
+func (p *originPeers) FindOrigin(_ context.Context, addresses []netip.AddrPort, _, _ string, _ time.Duration) (streamorigin.Finding, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.queried = addresses
 	return p.finding, p.err
 }
 
@@ -102,9 +121,14 @@
 }
 
 func newVersionDispatcher(t *testing.T, list *changingServers, peers *originPeers) *edgedispatch.Dispatcher {
+	t.Helper()
+	return newHostDispatcher(t, newHostList(list), peers)
+}
+
+func newHostDispatcher(t *testing.T, list hostList, peers *originPeers) *edgedispatch.Dispatcher {
 	t.Helper()
 	logger := &log.Logger{Handler: discard.New(), Level: log.InfoLevel}
-	return edgedispatch.New(t.Context(), edgedispatch.Options{Budget: retrybudget.Limits{Slack: 100}}, hostList{list},
+	return edgedispatch.New(t.Context(), edgedispatch.Options{Budget: retrybudget.Limits{Slack: 100}}, list,
 		upstream.NewPool(netip.Addr{}, metrics.NewSet()), peers, logger, metrics.NewSet())
 }
 
@@ -305,3 +329,23 @@
 		}
 	}
 }
+
+// TestLapsedHostsAreQueried guards against streams that can't be resumed because the
+// registrations of the other hosts have lapsed, as they do when the store was away.
+func TestLapsedHostsAreQueried(t *testing.T) {
+	servers := &changingServers{}
+	servers.set([]serverlist.Server{startVersion(t, "s1", "v1", 3, complete), startVersion(t, "s2", "v2", 3, complete)})
+	list := newHostList(servers)
+	peers := &originPeers{finding: streamorigin.Finding{IsFound: true, SoftwareVersion: "v1"}}
+	d := newHostDispatcher(t, list, peers)
+	if status, _ := resume(t, d, resumption{id: "r1"}); status != http.StatusOK {
+		t.Fatalf("status %d, want 200", status)
+	}
+	list.setHosts("127.0.0.1:1")
+	if status, got := resume(t, d, resumption{id: "r3", resumes: "r2", lastEvent: 2}); status != http.StatusOK || got != "3:v1" {
+		t.Errorf("status %d, events %s; want event 3 of v1", status, got)
+	}
+	if len(peers.queried) != 2 {
+		t.Errorf("queried %v, want both hosts", peers.queried)
+	}
+}
