Give up a silent engine only once its replacement is secured

Callers of hickoryd serve saw a stream end with an error event (502 backendFailed, or 503) while its engine was sound: it had stopped for 1.5 s or more and then went on.

Cause: after two resumes without a token the dispatcher cancelled the run and only then looked for another server. When there was none (all full, no attempt left, retry budget used up, no place in a prefill queue), the request was refused although its run was still there to be resumed.

Now silence only starts the search. The run is given up when an attempt is left, the retry budget grants it, and the slot and the place in a prefill queue of the next attempt are reserved. Until then the stream is resumed again, with a longer wait for each response header. The wait ends when the caller leaves, or the platform no longer lists the engine. A stream that breaks, an engine that refuses connections or answers "gone" are treated as before. The search joins no queue: its entry at the head would hold up requests that may use the silent engine.

Not covered: the waits for the response header of a decode and for a prefill still end by the host's own time-out.

--- a/hickoryd/internal/dispatch/attempt.go
+++ b/hickoryd/internal/dispatch/attempt.go
@@ -14,11 +14,12 @@
 )
 
 const (
-	// maxResumes bounds the consecutive resumes of one stream that yield no
-	// token.
+	// maxResumes is the number of consecutive resumes of one stream that yield
+	// no token after which another server is to take over.
 	maxResumes = 2
 	// resumeTimeout bounds the wait for the head of a resumed stream, which an
-	// engine sends at once.
+	// engine sends at once. It grows with the resumes after maxResumes, up to
+	// minOpenTimeout, so that an engine which stays slow is still heard.
 	resumeTimeout = 500 * time.Millisecond
 	// minOpenTimeout is the wait for the head of a stream, in addition to the
 	// time for the transfer or the prefill of its prompt.
@@ -118,7 +119,7 @@
 		if g.assembly.NextOffset() > before {
 			resumes = 0
 		}
-		if stream, err = a.resume(ctx, &resumes); err != nil {
+		if stream, err = a.resume(ctx, err, &resumes); err != nil {
 			g.failed[a.server.ID] = time.Now()
 			g.checkServerFailure(ctx, a.server, a.opened)
 			return err
@@ -126,16 +127,21 @@
 	}
 }
 
-// resume reopens the stream until that succeeds, the engine no longer has the
-// request, or maxResumes is reached.
-func (a *attempt) resume(ctx context.Context, resumes *int) (TokenStream, error) {
+// resume reopens the stream, which ended with err, until that succeeds or the
+// engine no longer has the request. After maxResumes it gives up a stream that
+// breaks, but a silent one only once another server can take over or the platform
+// no longer lists its server.
+func (a *attempt) resume(ctx context.Context, err error, resumes *int) (TokenStream, error) {
 	g := a.generation
-	err := errTimeout
-	for *resumes < maxResumes && ctx.Err() == nil {
+	for ctx.Err() == nil {
+		if *resumes >= maxResumes && (!errors.Is(err, errTimeout) || a.secureNext(ctx) || !a.isListed()) {
+			break
+		}
 		*resumes++
 		g.models.counters.resumed.Inc()
+		timeout := min(minOpenTimeout, resumeTimeout*time.Duration(max(1, *resumes-maxResumes+1)))
 		var stream TokenStream
-		stream, err = openWithin(ctx, resumeTimeout, func(ctx context.Context) (TokenStream, error) {
+		stream, err = openWithin(ctx, timeout, func(ctx context.Context) (TokenStream, error) {
 			return g.models.engines.Resume(ctx, a.server, engine.ResumeRequest{RequestID: a.id, Offset: g.assembly.NextOffset()})
 		})
 		if err == nil {
@@ -148,18 +154,45 @@
 	return nil, fmt.Errorf("stream on %s lost: %w", a.server.ID, err)
 }
 
-// copyTokens passes the tokens of one connection to the sink. The time that the
-// caller takes to read does not count as silence of the engine.
+// secureNext reserves the servers of the next attempt and charges it to the retry
+// budget. It waits for no slot and joins no queue, because a request behind this
+// one may be able to use the server that this attempt must avoid.
+func (a *attempt) secureNext(ctx context.Context) bool {
+	g := a.generation
+	now := time.Now()
+	g.failed[a.server.ID] = now
+	if a.number >= maxAttempts || !g.takeRetry() {
+		return false
+	}
+	server, err := g.place(ctx, now, g.attemptID(g.assembly.NextAttempt()))
+	if err != nil {
+		g.models.budget.Deposit(g.request.Service.Name, 1)
+		return false
+	}
+	g.next = &server
+	return true
+}
+
+func (a *attempt) isListed() bool {
+	_, ok := a.generation.models.directory.Candidate(a.server.ID)
+	return ok
+}
+
+// copyTokens passes the tokens of one connection to the sink. The error is
+// errTimeout if the connection was silent for too long. The time that the caller
+// takes to read does not count as silence of the engine.
 func (a *attempt) copyTokens(stream TokenStream) error {
 	g := a.generation
 	silenceTimer := newWatchdog(stream.Close, g.models.counters.silenceSeconds)
 	defer silenceTimer.stop()
 	for !g.assembly.Done() {
 		token, err := a.next(stream, silenceTimer)
-		if errors.Is(err, io.EOF) {
+		switch {
+		case err != nil && silenceTimer.expired.Load():
+			return errTimeout
+		case errors.Is(err, io.EOF):
 			return engine.ErrBroken
-		}
-		if err != nil {
+		case err != nil:
 			return err
 		}
 		accepted, err := g.assembly.Accept(a.number, token)
@@ -208,7 +241,9 @@
 
 // release frees the slot once the engine holds no state of the attempt.
 func (a *attempt) release() {
-	a.generation.releasePrefill()
+	if a.generation.next == nil {
+		a.generation.releasePrefill()
+	}
 	if a.generation.assembly.Done() {
 		a.generation.models.waitQueues.observe(a.generation.request.Service.Name, time.Since(a.generation.placedAt))
 	}
--- a/hickoryd/internal/dispatch/fakes_test.go
+++ b/hickoryd/internal/dispatch/fakes_test.go
@@ -60,8 +60,10 @@
 		cancels      []engineCall
 		leaving      map[string]bool
 		forced       int
-		hasNoServers bool   // Candidates returns none
-		source       string // server of the latest prefill, if a hook records it
+		released     map[string]bool // prefill reservations, by attempt
+		unreserved   int             // prefills whose reservation was released before
+		hasNoServers bool            // Candidates returns none
+		source       string          // server of the latest prefill, if a hook records it
 	}
 
 	// fakeStream returns the tokens from offset on, one each gap. In place of
@@ -88,7 +90,7 @@
 )
 
 func newFakeCluster() *fakeCluster {
-	return &fakeCluster{callCounts: map[string]int{}, reserved: map[string]string{}, isolated: map[string]bool{}, leaving: map[string]bool{}}
+	return &fakeCluster{callCounts: map[string]int{}, reserved: map[string]string{}, isolated: map[string]bool{}, leaving: map[string]bool{}, released: map[string]bool{}}
 }
 
 func completeStream() *fakeStream { return &fakeStream{stopAt: responseTokens, ending: io.EOF} }
@@ -139,6 +141,7 @@
 
 func (l *fakeCluster) Prefill(ctx context.Context, server backend.Server, request engine.PrefillRequest) (engine.PrefillReply, error) {
 	var err error
+	l.recordReservation(request.RequestID)
 	if l.onPrefill != nil {
 		err = l.onPrefill(ctx, server.ID, l.count("prefill"))
 	} else {
@@ -232,7 +235,20 @@
 	return nil
 }
 
-func (l *fakeCluster) ReleasePrefill(string, string) {}
+func (l *fakeCluster) ReleasePrefill(_, attemptID string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.released[attemptID] = true
+}
+
+// recordReservation counts a prefill whose reservation was released before.
+func (l *fakeCluster) recordReservation(attemptID string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.released[attemptID] {
+		l.unreserved++
+	}
+}
 
 func (l *fakeCluster) CachedTokens(context.Context, time.Time, string, []backend.Server, []uint64) map[string]int {
 	return nil
@@ -249,6 +265,8 @@
 
 func (l *fakeCluster) Candidates(string) []placement.Candidate {
 	var candidates []placement.Candidate
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	if l.hasNoServers {
 		return nil
 	}
@@ -261,6 +279,13 @@
 	return candidates
 }
 
+// removeServers makes the platform list no server.
+func (l *fakeCluster) removeServers() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.hasNoServers = true
+}
+
 func (l *fakeCluster) SetLeaving(id string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/hickoryd/internal/dispatch/model.go
+++ b/hickoryd/internal/dispatch/model.go
@@ -156,6 +156,7 @@
 		lastFailureAt    time.Time        // when the last such failure was detected
 		direct           bool             // the decode server prefills the prompt
 		reserved         *reservedPrefill // place in a prefill queue
+		next             *backend.Server  // decode server that was secured for the next attempt
 		placedAt         time.Time        // start of the slot's reservation
 		retryAfter       time.Duration    // of a refusal because no server was free
 		hashes           []uint64         // of the prompt's blocks
@@ -209,6 +210,7 @@
 	}
 	defer g.dropKV()
 	defer g.releasePrefill()
+	defer g.releaseNext()
 	m.budget.Deposit(request.Service.Name, request.Profile.RetryRatio)
 	var last error
 	for attempts := 1; ; attempts++ {
@@ -224,7 +226,7 @@
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
-		if noServer || attempts == maxAttempts || !g.mayRetry(err) {
+		if g.next == nil && (noServer || attempts == maxAttempts || !g.mayRetry(err)) {
 			return g.refuse(err)
 		}
 		last = err
@@ -234,10 +236,15 @@
 
 // runAttempt runs one attempt from its reservation to the last token.
 func (g *generation) runAttempt(ctx context.Context) error {
-	if err := g.checkCrashes(ctx); err != nil {
+	wasIsolated := g.isolated
+	err := g.checkCrashes(ctx)
+	if err != nil || g.isolated != wasIsolated {
+		g.releaseNext() // it was secured on other terms
+	}
+	if err != nil {
 		return err
 	}
-	server, err := g.reserve(ctx)
+	server, err := g.takeNext(ctx)
 	if err != nil {
 		return err
 	}
--- a/hickoryd/internal/dispatch/reserve.go
+++ b/hickoryd/internal/dispatch/reserve.go
@@ -124,14 +124,16 @@
 func (g *generation) place(ctx context.Context, now time.Time, id string) (backend.Server, error) {
 	candidates := g.models.directory.Candidates(g.request.Service.Model)
 	server, err := g.reserveSlot(ctx, now, id, g.computePlan(now, withRole(candidates, backend.RoleDecode)))
-	g.placedAt = now
-	if err != nil || g.isolated || g.hasKV() {
-		return server, err
-	}
-	if err := g.reservePrefill(ctx, now, id, server, candidates); err != nil {
-		g.models.slots.Release(server.ID, id)
+	if err != nil {
 		return backend.Server{}, err
 	}
+	if !g.isolated && !g.hasKV() {
+		if err := g.reservePrefill(ctx, now, id, server, candidates); err != nil {
+			g.models.slots.Release(server.ID, id)
+			return backend.Server{}, err
+		}
+	}
+	g.placedAt = now
 	return server, nil
 }
 
@@ -194,6 +196,28 @@
 	return p
 }
 
+// takeNext returns the server that was secured for the next attempt, or reserves
+// one.
+func (g *generation) takeNext(ctx context.Context) (backend.Server, error) {
+	if g.next == nil {
+		return g.reserve(ctx)
+	}
+	server := *g.next
+	g.next = nil
+	return server, nil
+}
+
+// releaseNext releases what was secured for the next attempt, and skips its number,
+// because an attempt ID is never reused.
+func (g *generation) releaseNext() {
+	if g.next != nil {
+		g.models.slots.Release(g.next.ID, g.attemptID(g.assembly.NextAttempt()))
+		g.releasePrefill()
+		g.next = nil
+		g.assembly.Begin()
+	}
+}
+
 // releasePrefill releases the place in a prefill queue.
 func (g *generation) releasePrefill() {
 	if g.reserved != nil {
--- a/hickoryd/internal/dispatch/watchdog.go
+++ b/hickoryd/internal/dispatch/watchdog.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -12,6 +13,7 @@
 	close          func()
 	silenceSeconds *metrics.Histogram
 	limit          time.Duration
+	expired        atomic.Bool
 }
 
 func newWatchdog(closeStream func(), silenceSeconds *metrics.Histogram) *watchdog {
@@ -36,6 +38,7 @@
 }
 
 func (w *watchdog) expire() {
+	w.expired.Store(true)
 	w.silenceSeconds.Update(w.limit.Seconds())
 	w.close()
 }
--- a/hickorylab/faults/streams_test.go
+++ b/hickorylab/faults/streams_test.go
@@ -321,6 +321,33 @@
 	}
 }
 
+// TestPausedEngineGoesOn guards against responses that are lost because the hosts give
+// up an engine that is silent for a moment although no other engine can take over.
+//
+// proof: silent connection | stream | 3
+func TestPausedEngineGoesOn(t *testing.T) {
+	for name, pause := range map[string]time.Duration{"1.5 s": 1500 * time.Millisecond, "6 s": 6 * time.Second} {
+		t.Run(name, func(t *testing.T) {
+			c := harness.Start(t, binaries, harness.Options{Decode: 1})
+			all := streams{cluster: c}
+			for i := range 6 {
+				all.start(t.Context(), c.Hosts[i%len(c.Hosts)], fmt.Sprint("stream ", i), longPromptTokens, 200)
+			}
+			all.awaitStarted()
+			paused := busiest(c, "decode")
+			paused.Pause()
+			time.Sleep(pause)
+			paused.Resume()
+			all.checkComplete(t)
+			all.logMaxGap(t)
+			if got := len(decodes(c, engine.KindDecode, "")); got != len(all.all) {
+				t.Errorf("%d decodes of %d streams, want one each", got, len(all.all))
+			}
+			awaitIdle(c)
+		})
+	}
+}
+
 // TestCallersDisconnectAtRandomMoments guards against decodes that run on, and slots that stay
 // occupied, when callers leave at random moments of all steps of a request.
 //
