Keep the call to a decode engine until its replacement is secured

Callers of hickoryd serve were refused (502 backendFailed, 503 overloaded) while their decode engine was sound: it had sent no response header for 2 s, for example because it was paused.

Cause: the host cancelled the call at its own time-out and only then looked for another server. As the engine runs nothing of a call that was cancelled before its header, the request was lost when no attempt, retry or slot was to be had.

Now the time-out starts the search for the next attempt, every 250 ms, beside the call. The call is cancelled once that attempt is secured or the platform no longer lists the engine. As such a call can't be resumed, its own server may take the next attempt after a second: that covers a connection that is dead.

Not covered: a prefill still ends by the host's time-out (at least 4 s, 30 s for deferrable requests).

--- a/hickoryd/internal/dispatch/attempt.go
+++ b/hickoryd/internal/dispatch/attempt.go
@@ -5,12 +5,14 @@
 	"errors"
 	"fmt"
 	"io"
+	"sync"
 	"time"
 
 	"github.com/hickoryfront/hickoryfront/core/backend"
 	"github.com/hickoryfront/hickoryfront/core/prefix"
 	"github.com/hickoryfront/hickoryfront/core/tokenstream"
 	"github.com/hickoryfront/hickoryfront/hickoryd/engine"
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/timing"
 )
 
 const (
@@ -45,6 +47,16 @@
 		opened     time.Time // when its first stream was opened
 	}
 
+	// opening is a call that opens a stream. After limit, giveUp decides whether
+	// the call is ended.
+	opening struct {
+		limit   time.Duration
+		giveUp  func(ctx context.Context) bool
+		cancel  context.CancelFunc // of the call
+		givenUp bool
+		done    chan struct{} // closed when the wait has ended
+	}
+
 	// limitedStream cancels the context of its opening call when it is closed.
 	limitedStream struct {
 		TokenStream
@@ -89,7 +101,14 @@
 	if kv != nil {
 		timeout = minOpenTimeout + time.Duration(float64(kv.Bytes)/minTransferRate*float64(time.Second))
 	}
-	stream, err := openWithin(ctx, timeout, func(ctx context.Context) (TokenStream, error) {
+	// The call can't be resumed over a new connection. So its server is avoided only
+	// at first: later it may run the next attempt itself.
+	avoid := sync.OnceFunc(func() { g.failed[a.server.ID] = time.Now() })
+	giveUp := func(ctx context.Context) bool {
+		avoid()
+		return a.mayGiveUp(ctx)
+	}
+	stream, err := openWithin(ctx, timeout, giveUp, func(ctx context.Context) (TokenStream, error) {
 		return g.models.engines.Decode(ctx, a.server, engine.DecodeRequest{
 			RequestID: a.id, Model: g.request.Service.Model, Prompt: prompt, KV: kv,
 			MaxTokens: g.request.MaxTokens - a.offset, Offset: a.offset, Priority: g.priority(),
@@ -134,14 +153,17 @@
 func (a *attempt) resume(ctx context.Context, err error, resumes *int) (TokenStream, error) {
 	g := a.generation
 	for ctx.Err() == nil {
-		if *resumes >= maxResumes && (!errors.Is(err, errTimeout) || a.secureNext(ctx) || !a.isListed()) {
-			break
+		if *resumes >= maxResumes {
+			g.failed[a.server.ID] = time.Now()
+			if !errors.Is(err, errTimeout) || a.mayGiveUp(ctx) {
+				break
+			}
 		}
 		*resumes++
 		g.models.counters.resumed.Inc()
 		timeout := min(minOpenTimeout, resumeTimeout*time.Duration(max(1, *resumes-maxResumes+1)))
 		var stream TokenStream
-		stream, err = openWithin(ctx, timeout, func(ctx context.Context) (TokenStream, error) {
+		stream, err = openWithin(ctx, timeout, always, func(ctx context.Context) (TokenStream, error) {
 			return g.models.engines.Resume(ctx, a.server, engine.ResumeRequest{RequestID: a.id, Offset: g.assembly.NextOffset()})
 		})
 		if err == nil {
@@ -154,17 +176,25 @@
 	return nil, fmt.Errorf("stream on %s lost: %w", a.server.ID, err)
 }
 
+// mayGiveUp reports whether a silent server may be given up: the next attempt is
+// secured, or the platform no longer lists the server.
+func (a *attempt) mayGiveUp(ctx context.Context) bool {
+	if a.secureNext(ctx) {
+		return true
+	}
+	_, isListed := a.generation.models.directory.Candidate(a.server.ID)
+	return !isListed
+}
+
 // secureNext reserves the servers of the next attempt and charges it to the retry
 // budget. It waits for no slot and joins no queue, because a request behind this
 // one may be able to use the server that this attempt must avoid.
 func (a *attempt) secureNext(ctx context.Context) bool {
 	g := a.generation
-	now := time.Now()
-	g.failed[a.server.ID] = now
 	if a.number >= maxAttempts || !g.takeRetry() {
 		return false
 	}
-	server, err := g.place(ctx, now, g.attemptID(g.assembly.NextAttempt()))
+	server, err := g.place(ctx, time.Now(), g.attemptID(g.assembly.NextAttempt()))
 	if err != nil {
 		g.models.budget.Deposit(g.request.Service.Name, 1)
 		return false
@@ -173,11 +203,6 @@
 	return true
 }
 
-func (a *attempt) isListed() bool {
-	_, ok := a.generation.models.directory.Candidate(a.server.ID)
-	return ok
-}
-
 // copyTokens passes the tokens of one connection to the sink. The error is
 // errTimeout if the connection was silent for too long. The time that the caller
 // takes to read does not count as silence of the engine.
@@ -259,25 +284,43 @@
 	a.generation.models.canceller.Cancel(a.server, a.id, release)
 }
 
-// openWithin opens a stream whose head must arrive within timeout.
-func openWithin(ctx context.Context, timeout time.Duration, open func(ctx context.Context) (TokenStream, error)) (TokenStream, error) {
+// openWithin opens a stream. If its head does not arrive within limit, the call is
+// ended once giveUp agrees, and the error is errTimeout.
+func openWithin(ctx context.Context, limit time.Duration, giveUp func(ctx context.Context) bool, open func(ctx context.Context) (TokenStream, error)) (TokenStream, error) {
 	openCtx, cancel := context.WithCancel(ctx)
-	timer := time.AfterFunc(timeout, cancel)
+	waitCtx, stop := context.WithCancel(ctx)
+	o := &opening{limit: limit, giveUp: giveUp, cancel: cancel, done: make(chan struct{})}
+	go o.run(waitCtx)
 	stream, err := open(openCtx)
-	timedOut := !timer.Stop()
-	if err == nil && !timedOut {
+	stop()
+	<-o.done
+	if err == nil && !o.givenUp {
 		return limitedStream{TokenStream: stream, cancel: cancel}, nil
 	}
 	if err == nil {
 		stream.Close()
 	}
 	cancel()
-	if timedOut && ctx.Err() == nil {
+	if o.givenUp && ctx.Err() == nil {
 		return nil, fmt.Errorf("%w: %w", errTimeout, engine.ErrBroken)
 	}
 	return nil, err
 }
 
+// run waits until ctx ends or the call is given up.
+func (o *opening) run(ctx context.Context) {
+	defer close(o.done)
+	for wait := o.limit; timing.Sleep(ctx, wait) == nil; wait = turnCheckInterval {
+		if o.giveUp(ctx) {
+			o.givenUp = true
+			o.cancel()
+			return
+		}
+	}
+}
+
+func always(context.Context) bool { return true }
+
 // Close implements TokenStream.
 func (s limitedStream) Close() {
 	s.TokenStream.Close()
--- a/hickoryd/internal/dispatch/silence_test.go
+++ b/hickoryd/internal/dispatch/silence_test.go
@@ -23,13 +23,17 @@
 type pausingEngine struct {
 	stopAt   int
 	pause    time.Duration
+	noHeader bool // pauses before the response header
 	answers  bool // responds to resumes during the pause, but sends no token
 	resumeAt time.Time
 }
 
-func (e *pausingEngine) decode() *fakeStream {
+func (e *pausingEngine) decode(ctx context.Context) (*fakeStream, error) {
 	e.resumeAt = time.Now().Add(time.Duration(e.stopAt)*tokenGap + e.pause)
-	return streamStoppingAt(e.stopAt, nil)
+	if e.noHeader {
+		return e.resume(ctx)
+	}
+	return streamStoppingAt(e.stopAt, nil), nil
 }
 
 func (e *pausingEngine) resume(ctx context.Context) (*fakeStream, error) {
@@ -54,6 +58,7 @@
 //
 // proof: silent connection | stream | 3
 // proof: silent connection | first token | 3
+// proof: silent connection | transfer | 3
 func TestSilentServerIsKeptWithoutReplacement(t *testing.T) {
 	noSecondSlot := func(err error) func(context.Context, string, int) error {
 		return func(_ context.Context, _ string, n int) error {
@@ -89,6 +94,8 @@
 		"silent in the middle, and accepts resumes":   {stopAt: 3, pause: 3 * time.Second, answers: true},
 		"silent in the middle, 10 s":                  {stopAt: 3, pause: 10 * time.Second},
 		"silent before the first token":               {pause: 5 * time.Second},
+		"silent before the response header":           {pause: 5 * time.Second, noHeader: true},
+		"silent before the response header, 20 s":     {pause: 20 * time.Second, noHeader: true},
 		"silent before the first token, then resumes": {pause: 10 * time.Second, answers: true},
 	}
 	for name, test := range tests {
@@ -110,11 +117,11 @@
 					callsBefore := len(l.callsOf("decode"))
 					l.callCounts = map[string]int{}
 					test.set(l)
-					l.onDecode = func(_ context.Context, _ string, n int) (*fakeStream, error) {
+					l.onDecode = func(ctx context.Context, _ string, n int) (*fakeStream, error) {
 						if n <= test.refusedDecodes {
 							return nil, test.refusal
 						}
-						return e.decode(), nil
+						return e.decode(ctx)
 					}
 					l.onResume = func(ctx context.Context, _ string, _ int) (*fakeStream, error) { return e.resume(ctx) }
 					ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
@@ -210,6 +217,8 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				const freeAfter = 5 * time.Second
+				ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+				defer cancel()
 				l := newFakeCluster()
 				started := time.Now()
 				l.onReserve = func(_ context.Context, _ string, n int) error {
@@ -228,7 +237,7 @@
 				set := metrics.NewSet()
 				models := dispatch.NewModels("salt-lake", fakePolicy{}, l, l, l, l, test.crashes, newCanceller(l, set), set)
 				sink := &recordingSink{}
-				if err := models.Run(t.Context(), request(longPrompt), sink); err != nil {
+				if err := models.Run(ctx, request(longPrompt), sink); err != nil {
 					t.Fatalf("no response: %v", err)
 				}
 				if took := time.Since(started); took > freeAfter+3*time.Second {
@@ -288,6 +297,8 @@
 func TestSilentServerThatIsNoLongerListed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const removedAfter = 5 * time.Second
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
 		l := newFakeCluster()
 		l.onDecode = func(context.Context, string, int) (*fakeStream, error) { return streamStoppingAt(3, nil), nil }
 		l.onResume = func(ctx context.Context, _ string, _ int) (*fakeStream, error) { return nil, blockUntilDone(ctx) }
@@ -299,7 +310,7 @@
 		}
 		started := time.Now()
 		time.AfterFunc(removedAfter, func() { l.removeServers() })
-		err := newModels(t, l).Run(t.Context(), request(shortPrompt), &recordingSink{})
+		err := newModels(t, l).Run(ctx, request(shortPrompt), &recordingSink{})
 		took := time.Since(started)
 		if r := refusal.FromError(err); r == nil || r.Ran != refusal.RanUnknown {
 			t.Errorf("got %v, want a refusal that says that the request may have run", err)
@@ -311,3 +322,40 @@
 		l.checkAllReleased(t, nil)
 	})
 }
+
+// TestDecodeOverDeadConnection guards against a request that waits for a call whose
+// connection is dead although its server, the only one with a free slot, is sound.
+//
+// proof: silent connection | transfer | 3
+func TestDecodeOverDeadConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		l := newFakeCluster()
+		l.onReserve = func(_ context.Context, server string, _ int) error {
+			if server != "decode-1" {
+				return slot.ErrFull
+			}
+			return nil
+		}
+		l.onDecode = func(ctx context.Context, _ string, n int) (*fakeStream, error) {
+			if n == 1 {
+				return nil, blockUntilDone(ctx)
+			}
+			return completeStream(), nil
+		}
+		sink := &recordingSink{}
+		started := time.Now()
+		if err := newModels(t, l).Run(ctx, request(longPrompt), sink); err != nil {
+			t.Fatalf("no response: %v", err)
+		}
+		if took := time.Since(started); took > 5*time.Second {
+			t.Errorf("complete after %v, want at most 5s", took)
+		}
+		if got := sink.text.String(); got != completeResponse() {
+			t.Errorf("response %q, want %q", got, completeResponse())
+		}
+		synctest.Wait()
+		l.checkAllReleased(t, map[string]bool{l.callsOf("decode")[1].id: true})
+	})
+}
