Remove the write deadline of HTTP/2 while a response waits for its engine

Callers over HTTP/2, which a daemon with certificates serves, saw a stream reset (INTERNAL_ERROR) without an answer or a refusal when the engine was silent for longer than limits.slowReader (30 s by default), about as long as the deadline of the last write lasts.

Cause: with HTTP/1.1 a write deadline ends only a write. With HTTP/2 the server resets the stream when the deadline passes, also between two writes. The sink leaves the deadline set while it waits for the next token.

Now the sink of an HTTP/2 response removes the deadline after each flush, which precedes each wait, and the next write sets it again. The limit for slow readers is as before.

Not covered: when an engine sends a comment line behind a token, the wait that follows begins without a flush.

--- a/hickoryd/internal/caller/caller.go
+++ b/hickoryd/internal/caller/caller.go
@@ -185,6 +185,7 @@
 		return
 	}
 	sink := newSink(c.Request.Context(), c.Writer, request.id, parsed, arrivedAt, request.profile.SlowReaderTimeout)
+	sink.deadlineEndsWaits = c.Request.ProtoMajor > 1
 	err := h.models.Run(c.Request.Context(), modelRequest(request, parsed, arrivedAt), sink)
 	if errors.Is(err, context.Canceled) {
 		return
--- a/hickoryd/internal/caller/sink.go
+++ b/hickoryd/internal/caller/sink.go
@@ -45,6 +45,9 @@
 	template        *eventTemplate // of a streamed response, set at its first token
 	buffer          []byte
 	deadlineSetAt   time.Time // when the write deadline was last set
+	// deadlineEndsWaits is set if a write deadline that passes between two writes
+	// ends the response, as it does with HTTP/2.
+	deadlineEndsWaits bool
 }
 
 func newSink(ctx context.Context, to http.ResponseWriter, id string, body parsedBody, arrivedAt time.Time, writeBudget time.Duration) *sink {
@@ -142,12 +145,17 @@
 	return err
 }
 
+// flush sends the buffered bytes. The wait for the engine that may follow counts
+// for no deadline.
 func (s *sink) flush() error {
 	started, err := s.beginWrite()
 	if err != nil {
 		return err
 	}
 	defer s.endWrite(started)
+	if s.deadlineEndsWaits {
+		defer s.clearWriteDeadline()
+	}
 	err = http.NewResponseController(s.to).Flush()
 	if err != nil && !errors.Is(err, http.ErrNotSupported) {
 		return err
@@ -174,6 +182,11 @@
 	s.writeBudget -= time.Since(started)
 }
 
+func (s *sink) clearWriteDeadline() {
+	s.deadlineSetAt = time.Time{}
+	s.setWriteDeadline(s.deadlineSetAt)
+}
+
 // setWriteDeadline sets the deadline for writes. A zero deadline removes it.
 func (s *sink) setWriteDeadline(deadline time.Time) {
 	_ = http.NewResponseController(s.to).SetWriteDeadline(deadline) // a recording supports no deadline
