Keep a silent prefill until its replacement is secured

Callers of hickoryd serve were refused (502 backendFailed, 503 overloaded) when a sound prefill server took longer than the host's time-out (4 s or more), for example because it was paused.

Cause: as for decode: the host cancelled the prefill at its time-out and only then learned that the retry budget was used up, that no attempt was left, or that no slot was free for another attempt.

Now the time-out starts the search beside the call, with callLimit as for the calls to decode engines. If the attempt may use another prefill server, the call is cancelled once the retry budget has granted that; otherwise once the next attempt is secured or the platform no longer lists the server. The place in a prefill queue belongs to one attempt, so that the place of the next attempt is not released with it.

With this change each caller gets the complete response once, from the prefill that was silent for 20 s. TestPrefillOverDeadConnection and TestLastRetryReplacesSilentPrefill are new and guard the replacement. The fakes now also check that every place in a prefill queue is released.

--- a/hickoryd/internal/dispatch/attempt.go
+++ b/hickoryd/internal/dispatch/attempt.go
@@ -47,9 +47,8 @@
 		opened     time.Time // when its first stream was opened
 	}
 
-	// opening is a call that opens a stream. After limit, giveUp decides whether
-	// the call is ended.
-	opening struct {
+	// callLimit ends a call after limit, once giveUp agrees.
+	callLimit struct {
 		limit   time.Duration
 		giveUp  func(ctx context.Context) bool
 		cancel  context.CancelFunc // of the call
@@ -80,7 +79,7 @@
 		return a.decode(ctx, prompt, nil)
 	}
 	for isRetry := false; ; isRetry = true {
-		if err := g.ensureKV(ctx, a.id, prompt); err != nil {
+		if err := a.ensureKV(ctx, prompt); err != nil {
 			return nil, err
 		}
 		stream, err := a.decode(ctx, prompt, &g.kv.kv)
@@ -106,7 +105,7 @@
 	avoid := sync.OnceFunc(func() { g.failed[a.server.ID] = time.Now() })
 	giveUp := func(ctx context.Context) bool {
 		avoid()
-		return a.mayGiveUp(ctx)
+		return a.mayGiveUp(ctx, a.server)
 	}
 	stream, err := openWithin(ctx, timeout, giveUp, func(ctx context.Context) (TokenStream, error) {
 		return g.models.engines.Decode(ctx, a.server, engine.DecodeRequest{
@@ -155,7 +154,7 @@
 	for ctx.Err() == nil {
 		if *resumes >= maxResumes {
 			g.failed[a.server.ID] = time.Now()
-			if !errors.Is(err, errTimeout) || a.mayGiveUp(ctx) {
+			if !errors.Is(err, errTimeout) || a.mayGiveUp(ctx, a.server) {
 				break
 			}
 		}
@@ -178,11 +177,11 @@
 
 // mayGiveUp reports whether a silent server may be given up: the next attempt is
 // secured, or the platform no longer lists the server.
-func (a *attempt) mayGiveUp(ctx context.Context) bool {
+func (a *attempt) mayGiveUp(ctx context.Context, server backend.Server) bool {
 	if a.secureNext(ctx) {
 		return true
 	}
-	_, isListed := a.generation.models.directory.Candidate(a.server.ID)
+	_, isListed := a.generation.models.directory.Candidate(server.ID)
 	return !isListed
 }
 
@@ -191,14 +190,21 @@
 // one may be able to use the server that this attempt must avoid.
 func (a *attempt) secureNext(ctx context.Context) bool {
 	g := a.generation
+	if g.next != nil {
+		return true
+	}
 	if a.number >= maxAttempts || !g.takeRetry() {
 		return false
 	}
+	held := g.reserved
 	server, err := g.place(ctx, time.Now(), g.attemptID(g.assembly.NextAttempt()))
 	if err != nil {
 		g.models.budget.Deposit(g.request.Service.Name, 1)
 		return false
 	}
+	if held != nil && g.reserved != held {
+		g.models.slots.ReleasePrefill(held.server.ID, held.id)
+	}
 	g.next = &server
 	return true
 }
@@ -266,9 +272,7 @@
 
 // release frees the slot once the engine holds no state of the attempt.
 func (a *attempt) release() {
-	if a.generation.next == nil {
-		a.generation.releasePrefill()
-	}
+	a.generation.releasePrefill(a.id)
 	if a.generation.assembly.Done() {
 		a.generation.models.waitQueues.observe(a.generation.request.Service.Name, time.Since(a.generation.placedAt))
 	}
@@ -288,32 +292,42 @@
 // ended once giveUp agrees, and the error is errTimeout.
 func openWithin(ctx context.Context, limit time.Duration, giveUp func(ctx context.Context) bool, open func(ctx context.Context) (TokenStream, error)) (TokenStream, error) {
 	openCtx, cancel := context.WithCancel(ctx)
-	waitCtx, stop := context.WithCancel(ctx)
-	o := &opening{limit: limit, giveUp: giveUp, cancel: cancel, done: make(chan struct{})}
-	go o.run(waitCtx)
+	stop := startCallLimit(ctx, limit, giveUp, cancel)
 	stream, err := open(openCtx)
-	stop()
-	<-o.done
-	if err == nil && !o.givenUp {
+	givenUp := stop()
+	if err == nil && !givenUp {
 		return limitedStream{TokenStream: stream, cancel: cancel}, nil
 	}
 	if err == nil {
 		stream.Close()
 	}
 	cancel()
-	if o.givenUp && ctx.Err() == nil {
+	if givenUp && ctx.Err() == nil {
 		return nil, fmt.Errorf("%w: %w", errTimeout, engine.ErrBroken)
 	}
 	return nil, err
 }
 
+// startCallLimit limits a call that begins now. The returned function ends the limit
+// after the call and reports whether the call was given up.
+func startCallLimit(ctx context.Context, limit time.Duration, giveUp func(ctx context.Context) bool, cancel context.CancelFunc) (stop func() bool) {
+	ctx, end := context.WithCancel(ctx)
+	l := &callLimit{limit: limit, giveUp: giveUp, cancel: cancel, done: make(chan struct{})}
+	go l.run(ctx)
+	return func() bool {
+		end()
+		<-l.done
+		return l.givenUp
+	}
+}
+
 // run waits until ctx ends or the call is given up.
-func (o *opening) run(ctx context.Context) {
-	defer close(o.done)
-	for wait := o.limit; timing.Sleep(ctx, wait) == nil; wait = turnCheckInterval {
-		if o.giveUp(ctx) {
-			o.givenUp = true
-			o.cancel()
+func (l *callLimit) run(ctx context.Context) {
+	defer close(l.done)
+	for wait := l.limit; timing.Sleep(ctx, wait) == nil; wait = turnCheckInterval {
+		if l.giveUp(ctx) {
+			l.givenUp = true
+			l.cancel()
 			return
 		}
 	}
--- a/hickoryd/internal/dispatch/fakes_test.go
+++ b/hickoryd/internal/dispatch/fakes_test.go
@@ -61,8 +61,10 @@
 		leaving      map[string]bool
 		forced       int
 		released     map[string]bool // prefill reservations, by attempt
+		queued       map[string]bool // places in prefill queues, by server and attempt
 		unreserved   int             // prefills whose reservation was released before
 		hasNoServers bool            // Candidates returns none
+		onlyPrefill  string          // the only prefill server, or "" for both
 		source       string          // server of the latest prefill, if a hook records it
 	}
 
@@ -90,7 +92,7 @@
 )
 
 func newFakeCluster() *fakeCluster {
-	return &fakeCluster{callCounts: map[string]int{}, reserved: map[string]string{}, isolated: map[string]bool{}, leaving: map[string]bool{}, released: map[string]bool{}}
+	return &fakeCluster{callCounts: map[string]int{}, reserved: map[string]string{}, isolated: map[string]bool{}, leaving: map[string]bool{}, released: map[string]bool{}, queued: map[string]bool{}}
 }
 
 func completeStream() *fakeStream { return &fakeStream{stopAt: responseTokens, ending: io.EOF} }
@@ -228,16 +230,22 @@
 	delete(l.reserved, attemptID)
 }
 
-func (l *fakeCluster) ReservePrefill(_ context.Context, _ time.Time, server backend.Server, _ slot.Prefill) error {
+func (l *fakeCluster) ReservePrefill(_ context.Context, _ time.Time, server backend.Server, p slot.Prefill) error {
 	if l.onReservePrefill != nil {
-		return l.onReservePrefill(server.ID, l.count("reservePrefill"))
+		if err := l.onReservePrefill(server.ID, l.count("reservePrefill")); err != nil {
+			return err
+		}
 	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.queued[server.ID+" "+p.AttemptID] = true
 	return nil
 }
 
-func (l *fakeCluster) ReleasePrefill(_, attemptID string) {
+func (l *fakeCluster) ReleasePrefill(serverID, attemptID string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	delete(l.queued, serverID+" "+attemptID)
 	l.released[attemptID] = true
 }
 
@@ -274,6 +282,9 @@
 		candidates = append(candidates, placement.Candidate{Server: backend.Server{ID: id, Role: backend.RoleDecode, State: backend.StateLive, Slots: 20}})
 	}
 	for _, id := range []string{"prefill-1", "prefill-2"} {
+		if l.onlyPrefill != "" && id != l.onlyPrefill {
+			continue
+		}
 		candidates = append(candidates, placement.Candidate{Server: backend.Server{ID: id, Role: backend.RolePrefill, State: backend.StateLive}})
 	}
 	return candidates
@@ -294,8 +305,8 @@
 
 func (l *fakeCluster) Lookup(id string) (backend.Server, bool) { return backend.Server{ID: id}, true }
 
-// checkAllReleased fails the test when a slot is still reserved, or when a
-// request that was sent to a decode engine has neither finished nor been
+// checkAllReleased fails the test when a slot or a place in a prefill queue is
+// still reserved, or when a request that was sent to a decode engine has neither finished nor been
 // cancelled.
 func (l *fakeCluster) checkAllReleased(t *testing.T, finished map[string]bool) {
 	t.Helper()
@@ -304,6 +315,9 @@
 	for id, server := range l.reserved {
 		t.Errorf("slot on %s is still reserved by %s", server, id)
 	}
+	for place := range l.queued {
+		t.Errorf("place in a prefill queue is still reserved: %s", place)
+	}
 	cancelled := map[string]bool{}
 	for _, c := range l.cancels {
 		cancelled[c.server+" "+c.id] = true
--- a/hickoryd/internal/dispatch/model.go
+++ b/hickoryd/internal/dispatch/model.go
@@ -157,6 +157,7 @@
 		direct           bool             // the decode server prefills the prompt
 		reserved         *reservedPrefill // place in a prefill queue
 		next             *backend.Server  // decode server that was secured for the next attempt
+		charged          bool             // the next retry is charged already
 		placedAt         time.Time        // start of the slot's reservation
 		retryAfter       time.Duration    // of a refusal because no server was free
 		hashes           []uint64         // of the prompt's blocks
@@ -209,7 +210,6 @@
 		fingerprint: crash.Fingerprint(request.Service.Name, request.Prompt),
 	}
 	defer g.dropKV()
-	defer g.releasePrefill()
 	defer g.releaseNext()
 	m.budget.Deposit(request.Service.Name, request.Profile.RetryRatio)
 	var last error
@@ -273,7 +273,17 @@
 	return g.takeRetry()
 }
 
+// chargeRetry charges the next retry before its cause is known to mayRetry.
+func (g *generation) chargeRetry() bool {
+	g.charged = g.takeRetry()
+	return g.charged
+}
+
 func (g *generation) takeRetry() bool {
+	if g.charged {
+		g.charged = false
+		return true
+	}
 	if g.models.budget.Take(g.request.Service.Name) {
 		return true
 	}
--- a/hickoryd/internal/dispatch/prefill.go
+++ b/hickoryd/internal/dispatch/prefill.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
 	"time"
 
 	"github.com/hickoryfront/hickoryfront/core/backend"
@@ -41,17 +42,19 @@
 
 // ensureKV prefills the prompt unless a result for it is still held. It starts
 // a new prefill only if the earlier result is known to be gone.
-func (g *generation) ensureKV(ctx context.Context, attemptID, prompt string) error {
+func (a *attempt) ensureKV(ctx context.Context, prompt string) error {
+	g := a.generation
 	if g.kv != nil && g.kv.prompt == prompt {
 		return nil
 	}
 	g.dropKV()
 	err := errNoPrefill
-	for i, server := range g.prefillServers(ctx) {
+	servers := g.prefillServers(ctx)
+	for i, server := range servers {
 		if i > 0 && (errors.Is(err, errServerFailed) || !g.mayRetry(err)) {
 			return err
 		}
-		if g.kv, err = g.prefill(ctx, server, attemptID, prompt); err == nil {
+		if g.kv, err = a.prefill(ctx, server, prompt, i+1 < len(servers)); err == nil {
 			return nil
 		}
 		if ctx.Err() != nil {
@@ -62,36 +65,49 @@
 }
 
 // prefill runs one prefill. If it fails and may still run at the engine, it is
-// cancelled there.
-func (g *generation) prefill(ctx context.Context, server backend.Server, attemptID, prompt string) (*prefillResult, error) {
+// cancelled there. isOneLeft reports whether this attempt may use another server
+// after this one.
+func (a *attempt) prefill(ctx context.Context, server backend.Server, prompt string, isOneLeft bool) (*prefillResult, error) {
+	g := a.generation
 	tokens := prefix.EstimateTokens(prompt)
 	started := time.Now()
-	prefillCtx, cancel := context.WithTimeout(ctx, g.prefillTimeout(tokens))
+	avoid := sync.OnceFunc(func() { g.failed[server.ID] = time.Now() })
+	giveUp := func(ctx context.Context) bool {
+		avoid()
+		if isOneLeft {
+			return g.chargeRetry()
+		}
+		return a.mayGiveUp(ctx, server)
+	}
+	prefillCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	stop := startCallLimit(ctx, g.prefillTimeout(tokens), giveUp, cancel)
 	reply, err := g.models.engines.Prefill(prefillCtx, server, engine.PrefillRequest{
-		RequestID: attemptID, Model: g.request.Service.Model, Prompt: prompt, Priority: g.priority(),
+		RequestID: a.id, Model: g.request.Service.Model, Prompt: prompt, Priority: g.priority(),
 	})
+	givenUp := stop()
 	g.recordCallResult(server, err)
-	g.releasePrefill()
+	g.releasePrefill(a.id)
 	if err == nil {
 		g.models.kvSize.observe(reply)
 		computed := max(0, reply.PromptTokens-reply.CachedTokens)
-		return &prefillResult{server: server, id: attemptID, prompt: prompt, kv: reply.KV, computed: computed, startedAt: started}, nil
+		return &prefillResult{server: server, id: a.id, prompt: prompt, kv: reply.KV, computed: computed, startedAt: started}, nil
 	}
 	if errors.Is(err, engine.ErrBroken) || prefillCtx.Err() != nil {
 		g.models.counters.abandoned.Add(tokens)
-		g.models.canceller.Cancel(server, attemptID, nil)
+		g.models.canceller.Cancel(server, a.id, nil)
 		if g.checkServerFailure(ctx, server, started) {
 			return nil, fmt.Errorf("%w: %w", errServerFailed, err)
 		}
 	}
-	if prefillCtx.Err() != nil && ctx.Err() == nil {
+	if givenUp && ctx.Err() == nil {
 		err = fmt.Errorf("%w: prefill on %s", errTimeout, server.ID)
 	}
 	return nil, err
 }
 
-// prefillTimeout bounds a prefill, including its time in the engine's queue.
+// prefillTimeout is the time after which a prefill, including its time in the
+// engine's queue, is to be replaced.
 func (g *generation) prefillTimeout(tokens int) time.Duration {
 	if g.request.Profile.Class == config.ClassDeferrable {
 		return deferrablePrefillTimeout
--- a/hickoryd/internal/dispatch/reserve.go
+++ b/hickoryd/internal/dispatch/reserve.go
@@ -211,16 +211,17 @@
 // because an attempt ID is never reused.
 func (g *generation) releaseNext() {
 	if g.next != nil {
-		g.models.slots.Release(g.next.ID, g.attemptID(g.assembly.NextAttempt()))
-		g.releasePrefill()
+		id := g.attemptID(g.assembly.NextAttempt())
+		g.models.slots.Release(g.next.ID, id)
+		g.releasePrefill(id)
 		g.next = nil
 		g.assembly.Begin()
 	}
 }
 
-// releasePrefill releases the place in a prefill queue.
-func (g *generation) releasePrefill() {
-	if g.reserved != nil {
+// releasePrefill releases the place of an attempt in a prefill queue.
+func (g *generation) releasePrefill(attemptID string) {
+	if g.reserved != nil && g.reserved.id == attemptID {
 		g.models.slots.ReleasePrefill(g.reserved.server.ID, g.reserved.id)
 		g.reserved = nil
 	}
--- a/hickoryd/internal/dispatch/silence_test.go
+++ b/hickoryd/internal/dispatch/silence_test.go
@@ -323,6 +323,171 @@
 	})
 }
 
+// TestSilentPrefillIsKeptWithoutReplacement guards against a request that is refused
+// because the host gives up a prefill that is silent for a moment although nothing
+// can replace it.
+//
+// proof: silent connection | prefill | 3
+func TestSilentPrefillIsKeptWithoutReplacement(t *testing.T) {
+	const pause = 20 * time.Second
+	prefillLater := func(ctx context.Context, _ string, _ int) error {
+		select {
+		case <-ctx.Done():
+			return blockUntilDone(ctx)
+		case <-time.After(pause):
+			return nil
+		}
+	}
+	tests := map[string]struct {
+		set            func(l *fakeCluster)
+		requestsBefore int // requests that fail and use up the retry budget
+		wantPrefills   int
+	}{
+		"no attempt is left": {set: func(l *fakeCluster) {
+			l.onPrefill = func(ctx context.Context, server string, n int) error {
+				if n < 4 {
+					return nil
+				}
+				return prefillLater(ctx, server, n)
+			}
+			l.onDecode = func(_ context.Context, _ string, n int) (*fakeStream, error) {
+				if n < 4 {
+					return streamStoppingAt(n, engine.ErrBroken), nil
+				}
+				return completeStream(), nil
+			}
+			l.onResume = resumeNotFound
+			l.onlyPrefill = "prefill-1"
+		}, wantPrefills: 4},
+		"retry budget is used up": {set: func(l *fakeCluster) {
+			l.onPrefill = prefillLater
+		}, requestsBefore: 2 * retry.Burst, wantPrefills: 1},
+		"no slot for another attempt": {set: func(l *fakeCluster) {
+			l.onPrefill = prefillLater
+			l.onReserve = func(_ context.Context, _ string, n int) error {
+				if n > 1 {
+					return slot.ErrFull
+				}
+				return nil
+			}
+			l.onlyPrefill = "prefill-1"
+		}, wantPrefills: 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+				defer cancel()
+				l := newFakeCluster()
+				l.onDecode = func(context.Context, string, int) (*fakeStream, error) { return nil, engine.ErrBroken }
+				models := newModels(t, l)
+				for range test.requestsBefore {
+					if models.Run(ctx, request(shortPrompt), &recordingSink{}) == nil {
+						t.Fatal("a request was completed by engines that all fail")
+					}
+				}
+				synctest.Wait()
+				l.callCounts = map[string]int{}
+				l.onDecode = nil
+				test.set(l)
+				sink := &recordingSink{}
+				r := request(longPrompt)
+				r.Profile.MaxWait = 2 * time.Second
+				if err := models.Run(ctx, r, sink); err != nil {
+					t.Fatalf("no response: %v", err)
+				}
+				if got := sink.text.String(); got != completeResponse() {
+					t.Errorf("response %q, want %q", got, completeResponse())
+				}
+				if got := len(l.callsOf("prefill")); got != test.wantPrefills {
+					t.Errorf("%d prefills, want %d", got, test.wantPrefills)
+				}
+				synctest.Wait()
+				decodes := l.callsOf("decode")
+				l.checkAllReleased(t, map[string]bool{decodes[len(decodes)-1].id: true})
+			})
+		})
+	}
+}
+
+// TestLastRetryReplacesSilentPrefill guards against a retry that is charged twice: when
+// the silent prefill is given up, and when the next one begins.
+//
+// proof: silent connection | prefill | 3
+func TestLastRetryReplacesSilentPrefill(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		l := newFakeCluster()
+		models := newModels(t, l)
+		r := request(shortPrompt)
+		r.Profile.RetryRatio = 0
+		for range retry.Burst - 1 {
+			l.callCounts = map[string]int{}
+			l.onDecode = func(_ context.Context, _ string, n int) (*fakeStream, error) {
+				if n == 1 {
+					return nil, engine.ErrBroken
+				}
+				return nil, engine.ErrInvalid
+			}
+			if models.Run(ctx, r, &recordingSink{}) == nil {
+				t.Fatal("a request was completed by engines that all fail")
+			}
+		}
+		l.onDecode = nil
+		l.onPrefill = func(ctx context.Context, _ string, n int) error {
+			if n == 1 {
+				return blockUntilDone(ctx)
+			}
+			return nil
+		}
+		sink := &recordingSink{}
+		r.Prompt = longPrompt
+		r.ArrivedAt = time.Now()
+		if err := models.Run(ctx, r, sink); err != nil {
+			t.Fatalf("no response: %v", err)
+		}
+		if got := sink.text.String(); got != completeResponse() {
+			t.Errorf("response %q, want %q", got, completeResponse())
+		}
+		if got := len(l.callsOf("prefill")); got != 2 {
+			t.Errorf("%d prefills, want 2", got)
+		}
+	})
+}
+
+// TestPrefillOverDeadConnection guards against a request that waits for a prefill
+// whose connection is dead although its server, the only one, is sound.
+//
+// proof: silent connection | prefill | 3
+func TestPrefillOverDeadConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		l := newFakeCluster()
+		l.onlyPrefill = "prefill-1"
+		l.onPrefill = func(ctx context.Context, _ string, n int) error {
+			if n == 1 {
+				return blockUntilDone(ctx)
+			}
+			return nil
+		}
+		sink := &recordingSink{}
+		started := time.Now()
+		if err := newModels(t, l).Run(ctx, request(longPrompt), sink); err != nil {
+			t.Fatalf("no response: %v", err)
+		}
+		if took := time.Since(started); took > 8*time.Second {
+			t.Errorf("complete after %v, want at most 8s", took)
+		}
+		if got := sink.text.String(); got != completeResponse() {
+			t.Errorf("response %q, want %q", got, completeResponse())
+		}
+		synctest.Wait()
+		l.checkAllReleased(t, map[string]bool{l.callsOf("decode")[0].id: true})
+	})
+}
+
 // TestDecodeOverDeadConnection guards against a request that waits for a call whose
 // connection is dead although its server, the only one with a free slot, is sound.
 //
