--- a/hickoryd/internal/dispatch/attempt.go
+++ b/hickoryd/internal/dispatch/attempt.go
@@ -5,20 +5,23 @@
 	"errors"
 	"fmt"
 	"io"
+	"sync"
 	"time"
 
 	"github.com/hickoryfront/hickoryfront/core/backend"
 	"github.com/hickoryfront/hickoryfront/core/prefix"
 	"github.com/hickoryfront/hickoryfront/core/tokenstream"
 	"github.com/hickoryfront/hickoryfront/hickoryd/engine"
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/timing"
 )
 
 const (
-	// maxResumes bounds the consecutive resumes of one stream that yield no
-	// token.
+	// maxResumes is the number of consecutive resumes of one stream that yield
+	// no token after which another server is to take over.
 	maxResumes = 2
 	// resumeTimeout bounds the wait for the head of a resumed stream, which an
-	// engine sends at once.
+	// engine sends at once. It grows with the resumes after maxResumes, up to
+	// minOpenTimeout, so that an engine which stays slow is still heard.
 	resumeTimeout = 500 * time.Millisecond
 	// minOpenTimeout is the wait for the head of a stream, in addition to the
 	// time for the transfer or the prefill of its prompt.
@@ -44,6 +47,15 @@
 		opened     time.Time // when its first stream was opened
 	}
 
+	// callLimit ends a call after limit, once giveUp agrees.
+	callLimit struct {
+		limit   time.Duration
+		giveUp  func(ctx context.Context) bool
+		cancel  context.CancelFunc // of the call
+		givenUp bool
+		done    chan struct{} // closed when the wait has ended
+	}
+
 	// limitedStream cancels the context of its opening call when it is closed.
 	limitedStream struct {
 		TokenStream
@@ -67,7 +79,7 @@
 		return a.decode(ctx, prompt, nil)
 	}
 	for isRetry := false; ; isRetry = true {
-		if err := g.ensureKV(ctx, a.id, prompt); err != nil {
+		if err := a.ensureKV(ctx, prompt); err != nil {
 			return nil, err
 		}
 		stream, err := a.decode(ctx, prompt, &g.kv.kv)
@@ -88,7 +100,14 @@
 	if kv != nil {
 		timeout = minOpenTimeout + time.Duration(float64(kv.Bytes)/minTransferRate*float64(time.Second))
 	}
-	stream, err := openWithin(ctx, timeout, func(ctx context.Context) (TokenStream, error) {
+	// The call can't be resumed over a new connection. So its server is avoided only
+	// at first: later it may run the next attempt itself.
+	avoid := sync.OnceFunc(func() { g.failed[a.server.ID] = time.Now() })
+	giveUp := func(ctx context.Context) bool {
+		avoid()
+		return a.mayGiveUp(ctx, a.server)
+	}
+	stream, err := openWithin(ctx, timeout, giveUp, func(ctx context.Context) (TokenStream, error) {
 		return g.models.engines.Decode(ctx, a.server, engine.DecodeRequest{
 			RequestID: a.id, Model: g.request.Service.Model, Prompt: prompt, KV: kv,
 			MaxTokens: g.request.MaxTokens - a.offset, Offset: a.offset, Priority: g.priority(),
@@ -118,7 +137,7 @@
 		if g.assembly.NextOffset() > before {
 			resumes = 0
 		}
-		if stream, err = a.resume(ctx, &resumes); err != nil {
+		if stream, err = a.resume(ctx, err, &resumes); err != nil {
 			g.failed[a.server.ID] = time.Now()
 			g.checkServerFailure(ctx, a.server, a.opened)
 			return err
@@ -126,16 +145,24 @@
 	}
 }
 
-// resume reopens the stream until that succeeds, the engine no longer has the
-// request, or maxResumes is reached.
-func (a *attempt) resume(ctx context.Context, resumes *int) (TokenStream, error) {
+// resume reopens the stream, which ended with err, until that succeeds or the
+// engine no longer has the request. After maxResumes it gives up a stream that
+// breaks, but a silent one only once another server can take over or the platform
+// no longer lists its server.
+func (a *attempt) resume(ctx context.Context, err error, resumes *int) (TokenStream, error) {
 	g := a.generation
-	err := errTimeout
-	for *resumes < maxResumes && ctx.Err() == nil {
+	for ctx.Err() == nil {
+		if *resumes >= maxResumes {
+			g.failed[a.server.ID] = time.Now()
+			if !errors.Is(err, errTimeout) || a.mayGiveUp(ctx, a.server) {
+				break
+			}
+		}
 		*resumes++
 		g.models.counters.resumed.Inc()
+		timeout := min(minOpenTimeout, resumeTimeout*time.Duration(max(1, *resumes-maxResumes+1)))
 		var stream TokenStream
-		stream, err = openWithin(ctx, resumeTimeout, func(ctx context.Context) (TokenStream, error) {
+		stream, err = openWithin(ctx, timeout, always, func(ctx context.Context) (TokenStream, error) {
 			return g.models.engines.Resume(ctx, a.server, engine.ResumeRequest{RequestID: a.id, Offset: g.assembly.NextOffset()})
 		})
 		if err == nil {
@@ -148,18 +175,55 @@
 	return nil, fmt.Errorf("stream on %s lost: %w", a.server.ID, err)
 }
 
-// copyTokens passes the tokens of one connection to the sink. The time that the
-// caller takes to read does not count as silence of the engine.
+// mayGiveUp reports whether a silent server may be given up: the next attempt is
+// secured, or the platform no longer lists the server.
+func (a *attempt) mayGiveUp(ctx context.Context, server backend.Server) bool {
+	if a.secureNext(ctx) {
+		return true
+	}
+	_, isListed := a.generation.models.directory.Candidate(server.ID)
+	return !isListed
+}
+
+// secureNext reserves the servers of the next attempt and charges it to the retry
+// budget. It waits for no slot and joins no queue, because a request behind this
+// one may be able to use the server that this attempt must avoid.
+func (a *attempt) secureNext(ctx context.Context) bool {
+	g := a.generation
+	if g.next != nil {
+		return true
+	}
+	if a.number >= maxAttempts || !g.takeRetry() {
+		return false
+	}
+	held := g.reserved
+	server, err := g.place(ctx, time.Now(), g.attemptID(g.assembly.NextAttempt()))
+	if err != nil {
+		g.models.budget.Deposit(g.request.Service.Name, 1)
+		return false
+	}
+	if held != nil && g.reserved != held {
+		g.models.slots.ReleasePrefill(held.server.ID, held.id)
+	}
+	g.next = &server
+	return true
+}
+
+// copyTokens passes the tokens of one connection to the sink. The error is
+// errTimeout if the connection was silent for too long. The time that the caller
+// takes to read does not count as silence of the engine.
 func (a *attempt) copyTokens(stream TokenStream) error {
 	g := a.generation
 	silenceTimer := newWatchdog(stream.Close, g.models.counters.silenceSeconds)
 	defer silenceTimer.stop()
 	for !g.assembly.Done() {
 		token, err := a.next(stream, silenceTimer)
-		if errors.Is(err, io.EOF) {
+		switch {
+		case err != nil && silenceTimer.expired.Load():
+			return errTimeout
+		case errors.Is(err, io.EOF):
 			return engine.ErrBroken
-		}
-		if err != nil {
+		case err != nil:
 			return err
 		}
 		accepted, err := g.assembly.Accept(a.number, token)
@@ -208,7 +272,7 @@
 
 // release frees the slot once the engine holds no state of the attempt.
 func (a *attempt) release() {
-	a.generation.releasePrefill()
+	a.generation.releasePrefill(a.id)
 	if a.generation.assembly.Done() {
 		a.generation.models.waitQueues.observe(a.generation.request.Service.Name, time.Since(a.generation.placedAt))
 	}
@@ -224,25 +288,53 @@
 	a.generation.models.canceller.Cancel(a.server, a.id, release)
 }
 
-// openWithin opens a stream whose head must arrive within timeout.
-func openWithin(ctx context.Context, timeout time.Duration, open func(ctx context.Context) (TokenStream, error)) (TokenStream, error) {
+// openWithin opens a stream. If its head does not arrive within limit, the call is
+// ended once giveUp agrees, and the error is errTimeout.
+func openWithin(ctx context.Context, limit time.Duration, giveUp func(ctx context.Context) bool, open func(ctx context.Context) (TokenStream, error)) (TokenStream, error) {
 	openCtx, cancel := context.WithCancel(ctx)
-	timer := time.AfterFunc(timeout, cancel)
+	stop := startCallLimit(ctx, limit, giveUp, cancel)
 	stream, err := open(openCtx)
-	timedOut := !timer.Stop()
-	if err == nil && !timedOut {
+	givenUp := stop()
+	if err == nil && !givenUp {
 		return limitedStream{TokenStream: stream, cancel: cancel}, nil
 	}
 	if err == nil {
 		stream.Close()
 	}
 	cancel()
-	if timedOut && ctx.Err() == nil {
+	if givenUp && ctx.Err() == nil {
 		return nil, fmt.Errorf("%w: %w", errTimeout, engine.ErrBroken)
 	}
 	return nil, err
 }
 
+// startCallLimit limits a call that begins now. The returned function ends the limit
+// after the call and reports whether the call was given up.
+func startCallLimit(ctx context.Context, limit time.Duration, giveUp func(ctx context.Context) bool, cancel context.CancelFunc) (stop func() bool) {
+	ctx, end := context.WithCancel(ctx)
+	l := &callLimit{limit: limit, giveUp: giveUp, cancel: cancel, done: make(chan struct{})}
+	go l.run(ctx)
+	return func() bool {
+		end()
+		<-l.done
+		return l.givenUp
+	}
+}
+
+// run waits until ctx ends or the call is given up.
+func (l *callLimit) run(ctx context.Context) {
+	defer close(l.done)
+	for wait := l.limit; timing.Sleep(ctx, wait) == nil; wait = turnCheckInterval {
+		if l.giveUp(ctx) {
+			l.givenUp = true
+			l.cancel()
+			return
+		}
+	}
+}
+
+func always(context.Context) bool { return true }
+
 // Close implements TokenStream.
 func (s limitedStream) Close() {
 	s.TokenStream.Close()
