Let servers fall silent in the soak

Cause: in the soak a server served or crashed. A sound server that sends nothing for a second, while others are silent too, the configuration changes, it drains or a host stops, was not covered. Change: six kinds of silence of 0.8 to 1.6 s, and all decode servers at once, are among the faults; the first of the five faults of a seed is one of them. A failure of the checks of runs and refusals prints what the host logged about the request. Command: HICKORYFRONT_SOAK_FIRST=537 HICKORYFRONT_SOAK_SEEDS=1 go test -race -count=1 -v ./edgesoak -run Soak.

--- a/hickorylab/edgesoak/soak_test.go
+++ b/hickorylab/edgesoak/soak_test.go
@@ -26,8 +26,11 @@
 	// request after the other.
 	callersPerHost = 3
 	// faultsPerSeed is the number of faults, which follow one another. The effects
-	// of some overlap.
+	// of some overlap. The first one is a silence.
 	faultsPerSeed = 5
+	// minSilence and maxSilence bound how long a server falls silent.
+	minSilence = 800 * time.Millisecond
+	maxSilence = 1600 * time.Millisecond
 	// lossSlack is the time after the last byte of a request in which a host may close the
 	// connection without having read the request, as their closings may cross.
 	lossSlack = 200 * time.Millisecond
@@ -46,7 +49,62 @@
 	inject func(e *environment, random *rand.Rand) (repair func())
 }
 
-var faults = []fault{
+// silences are the faults by which sound servers fall silent and go on.
+var silences = []fault{
+	{name: "a model server falls silent", inject: func(e *environment, random *rand.Rand) func() {
+		e.modelServers[random.IntN(len(e.modelServers))].Pause(silenceTime(random))
+		return func() {}
+	}},
+	{name: "a plain server falls silent", inject: func(e *environment, random *rand.Rand) func() {
+		e.plainServers[random.IntN(len(e.plainServers))].Pause(silenceTime(random))
+		return func() {}
+	}},
+	{name: "servers fall silent in a row", inject: func(e *environment, random *rand.Rand) func() {
+		for range 4 {
+			e.randomServer(random).Pause(silenceTime(random))
+			time.Sleep(time.Duration(random.IntN(500)) * time.Millisecond)
+		}
+		return func() {}
+	}},
+	{name: "all decode servers fall silent", inject: func(e *environment, random *rand.Rand) func() {
+		for _, server := range e.decodeServers() {
+			server.Pause(silenceTime(random))
+			time.Sleep(time.Duration(random.IntN(100)) * time.Millisecond)
+		}
+		return func() {}
+	}},
+	{name: "a server falls silent while the configuration changes", inject: func(e *environment, random *rand.Rand) func() {
+		e.randomServer(random).Pause(silenceTime(random))
+		for range 3 {
+			e.changeConfiguration(random)
+			time.Sleep(time.Duration(random.IntN(300)) * time.Millisecond)
+		}
+		return func() {}
+	}},
+	{name: "a decode server falls silent while it drains", inject: func(e *environment, random *rand.Rand) func() {
+		server := e.randomDecodeServer(random)
+		server.Drain()
+		time.Sleep(time.Duration(random.IntN(300)) * time.Millisecond)
+		server.Pause(silenceTime(random))
+		return func() {
+			e.await("a draining server has ended its requests", func() bool { return server.InFlight() == 0 })
+			server.Crash()
+			e.mustRestart(server.Restart)
+		}
+	}},
+	{name: "a host is stopped while a server is silent", inject: func(e *environment, random *rand.Rand) func() {
+		host := e.hosts[random.IntN(hostCount)]
+		e.randomServer(random).Pause(silenceTime(random))
+		time.Sleep(time.Duration(random.IntN(300)) * time.Millisecond)
+		host.Terminate()
+		return func() {
+			<-host.Exited()
+			host.Start()
+		}
+	}},
+}
+
+var faults = append([]fault{
 	{name: "a host is killed", inject: func(e *environment, random *rand.Rand) func() {
 		i := random.IntN(hostCount)
 		e.killHost(i)
@@ -98,7 +156,7 @@
 		e.changeConfiguration(random)
 		return func() {}
 	}},
-}
+}, silences...)
 
 func storeFault(mode metastore.Mode) func(*environment, *rand.Rand) func() {
 	return func(e *environment, _ *rand.Rand) func() {
@@ -107,6 +165,19 @@
 	}
 }
 
+func silenceTime(random *rand.Rand) time.Duration {
+	return minSilence + time.Duration(random.Int64N(int64(maxSilence-minSilence)))
+}
+
+// randomServer returns a model server or a plain one.
+func (e *environment) randomServer(random *rand.Rand) *worker.Server {
+	servers := e.modelServers
+	if random.IntN(2) == 0 {
+		servers = e.plainServers
+	}
+	return servers[random.IntN(len(servers))]
+}
+
 func (e *environment) randomDecodeServer(random *rand.Rand) *worker.Server {
 	servers := e.decodeServers()
 	return servers[random.IntN(len(servers))]
@@ -141,8 +212,12 @@
 	for i := range hostCount * callersPerHost {
 		c.group.Go(func() { c.loop(i, rand.New(rand.NewPCG(seed, uint64(i)+2))) })
 	}
-	for range faultsPerSeed {
-		chosen := faults[random.IntN(len(faults))]
+	for n := range faultsPerSeed {
+		kinds := faults
+		if n == 0 {
+			kinds = silences
+		}
+		chosen := kinds[random.IntN(len(kinds))]
 		t.Logf("%s", chosen.name)
 		repair := chosen.inject(e, random)
 		time.Sleep(time.Duration(200+random.IntN(1200)) * time.Millisecond)
@@ -190,10 +265,10 @@
 		runs := c.environment.workers.Runs(o.id)
 		isRepeatable := o.path == "/lookup/" || o.path == "/draft/"
 		if !isRepeatable && runs > 1 {
-			t.Errorf("request %s %s ran %d times, want at most 1", o.id, o.path, runs)
+			t.Errorf("%v ran %d times, want at most 1; log of its host:\n%s", o, runs, c.environment.hostLog(o))
 		}
 		if o.isPromise() && runs > 0 && !isRepeatable {
-			t.Errorf("request %s %s was refused as not run but ran %d times", o.id, o.path, runs)
+			t.Errorf("%v was refused as not run but ran %d times; log of its host:\n%s", o, runs, c.environment.hostLog(o))
 		}
 		if o.status == http.StatusNotFound || o.status == http.StatusBadRequest {
 			t.Errorf("request %s %s got status %d, want neither 400 nor 404", o.id, o.path, o.status)
--- a/hickorylab/worker/worker.go
+++ b/hickorylab/worker/worker.go
@@ -183,6 +183,13 @@
 	return s.usedTokens
 }
 
+// InFlight returns the number of requests that the server is serving.
+func (s *Server) InFlight() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.serving)
+}
+
 func (s *Server) register() {
 	s.mu.Lock()
 	entry := map[string]any{
