Stop a migrating run when its transfers get no shorter

What callers would have seen: a run whose transfers all take over 200 ms stays on the leaving server until that ends, and the stream is truncated. Cause: repeats the transfer without any bound, and to a target that may drain meanwhile. Change: the run is stopped as well when a transfer is not at least a quarter shorter than the one before; a target that drains is given up.

--- a/hickoryd/internal/edgedispatch/migrate.go
+++ b/hickoryd/internal/edgedispatch/migrate.go
@@ -20,9 +20,14 @@
 	// last transfer has no limit but the request's deadline: the run has stopped, and only
 	// the response tells where it can be resumed.
 	transferTimeout = 1500 * time.Millisecond
-	// maxStopTime is the longest transfer after which the run is stopped: the last transfer,
-	// during which the stream pauses, takes about as long as the one before.
+	// maxStopTime is the longest transfer after which the run is stopped without another
+	// one: the last transfer, during which the stream pauses, takes about as long as the one
+	// before.
 	maxStopTime = 200 * time.Millisecond
+	// minGain is the part of the time of a transfer by which the next one must be shorter
+	// for a further one to be worth while. A server leaves soon, so a run is not kept there
+	// for longer than that.
+	minGain = 0.25
 	// migrationPause is the time between two searches for a server with free capacity, and
 	// between two transfers.
 	migrationPause = 120 * time.Millisecond
@@ -52,8 +57,10 @@
 		*generation
 		// server is the run's own server.
 		server serverlist.Server
-		// target is the server that has a copy of the run's KV cache, or nil.
-		target *serverlist.Server
+		// target is the server that has a copy of the run's KV cache, or nil. lastTook is
+		// how long the last transfer to it took.
+		target   *serverlist.Server
+		lastTook time.Duration
 		// checkedVersion is the version of the server list that was checked last.
 		checkedVersion uint64
 		started        bool
@@ -128,21 +135,21 @@
 
 // migrate transfers the run to the first server with free capacity and then stops the
 // run. It repeats the transfer, which copies only what is new, until the copy lags so
-// little behind the run that the stream does not pause for long. It tries until searchCtx
-// ends.
+// little behind the run that the stream does not pause for long, or the transfers get no
+// shorter. It tries until searchCtx ends.
 func (m *migration) migrate(ctx, searchCtx context.Context) (*migratedRun, error) {
 	criteria := balance.Criteria{Service: m.request.Route.Service, Stage: serverlist.Decode, FailureDomain: m.server.FailureDomain, Excluded: []string{m.server.ID}}
 	for {
 		target, took, err := m.transferToAny(searchCtx, criteria)
 		switch {
-		case err == nil && searchCtx.Err() == nil && took <= maxStopTime:
+		case err == nil && searchCtx.Err() == nil && m.isCopyNear(took):
 			return m.complete(ctx, target)
 		case err == nil:
-			m.target = &target
+			m.target, m.lastTook = &target, took
 		case errors.Is(err, errInvalid):
 			return nil, err // the server doesn't run the request any more
 		case errors.Is(err, errNotRun):
-			m.target = nil
+			m.target, m.lastTook = nil, 0
 		}
 		if err := timing.Sleep(searchCtx, migrationPause); err != nil {
 			return nil, err
@@ -150,13 +157,24 @@
 	}
 }
 
+// isCopyNear reports whether the run is to be stopped after a transfer that took the given
+// time.
+func (m *migration) isCopyNear(took time.Duration) bool {
+	return took <= maxStopTime || m.lastTook > 0 && float64(took) > (1-minGain)*float64(m.lastTook)
+}
+
 // transferToAny transfers the KV cache of the run, which goes on, to the server that has a
 // copy already, or to the first one that has room. It returns that server and how long the
 // transfer took.
 func (m *migration) transferToAny(ctx context.Context, criteria balance.Criteria) (serverlist.Server, time.Duration, error) {
-	targets := m.rankServers(criteria)
+	if m.target != nil && mustMigrate(m.registry.Servers().Servers, m.target.ID) {
+		m.target, m.lastTook = nil, 0
+	}
+	var targets []serverlist.Server
 	if m.target != nil {
 		targets = []serverlist.Server{*m.target}
+	} else {
+		targets = m.rankServers(criteria)
 	}
 	err := errNoTarget
 	for _, target := range targets {
--- a/hickoryd/internal/edgedispatch/migrate_test.go
+++ b/hickoryd/internal/edgedispatch/migrate_test.go
@@ -32,6 +32,8 @@
 		// transfer of the running run, and to the one that stops the run.
 		transferTime, stopTime time.Duration
 		transfers              atomic.Int64
+		// allTransfersTime is how long each transfer of the running run takes besides.
+		allTransfersTime time.Duration
 		// events is the number of events after which the stream ends, if it is not stopped.
 		events int
 		// drainAt is the number of the event after which the server drains.
@@ -81,7 +83,9 @@
 		s.stopOnce.Do(func() { close(s.stopped) })
 		time.Sleep(s.stopTime)
 	case s.transfers.Add(1) == 1:
-		time.Sleep(s.transferTime)
+		time.Sleep(s.transferTime + s.allTransfersTime)
+	default:
+		time.Sleep(s.allTransfersTime)
 	}
 	_, _ = io.WriteString(w, `{"handle":"run","created":1}`)
 }
@@ -110,6 +114,7 @@
 	tests := []struct {
 		name                   string
 		transferTime, stopTime time.Duration
+		allTransfersTime       time.Duration
 		events                 int
 		transfers              int64 // least number of transfers before the run is stopped
 		isEnding               bool  // the run ends at its own server, before it is migrated
@@ -117,6 +122,7 @@
 		{name: "the server pauses when it has stopped the run", stopTime: pause, events: 1000},
 		{name: "the server pauses during the first transfer", transferTime: pause, events: 1000},
 		{name: "the run ends during the first transfer", transferTime: pause, events: 5, isEnding: true},
+		{name: "all transfers are slow", allTransfersTime: 300 * time.Millisecond, events: 100, transfers: 2},
 		{name: "the first transfer is slow", transferTime: 500 * time.Millisecond, events: 1000, transfers: 2},
 	}
 	for _, tt := range tests {
@@ -124,7 +130,7 @@
 			t.Parallel()
 			var resumed atomic.Bool
 			list := &changingServers{}
-			source := &migrationSource{transferTime: tt.transferTime, stopTime: tt.stopTime, events: tt.events, drainAt: 2, stopped: make(chan struct{})}
+			source := &migrationSource{transferTime: tt.transferTime, stopTime: tt.stopTime, allTransfersTime: tt.allTransfersTime, events: tt.events, drainAt: 2, stopped: make(chan struct{})}
 			first := startServer(t, "first", serverlist.Decode, source.ServeHTTP)
 			second := startServer(t, "second", serverlist.Decode, func(w http.ResponseWriter, r *http.Request) {
 				last, err := strconv.Atoi(r.Header.Get("Last-Event-Id"))
