Repeat the last transfer of a run when it was not sent

What callers saw: a stream that ended with its leaving server, although another server had a copy of its run. Cause: when the leaving server was unreachable for a moment as the run was to be stopped, the migration ended for good, although the run went on. Change: a last transfer that was not sent, or that the server turns away because another one is in progress, has not stopped the run; the migration goes on.

--- a/hickoryd/internal/edgedispatch/migrate.go
+++ b/hickoryd/internal/edgedispatch/migrate.go
@@ -12,6 +12,7 @@
 	"github.com/hickoryfront/hickoryfront/core/balance"
 	"github.com/hickoryfront/hickoryfront/core/serverlist"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/timing"
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/upstream"
 	"github.com/hickoryfront/hickoryfront/platform"
 )
 
@@ -143,7 +144,11 @@
 		target, took, err := m.transferToAny(searchCtx, criteria)
 		switch {
 		case err == nil && searchCtx.Err() == nil && m.isCopyNear(took):
-			return m.complete(ctx, target)
+			migrated, err := m.complete(ctx, target)
+			if !errors.Is(err, upstream.ErrNotSent) && !errors.Is(err, errTransferInProgress) {
+				return migrated, err
+			}
+			m.target, m.lastTook = &target, took // the run goes on
 		case err == nil:
 			m.target, m.lastTook = &target, took
 		case errors.Is(err, errInvalid):
--- a/hickoryd/internal/edgedispatch/migrate_test.go
+++ b/hickoryd/internal/edgedispatch/migrate_test.go
@@ -4,7 +4,9 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"net/netip"
 	"strconv"
 	"strings"
 	"sync"
@@ -171,3 +173,51 @@
 	}
 	return body != "" && body == want.String()
 }
+
+// TestLastTransferIsRepeated guards against a run that stays on a leaving server because
+// the server was unreachable for a moment when the run was to be stopped.
+func TestLastTransferIsRepeated(t *testing.T) {
+	const absence = 500 * time.Millisecond
+	var resumed atomic.Bool
+	list := &changingServers{}
+	source := &migrationSource{events: 100, drainAt: 2, stopped: make(chan struct{})}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := listener.Addr().String()
+	var server *http.Server
+	server = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+		if strings.HasSuffix(r.URL.Path, "/kv-move") || strings.HasSuffix(r.URL.Path, "/hold-take") {
+			w.Header().Set("Connection", "close")
+		}
+		if strings.HasSuffix(r.URL.Path, "/kv-move") && source.transfers.Load() == 0 {
+			listener.Close()
+			time.AfterFunc(absence, func() {
+				if again, err := net.Listen("tcp", address); err == nil {
+					go func() { _ = server.Serve(again) }() // ends when the test closes the server
+				}
+			})
+		}
+		source.ServeHTTP(w, r)
+	})}
+	go func() { _ = server.Serve(listener) }() // ends when the listener is closed
+	t.Cleanup(func() { _ = server.Close() })
+	first := serverlist.Server{ID: "first", Service: "s", Stage: serverlist.Decode, Address: netip.MustParseAddrPort(address)}
+	second := startServer(t, "second", serverlist.Decode, func(w http.ResponseWriter, r *http.Request) {
+		last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+		resumed.Store(true)
+		sendEvents(w, fmt.Sprint(last+1))
+	})
+	source.onDrain = func() {
+		draining := first
+		draining.IsDraining = true
+		list.set(servers{draining, second})
+	}
+	list.set(servers{first})
+	status, body := send(t, newDispatcher(t, list, 100), route.Route{Kind: route.Streaming, IsGeneration: true, MaxServers: 1}, callerTimeout)
+	if status != http.StatusOK || !isWhole(body) || !resumed.Load() {
+		t.Errorf("status %d, want 200; resumed %t, want true; body ends with %q", status, resumed.Load(), body[max(0, len(body)-30):])
+	}
+}
