Free the copy of a run that is not resumed from it

What callers saw: refusals for want of memory. The copy of a migrating run occupied memory and a slot at its target until it expired, when the run ended at its own server or was replaced by a new one. Change: a migration whose result nobody awaits, or that ends without one, frees the copy by its handle. Measured: TestUnusedCopyIsFreed fails before and passes now with the race detector.

--- a/hickoryd/internal/edgedispatch/migrate.go
+++ b/hickoryd/internal/edgedispatch/migrate.go
@@ -62,10 +62,14 @@
 		// how long the last transfer to it took.
 		target   *serverlist.Server
 		lastTook time.Duration
+		// copied is the handle by which the copy is freed at both servers.
+		copied kvHandle
 		// checkedVersion is the version of the server list that was checked last.
 		checkedVersion uint64
 		started        bool
-		done           chan *migratedRun
+		// done receives the result. abandoned is closed when nobody awaits it.
+		done      chan *migratedRun
+		abandoned chan struct{}
 		// cancel ends the migration, cancelSearch only until the run is stopped.
 		cancel       context.CancelFunc
 		cancelSearch context.CancelFunc
@@ -78,7 +82,7 @@
 }
 
 func newMigration(g *generation, server serverlist.Server) *migration {
-	return &migration{generation: g, server: server, checkedVersion: g.registry.Servers().Version, done: make(chan *migratedRun, 1)}
+	return &migration{generation: g, server: server, checkedVersion: g.registry.Servers().Version, done: make(chan *migratedRun), abandoned: make(chan struct{})}
 }
 
 // check starts the migration once the server list shows that the server is draining
@@ -99,10 +103,12 @@
 	go m.run(ctx, searchCtx)
 }
 
-// stop cancels a migration that is in progress.
+// stop cancels a migration that is in progress, and frees the copy of a run that is not
+// resumed from it.
 func (m *migration) stop() {
 	if m.started {
 		m.cancel()
+		close(m.abandoned)
 	}
 }
 
@@ -131,7 +137,14 @@
 	} else {
 		entry.WithFields(log.Fields{"to": migrated.server.ID, "events": migrated.events}).Info("run migrated off a draining server")
 	}
-	m.done <- migrated
+	select {
+	case m.done <- migrated:
+	case <-m.abandoned:
+		migrated = nil
+	}
+	if migrated == nil {
+		m.releaseHandle(m.copied)
+	}
 }
 
 // migrate transfers the run to the first server with free capacity and then stops the
@@ -196,7 +209,10 @@
 func (m *migration) transferRunning(ctx context.Context, target serverlist.Server) error {
 	ctx, cancel := context.WithTimeout(ctx, transferTimeout)
 	defer cancel()
-	_, err := m.transfer(ctx, target, false)
+	handle, err := m.transfer(ctx, target, false)
+	if err == nil {
+		m.copied = kvHandle{server: m.server, id: handle.ID}
+	}
 	return err
 }
 
--- a/hickoryd/internal/edgedispatch/migrate_test.go
+++ b/hickoryd/internal/edgedispatch/migrate_test.go
@@ -34,6 +34,7 @@
 		// transfer of the running run, and to the one that stops the run.
 		transferTime, stopTime time.Duration
 		transfers              atomic.Int64
+		releases               atomic.Int64 // of copies
 		// allTransfersTime is how long each transfer of the running run takes besides.
 		allTransfersTime time.Duration
 		// events is the number of events after which the stream ends, if it is not stopped.
@@ -67,6 +68,8 @@
 		_, _ = io.WriteString(w, `{"hold":"h"}`)
 	case strings.HasSuffix(r.URL.Path, "/kv-move"):
 		s.serveTransfer(w, r)
+	case r.Method == http.MethodDelete && strings.HasSuffix(r.URL.Path, "/kv-handle/run"):
+		s.releases.Add(1)
 	case strings.HasPrefix(r.URL.Path, "/hickoryfront/"):
 		w.WriteHeader(http.StatusNotFound)
 	default:
@@ -221,3 +224,38 @@
 		t.Errorf("status %d, want 200; resumed %t, want true; body ends with %q", status, resumed.Load(), body[max(0, len(body)-30):])
 	}
 }
+
+// TestUnusedCopyIsFreed guards against the copy of a run that occupies memory at another
+// server although the run isn't resumed there: a server that stays silent while it stops
+// the run is replaced by a new run.
+func TestUnusedCopyIsFreed(t *testing.T) {
+	list := &changingServers{}
+	source := &migrationSource{stopTime: callerTimeout, events: 1000, drainAt: 2, stopped: make(chan struct{})}
+	first := startServer(t, "first", serverlist.Decode, source.ServeHTTP)
+	second := startServer(t, "second", serverlist.Decode, func(w http.ResponseWriter, r *http.Request) {
+		switch {
+		case strings.HasSuffix(r.URL.Path, "/hold-take"):
+			_, _ = io.WriteString(w, `{"hold":"h"}`)
+		case strings.HasPrefix(r.URL.Path, "/hickoryfront/"):
+			w.WriteHeader(http.StatusNotFound)
+		default:
+			last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+			sendEvents(w, fmt.Sprint(last+1))
+		}
+	})
+	source.onDrain = func() {
+		draining := first
+		draining.IsDraining = true
+		list.set(servers{draining, second})
+	}
+	list.set(servers{first})
+	status, body := send(t, newDispatcher(t, list, 100), resumable, callerTimeout)
+	if status != http.StatusOK || !isWhole(body) {
+		t.Errorf("status %d, want 200; body ends with %q", status, body[max(0, len(body)-30):])
+	}
+	for deadline := time.Now().Add(callerTimeout); source.releases.Load() == 0; time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("the copy was not freed")
+		}
+	}
+}
