Count a further prefill as one retry when it fails

What callers saw: a retry budget that is used up sooner than it has to, and streams that could not be resumed for want of it. Cause: a prefill after the first completed one was counted when it was sent, and once more when it failed or was canceled. Change: it counts once.

--- a/hickoryd/internal/edgedispatch/prefill.go
+++ b/hickoryd/internal/edgedispatch/prefill.go
@@ -50,7 +50,8 @@
 		if !g.hasRetry(g.request) {
 			break // a refused prefill would count as a retry, and the budget allows none
 		}
-		if g.isPrefilled {
+		isFurther := g.isPrefilled
+		if isFurther {
 			g.recordRetry(g.request)
 		}
 		handle, err := g.prefillAt(ctx, server)
@@ -58,7 +59,7 @@
 			g.isPrefilled = true
 			return handle, nil
 		}
-		if !errors.Is(err, upstream.ErrNotSent) {
+		if !isFurther && !errors.Is(err, upstream.ErrNotSent) {
 			g.recordRetry(g.request)
 		}
 		if ctx.Err() != nil {
--- a/hickoryd/internal/edgedispatch/silence_test.go
+++ b/hickoryd/internal/edgedispatch/silence_test.go
@@ -13,6 +13,7 @@
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/memory"
 
+	"github.com/hickoryfront/hickoryfront/core/hoststate"
 	"github.com/hickoryfront/hickoryfront/core/retrybudget"
 	"github.com/hickoryfront/hickoryfront/core/route"
 	"github.com/hickoryfront/hickoryfront/core/serverlist"
@@ -20,8 +21,12 @@
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/upstream"
 )
 
-// endlessSilence is longer than any caller waits.
-const endlessSilence = time.Minute
+const (
+	// pause is longer than the silence timeout.
+	pause = 1700 * time.Millisecond
+	// endlessSilence is longer than any caller waits.
+	endlessSilence = time.Minute
+)
 
 var resumable = route.Route{Kind: route.Streaming, IsGeneration: true, IsResumable: true, MaxServers: 2}
 
@@ -91,7 +96,6 @@
 // TestSilentServerFinishesItsStream guards against a stream that is truncated because its
 // server paused for longer than the silence timeout while no other server could take over.
 func TestSilentServerFinishesItsStream(t *testing.T) {
-	const pause = 1700 * time.Millisecond
 	tests := []struct {
 		name   string
 		first  http.HandlerFunc
@@ -147,3 +151,45 @@
 		})
 	}
 }
+
+// TestFurtherPrefillIsOneRetry guards against a prefill that counts as two retries: it was
+// a further one of its request, and the host canceled it because the silent server went on.
+func TestFurtherPrefillIsOneRetry(t *testing.T) {
+	var firstHasCapacity, secondHasCapacity atomic.Bool
+	firstHasCapacity.Store(true)
+	secondHasCapacity.Store(true)
+	first := startDecodeServer(t, "first", &firstHasCapacity, func(w http.ResponseWriter, r *http.Request) {
+		firstHasCapacity.Store(false)
+		eventsAroundSilence([]string{"1"}, pause, "2")(w, r)
+	})
+	second := startDecodeServer(t, "second", &secondHasCapacity, events("2"))
+	second.FailureDomain = "elsewhere" // the first server is preferred
+	var prefills atomic.Int64
+	prefill := startServer(t, "prefill", serverlist.Prefill, func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodDelete {
+			return
+		}
+		if prefills.Add(1) > 1 {
+			time.Sleep(time.Second)
+		}
+		_, _ = io.WriteString(w, `{"handle":"h","tokens":100,"version":1}`)
+	})
+	d := newDispatcher(t, servers{first, second, prefill}, 100)
+	if status, body := send(t, d, resumable, callerTimeout); status != http.StatusOK || body != "id: 1\n\nid: 2\n\n" {
+		t.Fatalf("status %d, body %q", status, body)
+	}
+	var state hoststate.State
+	for deadline := time.Now().Add(callerTimeout); prefills.Load() < 2 && time.Now().Before(deadline); {
+		time.Sleep(10 * time.Millisecond)
+	}
+	time.Sleep(200 * time.Millisecond) // the canceled preparation ends
+	d.Describe(time.Now(), &state)
+	if got := state.Budgets[0].Retries; got != 1 || prefills.Load() != 2 {
+		t.Errorf("%d retries of %d prefills, want 1 of 2", got, prefills.Load())
+	}
+	for _, s := range state.Servers {
+		if s.Requests != 0 || s.Tokens != 0 {
+			t.Errorf("server %s has a load of %d requests and %d tokens, want none", s.ID, s.Requests, s.Tokens)
+		}
+	}
+}
