Don't count the time that a caller takes to read as silence of its server

What callers saw: a pause, and a needless further run, where a caller read slowly for more than 1.2 s. Cause: the timer of the silence watch ran on while an event was written to the caller. Change: the watch is suspended from the arrival of an event until it is written. Measured: TestSlowCallerIsNoSilence fails before (1 run at the second server) and passes now with the race detector.

--- a/hickoryd/internal/edgedispatch/decode.go
+++ b/hickoryd/internal/edgedispatch/decode.go
@@ -139,17 +139,17 @@
 		}
 		migration.check(ctx)
 		isNew, err := g.relay.Accept(event)
-		watch.observe(g.relay)
+		watch.suspend()
 		if err != nil {
 			return fmt.Errorf("%w: %w", upstream.ErrMayHaveRun, err)
 		}
-		if !isNew {
-			continue
-		}
-		g.timing.recordEvent(time.Now())
-		if err := g.sink.Write(event.Bytes); err != nil {
-			return fmt.Errorf("%w: %w", ErrTruncated, err)
+		if isNew {
+			g.timing.recordEvent(time.Now())
+			if err := g.sink.Write(event.Bytes); err != nil {
+				return fmt.Errorf("%w: %w", ErrTruncated, err)
+			}
 		}
+		watch.observe(g.relay)
 	}
 }
 
--- a/hickoryd/internal/edgedispatch/silence.go
+++ b/hickoryd/internal/edgedispatch/silence.go
@@ -45,6 +45,7 @@
 	relay eventstream.Relay
 	// cancelPlacement ends a preparation in progress, or is nil.
 	cancelPlacement context.CancelFunc
+	isSuspended     bool
 	isStopped       bool
 	// successor is set once the attempt is canceled.
 	successor *successor
@@ -68,8 +69,21 @@
 	return w
 }
 
-// observe records that the server has sent an event, after which the stream is at the
-// position of relay. It ends a preparation in progress.
+// suspend records that the server has sent an event. It ends a preparation in progress.
+// The watch goes on with observe, because the time that the caller takes to read is no
+// silence of the server.
+func (w *silenceWatch) suspend() {
+	if w == nil {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.isSuspended = true
+	w.endPlacement()
+	w.timer.Stop()
+}
+
+// observe resumes the watch of the stream, which is at the position of relay.
 func (w *silenceWatch) observe(relay *eventstream.Relay) {
 	if w == nil {
 		return
@@ -79,8 +93,7 @@
 	if w.successor != nil {
 		return
 	}
-	w.relay = *relay
-	w.endPlacement()
+	w.relay, w.isSuspended = *relay, false
 	w.timer.Reset(silenceTimeout)
 }
 
@@ -110,7 +123,7 @@
 // sent an event meanwhile.
 func (w *silenceWatch) run() {
 	w.mu.Lock()
-	if w.isStopped {
+	if w.isStopped || w.isSuspended {
 		w.mu.Unlock()
 		return
 	}
--- a/hickoryd/internal/edgedispatch/silence_test.go
+++ b/hickoryd/internal/edgedispatch/silence_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -19,6 +20,7 @@
 	"github.com/hickoryfront/hickoryfront/core/serverlist"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/edgedispatch"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/upstream"
+	"github.com/hickoryfront/hickoryfront/platform"
 )
 
 const (
@@ -193,3 +195,46 @@
 		}
 	}
 }
+
+// slowSink keeps a response of which one write takes long.
+type slowSink struct {
+	sink
+	writes    int
+	slowWrite time.Duration
+}
+
+func (s *slowSink) Write(part []byte) error {
+	s.writes++
+	if s.writes == 2 {
+		time.Sleep(s.slowWrite)
+	}
+	return s.sink.Write(part)
+}
+
+// TestSlowCallerIsNoSilence guards against a server that is given up as silent because its
+// caller reads slowly.
+func TestSlowCallerIsNoSilence(t *testing.T) {
+	var firstHasCapacity, secondHasCapacity atomic.Bool
+	firstHasCapacity.Store(true)
+	secondHasCapacity.Store(true)
+	first := startDecodeServer(t, "first", &firstHasCapacity, func(w http.ResponseWriter, r *http.Request) {
+		for id := 1; id <= 30 && r.Context().Err() == nil; id++ {
+			sendEvents(w, strconv.Itoa(id))
+			time.Sleep(100 * time.Millisecond)
+		}
+	})
+	var seconds atomic.Int64
+	second := startDecodeServer(t, "second", &secondHasCapacity, func(http.ResponseWriter, *http.Request) { seconds.Add(1) })
+	second.FailureDomain = "elsewhere" // the first server is preferred
+	got := &slowSink{slowWrite: pause}
+	r := resumable
+	r.Service, r.Timeout, r.LatencyTarget = "s", 2*callerTimeout, 300*time.Millisecond
+	now := time.Now()
+	err := newDispatcher(t, servers{first, second}, 100).Serve(t.Context(), &edgedispatch.Request{
+		Metadata: platform.Request{ID: "r1", PromptTokens: promptTokens, MaxOutputTokens: 10, TimeLeft: r.Timeout}, Route: &r,
+		Method: http.MethodPost, Target: "/x", Host: "h", Header: http.Header{"Request-Id": {"r1"}}, Arrived: now, Deadline: now.Add(r.Timeout),
+	}, got)
+	if err != nil || !isWhole(got.body.String()) || seconds.Load() != 0 {
+		t.Errorf("error %v, want the whole stream; %d runs at the second server, want none", err, seconds.Load())
+	}
+}
