Keep a silent server in the last attempt of a stream

What callers saw: a truncated stream although its server only paused. Cause: another server was prepared and the attempt canceled also when the request may make no further attempt. Change: the last attempt has no silence watch.

--- a/hickoryd/internal/edgedispatch/generation.go
+++ b/hickoryd/internal/edgedispatch/generation.go
@@ -42,6 +42,8 @@
 		relay        *eventstream.Relay
 		// tried are the IDs of the decode servers that the request was sent to.
 		tried []string
+		// attempts is the number of attempts, the current one included.
+		attempts int
 		// runs is the number of decode servers that may have run the request.
 		runs int
 		// silences is the number of attempts that were given up because the server sent
@@ -76,7 +78,7 @@
 	defer g.logStream()
 	defer g.releaseUnused()
 	var last error
-	for range maxStreamAttempts {
+	for g.attempts = 1; g.attempts <= maxStreamAttempts; g.attempts++ {
 		err := g.attempt(ctx)
 		if err == nil {
 			return nil
--- a/hickoryd/internal/edgedispatch/migrate_test.go
+++ b/hickoryd/internal/edgedispatch/migrate_test.go
@@ -180,6 +180,7 @@
 // TestLastTransferIsRepeated guards against a run that stays on a leaving server because
 // the server was unreachable for a moment when the run was to be stopped.
 func TestLastTransferIsRepeated(t *testing.T) {
+	t.Parallel()
 	const absence = 500 * time.Millisecond
 	var resumed atomic.Bool
 	list := &changingServers{}
@@ -229,6 +230,7 @@
 // server although the run isn't resumed there: a server that stays silent while it stops
 // the run is replaced by a new run.
 func TestUnusedCopyIsFreed(t *testing.T) {
+	t.Parallel()
 	list := &changingServers{}
 	source := &migrationSource{stopTime: callerTimeout, events: 1000, drainAt: 2, stopped: make(chan struct{})}
 	first := startServer(t, "first", serverlist.Decode, source.ServeHTTP)
--- a/hickoryd/internal/edgedispatch/silence.go
+++ b/hickoryd/internal/edgedispatch/silence.go
@@ -55,7 +55,7 @@
 // resumed on another server. ctx is the context of the request, cancelAttempt that of the
 // attempt.
 func (g *generation) watchSilence(ctx context.Context, cancelAttempt context.CancelCauseFunc) *silenceWatch {
-	if !g.request.Route.IsResumable || g.runs+1 >= g.request.Route.MaxServers {
+	if !g.request.Route.IsResumable || g.runs+1 >= g.request.Route.MaxServers || g.attempts == maxStreamAttempts {
 		return nil
 	}
 	w := &silenceWatch{ctx: ctx, cancelAttempt: cancelAttempt, template: *g, relay: *g.relay}
--- a/hickoryd/internal/edgedispatch/silence_test.go
+++ b/hickoryd/internal/edgedispatch/silence_test.go
@@ -157,6 +157,7 @@
 // TestFurtherPrefillIsOneRetry guards against a prefill that counts as two retries: it was
 // a further one of its request, and the host canceled it because the silent server went on.
 func TestFurtherPrefillIsOneRetry(t *testing.T) {
+	t.Parallel()
 	var firstHasCapacity, secondHasCapacity atomic.Bool
 	firstHasCapacity.Store(true)
 	secondHasCapacity.Store(true)
@@ -214,6 +215,7 @@
 // TestSlowCallerIsNoSilence guards against a server that is given up as silent because its
 // caller reads slowly.
 func TestSlowCallerIsNoSilence(t *testing.T) {
+	t.Parallel()
 	var firstHasCapacity, secondHasCapacity atomic.Bool
 	firstHasCapacity.Store(true)
 	secondHasCapacity.Store(true)
@@ -238,3 +240,27 @@
 		t.Errorf("error %v, want the whole stream; %d runs at the second server, want none", err, seconds.Load())
 	}
 }
+
+// TestLastAttemptIsNotGivenUp guards against a stream that is truncated because its server
+// pauses in the last attempt that the request may make.
+func TestLastAttemptIsNotGivenUp(t *testing.T) {
+	t.Parallel()
+	var hasCapacity, firstHasCapacity, lastHasCapacity atomic.Bool
+	hasCapacity.Store(true)
+	firstHasCapacity.Store(true)
+	var list servers
+	for _, id := range []string{"a", "b", "c", "d"} {
+		list = append(list, startDecodeServer(t, id, &hasCapacity, full))
+	}
+	silent := startDecodeServer(t, "silent", &firstHasCapacity, func(w http.ResponseWriter, r *http.Request) {
+		firstHasCapacity.Store(false)
+		lastHasCapacity.Store(true)
+		eventsAroundSilence([]string{"1"}, pause, "2", "3")(w, r)
+	})
+	last := startDecodeServer(t, "last", &lastHasCapacity, events("2", "3"))
+	silent.FailureDomain, last.FailureDomain = "elsewhere", "elsewhere" // the others are preferred
+	status, body := serve(t, append(list, silent, last), resumable, 100)
+	if status != http.StatusOK || !isWhole(body) {
+		t.Errorf("status %d, want 200; body %q", status, body)
+	}
+}
