Let a begun stream return to a server that turned it away or was silent

What callers saw: a truncated stream, where the server that was to take over from a silent one turned the run away once, or few servers can go on with the stream. Cause: a server that a request was sent to was never tried again, whatever it responded. Change: a stream that has begun may return to a server that had no capacity for it, or was silent. Measured: TestBegunStreamReturnsToServer fails in both cases before (truncated after event 1, held to the deadline) and passes now with the race detector. Not covered: the takeover uses up the retry budget's last retry and the other server turns the run away; a reservation that expires while two prefills time out.

--- a/hickoryd/internal/edgedispatch/decode.go
+++ b/hickoryd/internal/edgedispatch/decode.go
@@ -36,6 +36,7 @@
 		return err
 	}
 	g.successor = successor
+	g.returnable = append(g.returnable, held.server.ID)
 	return err
 }
 
@@ -65,6 +66,7 @@
 		if response.Metadata.IsMisdirected {
 			g.unusedHandle = source // the server has not fetched it
 		} else {
+			g.returnable = append(g.returnable, held.server.ID)
 			g.releaseHandle(source)
 			g.markFull(held.server.ID)
 			go g.runInspect(held.server)
--- a/hickoryd/internal/edgedispatch/generation.go
+++ b/hickoryd/internal/edgedispatch/generation.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/apex/log"
@@ -42,6 +43,9 @@
 		relay        *eventstream.Relay
 		// tried are the IDs of the decode servers that the request was sent to.
 		tried []string
+		// returnable are those of tried that did not run the request for want of capacity, or
+		// were silent, so that a stream that has begun may return to them.
+		returnable []string
 		// attempts is the number of attempts, the current one included.
 		attempts int
 		// runs is the number of decode servers that may have run the request.
@@ -143,6 +147,20 @@
 	return g.tried[len(g.tried)-1]
 }
 
+// excluded returns the IDs of the servers that the next attempt may not use.
+func (g *generation) excluded() []string {
+	if !g.isStarted {
+		return g.tried
+	}
+	var excluded []string
+	for _, id := range g.tried {
+		if !slices.Contains(g.returnable, id) {
+			excluded = append(excluded, id)
+		}
+	}
+	return excluded
+}
+
 // attempt makes one attempt at a decode server: it reserves memory, has the prompt
 // prefilled and runs the request. If a run was migrated, attempt resumes that instead.
 func (g *generation) attempt(ctx context.Context) error {
--- a/hickoryd/internal/edgedispatch/reserve.go
+++ b/hickoryd/internal/edgedispatch/reserve.go
@@ -51,7 +51,7 @@
 func (g *generation) reserve(ctx context.Context) (reservation, error) {
 	tokens := g.request.Metadata.PromptTokens + int(memoryMargin*float64(g.expectedOutputTokens(g.request)))
 	meanTokens := g.meanReservation(g.request.Route.Service, tokens)
-	criteria := balance.Criteria{Service: g.request.Route.Service, Stage: serverlist.Decode, FailureDomain: g.options.FailureDomain, Excluded: g.tried}
+	criteria := balance.Criteria{Service: g.request.Route.Service, Stage: serverlist.Decode, FailureDomain: g.options.FailureDomain, Excluded: g.excluded()}
 	for {
 		now := time.Now()
 		decision := capacitywait.Decide(now, g.waitConditions())
--- a/hickoryd/internal/edgedispatch/silence_test.go
+++ b/hickoryd/internal/edgedispatch/silence_test.go
@@ -264,3 +264,49 @@
 		t.Errorf("status %d, want 200; body %q", status, body)
 	}
 }
+
+// TestBegunStreamReturnsToServer guards against a begun stream that is truncated because
+// the servers that could go on with it have turned it away once, or were silent.
+func TestBegunStreamReturnsToServer(t *testing.T) {
+	tests := []struct {
+		name   string
+		first  http.HandlerFunc
+		second http.HandlerFunc // after it has turned the first run away
+	}{
+		{name: "the other server has capacity again", first: eventsThenBreak("1"), second: events("2", "3")},
+		{name: "the silent server goes on", first: eventsAroundSilence([]string{"1"}, endlessSilence)},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			var firstHasCapacity, secondHasCapacity atomic.Bool
+			firstHasCapacity.Store(true)
+			secondHasCapacity.Store(true)
+			var firsts, seconds atomic.Int64
+			first := startDecodeServer(t, "first", &firstHasCapacity, func(w http.ResponseWriter, r *http.Request) {
+				if firsts.Add(1) == 1 {
+					firstHasCapacity.Store(false)
+					tt.first(w, r)
+					return
+				}
+				events("2", "3")(w, r)
+			})
+			second := startDecodeServer(t, "second", &secondHasCapacity, func(w http.ResponseWriter, r *http.Request) {
+				if seconds.Add(1) == 1 {
+					full(w, r)
+					if tt.second == nil {
+						secondHasCapacity.Store(false)
+						firstHasCapacity.Store(true)
+					}
+					return
+				}
+				tt.second(w, r)
+			})
+			second.FailureDomain = "elsewhere" // the first server is preferred
+			status, body := serve(t, servers{first, second}, resumable, 100)
+			if status != http.StatusOK || !isWhole(body) {
+				t.Errorf("status %d, want 200; body %q", status, body)
+			}
+		})
+	}
+}
