Wait 1.8 s before a silent stream is taken over

With 1.2 s a pause of 1.3 s cost a prefill, a retry and a second run, and a server that still worked 400 ms after the takeover would count as a second run. Change: the silence timeout is 1.8 s, half of the time after which callers abandon a stream. The tests' pause is longer by as much.

--- a/hickoryd/internal/edgedispatch/silence.go
+++ b/hickoryd/internal/edgedispatch/silence.go
@@ -12,8 +12,9 @@
 
 const (
 	// silenceTimeout is the time without an event after which another server is prepared
-	// to resume a resumable stream.
-	silenceTimeout = 1200 * time.Millisecond
+	// to resume a resumable stream. It is longer than the pauses of sound servers, and
+	// leaves half of the time after which callers abandon a stream: four target latencies.
+	silenceTimeout = 1800 * time.Millisecond
 	// placementPause is the time between two attempts to prepare another server.
 	placementPause = 150 * time.Millisecond
 )
--- a/hickoryd/internal/edgedispatch/silence_test.go
+++ b/hickoryd/internal/edgedispatch/silence_test.go
@@ -25,7 +25,7 @@
 
 const (
 	// pause is longer than the silence timeout.
-	pause = 1700 * time.Millisecond
+	pause = 2300 * time.Millisecond
 	// endlessSilence is longer than any caller waits.
 	endlessSilence = time.Minute
 )
