--- a/hickoryd/internal/edgedispatch/decode.go
+++ b/hickoryd/internal/edgedispatch/decode.go
@@ -37,6 +37,7 @@
 		return err
 	}
 	g.successor = successor
+	g.returnable = append(g.returnable, held.server.ID)
 	return err
 }
 
@@ -66,6 +67,7 @@
 		if response.Metadata.IsMisdirected {
 			g.unusedHandle = source // the server has not fetched it
 		} else {
+			g.returnable = append(g.returnable, held.server.ID)
 			g.releaseHandle(source)
 			g.markFull(held.server.ID)
 			go g.runInspect(held.server)
@@ -141,20 +143,25 @@
 		}
 		migration.check(ctx)
 		isNew, err := g.relay.Accept(event)
-		watch.observe(g.relay, g.softwareVersion)
+		watch.suspend()
 		if err != nil {
 			return fmt.Errorf("%w: %w", upstream.ErrMayHaveRun, err)
 		}
-		if !isNew {
-			continue
-		}
-		g.timing.recordEvent(time.Now())
-		if !slices.Contains(g.softwareVersions, server.SoftwareVersion) {
-			g.softwareVersions = append(g.softwareVersions, server.SoftwareVersion)
-		}
-		if err := g.sink.Write(event.Bytes); err != nil {
-			return fmt.Errorf("%w: %w", ErrTruncated, err)
+		if isNew {
+			g.recordEvent(time.Now(), server)
+			if err := g.sink.Write(event.Bytes); err != nil {
+				return fmt.Errorf("%w: %w", ErrTruncated, err)
+			}
 		}
+		watch.observe(g.relay, g.softwareVersion)
+	}
+}
+
+// recordEvent records an event of server that is sent to the caller at now.
+func (g *generation) recordEvent(now time.Time, server serverlist.Server) {
+	g.timing.recordEvent(now)
+	if !slices.Contains(g.softwareVersions, server.SoftwareVersion) {
+		g.softwareVersions = append(g.softwareVersions, server.SoftwareVersion)
 	}
 }
 
--- a/hickoryd/internal/edgedispatch/generation.go
+++ b/hickoryd/internal/edgedispatch/generation.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/apex/log"
@@ -42,6 +43,11 @@
 		relay        *eventstream.Relay
 		// tried are the IDs of the decode servers that the request was sent to.
 		tried []string
+		// returnable are those of tried that did not run the request for want of capacity, or
+		// were silent, so that a stream that has begun may return to them.
+		returnable []string
+		// attempts is the number of attempts, the current one included.
+		attempts int
 		// runs is the number of decode servers that may have run the request.
 		runs int
 		// silences is the number of attempts that were given up because the server sent
@@ -88,7 +94,7 @@
 		g.softwareVersion = version
 	}
 	var last error
-	for range maxStreamAttempts {
+	for g.attempts = 1; g.attempts <= maxStreamAttempts; g.attempts++ {
 		err := g.attempt(ctx)
 		if err == nil {
 			return nil
@@ -153,6 +159,20 @@
 	return g.tried[len(g.tried)-1]
 }
 
+// excluded returns the IDs of the servers that the next attempt may not use.
+func (g *generation) excluded() []string {
+	if !g.isStarted && g.softwareVersion == "" {
+		return g.tried
+	}
+	var excluded []string
+	for _, id := range g.tried {
+		if !slices.Contains(g.returnable, id) {
+			excluded = append(excluded, id)
+		}
+	}
+	return excluded
+}
+
 // attempt makes one attempt at a decode server: it reserves memory, has the prompt
 // prefilled and runs the request. If a run was migrated, attempt resumes that instead.
 func (g *generation) attempt(ctx context.Context) error {
--- a/hickoryd/internal/edgedispatch/migrate.go
+++ b/hickoryd/internal/edgedispatch/migrate.go
@@ -12,6 +12,7 @@
 	"github.com/hickoryfront/hickoryfront/core/balance"
 	"github.com/hickoryfront/hickoryfront/core/serverlist"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/timing"
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/upstream"
 	"github.com/hickoryfront/hickoryfront/platform"
 )
 
@@ -20,9 +21,14 @@
 	// last transfer has no limit but the request's deadline: the run has stopped, and only
 	// the response tells where it can be resumed.
 	transferTimeout = 1500 * time.Millisecond
-	// maxStopTime is the longest transfer after which the run is stopped: the last transfer,
-	// during which the stream pauses, takes about as long as the one before.
+	// maxStopTime is the longest transfer after which the run is stopped without another
+	// one: the last transfer, during which the stream pauses, takes about as long as the one
+	// before.
 	maxStopTime = 200 * time.Millisecond
+	// minGain is the part of the time of a transfer by which the next one must be shorter
+	// for a further one to be worth while. A server leaves soon, so a run is not kept there
+	// for longer than that.
+	minGain = 0.25
 	// migrationPause is the time between two searches for a server with free capacity, and
 	// between two transfers.
 	migrationPause = 120 * time.Millisecond
@@ -52,12 +58,18 @@
 		*generation
 		// server is the run's own server.
 		server serverlist.Server
-		// target is the server that has a copy of the run's KV cache, or nil.
-		target *serverlist.Server
+		// target is the server that has a copy of the run's KV cache, or nil. lastTook is
+		// how long the last transfer to it took.
+		target   *serverlist.Server
+		lastTook time.Duration
+		// copied is the handle by which the copy is freed at both servers.
+		copied kvHandle
 		// checkedVersion is the version of the server list that was checked last.
 		checkedVersion uint64
 		started        bool
-		done           chan *migratedRun
+		// done receives the result. abandoned is closed when nobody awaits it.
+		done      chan *migratedRun
+		abandoned chan struct{}
 		// cancel ends the migration, cancelSearch only until the run is stopped.
 		cancel       context.CancelFunc
 		cancelSearch context.CancelFunc
@@ -70,7 +82,7 @@
 }
 
 func newMigration(g *generation, server serverlist.Server) *migration {
-	return &migration{generation: g, server: server, checkedVersion: g.registry.Servers().Version, done: make(chan *migratedRun, 1)}
+	return &migration{generation: g, server: server, checkedVersion: g.registry.Servers().Version, done: make(chan *migratedRun), abandoned: make(chan struct{})}
 }
 
 // check starts the migration once the server list shows that the server is draining
@@ -91,10 +103,12 @@
 	go m.run(ctx, searchCtx)
 }
 
-// stop cancels a migration that is in progress.
+// stop cancels a migration that is in progress, and frees the copy of a run that is not
+// resumed from it.
 func (m *migration) stop() {
 	if m.started {
 		m.cancel()
+		close(m.abandoned)
 	}
 }
 
@@ -123,13 +137,20 @@
 	} else {
 		entry.WithFields(log.Fields{"to": migrated.server.ID, "events": migrated.events}).Info("run migrated off a draining server")
 	}
-	m.done <- migrated
+	select {
+	case m.done <- migrated:
+	case <-m.abandoned:
+		migrated = nil
+	}
+	if migrated == nil {
+		m.releaseHandle(m.copied)
+	}
 }
 
 // migrate transfers the run to the first server with free capacity and then stops the
 // run. It repeats the transfer, which copies only what is new, until the copy lags so
-// little behind the run that the stream does not pause for long. It tries until searchCtx
-// ends.
+// little behind the run that the stream does not pause for long, or the transfers get no
+// shorter. It tries until searchCtx ends.
 func (m *migration) migrate(ctx, searchCtx context.Context) (*migratedRun, error) {
 	criteria := balance.Criteria{
 		Service: m.request.Route.Service, Stage: serverlist.Decode, SoftwareVersion: m.server.SoftwareVersion,
@@ -138,14 +159,18 @@
 	for {
 		target, took, err := m.transferToAny(searchCtx, criteria)
 		switch {
-		case err == nil && searchCtx.Err() == nil && took <= maxStopTime:
-			return m.complete(ctx, target)
+		case err == nil && searchCtx.Err() == nil && m.isCopyNear(took):
+			migrated, err := m.complete(ctx, target)
+			if !errors.Is(err, upstream.ErrNotSent) && !errors.Is(err, errTransferInProgress) {
+				return migrated, err
+			}
+			m.target, m.lastTook = &target, took // the run goes on
 		case err == nil:
-			m.target = &target
+			m.target, m.lastTook = &target, took
 		case errors.Is(err, errInvalid):
 			return nil, err // the server doesn't run the request any more
 		case errors.Is(err, errNotRun):
-			m.target = nil
+			m.target, m.lastTook = nil, 0
 		}
 		if err := timing.Sleep(searchCtx, migrationPause); err != nil {
 			return nil, err
@@ -153,13 +178,24 @@
 	}
 }
 
+// isCopyNear reports whether the run is to be stopped after a transfer that took the given
+// time.
+func (m *migration) isCopyNear(took time.Duration) bool {
+	return took <= maxStopTime || m.lastTook > 0 && float64(took) > (1-minGain)*float64(m.lastTook)
+}
+
 // transferToAny transfers the KV cache of the run, which goes on, to the server that has a
 // copy already, or to the first one that has room. It returns that server and how long the
 // transfer took.
 func (m *migration) transferToAny(ctx context.Context, criteria balance.Criteria) (serverlist.Server, time.Duration, error) {
-	targets := m.rankServers(criteria)
+	if m.target != nil && mustMigrate(m.registry.Servers().Servers, m.target.ID) {
+		m.target, m.lastTook = nil, 0
+	}
+	var targets []serverlist.Server
 	if m.target != nil {
 		targets = []serverlist.Server{*m.target}
+	} else {
+		targets = m.rankServers(criteria)
 	}
 	err := errNoTarget
 	for _, target := range targets {
@@ -176,7 +212,10 @@
 func (m *migration) transferRunning(ctx context.Context, target serverlist.Server) error {
 	ctx, cancel := context.WithTimeout(ctx, transferTimeout)
 	defer cancel()
-	_, err := m.transfer(ctx, target, false)
+	handle, err := m.transfer(ctx, target, false)
+	if err == nil {
+		m.copied = kvHandle{server: m.server, id: handle.ID}
+	}
 	return err
 }
 
--- a/hickoryd/internal/edgedispatch/reserve.go
+++ b/hickoryd/internal/edgedispatch/reserve.go
@@ -81,7 +81,7 @@
 func (g *generation) decodeCriteria() balance.Criteria {
 	return balance.Criteria{
 		Service: g.request.Route.Service, Stage: serverlist.Decode, SoftwareVersion: g.softwareVersion,
-		FailureDomain: g.options.FailureDomain, Excluded: g.tried,
+		FailureDomain: g.options.FailureDomain, Excluded: g.excluded(),
 	}
 }
 
--- a/hickoryd/internal/edgedispatch/silence.go
+++ b/hickoryd/internal/edgedispatch/silence.go
@@ -12,8 +12,9 @@
 
 const (
 	// silenceTimeout is the time without an event after which another server is prepared
-	// to resume a resumable stream.
-	silenceTimeout = 1200 * time.Millisecond
+	// to resume a resumable stream. It is longer than the pauses of sound servers, and
+	// leaves half of the time after which callers abandon a stream: four target latencies.
+	silenceTimeout = 1800 * time.Millisecond
 	// placementPause is the time between two attempts to prepare another server.
 	placementPause = 150 * time.Millisecond
 )
@@ -45,6 +46,7 @@
 	relay eventstream.Relay
 	// cancelPlacement ends a preparation in progress, or is nil.
 	cancelPlacement context.CancelFunc
+	isSuspended     bool
 	isStopped       bool
 	// successor is set once the attempt is canceled.
 	successor *successor
@@ -54,7 +56,7 @@
 // resumed on another server. ctx is the context of the request, cancelAttempt that of the
 // attempt.
 func (g *generation) watchSilence(ctx context.Context, cancelAttempt context.CancelCauseFunc) *silenceWatch {
-	if !g.request.Route.IsResumable || g.runs+1 >= g.request.Route.MaxServers {
+	if !g.request.Route.IsResumable || g.runs+1 >= g.request.Route.MaxServers || g.attempts == maxStreamAttempts {
 		return nil
 	}
 	w := &silenceWatch{ctx: ctx, cancelAttempt: cancelAttempt, template: *g, relay: *g.relay}
@@ -68,8 +70,22 @@
 	return w
 }
 
-// observe records that the server has sent an event, after which the stream is at the
-// position of relay and goes on at softwareVersion. It ends a preparation in progress.
+// suspend records that the server has sent an event. It ends a preparation in progress.
+// The watch goes on with observe, because the time that the caller takes to read is no
+// silence of the server.
+func (w *silenceWatch) suspend() {
+	if w == nil {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.isSuspended = true
+	w.endPlacement()
+	w.timer.Stop()
+}
+
+// observe resumes the watch of the stream, which is at the position of relay and goes on
+// at softwareVersion.
 func (w *silenceWatch) observe(relay *eventstream.Relay, softwareVersion string) {
 	if w == nil {
 		return
@@ -79,8 +95,7 @@
 	if w.successor != nil {
 		return
 	}
-	w.relay, w.template.softwareVersion = *relay, softwareVersion
-	w.endPlacement()
+	w.relay, w.template.softwareVersion, w.isSuspended = *relay, softwareVersion, false
 	w.timer.Reset(silenceTimeout)
 }
 
@@ -110,7 +125,7 @@
 // sent an event meanwhile.
 func (w *silenceWatch) run() {
 	w.mu.Lock()
-	if w.isStopped {
+	if w.isStopped || w.isSuspended {
 		w.mu.Unlock()
 		return
 	}
