Drain callers' connections between requests only

Cause: both fronts stopped with http.Server.Shutdown. It closes an idle connection although the bytes of a request have arrived on it or are being read, and net/http drops a request that it has just read once the server shuts down. Ruled out: requests that were passed on; none of those ended so. Change: the package callerserver serves both fronts. A drain closes the listeners and wakes the reader of each idle connection by its read deadline. The reader alone decides: bytes that have arrived are read and the request is served or refused with Connection: close; without any, the connection ends. Shutdown follows once no connection uses HTTP/1, for HTTP/2, which tells callers which requests were accepted. After Close no request reaches the handler.

--- a/hickoryd/internal/edge/daemon.go
+++ b/hickoryd/internal/edge/daemon.go
@@ -19,6 +19,7 @@
 	"google.golang.org/grpc"
 
 	"github.com/hickoryfront/hickoryfront/core/hoststate"
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/callerserver"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/edgecaller"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/edgedispatch"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/edgehost"
@@ -64,7 +65,7 @@
 	logger          log.Interface
 	set             *metrics.Set
 
-	caller     *http.Server
+	caller     *callerserver.Server
 	ready      *http.Server
 	operator   *http.Server
 	peerServer *grpc.Server
@@ -76,9 +77,9 @@
 func New(s Settings, l *lifetime, r *registry.Registry, pool *upstream.Pool, peers *edgehost.Client, handler *edgecaller.Handler, dispatcher *edgedispatch.Dispatcher, edgeServer *edgehost.Server, stageController *edgeorder.Controller, logger log.Interface, set *metrics.Set) *Daemon {
 	d := &Daemon{settings: s, lifetime: l, registry: r, pool: pool, peers: peers, handler: handler, dispatcher: dispatcher, stageController: stageController, logger: logger, set: set}
 	noLog := stdlog.New(io.Discard, "", 0) // broken connections of callers need no log entry
-	d.caller = &http.Server{
+	d.caller = callerserver.New(&http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: noLog,
-	}
+	})
 	d.ready = &http.Server{Handler: d.readiness(), ReadHeaderTimeout: headerTimeout, ErrorLog: noLog}
 	d.operator = &http.Server{Handler: d.operators(), ReadHeaderTimeout: headerTimeout, ErrorLog: noLog}
 	d.peerServer = grpc.NewServer(grpc.ReadBufferSize(peerBufferBytes), grpc.WriteBufferSize(peerBufferBytes))
@@ -114,10 +115,11 @@
 
 // Stop drains the host and ends the daemon. It first fails the readiness check and lets
 // the handler drain, but still accepts connections for balancerDelay, until the load
-// balancer sends no more requests. Then it accepts none and waits for the requests in
-// flight, until drainShare of the grace period has passed since Stop was called. At last
-// it ends the background loops, without waiting for them, and closes the other listeners
-// and the connections to callers, operators and hosts, which aborts the requests left.
+// balancer sends no more requests. Then it accepts none, ends the idle ones and waits
+// for the requests in flight, until drainShare of the grace period has passed since Stop
+// was called. At last it ends the background loops, without waiting for them, and closes
+// the other listeners and the connections to callers, operators and hosts, which aborts
+// the requests left.
 func (d *Daemon) Stop(ctx context.Context) error {
 	started := time.Now()
 	d.isDraining.Store(true)
@@ -129,7 +131,7 @@
 	}
 	drainCtx, cancel := context.WithDeadline(ctx, drainEnd)
 	defer cancel()
-	if err := d.caller.Shutdown(drainCtx); err != nil {
+	if err := d.caller.Drain(drainCtx); err != nil {
 		d.logger.WithError(err).WithField("inFlight", d.handler.InFlight()).Warn("requests cut off at the end of the grace period")
 	}
 	d.logger.WithFields(log.Fields{"inFlight": d.handler.InFlight(), "took": time.Since(started).String()}).Info("daemon stopped")
--- a/hickoryd/internal/node/node.go
+++ b/hickoryd/internal/node/node.go
@@ -159,8 +159,8 @@
 	n.awaitIdle(ctx)
 	n.keyed.Close(ctx)
 	n.claims.Close(ctx)
-	_ = n.callers.server.Shutdown(ctx)
-	_ = n.callers.server.Close() // closes connections that Shutdown left open
+	_ = n.callers.server.Drain(ctx)
+	_ = n.callers.server.Close() // closes connections that are still active
 	ctx, cancel = closingContext(ctx)
 	defer cancel()
 	n.awaitHandlers(ctx)
@@ -169,7 +169,7 @@
 	n.membership.Leave(ctx)
 	n.registration.Close(ctx)
 	n.stop()
-	_ = n.operators.server.Shutdown(ctx)
+	_ = n.operators.server.Drain(ctx)
 	n.peers.stop(ctx)
 	n.pool.Close()
 	n.group.Wait()
--- a/hickoryd/internal/node/servers.go
+++ b/hickoryd/internal/node/servers.go
@@ -13,6 +13,7 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/keepalive"
 
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/callerserver"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/transport"
 	"github.com/hickoryfront/hickoryfront/peerapi"
 )
@@ -29,7 +30,7 @@
 type (
 	// httpServer serves one HTTP address.
 	httpServer struct {
-		server   *http.Server
+		server   *callerserver.Server
 		listener net.Listener
 		logger   log.Interface
 	}
@@ -48,10 +49,10 @@
 		return nil, err
 	}
 	return &httpServer{
-		server: &http.Server{
+		server: callerserver.New(&http.Server{
 			Handler: engine, TLSConfig: security.Server(), ReadHeaderTimeout: readHeaderTimeout,
 			IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		},
+		}),
 		listener: listener,
 		logger:   logger,
 	}, nil
@@ -59,13 +60,7 @@
 
 // run serves until the server is shut down.
 func (s *httpServer) run() {
-	var err error
-	if s.server.TLSConfig != nil {
-		err = s.server.ServeTLS(s.listener, "", "")
-	} else {
-		err = s.server.Serve(s.listener)
-	}
-	if !errors.Is(err, http.ErrServerClosed) {
+	if err := s.server.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
 		s.logger.WithError(err).Error("HTTP server failed")
 	}
 }
