Judge a request again once its body has arrived on a draining host

Cause: checkDraining judged a request by the arrival of its headers only, before its body was read. Change: it is judged again with the present time once the body is there, and refused with 503. A call ends by its deadline at the latest, a stream typically five seconds after its body has arrived.

--- a/hickoryd/internal/edgecaller/caller.go
+++ b/hickoryd/internal/edgecaller/caller.go
@@ -170,27 +170,31 @@
 		return request, &edgedispatch.Failure{Status: http.StatusNotFound, Reason: "no route"}
 	}
 	request.Deadline = deadlineOf(request)
-	if err := h.checkDraining(request); err != nil {
+	if err := h.checkDraining(request, arrived); err != nil {
 		return request, err
 	}
 	if err := h.readBody(request, r, controller, table.Limits()); err != nil {
 		return request, err
 	}
+	if err := h.checkDraining(request, time.Now()); err != nil { // the drain may have begun meanwhile
+		return request, err
+	}
 	request.Fingerprint = crash.Fingerprint(request.Route.Service, []byte(request.Target), request.Body)
 	return request, nil
 }
 
-// checkDraining refuses a request that a draining host may not be able to finish.
-func (h *Handler) checkDraining(request *edgedispatch.Request) error {
-	end := h.drainEnd.Load()
-	if end == nil {
+// checkDraining refuses a request that a draining host may not be able to finish if it
+// starts now.
+func (h *Handler) checkDraining(request *edgedispatch.Request, now time.Time) error {
+	drainEnd := h.drainEnd.Load()
+	if drainEnd == nil {
 		return nil
 	}
-	expectedDuration := request.Route.Timeout
-	if request.Route.Kind == route.Streaming {
-		expectedDuration = min(expectedDuration, typicalStreamTime)
+	end := request.Deadline
+	if streamEnd := now.Add(typicalStreamTime); request.Route.Kind == route.Streaming && streamEnd.Before(end) {
+		end = streamEnd
 	}
-	if request.Arrived.Add(expectedDuration).Before(*end) {
+	if end.Before(*drainEnd) {
 		return nil
 	}
 	return &edgedispatch.Failure{Status: http.StatusServiceUnavailable, RetryAfter: drainRetryAfter, Reason: "host is leaving"}
