Check the gate again once the body of a request has arrived

Cause: the gate was checked before the body was read only. Change: the gate is checked again after the body, and the request is refused as not run. Measured: TestGateIsCheckedAfterTheBody failed in 3 of 3 cases before (status 200, the request reached a server); it passes now.

--- a/hickoryd/internal/caller/caller.go
+++ b/hickoryd/internal/caller/caller.go
@@ -221,7 +221,7 @@
 	if r != nil {
 		return request, parsedBody{}, r
 	}
-	body, r := readBody(c, largestBodyLimit(document))
+	body, r := h.readBody(c, largestBodyLimit(document))
 	if r != nil {
 		return request, parsedBody{}, r
 	}
@@ -329,7 +329,7 @@
 	}
 	request.service = found
 	request.profile = document.Profiles[found.Profile]
-	request.body, r = readBody(c, request.profile.MaxBodyBytes)
+	request.body, r = h.readBody(c, request.profile.MaxBodyBytes)
 	return request, r
 }
 
@@ -394,7 +394,9 @@
 	return refusal.MayHaveRun(refusal.BackendFailed, "%v", err)
 }
 
-func readBody(c *gin.Context, limit int64) ([]byte, *refusal.Refusal) {
+// readBody reads the body of a request. It checks the gate again, which may have closed
+// meanwhile.
+func (h *Handler) readBody(c *gin.Context, limit int64) ([]byte, *refusal.Refusal) {
 	data, err := io.ReadAll(io.LimitReader(c.Request.Body, limit+1))
 	if err != nil {
 		return nil, refusal.NotRun(refusal.InvalidRequest, "the body can't be read: %v", err)
@@ -402,7 +404,7 @@
 	if int64(len(data)) > limit {
 		return nil, bodyTooLarge(limit)
 	}
-	return data, nil
+	return data, h.gate.Refuse(time.Now())
 }
 
 func bodyTooLarge(limit int64) *refusal.Refusal {
--- a/hickoryd/internal/caller/caller_test.go
+++ b/hickoryd/internal/caller/caller_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -56,6 +57,17 @@
 	return claim.Response{Status: http.StatusOK, Body: []byte("legacy")}, nil
 }
 
+// drainingBody is a body during whose arrival the gate closes.
+type drainingBody struct {
+	io.Reader
+	backends *fakeBackends
+}
+
+func (b *drainingBody) Read(p []byte) (int, error) {
+	b.backends.refusal = refusal.NotRun(refusal.ShuttingDown, "draining")
+	return b.Reader.Read(p)
+}
+
 // fakePlain is the plain service of fakeBackends, whose Run has another
 // signature.
 type fakePlain struct{ *fakeBackends }
@@ -176,6 +188,33 @@
 
 // FuzzCompletionBody checks that every body is either served or refused as not
 // run, with a status below 500.
+// TestGateIsCheckedAfterTheBody guards against a request that a host accepts because its
+// headers arrived before the host began to drain, although its body arrived after that.
+func TestGateIsCheckedAfterTheBody(t *testing.T) {
+	tests := []struct {
+		method string
+		path   string
+		body   string
+	}{
+		{method: http.MethodPost, path: "/v1/completions", body: `{"model":"m","prompt":"hello","max_tokens":4}`},
+		{method: http.MethodGet, path: "/services/cart/holds", body: "x"},
+		{method: http.MethodPost, path: "/services/old/x", body: "x"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.path, func(t *testing.T) {
+			f := newFakeBackends(t)
+			body := &drainingBody{Reader: strings.NewReader(tt.body), backends: f}
+			response := sendBody(t, f, tt.method, tt.path, body, nil)
+			if response.Code != http.StatusServiceUnavailable || response.Header().Get(caller.HeaderRan) != "no" {
+				t.Errorf("got %d %s", response.Code, response.Body)
+			}
+			if f.models+f.plain+f.legacy > 0 {
+				t.Error("the request reached a server")
+			}
+		})
+	}
+}
+
 func FuzzCompletionBody(f *testing.F) {
 	for _, seed := range []string{`{"model":"m","prompt":"x"}`, `{"model":"m","messages":[{"role":"user","content":"x"}]}`, `[]`, `{"model":1}`, "\x00"} {
 		f.Add(seed, true)
@@ -214,11 +253,16 @@
 }
 
 func send(t *testing.T, f *fakeBackends, method, path, body string, header map[string]string) *httptest.ResponseRecorder {
+	t.Helper()
+	return sendBody(t, f, method, path, strings.NewReader(body), header)
+}
+
+func sendBody(t *testing.T, f *fakeBackends, method, path string, body io.Reader, header map[string]string) *httptest.ResponseRecorder {
 	t.Helper()
 	gin.SetMode(gin.TestMode)
 	router := gin.New()
 	caller.New(f, fakePlain{f}, nil, f, f, f, f, 10).Routes(router)
-	request := httptest.NewRequestWithContext(t.Context(), method, path, strings.NewReader(body))
+	request := httptest.NewRequestWithContext(t.Context(), method, path, body)
 	request.Header.Set(caller.HeaderWorkspace, "w")
 	for name, value := range header {
 		request.Header.Set(name, value)
