Give stand-in servers a version of their software

Cause: all stand-in servers registered with the version v1 and their events named none, so that no test could show a stream that two versions joined. Change: Group.StartVersion starts a server with a version, which its registration and its events name: a comment line at the head of each event, none for the version v1, so that worker.Event stays what a server of v1 sends. SplitVersion separates the two. Server.Uptime, Stage and Version say which servers can serve a version.

--- a/hickorylab/worker/worker.go
+++ b/hickorylab/worker/worker.go
@@ -19,6 +19,9 @@
 )
 
 const (
+	// DefaultVersion is the version of the software of a server that is started without
+	// one.
+	DefaultVersion = "v1"
 	// MemoryTokens is the capacity of the KV cache of a model server.
 	MemoryTokens = 20000
 	// plainLatency is the duration of a plain request.
@@ -31,6 +34,9 @@
 	migratedSuffix = "-moved"
 	// reservationTTL is the time after which a reservation is released.
 	reservationTTL = 2 * time.Second
+	// versionPrefix begins the comment line with which a server of another version than
+	// DefaultVersion begins each event.
+	versionPrefix = ": version "
 	// flushTime is the time in which the end of a response has left the process.
 	flushTime = 50 * time.Millisecond
 )
@@ -61,10 +67,12 @@
 		group   *Group
 		service string
 		address string
+		version string // of its software
 
 		mu            sync.Mutex
 		silence       *silence
 		isCrashed     bool
+		startedAt     time.Time
 		stage         string
 		id            string
 		state         string
@@ -120,9 +128,15 @@
 	return len(g.handles)
 }
 
-// Start starts a server, a plain one if stage is empty.
+// Start starts a server with the software DefaultVersion, a plain one if stage is empty.
 func (g *Group) Start(service, stage, address string) (*Server, error) {
-	s := &Server{group: g, service: service, stage: stage, address: address}
+	return g.StartVersion(service, stage, address, DefaultVersion)
+}
+
+// StartVersion starts a server with a version of its software, which its registration
+// and its events name.
+func (g *Group) StartVersion(service, stage, address, version string) (*Server, error) {
+	s := &Server{group: g, service: service, stage: stage, address: address, version: version}
 	return s, s.Restart()
 }
 
@@ -139,7 +153,7 @@
 	s.mu.Lock()
 	s.silence = newSilence()
 	s.id, s.state, s.listener = id, "ready", silentListener{Listener: listener, silence: s.silence}
-	s.usedTokens, s.appliedOrders, s.isCrashed = 0, 0, false
+	s.usedTokens, s.appliedOrders, s.isCrashed, s.startedAt = 0, 0, false, time.Now()
 	s.reservations, s.running, s.serving = make(map[string]int), make(map[string]*run), make(map[string]int)
 	s.server = &http.Server{Handler: s, ReadHeaderTimeout: time.Minute}
 	server, silent := s.server, s.listener
@@ -183,6 +197,29 @@
 	return s.usedTokens
 }
 
+// Version returns the version of the server's software.
+func (s *Server) Version() string {
+	return s.version
+}
+
+// Stage returns the stage of the server.
+func (s *Server) Stage() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stage
+}
+
+// Uptime returns how long the server has been ready at now. It is zero if the server is
+// draining or has crashed.
+func (s *Server) Uptime(now time.Time) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.isCrashed || s.state != "ready" {
+		return 0
+	}
+	return now.Sub(s.startedAt)
+}
+
 // InFlight returns the number of requests that the server is serving.
 func (s *Server) InFlight() int {
 	s.mu.Lock()
@@ -193,7 +230,7 @@
 func (s *Server) register() {
 	s.mu.Lock()
 	entry := map[string]any{
-		"service": s.service, "address": s.address, "zone": "z1", "version": "v1", "slots": 8, "state": s.state, "sequence": 1,
+		"service": s.service, "address": s.address, "zone": "z1", "version": s.version, "slots": 8, "state": s.state, "sequence": 1,
 	}
 	if s.stage != "" {
 		entry["stage"] = s.stage
@@ -280,11 +317,32 @@
 	return "answer to " + method + " " + target + " " + body
 }
 
-// Event returns an event of the response stream to a request, by its number from 1.
+// Event returns an event of the response stream to a request, by its number from 1, as
+// a server with DefaultVersion sends it.
 func Event(target, body string, number uint64) string {
 	return fmt.Sprintf("id: %d\ndata: %s %s %d\n\n", number, target, body, number)
 }
 
+// SplitVersion returns an event as a server with DefaultVersion sends it, and the version
+// of the software that sent it.
+func SplitVersion(event string) (plain, version string) {
+	rest, ok := strings.CutPrefix(event, versionPrefix)
+	if !ok {
+		return event, DefaultVersion
+	}
+	version, plain, _ = strings.Cut(rest, "\n")
+	return plain, version
+}
+
+// event returns an event as this server sends it.
+func (s *Server) event(target, body string, number uint64) string {
+	event := Event(target, body, number)
+	if s.version == DefaultVersion {
+		return event
+	}
+	return versionPrefix + s.version + "\n" + event
+}
+
 func (s *Server) servePlain(w http.ResponseWriter, r *http.Request, body []byte) {
 	s.group.countRun(r)
 	time.Sleep(plainLatency)
@@ -334,7 +392,7 @@
 		if number > total {
 			return
 		}
-		_, _ = io.WriteString(w, Event(r.RequestURI, body, number)) // the caller may have disconnected
+		_, _ = io.WriteString(w, s.event(r.RequestURI, body, number)) // the caller may have disconnected
 		_ = http.NewResponseController(w).Flush()
 		select {
 		case <-current.migrated:
--- a/hickorylab/worker/worker_test.go
+++ b/hickorylab/worker/worker_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"bufio"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -215,6 +218,78 @@
 	}
 }
 
+// TestVersion guards against events that do not name the software that sent them, and
+// against a version that a restart changes.
+func TestVersion(t *testing.T) {
+	store := metastore.New()
+	s := &servers{tb: t, group: worker.NewGroup(store), network: harness.FreeNetwork(t)}
+	server, err := s.group.StartVersion("service", "decode", s.address("decode"), "v2")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(server.Crash)
+	for _, when := range []string{"at its start", "after a restart"} {
+		_, body, err := do(s.request("decode", "POST", "/draft/", "r", "prompt"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		events := strings.SplitAfter(strings.TrimSuffix(body, "\n\n"), "\n\n")
+		if len(events) != streamEvents {
+			t.Fatalf("%s: %d events, want %d", when, len(events), streamEvents)
+		}
+		plain, version := worker.SplitVersion(events[2])
+		if want := worker.Event("/draft/", "prompt", 3); plain != want || version != "v2" {
+			t.Errorf("%s: event %q of version %q, want %q of v2", when, plain, version, want)
+		}
+		if got := registeredVersions(t, store); !slices.Equal(got, []string{"v2"}) {
+			t.Errorf("%s: registered versions %q, want v2", when, got)
+		}
+		server.Crash()
+		if up := server.Uptime(time.Now()); up != 0 {
+			t.Errorf("%s: uptime after a crash = %v, want 0", when, up)
+		}
+		if err := server.Restart(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if plain, version := worker.SplitVersion(worker.Event("/draft/", "prompt", 3)); plain != worker.Event("/draft/", "prompt", 3) || version != worker.DefaultVersion {
+		t.Errorf("event without a version = %q of version %q, want it unchanged of %s", plain, version, worker.DefaultVersion)
+	}
+	if server.Uptime(time.Now().Add(time.Second)) < time.Second {
+		t.Error("uptime of a ready server is too short")
+	}
+	server.Drain()
+	if up := server.Uptime(time.Now()); up != 0 {
+		t.Errorf("uptime of a draining server = %v, want 0", up)
+	}
+}
+
+// registeredVersions returns the software versions of the registered servers.
+func registeredVersions(tb testing.TB, store *metastore.Store) []string {
+	tb.Helper()
+	recorder := httptest.NewRecorder()
+	store.ServeHTTP(recorder, httptest.NewRequest("GET", "/hickoryfront/kv-range?path-prefix=servers/", nil))
+	var page struct {
+		Items []struct {
+			Value []byte `json:"value"`
+		} `json:"items"`
+	}
+	if err := json.NewDecoder(recorder.Body).Decode(&page); err != nil {
+		tb.Fatal(err)
+	}
+	var versions []string
+	for _, item := range page.Items {
+		var entry struct {
+			Version string `json:"version"`
+		}
+		if err := json.Unmarshal(item.Value, &entry); err != nil {
+			tb.Fatal(err)
+		}
+		versions = append(versions, entry.Version)
+	}
+	return versions
+}
+
 func readLines(tb testing.TB, r *bufio.Reader) []timedLine {
 	tb.Helper()
 	var lines []timedLine
