--- a/hickorylab/edgesoak/caller_test.go
+++ b/hickorylab/edgesoak/caller_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"strconv"
 	"strings"
+	"testing/iotest"
 	"time"
 
 	"github.com/hickoryfront/hickoryfront/hickorylab/worker"
@@ -49,6 +50,19 @@
 		target string
 		method string
 		body   string
+		// lastEvent is the last event that the caller has of a stream that it takes up
+		// again, and firstAttempt the ID of the attempt that brought the first one.
+		lastEvent    uint64
+		firstAttempt string
+		// dropAfter is the number of bytes of the response after which the caller drops the
+		// connection, or 0.
+		dropAfter int64
+	}
+
+	// event is an event of a stream, without the version of the software that sent it.
+	event struct {
+		text    string
+		version string
 	}
 
 	// outcome is the result of one attempt as its caller saw it.
@@ -58,6 +72,7 @@
 		host       int
 		isKept     bool // whether the connection had served a request before
 		status     int  // 0 without a response
+		body       string
 		retryAfter time.Duration
 		err        error
 		startedAt  time.Time
@@ -69,6 +84,9 @@
 	}
 )
 
+// errDropped means that the caller has dropped its connection.
+var errDropped = errors.New("the caller dropped the connection")
+
 func (e *environment) newRequest(path string) callerRequest {
 	name := fmt.Sprintf("q-%06d", e.counter.Add(1))
 	r := callerRequest{path: path, target: path + name + "?q=a%2fb", method: http.MethodPost, body: "body-" + name}
@@ -114,16 +132,15 @@
 	e := c.environment
 	o := outcome{id: fmt.Sprintf("r-%06d", e.counter.Add(1)), path: r.path, host: c.host, isKept: c.conn != nil, startedAt: time.Now(), deadline: deadline}
 	kills := e.kills[c.host].Load()
-	var got string
-	got, o.err = c.exchange(r, &o)
+	o.body, o.err = c.exchange(r, &o)
 	o.endedAt = time.Now()
 	o.isHostKilled = kills%2 == 1 || e.kills[c.host].Load() != kills
 	if o.err != nil {
 		c.close()
 		return o
 	}
-	if want := wantedBody(r); o.status == http.StatusOK && got != want {
-		e.tb.Errorf("%v got a wrong response:\n%.200q\nwant\n%.200q", o, got, want)
+	if want := wantedBody(r); o.status == http.StatusOK && o.plainBody() != want {
+		e.tb.Errorf("%v got a wrong response:\n%.200q\nwant\n%.200q", o, o.body, want)
 	}
 	return o
 }
@@ -158,9 +175,13 @@
 	if seconds, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64); err == nil {
 		o.retryAfter = time.Duration(seconds * float64(time.Second))
 	}
-	body, err := io.ReadAll(response.Body)
-	if err == nil && response.Close {
-		c.close()
+	var reader io.Reader = response.Body
+	if r.dropAfter > 0 {
+		reader = io.MultiReader(io.LimitReader(reader, r.dropAfter), iotest.ErrReader(errDropped))
+	}
+	body, err := io.ReadAll(reader)
+	if err != nil || response.Close {
+		c.close() // before the body, which reads the rest when it is closed
 	}
 	return string(body), err
 }
@@ -175,6 +196,10 @@
 	}
 	request.Header.Set("Request-Id", o.id)
 	request.Header.Set("Deadline-Ms", strconv.FormatInt(time.Until(o.deadline).Milliseconds(), 10))
+	if r.firstAttempt != "" {
+		request.Header.Set("Last-Event-Id", strconv.FormatUint(r.lastEvent, 10))
+		request.Header.Set("Resumes", r.firstAttempt)
+	}
 	if isStream(r.path) {
 		request.Header.Set("Model", "m")
 		request.Header.Set("Token-Counts", fmt.Sprintf("1500,%d", streamEvents))
@@ -192,6 +217,32 @@
 		o.id, o.path, o.host, connection, o.sentAt.Format("15:04:05.000"), o.endedAt.Sub(o.startedAt).Round(time.Millisecond), o.status, o.err)
 }
 
+// plainBody returns the body without the versions of the software that sent its events.
+func (o outcome) plainBody() string {
+	if !isStream(o.path) {
+		return o.body
+	}
+	var plain strings.Builder
+	for _, e := range o.events() {
+		plain.WriteString(e.text)
+	}
+	return plain.String()
+}
+
+// events returns the complete events of a response. What follows them is an event too if
+// the response is complete.
+func (o outcome) events() []event {
+	var events []event
+	for text := range strings.SplitAfterSeq(o.body, "\n\n") {
+		if text == "" || o.err != nil && !strings.HasSuffix(text, "\n\n") {
+			continue
+		}
+		plain, version := worker.SplitVersion(text)
+		events = append(events, event{text: plain, version: version})
+	}
+	return events
+}
+
 func (o outcome) isSent() bool {
 	return !o.sentAt.IsZero()
 }
@@ -238,6 +289,8 @@
 // the caller still waited.
 func (o outcome) breakCause(workers *worker.Group) string {
 	switch {
+	case errors.Is(o.err, errDropped):
+		return "dropped by the caller"
 	case o.isHostKilled:
 		return "host killed"
 	case workers.IsBrokenOff(o.id):
@@ -260,8 +313,8 @@
 		return worker.ResponseBody(r.method, r.target, r.body)
 	}
 	var complete strings.Builder
-	for number := range uint64(streamEvents) {
-		complete.WriteString(worker.Event(r.target, r.body, number+1))
+	for number := r.lastEvent + 1; number <= streamEvents; number++ {
+		complete.WriteString(worker.Event(r.target, r.body, number))
 	}
 	return complete.String()
 }
--- a/hickorylab/edgesoak/soak_test.go
+++ b/hickorylab/edgesoak/soak_test.go
@@ -196,6 +196,7 @@
 // A longer run by hand takes 50 fresh seeds: HICKORYFRONT_SOAK_SEEDS=50
 // HICKORYFRONT_SOAK_FIRST=$RANDOM go test ./edgesoak -run Soak -timeout 60m.
 func TestSoak(t *testing.T) {
+	t.Parallel()
 	for seed := range numberFromEnvironment(seedsVariable, 3) {
 		seed += numberFromEnvironment(firstVariable, 1)
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
