Check in the soak that a stream stays at one software version

Cause: a stream that another version of the servers' software continues joins two runs that need not agree. The soak recorded the versions and checked nothing. Change: TestRollingReplacement fails if a stream holds events of two versions, in one response or over its caller's attempts, and if fewer than half of the streams go on at their version that were taken up again while two ready decode servers of it, which had been up for at least 2 s, served throughout the attempt. A failure lists the attempts with their versions.

--- a/hickorylab/edgesoak/replacement_test.go
+++ b/hickorylab/edgesoak/replacement_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -21,6 +23,11 @@
 	drainTime = 2200 * time.Millisecond
 	// maxStreamAttempts is the number of attempts that a caller makes at a stream.
 	maxStreamAttempts = 8
+	// knownTime is the time after the start of a server in which all hosts know it.
+	knownTime = 2 * time.Second
+	// enoughServers is the number of servers of a stream's version with which at least
+	// half of the streams must go on that are taken up again.
+	enoughServers = 2
 	// maxDropAfter is the maximum number of bytes after which a caller drops its
 	// connection. It is less than those of a stream.
 	maxDropAfter = 1000
@@ -44,11 +51,17 @@
 		attempts   []outcome
 		events     []event
 		isComplete bool
+		// couldGoOn is set if enough servers of the stream's version served during an
+		// attempt that took it up again, and wentOn if such an attempt brought an event of
+		// that version.
+		couldGoOn, wentOn bool
 	}
 )
 
-// TestRollingReplacement guards against streams that lose, repeat or exchange events, and
-// against requests that run twice or are lost, while servers with a new version of their
+// TestRollingReplacement guards against streams that lose, repeat or exchange events or
+// join those of two versions of a server's software, against streams that do not go on
+// although servers of their version serve, and against requests that run twice or are
+// lost, while servers with a new version of their
 // software replace the others one by one, servers crash, and callers take broken streams
 // up again. Seeds are set as for TestSoak.
 func TestRollingReplacement(t *testing.T) {
@@ -133,7 +146,7 @@
 		if random.IntN(3) == 0 {
 			path = "/check/"
 		}
-		s := member.stream(path)
+		s := r.stream(member, path)
 		r.mu.Lock()
 		r.streams = append(r.streams, s)
 		r.outcomes = append(r.outcomes, s.attempts...)
@@ -145,7 +158,7 @@
 // stream makes attempts at a stream until it is complete or the deadline has passed. A
 // resumable stream is taken up again after a break, at another host and from the last
 // event that the caller has. Some callers drop their first connection.
-func (c *caller) stream(path string) stream {
+func (r *replacement) stream(c *caller, path string) stream {
 	s := stream{request: c.environment.newRequest(path)}
 	deadline := time.Now().Add(callerTimeout)
 	if path == "/draft/" && c.random.IntN(3) == 0 {
@@ -156,8 +169,9 @@
 	}
 	c.host = c.home
 	for {
+		serving := r.servingVersion(s.version())
 		o := c.attempt(s.request, deadline)
-		s.add(o)
+		s.add(o, countServing(serving) >= enoughServers)
 		left := time.Until(deadline)
 		if s.isComplete || len(s.attempts) == maxStreamAttempts || left < minCallerTime || !s.mayRetry(o, c.environment.workers) {
 			return s
@@ -169,9 +183,47 @@
 	}
 }
 
-// add appends the events of an attempt.
-func (s *stream) add(o outcome) {
+// version returns the version of the software that sent the first event, or "".
+func (s *stream) version() string {
+	if len(s.events) == 0 {
+		return ""
+	}
+	return s.events[0].version
+}
+
+// servingVersion returns the decode servers of a version of the software that all hosts
+// know.
+func (r *replacement) servingVersion(version string) []*worker.Server {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var serving []*worker.Server
+	for _, s := range r.servers {
+		if s.Version() == version && s.Stage() == "decode" && s.Uptime(time.Now()) >= knownTime {
+			serving = append(serving, s)
+		}
+	}
+	return serving
+}
+
+// countServing returns the number of servers that still serve without a restart.
+func countServing(servers []*worker.Server) int {
+	count := 0
+	for _, s := range servers {
+		if s.Uptime(time.Now()) >= knownTime {
+			count++
+		}
+	}
+	return count
+}
+
+// add appends the events of an attempt. isServable is set if enough servers of the
+// stream's version served during it.
+func (s *stream) add(o outcome, isServable bool) {
 	s.attempts = append(s.attempts, o)
+	if s.request.firstAttempt != "" && isServable {
+		s.couldGoOn = true
+		s.wentOn = s.wentOn || o.status == http.StatusOK && slices.ContainsFunc(o.events(), func(e event) bool { return e.version == s.version() })
+	}
 	if o.status != http.StatusOK {
 		return
 	}
@@ -193,9 +245,10 @@
 	return last.mayRetry(workers)
 }
 
-// check requires that each stream has the events from the first one on, each once.
+// check requires that each stream has the events from the first one on, each once and all
+// of one version, and that enough streams go on.
 func (r *replacement) check(t *testing.T) {
-	complete, takenUp := 0, 0
+	complete, joined, couldGoOn, wentOn := 0, 0, 0, 0
 	for _, s := range r.streams {
 		for i, e := range s.events {
 			if want := worker.Event(s.request.target, s.request.body, uint64(i)+1); e.text != want {
@@ -203,12 +256,36 @@
 				break
 			}
 		}
+		if i := slices.IndexFunc(s.events, func(e event) bool { return e.version != s.version() }); i >= 0 {
+			joined++
+			t.Errorf("stream %s went on with %s at event %d of %s; its attempts:%s", s.request.target, s.events[i].version, i+1, s.version(), r.describe(s))
+		}
 		if s.isComplete {
 			complete++
 		}
-		if s.request.firstAttempt != "" && len(s.attempts) > 1 {
-			takenUp++
+		if s.couldGoOn {
+			couldGoOn++
+		}
+		if s.wentOn {
+			wentOn++
+		}
+	}
+	t.Logf("%d of %d streams were complete, %d joined two versions; of %d that were taken up while %d servers of their version served, %d went on",
+		complete, len(r.streams), joined, couldGoOn, enoughServers, wentOn)
+	if wentOn*2 < couldGoOn {
+		t.Errorf("only %d of %d streams went on that were taken up while %d servers of their version served", wentOn, couldGoOn, enoughServers)
+	}
+}
+
+// describe returns the attempts at a stream, each with its versions.
+func (r *replacement) describe(s stream) string {
+	var text strings.Builder
+	for _, o := range s.attempts {
+		var versions []string
+		for _, e := range o.events() {
+			versions = append(versions, e.version)
 		}
+		fmt.Fprintf(&text, "\n%v: %d events of %v", o, len(versions), slices.Compact(versions))
 	}
-	t.Logf("%d of %d streams were complete, %d were taken up again", complete, len(r.streams), takenUp)
+	return text.String()
 }
