--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -43,6 +43,8 @@
 	Criteria struct {
 		Service string
 		Stage   serverlist.Stage
+		// SoftwareVersion is the required software version, or empty for any.
+		SoftwareVersion string
 		// FailureDomain is the preferred failure domain.
 		FailureDomain string
 		// Excluded are the IDs of incarnations that were attempted before.
@@ -169,7 +171,7 @@
 	var bestCost float64
 	isFound := false
 	for _, s := range servers {
-		if !criteria.matches(s) || t.isEnded(now, s.ID) || (!isEjectedAllowed && t.health.IsEjected(now, s.ID)) {
+		if !criteria.Matches(s) || t.isEnded(now, s.ID) || (!isEjectedAllowed && t.health.IsEjected(now, s.ID)) {
 			continue
 		}
 		cost := t.cost(s, criteria)
@@ -190,7 +192,7 @@
 	}
 	var candidates []candidate
 	for _, s := range servers {
-		if !criteria.matches(s) || t.isEnded(now, s.ID) || t.health.IsEjected(now, s.ID) || t.isSkipped(now, s.ID) {
+		if !criteria.Matches(s) || t.isEnded(now, s.ID) || t.health.IsEjected(now, s.ID) || t.isSkipped(now, s.ID) {
 			continue
 		}
 		candidates = append(candidates, candidate{s, t.cost(s, criteria)})
@@ -219,6 +221,12 @@
 	return cost + failureWeight*t.health.FailureRate(s.ID)
 }
 
-func (c Criteria) matches(s serverlist.Server) bool {
-	return s.Service == c.Service && s.Stage == c.Stage && !s.IsDraining && !slices.Contains(c.Excluded, s.ID)
+// Matches reports whether a server may be chosen.
+func (c Criteria) Matches(s serverlist.Server) bool {
+	return s.Service == c.Service && s.Stage == c.Stage && c.allowsVersion(s.SoftwareVersion) &&
+		!s.IsDraining && !slices.Contains(c.Excluded, s.ID)
+}
+
+func (c Criteria) allowsVersion(version string) bool {
+	return c.SoftwareVersion == "" || c.SoftwareVersion == version
 }
--- a/hickoryd/internal/edgedispatch/decode.go
+++ b/hickoryd/internal/edgedispatch/decode.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/hickoryfront/hickoryfront/core/eventstream"
@@ -121,6 +122,7 @@
 func (g *generation) forward(ctx context.Context, response *upstream.Response, watch *silenceWatch, server serverlist.Server) error {
 	if !g.isStarted {
 		g.isStarted = true
+		g.beginStream(server)
 		if err := g.sink.Start(response.StatusCode, platform.ResponseHeader(response.Header)); err != nil {
 			return fmt.Errorf("%w: %w", ErrTruncated, err)
 		}
@@ -146,12 +148,20 @@
 			return fmt.Errorf("%w: %w", upstream.ErrMayHaveRun, err)
 		}
 		if isNew {
-			g.timing.recordEvent(time.Now())
+			g.recordEvent(time.Now(), server)
 			if err := g.sink.Write(event.Bytes); err != nil {
 				return fmt.Errorf("%w: %w", ErrTruncated, err)
 			}
 		}
-		watch.observe(g.relay)
+		watch.observe(g.relay, g.softwareVersion)
+	}
+}
+
+// recordEvent records an event of server that is sent to the caller at now.
+func (g *generation) recordEvent(now time.Time, server serverlist.Server) {
+	g.timing.recordEvent(now)
+	if !slices.Contains(g.softwareVersions, server.SoftwareVersion) {
+		g.softwareVersions = append(g.softwareVersions, server.SoftwareVersion)
 	}
 }
 
--- a/hickoryd/internal/edgedispatch/generation.go
+++ b/hickoryd/internal/edgedispatch/generation.go
@@ -53,6 +53,11 @@
 		// silences is the number of attempts that were given up because the server sent
 		// no event.
 		silences int
+		// softwareVersion is the one that began the stream, at which it must go on, or "" if
+		// no response has started.
+		softwareVersion string
+		// softwareVersions are those of the servers whose events the caller has received.
+		softwareVersions []string
 		// prefills is the number of prompts sent to prefill servers.
 		prefills int
 		// unusedHandle is a KV cache that the decode server did not fetch.
@@ -81,6 +86,13 @@
 	g := &generation{Dispatcher: d, request: r, sink: sink, firstAttempt: d.firstAttemptAt(r), relay: eventstream.NewRelay(r.Metadata.LastEventID, r.Metadata.IsResumed)}
 	defer g.logStream()
 	defer g.releaseUnused()
+	if r.Metadata.IsResumed {
+		version, err := d.resolveOrigin(ctx, r)
+		if err != nil {
+			return err
+		}
+		g.softwareVersion = version
+	}
 	var last error
 	for g.attempts = 1; g.attempts <= maxStreamAttempts; g.attempts++ {
 		err := g.attempt(ctx)
@@ -149,7 +161,7 @@
 
 // excluded returns the IDs of the servers that the next attempt may not use.
 func (g *generation) excluded() []string {
-	if !g.isStarted {
+	if !g.isStarted && g.softwareVersion == "" {
 		return g.tried
 	}
 	var excluded []string
--- a/hickoryd/internal/edgedispatch/migrate.go
+++ b/hickoryd/internal/edgedispatch/migrate.go
@@ -152,7 +152,10 @@
 // little behind the run that the stream does not pause for long, or the transfers get no
 // shorter. It tries until searchCtx ends.
 func (m *migration) migrate(ctx, searchCtx context.Context) (*migratedRun, error) {
-	criteria := balance.Criteria{Service: m.request.Route.Service, Stage: serverlist.Decode, FailureDomain: m.server.FailureDomain, Excluded: []string{m.server.ID}}
+	criteria := balance.Criteria{
+		Service: m.request.Route.Service, Stage: serverlist.Decode, SoftwareVersion: m.server.SoftwareVersion,
+		FailureDomain: m.server.FailureDomain, Excluded: []string{m.server.ID},
+	}
 	for {
 		target, took, err := m.transferToAny(searchCtx, criteria)
 		switch {
--- a/hickoryd/internal/edgedispatch/silence.go
+++ b/hickoryd/internal/edgedispatch/silence.go
@@ -84,8 +84,9 @@
 	w.timer.Stop()
 }
 
-// observe resumes the watch of the stream, which is at the position of relay.
-func (w *silenceWatch) observe(relay *eventstream.Relay) {
+// observe resumes the watch of the stream, which is at the position of relay and goes on
+// at softwareVersion.
+func (w *silenceWatch) observe(relay *eventstream.Relay, softwareVersion string) {
 	if w == nil {
 		return
 	}
@@ -94,7 +95,7 @@
 	if w.successor != nil {
 		return
 	}
-	w.relay, w.isSuspended = *relay, false
+	w.relay, w.template.softwareVersion, w.isSuspended = *relay, softwareVersion, false
 	w.timer.Reset(silenceTimeout)
 }
 
