Record a server that breaks off a long response

What callers saw: no wrong answer by itself; requests that crash servers, and servers that crash, kept being used: a server that broke off a response of more than 256 KB while it was forwarded was neither counted as failed nor reported to the other hosts as lost with the request, and its request was no longer counted as load from 256 KB on. Change: an attempt with a long response ends when the rest of the response is closed, with the error with which the server broke it off. The call waits for its attempts and closes the long responses that it doesn't forward. An error of the caller's connection isn't held against the server. Evidence: on the parent TestCrashInLongResponseIsRecorded/long fails: no request counted at the server during the response, failure rate 0 after it, no loss reported; the case of a buffered response passes there. TestLongErrorResponseLeavesNoLoad passes on the parent; it guards the closing of a long error response that another response replaces. Measured: go test -race -count=3 ./internal/edgedispatch passes, existing tests unchanged.

--- a/hickoryd/internal/edgedispatch/plain.go
+++ b/hickoryd/internal/edgedispatch/plain.go
@@ -59,12 +59,15 @@
 		*Dispatcher
 		request *Request
 		tried   []string
+		// attempts are all attempts, in the order in which they were started.
+		attempts []*plainAttempt
 		// runs is the number of servers that may have run the request and have not
 		// completed it.
 		runs int
 		// inProgress is the number of attempts that have not ended.
 		inProgress int
-		results    chan plainResult
+		// results receives each attempt once its result is set.
+		results chan *plainAttempt
 	}
 
 	// plainAttempt is one attempt of a plainCall at a server.
@@ -74,9 +77,11 @@
 		server  serverlist.Server
 		number  int
 		started time.Time
+		result  plainResult
 	}
 
-	// plainResult is the result of an attempt: a response or an error.
+	// plainResult is the result of an attempt: a response or an error, or both if the
+	// server has broken off a long response.
 	plainResult struct {
 		response *plainResponse
 		err      error
@@ -89,7 +94,8 @@
 	plainResponse struct {
 		response *http.Response
 		body     []byte
-		// rest is where the rest of a longer response is read from, or nil.
+		// rest is where the rest of a longer response is read from until it is closed,
+		// or nil.
 		rest *upstream.Response
 	}
 )
@@ -99,12 +105,15 @@
 // complete response is sent.
 func (d *Dispatcher) servePlain(ctx context.Context, r *Request, sink Sink) error {
 	attemptsCtx, cancel := context.WithCancelCause(ctx)
-	defer cancel(errAnswered)
-	call := &plainCall{Dispatcher: d, request: r, results: make(chan plainResult, maxPlainAttempts)}
+	call := &plainCall{Dispatcher: d, request: r, results: make(chan *plainAttempt, maxPlainAttempts)}
+	defer func() {
+		cancel(errAnswered)
+		call.finish(ctx)
+	}()
 	slow := time.NewTicker(max(slowAfter(r.Route), minSlow))
 	defer slow.Stop()
 	var last error
-	var failure *plainResponse // a server's error response
+	var failed *plainAttempt // an attempt with a server's error response
 	for call.inProgress > 0 || call.startNext(attemptsCtx, last) {
 		select {
 		case <-slow.C:
@@ -112,26 +121,23 @@
 				call.startNext(attemptsCtx, errSlow)
 			}
 			continue
-		case result := <-call.results:
-			call.inProgress--
-			if result.mayHaveRun {
-				call.runs++
-			}
+		case attempt := <-call.results:
+			call.receive(attempt)
 			switch {
-			case result.err != nil:
-				last = result.err
-			case result.response.response.StatusCode < http.StatusInternalServerError:
-				return result.response.send(sink)
+			case attempt.result.err != nil:
+				last = attempt.result.err
+			case attempt.result.response.response.StatusCode < http.StatusInternalServerError:
+				return attempt.forward(ctx, sink)
 			default:
-				failure, last = result.response, errServerFailure
+				failed, last = attempt, errServerFailure
 			}
 		}
 		if ctx.Err() != nil || call.inProgress == 0 && !cannotHaveRun(last) && !call.mayRetry() {
 			break
 		}
 	}
-	if failure != nil {
-		return failure.send(sink)
+	if failed != nil {
+		return failed.forward(ctx, sink)
 	}
 	return finalFailure(ctx, call.runs, last, shortRetryAfter)
 }
@@ -155,10 +161,30 @@
 	c.tried = append(c.tried, server.ID)
 	c.inProgress++
 	attempt := &plainAttempt{Dispatcher: c.Dispatcher, request: c.request, server: server, number: len(c.tried), started: time.Now()}
+	c.attempts = append(c.attempts, attempt)
 	go attempt.run(ctx, c.results)
 	return true
 }
 
+// receive counts an attempt that has its result.
+func (c *plainCall) receive(a *plainAttempt) {
+	c.inProgress--
+	if a.result.mayHaveRun {
+		c.runs++
+	}
+}
+
+// finish waits for the attempts in progress, which must have been canceled, and closes
+// the responses that were not forwarded.
+func (c *plainCall) finish(ctx context.Context) {
+	for c.inProgress > 0 {
+		c.receive(<-c.results)
+	}
+	for _, a := range c.attempts {
+		a.close(ctx, nil)
+	}
+}
+
 // mayRetry reports whether the request may be sent to another server although servers
 // may have run it already or are running it.
 func (c *plainCall) mayRetry() bool {
@@ -170,13 +196,37 @@
 	return c.request.Route.Kind == route.Safe && c.request.Route.LatencyTarget > 0 && c.mayRetry()
 }
 
-// run sends the request to the server and records the outcome.
-func (a *plainAttempt) run(ctx context.Context, results chan<- plainResult) {
+// run sends the request to the server. The attempt ends with its result, or when the rest
+// of a long response is closed.
+func (a *plainAttempt) run(ctx context.Context, results chan<- *plainAttempt) {
 	a.beginRequest(a.server.ID, 0)
-	defer a.endRequest(a.server.ID, 0)
-	result := a.exchange(ctx)
-	a.recordOutcome(ctx, result)
-	results <- result
+	a.result = a.exchange(ctx)
+	if !a.hasRest() {
+		a.end(ctx)
+	}
+	results <- a
+}
+
+// end records that the attempt has ended, and its outcome.
+func (a *plainAttempt) end(ctx context.Context) {
+	a.endRequest(a.server.ID, 0)
+	a.recordOutcome(ctx)
+}
+
+func (a *plainAttempt) hasRest() bool {
+	return a.result.response != nil && a.result.response.rest != nil
+}
+
+// close closes the rest of a long response, if there is one, and ends the attempt. err is
+// the error with which the server has broken off the response, or nil.
+func (a *plainAttempt) close(ctx context.Context, err error) {
+	if !a.hasRest() {
+		return
+	}
+	a.result.response.rest.Close()
+	a.result.response.rest = nil
+	a.result.err = err
+	a.end(ctx)
 }
 
 // exchange sends the request to the server and reads the response, a long one up to
@@ -207,11 +257,22 @@
 	return plainResult{response: &plainResponse{response: response.Response, body: body}, mayHaveRun: true}
 }
 
-// send sends the response to the caller and closes it.
-func (r *plainResponse) send(sink Sink) error {
-	if r.rest != nil {
-		defer r.rest.Close()
+// forward sends the response to the caller and closes it.
+func (a *plainAttempt) forward(ctx context.Context, sink Sink) error {
+	if err := a.result.response.send(sink); err != nil {
+		return err
+	}
+	if !a.hasRest() {
+		return nil
 	}
+	if err := a.forwardRest(ctx, sink); err != nil {
+		return fmt.Errorf("%w: %w", ErrTruncated, err)
+	}
+	return nil
+}
+
+// send sends the part of the response that was read to the caller.
+func (r *plainResponse) send(sink Sink) error {
 	header := platform.ResponseHeader(r.response.Header)
 	if len(r.body) > 0 && r.rest == nil {
 		header.Set("Content-Length", strconv.Itoa(len(r.body)))
@@ -222,17 +283,13 @@
 	if err := sink.Write(r.body); err != nil {
 		return fmt.Errorf("%w: %w", ErrTruncated, err)
 	}
-	if r.rest == nil {
-		return nil
-	}
-	if err := r.sendRest(sink); err != nil {
-		return fmt.Errorf("%w: %w", ErrTruncated, err)
-	}
 	return nil
 }
 
-// sendRest streams the part of the response that was not read yet.
-func (r *plainResponse) sendRest(sink Sink) error {
+// forwardRest streams the part of the response that was not read yet and closes the
+// response.
+func (a *plainAttempt) forwardRest(ctx context.Context, sink Sink) error {
+	r := a.result.response
 	buffer := r.body[:cap(r.body)]
 	for {
 		n, readErr := r.rest.Body.Read(buffer)
@@ -242,16 +299,19 @@
 			}
 		}
 		if readErr == io.EOF {
+			a.close(ctx, nil)
 			return nil
 		}
 		if readErr != nil {
+			a.close(ctx, readErr)
 			return readErr
 		}
 	}
 }
 
 // recordOutcome records the outcome of an attempt in the server's health.
-func (a *plainAttempt) recordOutcome(ctx context.Context, r plainResult) {
+func (a *plainAttempt) recordOutcome(ctx context.Context) {
+	r := a.result
 	result := health.Success
 	switch {
 	case r.err == nil && r.response.response.StatusCode >= http.StatusInternalServerError:
