Cancel the other attempts once a server has responded

What callers saw: nothing by itself; a server that lost against another one worked on until the whole response of the other one was forwarded, and may then have been counted as failed, though it got the request second and wasn't slow. Sound servers could so be ejected by slow callers and long responses. Cause: the attempts were canceled when the request ended, and a loser was counted as failed if at that time it had been started longer ago than 60 % of the target latency. Change: the other attempts are canceled before the response is forwarded. A server that was beaten is counted as failed if it had the request for more than 60 % of the target latency and the winner got the request later. If the winner got it earlier, nothing shows that the server is slow rather than the request, so no outcome is recorded.

--- a/hickoryd/internal/edgedispatch/hedge_test.go
+++ b/hickoryd/internal/edgedispatch/hedge_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/netip"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -115,3 +116,80 @@
 		t.Errorf("after the response: %+v, want no requests and a failure of the first server", got)
 	}
 }
+
+// TestLoserOfHedgeIsCanceled guards against a slow server that works on a safe request until
+// the whole response of another server is forwarded.
+func TestLoserOfHedgeIsCanceled(t *testing.T) {
+	canceled := make(chan struct{})
+	first := startServer(t, "first", serverlist.NoStage, func(_ http.ResponseWriter, r *http.Request) {
+		<-r.Context().Done()
+		close(canceled)
+	})
+	second := startServer(t, "second", serverlist.NoStage, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Server-Stamp", "stamp")
+		_, _ = io.WriteString(w, strings.Repeat("x", longBody/2))
+		_ = http.NewResponseController(w).Flush()
+		select {
+		case <-canceled:
+		case <-time.After(2 * time.Second):
+			t.Error("the first server still works 2 s after the response of the second one has begun")
+		}
+		_, _ = io.WriteString(w, strings.Repeat("x", longBody/2))
+	})
+	second.FailureDomain = "elsewhere" // the first server is preferred
+	status, body := serve(t, servers{first, second}, route.Route{Kind: route.Safe, MaxServers: 2}, 100)
+	if status != http.StatusOK || len(body) != longBody {
+		t.Errorf("status %d, %d bytes; want 200 and %d", status, len(body), longBody)
+	}
+}
+
+// TestOnlySlowLoserOfHedgeIsMarked guards against a sound server that is counted as failed
+// because another server responded first. Only a server that was slow, and slower than one
+// that got the request later, has failed.
+func TestOnlySlowLoserOfHedgeIsMarked(t *testing.T) {
+	never := after(endlessSilence, ok) // a request is sent to another server every 180 ms
+	tests := []struct {
+		name     string
+		handlers []http.HandlerFunc // in the order in which the servers get the request
+		failed   []bool
+	}{
+		{name: "slow, and another server is faster", handlers: []http.HandlerFunc{never, ok}, failed: []bool{true, false}},
+		{name: "second and not slow, beaten by a long response", handlers: []http.HandlerFunc{after(250*time.Millisecond, trickle), never}, failed: []bool{false, false}},
+		{name: "second and slow, beaten by the first", handlers: []http.HandlerFunc{after(480*time.Millisecond, ok), never}, failed: []bool{false, false}},
+		{name: "not slow, beaten by a third", handlers: []http.HandlerFunc{after(120*time.Millisecond, failing), never, ok}, failed: []bool{true, false, false}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			// The servers get the request in order, whichever of them is picked.
+			var list servers
+			var mu sync.Mutex
+			var order []string
+			for i := range tt.handlers {
+				id := string(rune('a' + i))
+				list = append(list, startServer(t, id, serverlist.NoStage, func(w http.ResponseWriter, r *http.Request) {
+					mu.Lock()
+					handler := tt.handlers[len(order)]
+					order = append(order, id)
+					mu.Unlock()
+					handler(w, r)
+				}))
+			}
+			d := newDispatcher(t, list, 100)
+			if status, _ := send(t, d, route.Route{Kind: route.Safe, MaxServers: len(list)}, callerTimeout); status != http.StatusOK {
+				t.Errorf("status %d, want 200", status)
+			}
+			got, _ := describe(d)
+			mu.Lock()
+			defer mu.Unlock()
+			if len(order) != len(list) {
+				t.Fatalf("%d servers got the request, want %d", len(order), len(list))
+			}
+			for i, id := range order {
+				if failed := got[id].FailureRate > 0; failed != tt.failed[i] {
+					t.Errorf("server %d is counted as failed: %t, want %t", i+1, failed, tt.failed[i])
+				}
+			}
+		})
+	}
+}
--- a/hickoryd/internal/edgedispatch/plain.go
+++ b/hickoryd/internal/edgedispatch/plain.go
@@ -43,9 +43,10 @@
 	// errInvalid means that the response must not be forwarded to a caller.
 	errInvalid = errors.New("the answer is not valid")
 	// errSlow means that the server did not respond within slowShare of the target
-	// latency while another server may still be tried.
+	// latency, while another server that got the request later did respond.
 	errSlow = fmt.Errorf("no response from the server within %.0f%% of the target latency", slowShare*100)
-	// errAnswered means that another server has responded first.
+	// errAnswered means that another server has responded first, which is no fault of
+	// this one.
 	errAnswered = errors.New("another server has responded")
 	// errServerFailure means that the server has run the request and responded with an
 	// error.
@@ -77,7 +78,9 @@
 		server  serverlist.Server
 		number  int
 		started time.Time
-		result  plainResult
+		// cancel ends the attempt.
+		cancel context.CancelCauseFunc
+		result plainResult
 	}
 
 	// plainResult is the result of an attempt: a response or an error, or both if the
@@ -104,21 +107,17 @@
 // can't be retried. A slow attempt goes on while another server is tried, and the first
 // complete response is sent.
 func (d *Dispatcher) servePlain(ctx context.Context, r *Request, sink Sink) error {
-	attemptsCtx, cancel := context.WithCancelCause(ctx)
 	call := &plainCall{Dispatcher: d, request: r, results: make(chan *plainAttempt, maxPlainAttempts)}
-	defer func() {
-		cancel(errAnswered)
-		call.finish(ctx)
-	}()
+	defer call.finish(ctx)
 	slow := time.NewTicker(max(slowAfter(r.Route), minSlow))
 	defer slow.Stop()
 	var last error
 	var failed *plainAttempt // an attempt with a server's error response
-	for call.inProgress > 0 || call.startNext(attemptsCtx, last) {
+	for call.inProgress > 0 || call.startNext(ctx, last) {
 		select {
 		case <-slow.C:
 			if call.mayHedge() {
-				call.startNext(attemptsCtx, errSlow)
+				call.startNext(ctx, errSlow)
 			}
 			continue
 		case attempt := <-call.results:
@@ -127,6 +126,7 @@
 			case attempt.result.err != nil:
 				last = attempt.result.err
 			case attempt.result.response.response.StatusCode < http.StatusInternalServerError:
+				call.cancelOthers(time.Now(), attempt)
 				return attempt.forward(ctx, sink)
 			default:
 				failed, last = attempt, errServerFailure
@@ -160,7 +160,8 @@
 	}
 	c.tried = append(c.tried, server.ID)
 	c.inProgress++
-	attempt := &plainAttempt{Dispatcher: c.Dispatcher, request: c.request, server: server, number: len(c.tried), started: time.Now()}
+	ctx, cancel := context.WithCancelCause(ctx)
+	attempt := &plainAttempt{Dispatcher: c.Dispatcher, request: c.request, server: server, number: len(c.tried), started: time.Now(), cancel: cancel}
 	c.attempts = append(c.attempts, attempt)
 	go attempt.run(ctx, c.results)
 	return true
@@ -174,9 +175,27 @@
 	}
 }
 
-// finish waits for the attempts in progress, which must have been canceled, and closes
-// the responses that were not forwarded.
+// cancelOthers cancels all attempts but winner, which has its response at now. The server
+// of a slow attempt is at fault only if winner was started later: otherwise the request
+// itself may take long.
+func (c *plainCall) cancelOthers(now time.Time, winner *plainAttempt) {
+	for _, a := range c.attempts {
+		switch {
+		case a == winner:
+		case a.started.Before(winner.started) && now.Sub(a.started) > slowAfter(c.request.Route):
+			a.cancel(errSlow)
+		default:
+			a.cancel(errAnswered)
+		}
+	}
+}
+
+// finish cancels the attempts in progress, waits for them and closes the responses that
+// were not forwarded.
 func (c *plainCall) finish(ctx context.Context) {
+	for _, a := range c.attempts {
+		a.cancel(errAnswered)
+	}
 	for c.inProgress > 0 {
 		c.receive(<-c.results)
 	}
@@ -317,7 +336,7 @@
 	case r.err == nil && r.response.response.StatusCode >= http.StatusInternalServerError:
 		result = health.Failure
 	case r.err == nil:
-	case errors.Is(context.Cause(ctx), errAnswered) && time.Since(a.started) > slowAfter(a.request.Route):
+	case errors.Is(context.Cause(ctx), errSlow):
 		result = health.Broken
 	case ctx.Err() != nil && !errors.Is(context.Cause(ctx), context.DeadlineExceeded):
 		return // the caller disconnected, or another server has responded
