Return a retry that never reached a server to the budget

What callers saw: refusals and failures for want of retries, though fewer requests than the budget allows were sent twice. Cause: a retry was taken for each attempt after the first, whether it then reached a server or not. With a server that can't be reached, each tick of a slow request took another one; only an attempt that directly followed one that wasn't sent was free. If the first attempt never reached its server, the second one, then the first arrival, had taken a retry all the same. Change: a call holds one retry for each attempt beyond the first that has reached a server or still may, and returns one when an attempt turns out not to have been sent. Taking retries first keeps requests that connect at the same time within the budget. The counter hickoryfront_edge_repeats_total still counts each retry taken.

--- a/core/retrybudget/retrybudget.go
+++ b/core/retrybudget/retrybudget.go
@@ -95,6 +95,14 @@
 	b.bucketAt(now).retries++
 }
 
+// ReturnRetry takes back a retry that was counted at counted and never reached a server.
+func (b *Budget) ReturnRetry(counted time.Time) {
+	number := int64(counted.Sub(b.start) / bucketPeriod)
+	if number >= 0 && number <= b.current && number > b.current-int64(buckets) {
+		b.counts[number%int64(buckets)].retries--
+	}
+}
+
 // bucketAt returns the bucket of now and empties the buckets that have left the window.
 func (b *Budget) bucketAt(now time.Time) *count {
 	number := int64(now.Sub(b.start) / bucketPeriod)
--- a/core/retrybudget/retrybudget_test.go
+++ b/core/retrybudget/retrybudget_test.go
@@ -81,6 +81,38 @@
 	}
 }
 
+// TestReturnRetry checks that a retry that was not sent may be taken again, and that the
+// return of one that has left the window adds nothing to the budget.
+func TestReturnRetry(t *testing.T) {
+	tests := []struct {
+		name  string
+		after time.Duration
+		want  int
+	}{
+		{name: "returned at once", want: 1},
+		{name: "returned later", after: 700 * time.Millisecond, want: 1},
+		{name: "returned at the end of the window", after: retrybudget.Window - time.Second, want: 1},
+		{name: "returned after the window", after: retrybudget.Window + time.Second, want: 8},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := retrybudget.New(start, retrybudget.Limits{Slack: 10})
+			for b.Allow(start, 1) {
+			}
+			now := start.Add(tt.after)
+			b.CanRetry(now, 1)
+			b.ReturnRetry(start)
+			got := 0
+			for b.Allow(now, 1) {
+				got++
+			}
+			if got != tt.want {
+				t.Errorf("%d retries allowed after the return, want %d", got, tt.want)
+			}
+		})
+	}
+}
+
 // TestRecordRetryBeyondTheBudget exceeds the budget by RecordRetry, which
 // counts retries that are sent without a check. Further retries must then be
 // denied until the window has passed, and no longer.
--- a/hickoryd/internal/edgedispatch/dispatch.go
+++ b/hickoryd/internal/edgedispatch/dispatch.go
@@ -222,10 +222,14 @@
 // takeRetry takes one retry from the budget of the request's service. It reports
 // false if the budget is used up.
 func (d *Dispatcher) takeRetry(r *Request) bool {
+	return d.takeRetryAt(time.Now(), r)
+}
+
+func (d *Dispatcher) takeRetryAt(now time.Time, r *Request) bool {
 	hosts := d.registry.HostCount()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.budgetOf(r).Allow(time.Now(), hosts) {
+	if d.budgetOf(r).Allow(now, hosts) {
 		d.counters.retries.Inc()
 		return true
 	}
@@ -233,6 +237,13 @@
 	return false
 }
 
+// returnRetry returns a retry that was taken at taken and never reached a server.
+func (d *Dispatcher) returnRetry(taken time.Time, r *Request) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.budgetOf(r).ReturnRetry(taken)
+}
+
 // hasRetry reports whether the budget of the request's service allows a retry. It
 // takes nothing from the budget.
 func (d *Dispatcher) hasRetry(r *Request) bool {
--- a/hickoryd/internal/edgedispatch/hedge_test.go
+++ b/hickoryd/internal/edgedispatch/hedge_test.go
@@ -14,6 +14,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
+	"golang.org/x/sys/unix"
 
 	"github.com/hickoryfront/hickoryfront/core/hoststate"
 	"github.com/hickoryfront/hickoryfront/core/retrybudget"
@@ -193,3 +194,93 @@
 		})
 	}
 }
+
+// startUnreachableServer returns a server that never accepts a connection: its queue of
+// connections is full.
+func startUnreachableServer(t *testing.T, id string) serverlist.Server {
+	t.Helper()
+	socket, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = unix.Close(socket) })
+	if err := unix.Bind(socket, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	if err := unix.Listen(socket, 0); err != nil {
+		t.Fatal(err)
+	}
+	name, err := unix.Getsockname(socket)
+	if err != nil {
+		t.Fatal(err)
+	}
+	bound := name.(*unix.SockaddrInet4)
+	address := netip.AddrPortFrom(netip.AddrFrom4(bound.Addr), uint16(bound.Port))
+	for {
+		connection, err := net.DialTimeout("tcp4", address.String(), 100*time.Millisecond)
+		if err != nil {
+			break
+		}
+		t.Cleanup(func() { _ = connection.Close() })
+	}
+	return serverlist.Server{ID: id, Service: "s", Address: address, FailureDomain: "elsewhere"}
+}
+
+// startClosedServer returns a server that refuses connections.
+func startClosedServer(t *testing.T, id string) serverlist.Server {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	return serverlist.Server{ID: id, Service: "s", Address: netip.MustParseAddrPort(listener.Addr().String()), FailureDomain: "elsewhere"}
+}
+
+// TestRetryThatIsNotSentIsReturned guards against a retry budget that is used up by attempts
+// that never reached a server.
+func TestRetryThatIsNotSentIsReturned(t *testing.T) {
+	const pause = 500 * time.Millisecond // a request is sent to another server every 180 ms
+	tests := []struct {
+		name  string
+		first http.HandlerFunc // nil: the server never accepts a connection
+		// others start the servers that are less preferred.
+		others []func(*testing.T, string) serverlist.Server
+		want   int
+	}{
+		{name: "two servers refuse connections", first: after(pause, ok), others: []func(*testing.T, string) serverlist.Server{startClosedServer, startClosedServer}},
+		{name: "a server responds while another is connected to", first: after(pause, ok), others: []func(*testing.T, string) serverlist.Server{startUnreachableServer}},
+		{name: "only the second attempt reaches a server", others: []func(*testing.T, string) serverlist.Server{startOK}},
+		{name: "two servers get the request", first: after(pause, ok), others: []func(*testing.T, string) serverlist.Server{startOK}, want: 1},
+		{name: "a server that has failed is replaced", first: broken, others: []func(*testing.T, string) serverlist.Server{startOK}, want: 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			var first serverlist.Server
+			if tt.first != nil {
+				first = startServer(t, "first", serverlist.NoStage, tt.first)
+			} else {
+				first = startUnreachableServer(t, "first")
+				first.FailureDomain = ""
+			}
+			list := servers{first}
+			for i, start := range tt.others {
+				list = append(list, start(t, string(rune('a'+i))))
+			}
+			d := newDispatcher(t, list, 100)
+			if status, _ := send(t, d, route.Route{Kind: route.Safe, MaxServers: 4}, callerTimeout); status != http.StatusOK {
+				t.Errorf("status %d, want 200", status)
+			}
+			if _, got := describe(d); got != tt.want {
+				t.Errorf("%d retries in the budget, want %d", got, tt.want)
+			}
+		})
+	}
+}
+
+func startOK(t *testing.T, id string) serverlist.Server {
+	server := startServer(t, id, serverlist.NoStage, ok)
+	server.FailureDomain = "elsewhere"
+	return server
+}
--- a/hickoryd/internal/edgedispatch/plain.go
+++ b/hickoryd/internal/edgedispatch/plain.go
@@ -62,6 +62,9 @@
 		tried   []string
 		// attempts are all attempts, in the order in which they were started.
 		attempts []*plainAttempt
+		// sent holds a time for each attempt that has reached a server or still may. At
+		// each time but the first a retry was taken from the budget.
+		sent []time.Time
 		// runs is the number of servers that may have run the request and have not
 		// completed it.
 		runs int
@@ -113,11 +116,11 @@
 	defer slow.Stop()
 	var last error
 	var failed *plainAttempt // an attempt with a server's error response
-	for call.inProgress > 0 || call.startNext(ctx, last) {
+	for call.inProgress > 0 || call.startNext(ctx) {
 		select {
 		case <-slow.C:
 			if call.mayHedge() {
-				call.startNext(ctx, errSlow)
+				call.startNext(ctx)
 			}
 			continue
 		case attempt := <-call.results:
@@ -148,14 +151,14 @@
 	return time.Duration(slowShare * float64(r.LatencyTarget))
 }
 
-// startNext starts an attempt at another server. last is the error of the attempt before.
-// It reports false if there is no other server or the retry budget is used up.
-func (c *plainCall) startNext(ctx context.Context, last error) bool {
+// startNext starts an attempt at another server. It reports false if there is no other
+// server or the retry budget is used up.
+func (c *plainCall) startNext(ctx context.Context) bool {
 	if len(c.tried) == maxPlainAttempts {
 		return false
 	}
 	server, ok := c.pick(balance.Criteria{Service: c.request.Route.Service, FailureDomain: c.options.FailureDomain, Excluded: c.tried})
-	if !ok || len(c.tried) > 0 && !errors.Is(last, upstream.ErrNotSent) && !c.takeRetry(c.request) {
+	if !ok || !c.countSend(time.Now()) {
 		return false
 	}
 	c.tried = append(c.tried, server.ID)
@@ -167,12 +170,35 @@
 	return true
 }
 
+// countSend counts an attempt that is sent at now, and takes a retry from the budget unless
+// it is the only one that may reach a server. It reports false if the budget is used up.
+func (c *plainCall) countSend(now time.Time) bool {
+	if len(c.sent) > 0 && !c.takeRetryAt(now, c.request) {
+		return false
+	}
+	c.sent = append(c.sent, now)
+	return true
+}
+
+// uncountSend takes back the count of an attempt that never reached a server. Which attempt
+// that is doesn't matter: the first one that does reach a server needs no retry.
+func (c *plainCall) uncountSend() {
+	last := len(c.sent) - 1
+	if last > 0 {
+		c.returnRetry(c.sent[last], c.request)
+	}
+	c.sent = c.sent[:last]
+}
+
 // receive counts an attempt that has its result.
 func (c *plainCall) receive(a *plainAttempt) {
 	c.inProgress--
 	if a.result.mayHaveRun {
 		c.runs++
 	}
+	if errors.Is(a.result.err, upstream.ErrNotSent) {
+		c.uncountSend()
+	}
 }
 
 // cancelOthers cancels all attempts but winner, which has its response at now. The server
