Wait for attempts in progress before a request is refused

What callers saw: at its deadline, a safe request that a server was working on could be answered 503, which states that no server has run it. Cause: the call ended with the first result after the deadline. If that was an attempt that never reached its server, the request counted as not run, though another attempt was still in progress. Change: after the deadline no attempt is started, and the call waits for the attempts in progress, which end at once as their context has; each that may have run counts.

--- a/hickoryd/internal/edgedispatch/hedge_test.go
+++ b/hickoryd/internal/edgedispatch/hedge_test.go
@@ -284,3 +284,20 @@
 	server.FailureDomain = "elsewhere"
 	return server
 }
+
+// TestRunningRequestIsNotRefused guards against a request that is answered at its deadline as
+// if no server had run it, because another attempt ended first that never reached a server.
+func TestRunningRequestIsNotRefused(t *testing.T) {
+	first := startServer(t, "first", serverlist.NoStage, after(endlessSilence, ok))
+	second := startUnreachableServer(t, "second")
+	for range 40 { // which attempt ends first differs
+		t.Run("", func(t *testing.T) {
+			t.Parallel()
+			d := newDispatcher(t, servers{first, second}, 100)
+			status, _ := send(t, d, route.Route{Kind: route.Safe, MaxServers: 2}, 400*time.Millisecond)
+			if status != http.StatusGatewayTimeout {
+				t.Errorf("status %d, want 504", status)
+			}
+		})
+	}
+}
--- a/hickoryd/internal/edgedispatch/plain.go
+++ b/hickoryd/internal/edgedispatch/plain.go
@@ -119,7 +119,7 @@
 	for call.inProgress > 0 || call.startNext(ctx) {
 		select {
 		case <-slow.C:
-			if call.mayHedge() {
+			if ctx.Err() == nil && call.mayHedge() {
 				call.startNext(ctx)
 			}
 			continue
@@ -135,7 +135,8 @@
 				failed, last = attempt, errServerFailure
 			}
 		}
-		if ctx.Err() != nil || call.inProgress == 0 && !cannotHaveRun(last) && !call.mayRetry() {
+		// After the deadline the attempts in progress end at once; each may have run.
+		if call.inProgress == 0 && (ctx.Err() != nil || !cannotHaveRun(last) && !call.mayRetry()) {
 			break
 		}
 	}
