Decide on a further run of a plain request from all its attempts

A safe request that had run on as many servers as its route allows could run once more if the last attempt was turned away. Change: plain requests use core/attempts as well.

--- a/hickoryd/internal/edgedispatch/plain.go
+++ b/hickoryd/internal/edgedispatch/plain.go
@@ -12,6 +12,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/hickoryfront/hickoryfront/core/attempts"
 	"github.com/hickoryfront/hickoryfront/core/balance"
 	"github.com/hickoryfront/hickoryfront/core/health"
 	"github.com/hickoryfront/hickoryfront/core/route"
@@ -65,9 +66,8 @@
 		// sent holds a time for each attempt that has reached a server or still may. At
 		// each time but the first a retry was taken from the budget.
 		sent []time.Time
-		// runs is the number of servers that may have run the request and have not
-		// completed it.
-		runs int
+		// history is what has happened to the request at servers.
+		history *attempts.History
 		// inProgress is the number of attempts that have not ended.
 		inProgress int
 		// results receives each attempt once its result is set.
@@ -110,7 +110,7 @@
 // can't be retried. A slow attempt goes on while another server is tried, and the first
 // complete response is sent.
 func (d *Dispatcher) servePlain(ctx context.Context, r *Request, sink Sink) error {
-	call := &plainCall{Dispatcher: d, request: r, results: make(chan *plainAttempt, maxPlainAttempts)}
+	call := &plainCall{Dispatcher: d, request: r, history: attempts.New(ruleOf(r.Route)), results: make(chan *plainAttempt, maxPlainAttempts)}
 	defer call.finish(ctx)
 	slow := time.NewTicker(max(slowAfter(r.Route), minSlow))
 	defer slow.Stop()
@@ -136,14 +136,14 @@
 			}
 		}
 		// After the deadline the attempts in progress end at once; each may have run.
-		if call.inProgress == 0 && (ctx.Err() != nil || !cannotHaveRun(last) && !call.mayRetry()) {
+		if call.inProgress == 0 && (ctx.Err() != nil || !call.history.MayRun(0)) {
 			break
 		}
 	}
 	if failed != nil {
 		return failed.forward(ctx, sink)
 	}
-	return finalFailure(ctx, call.runs, last, shortRetryAfter)
+	return finalFailure(ctx, call.history.Runs(), last, shortRetryAfter)
 }
 
 // slowAfter returns the time after which a request without a response is sent to another
@@ -195,7 +195,9 @@
 func (c *plainCall) receive(a *plainAttempt) {
 	c.inProgress--
 	if a.result.mayHaveRun {
-		c.runs++
+		c.history.Record(attempts.MayHaveRun)
+	} else {
+		c.history.Record(attempts.NotRun)
 	}
 	if errors.Is(a.result.err, upstream.ErrNotSent) {
 		c.uncountSend()
@@ -231,15 +233,9 @@
 	}
 }
 
-// mayRetry reports whether the request may be sent to another server although servers
-// may have run it already or are running it.
-func (c *plainCall) mayRetry() bool {
-	return c.request.Route.IsRetryable() && c.runs+c.inProgress < max(c.request.Route.MaxServers, 1)
-}
-
 // mayHedge reports whether a slow request may be sent to another server as well.
 func (c *plainCall) mayHedge() bool {
-	return c.request.Route.Kind == route.Safe && c.request.Route.LatencyTarget > 0 && c.mayRetry()
+	return c.request.Route.Kind == route.Safe && c.request.Route.LatencyTarget > 0 && c.history.MayRun(c.inProgress)
 }
 
 // run sends the request to the server. The attempt ends with its result, or when the rest
