Send no request to a decode server that has begun to leave

Cause: a decode server is reserved before the prompt is read; two prefills that time out take 3 s, and nobody looked at the server list again before the request was sent. Change: a server that begins to leave while the prompt is read is given up, and the KV cache goes to the next one.

--- a/hickoryd/internal/edgedispatch/generation.go
+++ b/hickoryd/internal/edgedispatch/generation.go
@@ -197,8 +197,29 @@
 
 // place secures all that an attempt needs: memory at a decode server, the KV cache of the
 // prompt and, if the request was sent before, a retry. The request counts as load of the
-// server from then on.
+// server from then on. A server that begins to leave meanwhile is replaced.
 func (g *generation) place(ctx context.Context) (placement, error) {
+	for {
+		placed, err := g.placeOnce(ctx)
+		if err != nil {
+			return placement{}, err
+		}
+		if isLeaving(g.registry.Servers().Servers, placed.held.server.ID) {
+			g.unusedHandle = placed.source
+			g.discard(placement{held: placed.held})
+			continue
+		}
+		if g.isSent && !g.takeRetry(g.request) {
+			g.discard(placed)
+			return placement{}, errNoRetry
+		}
+		g.timing.prefilledAt = time.Now()
+		return placed, nil
+	}
+}
+
+// placeOnce secures memory at a decode server and the KV cache of the prompt.
+func (g *generation) placeOnce(ctx context.Context) (placement, error) {
 	if g.isSent && !g.hasRetry(g.request) {
 		return placement{}, errNoRetry
 	}
@@ -209,15 +230,10 @@
 	g.timing.reservedAt = time.Now()
 	g.beginRequest(held.server.ID, held.tokens)
 	placed := placement{held: held}
-	placed.source, err = g.prefill(ctx, held.server)
-	if err == nil && g.isSent && !g.takeRetry(g.request) {
-		err = errNoRetry
-	}
-	if err != nil {
+	if placed.source, err = g.prefill(ctx, held.server); err != nil {
 		g.discard(placed)
 		return placement{}, err
 	}
-	g.timing.prefilledAt = time.Now()
 	return placed, nil
 }
 
--- a/hickoryd/internal/edgedispatch/migrate.go
+++ b/hickoryd/internal/edgedispatch/migrate.go
@@ -93,7 +93,7 @@
 		return
 	}
 	m.checkedVersion = snapshot.Version
-	if !mustMigrate(snapshot.Servers, m.server.ID) {
+	if !isLeaving(snapshot.Servers, m.server.ID) {
 		return
 	}
 	m.started = true
@@ -188,7 +188,7 @@
 // copy already, or to the first one that has room. It returns that server and how long the
 // transfer took.
 func (m *migration) transferToAny(ctx context.Context, criteria balance.Criteria) (serverlist.Server, time.Duration, error) {
-	if m.target != nil && mustMigrate(m.registry.Servers().Servers, m.target.ID) {
+	if m.target != nil && isLeaving(m.registry.Servers().Servers, m.target.ID) {
 		m.target, m.lastTook = nil, 0
 	}
 	var targets []serverlist.Server
@@ -269,9 +269,9 @@
 	return err
 }
 
-// mustMigrate reports whether the runs of a server must migrate, because the server is
-// draining or no longer listed.
-func mustMigrate(servers []serverlist.Server, id string) bool {
+// isLeaving reports whether a server takes no new work and its runs must migrate, because
+// it is draining or no longer listed.
+func isLeaving(servers []serverlist.Server, id string) bool {
 	for _, s := range servers {
 		if s.ID == id {
 			return s.IsDraining
--- a/hickoryd/internal/edgedispatch/migrate_test.go
+++ b/hickoryd/internal/edgedispatch/migrate_test.go
@@ -333,3 +333,35 @@
 		}
 	}
 }
+
+// TestServerThatBeginsToLeaveGetsNoRequest guards against a request that is sent to a server
+// long after the server has begun to leave, because its prompt was read meanwhile.
+func TestServerThatBeginsToLeaveGetsNoRequest(t *testing.T) {
+	t.Parallel()
+	var hasCapacity atomic.Bool
+	hasCapacity.Store(true)
+	var late atomic.Int64
+	list := &changingServers{}
+	leaving := startDecodeServer(t, "leaving", &hasCapacity, func(w http.ResponseWriter, r *http.Request) {
+		late.Add(1)
+		events("1")(w, r)
+	})
+	other := startDecodeServer(t, "other", &hasCapacity, events("1"))
+	other.FailureDomain = "elsewhere" // the leaving server is preferred
+	var prefills atomic.Int64
+	prefill := startServer(t, "prefill", serverlist.Prefill, func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodDelete {
+			return
+		}
+		prefills.Add(1)
+		draining := leaving
+		draining.IsDraining = true
+		list.set(append(servers{draining}, list.Servers().Servers[1:]...))
+		_, _ = io.WriteString(w, `{"handle":"h","tokens":100,"version":1}`)
+	})
+	list.set(servers{leaving, other, prefill})
+	status, body := send(t, newDispatcher(t, list, 100), route.Route{Kind: route.Streaming, IsGeneration: true, MaxServers: 1}, callerTimeout)
+	if status != http.StatusOK || body != "id: 1\n\n" || late.Load() != 0 || prefills.Load() != 1 {
+		t.Errorf("status %d, want 200; %d requests at the leaving server, want none; %d prefills, want 1", status, late.Load(), prefills.Load())
+	}
+}
--- a/hickoryd/internal/edgedispatch/silence.go
+++ b/hickoryd/internal/edgedispatch/silence.go
@@ -138,6 +138,7 @@
 	w.mu.Unlock()
 
 	placed, err := state.place(ctx)
+	state.releaseHandle(state.unusedHandle)
 
 	w.mu.Lock()
 	defer w.mu.Unlock()
