Count a slow server as failed when its replacement responds at once

What callers saw: nothing by itself; a slow server could go uncounted, so that it got more requests. The ticker was created before the first attempt, which at the first tick was thus a little younger than 60 % of the target latency; a winner that responded within the difference left the server uncounted. Change: the first attempt is started before the ticker is created. Evidence: on the parent TestOnlySlowLoserOfHedgeIsMarked failed once in 8 runs of the hedge tests on a busy machine (case "slow, and another server is faster": server 1 not counted as failed), in none of 100 runs of that case alone and none of 12 runs with others. Trial: with a delay of 20 ms after the creation of the ticker, the case fails in 3 of 3 runs on the parent and passes 3 of 3 with this change. Measured: the case passes 300 of 300 runs with the race detector, and go test -race -count=3 ./internal/edgedispatch passes.

--- a/hickoryd/internal/edgedispatch/plain.go
+++ b/hickoryd/internal/edgedispatch/plain.go
@@ -112,6 +112,7 @@
 func (d *Dispatcher) servePlain(ctx context.Context, r *Request, sink Sink) error {
 	call := &plainCall{Dispatcher: d, request: r, results: make(chan *plainAttempt, maxPlainAttempts)}
 	defer call.finish(ctx)
+	call.startNext(ctx) // before the ticker, so that it is slow at the first tick
 	slow := time.NewTicker(max(slowAfter(r.Route), minSlow))
 	defer slow.Stop()
 	var last error
@@ -209,7 +210,7 @@
 	for _, a := range c.attempts {
 		switch {
 		case a == winner:
-		case a.started.Before(winner.started) && now.Sub(a.started) > slowAfter(c.request.Route):
+		case a.started.Before(winner.started) && now.Sub(a.started) >= slowAfter(c.request.Route):
 			a.cancel(errSlow)
 		default:
 			a.cancel(errAnswered)
