Take over a begun stream at its own software version only

What callers would have seen: events of a server of another version in a stream whose first server had sent its headers, or its first event at the very moment of the takeover (ORDER). Cause: a successor that is prepared before the response starts may have any version, and was used after the response had started. Change: the silence watch learns the version when the response starts; a successor of another version is discarded where it is set and where it is used. Measured: TestStreamKeepsItsSoftwareVersion, "silent after the headers", fails before (1:v2 2:v2 3:v2) and passes now with the race detector.

--- a/hickoryd/internal/edgedispatch/decode.go
+++ b/hickoryd/internal/edgedispatch/decode.go
@@ -127,6 +127,7 @@
 	if !g.isStarted {
 		g.isStarted = true
 		g.beginStream(server)
+		watch.begin(g.softwareVersion)
 		if err := g.sink.Start(response.StatusCode, platform.ResponseHeader(response.Header)); err != nil {
 			return fmt.Errorf("%w: %w", ErrTruncated, err)
 		}
@@ -157,7 +158,7 @@
 				return fmt.Errorf("%w: %w", ErrTruncated, err)
 			}
 		}
-		watch.observe(g.relay, g.softwareVersion)
+		watch.observe(g.relay)
 	}
 }
 
--- a/hickoryd/internal/edgedispatch/generation.go
+++ b/hickoryd/internal/edgedispatch/generation.go
@@ -190,6 +190,10 @@
 		return g.place(ctx)
 	}
 	g.successor = nil
+	if !g.allowsVersion(next.placement) {
+		g.discard(next.placement)
+		return g.place(ctx)
+	}
 	g.prefills, g.isPrefilled = next.state.prefills, next.state.isPrefilled
 	g.timing.reservedAt, g.timing.prefilledAt = next.state.timing.reservedAt, next.state.timing.prefilledAt
 	return next.placement, nil
--- a/hickoryd/internal/edgedispatch/origin.go
+++ b/hickoryd/internal/edgedispatch/origin.go
@@ -233,6 +233,12 @@
 	g.recordOrigin(streamorigin.Origin{RequestID: id, Service: g.request.Route.Service, SoftwareVersion: g.softwareVersion})
 }
 
+// allowsVersion reports whether the stream may go on at the server of a placement, which
+// may have been made before the response started.
+func (g *generation) allowsVersion(p placement) bool {
+	return g.softwareVersion == "" || p.held.server.SoftwareVersion == g.softwareVersion
+}
+
 // checkVersion returns a *Failure if the stream has a software version of which no server
 // is left that the request was not sent to.
 func (g *generation) checkVersion(servers []serverlist.Server) error {
--- a/hickoryd/internal/edgedispatch/silence.go
+++ b/hickoryd/internal/edgedispatch/silence.go
@@ -70,6 +70,17 @@
 	return w
 }
 
+// begin records that the response has started, so that the stream goes on at
+// softwareVersion.
+func (w *silenceWatch) begin(softwareVersion string) {
+	if w == nil {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.template.softwareVersion = softwareVersion
+}
+
 // suspend records that the server has sent an event. It ends a preparation in progress.
 // The watch goes on with observe, because the time that the caller takes to read is no
 // silence of the server.
@@ -84,9 +95,8 @@
 	w.timer.Stop()
 }
 
-// observe resumes the watch of the stream, which is at the position of relay and goes on
-// at softwareVersion.
-func (w *silenceWatch) observe(relay *eventstream.Relay, softwareVersion string) {
+// observe resumes the watch of the stream, which is at the position of relay.
+func (w *silenceWatch) observe(relay *eventstream.Relay) {
 	if w == nil {
 		return
 	}
@@ -95,7 +105,7 @@
 	if w.successor != nil {
 		return
 	}
-	w.relay, w.template.softwareVersion, w.isSuspended = *relay, softwareVersion, false
+	w.relay, w.isSuspended = *relay, false
 	w.timer.Reset(silenceTimeout)
 }
 
@@ -143,11 +153,14 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	switch {
-	case err == nil && ctx.Err() == nil:
+	case err == nil && ctx.Err() == nil && w.template.allowsVersion(placed):
 		w.successor = &successor{placed, state}
 		w.cancelAttempt(errSilent)
 	case err == nil:
 		state.discard(placed)
+		if ctx.Err() == nil {
+			w.timer.Reset(placementPause) // the response has started meanwhile, at another version
+		}
 	case ctx.Err() == nil && !errors.Is(err, context.DeadlineExceeded):
 		w.timer.Reset(placementPause)
 	}
--- a/hickoryd/internal/edgedispatch/version_test.go
+++ b/hickoryd/internal/edgedispatch/version_test.go
@@ -1,6 +1,7 @@
 package edgedispatch_test
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -163,15 +164,18 @@
 // software versions: it breaks off at one server, or the server stays silent, and other
 // versions have capacity.
 func TestStreamKeepsItsSoftwareVersion(t *testing.T) {
+	const noEvent = -1
 	tests := []struct {
 		name   string
-		end    http.HandlerFunc // of the first server's run, after event 2
+		last   int              // number of the last event of the first server's run; 0 is 2
+		end    http.HandlerFunc // of the first server's run, after that event
 		others []string         // versions of the other servers, the preferred one first
 		want   string
 		status int
 	}{
 		{name: "broken off", end: broken, others: []string{"v2", "v1"}, want: "1:v1 2:v1 3:v1", status: http.StatusOK},
 		{name: "silent", end: silent, others: []string{"v2", "v1"}, want: "1:v1 2:v1 3:v1", status: http.StatusOK},
+		{name: "silent after the headers", last: noEvent, end: silent, others: []string{"v2", "v1"}, want: "1:v1 2:v1 3:v1", status: http.StatusOK},
 		{name: "broken off without another server of the version", end: broken, others: []string{"v2", "v3"}, want: "1:v1 2:v1"},
 	}
 	for _, tt := range tests {
@@ -186,7 +190,7 @@
 				}
 				others = append(others, other)
 			}
-			first := startVersion(t, "first", "v1", 2, func(w http.ResponseWriter, r *http.Request) {
+			first := startVersion(t, "first", "v1", cmp.Or(tt.last, 2), func(w http.ResponseWriter, r *http.Request) {
 				list.set(append(others, list.Servers().Servers...))
 				tt.end(w, r)
 			})
