Place a resumed stream like one that has begun

What callers saw: a caller that resumed a stream was refused after a quarter of a second with most of its time left, or served 600 ms late. Found in review: few servers have the stream's version, and each resumption yielded to all new streams. Cause: the time that the stream had run before was taken for that of earlier attempts, so the request counted as a late retry. Change: a resumed stream waits for capacity like a stream that has begun, and teaches the detection of retries nothing. Measured: TestResumedStreamWaitsForCapacity fails before (503 after 243 ms) and passes now with the race detector.

--- a/hickoryd/internal/edgedispatch/dispatch.go
+++ b/hickoryd/internal/edgedispatch/dispatch.go
@@ -366,6 +366,9 @@
 // caller that retries has less of its timeout left than one at its first attempt,
 // and the difference is the time since the first attempt.
 func (d *Dispatcher) firstAttemptAt(r *Request) time.Time {
+	if r.Metadata.IsResumed {
+		return r.Arrived // how long a stream had run before says nothing about retries
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	estimator, ok := d.callerRetry[r.Route.Name]
--- a/hickoryd/internal/edgedispatch/reserve.go
+++ b/hickoryd/internal/edgedispatch/reserve.go
@@ -90,7 +90,7 @@
 func (g *generation) waitConditions() capacitywait.Request {
 	return capacitywait.Request{
 		FirstArrived: g.firstAttempt, Arrived: g.request.Arrived, Jitter: rand.Float64(), Deadline: g.request.Deadline, LatencyTarget: g.request.Route.LatencyTarget,
-		IsStreaming: g.isStarted,
+		IsStreaming: g.isStarted || g.request.Metadata.IsResumed,
 	}
 }
 
--- a/hickoryd/internal/edgedispatch/version_test.go
+++ b/hickoryd/internal/edgedispatch/version_test.go
@@ -353,3 +353,22 @@
 		t.Errorf("queried %v, want both hosts", peers.queried)
 	}
 }
+
+// TestResumedStreamWaitsForCapacity guards against a caller that resumes a stream and is
+// refused, or served late, as if it were a late retry that yields to new requests.
+func TestResumedStreamWaitsForCapacity(t *testing.T) {
+	t.Parallel()
+	var hasCapacity atomic.Bool
+	server := startDecodeServer(t, "s1", &hasCapacity, func(w http.ResponseWriter, _ *http.Request) { sendEvents(w, "3") })
+	server.SoftwareVersion = "v1"
+	list := &changingServers{}
+	list.set(servers{server})
+	d := newVersionDispatcher(t, list, &originPeers{finding: streamorigin.Finding{IsFound: true, SoftwareVersion: "v1"}})
+	const wait = time.Second // more than three target latencies
+	time.AfterFunc(wait, func() { hasCapacity.Store(true) })
+	started := time.Now()
+	status, got := resume(t, d, resumption{id: "r2", resumes: "r1", lastEvent: 2})
+	if took := time.Since(started); status != http.StatusOK || got != "3" || took > wait+wait/2 {
+		t.Errorf("status %d, events %q after %v; want event 3 soon after %v", status, got, took, wait)
+	}
+}
