Query the seeds for the origin of a stream while no other host is known

What callers saw: a host that had just started, while the registrations of the other hosts had lapsed, refused to resume streams, or went on with them at the only version that it listed (ORDER). Found in review. Cause: without a known host nobody was asked. Change: such a host queries the hosts that it queries at its start. Measured: TestCallerResumesAtSoftwareVersion, "this host knows no other host yet", fails before (event 3 of v2) and passes now with the race detector.

--- a/hickoryd/internal/edgedispatch/dispatch.go
+++ b/hickoryd/internal/edgedispatch/dispatch.go
@@ -72,8 +72,9 @@
 		ReportReplaced(ctx context.Context, server string)
 		// ReportOrigins reports the origins of streams to the host at address.
 		ReportOrigins(ctx context.Context, address netip.AddrPort, origins []streamorigin.Origin)
-		// FindOrigin returns what the hosts at addresses know of the origin of a stream. It
-		// returns an error if none responds.
+		// FindOrigin returns what the hosts at addresses know of the origin of a stream, or
+		// without addresses the hosts that a starting host queries. It returns an error if
+		// none responds.
 		FindOrigin(ctx context.Context, addresses []netip.AddrPort, requestID, service string, window time.Duration) (streamorigin.Finding, error)
 	}
 
--- a/hickoryd/internal/edgedispatch/origin.go
+++ b/hickoryd/internal/edgedispatch/origin.go
@@ -202,7 +202,7 @@
 	now, window := time.Now(), r.Route.Timeout+listLag
 	finding := d.FindOrigin(now, r.Metadata.ResumesID, r.Route.Service, window)
 	hosts := d.origins.homesOf(now, r.Metadata.ResumesID, originLookups, d.registry.Hosts(), d.options.Self)
-	if !finding.IsFound && len(hosts) > 0 {
+	if !finding.IsFound {
 		found, err := d.peers.FindOrigin(ctx, hosts, r.Metadata.ResumesID, r.Route.Service, window)
 		if err != nil && d.registry.IsStoreUnreachable() {
 			return "", errUnknownOrigin // this host's own server list may be out of date
--- a/hickoryd/internal/edgedispatch/version_test.go
+++ b/hickoryd/internal/edgedispatch/version_test.go
@@ -271,6 +271,7 @@
 		versions []string // of the servers, the preferred one first
 		finding  streamorigin.Finding
 		err      error
+		isAlone  bool // whether the list has no host but this one
 		status   int
 		want     string // events; "" for a refusal
 	}{
@@ -278,6 +279,7 @@
 		{name: "no server of the version is left", versions: []string{"v2", "v3"}, finding: streamorigin.Finding{IsFound: true, SoftwareVersion: "v1"}, status: http.StatusServiceUnavailable},
 		{name: "the origin is unknown and several versions serve", versions: []string{"v2", "v1"}, finding: streamorigin.Finding{IsMixed: true}, status: http.StatusServiceUnavailable},
 		{name: "the origin is unknown and no other host responds", versions: []string{"v2", "v1"}, err: unknown, status: http.StatusServiceUnavailable},
+		{name: "this host knows no other host yet", versions: []string{"v2"}, finding: streamorigin.Finding{IsFound: true, SoftwareVersion: "v1"}, isAlone: true, status: http.StatusServiceUnavailable},
 		{name: "the service has had one version only", versions: []string{"v1"}, finding: streamorigin.Finding{IsSole: true, SoleVersion: "v1"}, status: http.StatusOK, want: "3:v1"},
 		{name: "the service had another version only", versions: []string{"v2"}, finding: streamorigin.Finding{IsSole: true, SoleVersion: "v1"}, status: http.StatusServiceUnavailable},
 		{name: "all hosts have started again", versions: []string{"v1"}, status: http.StatusOK, want: "3:v1"},
@@ -295,7 +297,11 @@
 				all = append(all, s)
 			}
 			list.set(all)
-			d := newVersionDispatcher(t, list, &originPeers{finding: tt.finding, err: tt.err})
+			hosts := newHostList(list)
+			if tt.isAlone {
+				hosts.setHosts()
+			}
+			d := newHostDispatcher(t, hosts, &originPeers{finding: tt.finding, err: tt.err})
 			started := time.Now()
 			status, got := resume(t, d, from)
 			if status != tt.status || tt.want != "" && got != tt.want {
