Return a retry that reached no decode server to the budget

What callers saw: streams that ended for want of a retry although the budget's retries had reached no server. Found in review. Cause: the retry of a successor that was discarded, or of an attempt that was not sent, was not returned. Change: a placement keeps the time of its retry, and returns it when it is discarded or its request was not sent.

--- a/hickoryd/internal/edgedispatch/generation.go
+++ b/hickoryd/internal/edgedispatch/generation.go
@@ -13,6 +13,7 @@
 	"github.com/hickoryfront/hickoryfront/core/attempts"
 	"github.com/hickoryfront/hickoryfront/core/eventstream"
 	"github.com/hickoryfront/hickoryfront/core/route"
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/upstream"
 )
 
 const (
@@ -33,6 +34,8 @@
 	placement struct {
 		held   reservation
 		source kvHandle
+		// retriedAt is when a retry was taken for the attempt, or zero.
+		retriedAt time.Time
 	}
 
 	// generation is one request to model servers, with the state of its attempts.
@@ -180,7 +183,11 @@
 		return err
 	}
 	defer g.endRequest(placed.held.server.ID, placed.held.tokens)
-	return g.decode(ctx, placed.held, placed.source)
+	err = g.decode(ctx, placed.held, placed.source)
+	if errors.Is(err, upstream.ErrNotSent) {
+		g.returnUnused(placed)
+	}
+	return err
 }
 
 // nextPlacement returns the placement of the successor, or a new one if there is none.
@@ -213,11 +220,15 @@
 			g.discard(placement{held: placed.held})
 			continue
 		}
-		if g.isSent && !g.takeRetry(g.request) {
-			g.discard(placed)
-			return placement{}, errNoRetry
+		now := time.Now()
+		if g.isSent {
+			if !g.takeRetryAt(now, g.request) {
+				g.discard(placed)
+				return placement{}, errNoRetry
+			}
+			placed.retriedAt = now
 		}
-		g.timing.prefilledAt = time.Now()
+		g.timing.prefilledAt = now
 		return placed, nil
 	}
 }
@@ -246,4 +257,12 @@
 	g.endRequest(p.held.server.ID, p.held.tokens)
 	g.releaseReservation(p.held)
 	g.releaseHandle(p.source)
+	g.returnUnused(p)
+}
+
+// returnUnused returns the retry of a placement whose request reached no server.
+func (g *generation) returnUnused(p placement) {
+	if !p.retriedAt.IsZero() {
+		g.returnRetry(p.retriedAt, g.request)
+	}
 }
--- a/hickoryd/internal/edgedispatch/silence_test.go
+++ b/hickoryd/internal/edgedispatch/silence_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"strconv"
 	"strings"
@@ -310,3 +311,33 @@
 		})
 	}
 }
+
+// TestUnusedRetryIsReturned guards against a retry budget that is used up by attempts at
+// decode servers that were never reached.
+func TestUnusedRetryIsReturned(t *testing.T) {
+	t.Parallel()
+	var hasCapacity, thirdHasCapacity atomic.Bool
+	hasCapacity.Store(true)
+	first := startDecodeServer(t, "first", &hasCapacity, func(w http.ResponseWriter, r *http.Request) {
+		hasCapacity.Store(false)
+		eventsThenBreak("1")(w, r)
+	})
+	var second *httptest.Server
+	second = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		thirdHasCapacity.Store(true)
+		w.Header().Set("Connection", "close")
+		_, _ = io.WriteString(w, `{"hold":"h"}`)
+		second.Listener.Close() // the request can't be sent
+	}))
+	t.Cleanup(second.Close)
+	third := startDecodeServer(t, "third", &thirdHasCapacity, events("2", "3"))
+	third.FailureDomain = "elsewhere" // the first server is preferred
+	list := servers{first, {ID: "second", Service: "s", Stage: serverlist.Decode, Address: netip.MustParseAddrPort(second.Listener.Addr().String()), FailureDomain: "elsewhere"}, third}
+	d := newDispatcher(t, list, 100)
+	if status, body := send(t, d, resumable, callerTimeout); status != http.StatusOK || !isWhole(body) {
+		t.Fatalf("status %d, body %q", status, body)
+	}
+	if _, got := describe(d); got != 1 {
+		t.Errorf("%d retries in the budget, want 1: only the third server got the request again", got)
+	}
+}
