Take no unconfirmed server list for the history of software versions

Found in review. Cause: an unchanged list was added to the history every second, whether or not the store or another host had confirmed it, and the only listed version was taken for the stream's. Change: while the store does not respond, an unchanged list adds nothing to the history, which then has a gap and names no sole version, and the list does not stand in for an unknown origin. Origins that are reported when a service becomes mixed are reported in the background.

--- a/hickoryd/internal/edgedispatch/dispatch.go
+++ b/hickoryd/internal/edgedispatch/dispatch.go
@@ -238,13 +238,9 @@
 	return budget
 }
 
-// takeRetry takes one retry from the budget of the request's service. It reports
+// takeRetry takes one retry at now from the budget of the request's service. It reports
 // false if the budget is used up.
-func (d *Dispatcher) takeRetry(r *Request) bool {
-	return d.takeRetryAt(time.Now(), r)
-}
-
-func (d *Dispatcher) takeRetryAt(now time.Time, r *Request) bool {
+func (d *Dispatcher) takeRetry(now time.Time, r *Request) bool {
 	hosts := d.registry.HostCount()
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -301,8 +297,8 @@
 // the state kept for servers that are no longer listed.
 func (d *Dispatcher) servers() []serverlist.Server {
 	snapshot := d.registry.Servers()
-	if toReport := d.origins.observe(time.Now(), snapshot, d.registry.Hosts()); len(toReport) > 0 {
-		d.reportOrigins(toReport)
+	if toReport := d.origins.observe(time.Now(), snapshot, d.registry.Hosts(), d.registry.IsStoreUnreachable()); len(toReport) > 0 {
+		go d.runReportOrigins(toReport) // choosing the hosts for many origins takes long
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/hickoryd/internal/edgedispatch/generation.go
+++ b/hickoryd/internal/edgedispatch/generation.go
@@ -222,7 +222,7 @@
 		}
 		now := time.Now()
 		if g.isSent {
-			if !g.takeRetryAt(now, g.request) {
+			if !g.takeRetry(now, g.request) {
 				g.discard(placed)
 				return placement{}, errNoRetry
 			}
--- a/hickoryd/internal/edgedispatch/origin.go
+++ b/hickoryd/internal/edgedispatch/origin.go
@@ -74,10 +74,13 @@
 
 // observe adds the server list to the history and keeps the list of hosts. It returns the origins that have to be
 // reported, because their services have several software versions for the first time.
-func (o *origins) observe(now time.Time, snapshot *registry.Snapshot, hosts []netip.AddrPort) []streamorigin.Origin {
+//
+// isUnconfirmed is set if the store does not respond to this host. An unchanged list then
+// shows nothing; a changed one comes from other hosts.
+func (o *origins) observe(now time.Time, snapshot *registry.Snapshot, hosts []netip.AddrPort, isUnconfirmed bool) []streamorigin.Origin {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if snapshot.Version == o.observed && now.Sub(o.observedAt) < observePeriod {
+	if snapshot.Version == o.observed && (isUnconfirmed || now.Sub(o.observedAt) < observePeriod) {
 		return nil
 	}
 	o.observed, o.observedAt = snapshot.Version, now
@@ -182,6 +185,11 @@
 	}
 }
 
+// runReportOrigins reports the origins of the streams of a service that has become mixed.
+func (d *Dispatcher) runReportOrigins(toReport []streamorigin.Origin) {
+	d.reportOrigins(toReport)
+}
+
 // reportOrigins reports origins to the hosts that hold them.
 func (d *Dispatcher) reportOrigins(toReport []streamorigin.Origin) {
 	now, hosts := time.Now(), d.registry.Hosts()
@@ -209,7 +217,11 @@
 		}
 		finding = finding.Merge(found)
 	}
-	version, ok := finding.Resolve(versionsOf(d.servers(), r.Route.Service))
+	var listed []string
+	if !d.registry.IsStoreUnreachable() {
+		listed = versionsOf(d.servers(), r.Route.Service)
+	}
+	version, ok := finding.Resolve(listed)
 	d.logger.WithFields(r.logFields()).WithFields(log.Fields{
 		"resumes": r.Metadata.ResumesID, "softwareVersion": version, "known": ok, "found": finding.IsFound, "mixed": finding.IsMixed,
 	}).Info("stream resumed by its caller")
--- a/hickoryd/internal/edgedispatch/plain.go
+++ b/hickoryd/internal/edgedispatch/plain.go
@@ -175,7 +175,7 @@
 // countSend counts an attempt that is sent at now, and takes a retry from the budget unless
 // it is the only one that may reach a server. It reports false if the budget is used up.
 func (c *plainCall) countSend(now time.Time) bool {
-	if len(c.sent) > 0 && !c.takeRetryAt(now, c.request) {
+	if len(c.sent) > 0 && !c.takeRetry(now, c.request) {
 		return false
 	}
 	c.sent = append(c.sent, now)
--- a/hickoryd/internal/edgedispatch/version_test.go
+++ b/hickoryd/internal/edgedispatch/version_test.go
@@ -43,7 +43,8 @@
 	// hostList is a list of backend servers and hosts.
 	hostList struct {
 		*changingServers
-		hosts *atomic.Pointer[[]netip.AddrPort]
+		hosts         *atomic.Pointer[[]netip.AddrPort]
+		isUnreachable *atomic.Bool
 	}
 
 	// resumption is a caller's request that resumes a stream.
@@ -54,7 +55,7 @@
 )
 
 func newHostList(list *changingServers) hostList {
-	l := hostList{list, &atomic.Pointer[[]netip.AddrPort]{}}
+	l := hostList{list, &atomic.Pointer[[]netip.AddrPort]{}, &atomic.Bool{}}
 	l.setHosts("127.0.0.1:1", "127.0.0.2:1")
 	return l
 }
@@ -69,6 +70,8 @@
 
 func (l hostList) Hosts() []netip.AddrPort { return *l.hosts.Load() }
 
+func (l hostList) IsStoreUnreachable() bool { return l.isUnreachable.Load() }
+
 func (p *originPeers) ReportOrigins(_ context.Context, _ netip.AddrPort, origins []streamorigin.Origin) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -272,6 +275,7 @@
 		finding  streamorigin.Finding
 		err      error
 		isAlone  bool // whether the list has no host but this one
+		isCutOff bool // whether the store does not respond to this host
 		status   int
 		want     string // events; "" for a refusal
 	}{
@@ -282,6 +286,7 @@
 		{name: "this host knows no other host yet", versions: []string{"v2"}, finding: streamorigin.Finding{IsFound: true, SoftwareVersion: "v1"}, isAlone: true, status: http.StatusServiceUnavailable},
 		{name: "the service has had one version only", versions: []string{"v1"}, finding: streamorigin.Finding{IsSole: true, SoleVersion: "v1"}, status: http.StatusOK, want: "3:v1"},
 		{name: "the service had another version only", versions: []string{"v2"}, finding: streamorigin.Finding{IsSole: true, SoleVersion: "v1"}, status: http.StatusServiceUnavailable},
+		{name: "no host knows it and the list may be out of date", versions: []string{"v1"}, isCutOff: true, status: http.StatusServiceUnavailable},
 		{name: "all hosts have started again", versions: []string{"v1"}, status: http.StatusOK, want: "3:v1"},
 	}
 	for _, tt := range tests {
@@ -301,6 +306,7 @@
 			if tt.isAlone {
 				hosts.setHosts()
 			}
+			hosts.isUnreachable.Store(tt.isCutOff)
 			d := newHostDispatcher(t, hosts, &originPeers{finding: tt.finding, err: tt.err})
 			started := time.Now()
 			status, got := resume(t, d, from)
