--- a/core/attempts/attempts.go
+++ b/core/attempts/attempts.go
@@ -18,7 +18,7 @@
 )
 
 type (
-	// Outcome is how an attempt ended without completing the request.
+	// Outcome is how an attempt ended.
 	Outcome int
 
 	// Rule is what the route of a request allows.
--- a/core/streamorigin/finding.go
+++ b/core/streamorigin/finding.go
@@ -1,6 +1,7 @@
 package streamorigin
 
-// Finding is what hosts know about the software version at which a stream may go on.
+// Finding is what hosts know about the software version at which a stream may go on. In
+// the zero value nothing is known.
 type Finding struct {
 	// IsFound is set if the origin of the stream is known. SoftwareVersion is the
 	// version that began it.
--- a/hickoryd/internal/edgedispatch/decode.go
+++ b/hickoryd/internal/edgedispatch/decode.go
@@ -165,8 +165,8 @@
 // recordEvent records an event of server that is sent to the caller at now.
 func (g *generation) recordEvent(now time.Time, server serverlist.Server) {
 	g.timing.recordEvent(now)
-	if !slices.Contains(g.softwareVersions, server.SoftwareVersion) {
-		g.softwareVersions = append(g.softwareVersions, server.SoftwareVersion)
+	if !slices.Contains(g.sentVersions, server.SoftwareVersion) {
+		g.sentVersions = append(g.sentVersions, server.SoftwareVersion)
 	}
 }
 
--- a/hickoryd/internal/edgedispatch/generation.go
+++ b/hickoryd/internal/edgedispatch/generation.go
@@ -58,11 +58,11 @@
 		// silences is the number of attempts that were given up because the server sent
 		// no event.
 		silences int
-		// softwareVersion is the one that began the stream, at which it must go on, or "" if
-		// no response has started.
+		// softwareVersion is the one at which the stream must go on: that of the server whose
+		// response has started, or of the stream that the caller resumes. Before that it is "".
 		softwareVersion string
-		// softwareVersions are those of the servers whose events the caller has received.
-		softwareVersions []string
+		// sentVersions are the software versions of the servers whose events the caller has received.
+		sentVersions []string
 		// prefills is the number of prompts sent to prefill servers.
 		prefills int
 		// unusedHandle is a KV cache that the decode server did not fetch.
--- a/hickoryd/internal/edgedispatch/timing.go
+++ b/hickoryd/internal/edgedispatch/timing.go
@@ -34,12 +34,12 @@
 		return at.Sub(g.request.Arrived).Round(time.Millisecond).String()
 	}
 	r := g.request.Metadata
-	if len(g.softwareVersions) > 1 {
+	if len(g.sentVersions) > 1 {
 		g.counters.mixed.Inc()
 	}
 	g.logger.WithFields(g.request.logFields()).WithFields(log.Fields{
 		"promptTokens": r.PromptTokens, "maxOutputTokens": r.MaxOutputTokens, "outputHint": r.OutputHint,
-		"resumes": r.ResumesID, "resumesAfter": r.LastEventID, "softwareVersions": g.softwareVersions,
+		"resumes": r.ResumesID, "resumesAfter": r.LastEventID, "softwareVersions": g.sentVersions,
 		"servers": g.tried, "runs": g.history.Runs(), "silences": g.silences, "prefills": g.prefills, "events": g.timing.events,
 		"askedBefore": g.request.Arrived.Sub(g.firstAttempt).Round(time.Millisecond).String(),
 		"room":        since(g.timing.reservedAt), "prompt": since(g.timing.prefilledAt), "first": since(g.timing.firstAt), "last": since(g.timing.lastAt),
--- a/hickorylab/edgesoak/replacement_test.go
+++ b/hickorylab/edgesoak/replacement_test.go
@@ -61,9 +61,8 @@
 // TestRollingReplacement guards against streams that lose, repeat or exchange events or
 // join those of two versions of a server's software, against streams that do not go on
 // although servers of their version serve, and against requests that run twice or are
-// lost, while servers with a new version of their
-// software replace the others one by one, servers crash, and callers take broken streams
-// up again. Seeds are set as for TestSoak.
+// lost, while servers with a new version of their software replace the others one by one,
+// servers crash, and callers take broken streams up again. Seeds are set as for TestSoak.
 func TestRollingReplacement(t *testing.T) {
 	t.Parallel()
 	for seed := range numberFromEnvironment(seedsVariable, 1) {
