Correct comments on silent streams and origins

Cause: the comment on the silence timeout held for one target latency only, and two comments were badly wrapped. Change: comments only.

--- a/hickoryd/internal/edgedispatch/origin.go
+++ b/hickoryd/internal/edgedispatch/origin.go
@@ -72,8 +72,9 @@
 	}
 }
 
-// observe adds the server list to the history and keeps the list of hosts. It returns the origins that have to be
-// reported, because their services have several software versions for the first time.
+// observe adds the server list to the history and keeps the list of hosts. It returns the
+// origins that have to be reported, because their services have several software versions
+// for the first time.
 //
 // isUnconfirmed is set if the store does not respond to this host. An unchanged list then
 // shows nothing; a changed one comes from other hosts.
--- a/hickoryd/internal/edgedispatch/silence.go
+++ b/hickoryd/internal/edgedispatch/silence.go
@@ -13,7 +13,7 @@
 const (
 	// silenceTimeout is the time without an event after which another server is prepared
 	// to resume a resumable stream. It is longer than the pauses of sound servers, and
-	// leaves half of the time after which callers abandon a stream: four target latencies.
+	// shorter than the two seconds after which the least patient callers abandon a stream.
 	silenceTimeout = 1800 * time.Millisecond
 	// placementPause is the time between two attempts to prepare another server.
 	placementPause = 150 * time.Millisecond
--- a/hickoryd/internal/edgehost/client.go
+++ b/hickoryd/internal/edgehost/client.go
@@ -171,8 +171,8 @@
 // FindOrigin queries the hosts at addresses for the origin of the stream that began in
 // a caller's attempt, and for the software versions of its service during the window
 // before now. Without addresses it queries all other hosts that are known, or the seeds.
-// It returns as soon as one host has found the origin, and otherwise the
-// merged responses of the hosts that responded in time.
+// It returns as soon as one host has found the origin, and otherwise the merged responses
+// of the hosts that responded in time.
 func (c *Client) FindOrigin(ctx context.Context, addresses []netip.AddrPort, requestID, service string, window time.Duration) (streamorigin.Finding, error) {
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
