Log failed reads of the configuration, and export its version

A read or watch of the configuration that failed left no line, so that the logs of the incident can't tell a time limit from a canceled watch. New metrics: hickoryfront_configuration_version and hickoryfront_configuration_read_failures_total.

--- a/hickoryd/internal/registry/follow.go
+++ b/hickoryd/internal/registry/follow.go
@@ -7,6 +7,8 @@
 	"net/netip"
 	"time"
 
+	"github.com/apex/log"
+
 	"github.com/hickoryfront/hickoryfront/core/serverlist"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/timing"
 	"github.com/hickoryfront/hickoryfront/platform"
@@ -182,10 +184,15 @@
 			after = 0 // read the document again: the watch may have missed changes
 			continue
 		}
+		started := time.Now()
 		next, err := r.syncConfiguration(ctx, after, changed)
-		if err != nil && ctx.Err() == nil && !isClosed(changed) {
-			r.failures.Inc()
-			_ = timing.Sleep(ctx, retryDelay+rand.N(retryDelay)) // the loop condition checks ctx
+		if err != nil && ctx.Err() == nil {
+			r.logConfigurationFailure(err, after, isClosed(changed), time.Since(started))
+			if !isClosed(changed) {
+				r.failures.Inc()
+				r.configurationFailures.Inc()
+				_ = timing.Sleep(ctx, retryDelay+rand.N(retryDelay)) // the loop condition checks ctx
+			}
 		}
 		after = next
 	}
@@ -223,6 +230,20 @@
 	return nextRevision(page.Items, after), nil
 }
 
+// logConfigurationFailure logs that a read of the document, or a watch if after is not 0,
+// has failed. It is no fault if this host has canceled the call, or if the operators have
+// not written the document yet.
+func (r *Registry) logConfigurationFailure(err error, after uint64, isCanceled bool, took time.Duration) {
+	entry := r.logger.WithError(err).WithFields(log.Fields{
+		"version": r.version(), "isWatch": after != 0, "isCanceled": isCanceled, "took": took.Round(time.Millisecond).String(),
+	})
+	if isCanceled || errors.Is(err, platform.ErrNotFound) {
+		entry.Info("configuration not read; reading it again")
+		return
+	}
+	entry.Warn("can't read the configuration; reading it again")
+}
+
 func isClosed(channel <-chan struct{}) bool {
 	select {
 	case <-channel:
--- a/hickoryd/internal/registry/registry.go
+++ b/hickoryd/internal/registry/registry.go
@@ -94,9 +94,11 @@
 		// loggedKeys are the keys of invalid entries that were logged already.
 		loggedKeys map[string]bool
 
-		calls     *metrics.Counter
-		failures  *metrics.Counter
-		peerCalls *metrics.Counter
+		calls    *metrics.Counter
+		failures *metrics.Counter
+		// configurationFailures is the part of failures that concerns the configuration.
+		configurationFailures *metrics.Counter
+		peerCalls             *metrics.Counter
 	}
 )
 
@@ -105,10 +107,12 @@
 	r := &Registry{
 		options: options, store: store, peers: peers, logger: logger,
 		list: serverlist.NewList(), changed: make(chan struct{}), loggedKeys: make(map[string]bool),
-		calls:     set.NewCounter(`hickoryfront_store_calls_total`),
-		failures:  set.NewCounter(`hickoryfront_store_failures_total`),
-		peerCalls: set.NewCounter(`hickoryfront_store_peer_fetches_total`),
+		calls:                 set.NewCounter(`hickoryfront_store_calls_total`),
+		failures:              set.NewCounter(`hickoryfront_store_failures_total`),
+		configurationFailures: set.NewCounter(`hickoryfront_configuration_read_failures_total`),
+		peerCalls:             set.NewCounter(`hickoryfront_store_peer_fetches_total`),
 	}
+	set.NewGauge(`hickoryfront_configuration_version`, func() float64 { return float64(r.version()) })
 	r.snapshot.Store(&Snapshot{})
 	return r
 }
