Call the store from the host's own address

The soak's fault "the store refuses the calls of one host" never had an effect: a host called the store from an address that the kernel chose (127.0.0.1 in the test), while the stand-in tells callers apart by their addresses. On a host with several addresses the calls could also take another path than those of its peers and backend servers, which use the host's own address already.

--- a/hickoryd/internal/edge/wiring.go
+++ b/hickoryd/internal/edge/wiring.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
+	"net/netip"
 	"runtime/debug"
 	"time"
 
@@ -77,7 +79,9 @@
 }
 
 func newStore(s Settings) *platform.Store {
+	dialer := &net.Dialer{LocalAddr: net.TCPAddrFromAddrPort(netip.AddrPortFrom(s.Peer.Addr(), 0))}
 	transport := &http.Transport{
+		DialContext:         dialer.DialContext,
 		MaxIdleConnsPerHost: storeConnections, IdleConnTimeout: 30 * time.Second, DisableCompression: true,
 		ReadBufferSize: 2 << 10, WriteBufferSize: 1 << 10,
 	}
--- a/hickorylab/edgesoak/state_test.go
+++ b/hickorylab/edgesoak/state_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"github.com/hickoryfront/hickoryfront/core/hoststate"
+	"github.com/hickoryfront/hickoryfront/hickorylab/metastore"
 )
 
 // TestState guards against a host state report without the configuration, servers or
@@ -38,3 +39,17 @@
 	}
 	return s
 }
+
+// TestStoreRefusesOneHost guards against a fault of the soak that has no effect: the store
+// tells the hosts apart by the addresses from which they call.
+func TestStoreRefusesOneHost(t *testing.T) {
+	t.Parallel()
+	e := startEnvironment(t, retrySlacks[0])
+	e.store.SetMode(e.hostAddress(1), metastore.Refuse)
+	e.await("the host has detected that the store refuses its calls", func() bool { return e.state(1).Store.IsUnreachable })
+	for _, i := range []int{0, 2} {
+		if e.state(i).Store.IsUnreachable {
+			t.Errorf("host %d can't reach the store, though only host 1 is refused", i)
+		}
+	}
+}
