--- a/hickoryd/internal/registry/registry_test.go
+++ b/hickoryd/internal/registry/registry_test.go
@@ -27,6 +27,9 @@
 // speed.
 const testTimeout = 20 * time.Second
 
+// storeTimeout is the setting of the hosts.
+const storeTimeout = time.Second
+
 // store is a fake platform store whose contents and failures a test sets.
 type store struct {
 	mu sync.Mutex
@@ -36,9 +39,15 @@
 	version           int
 	servers           map[string]string // state by ID
 	isWatchEmpty      bool              // watches return no events
+	isWatchLive       bool              // a watch of the configuration returns its changes
 	calls             int
 	configRevision    uint64 // revision of the configuration; 0: the newest
 	isDown            bool
+	documentTime      time.Duration // how long the configuration takes to arrive
+	// transfers is the number of configurations of which a part has been sent. With
+	// isListStarved, calls that concern the servers are refused meanwhile.
+	transfers     int
+	isListStarved bool
 }
 
 func (s *store) set(f func()) {
@@ -47,6 +56,12 @@
 	f()
 }
 
+func (s *store) currentVersion() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.version
+}
+
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -57,7 +72,7 @@
 	}
 	switch path.Base(r.URL.Path) {
 	case "kv-key":
-		write(w, map[string]any{"key": "op/config", "value": encode(map[string]any{"version": s.version}), "revision": cmp.Or(s.configRevision, s.revision), "at": s.revision})
+		s.writeDocument(w, r, s.configuration())
 	case "kv-range":
 		write(w, map[string]any{"items": s.items(r.URL.Query().Get("path-prefix")), "at": s.revision})
 	case "kv-watch":
@@ -75,11 +90,14 @@
 		return
 	}
 	isServers := r.URL.Query().Get("path-prefix") == "servers/"
+	if isServers && s.isListStarved && s.transfers > 0 {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	if s.isWatchEmpty || after >= s.revision || !isServers {
-		if !isServers { // a watch of the configuration without events waits
-			s.mu.Unlock()
-			<-r.Context().Done()
-			s.mu.Lock()
+		if !isServers && s.awaitChange(r, after) { // a watch of the configuration without events waits
+			s.writeDocument(w, r, map[string]any{"events": []any{s.configuration()}, "at": s.revision})
+			return
 		}
 		write(w, map[string]any{"events": []any{}, "at": s.revision})
 		return
@@ -87,6 +105,53 @@
 	write(w, map[string]any{"events": s.items("servers/"), "at": s.revision})
 }
 
+// awaitChange waits until a watch of the configuration has an event, and reports false if
+// the caller disconnects before. The caller holds mu.
+func (s *store) awaitChange(r *http.Request, after uint64) bool {
+	for !s.isWatchLive || after >= s.revision {
+		s.mu.Unlock()
+		select {
+		case <-r.Context().Done():
+			s.mu.Lock()
+			return false
+		case <-time.After(5 * time.Millisecond):
+			s.mu.Lock()
+		}
+	}
+	return true
+}
+
+// writeDocument writes a response with the configuration, a part of it now and then so that
+// it is complete after documentTime. The caller holds mu.
+func (s *store) writeDocument(w http.ResponseWriter, r *http.Request, body any) {
+	if s.documentTime == 0 {
+		write(w, body)
+		return
+	}
+	const parts = 20
+	pause := s.documentTime / parts
+	s.mu.Unlock()
+	text := encode(body)
+	for i := range parts {
+		_, _ = w.Write(text[len(text)*i/parts : len(text)*(i+1)/parts]) // the caller may have disconnected
+		_ = http.NewResponseController(w).Flush()
+		if i == 0 {
+			s.set(func() { s.transfers++ })
+			defer func() { s.transfers-- }()
+		}
+		select {
+		case <-r.Context().Done():
+		case <-time.After(pause):
+		}
+	}
+	s.mu.Lock()
+}
+
+// configuration returns the key of the configuration. The caller holds mu.
+func (s *store) configuration() map[string]any {
+	return map[string]any{"key": "op/config", "value": encode(map[string]any{"version": s.version}), "revision": cmp.Or(s.configRevision, s.revision), "at": s.revision}
+}
+
 func (s *store) items(prefix string) []any {
 	items := []any{}
 	for id, state := range s.servers {
@@ -128,7 +193,7 @@
 	t.Cleanup(server.Close)
 	logger := &log.Logger{Handler: discard.New(), Level: log.InfoLevel}
 	address := netip.MustParseAddrPort(server.Listener.Addr().String())
-	r := registry.New(registry.Options{Poll: 20 * time.Millisecond, Timeout: time.Second},
+	r := registry.New(registry.Options{Poll: 20 * time.Millisecond, Timeout: storeTimeout},
 		platform.NewStore(http.DefaultClient, address), p, logger, metrics.NewSet())
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
@@ -261,3 +326,33 @@
 		t.Error("not ready with one valid server")
 	}
 }
+
+// A configuration may take longer to arrive than the store may take to respond. If the time
+// limit held for the whole response, a host with a slow link would never have it in force.
+func TestLargeConfigurationOverSlowLink(t *testing.T) {
+	tests := []struct {
+		name    string
+		isFirst bool // the slow configuration is the first one
+		change  func(s *store)
+	}{
+		{name: "at the start", isFirst: true, change: func(*store) {}},
+		{name: "change after a compaction", change: func(s *store) { s.version, s.revision, s.history = 2, 7, 7 }},
+		{name: "change during a watch", change: func(s *store) { s.version, s.revision, s.isWatchLive = 2, 7, true }},
+		{name: "the server list fails meanwhile", change: func(s *store) { s.version, s.revision, s.isWatchLive, s.isListStarved = 2, 7, true, true }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			s := &store{revision: 5, version: 1, servers: map[string]string{"a": "ready"}}
+			if tt.isFirst {
+				s.documentTime = 2 * storeTimeout
+			}
+			r := start(t, s, &peers{})
+			s.set(func() {
+				s.documentTime = 2 * storeTimeout
+				tt.change(s)
+			})
+			await(t, "the configuration is in force", func() bool { return int(r.Table().Version()) == s.currentVersion() })
+		})
+	}
+}
--- a/hickorylab/metastore/metastore.go
+++ b/hickorylab/metastore/metastore.go
@@ -44,6 +44,7 @@
 		ttls      map[uint64]time.Duration
 		changed   chan struct{}
 		modes     map[netip.Addr]Mode
+		links     map[netip.Addr]*link
 		calls     int
 	}
 
@@ -71,7 +72,7 @@
 func New() *Store {
 	return &Store{
 		revision: 1, items: make(map[string]item), leases: make(map[uint64]time.Time), ttls: make(map[uint64]time.Duration),
-		changed: make(chan struct{}), modes: make(map[netip.Addr]Mode),
+		changed: make(chan struct{}), modes: make(map[netip.Addr]Mode), links: make(map[netip.Addr]*link),
 	}
 }
 
@@ -83,6 +84,14 @@
 	s.modes[caller] = mode
 }
 
+// SetLink sets the bandwidth of the link over which responses are sent to an address.
+// Without it the link has no limit.
+func (s *Store) SetLink(caller netip.Addr, bytesPerSecond int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.links[caller] = &link{bytesPerSecond: bytesPerSecond}
+}
+
 // Put writes a key with a JSON value and returns the new revision.
 func (s *Store) Put(key string, value any) uint64 {
 	text, err := json.Marshal(value)
@@ -119,7 +128,7 @@
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	s.calls++
-	mode := s.modeOf(r)
+	mode, link := s.modeOf(r), s.linkOf(r)
 	s.mu.Unlock()
 	switch mode {
 	case Refuse:
@@ -129,6 +138,17 @@
 		<-r.Context().Done()
 		return
 	}
+	if link == nil {
+		s.serve(w, r)
+		return
+	}
+	response := newBufferedResponse()
+	s.serve(response, r)
+	link.send(r.Context(), w, response)
+}
+
+// serve processes a call.
+func (s *Store) serve(w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
 	path := strings.TrimPrefix(r.URL.Path, "/hickoryfront/")
 	name, argument, _ := strings.Cut(path, "/")
@@ -150,6 +170,14 @@
 	}
 }
 
+func (s *Store) linkOf(r *http.Request) *link {
+	caller, err := netip.ParseAddrPort(r.RemoteAddr)
+	if err != nil {
+		return nil
+	}
+	return s.links[caller.Addr()]
+}
+
 func (s *Store) modeOf(r *http.Request) Mode {
 	if caller, err := netip.ParseAddrPort(r.RemoteAddr); err == nil {
 		if mode, ok := s.modes[caller.Addr()]; ok {
