Limit a call of the store by its progress, not by its total time

Cause: store.timeout (500 ms) limited the whole response. Version 21 is 1.04 MB on the wire and takes 0.7 to 1.6 s over a link of 10 Mbit/s, so each read was cut off after about 570 KB and began anew, for ever, and kept the link full meanwhile. A watch only helps while more of its 25 s is left than the document takes; and a poll of the server list that failed canceled the watch during the transfer.

internal/idletimeout cancels a call that makes no progress for store.timeout. The registry cancels a watch only while it waits, and limits a call as a whole to 30 s.

--- a/hickoryd/internal/edge/settings.go
+++ b/hickoryd/internal/edge/settings.go
@@ -107,7 +107,7 @@
 		setting.Bind("listen", "operator", "", "address of metrics and status", setting.AddrPort(&s.Operator)),
 		setting.Bind("store", "address", "", "address of the platform's store", setting.AddrPort(&s.Store)),
 		setting.Bind("store", "drainTimeout", "2s", "time after the start of a backend server's drain within which hosts must stop sending it new requests", setting.Duration(&s.DrainTimeout)),
-		setting.Bind("store", "timeout", "500ms", "longest wait for a response of the store", setting.Duration(&s.StoreTimeout)),
+		setting.Bind("store", "timeout", "500ms", "longest time without progress of a call to the store", setting.Duration(&s.StoreTimeout)),
 		setting.Bind("peers", "seeds", "", "addresses of other hosts to query while no other host is known", setting.AddrPorts(&s.Seeds)),
 		setting.Bind("repeats", "ratio", "0.2", "retries to a service for each request, of all hosts together", setting.Number(&s.RetryRatio)),
 		setting.Bind("repeats", "slack", "20", "retries to a service in 10 s in addition to ratio, of all hosts together", setting.Number(&s.RetrySlack)),
--- a/hickoryd/internal/edge/wiring.go
+++ b/hickoryd/internal/edge/wiring.go
@@ -18,6 +18,7 @@
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/edgedispatch"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/edgehost"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/edgeorder"
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/idletimeout"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/registry"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/upstream"
 	"github.com/hickoryfront/hickoryfront/platform"
@@ -85,7 +86,7 @@
 		MaxIdleConnsPerHost: storeConnections, IdleConnTimeout: 30 * time.Second, DisableCompression: true,
 		ReadBufferSize: 2 << 10, WriteBufferSize: 1 << 10,
 	}
-	return platform.NewStore(&http.Client{Transport: transport}, s.Store)
+	return platform.NewStore(&http.Client{Transport: idletimeout.NewTransport(transport, s.StoreTimeout)}, s.Store)
 }
 
 func newPeers(s Settings, logger log.Interface) *edgehost.Client {
--- a/hickoryd/internal/registry/follow.go
+++ b/hickoryd/internal/registry/follow.go
@@ -10,6 +10,7 @@
 	"github.com/apex/log"
 
 	"github.com/hickoryfront/hickoryfront/core/serverlist"
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/idletimeout"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/timing"
 	"github.com/hickoryfront/hickoryfront/platform"
 )
@@ -33,6 +34,9 @@
 	hostLease = 60 * time.Second
 	// renewPeriod is the time between two renewals of hostLease.
 	renewPeriod = 15 * time.Second
+	// maxCallTime limits a call of the store as a whole, without the wait of a watch. The
+	// store's client cancels a call that makes no progress much earlier.
+	maxCallTime = 30 * time.Second
 	// retryDelay is the minimum time before RunConfiguration retries a failed call.
 	retryDelay = 500 * time.Millisecond
 )
@@ -69,7 +73,7 @@
 	r.mu.Lock()
 	after := r.list.Revision()
 	r.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, r.options.Timeout)
+	ctx, cancel := context.WithTimeout(ctx, maxCallTime)
 	defer cancel()
 	r.calls.Inc()
 	page, err := r.store.Watch(ctx, platform.ServersPrefix, after, noWatchWait)
@@ -134,7 +138,7 @@
 
 // readPage reads one page of the keys with a prefix.
 func (r *Registry) readPage(ctx context.Context, prefix, after string, allowStale bool) (platform.Page, error) {
-	ctx, cancel := context.WithTimeout(ctx, r.options.Timeout)
+	ctx, cancel := context.WithTimeout(ctx, maxCallTime)
 	defer cancel()
 	r.calls.Inc()
 	return r.store.Range(ctx, prefix, after, allowStale)
@@ -199,16 +203,18 @@
 }
 
 // syncConfiguration reads the document if after is 0, and otherwise waits for a
-// newer document. It ends early when changed is closed. It returns the revision
-// from which the next call continues.
+// newer document. It ends early when changed is closed, unless the document is arriving.
+// It returns the revision from which the next call continues.
 func (r *Registry) syncConfiguration(ctx context.Context, after uint64, changed <-chan struct{}) (uint64, error) {
 	wait := watchWait
 	if after == 0 {
 		wait = 0
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait+r.options.Timeout)
+	ctx, cancel := context.WithTimeout(ctx, wait+maxCallTime)
 	defer cancel()
-	go r.cancelWhenClosed(ctx, cancel, changed)
+	started := make(chan struct{})
+	go r.cancelWhenClosed(ctx, cancel, changed, started)
+	ctx = idletimeout.WithWait(ctx, wait, func() { close(started) })
 	r.calls.Inc()
 	if after == 0 {
 		page, err := r.store.Get(ctx, platform.ConfigurationKey)
@@ -253,12 +259,16 @@
 	}
 }
 
-// cancelWhenClosed cancels a call when changed is closed. It returns when ctx ends.
-func (r *Registry) cancelWhenClosed(ctx context.Context, cancel context.CancelFunc, changed <-chan struct{}) {
+// cancelWhenClosed cancels a call when changed is closed, unless started was closed
+// before. It returns when ctx ends.
+func (r *Registry) cancelWhenClosed(ctx context.Context, cancel context.CancelFunc, changed, started <-chan struct{}) {
 	select {
 	case <-ctx.Done():
+	case <-started:
 	case <-changed:
-		cancel()
+		if !isClosed(started) {
+			cancel()
+		}
 	}
 }
 
--- a/hickoryd/internal/registry/registry.go
+++ b/hickoryd/internal/registry/registry.go
@@ -60,7 +60,8 @@
 		// Poll is the minimum time between two reads of the registrations. It is
 		// halved while the store does not respond.
 		Poll time.Duration
-		// Timeout bounds a call of the store, without the wait of a watch.
+		// Timeout is the time without progress after which the store's client cancels a
+		// call. Registering this host may take three times as long.
 		Timeout time.Duration
 	}
 
--- a/hickoryd/internal/registry/registry_test.go
+++ b/hickoryd/internal/registry/registry_test.go
@@ -19,6 +19,7 @@
 	"github.com/apex/log/handlers/discard"
 
 	"github.com/hickoryfront/hickoryfront/core/serverlist"
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/idletimeout"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/registry"
 	"github.com/hickoryfront/hickoryfront/platform"
 )
@@ -194,7 +195,7 @@
 	logger := &log.Logger{Handler: discard.New(), Level: log.InfoLevel}
 	address := netip.MustParseAddrPort(server.Listener.Addr().String())
 	r := registry.New(registry.Options{Poll: 20 * time.Millisecond, Timeout: storeTimeout},
-		platform.NewStore(http.DefaultClient, address), p, logger, metrics.NewSet())
+		platform.NewStore(&http.Client{Transport: idletimeout.NewTransport(http.DefaultTransport, storeTimeout)}, address), p, logger, metrics.NewSet())
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go r.RunServers(ctx)
