Stream the configuration between hosts

A host that the store turns away kept an old configuration as long as that lasted, if the document was large. Cause, the same class as in the calls of the store: 250 ms limited the whole response of three hosts at once, each of which sent the document (0.8 MB), and a link of 10 Mbit/s carries 0.3 MB in that time.

A host now asks three others for their versions, which is a small call, and fetches the document from the newest of them in compressed parts; only the wait for the next part is limited. It does so also when the store is reachable but a read of the configuration fails. During the upgrade to this version hosts of both builds do not take the configuration from each other.

--- a/hickoryd/internal/edgehost/client.go
+++ b/hickoryd/internal/edgehost/client.go
@@ -77,14 +77,14 @@
 	}
 }
 
-// Fetch queries a few hosts for what they have read from the store and merges their
-// responses. version and revision are those of the configuration and of the server list
-// that this host has already.
-func (c *Client) Fetch(ctx context.Context, version, revision uint64) (registry.StoreView, error) {
+// Fetch queries a few hosts for the servers and hosts that they have read from the store
+// and merges their responses. revision is that of the server list that this host has
+// already.
+func (c *Client) Fetch(ctx context.Context, revision uint64) (registry.StoreView, error) {
 	addresses := c.randomPeers(fetchFanout)
 	responses := make(chan *peerapi.FetchStateResponse, len(addresses))
 	for _, address := range addresses {
-		go c.runFetch(ctx, address, version, revision, responses)
+		go c.runFetch(ctx, address, revision, responses)
 	}
 	var best registry.StoreView
 	hasResponse := false
@@ -104,17 +104,12 @@
 
 // merge adds the response b to a, the responses merged so far. The server list with the
 // higher revision wins, and the longer host list. A response's revision is that of its
-// server list, and 0 if it contains none. A document is as new as the store was when it was
-// read, so b's document replaces one of a unless b's revision is lower. The registry then
-// compares the version that the document itself states.
+// server list, and 0 if it contains none.
 func merge(a, b registry.StoreView) registry.StoreView {
 	best := a
 	if b.HasServers && b.Revision > a.Revision {
 		best.Servers, best.Revision, best.HasServers = b.Servers, b.Revision, true
 	}
-	if b.Document != nil && (a.Document == nil || b.Revision >= a.Revision) {
-		best.Document = b.Document
-	}
 	if len(b.Hosts) > len(a.Hosts) {
 		best.Hosts = b.Hosts
 	}
@@ -122,20 +117,20 @@
 	return best
 }
 
-func (c *Client) runFetch(ctx context.Context, address netip.AddrPort, version, revision uint64, responses chan<- *peerapi.FetchStateResponse) {
-	response, err := c.fetch(ctx, address, version, revision)
+func (c *Client) runFetch(ctx context.Context, address netip.AddrPort, revision uint64, responses chan<- *peerapi.FetchStateResponse) {
+	response, err := c.fetch(ctx, address, revision)
 	if err != nil {
 		c.logger.WithError(err).WithField("host", address.String()).Debug("host did not respond")
 	}
 	responses <- response
 }
 
-func (c *Client) fetch(ctx context.Context, address netip.AddrPort, version, revision uint64) (*peerapi.FetchStateResponse, error) {
+func (c *Client) fetch(ctx context.Context, address netip.AddrPort, revision uint64) (*peerapi.FetchStateResponse, error) {
 	peer, err := c.edgeClient(address)
 	if err != nil {
 		return nil, err
 	}
-	return peer.FetchState(ctx, &peerapi.FetchStateRequest{ConfigVersion: version, ServersRevision: revision})
+	return peer.FetchState(ctx, &peerapi.FetchStateRequest{ServersRevision: revision})
 }
 
 // ReportLoss notifies all other hosts that a server failed while it ran the request
@@ -308,9 +303,6 @@
 	view := registry.StoreView{
 		Revision: response.GetServersRevision(), HasServers: len(response.GetServers()) > 0, IsStoreReachable: response.GetIsStoreReachable(),
 	}
-	if len(response.GetConfiguration()) > 0 {
-		view.Document = response.GetConfiguration()
-	}
 	for _, s := range response.GetServers() {
 		server, err := decodeServer(s)
 		if err != nil {
--- /dev/null
+++ b/hickoryd/internal/edgehost/configuration.go
@@ -0,0 +1,141 @@
+package edgehost
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/netip"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/encoding/gzip"
+
+	"github.com/hickoryfront/hickoryfront/peerapi"
+)
+
+const (
+	// versionTimeout limits the query for the version of another host's configuration.
+	versionTimeout = 250 * time.Millisecond
+	// partBytes is the size of the parts of a document.
+	partBytes = 32 << 10
+	// partTimeout limits the wait for the next part of a document. A document as a whole
+	// has no limit: a large one takes seconds over a slow link.
+	partTimeout = time.Second
+)
+
+// hostVersion is the version of the configuration that a host has in force.
+type hostVersion struct {
+	address netip.AddrPort
+	version uint64
+}
+
+// FetchConfiguration queries a few hosts for the version of the configuration that they
+// have in force, and fetches the newest document from its host. It returns nil if none of
+// them has a version above the given one.
+func (c *Client) FetchConfiguration(ctx context.Context, version uint64) ([]byte, error) {
+	newest, err := c.newestVersion(ctx)
+	if err != nil || newest.version <= version {
+		return nil, err
+	}
+	document, err := c.fetchDocument(ctx, newest.address, version)
+	if err != nil {
+		return nil, fmt.Errorf("fetch configuration from %s, %d bytes so far: %w", newest.address, len(document), err)
+	}
+	return document, nil
+}
+
+// newestVersion queries a few hosts and returns the highest version.
+func (c *Client) newestVersion(ctx context.Context) (hostVersion, error) {
+	ctx, cancel := context.WithTimeout(ctx, versionTimeout)
+	defer cancel()
+	addresses := c.randomPeers(fetchFanout)
+	responses := make(chan *hostVersion, len(addresses))
+	for _, address := range addresses {
+		go c.runExchangeVersion(ctx, address, responses)
+	}
+	var newest hostVersion
+	hasResponse := false
+	for range addresses {
+		response := <-responses
+		if response == nil {
+			continue
+		}
+		hasResponse = true
+		if response.version > newest.version {
+			newest = *response
+		}
+	}
+	if !hasResponse {
+		return newest, ErrNoResponse
+	}
+	return newest, nil
+}
+
+func (c *Client) runExchangeVersion(ctx context.Context, address netip.AddrPort, responses chan<- *hostVersion) {
+	response, err := c.exchangeVersion(ctx, address)
+	if err != nil {
+		c.logger.WithError(err).WithField("host", address.String()).Debug("host did not respond")
+		responses <- nil
+		return
+	}
+	responses <- &hostVersion{address, response.GetConfigVersion()}
+}
+
+func (c *Client) exchangeVersion(ctx context.Context, address netip.AddrPort) (*peerapi.ExchangeVersionResponse, error) {
+	peer, err := c.edgeClient(address)
+	if err != nil {
+		return nil, err
+	}
+	return peer.ExchangeVersion(ctx, &peerapi.ExchangeVersionRequest{})
+}
+
+// fetchDocument fetches a document. With an error it returns the part that has arrived.
+func (c *Client) fetchDocument(ctx context.Context, address netip.AddrPort, version uint64) ([]byte, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	timer := time.AfterFunc(partTimeout, cancel)
+	defer timer.Stop()
+	peer, err := c.edgeClient(address)
+	if err != nil {
+		return nil, err
+	}
+	stream, err := peer.FetchConfiguration(ctx, &peerapi.FetchConfigurationRequest{ConfigVersion: version}, grpc.UseCompressor(gzip.Name))
+	if err != nil {
+		return nil, err
+	}
+	var document []byte
+	for {
+		response, err := stream.Recv()
+		if errors.Is(err, io.EOF) {
+			return document, nil
+		}
+		if err != nil {
+			return document, err
+		}
+		document = append(document, response.GetPart()...)
+		timer.Reset(partTimeout)
+	}
+}
+
+// ExchangeVersion implements peerapi.EdgeServer.
+func (s *Server) ExchangeVersion(context.Context, *peerapi.ExchangeVersionRequest) (*peerapi.ExchangeVersionResponse, error) {
+	version, _ := s.source.Configuration()
+	return &peerapi.ExchangeVersionResponse{ConfigVersion: version}, nil
+}
+
+// FetchConfiguration implements peerapi.EdgeServer.
+func (s *Server) FetchConfiguration(request *peerapi.FetchConfigurationRequest, stream grpc.ServerStreamingServer[peerapi.FetchConfigurationResponse]) error {
+	version, document := s.source.Configuration()
+	if version <= request.GetConfigVersion() {
+		return nil
+	}
+	for len(document) > 0 {
+		size := min(len(document), partBytes)
+		if err := stream.Send(&peerapi.FetchConfigurationResponse{Part: document[:size]}); err != nil {
+			return err
+		}
+		document = document[size:]
+	}
+	return nil
+}
--- a/hickoryd/internal/edgehost/server.go
+++ b/hickoryd/internal/edgehost/server.go
@@ -13,9 +13,12 @@
 type (
 	// Source holds what this host has read from the store.
 	Source interface {
-		// ViewSince returns what is newer than the given version of the configuration
-		// and the given revision of the server list.
-		ViewSince(now time.Time, version, revision uint64) registry.StoreView
+		// ViewSince returns the hosts, and the servers if their list is newer than the
+		// given revision.
+		ViewSince(now time.Time, revision uint64) registry.StoreView
+		// Configuration returns the version and the document of the configuration in
+		// force, or 0 and nil before the first one. The caller must not modify the document.
+		Configuration() (version uint64, document []byte)
 	}
 
 	// ReportReceiver receives the other hosts' reports about failed servers.
@@ -57,10 +60,8 @@
 
 // FetchState implements peerapi.EdgeServer.
 func (s *Server) FetchState(_ context.Context, request *peerapi.FetchStateRequest) (*peerapi.FetchStateResponse, error) {
-	view := s.source.ViewSince(time.Now(), request.GetConfigVersion(), request.GetServersRevision())
-	response := &peerapi.FetchStateResponse{
-		Configuration: view.Document, ServersRevision: view.Revision, IsStoreReachable: view.IsStoreReachable,
-	}
+	view := s.source.ViewSince(time.Now(), request.GetServersRevision())
+	response := &peerapi.FetchStateResponse{ServersRevision: view.Revision, IsStoreReachable: view.IsStoreReachable}
 	for _, server := range view.Servers {
 		response.Servers = append(response.Servers, encodeServer(server))
 	}
--- a/hickoryd/internal/registry/follow.go
+++ b/hickoryd/internal/registry/follow.go
@@ -21,7 +21,7 @@
 	watchWait = 25 * time.Second
 	// noWatchWait makes a watch return at once.
 	noWatchWait = time.Millisecond
-	// peerTimeout bounds the request for another host's view of the store.
+	// peerTimeout bounds the request for another host's view of servers and hosts.
 	peerTimeout = 250 * time.Millisecond
 	// hostListPeriod is the time between two reads of the host list.
 	hostListPeriod = 8 * time.Second
@@ -144,7 +144,7 @@
 	return r.store.Range(ctx, prefix, after, allowStale)
 }
 
-// fetchFromPeers applies the other hosts' view of the store if that view is newer.
+// fetchFromPeers applies the other hosts' view of servers and hosts if that view is newer.
 func (r *Registry) fetchFromPeers(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
@@ -152,14 +152,11 @@
 	revision := r.list.Revision()
 	r.mu.Unlock()
 	r.peerCalls.Inc()
-	view, err := r.peers.Fetch(ctx, r.version(), revision)
+	view, err := r.peers.Fetch(ctx, revision)
 	if err != nil {
 		r.logger.WithError(err).Debug("no other host responded")
 		return
 	}
-	if view.Document != nil {
-		r.applyDocument(view.Document, "host")
-	}
 	if view.HasServers {
 		r.updateServers(func(list *serverlist.List) { list.Adopt(view.Servers, view.Revision) })
 	}
@@ -175,15 +172,18 @@
 	return 0
 }
 
-// RunConfiguration watches the operators' configuration until ctx ends.
+// RunConfiguration watches the operators' configuration until ctx ends. While the store
+// does not respond to this host, it takes the configuration from other hosts.
 func (r *Registry) RunConfiguration(ctx context.Context) {
 	var after uint64
 	for ctx.Err() == nil {
 		isUnreachable, changed := r.storeState()
 		if isUnreachable {
+			r.fetchConfiguration(ctx)
 			select {
 			case <-ctx.Done():
 			case <-changed:
+			case <-time.After(r.options.Poll / 2):
 			}
 			after = 0 // read the document again: the watch may have missed changes
 			continue
@@ -195,6 +195,7 @@
 			if !isClosed(changed) {
 				r.failures.Inc()
 				r.configurationFailures.Inc()
+				r.fetchConfiguration(ctx)
 				_ = timing.Sleep(ctx, retryDelay+rand.N(retryDelay)) // the loop condition checks ctx
 			}
 		}
@@ -236,6 +237,21 @@
 	return nextRevision(page.Items, after), nil
 }
 
+// fetchConfiguration takes the configuration from another host if that is newer.
+func (r *Registry) fetchConfiguration(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, maxCallTime)
+	defer cancel()
+	r.peerCalls.Inc()
+	document, err := r.peers.FetchConfiguration(ctx, r.version())
+	if err != nil {
+		r.logger.WithError(err).WithField("version", r.version()).Info("can't read the configuration from another host")
+		return
+	}
+	if document != nil {
+		r.applyDocument(document, "host")
+	}
+}
+
 // logConfigurationFailure logs that a read of the document, or a watch if after is not 0,
 // has failed. It is no fault if this host has canceled the call, or if the operators have
 // not written the document yet.
--- a/hickoryd/internal/registry/registry.go
+++ b/hickoryd/internal/registry/registry.go
@@ -28,20 +28,19 @@
 type (
 	// Peers are the other hosts.
 	Peers interface {
-		// Fetch returns the view of the store that other hosts have, without the
-		// configuration if it is no newer than version and without the servers if
-		// they are no newer than revision.
-		Fetch(ctx context.Context, version, revision uint64) (StoreView, error)
+		// Fetch returns the view of the store that other hosts have, without the servers
+		// if they are no newer than revision.
+		Fetch(ctx context.Context, revision uint64) (StoreView, error)
+		// FetchConfiguration returns the newest document that other hosts have in force,
+		// or nil if it is no newer than version.
+		FetchConfiguration(ctx context.Context, version uint64) ([]byte, error)
 		// SetHosts sets the peer addresses of the hosts.
 		SetHosts(hosts []netip.AddrPort)
 	}
 
-	// StoreView is a copy of the platform store's contents: that of one host, or those
-	// of several hosts merged.
+	// StoreView is a copy of the platform store's servers and hosts: that of one host, or
+	// those of several hosts merged.
 	StoreView struct {
-		// Document is the operators' configuration, or nil if the requester's is
-		// as new.
-		Document []byte
 		// Servers is complete up to Revision if HasServers is true, and empty
 		// otherwise.
 		Servers    []serverlist.Server
@@ -159,16 +158,20 @@
 	return r.table.Load() != nil && len(r.snapshot.Load().Servers) > 0
 }
 
-// ViewSince returns this host's view of the store, without the configuration if it
-// is no newer than version and without the servers if they are no newer than
-// revision.
-func (r *Registry) ViewSince(now time.Time, version, revision uint64) StoreView {
+// Configuration returns the version and the document of the configuration in force, or 0
+// and nil before the first one. The caller must not modify the document.
+func (r *Registry) Configuration() (version uint64, document []byte) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.version(), r.document
+}
+
+// ViewSince returns this host's view of the store, without the servers if they are no
+// newer than revision.
+func (r *Registry) ViewSince(now time.Time, revision uint64) StoreView {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	view := StoreView{Hosts: r.hosts, IsStoreReachable: !r.isUnreachable && now.Sub(r.lastResponse) < 2*r.options.Poll}
-	if table := r.table.Load(); table != nil && table.Version() > version {
-		view.Document = r.document
-	}
 	if r.list.Revision() > revision {
 		view.Servers, view.Revision, view.HasServers = r.list.Servers(), r.list.Revision(), true
 	}
