Detect connections to the store and to hosts that have gone silent

Callers were served as an old configuration allows for up to 20 s after a change (CONFIG) on hosts whose connection had gone silent without a reset: the watch of the configuration waits 25 s on its connection, and the poll, which uses another one, goes on. Calls to other hosts on such a connection failed one after the other.

Connections to the store and to hosts now have keep-alive probes every second and a limit on unacknowledged bytes; they are closed after about 3 s of silence. Connections to backend servers had the limit already.

--- a/hickoryd/internal/edge/wiring.go
+++ b/hickoryd/internal/edge/wiring.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
-	"net/netip"
 	"runtime/debug"
 	"time"
 
@@ -20,6 +18,7 @@
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/edgeorder"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/idletimeout"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/registry"
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/tcp"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/upstream"
 	"github.com/hickoryfront/hickoryfront/platform"
 )
@@ -80,9 +79,8 @@
 }
 
 func newStore(s Settings) *platform.Store {
-	dialer := &net.Dialer{LocalAddr: net.TCPAddrFromAddrPort(netip.AddrPortFrom(s.Peer.Addr(), 0))}
 	transport := &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         tcp.NewDialer(s.Peer.Addr(), s.StoreTimeout).DialContext,
 		MaxIdleConnsPerHost: storeConnections, IdleConnTimeout: 30 * time.Second, DisableCompression: true,
 		ReadBufferSize: 2 << 10, WriteBufferSize: 1 << 10,
 	}
--- a/hickoryd/internal/edgehost/client.go
+++ b/hickoryd/internal/edgehost/client.go
@@ -23,6 +23,7 @@
 	"github.com/hickoryfront/hickoryfront/core/serverlist"
 	"github.com/hickoryfront/hickoryfront/core/streamorigin"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/registry"
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/tcp"
 	"github.com/hickoryfront/hickoryfront/peerapi"
 )
 
@@ -286,7 +287,7 @@
 }
 
 func dial(address netip.AddrPort, local netip.Addr) (*grpc.ClientConn, error) {
-	dialer := &net.Dialer{Timeout: connectTimeout, LocalAddr: net.TCPAddrFromAddrPort(netip.AddrPortFrom(local, 0))}
+	dialer := tcp.NewDialer(local, connectTimeout)
 	return grpc.NewClient("passthrough:///"+address.String(),
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithReadBufferSize(bufferBytes), grpc.WithWriteBufferSize(bufferBytes),
--- a/hickoryd/internal/upstream/pool.go
+++ b/hickoryd/internal/upstream/pool.go
@@ -8,12 +8,10 @@
 	"net"
 	"net/netip"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"golang.org/x/sys/unix"
-
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/tcp"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/timing"
 )
 
@@ -72,7 +70,7 @@
 	p.dialer = net.Dialer{
 		Timeout:   dialTimeout,
 		KeepAlive: -1, // the pool closes idle connections itself
-		Control:   setUnackedTimeout,
+		Control:   tcp.LimitUnacked(unackedTimeout),
 	}
 	if local.IsValid() {
 		p.dialer.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(local, 0))
@@ -172,16 +170,6 @@
 	p.idle[c.address] = append(connections, c)
 }
 
-// setUnackedTimeout makes the kernel close a connection whose peer acknowledges
-// nothing for unackedTimeout.
-func setUnackedTimeout(_, _ string, raw syscall.RawConn) error {
-	var optionErr error
-	err := raw.Control(func(descriptor uintptr) {
-		optionErr = unix.SetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
-	})
-	return errors.Join(err, optionErr)
-}
-
 // IsReachable reports whether a server accepts a new connection.
 func (p *Pool) IsReachable(ctx context.Context, address netip.AddrPort) bool {
 	p.dials.Inc()
