--- a/hickoryd/internal/edgehost/configuration.go
+++ b/hickoryd/internal/edgehost/configuration.go
@@ -52,7 +52,7 @@
 	addresses := c.randomPeers(fetchFanout)
 	responses := make(chan *hostVersion, len(addresses))
 	for _, address := range addresses {
-		go c.runExchangeVersion(ctx, address, responses)
+		go c.runFetchVersion(ctx, address, responses)
 	}
 	var newest hostVersion
 	hasResponse := false
@@ -72,8 +72,8 @@
 	return newest, nil
 }
 
-func (c *Client) runExchangeVersion(ctx context.Context, address netip.AddrPort, responses chan<- *hostVersion) {
-	response, err := c.exchangeVersion(ctx, address)
+func (c *Client) runFetchVersion(ctx context.Context, address netip.AddrPort, responses chan<- *hostVersion) {
+	response, err := c.fetchVersion(ctx, address)
 	if err != nil {
 		c.logger.WithError(err).WithField("host", address.String()).Debug("host did not respond")
 		responses <- nil
@@ -82,12 +82,12 @@
 	responses <- &hostVersion{address, response.GetConfigVersion()}
 }
 
-func (c *Client) exchangeVersion(ctx context.Context, address netip.AddrPort) (*peerapi.ExchangeVersionResponse, error) {
+func (c *Client) fetchVersion(ctx context.Context, address netip.AddrPort) (*peerapi.FetchVersionResponse, error) {
 	peer, err := c.edgeClient(address)
 	if err != nil {
 		return nil, err
 	}
-	return peer.ExchangeVersion(ctx, &peerapi.ExchangeVersionRequest{})
+	return peer.FetchVersion(ctx, &peerapi.FetchVersionRequest{})
 }
 
 // fetchDocument fetches a document. With an error it returns the part that has arrived.
@@ -118,10 +118,10 @@
 	}
 }
 
-// ExchangeVersion implements peerapi.EdgeServer.
-func (s *Server) ExchangeVersion(context.Context, *peerapi.ExchangeVersionRequest) (*peerapi.ExchangeVersionResponse, error) {
+// FetchVersion implements peerapi.EdgeServer.
+func (s *Server) FetchVersion(context.Context, *peerapi.FetchVersionRequest) (*peerapi.FetchVersionResponse, error) {
 	version, _ := s.source.Configuration()
-	return &peerapi.ExchangeVersionResponse{ConfigVersion: version}, nil
+	return &peerapi.FetchVersionResponse{ConfigVersion: version}, nil
 }
 
 // FetchConfiguration implements peerapi.EdgeServer.
