Limit calls of the Consul platform by their progress

TestLargeResponseOverSlowLink (a value, a watch, a list of keys and a list of servers that arrive in parts within twice the timeout) failed in all four cases before.

--- a/hickoryd/consul/client.go
+++ b/hickoryd/consul/client.go
@@ -18,12 +18,17 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/idletimeout"
 )
 
 const (
 	maxValueBytes = 1 << 20
 	maxReplyBytes = 64 << 20
 	indexHeader   = "X-Consul-Index"
+	// maxCallTime limits a call as a whole, without the wait of a blocking query. A call
+	// that makes no progress is canceled much earlier.
+	maxCallTime = 30 * time.Second
 )
 
 var (
@@ -41,7 +46,6 @@
 	Client struct {
 		baseURL string
 		http    *http.Client
-		timeout time.Duration
 		calls   map[string]*metrics.Counter // by class of call
 		errors  *metrics.Counter
 	}
@@ -76,16 +80,17 @@
 	}
 )
 
-// New returns a client for the service at address.
+// New returns a client for the service at address. It cancels a call that makes no progress
+// for timeout.
 func New(address netip.AddrPort, timeout time.Duration, set *metrics.Set) *Client {
 	calls := map[string]*metrics.Counter{}
 	for _, class := range []string{"get", "list", "watch", "put", "delete", "lease"} {
 		calls[class] = set.NewCounter(fmt.Sprintf(`hickoryfront_platform_calls_total{class=%q}`, class))
 	}
+	transport := &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute}
 	return &Client{
 		baseURL: "http://" + address.String(),
-		http:    &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute}},
-		timeout: timeout,
+		http:    &http.Client{Transport: idletimeout.NewTransport(transport, timeout)},
 		calls:   calls,
 		errors:  set.NewCounter(`hickoryfront_platform_errors_total`),
 	}
@@ -93,7 +98,7 @@
 
 // Get reads one key. For a missing key it returns a Value with Index 0.
 func (c *Client) Get(ctx context.Context, key string) (Value, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	ctx, cancel := context.WithTimeout(ctx, maxCallTime)
 	defer cancel()
 	v, _, err := c.read(ctx, "get", key, nil)
 	return v, err
@@ -102,7 +107,7 @@
 // Watch waits until the key changes after index, or until wait has passed. Watch
 // returns the value and the index for the next call.
 func (c *Client) Watch(ctx context.Context, key string, index uint64, wait time.Duration) (Value, uint64, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+wait/16+c.timeout)
+	ctx, cancel := withWait(ctx, wait+wait/16)
 	defer cancel()
 	query := url.Values{}
 	query.Set("index", strconv.FormatUint(index, 10))
@@ -112,7 +117,7 @@
 
 // List reads all keys under a prefix.
 func (c *Client) List(ctx context.Context, prefix string) ([]Value, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	ctx, cancel := context.WithTimeout(ctx, maxCallTime)
 	defer cancel()
 	pairs, _, err := c.fetch(ctx, "list", prefix, url.Values{"recurse": {"true"}})
 	if err != nil {
@@ -140,7 +145,7 @@
 
 // Delete removes a key.
 func (c *Client) Delete(ctx context.Context, key string) error {
-	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	ctx, cancel := context.WithTimeout(ctx, maxCallTime)
 	defer cancel()
 	_, err := c.call(ctx, "delete", http.MethodDelete, "/v1/kv/"+escape(key), nil, nil)
 	return err
@@ -149,7 +154,7 @@
 // GrantLease creates a lease that expires ttl after its last renewal. The platform
 // then deletes the keys that the lease holds.
 func (c *Client) GrantLease(ctx context.Context, name string, ttl time.Duration) (string, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	ctx, cancel := context.WithTimeout(ctx, maxCallTime)
 	defer cancel()
 	body, err := json.Marshal(sessionRequest{Name: name, TTL: ttl.String(), Behavior: "delete", LockDelay: "0s"})
 	if err != nil {
@@ -169,7 +174,7 @@
 // KeepLease renews a lease. It returns ErrLeaseExpired if the lease has expired or
 // was revoked.
 func (c *Client) KeepLease(ctx context.Context, lease string) error {
-	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	ctx, cancel := context.WithTimeout(ctx, maxCallTime)
 	defer cancel()
 	_, err := c.call(ctx, "lease", http.MethodPut, "/v1/session/renew/"+lease, nil, nil)
 	if errors.Is(err, errNotFound) {
@@ -180,7 +185,7 @@
 
 // RevokeLease ends a lease. The platform deletes the keys that the lease holds.
 func (c *Client) RevokeLease(ctx context.Context, lease string) error {
-	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	ctx, cancel := context.WithTimeout(ctx, maxCallTime)
 	defer cancel()
 	_, err := c.call(ctx, "lease", http.MethodPut, "/v1/session/destroy/"+lease, nil, nil)
 	return err
@@ -188,6 +193,12 @@
 
 var errNotFound = errors.New("not found")
 
+// withWait returns the context of a blocking query, which the platform may hold for wait.
+func withWait(ctx context.Context, wait time.Duration) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithTimeout(ctx, wait+maxCallTime)
+	return idletimeout.WithWait(ctx, wait, nil), cancel
+}
+
 func (c *Client) read(ctx context.Context, class, key string, query url.Values) (Value, uint64, error) {
 	pairs, index, err := c.fetch(ctx, class, key, query)
 	if err != nil || len(pairs) == 0 {
@@ -226,7 +237,7 @@
 	if len(data) > maxValueBytes {
 		return false, fmt.Errorf("%w: %s has %d bytes", ErrTooLarge, key, len(data))
 	}
-	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	ctx, cancel := context.WithTimeout(ctx, maxCallTime)
 	defer cancel()
 	reply, err := c.call(ctx, "put", http.MethodPut, "/v1/kv/"+escape(key), query, data)
 	if err != nil {
--- a/hickoryd/consul/serverlist.go
+++ b/hickoryd/consul/serverlist.go
@@ -100,7 +100,7 @@
 // fetch sends one list request, which the platform may hold for up to wait. The
 // result is the index of the list and its entries.
 func (l *ServerList) fetch(ctx context.Context, wait time.Duration, query url.Values) (uint64, []catalogEntry, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+l.client.timeout)
+	ctx, cancel := withWait(ctx, wait)
 	defer cancel()
 	l.client.calls["list"].Inc()
 	request, err := l.client.request(ctx, http.MethodGet, "/v1/catalog/service/"+backendServiceName, query, nil)
--- a/hickoryd/internal/idletimeout/idletimeout.go
+++ b/hickoryd/internal/idletimeout/idletimeout.go
@@ -61,9 +61,12 @@
 }
 
 // WithWait returns a context for calls that the server may hold for duration before it
-// responds, in addition to the timeout. onStart is called when the first byte of the
-// response's body has arrived.
+// responds, in addition to the timeout. If onStart is not nil, it is called when the first
+// byte of the response's body has arrived.
 func WithWait(ctx context.Context, duration time.Duration, onStart func()) context.Context {
+	if onStart == nil {
+		onStart = func() {}
+	}
 	return context.WithValue(ctx, waitKey{}, wait{duration, sync.OnceFunc(onStart)})
 }
 
--- a/hickoryd/internal/settings/settings.go
+++ b/hickoryd/internal/settings/settings.go
@@ -210,7 +210,7 @@
 		setting.Bind("platform", "kv", "", "address of the platform's key-value service", setting.AddrPort(&s.Platform.KV)),
 		setting.Bind("platform", "hostList", "", "address of the platform's list of backend servers", setting.AddrPort(&s.Platform.HostList)),
 		setting.Bind("platform", "hostListPoll", "1s", "time between reads of the list of backend servers", setting.Duration(&s.Platform.HostListPoll)),
-		setting.Bind("platform", "timeout", "2s", "longest wait for a response of the platform, beyond the wait of a blocking query", setting.Duration(&s.Platform.Timeout)),
+		setting.Bind("platform", "timeout", "2s", "longest time without progress of a call to the platform, beyond the wait of a blocking query", setting.Duration(&s.Platform.Timeout)),
 		setting.Bind("platform", "leaseTTL", "30s", "lifetime of this daemon's lease", setting.Duration(&s.Platform.LeaseTTL)),
 		setting.Bind("peers", "seeds", "", "peer addresses of daemons to contact while no other daemon is known; if the platform is down at the start, all of them must be alive", setting.AddrPorts(&s.Peers.Seeds)),
 		setting.Bind("peers", "heartbeat", "500ms", "time between heartbeats", setting.Duration(&s.Peers.Heartbeat)),
