Log the prompt parts of requests at servers that fail

The log of a failed server named the request's fingerprint only, so that a part of the prompt that crashes servers could not be found among the requests that merely ran there. The line names the request, the parts of its prompt and the events that its server had sent.

--- a/hickoryd/internal/edgedispatch/decode.go
+++ b/hickoryd/internal/edgedispatch/decode.go
@@ -49,7 +49,7 @@
 	if source.id != "" {
 		attempt.KVSource = platform.KVSource(source.server.Address, source.id)
 	}
-	g.isSent = true
+	g.isSent, g.attemptEvents = true, 0
 	response, err := g.send(ctx, held.server, g.request, attempt)
 	if errors.Is(err, upstream.ErrNotSent) {
 		g.recordResult(held.server.ID, health.Unreachable)
@@ -146,6 +146,7 @@
 			}
 			return withCause(ctx, fmt.Errorf("%w: stream ended after event %d: %w", upstream.ErrMayHaveRun, g.relay.LastID(), err))
 		}
+		g.attemptEvents++
 		migration.check(ctx)
 		isNew, err := g.relay.Accept(event)
 		watch.suspend()
@@ -192,5 +193,5 @@
 		g.counters.silences.Inc()
 		return
 	}
-	g.checkReachable(g.request, server)
+	g.checkReachable(g.request, server, g.attemptEvents)
 }
--- a/hickoryd/internal/edgedispatch/dispatch.go
+++ b/hickoryd/internal/edgedispatch/dispatch.go
@@ -452,19 +452,20 @@
 
 // checkReachable checks in the background whether a server has failed, after its
 // connection broke while it ran a request. If so, all hosts are notified.
-func (d *Dispatcher) checkReachable(r *Request, server serverlist.Server) {
-	go d.runCheckReachable(r.Fingerprint, server)
+// events is the number of events that the server has sent in response.
+func (d *Dispatcher) checkReachable(r *Request, server serverlist.Server, events int) {
+	go d.runCheckReachable(r, server, events)
 }
 
-func (d *Dispatcher) runCheckReachable(fingerprint uint64, server serverlist.Server) {
+func (d *Dispatcher) runCheckReachable(r *Request, server serverlist.Server, events int) {
 	ctx, cancel := context.WithTimeout(d.background, backgroundTimeout)
 	defer cancel()
 	if d.pool.IsReachable(ctx, server.Address) {
 		return
 	}
-	d.logger.WithFields(log.Fields{"server": server.ID, "fingerprint": fingerprint}).Warn("backend server failed while it ran a request")
-	d.ReportLoss(time.Now(), fingerprint, server.ID)
-	d.peers.ReportLoss(d.background, fingerprint, server.ID)
+	d.logger.WithFields(r.logFields()).WithFields(log.Fields{"server": server.ID, "fingerprint": r.Fingerprint, "parts": r.partIDs(), "events": events}).Warn("backend server failed while it ran a request")
+	d.ReportLoss(time.Now(), r.Fingerprint, server.ID)
+	d.peers.ReportLoss(d.background, r.Fingerprint, server.ID)
 }
 
 // send makes one attempt of a request at a server. If the response reports that the
@@ -505,6 +506,15 @@
 	}
 }
 
+// partIDs returns the IDs of the parts of the prompt, in order.
+func (r *Request) partIDs() []string {
+	ids := make([]string, 0, len(r.Metadata.PromptParts))
+	for _, part := range r.Metadata.PromptParts {
+		ids = append(ids, part.ID)
+	}
+	return ids
+}
+
 // logFields returns the fields of every log entry about a request.
 func (r *Request) logFields() log.Fields {
 	return log.Fields{
--- a/hickoryd/internal/edgedispatch/generation.go
+++ b/hickoryd/internal/edgedispatch/generation.go
@@ -53,6 +53,8 @@
 		returnable []string
 		// number is the number of attempts, the current one included.
 		number int
+		// attemptEvents is the number of events that the server of the current attempt has sent.
+		attemptEvents int
 		// history is what has happened to the request at decode servers.
 		history *attempts.History
 		// silences is the number of attempts that were given up because the server sent
--- a/hickoryd/internal/edgedispatch/plain.go
+++ b/hickoryd/internal/edgedispatch/plain.go
@@ -372,7 +372,7 @@
 	default:
 		result = health.Broken
 		if ctx.Err() == nil {
-			a.checkReachable(a.request, a.server)
+			a.checkReachable(a.request, a.server, 0)
 		}
 	}
 	a.recordResult(a.server.ID, result)
