Add a failing test of prompt parts that crash servers

States the rule with real hosts: once a part of prompts has crashed five servers, at most three more requests with it reach servers, and sound requests that share its other parts still begin. Cases: requests one after the other and at once, hosts that can't reach each other, servers that start again under the IDs that they had. The stand-in servers can have a deadly part.

--- a/hickorylab/edgesoak/caller_test.go
+++ b/hickorylab/edgesoak/caller_test.go
@@ -50,6 +50,8 @@
 		target string
 		method string
 		body   string
+		// prompt are the parts of the prompt, or empty.
+		prompt string
 		// lastEvent is the last event that the caller has of a stream that it takes up
 		// again, and firstAttempt the ID of the attempt that brought the first one.
 		lastEvent    uint64
@@ -203,6 +205,9 @@
 	if isStream(r.path) {
 		request.Header.Set("Model", "m")
 		request.Header.Set("Token-Counts", fmt.Sprintf("1500,%d", streamEvents))
+		if r.prompt != "" {
+			request.Header.Set("Prompt-Prefix", r.prompt)
+		}
 	}
 	return request, nil
 }
--- a/hickorylab/edgesoak/environment_test.go
+++ b/hickorylab/edgesoak/environment_test.go
@@ -30,11 +30,20 @@
 )
 
 type (
+	// environmentOptions are what tests vary of an environment.
+	environmentOptions struct {
+		// retrySlack is a setting of the hosts.
+		retrySlack    int
+		decodeServers int
+		// areHostsIsolated is set if the hosts don't find each other.
+		areHostsIsolated bool
+	}
+
 	// environment is a store, backend servers and hosts.
 	environment struct {
+		environmentOptions
 		tb           testing.TB
 		network      string
-		retrySlack   int
 		store        *metastore.Store
 		workers      *worker.Group
 		plainServers []*worker.Server
@@ -51,12 +60,21 @@
 // startEnvironment starts a store, backend servers and hosts and waits until each
 // host is ready. retrySlack is a setting of the hosts.
 func startEnvironment(tb testing.TB, retrySlack int) *environment {
+	tb.Helper()
+	return startEnvironmentWith(tb, environmentOptions{retrySlack: retrySlack, decodeServers: 3})
+}
+
+// startEnvironmentWith is like startEnvironment with other options.
+func startEnvironmentWith(tb testing.TB, options environmentOptions) *environment {
 	tb.Helper()
 	store := metastore.New()
 	e := &environment{
-		tb: tb, network: harness.FreeNetwork(tb), retrySlack: retrySlack, store: store, workers: worker.NewGroup(store),
+		environmentOptions: options, tb: tb, network: harness.FreeNetwork(tb), store: store, workers: worker.NewGroup(store),
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 20}},
 	}
+	if options.areHostsIsolated {
+		store.Hide("hickoryfront/hosts/")
+	}
 	e.serve(e.storeAddress(), store)
 	store.Put("op/config", configuration(1, "shop"))
 	for i := range 3 {
@@ -65,7 +83,11 @@
 	for i := range 2 {
 		e.plainServers = append(e.plainServers, e.startServer("annex", "", 25+i))
 	}
-	for i, stage := range []string{"prefill", "prefill", "decode", "decode", "decode"} {
+	for i := range prefillCount + options.decodeServers {
+		stage := "decode"
+		if i < prefillCount {
+			stage = "prefill"
+		}
 		e.modelServers = append(e.modelServers, e.startServer("model", stage, 30+i))
 	}
 	for i := range hostCount {
@@ -125,9 +147,11 @@
 }
 
 func (e *environment) startHost(i int) *harness.Process {
-	seeds := make([]string, hostCount)
-	for n := range seeds {
-		seeds[n] = e.address(1+n, 18082)
+	var seeds []string
+	for n := range hostCount {
+		if n == i || !e.areHostsIsolated {
+			seeds = append(seeds, e.address(1+n, 18082))
+		}
 	}
 	text := fmt.Sprintf("[host]\nname = host-%d\nfailureDomain = z1\n[listen]\ncaller = %s\nready = %s\npeer = %s\noperator = %s\n"+
 		"[store]\naddress = %s\n[peers]\nseeds = %s\n[repeats]\nslack = %d\n",
--- a/hickorylab/metastore/metastore.go
+++ b/hickorylab/metastore/metastore.go
@@ -45,6 +45,7 @@
 		changed   chan struct{}
 		modes     map[netip.Addr]Mode
 		links     map[netip.Addr]*link
+		hidden    string
 		calls     int
 	}
 
@@ -92,6 +93,13 @@
 	s.links[caller] = &link{bytesPerSecond: bytesPerSecond}
 }
 
+// Hide leaves the keys with a prefix out of all ranges.
+func (s *Store) Hide(prefix string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.hidden = prefix
+}
+
 // Put writes a key with a JSON value and returns the new revision.
 func (s *Store) Put(key string, value any) uint64 {
 	text, err := json.Marshal(value)
@@ -206,7 +214,8 @@
 	s.expire()
 	var page []item
 	for key, current := range s.items {
-		if strings.HasPrefix(key, prefix) && key > after {
+		isHidden := s.hidden != "" && strings.HasPrefix(key, s.hidden)
+		if strings.HasPrefix(key, prefix) && key > after && !isHidden {
 			page = append(page, current)
 		}
 	}
--- a/hickorylab/worker/worker.go
+++ b/hickorylab/worker/worker.go
@@ -60,6 +60,7 @@
 		// handles holds the KV caches that are not fetched yet, by server address and
 		// handle.
 		handles map[string]bool
+		deadly  deadly
 	}
 
 	// Server is one server, an http.Handler. A crash ends its incarnation.
@@ -142,6 +143,12 @@
 
 // Restart starts a new incarnation of the server, with a new ID and empty memory.
 func (s *Server) Restart() error {
+	return s.start(false)
+}
+
+// start starts a new incarnation of the server with empty memory. With keepsID it has the
+// ID of the one before.
+func (s *Server) start(keepsID bool) error {
 	listener, err := net.Listen("tcp", s.address)
 	if err != nil {
 		return err
@@ -152,7 +159,10 @@
 	s.group.mu.Unlock()
 	s.mu.Lock()
 	s.silence = newSilence()
-	s.id, s.state, s.listener = id, "ready", silentListener{Listener: listener, silence: s.silence}
+	if !keepsID {
+		s.id = id
+	}
+	s.state, s.listener = "ready", silentListener{Listener: listener, silence: s.silence}
 	s.usedTokens, s.appliedOrders, s.isCrashed, s.startedAt = 0, 0, false, time.Now()
 	s.reservations, s.running, s.serving = make(map[string]int), make(map[string]*run), make(map[string]int)
 	s.server = &http.Server{Handler: s, ReadHeaderTimeout: time.Minute}
@@ -170,6 +180,12 @@
 // Crash closes all connections and removes the registration, as if its lease had
 // expired.
 func (s *Server) Crash() {
+	s.crash(false)
+}
+
+// crash closes all connections. With keepsRegistration the registration stays, as if the
+// next incarnation renews it in time.
+func (s *Server) crash(keepsRegistration bool) {
 	s.mu.Lock()
 	server, id := s.server, s.id
 	if !s.isCrashed {
@@ -179,7 +195,9 @@
 	}
 	s.mu.Unlock()
 	_ = server.Close() // a crash is intended, so its errors are irrelevant
-	s.group.store.Remove("servers/" + id)
+	if !keepsRegistration {
+		s.group.store.Remove("servers/" + id)
+	}
 }
 
 // Drain changes the registered state to draining.
@@ -231,6 +249,7 @@
 	s.mu.Lock()
 	entry := map[string]any{
 		"service": s.service, "address": s.address, "zone": "z1", "version": s.version, "slots": 8, "state": s.state, "sequence": 1,
+		"born": s.startedAt.UnixMilli(),
 	}
 	if s.stage != "" {
 		entry["stage"] = s.stage
@@ -272,6 +291,7 @@
 
 func (s *Server) serveRequest(w http.ResponseWriter, r *http.Request, stage string) {
 	defer s.beginServing(r.Header.Get("Request-Id"))()
+	s.group.countDeadlyArrival(r)
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
@@ -378,6 +398,11 @@
 	}
 	w.Header().Set("Server-Stamp", "stamp")
 	w.Header().Set("Content-Type", "text/event-stream")
+	if isDeadly, keepsID := s.group.countDeadlyRun(r); isDeadly {
+		go s.runDeadlyCrash(keepsID)
+		<-r.Context().Done()
+		return
+	}
 	s.stream(w, r, string(body), current)
 }
 
