Refuse prompt parts that crash servers, on all hosts

Cause: only whole requests were recognized, by a fingerprint, and no two of these are alike. The class: suspicion was bound to what failed as a whole instead of to what the failures have in common.

core/crash.PartTable finds the parts that all requests share which servers failed on before they began to answer. Parts are refused together while several may be the cause, so that sound requests with some of them run; a started response narrows the refusal or ends it. Hosts report losses and refusals to each other and write both to the store, which also reaches hosts that can't reach each other and those that start later.

--- a/core/serverlist/serverlist.go
+++ b/core/serverlist/serverlist.go
@@ -36,7 +36,7 @@
 
 	// Server is the registration of a backend server.
 	Server struct {
-		// ID names one incarnation of the server.
+		// ID names the server. A server that starts again may keep its ID.
 		ID      string
 		Service string
 		Address netip.AddrPort
@@ -46,6 +46,9 @@
 		// SoftwareVersion is the version of the server's software, or empty if it is
 		// not registered. Versions have no order.
 		SoftwareVersion string
+		// StartedAt is when the server's incarnation started, or zero if that is not
+		// registered.
+		StartedAt time.Time
 		// Slots is the number of requests that the server runs at once.
 		Slots int
 		// IsDraining is set if the server takes no new work.
--- a/hickoryd/internal/edge/daemon.go
+++ b/hickoryd/internal/edge/daemon.go
@@ -24,6 +24,7 @@
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/edgedispatch"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/edgehost"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/edgeorder"
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/quarantine"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/registry"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/timing"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/upstream"
@@ -61,6 +62,7 @@
 	peers           *edgehost.Client
 	handler         *edgecaller.Handler
 	dispatcher      *edgedispatch.Dispatcher
+	quarantine      *quarantine.Quarantine
 	stageController *edgeorder.Controller
 	logger          log.Interface
 	set             *metrics.Set
@@ -74,8 +76,8 @@
 }
 
 // New returns a daemon. Start starts it.
-func New(s Settings, l *lifetime, r *registry.Registry, pool *upstream.Pool, peers *edgehost.Client, handler *edgecaller.Handler, dispatcher *edgedispatch.Dispatcher, edgeServer *edgehost.Server, stageController *edgeorder.Controller, logger log.Interface, set *metrics.Set) *Daemon {
-	d := &Daemon{settings: s, lifetime: l, registry: r, pool: pool, peers: peers, handler: handler, dispatcher: dispatcher, stageController: stageController, logger: logger, set: set}
+func New(s Settings, l *lifetime, r *registry.Registry, pool *upstream.Pool, peers *edgehost.Client, handler *edgecaller.Handler, dispatcher *edgedispatch.Dispatcher, q *quarantine.Quarantine, edgeServer *edgehost.Server, stageController *edgeorder.Controller, logger log.Interface, set *metrics.Set) *Daemon {
+	d := &Daemon{settings: s, lifetime: l, registry: r, pool: pool, peers: peers, handler: handler, dispatcher: dispatcher, quarantine: q, stageController: stageController, logger: logger, set: set}
 	noLog := stdlog.New(io.Discard, "", 0) // broken connections of callers need no log entry
 	d.caller = callerserver.New(&http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: noLog,
@@ -105,7 +107,7 @@
 		}
 		go d.runServer(listener, s.serve)
 	}
-	for _, loop := range []func(context.Context){d.registry.RunServers, d.registry.RunConfiguration, d.registry.RunHosts, d.pool.Run, d.stageController.Run} {
+	for _, loop := range []func(context.Context){d.registry.RunServers, d.registry.RunConfiguration, d.registry.RunHosts, d.quarantine.RunWrites, d.quarantine.RunRefusals, d.pool.Run, d.stageController.Run} {
 		d.loops.Add(1)
 		go d.runLoop(loop)
 	}
--- a/hickoryd/internal/edge/wiring.go
+++ b/hickoryd/internal/edge/wiring.go
@@ -17,6 +17,7 @@
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/edgehost"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/edgeorder"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/idletimeout"
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/quarantine"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/registry"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/tcp"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/upstream"
@@ -54,7 +55,7 @@
 		fx.Provide(
 			func() log.Interface { return logger },
 			metrics.NewSet,
-			newLifetime, newPool, newStore, newPeers, newRegistry, newDispatcher, newHandler, newEdgeServer, newController, New,
+			newLifetime, newPool, newStore, newPeers, newRegistry, newQuarantine, newDispatcher, newHandler, newEdgeServer, newController, New,
 		),
 		fx.Invoke(limitMemory, register),
 	)
@@ -98,18 +99,22 @@
 	}, store, peers, logger, set)
 }
 
-func newDispatcher(l *lifetime, s Settings, r *registry.Registry, pool *upstream.Pool, peers *edgehost.Client, logger log.Interface, set *metrics.Set) *edgedispatch.Dispatcher {
+func newQuarantine(l *lifetime, store *platform.Store, peers *edgehost.Client, r *registry.Registry, logger log.Interface, set *metrics.Set) *quarantine.Quarantine {
+	return quarantine.New(l, store, peers, r, logger, set)
+}
+
+func newDispatcher(l *lifetime, s Settings, r *registry.Registry, pool *upstream.Pool, peers *edgehost.Client, q *quarantine.Quarantine, logger log.Interface, set *metrics.Set) *edgedispatch.Dispatcher {
 	return edgedispatch.New(l, edgedispatch.Options{
 		FailureDomain: s.FailureDomain, Self: s.Peer, Budget: retrybudget.Limits{Ratio: s.RetryRatio, Slack: s.RetrySlack},
-	}, r, pool, peers, logger, set)
+	}, r, pool, peers, q, logger, set)
 }
 
 func newHandler(r *registry.Registry, d *edgedispatch.Dispatcher, logger log.Interface, set *metrics.Set) *edgecaller.Handler {
 	return edgecaller.New(r, d, logger, set)
 }
 
-func newEdgeServer(r *registry.Registry, d *edgedispatch.Dispatcher) *edgehost.Server {
-	return edgehost.NewServer(r, d, d)
+func newEdgeServer(r *registry.Registry, d *edgedispatch.Dispatcher, q *quarantine.Quarantine) *edgehost.Server {
+	return edgehost.NewServer(r, d, d, q)
 }
 
 func newController(s Settings, r *registry.Registry, store *platform.Store, pool *upstream.Pool, logger log.Interface, set *metrics.Set) *edgeorder.Controller {
--- a/hickoryd/internal/edgedispatch/decode.go
+++ b/hickoryd/internal/edgedispatch/decode.go
@@ -147,6 +147,9 @@
 			return withCause(ctx, fmt.Errorf("%w: stream ended after event %d: %w", upstream.ErrMayHaveRun, g.relay.LastID(), err))
 		}
 		g.attemptEvents++
+		if g.attemptEvents == 1 {
+			g.quarantine.RecordStart(time.Now(), g.request.Route.Service, g.request.sharedParts())
+		}
 		migration.check(ctx)
 		isNew, err := g.relay.Accept(event)
 		watch.suspend()
--- a/hickoryd/internal/edgedispatch/dispatch.go
+++ b/hickoryd/internal/edgedispatch/dispatch.go
@@ -78,6 +78,20 @@
 		FindOrigin(ctx context.Context, addresses []netip.AddrPort, requestID, service string, window time.Duration) (streamorigin.Finding, error)
 	}
 
+	// Quarantine finds prompt parts that crash servers and refuses requests with them. The
+	// last part of a prompt is the request's own and not among the parts.
+	Quarantine interface {
+		// Check returns when the refusal of a request with the given parts ends. It returns
+		// false if the request is not refused at now.
+		Check(now time.Time, service string, parts []string) (time.Time, bool)
+		// RecordStart records that a server has begun at now to answer a request with the
+		// given parts.
+		RecordStart(now time.Time, service string, parts []string)
+		// RecordLoss records at now that a server failed before it began to answer a
+		// request.
+		RecordLoss(ctx context.Context, now time.Time, loss crash.PartLoss)
+	}
+
 	// Sink writes a response to the caller.
 	Sink interface {
 		// Start sends the status and the headers.
@@ -127,13 +141,14 @@
 
 	// Dispatcher serves requests. It is safe for concurrent use.
 	Dispatcher struct {
-		options  Options
-		registry Registry
-		pool     *upstream.Pool
-		peers    Peers
-		logger   log.Interface
-		counters counters
-		origins  *origins
+		options    Options
+		registry   Registry
+		pool       *upstream.Pool
+		peers      Peers
+		quarantine Quarantine
+		logger     log.Interface
+		counters   counters
+		origins    *origins
 		// background ends with the process. Work that outlives its request uses it
 		// instead of the request's context.
 		background context.Context
@@ -159,9 +174,9 @@
 )
 
 // New returns a dispatcher whose background work ends with the context background.
-func New(background context.Context, options Options, r Registry, pool *upstream.Pool, peers Peers, logger log.Interface, set *metrics.Set) *Dispatcher {
+func New(background context.Context, options Options, r Registry, pool *upstream.Pool, peers Peers, quarantine Quarantine, logger log.Interface, set *metrics.Set) *Dispatcher {
 	return &Dispatcher{
-		background: background, options: options, registry: r, pool: pool, peers: peers, logger: logger, origins: newOrigins(),
+		background: background, options: options, registry: r, pool: pool, peers: peers, quarantine: quarantine, logger: logger, origins: newOrigins(),
 		balancer: balance.NewTable(), prefillQueue: prefillqueue.NewEstimator(), outputLength: outputlength.NewEstimator(), budgets: make(map[string]*retrybudget.Budget), crashes: crash.NewTable(crashTableSize), meanTokens: make(map[string]float64), callerRetry: make(map[string]*callerretry.Estimator),
 		counters: counters{
 			retries:            set.NewCounter(`hickoryfront_edge_repeats_total`),
@@ -181,8 +196,8 @@
 // error is a *Failure if nothing was sent to the caller yet, and ErrTruncated if a
 // part of the response was.
 func (d *Dispatcher) Serve(ctx context.Context, r *Request, sink Sink) error {
-	if d.hasCrashedServers(r) {
-		return &Failure{Status: http.StatusServiceUnavailable, Reason: "request has crashed backend servers"}
+	if failure := d.checkCrashes(time.Now(), r); failure != nil {
+		return failure
 	}
 	d.countRequest(r)
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
@@ -214,12 +229,18 @@
 	return fmt.Sprintf("%d: %s", f.Status, f.Reason)
 }
 
-// hasCrashedServers reports whether requests with the same fingerprint have crashed
-// so many servers that this one is refused.
-func (d *Dispatcher) hasCrashedServers(r *Request) bool {
+// checkCrashes returns why a request is refused at now because it would probably crash
+// servers, or nil if it is not refused.
+func (d *Dispatcher) checkCrashes(now time.Time, r *Request) *Failure {
+	if until, isRefused := d.quarantine.Check(now, r.Route.Service, r.sharedParts()); isRefused {
+		return &Failure{Status: http.StatusServiceUnavailable, RetryAfter: until.Sub(now), Reason: "parts of the prompt have crashed backend servers"}
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.crashes.Check(r.Arrived, r.Fingerprint) == crash.Refuse
+	if d.crashes.Check(now, r.Fingerprint) == crash.Refuse {
+		return &Failure{Status: http.StatusServiceUnavailable, Reason: "request has crashed backend servers"}
+	}
+	return nil
 }
 
 func (d *Dispatcher) countRequest(r *Request) {
@@ -460,12 +481,21 @@
 func (d *Dispatcher) runCheckReachable(r *Request, server serverlist.Server, events int) {
 	ctx, cancel := context.WithTimeout(d.background, backgroundTimeout)
 	defer cancel()
-	if d.pool.IsReachable(ctx, server.Address) {
+	err := d.pool.Probe(ctx, server.Address)
+	if err == nil {
 		return
 	}
-	d.logger.WithFields(r.logFields()).WithFields(log.Fields{"server": server.ID, "fingerprint": r.Fingerprint, "parts": r.partIDs(), "events": events}).Warn("backend server failed while it ran a request")
-	d.ReportLoss(time.Now(), r.Fingerprint, server.ID)
+	now := time.Now()
+	d.logger.WithError(err).WithFields(r.logFields()).WithFields(log.Fields{"server": server.ID, "fingerprint": r.Fingerprint, "parts": r.partIDs(), "events": events}).Warn("backend server failed while it ran a request")
+	d.ReportLoss(now, r.Fingerprint, server.ID)
 	d.peers.ReportLoss(d.background, r.Fingerprint, server.ID)
+	parts := r.sharedParts()
+	if len(parts) == 0 || events > 0 || !errors.Is(err, upstream.ErrRefused) {
+		return // a server that does not respond at all may have lost its link
+	}
+	d.quarantine.RecordLoss(d.background, now, crash.PartLoss{
+		Service: r.Route.Service, Parts: parts, RequestID: r.Metadata.ID, Server: server.ID, ServerStarted: server.StartedAt,
+	})
 }
 
 // send makes one attempt of a request at a server. If the response reports that the
@@ -515,6 +545,13 @@
 	return ids
 }
 
+// sharedParts returns the IDs of the parts of the prompt that other requests may share: all
+// but the last.
+func (r *Request) sharedParts() []string {
+	ids := r.partIDs()
+	return ids[:max(len(ids)-1, 0)]
+}
+
 // logFields returns the fields of every log entry about a request.
 func (r *Request) logFields() log.Fields {
 	return log.Fields{
--- a/hickoryd/internal/edgedispatch/dispatch_test.go
+++ b/hickoryd/internal/edgedispatch/dispatch_test.go
@@ -17,6 +17,7 @@
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
 
+	"github.com/hickoryfront/hickoryfront/core/crash"
 	"github.com/hickoryfront/hickoryfront/core/retrybudget"
 	"github.com/hickoryfront/hickoryfront/core/route"
 	"github.com/hickoryfront/hickoryfront/core/serverlist"
@@ -45,6 +46,9 @@
 
 	// noPeers are the peers of a host that is alone.
 	noPeers struct{}
+
+	// noQuarantine refuses no request.
+	noQuarantine struct{}
 )
 
 func (s servers) Servers() *registry.Snapshot { return &registry.Snapshot{Version: 1, Servers: s} }
@@ -61,6 +65,14 @@
 	return streamorigin.Finding{}, nil
 }
 
+func (noQuarantine) Check(time.Time, string, []string) (time.Time, bool) {
+	return time.Time{}, false
+}
+
+func (noQuarantine) RecordStart(time.Time, string, []string) {}
+
+func (noQuarantine) RecordLoss(context.Context, time.Time, crash.PartLoss) {}
+
 func (s *sink) Start(status int, _ http.Header) error {
 	s.status = status
 	return nil
@@ -88,7 +100,7 @@
 	t.Helper()
 	logger := &log.Logger{Handler: discard.New(), Level: log.InfoLevel}
 	pool := upstream.NewPool(netip.Addr{}, metrics.NewSet())
-	return edgedispatch.New(t.Context(), edgedispatch.Options{Budget: retrybudget.Limits{Slack: retries}}, list, pool, noPeers{}, logger, metrics.NewSet())
+	return edgedispatch.New(t.Context(), edgedispatch.Options{Budget: retrybudget.Limits{Slack: retries}}, list, pool, noPeers{}, noQuarantine{}, logger, metrics.NewSet())
 }
 
 // serve sends one request through a new dispatcher and returns the status and body
--- a/hickoryd/internal/edgedispatch/generation.go
+++ b/hickoryd/internal/edgedispatch/generation.go
@@ -180,10 +180,17 @@
 		g.migrated = nil
 		return g.resumeRun(ctx, migrated)
 	}
+	if failure := g.checkCrashes(time.Now(), g.request); failure != nil {
+		return failure
+	}
 	placed, err := g.nextPlacement(ctx)
 	if err != nil {
 		return err
 	}
+	if failure := g.checkCrashes(time.Now(), g.request); failure != nil { // it may have become known meanwhile
+		g.discard(placed)
+		return failure
+	}
 	defer g.endRequest(placed.held.server.ID, placed.held.tokens)
 	err = g.decode(ctx, placed.held, placed.source)
 	if errors.Is(err, upstream.ErrNotSent) {
@@ -247,6 +254,10 @@
 	g.timing.reservedAt = time.Now()
 	g.beginRequest(held.server.ID, held.tokens)
 	placed := placement{held: held}
+	if failure := g.checkCrashes(time.Now(), g.request); failure != nil {
+		g.discard(placed)
+		return placement{}, failure
+	}
 	if placed.source, err = g.prefill(ctx, held.server); err != nil {
 		g.discard(placed)
 		return placement{}, err
--- a/hickoryd/internal/edgedispatch/version_test.go
+++ b/hickoryd/internal/edgedispatch/version_test.go
@@ -133,7 +133,7 @@
 	t.Helper()
 	logger := &log.Logger{Handler: discard.New(), Level: log.InfoLevel}
 	return edgedispatch.New(t.Context(), edgedispatch.Options{Budget: retrybudget.Limits{Slack: 100}}, list,
-		upstream.NewPool(netip.Addr{}, metrics.NewSet()), peers, logger, metrics.NewSet())
+		upstream.NewPool(netip.Addr{}, metrics.NewSet()), peers, noQuarantine{}, logger, metrics.NewSet())
 }
 
 // resume sends a request that resumes a stream and returns what send returns.
--- a/hickoryd/internal/edgehost/client.go
+++ b/hickoryd/internal/edgehost/client.go
@@ -330,6 +330,7 @@
 	return serverlist.Server{
 		ID: s.GetId(), Service: s.GetService(), Address: address, FailureDomain: s.GetFailureDomain(),
 		Stage: serverlist.Stage(s.GetStage()), SoftwareVersion: s.GetSoftwareVersion(), Slots: int(s.GetSlots()), IsDraining: s.GetIsDraining(), CreateRevision: s.GetCreated(),
+		StartedAt: decodeTime(s.GetStartedMs()),
 	}, nil
 }
 
--- a/hickoryd/internal/edgehost/edgehost_test.go
+++ b/hickoryd/internal/edgehost/edgehost_test.go
@@ -13,8 +13,10 @@
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
+	gocmp "github.com/google/go-cmp/cmp"
 	"google.golang.org/grpc"
 
+	"github.com/hickoryfront/hickoryfront/core/crash"
 	"github.com/hickoryfront/hickoryfront/core/serverlist"
 	"github.com/hickoryfront/hickoryfront/core/streamorigin"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/edgehost"
@@ -35,6 +37,10 @@
 	lost     []string
 	replaced []string
 	origins  []streamorigin.Origin
+	losses   []crash.PartLoss
+	refusals []crash.PartRefusal
+	lifted   []crash.PartRefusal
+	ages     map[string]time.Duration
 	reported chan struct{}
 	// version and document are those of its configuration.
 	version  uint64
@@ -68,6 +74,28 @@
 	h.reported <- struct{}{}
 }
 
+func (h *host) ReportPartLoss(_ time.Time, loss crash.PartLoss) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.losses = append(h.losses, loss)
+	h.reported <- struct{}{}
+}
+
+func (h *host) ReportRefusal(_ time.Time, refusal crash.PartRefusal, isLifted bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if isLifted {
+		h.lifted = append(h.lifted, refusal)
+	} else {
+		h.refusals = append(h.refusals, refusal)
+	}
+	h.reported <- struct{}{}
+}
+
+func (h *host) FindStarts(time.Time, string, []string) map[string]time.Duration {
+	return h.ages
+}
+
 func (h *host) FindOrigin(_ time.Time, requestID, service string, window time.Duration) streamorigin.Finding {
 	if h.silence != nil {
 		<-h.silence
@@ -102,7 +130,7 @@
 		t.Fatal(err)
 	}
 	server := grpc.NewServer()
-	peerapi.RegisterEdgeServer(server, edgehost.NewServer(h, h, origins))
+	peerapi.RegisterEdgeServer(server, edgehost.NewServer(h, h, origins, h))
 	go func() { _ = server.Serve(listener) }() // ends when the test stops the server
 	t.Cleanup(server.Stop)
 	return netip.MustParseAddrPort(listener.Addr().String())
@@ -243,3 +271,47 @@
 		t.Errorf("found after %v at the earliest, want less than the time limit %v", fastest, findTimeout)
 	}
 }
+
+func TestPartReports(t *testing.T) {
+	h, client := newPair(t)
+	loss := crash.PartLoss{Service: "model", Parts: []string{"p", "q"}, RequestID: "r1", Server: "s1", ServerStarted: time.UnixMilli(1700000000123)}
+	refusal := crash.PartRefusal{Service: "model", Parts: []string{"q"}, Duration: 90 * time.Second}
+	client.ReportPartLoss(context.Background(), loss)
+	client.ReportRefusal(context.Background(), refusal, false)
+	client.ReportRefusal(context.Background(), refusal, true)
+	for range 3 {
+		<-h.reported
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if diff := gocmp.Diff([]crash.PartLoss{loss}, h.losses); diff != "" {
+		t.Errorf("losses (-want +got):\n%s", diff)
+	}
+	for _, got := range [][]crash.PartRefusal{h.refusals, h.lifted} {
+		if diff := gocmp.Diff([]crash.PartRefusal{refusal}, got); diff != "" {
+			t.Errorf("refusals (-want +got):\n%s", diff)
+		}
+	}
+}
+
+// The youngest start that any host has seen must count, and a host that does not respond
+// must not delay the decision.
+func TestFindStarts(t *testing.T) {
+	hosts := []*host{{ages: map[string]time.Duration{"p": 3 * time.Second}}, {ages: map[string]time.Duration{"p": 2 * time.Second, "q": time.Minute}}, {}}
+	seeds := []netip.AddrPort{netip.MustParseAddrPort("127.0.0.1:1")}
+	for _, h := range hosts {
+		seeds = append(seeds, serve(t, h, nil))
+	}
+	want := map[string]time.Duration{"p": 2 * time.Second, "q": time.Minute}
+	for range attempts { // a response may miss the time limit on a busy machine
+		started := time.Now()
+		got := newClient(t, seeds...).FindStarts(t.Context(), "model", []string{"p", "q"})
+		if gocmp.Equal(want, got) {
+			return
+		}
+		if time.Since(started) < findTimeout {
+			t.Fatalf("starts %v, want %v", got, want)
+		}
+	}
+	t.Errorf("no complete result in %d attempts", attempts)
+}
--- a/hickoryd/internal/edgehost/server.go
+++ b/hickoryd/internal/edgehost/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/hickoryfront/hickoryfront/core/crash"
 	"github.com/hickoryfront/hickoryfront/core/serverlist"
 	"github.com/hickoryfront/hickoryfront/core/streamorigin"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/registry"
@@ -42,20 +43,34 @@
 		FindOrigin(now time.Time, requestID, service string, window time.Duration) streamorigin.Finding
 	}
 
+	// QuarantineReceiver receives the other hosts' reports about prompt parts that crash
+	// servers, and tells which parts servers have begun to answer.
+	QuarantineReceiver interface {
+		// ReportPartLoss receives a report that a server failed before it began to answer
+		// a request.
+		ReportPartLoss(now time.Time, loss crash.PartLoss)
+		// ReportRefusal receives a report that requests are refused, or not any more.
+		ReportRefusal(now time.Time, refusal crash.PartRefusal, isLifted bool)
+		// FindStarts returns the time since a server last began to answer a request with
+		// each of the parts, for those of which this host has seen one.
+		FindStarts(now time.Time, service string, parts []string) map[string]time.Duration
+	}
+
 	// Server serves the calls of the other hosts.
 	Server struct {
 		peerapi.UnimplementedEdgeServer
-		source   Source
-		receiver ReportReceiver
-		origins  OriginReceiver
+		source     Source
+		receiver   ReportReceiver
+		origins    OriginReceiver
+		quarantine QuarantineReceiver
 	}
 )
 
-// NewServer returns a server that responds from source and origins, and passes reports to
-// receiver and origins. If origins is nil, the calls that concern the origins of streams
-// are unimplemented.
-func NewServer(source Source, receiver ReportReceiver, origins OriginReceiver) *Server {
-	return &Server{source: source, receiver: receiver, origins: origins}
+// NewServer returns a server that responds from source, origins and quarantine, and passes
+// reports to receiver, origins and quarantine. If origins is nil, the calls that concern the
+// origins of streams are unimplemented.
+func NewServer(source Source, receiver ReportReceiver, origins OriginReceiver, quarantine QuarantineReceiver) *Server {
+	return &Server{source: source, receiver: receiver, origins: origins, quarantine: quarantine}
 }
 
 // FetchState implements peerapi.EdgeServer.
@@ -119,6 +134,6 @@
 	return &peerapi.ServerRegistration{
 		Id: s.ID, Service: s.Service, Address: s.Address.String(), FailureDomain: s.FailureDomain,
 		Stage: string(s.Stage), Slots: int32(s.Slots), IsDraining: s.IsDraining, Created: s.CreateRevision,
-		SoftwareVersion: s.SoftwareVersion,
+		SoftwareVersion: s.SoftwareVersion, StartedMs: encodeTime(s.StartedAt),
 	}
 }
--- /dev/null
+++ b/hickoryd/internal/quarantine/store.go
@@ -0,0 +1,233 @@
+package quarantine
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/hickoryfront/hickoryfront/core/crash"
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/idletimeout"
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/timing"
+	"github.com/hickoryfront/hickoryfront/platform"
+)
+
+const (
+	// maxWrites is the number of writes that wait for the store. Further ones are lost.
+	maxWrites = 256
+	// maxTransactionWrites is the number of writes in one transaction, of which the
+	// platform allows 32.
+	maxTransactionWrites = 30
+	// leaseTTL is how long what is written stays in the store, the platform's maximum. It
+	// is longer than a refusal. Keys are bound to a lease until it is maxLeaseAge old.
+	leaseTTL    = 10 * time.Minute
+	maxLeaseAge = time.Minute
+	// callTimeout limits a call of the store, without the wait of a watch.
+	callTimeout = 5 * time.Second
+	// watchWait is how long a watch waits for a refusal. The platform allows 30 s.
+	watchWait = 25 * time.Second
+	// retryDelay is the minimum time between two attempts at a call that fails.
+	retryDelay = 400 * time.Millisecond
+)
+
+// write is a key that waits to be written to the store.
+type write struct {
+	item platform.Item
+	// loss is what the key holds if it is a loss, or nil.
+	loss *crash.PartLoss
+}
+
+func (q *Quarantine) enqueueLoss(now time.Time, loss crash.PartLoss) {
+	item, err := platform.EncodePartLoss(platform.PartLoss{PartLoss: loss, At: now})
+	q.enqueue(write{item: item, loss: &loss}, err)
+}
+
+func (q *Quarantine) enqueueRefusal(now time.Time, refusal crash.PartRefusal, isLifted bool) {
+	item, err := platform.EncodePartRefusal(platform.PartRefusal{PartRefusal: refusal, At: now, IsLifted: isLifted})
+	q.enqueue(write{item: item}, err)
+}
+
+func (q *Quarantine) enqueue(w write, err error) {
+	if err != nil {
+		q.logger.WithError(err).Error("can't encode a loss or refusal of prompt parts for the store")
+		return
+	}
+	select {
+	case q.writes <- w:
+	default:
+		q.logger.WithField("key", w.item.Key).Warn("too many writes to the store; a loss or refusal of prompt parts is not written")
+	}
+}
+
+// RunWrites writes losses and refusals to the store until ctx ends. Once a loss is written,
+// it reads those of the other hosts and decides with them.
+func (q *Quarantine) RunWrites(ctx context.Context) {
+	var lease uint64
+	var leasedAt time.Time
+	for ctx.Err() == nil {
+		pending := q.awaitWrites(ctx)
+		for len(pending) > 0 && ctx.Err() == nil {
+			now := time.Now()
+			if lease == 0 || now.Sub(leasedAt) > maxLeaseAge {
+				lease, leasedAt = q.newLease(ctx), now
+			}
+			if lease == 0 || !q.commit(ctx, pending, &lease) {
+				_ = timing.Sleep(ctx, retryDelay+rand.N(retryDelay)) // the loop condition checks ctx
+				continue
+			}
+			q.decideWithStore(ctx, pending)
+			pending = nil
+		}
+	}
+}
+
+// awaitWrites returns the writes that wait, at least one unless ctx has ended.
+func (q *Quarantine) awaitWrites(ctx context.Context) []write {
+	var pending []write
+	select {
+	case <-ctx.Done():
+		return nil
+	case w := <-q.writes:
+		pending = append(pending, w)
+	}
+	for len(pending) < maxTransactionWrites {
+		select {
+		case w := <-q.writes:
+			pending = append(pending, w)
+		default:
+			return pending
+		}
+	}
+	return pending
+}
+
+// newLease returns a new lease, or 0 if the store does not grant one.
+func (q *Quarantine) newLease(ctx context.Context) uint64 {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	lease, _, err := q.store.NewLease(ctx, leaseTTL)
+	if err != nil {
+		q.logger.WithError(err).Debug("no lease for losses of prompt parts; retrying")
+		return 0
+	}
+	return lease
+}
+
+// commit writes to the store and reports whether that has succeeded. It sets the lease to 0
+// if it has expired.
+func (q *Quarantine) commit(ctx context.Context, writes []write, lease *uint64) bool {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var transaction platform.Transaction
+	for _, w := range writes {
+		put := platform.Put{Key: w.item.Key, Value: w.item.Value, Lease: *lease}
+		transaction.Puts = append(transaction.Puts, put)
+	}
+	_, err := q.store.Commit(ctx, transaction)
+	if err != nil {
+		q.logger.WithError(err).Debug("losses of prompt parts not written; retrying")
+	}
+	if errors.Is(err, platform.ErrNotFound) {
+		*lease = 0
+	}
+	return err == nil
+}
+
+// decideWithStore reads the losses of all hosts and decides on those that were written.
+func (q *Quarantine) decideWithStore(ctx context.Context, written []write) {
+	hasRead := false
+	for _, w := range written {
+		if w.loss == nil {
+			continue
+		}
+		if !hasRead {
+			q.readLosses(ctx)
+			hasRead = true
+		}
+		q.decide(ctx, *w.loss)
+	}
+}
+
+// readLosses records the losses that the store has.
+func (q *Quarantine) readLosses(ctx context.Context) {
+	items, _, err := q.registry.List(ctx, platform.PartLossesPrefix)
+	if err != nil {
+		q.logger.WithError(err).Debug("can't read the losses of prompt parts from the store")
+		return
+	}
+	now := time.Now()
+	for _, item := range items {
+		loss, err := platform.DecodePartLoss(item)
+		if err != nil {
+			q.logger.WithError(err).Warn("can't decode a loss of prompt parts; ignoring it")
+			continue
+		}
+		q.mu.Lock()
+		q.table.RecordLoss(now.Add(-ageOf(now, loss.At)), loss.PartLoss)
+		q.mu.Unlock()
+	}
+}
+
+// RunRefusals follows the refusals in the store until ctx ends.
+func (q *Quarantine) RunRefusals(ctx context.Context) {
+	var after uint64
+	for ctx.Err() == nil {
+		if q.registry.IsStoreUnreachable() {
+			after = 0
+			_ = timing.Sleep(ctx, retryDelay) // the loop condition checks ctx
+			continue
+		}
+		next, err := q.followRefusals(ctx, after)
+		if err != nil {
+			after = 0
+			_ = timing.Sleep(ctx, retryDelay+rand.N(retryDelay)) // the loop condition checks ctx
+			continue
+		}
+		after = next
+	}
+}
+
+// followRefusals reads all refusals if after is 0, and otherwise waits for a change after
+// that revision. It returns the revision from which the next call continues.
+func (q *Quarantine) followRefusals(ctx context.Context, after uint64) (uint64, error) {
+	if after == 0 {
+		items, revision, err := q.registry.List(ctx, platform.PartRefusalsPrefix)
+		q.applyRefusals(items)
+		return revision, err
+	}
+	ctx, cancel := context.WithTimeout(idletimeout.WithWait(ctx, watchWait, nil), watchWait+callTimeout)
+	defer cancel()
+	page, err := q.store.Watch(ctx, platform.PartRefusalsPrefix, after, watchWait)
+	if err != nil {
+		return 0, err
+	}
+	q.applyRefusals(page.Items)
+	for _, item := range page.Items {
+		after = max(after, item.ModRevision)
+	}
+	return after, nil
+}
+
+// applyRefusals applies refusals from the store. A key that has expired changes nothing:
+// each host ends a refusal itself.
+func (q *Quarantine) applyRefusals(items []platform.Item) {
+	now := time.Now()
+	for _, item := range items {
+		if item.IsDeleted {
+			continue
+		}
+		refusal, err := platform.DecodePartRefusal(item)
+		if err != nil {
+			q.logger.WithError(err).Warn("can't decode a refusal of prompt parts; ignoring it")
+			continue
+		}
+		refusal.Duration -= ageOf(now, refusal.At)
+		q.ReportRefusal(now, refusal.PartRefusal, refusal.IsLifted || refusal.Duration <= 0)
+	}
+}
+
+// ageOf returns the time since at, which is of another host's clock. The clocks of hosts
+// may differ, so the age may be too small or too large, but it is not negative.
+func ageOf(now, at time.Time) time.Duration {
+	return max(now.Sub(at), 0)
+}
--- a/hickoryd/internal/registry/follow.go
+++ b/hickoryd/internal/registry/follow.go
@@ -115,9 +115,14 @@
 	return true, nil
 }
 
-// listAll reads all keys with a prefix. It returns the revision of the first page:
-// the pages are no consistent snapshot, so changes after the first page have to be
+// List reads all keys with a prefix from the store. It returns the revision of the first
+// page: the pages are no consistent snapshot, so changes after the first page have to be
 // read again.
+func (r *Registry) List(ctx context.Context, prefix string) (items []platform.Item, revision uint64, err error) {
+	return r.listAll(ctx, prefix, false)
+}
+
+// listAll is List, which with allowStale may return an old state.
 func (r *Registry) listAll(ctx context.Context, prefix string, allowStale bool) (items []platform.Item, revision uint64, err error) {
 	after := ""
 	for {
--- a/hickoryd/internal/upstream/pool.go
+++ b/hickoryd/internal/upstream/pool.go
@@ -5,9 +5,11 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/netip"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -37,13 +39,15 @@
 	readBufferBytes = 2 << 10
 )
 
-// Errors of Pool.Do and Pool.Call.
+// Errors of Pool.
 var (
 	// ErrNotSent means that no byte of the request reached the server.
 	ErrNotSent = errors.New("the request was not sent")
 	// ErrMayHaveRun means that at least a part of the request was sent, and that it
 	// is unknown whether the server ran the request.
 	ErrMayHaveRun = errors.New("the request may have run")
+	// ErrRefused means that no process listens at the server's address.
+	ErrRefused = errors.New("connection refused")
 )
 
 type (
@@ -170,12 +174,16 @@
 	p.idle[c.address] = append(connections, c)
 }
 
-// IsReachable reports whether a server accepts a new connection.
-func (p *Pool) IsReachable(ctx context.Context, address netip.AddrPort) bool {
+// Probe checks whether a server accepts a new connection. The error is ErrRefused if
+// no process listens at its address.
+func (p *Pool) Probe(ctx context.Context, address netip.AddrPort) error {
 	p.dials.Inc()
 	socket, err := p.dialer.DialContext(ctx, "tcp4", address.String())
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return fmt.Errorf("%w: %w", ErrRefused, err)
+	}
 	if err != nil {
-		return false
+		return err
 	}
-	return socket.Close() == nil
+	return socket.Close()
 }
--- a/hickorylab/edgesoak/deadlypart_test.go
+++ b/hickorylab/edgesoak/deadlypart_test.go
@@ -34,18 +34,23 @@
 		atOnce           int
 		areHostsIsolated bool
 		keepsIDs         bool
+		// sharing is how long requests with the part share another one with all the
+		// others, and with sound requests.
+		sharing time.Duration
 	}{
-		{name: "one after the other", atOnce: 1},
-		{name: "at once", atOnce: 8},
-		{name: "hosts that can't reach each other", atOnce: 1, areHostsIsolated: true},
-		{name: "at once at hosts that can't reach each other", atOnce: 8, areHostsIsolated: true},
-		{name: "servers that start again under their IDs", atOnce: 1, keepsIDs: true},
+		{name: "one after the other", atOnce: 1, sharing: time.Hour},
+		{name: "at once", atOnce: 8, sharing: time.Hour},
+		{name: "hosts that can't reach each other", atOnce: 1, areHostsIsolated: true, sharing: time.Hour},
+		{name: "at once at hosts that can't reach each other", atOnce: 8, areHostsIsolated: true, sharing: time.Hour},
+		{name: "servers that start again under their IDs", atOnce: 1, keepsIDs: true, sharing: time.Hour},
+		{name: "no other part is shared", atOnce: 4},
+		{name: "other parts change", atOnce: 8, sharing: 2 * contactTime},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			t.Parallel()
 			e := startEnvironmentWith(t, environmentOptions{retrySlack: 500, decodeServers: 10, areHostsIsolated: tt.areHostsIsolated})
-			p := &poisoning{environment: e, atOnce: tt.atOnce, stop: make(chan struct{})}
+			p := &poisoning{environment: e, atOnce: tt.atOnce, sharing: tt.sharing, stop: make(chan struct{})}
 			for i := range hostCount * callersPerHost {
 				p.group.Go(func() { p.loopSound(i, rand.New(rand.NewPCG(1, uint64(i)))) })
 			}
@@ -65,6 +70,7 @@
 type poisoning struct {
 	environment *environment
 	atOnce      int
+	sharing     time.Duration
 	stop        chan struct{}
 	group       sync.WaitGroup
 
@@ -89,14 +95,18 @@
 
 // loopDeadly sends requests with the deadly part, of which no two are alike, to all hosts.
 func (p *poisoning) loopDeadly(random *rand.Rand) {
+	started := time.Now()
 	for !p.isStopped() {
 		for range p.atOnce {
-			host, last := random.IntN(hostCount), random.Uint32()
+			host, last, first := random.IntN(hostCount), random.Uint32(), sharedPart
+			if time.Since(started) >= p.sharing {
+				first = fmt.Sprintf("%08x", random.Uint32())
+			}
 			p.group.Go(func() {
 				c := &caller{environment: p.environment, home: host, host: host, random: rand.New(rand.NewPCG(uint64(last), 0))}
 				defer c.close()
 				request := p.environment.newRequest("/draft/")
-				request.prompt = fmt.Sprintf("%s:200,%s:100,%08x:1200", sharedPart, deadlyPart, last)
+				request.prompt = fmt.Sprintf("%s:200,%s:100,%08x:1200", first, deadlyPart, last)
 				c.attempt(request, time.Now().Add(callerTimeout))
 			})
 		}
