Let a server that starts again under its ID take work

A server may start again under the ID and the registration that it had; only born, the time of its start, differs. Hosts did not read it: a server that drained before was never used again, one that another process had replaced was excluded for 9 s, and the health of the incarnation before counted on. Class: state was bound to an ID that can come back.

TestRestartEndsDrain and TestRestartedServerTakesWork failed before.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -61,6 +61,8 @@
 	}
 
 	load struct {
+		// startedAt is when the server's incarnation started, as registered.
+		startedAt  time.Time
 		requests   int
 		tokens     int
 		skipUntil  time.Time // full or changing its stage
@@ -143,11 +145,16 @@
 }
 
 // Retain removes the health of the servers that are not among servers, and their
-// load if no request is in flight.
+// load if no request is in flight. Of a server that has started again it keeps only the
+// requests in flight.
 func (t *Table) Retain(servers []serverlist.Server) {
 	known := make(map[string]bool, len(servers))
 	for _, s := range servers {
 		known[s.ID] = true
+		if l := t.load(s.ID); !l.startedAt.Equal(s.StartedAt) {
+			l.startedAt, l.skipUntil, l.endedUntil = s.StartedAt, time.Time{}, time.Time{}
+			t.health.Forget(s.ID)
+		}
 	}
 	for id, l := range t.loads {
 		if !known[id] && l.requests <= 0 {
--- a/core/balance/balance_test.go
+++ b/core/balance/balance_test.go
@@ -164,3 +164,24 @@
 		t.Errorf("ranking a second later %v, want only far", got)
 	}
 }
+
+// A server that starts again may keep its ID. What is known of the incarnation before must
+// not keep the new one from work.
+func TestRestartedServerTakesWork(t *testing.T) {
+	table := balance.NewTable()
+	server := serverlist.Server{ID: "a", Service: "s", StartedAt: time.Unix(100, 0)}
+	criteria := balance.Criteria{Service: "s"}
+	table.Retain([]serverlist.Server{server})
+	table.MarkEnded(start, "a")
+	for range 5 {
+		table.Report(start, "a", health.Unreachable)
+	}
+	server.StartedAt = server.StartedAt.Add(time.Minute)
+	table.Retain([]serverlist.Server{server})
+	if ranked := table.Rank(start, []serverlist.Server{server}, criteria); len(ranked) != 1 {
+		t.Error("the new incarnation is excluded")
+	}
+	if got := table.Load(start, "a"); got.FailureRate != 0 || got.IsEjected {
+		t.Errorf("the new incarnation has the failure rate %.1f, ejected %t", got.FailureRate, got.IsEjected)
+	}
+}
--- a/core/health/health.go
+++ b/core/health/health.go
@@ -93,6 +93,11 @@
 	return 0
 }
 
+// Forget removes a server, as if it had not failed.
+func (t *Table) Forget(server string) {
+	delete(t.servers, server)
+}
+
 // Retain removes all servers but those that are known.
 func (t *Table) Retain(isKnown func(server string) bool) {
 	for id := range t.servers {
--- a/core/serverlist/serverlist.go
+++ b/core/serverlist/serverlist.go
@@ -54,7 +54,7 @@
 		// IsDraining is set if the server takes no new work.
 		IsDraining bool
 		// CreateRevision is the store's revision at which the registration was
-		// created. It distinguishes two registrations under the same ID.
+		// created. With StartedAt it distinguishes two incarnations under the same ID.
 		CreateRevision uint64
 	}
 
@@ -178,9 +178,10 @@
 }
 
 // keepDrain marks next as draining if e, an older view of the same registration, is
-// draining: a registration that drains never takes work again.
+// draining: a registration that drains never takes work again, unless the server has
+// started again.
 func (e entry) keepDrain(next *Server) {
-	if e.server.IsDraining && e.server.CreateRevision == next.CreateRevision {
+	if e.server.IsDraining && e.server.CreateRevision == next.CreateRevision && e.server.StartedAt.Equal(next.StartedAt) {
 		next.IsDraining = true
 	}
 }
--- a/core/serverlist/serverlist_test.go
+++ b/core/serverlist/serverlist_test.go
@@ -145,3 +145,21 @@
 		t.Error("a drain does not change the version")
 	}
 }
+
+// A server that starts again may keep its ID and its registration. What is known of the
+// incarnation before, such as its drain, must not apply to the new one.
+func TestRestartEndsDrain(t *testing.T) {
+	restarted := server("a")
+	restarted.StartedAt = start.Add(time.Minute)
+	for name, update := range map[string]func(l *serverlist.List){
+		"store":      func(l *serverlist.List) { l.Apply(start, []serverlist.Change{{ID: "a", Server: restarted, Revision: 9}}, 9) },
+		"other host": func(l *serverlist.List) { l.Adopt([]serverlist.Server{*restarted}, 9) },
+	} {
+		l := serverlist.NewList()
+		l.Apply(start, []serverlist.Change{{ID: "a", Server: draining("a"), Revision: 7}}, 7)
+		update(l)
+		if isListed, takesWork := lookup(l, "a"); !isListed || !takesWork {
+			t.Errorf("%s: listed %t, takes work %t; want both", name, isListed, takesWork)
+		}
+	}
+}
