--- a/hickoryd/internal/edgedispatch/dispatch_test.go
+++ b/hickoryd/internal/edgedispatch/dispatch_test.go
@@ -118,12 +118,18 @@
 
 // sendPrompt is send with a prompt of the given number of tokens.
 func sendPrompt(t *testing.T, d *edgedispatch.Dispatcher, r route.Route, timeLeft time.Duration, tokens int) (int, string) {
+	t.Helper()
+	return sendRequest(t, d, "r1", r, timeLeft, tokens)
+}
+
+// sendRequest is sendPrompt with an ID.
+func sendRequest(t *testing.T, d *edgedispatch.Dispatcher, id string, r route.Route, timeLeft time.Duration, tokens int) (int, string) {
 	t.Helper()
 	r.Service, r.Timeout, r.LatencyTarget = "s", callerTimeout, 300*time.Millisecond
 	now := time.Now()
 	request := &edgedispatch.Request{
-		Metadata: platform.Request{ID: "r1", PromptTokens: tokens, MaxOutputTokens: 10, TimeLeft: timeLeft}, Route: &r,
-		Method: http.MethodPost, Target: "/x", Host: "h", Header: http.Header{"Request-Id": {"r1"}}, Arrived: now, Deadline: now.Add(timeLeft),
+		Metadata: platform.Request{ID: id, PromptTokens: tokens, MaxOutputTokens: 10, TimeLeft: timeLeft}, Route: &r,
+		Method: http.MethodPost, Target: "/x", Host: "h", Header: http.Header{"Request-Id": {id}}, Arrived: now, Deadline: now.Add(timeLeft),
 	}
 	got := &sink{}
 	err := d.Serve(t.Context(), request, got)
