Take a retry before anything is sent that may count as one

A retry is taken before each send that may count and returned if it does not. The slack is divided by the highest number of hosts of the last two minutes, and a host that does not know the number has none.

--- a/core/serverlist/serverlist_test.go
+++ b/core/serverlist/serverlist_test.go
@@ -152,7 +152,9 @@
 	restarted := server("a")
 	restarted.StartedAt = start.Add(time.Minute)
 	for name, update := range map[string]func(l *serverlist.List){
-		"store":      func(l *serverlist.List) { l.Apply(start, []serverlist.Change{{ID: "a", Server: restarted, Revision: 9}}, 9) },
+		"store": func(l *serverlist.List) {
+			l.Apply(start, []serverlist.Change{{ID: "a", Server: restarted, Revision: 9}}, 9)
+		},
 		"other host": func(l *serverlist.List) { l.Adopt([]serverlist.Server{*restarted}, 9) },
 	} {
 		l := serverlist.NewList()
--- a/hickoryd/internal/edgedispatch/budget_test.go
+++ b/hickoryd/internal/edgedispatch/budget_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -89,6 +90,9 @@
 			var list servers
 			for i := range 4 {
 				list = append(list, startServer(t, fmt.Sprint("prefill-", i), serverlist.Prefill, func(w http.ResponseWriter, r *http.Request) {
+					if strings.HasPrefix(r.URL.Path, "/hickoryfront/") {
+						return // the release of a handle
+					}
 					counts.countPrefill(r, tt.isPrefillAccepted)
 					time.Sleep(sendTime)
 					tt.prefill(w, r)
--- a/hickoryd/internal/edgedispatch/describe.go
+++ b/hickoryd/internal/edgedispatch/describe.go
@@ -15,11 +15,12 @@
 	servers, hosts := d.servers(), d.registry.HostCount()
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.hosts.Observe(now, hosts)
 	for _, server := range servers {
 		s.Servers = append(s.Servers, d.describeServer(now, server))
 	}
 	for service, budget := range d.budgets {
-		usage := budget.Usage(now, hosts)
+		usage := budget.Usage(now, d.hosts.Max())
 		s.Budgets = append(s.Budgets, hoststate.Budget{Service: service, Requests: usage.Requests, Retries: usage.Retries, Allowed: usage.Allowed})
 	}
 	slices.SortFunc(s.Servers, func(a, b hoststate.Server) int {
--- a/hickoryd/internal/edgedispatch/dispatch.go
+++ b/hickoryd/internal/edgedispatch/dispatch.go
@@ -54,6 +54,7 @@
 	// Registry lists the backend servers and counts the hosts.
 	Registry interface {
 		Servers() *registry.Snapshot
+		// HostCount returns the number of hosts, or 0 if it is not known.
 		HostCount() int
 		// Hosts returns the peer addresses of all hosts.
 		Hosts() []netip.AddrPort
@@ -158,6 +159,7 @@
 		prefillQueue *prefillqueue.Estimator
 		outputLength *outputlength.Estimator
 		budgets      map[string]*retrybudget.Budget
+		hosts        retrybudget.Hosts
 		crashes      *crash.Table
 		// meanTokens is the moving average of the reserved tokens, by service.
 		meanTokens map[string]float64
@@ -262,10 +264,7 @@
 // takeRetry takes one retry at now from the budget of the request's service. It reports
 // false if the budget is used up.
 func (d *Dispatcher) takeRetry(now time.Time, r *Request) bool {
-	hosts := d.registry.HostCount()
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.budgetOf(r).Allow(now, hosts) {
+	if d.reserveRetry(now, r) {
 		d.counters.retries.Inc()
 		return true
 	}
@@ -273,7 +272,17 @@
 	return false
 }
 
-// returnRetry returns a retry that was taken at taken and never reached a server.
+// reserveRetry takes one retry at now from the budget of the request's service, for a send
+// that may turn out to be one. It reports false if the budget is used up.
+func (d *Dispatcher) reserveRetry(now time.Time, r *Request) bool {
+	hosts := d.registry.HostCount()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.hosts.Observe(now, hosts)
+	return d.budgetOf(r).Allow(now, d.hosts.Max())
+}
+
+// returnRetry returns a retry that was taken at taken and did not become one.
 func (d *Dispatcher) returnRetry(taken time.Time, r *Request) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -283,14 +292,15 @@
 // hasRetry reports whether the budget of the request's service allows a retry. It
 // takes nothing from the budget.
 func (d *Dispatcher) hasRetry(r *Request) bool {
-	hosts := d.registry.HostCount()
+	hosts, now := d.registry.HostCount(), time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.budgetOf(r).CanRetry(time.Now(), hosts)
+	d.hosts.Observe(now, hosts)
+	return d.budgetOf(r).CanRetry(now, d.hosts.Max())
 }
 
-// recordRetry takes one retry from the budget unconditionally, for a send that the
-// platform counts as a retry.
+// recordRetry takes one retry from the budget unconditionally, for a send that could not
+// be omitted.
 func (d *Dispatcher) recordRetry(r *Request) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/hickoryd/internal/edgedispatch/generation.go
+++ b/hickoryd/internal/edgedispatch/generation.go
@@ -226,23 +226,16 @@
 		}
 		if isLeaving(g.registry.Servers().Servers, placed.held.server.ID) {
 			g.unusedHandle = placed.source
-			g.discard(placement{held: placed.held})
+			g.discard(placement{held: placed.held, retriedAt: placed.retriedAt})
 			continue
 		}
-		now := time.Now()
-		if g.isSent {
-			if !g.takeRetry(now, g.request) {
-				g.discard(placed)
-				return placement{}, errNoRetry
-			}
-			placed.retriedAt = now
-		}
-		g.timing.prefilledAt = now
+		g.timing.prefilledAt = time.Now()
 		return placed, nil
 	}
 }
 
-// placeOnce secures memory at a decode server and the KV cache of the prompt.
+// placeOnce secures memory at a decode server, a retry if the request was sent before, and
+// the KV cache of the prompt.
 func (g *generation) placeOnce(ctx context.Context) (placement, error) {
 	if g.isSent && !g.hasRetry(g.request) {
 		return placement{}, errNoRetry
@@ -251,10 +244,18 @@
 	if err != nil {
 		return placement{}, err
 	}
-	g.timing.reservedAt = time.Now()
+	now := time.Now()
+	g.timing.reservedAt = now
 	g.beginRequest(held.server.ID, held.tokens)
 	placed := placement{held: held}
-	if failure := g.checkCrashes(time.Now(), g.request); failure != nil {
+	if g.isSent {
+		if !g.takeRetry(now, g.request) {
+			g.discard(placed)
+			return placement{}, errNoRetry
+		}
+		placed.retriedAt = now
+	}
+	if failure := g.checkCrashes(now, g.request); failure != nil {
 		g.discard(placed)
 		return placement{}, failure
 	}
--- a/hickoryd/internal/edgedispatch/migrate.go
+++ b/hickoryd/internal/edgedispatch/migrate.go
@@ -266,6 +266,9 @@
 	if cannotHaveRun(err) {
 		g.counters.migrationsRejected.Inc()
 	}
+	if errors.Is(err, errNotRun) {
+		g.recordRetry(g.request) // the run could go on nowhere else
+	}
 	return err
 }
 
--- a/hickoryd/internal/edgedispatch/prefill.go
+++ b/hickoryd/internal/edgedispatch/prefill.go
@@ -47,21 +47,20 @@
 		if !ok || wait > maxPrefillWait {
 			break
 		}
-		if !g.hasRetry(g.request) {
-			break // a refused prefill would count as a retry, and the budget allows none
-		}
-		isFurther := g.isPrefilled
-		if isFurther {
-			g.recordRetry(g.request)
+		taken := time.Now()
+		if !g.reserveRetry(taken, g.request) {
+			break // a refused or a further prefill counts as a retry, and the budget allows none
 		}
 		handle, err := g.prefillAt(ctx, server)
+		if err == nil && !g.isPrefilled || errors.Is(err, upstream.ErrNotSent) {
+			g.returnRetry(taken, g.request)
+		} else {
+			g.counters.retries.Inc()
+		}
 		if err == nil {
 			g.isPrefilled = true
 			return handle, nil
 		}
-		if !isFurther && !errors.Is(err, upstream.ErrNotSent) {
-			g.recordRetry(g.request)
-		}
 		if ctx.Err() != nil {
 			return kvHandle{}, fmt.Errorf("%w: %w", upstream.ErrNotSent, ctx.Err())
 		}
--- a/hickoryd/internal/registry/registry.go
+++ b/hickoryd/internal/registry/registry.go
@@ -135,11 +135,11 @@
 	return r.hosts
 }
 
-// HostCount returns the number of hosts of the system. It is at least 1.
+// HostCount returns the number of hosts of the system, or 0 before it is known.
 func (r *Registry) HostCount() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return max(len(r.hosts), 1)
+	return len(r.hosts)
 }
 
 // Describe fills in the parts of s that concern the store.
