Limit the head of a backend server's response

A head without end was read until the request's deadline and kept in memory: net/http limits the head in its Transport only, and the pool reads responses itself. It is limited to 64 KB now, and an error quotes at most 300 bytes of what a server has sent.

Bodies without end were limited already.

--- a/hickoryd/internal/upstream/connection.go
+++ b/hickoryd/internal/upstream/connection.go
@@ -25,6 +25,9 @@
 	// maxInternalReadBytes bounds each body that this package reads itself: of a response
 	// to Call, and of a skipped response to another request.
 	maxInternalReadBytes = 64 << 10
+	// maxHeadBytes bounds the head of a response: its status line and headers, and the part
+	// of the body that is read together with them.
+	maxHeadBytes = 64 << 10
 	// maxReadResponses bounds the responses that are read for one request: its own, and
 	// those skipped before it, which are informational or belong to another request.
 	maxReadResponses = 4
@@ -62,12 +65,21 @@
 		pool    *Pool
 		address netip.AddrPort
 		socket  net.Conn
-		reader  *bufio.Reader
+		limit   *limitedReader // reads from socket
+		reader  *bufio.Reader  // reads from limit
 		// reusableUntil is the time from which the connection has been idle too long
 		// to be reused. It is zero before the first response.
 		reusableUntil time.Time
 	}
 
+	// limitedReader fails with errHeadTooLong once it has read left bytes while isLimited is
+	// set.
+	limitedReader struct {
+		source    io.Reader
+		isLimited bool
+		left      int
+	}
+
 	// trackedBody records whether the body was read to its end.
 	trackedBody struct {
 		io.ReadCloser
@@ -82,6 +94,9 @@
 	}
 )
 
+// errHeadTooLong means that a response had no end of its headers within maxHeadBytes.
+var errHeadTooLong = fmt.Errorf("no end of the response's headers within %d bytes", maxHeadBytes)
+
 // Do sends a request to a server and returns the response as soon as its headers
 // are read. Its error wraps ErrNotSent or ErrMayHaveRun. If ctx ends before the
 // response is closed, Do closes the connection.
@@ -141,9 +156,10 @@
 }
 
 func newConnection(pool *Pool, address netip.AddrPort, socket net.Conn) *connection {
+	limit := &limitedReader{source: socket}
 	return &connection{
 		pool: pool, address: address, socket: socket,
-		reader: bufio.NewReaderSize(socket, readBufferBytes),
+		limit: limit, reader: bufio.NewReaderSize(limit, readBufferBytes),
 	}
 }
 
@@ -208,9 +224,11 @@
 // a server may send late on a reused connection, and informational responses.
 func (c *connection) readResponse(r Request) (*http.Response, platform.Response, error) {
 	for range maxReadResponses {
+		c.limit.isLimited, c.limit.left = true, maxHeadBytes
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
+		c.limit.isLimited = false
 		if err != nil {
-			return nil, platform.Response{}, err
+			return nil, platform.Response{}, shorten(err)
 		}
 		if response.StatusCode < http.StatusOK {
 			continue
@@ -227,6 +245,16 @@
 	return nil, platform.Response{}, errors.New("too many answers to other requests")
 }
 
+// shorten returns an error with the start of err's text if that is long: it may quote what
+// the server has sent.
+func shorten(err error) error {
+	const maxText = 300
+	if text := err.Error(); len(text) > maxText {
+		return errors.New(text[:maxText])
+	}
+	return err
+}
+
 // encodeHead returns the request line and the headers.
 func encodeHead(r Request) []byte {
 	var head strings.Builder
@@ -239,6 +267,19 @@
 	return []byte(head.String())
 }
 
+// Read implements io.Reader.
+func (l *limitedReader) Read(p []byte) (int, error) {
+	if !l.isLimited {
+		return l.source.Read(p)
+	}
+	if l.left <= 0 {
+		return 0, errHeadTooLong
+	}
+	n, err := l.source.Read(p[:min(len(p), l.left)])
+	l.left -= n
+	return n, err
+}
+
 func (b *trackedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	if err == io.EOF {
