Send no more work to a server that says that it is leaving

Hosts learned of it from the server list or from each other only, and a host that the store turns away learned late. The mark is final for an incarnation of the server and outlasts a registration that lapses and comes back. Responses to calls count as well; that of another process at the address does not.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -29,6 +29,10 @@
 	// excluded: three times the maximum lag of the server list, which the platform
 	// states as 3 s.
 	endedPeriod = 9 * time.Second
+	// leavingRetention is how long a server that has said that it is leaving is remembered
+	// after it has vanished from the list. In an outage its registration may lapse and come
+	// back.
+	leavingRetention = 2 * time.Minute
 )
 
 type (
@@ -67,6 +71,8 @@
 		tokens     int
 		skipUntil  time.Time // full or changing its stage
 		endedUntil time.Time
+		// leavingSince is when the server last said that it is leaving, or zero.
+		leavingSince time.Time
 	}
 )
 
@@ -123,6 +129,21 @@
 	t.load(server).endedUntil = now.Add(endedPeriod)
 }
 
+// MarkLeaving records that a server has said at now that it is leaving, which is final for
+// its incarnation. It reports whether that is new.
+func (t *Table) MarkLeaving(now time.Time, server string) bool {
+	l := t.load(server)
+	isNew := l.leavingSince.IsZero()
+	l.leavingSince = now
+	return isNew
+}
+
+// IsLeaving reports whether a server has said that it is leaving.
+func (t *Table) IsLeaving(server string) bool {
+	l, ok := t.loads[server]
+	return ok && !l.leavingSince.IsZero()
+}
+
 func (t *Table) load(server string) *load {
 	l, ok := t.loads[server]
 	if !ok {
@@ -132,9 +153,10 @@
 	return l
 }
 
-func (t *Table) isEnded(now time.Time, server string) bool {
+// takesNoWork reports whether a server's incarnation has ended or is leaving.
+func (t *Table) takesNoWork(now time.Time, server string) bool {
 	l, ok := t.loads[server]
-	return ok && now.Before(l.endedUntil)
+	return ok && (!l.leavingSince.IsZero() || now.Before(l.endedUntil))
 }
 
 func (t *Table) skip(until time.Time, server string) {
@@ -147,17 +169,17 @@
 // Retain removes the health of the servers that are not among servers, and their
 // load if no request is in flight. Of a server that has started again it keeps only the
 // requests in flight.
-func (t *Table) Retain(servers []serverlist.Server) {
+func (t *Table) Retain(now time.Time, servers []serverlist.Server) {
 	known := make(map[string]bool, len(servers))
 	for _, s := range servers {
 		known[s.ID] = true
 		if l := t.load(s.ID); !l.startedAt.Equal(s.StartedAt) {
-			l.startedAt, l.skipUntil, l.endedUntil = s.StartedAt, time.Time{}, time.Time{}
+			l.startedAt, l.skipUntil, l.endedUntil, l.leavingSince = s.StartedAt, time.Time{}, time.Time{}, time.Time{}
 			t.health.Forget(s.ID)
 		}
 	}
 	for id, l := range t.loads {
-		if !known[id] && l.requests <= 0 {
+		if !known[id] && l.requests <= 0 && now.Sub(l.leavingSince) > leavingRetention {
 			delete(t.loads, id)
 		}
 	}
@@ -165,7 +187,7 @@
 }
 
 // Pick returns the best server, and an ejected one only where no other matches.
-// It returns false where no server matches the criteria.
+// It returns false where no server that takes work matches the criteria.
 func (t *Table) Pick(now time.Time, servers []serverlist.Server, criteria Criteria) (serverlist.Server, bool) {
 	if s, ok := t.pick(now, servers, criteria, false); ok {
 		return s, true
@@ -178,7 +200,7 @@
 	var bestCost float64
 	isFound := false
 	for _, s := range servers {
-		if !criteria.Matches(s) || t.isEnded(now, s.ID) || (!isEjectedAllowed && t.health.IsEjected(now, s.ID)) {
+		if !criteria.Matches(s) || t.takesNoWork(now, s.ID) || (!isEjectedAllowed && t.health.IsEjected(now, s.ID)) {
 			continue
 		}
 		cost := t.cost(s, criteria)
@@ -190,8 +212,8 @@
 }
 
 // Rank returns the matching servers that may have free capacity, best first. It
-// excludes servers that are ejected, have ended, or were recently full or changing
-// their stage.
+// excludes servers that are ejected, have ended, are leaving, or were recently full or
+// changing their stage.
 func (t *Table) Rank(now time.Time, servers []serverlist.Server, criteria Criteria) []serverlist.Server {
 	type candidate struct {
 		server serverlist.Server
@@ -199,7 +221,7 @@
 	}
 	var candidates []candidate
 	for _, s := range servers {
-		if !criteria.Matches(s) || t.isEnded(now, s.ID) || t.health.IsEjected(now, s.ID) || t.isSkipped(now, s.ID) {
+		if !criteria.Matches(s) || t.takesNoWork(now, s.ID) || t.health.IsEjected(now, s.ID) || t.isSkipped(now, s.ID) {
 			continue
 		}
 		candidates = append(candidates, candidate{s, t.cost(s, criteria)})
--- a/core/balance/balance_test.go
+++ b/core/balance/balance_test.go
@@ -147,7 +147,7 @@
 	if _, ok := table.Pick(start.Add(time.Minute), servers, criteria); !ok {
 		t.Error("still excluded after a minute")
 	}
-	table.Retain(nil)
+	table.Retain(start, nil)
 	if _, ok := table.Pick(start, servers, criteria); !ok {
 		t.Error("still excluded after its removal from the list")
 	}
@@ -171,13 +171,13 @@
 	table := balance.NewTable()
 	server := serverlist.Server{ID: "a", Service: "s", StartedAt: time.Unix(100, 0)}
 	criteria := balance.Criteria{Service: "s"}
-	table.Retain([]serverlist.Server{server})
+	table.Retain(start, []serverlist.Server{server})
 	table.MarkEnded(start, "a")
 	for range 5 {
 		table.Report(start, "a", health.Unreachable)
 	}
 	server.StartedAt = server.StartedAt.Add(time.Minute)
-	table.Retain([]serverlist.Server{server})
+	table.Retain(start, []serverlist.Server{server})
 	if ranked := table.Rank(start, []serverlist.Server{server}, criteria); len(ranked) != 1 {
 		t.Error("the new incarnation is excluded")
 	}
@@ -185,3 +185,31 @@
 		t.Errorf("the new incarnation has the failure rate %.1f, ejected %t", got.FailureRate, got.IsEjected)
 	}
 }
+
+// A server that has said that it is leaving must get no work, also after its registration
+// has lapsed and come back, until it has started again.
+func TestLeavingServersAreExcluded(t *testing.T) {
+	const lapse = time.Minute
+	server := serverlist.Server{ID: "a", Service: "s", StartedAt: time.Unix(100, 0)}
+	restarted := server
+	restarted.StartedAt = server.StartedAt.Add(time.Minute)
+	criteria := balance.Criteria{Service: "s"}
+	table := balance.NewTable()
+	table.Retain(start, []serverlist.Server{server})
+	if !table.MarkLeaving(start, "a") || table.MarkLeaving(start, "a") {
+		t.Error("the first mark is not new, or the second one is")
+	}
+	table.Retain(start.Add(time.Second), nil)
+	table.Retain(start.Add(lapse), []serverlist.Server{server})
+	now := start.Add(lapse)
+	if _, ok := table.Pick(now, []serverlist.Server{server}, criteria); ok || !table.IsLeaving("a") {
+		t.Error("picked though it is leaving")
+	}
+	if ranked := table.Rank(now, []serverlist.Server{server}, criteria); len(ranked) > 0 {
+		t.Error("ranked though it is leaving")
+	}
+	table.Retain(now, []serverlist.Server{restarted})
+	if _, ok := table.Pick(now, []serverlist.Server{restarted}, criteria); !ok || table.IsLeaving("a") {
+		t.Error("the new incarnation gets no work")
+	}
+}
--- a/hickoryd/internal/edgedispatch/dispatch.go
+++ b/hickoryd/internal/edgedispatch/dispatch.go
@@ -335,7 +335,7 @@
 	defer d.mu.Unlock()
 	if snapshot.Version != d.serversVersion {
 		d.serversVersion = snapshot.Version
-		d.balancer.Retain(snapshot.Servers)
+		d.balancer.Retain(time.Now(), snapshot.Servers)
 		d.prefillQueue.Retain(snapshot.Servers)
 	}
 	return snapshot.Servers
@@ -449,20 +449,20 @@
 func (d *Dispatcher) runInspect(server serverlist.Server) {
 	ctx, cancel := context.WithTimeout(d.background, backgroundTimeout)
 	defer cancel()
-	status, body, err := d.pool.Call(ctx, server.Address, platform.ReportCall(server.ID))
+	reply, err := d.call(ctx, server, platform.ReportCall(server.ID))
 	logger := d.logger.WithFields(log.Fields{"server": server.ID, "stage": server.Stage, "address": server.Address})
 	switch {
 	case err != nil:
 		return // the rejection itself is already recorded
-	case status == http.StatusMisdirectedRequest:
+	case reply.Status == http.StatusMisdirectedRequest:
 		logger.Info("backend server has been replaced")
 		d.ReportReplaced(time.Now(), server.ID)
 		d.peers.ReportReplaced(d.background, server.ID)
 		return
-	case status != http.StatusOK:
+	case reply.Status != http.StatusOK:
 		return
 	}
-	report, err := platform.DecodeReport(body)
+	report, err := platform.DecodeReport(reply.Body)
 	if err != nil {
 		logger.WithError(err).Warn("can't decode the state report of a backend server; ignoring it")
 		return
@@ -516,10 +516,44 @@
 		ID: r.Metadata.ID, Method: r.Method, Target: r.Target, Host: r.Host,
 		Header: platform.RequestHeader(r.Header, a), Body: r.Body,
 	})
-	if err == nil && response.Metadata.IsMisdirected {
+	if err != nil {
+		return nil, err
+	}
+	d.observe(server, response.Metadata)
+	if response.Metadata.IsMisdirected {
 		d.handleMisdirected(server)
 	}
-	return response, err
+	return response, nil
+}
+
+// call makes one call of a server's control interface.
+func (d *Dispatcher) call(ctx context.Context, server serverlist.Server, call platform.Call) (upstream.Reply, error) {
+	reply, err := d.pool.Call(ctx, server.Address, call)
+	if err == nil {
+		d.observe(server, reply.Metadata)
+	}
+	return reply, err
+}
+
+// observe takes up what a server's response states about the server itself.
+func (d *Dispatcher) observe(server serverlist.Server, response platform.Response) {
+	if response.IsMisdirected || !response.IsLeaving {
+		return // a misdirected request was answered by another server
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.balancer.MarkLeaving(time.Now(), server.ID) {
+		d.logger.WithFields(log.Fields{"server": server.ID, "service": server.Service}).Info("backend server says that it is leaving")
+	}
+}
+
+// isLeaving reports whether a server takes no new work, because it is draining, no longer
+// listed, or has said that it is leaving.
+func (d *Dispatcher) isLeaving(id string) bool {
+	servers := d.registry.Servers().Servers
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.balancer.IsLeaving(id) || isLeaving(servers, id)
 }
 
 // cannotHaveRun reports whether the server of a failed attempt can't have run the
--- a/hickoryd/internal/edgedispatch/dispatch_test.go
+++ b/hickoryd/internal/edgedispatch/dispatch_test.go
@@ -200,7 +200,12 @@
 // startDecodeServer returns a decode server that grants reservations while hasCapacity
 // is set, and serves runs by f.
 func startDecodeServer(t *testing.T, id string, hasCapacity *atomic.Bool, f http.HandlerFunc) serverlist.Server {
-	return startServer(t, id, serverlist.Decode, func(w http.ResponseWriter, r *http.Request) {
+	return startServer(t, id, serverlist.Decode, decodeHandler(hasCapacity, f))
+}
+
+// decodeHandler returns the handler of a decode server.
+func decodeHandler(hasCapacity *atomic.Bool, f http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
 		switch {
 		case strings.HasSuffix(r.URL.Path, "/hold-take") && hasCapacity.Load():
 			_, _ = io.WriteString(w, `{"hold":"h"}`)
@@ -211,7 +216,7 @@
 		default:
 			f(w, r)
 		}
-	})
+	}
 }
 
 func events(ids ...string) http.HandlerFunc {
--- a/hickoryd/internal/edgedispatch/generation.go
+++ b/hickoryd/internal/edgedispatch/generation.go
@@ -224,7 +224,7 @@
 		if err != nil {
 			return placement{}, err
 		}
-		if isLeaving(g.registry.Servers().Servers, placed.held.server.ID) {
+		if g.isLeaving(placed.held.server.ID) {
 			g.unusedHandle = placed.source
 			g.discard(placement{held: placed.held, retriedAt: placed.retriedAt})
 			continue
--- a/hickoryd/internal/edgedispatch/migrate.go
+++ b/hickoryd/internal/edgedispatch/migrate.go
@@ -188,7 +188,7 @@
 // copy already, or to the first one that has room. It returns that server and how long the
 // transfer took.
 func (m *migration) transferToAny(ctx context.Context, criteria balance.Criteria) (serverlist.Server, time.Duration, error) {
-	if m.target != nil && isLeaving(m.registry.Servers().Servers, m.target.ID) {
+	if m.target != nil && m.isLeaving(m.target.ID) {
 		m.target, m.lastTook = nil, 0
 	}
 	var targets []serverlist.Server
@@ -239,20 +239,20 @@
 	if err != nil {
 		return platform.KVHandle{}, err
 	}
-	status, body, err := m.pool.Call(ctx, m.server.Address, call)
+	reply, err := m.call(ctx, m.server, call)
 	if err != nil {
 		return platform.KVHandle{}, err
 	}
-	handle, err := platform.DecodeMigration(body)
-	switch status {
+	handle, err := platform.DecodeMigration(reply.Body)
+	switch reply.Status {
 	case http.StatusOK:
 		return handle, err
 	case http.StatusServiceUnavailable:
-		return handle, fmt.Errorf("%w: transfer returned status %d", errNotRun, status)
+		return handle, fmt.Errorf("%w: transfer returned status %d", errNotRun, reply.Status)
 	case http.StatusConflict:
 		return handle, errTransferInProgress
 	default:
-		return handle, fmt.Errorf("%w: transfer returned status %d", errInvalid, status)
+		return handle, fmt.Errorf("%w: transfer returned status %d", errInvalid, reply.Status)
 	}
 }
 
--- a/hickoryd/internal/edgedispatch/reserve.go
+++ b/hickoryd/internal/edgedispatch/reserve.go
@@ -112,7 +112,7 @@
 	if err != nil {
 		return err
 	}
-	_, _, err = g.pool.Call(ctx, server.Address, platform.ReleaseReservationCall(server.ID, id))
+	_, err = g.call(ctx, server, platform.ReleaseReservationCall(server.ID, id))
 	return err
 }
 
@@ -124,7 +124,7 @@
 	if err != nil {
 		return "", err
 	}
-	status, body, err := g.pool.Call(ctx, server.Address, call)
+	reply, err := g.call(ctx, server, call)
 	switch {
 	case err != nil && errors.Is(ctx.Err(), context.Canceled):
 		return "", err // this host has ended the call, which shows nothing about the server
@@ -134,15 +134,15 @@
 	case err != nil:
 		g.recordResult(server.ID, health.Broken)
 		return "", err
-	case status != http.StatusOK:
-		if status == http.StatusMisdirectedRequest {
+	case reply.Status != http.StatusOK:
+		if reply.Status == http.StatusMisdirectedRequest {
 			g.handleMisdirected(server)
 		} else {
 			g.markFull(server.ID)
 		}
-		return "", fmt.Errorf("%w: reservation returned status %d", errNotRun, status)
+		return "", fmt.Errorf("%w: reservation returned status %d", errNotRun, reply.Status)
 	}
-	id, err := platform.DecodeReservation(body)
+	id, err := platform.DecodeReservation(reply.Body)
 	if err != nil {
 		g.recordResult(server.ID, health.Broken)
 	}
@@ -167,7 +167,7 @@
 func (g *generation) runRelease(server serverlist.Server, call platform.Call) {
 	ctx, cancel := context.WithTimeout(g.background, backgroundTimeout)
 	defer cancel()
-	if _, _, err := g.pool.Call(ctx, server.Address, call); err != nil {
+	if _, err := g.call(ctx, server, call); err != nil {
 		g.logger.WithError(err).WithField("server", server.ID).Debug("release call failed; the server frees the memory when its lifetime ends")
 	}
 }
--- a/hickoryd/internal/edgeorder/controller.go
+++ b/hickoryd/internal/edgeorder/controller.go
@@ -213,11 +213,11 @@
 func (c *Controller) order(ctx context.Context, t term, change stage.Change) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	status, body, err := c.pool.Call(ctx, change.Server.Address, platform.ReportCall(change.Server.ID))
-	if err != nil || status != http.StatusOK {
-		return fmt.Errorf("state report returned status %d: %w", status, err)
+	reply, err := c.pool.Call(ctx, change.Server.Address, platform.ReportCall(change.Server.ID))
+	if err != nil || reply.Status != http.StatusOK {
+		return fmt.Errorf("state report returned status %d: %w", reply.Status, err)
 	}
-	report, err := platform.DecodeReport(body)
+	report, err := platform.DecodeReport(reply.Body)
 	if err != nil {
 		return err
 	}
@@ -232,9 +232,9 @@
 	}
 	c.orderCount.Inc()
 	c.planner.MarkOrdered(time.Now(), change)
-	status, _, err = c.pool.Call(ctx, change.Server.Address, call)
+	reply, err = c.pool.Call(ctx, change.Server.Address, call)
 	c.logger.WithFields(log.Fields{
-		"server": change.Server.ID, "stage": string(change.To), "token": t.token, "expected": report.AcceptedOrders, "status": status, "error": fmt.Sprint(err),
+		"server": change.Server.ID, "stage": string(change.To), "token": t.token, "expected": report.AcceptedOrders, "status": reply.Status, "error": fmt.Sprint(err),
 	}).Info("stage ordered")
 	return err
 }
--- a/hickoryd/internal/upstream/connection.go
+++ b/hickoryd/internal/upstream/connection.go
@@ -47,6 +47,15 @@
 		Body   []byte
 	}
 
+	// Reply is the complete response to a call of a server's control interface.
+	Reply struct {
+		Status int
+		// Metadata is what the platform's headers state about the response.
+		Metadata platform.Response
+		// Body has at most maxInternalReadBytes.
+		Body []byte
+	}
+
 	// Response is a backend server's response. The caller must close it.
 	Response struct {
 		*http.Response
@@ -116,21 +125,20 @@
 	return response, nil
 }
 
-// Call makes one call of a server's control interface. It returns the status and at
-// most maxInternalReadBytes of the body.
-func (p *Pool) Call(ctx context.Context, address netip.AddrPort, call platform.Call) (int, []byte, error) {
+// Call makes one call of a server's control interface.
+func (p *Pool) Call(ctx context.Context, address netip.AddrPort, call platform.Call) (Reply, error) {
 	response, err := p.Do(ctx, address, Request{
 		Method: call.Method, Target: call.Path, Host: address.String(), Header: call.Header, Body: call.Body,
 	})
 	if err != nil {
-		return 0, nil, err
+		return Reply{}, err
 	}
 	defer response.Close()
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxInternalReadBytes))
 	if err != nil {
-		return 0, nil, fmt.Errorf("%w: %w", ErrMayHaveRun, err)
+		return Reply{}, fmt.Errorf("%w: %w", ErrMayHaveRun, err)
 	}
-	return response.StatusCode, body, nil
+	return Reply{Status: response.StatusCode, Metadata: response.Metadata, Body: body}, nil
 }
 
 // Close returns the connection to the pool if it can be reused: the request was
--- a/hickoryd/internal/upstream/endless_test.go
+++ b/hickoryd/internal/upstream/endless_test.go
@@ -93,7 +93,7 @@
 			pool, address := newPool(), netip.MustParseAddrPort(server.listener.Addr().String())
 			var err error
 			if tt.isCall {
-				_, _, err = pool.Call(ctx, address, platform.ReportCall("s"))
+				_, err = pool.Call(ctx, address, platform.ReportCall("s"))
 			} else {
 				_, err = pool.Do(ctx, address, get("r1"))
 			}
