Send nothing to a server that asks for no work

Hosts skipped such a server for 60 ms, and for plain requests not at all. Now it gets neither requests nor reservations nor prefills nor migrated runs until the time is over (10 minutes at most); a placement that was made before is given up. If all servers of a plain service have asked for that, callers get the rest of the shortest time as Retry-After.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -33,6 +33,8 @@
 	// after it has vanished from the list. In an outage its registration may lapse and come
 	// back.
 	leavingRetention = 2 * time.Minute
+	// maxPause bounds the time for which a server may ask for no work.
+	maxPause = 10 * time.Minute
 )
 
 type (
@@ -71,6 +73,8 @@
 		tokens     int
 		skipUntil  time.Time // full or changing its stage
 		endedUntil time.Time
+		// pausedUntil is the end of the time for which the server has asked for no work.
+		pausedUntil time.Time
 		// leavingSince is when the server last said that it is leaving, or zero.
 		leavingSince time.Time
 	}
@@ -129,6 +133,33 @@
 	t.load(server).endedUntil = now.Add(endedPeriod)
 }
 
+// MarkPaused records that a server has asked at now for no work during a time.
+func (t *Table) MarkPaused(now time.Time, server string, pause time.Duration) {
+	l := t.load(server)
+	if until := now.Add(min(pause, maxPause)); until.After(l.pausedUntil) {
+		l.pausedUntil = until
+	}
+}
+
+// PauseLeft returns the time until the first of the servers that match takes work again, if
+// all of them have asked for none. Otherwise it returns 0.
+func (t *Table) PauseLeft(now time.Time, servers []serverlist.Server, criteria Criteria) time.Duration {
+	var least time.Duration
+	for _, s := range servers {
+		if !criteria.Matches(s) || t.isGone(now, s.ID) {
+			continue
+		}
+		l, ok := t.loads[s.ID]
+		if !ok || !now.Before(l.pausedUntil) {
+			return 0
+		}
+		if left := l.pausedUntil.Sub(now); least == 0 || left < least {
+			least = left
+		}
+	}
+	return least
+}
+
 // MarkLeaving records that a server has said at now that it is leaving, which is final for
 // its incarnation. It reports whether that is new.
 func (t *Table) MarkLeaving(now time.Time, server string) bool {
@@ -138,12 +169,6 @@
 	return isNew
 }
 
-// IsLeaving reports whether a server has said that it is leaving.
-func (t *Table) IsLeaving(server string) bool {
-	l, ok := t.loads[server]
-	return ok && !l.leavingSince.IsZero()
-}
-
 func (t *Table) load(server string) *load {
 	l, ok := t.loads[server]
 	if !ok {
@@ -153,8 +178,15 @@
 	return l
 }
 
-// takesNoWork reports whether a server's incarnation has ended or is leaving.
-func (t *Table) takesNoWork(now time.Time, server string) bool {
+// TakesNoWork reports whether a server's incarnation has ended or is leaving, or has asked
+// for no work at now.
+func (t *Table) TakesNoWork(now time.Time, server string) bool {
+	l, ok := t.loads[server]
+	return ok && (t.isGone(now, server) || now.Before(l.pausedUntil))
+}
+
+// isGone reports whether a server's incarnation has ended or is leaving.
+func (t *Table) isGone(now time.Time, server string) bool {
 	l, ok := t.loads[server]
 	return ok && (!l.leavingSince.IsZero() || now.Before(l.endedUntil))
 }
@@ -174,7 +206,8 @@
 	for _, s := range servers {
 		known[s.ID] = true
 		if l := t.load(s.ID); !l.startedAt.Equal(s.StartedAt) {
-			l.startedAt, l.skipUntil, l.endedUntil, l.leavingSince = s.StartedAt, time.Time{}, time.Time{}, time.Time{}
+			l.startedAt, l.skipUntil, l.endedUntil = s.StartedAt, time.Time{}, time.Time{}
+			l.pausedUntil, l.leavingSince = time.Time{}, time.Time{}
 			t.health.Forget(s.ID)
 		}
 	}
@@ -200,7 +233,7 @@
 	var bestCost float64
 	isFound := false
 	for _, s := range servers {
-		if !criteria.Matches(s) || t.takesNoWork(now, s.ID) || (!isEjectedAllowed && t.health.IsEjected(now, s.ID)) {
+		if !criteria.Matches(s) || t.TakesNoWork(now, s.ID) || (!isEjectedAllowed && t.health.IsEjected(now, s.ID)) {
 			continue
 		}
 		cost := t.cost(s, criteria)
@@ -212,8 +245,8 @@
 }
 
 // Rank returns the matching servers that may have free capacity, best first. It
-// excludes servers that are ejected, have ended, are leaving, or were recently full or
-// changing their stage.
+// excludes servers that are ejected, have ended, are leaving, have asked for no work, or
+// were recently full or changing their stage.
 func (t *Table) Rank(now time.Time, servers []serverlist.Server, criteria Criteria) []serverlist.Server {
 	type candidate struct {
 		server serverlist.Server
@@ -221,7 +254,7 @@
 	}
 	var candidates []candidate
 	for _, s := range servers {
-		if !criteria.Matches(s) || t.takesNoWork(now, s.ID) || t.health.IsEjected(now, s.ID) || t.isSkipped(now, s.ID) {
+		if !criteria.Matches(s) || t.TakesNoWork(now, s.ID) || t.health.IsEjected(now, s.ID) || t.isSkipped(now, s.ID) {
 			continue
 		}
 		candidates = append(candidates, candidate{s, t.cost(s, criteria)})
--- a/core/balance/balance_test.go
+++ b/core/balance/balance_test.go
@@ -202,14 +202,48 @@
 	table.Retain(start.Add(time.Second), nil)
 	table.Retain(start.Add(lapse), []serverlist.Server{server})
 	now := start.Add(lapse)
-	if _, ok := table.Pick(now, []serverlist.Server{server}, criteria); ok || !table.IsLeaving("a") {
+	if _, ok := table.Pick(now, []serverlist.Server{server}, criteria); ok || !table.TakesNoWork(now, "a") {
 		t.Error("picked though it is leaving")
 	}
 	if ranked := table.Rank(now, []serverlist.Server{server}, criteria); len(ranked) > 0 {
 		t.Error("ranked though it is leaving")
 	}
 	table.Retain(now, []serverlist.Server{restarted})
-	if _, ok := table.Pick(now, []serverlist.Server{restarted}, criteria); !ok || table.IsLeaving("a") {
+	if _, ok := table.Pick(now, []serverlist.Server{restarted}, criteria); !ok || table.TakesNoWork(now, "a") {
 		t.Error("the new incarnation gets no work")
 	}
 }
+
+// A server that has asked for no work must get none until the time is over. If all servers
+// have, callers must be told when the first one takes work again.
+func TestPausedServersAreExcluded(t *testing.T) {
+	list := []serverlist.Server{{ID: "a", Service: "s"}, {ID: "b", Service: "s"}, {ID: "c", Service: "other"}}
+	criteria := balance.Criteria{Service: "s"}
+	table := balance.NewTable()
+	table.MarkPaused(start, "a", 4*time.Second)
+	table.MarkPaused(start, "a", time.Second) // a shorter time must not end the longer one
+	if got, ok := table.Pick(start.Add(3*time.Second), list, criteria); !ok || got.ID != "b" {
+		t.Errorf("picked %q, want b", got.ID)
+	}
+	if left := table.PauseLeft(start, list, criteria); left != 0 {
+		t.Errorf("%v left though b takes work", left)
+	}
+	table.MarkPaused(start, "b", 6*time.Second)
+	now := start.Add(time.Second)
+	if got, ok := table.Pick(now, list, criteria); ok {
+		t.Errorf("picked %q, want none", got.ID)
+	}
+	if ranked := table.Rank(now, list, criteria); len(ranked) > 0 {
+		t.Errorf("ranked %v, want none", ranked)
+	}
+	if left := table.PauseLeft(now, list, criteria); left != 3*time.Second {
+		t.Errorf("%v left, want 3s", left)
+	}
+	if got, ok := table.Pick(start.Add(4*time.Second), list, criteria); !ok || got.ID != "a" {
+		t.Errorf("picked %q after the pause, want a", got.ID)
+	}
+	table.MarkPaused(start, "a", 24*time.Hour)
+	if _, ok := table.Pick(start.Add(time.Hour), list, criteria); !ok {
+		t.Error("a server is excluded for a day")
+	}
+}
--- a/hickoryd/internal/edgedispatch/decode.go
+++ b/hickoryd/internal/edgedispatch/decode.go
@@ -71,7 +71,9 @@
 			g.returnable = append(g.returnable, held.server.ID)
 			g.releaseHandle(source)
 			g.markFull(held.server.ID)
-			go g.runInspect(held.server)
+			if response.Metadata.RetryAfter == 0 {
+				go g.runInspect(held.server)
+			}
 		}
 		return fmt.Errorf("%w: status %d: %.80s", errNotRun, response.StatusCode, body)
 	}
--- a/hickoryd/internal/edgedispatch/dispatch.go
+++ b/hickoryd/internal/edgedispatch/dispatch.go
@@ -537,23 +537,36 @@
 
 // observe takes up what a server's response states about the server itself.
 func (d *Dispatcher) observe(server serverlist.Server, response platform.Response) {
-	if response.IsMisdirected || !response.IsLeaving {
-		return // a misdirected request was answered by another server
+	if response.IsMisdirected {
+		return // another server has answered
 	}
+	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.balancer.MarkLeaving(time.Now(), server.ID) {
+	if response.RetryAfter > 0 {
+		d.balancer.MarkPaused(now, server.ID, response.RetryAfter)
+	}
+	if response.IsLeaving && d.balancer.MarkLeaving(now, server.ID) {
 		d.logger.WithFields(log.Fields{"server": server.ID, "service": server.Service}).Info("backend server says that it is leaving")
 	}
 }
 
-// isLeaving reports whether a server takes no new work, because it is draining, no longer
-// listed, or has said that it is leaving.
-func (d *Dispatcher) isLeaving(id string) bool {
+// takesNoWork reports whether a server takes no new work: it is draining or no longer
+// listed, or has said that it is leaving or wants no work for some time.
+func (d *Dispatcher) takesNoWork(id string) bool {
 	servers := d.registry.Servers().Servers
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.balancer.IsLeaving(id) || isLeaving(servers, id)
+	return d.balancer.TakesNoWork(time.Now(), id) || isLeaving(servers, id)
+}
+
+// plainRetryAfter returns the Retry-After of a plain request that no server has run: the
+// time after which a server may be free.
+func (d *Dispatcher) plainRetryAfter(r *Request) time.Duration {
+	servers := d.servers()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return max(shortRetryAfter, d.balancer.PauseLeft(time.Now(), servers, balance.Criteria{Service: r.Route.Service}))
 }
 
 // cannotHaveRun reports whether the server of a failed attempt can't have run the
--- a/hickoryd/internal/edgedispatch/generation.go
+++ b/hickoryd/internal/edgedispatch/generation.go
@@ -217,14 +217,14 @@
 
 // place secures all that an attempt needs: memory at a decode server, the KV cache of the
 // prompt and, if the request was sent before, a retry. The request counts as load of the
-// server from then on. A server that begins to leave meanwhile is replaced.
+// server from then on. A server that takes no work any more by then is replaced.
 func (g *generation) place(ctx context.Context) (placement, error) {
 	for {
 		placed, err := g.placeOnce(ctx)
 		if err != nil {
 			return placement{}, err
 		}
-		if g.isLeaving(placed.held.server.ID) {
+		if g.takesNoWork(placed.held.server.ID) {
 			g.unusedHandle = placed.source
 			g.discard(placement{held: placed.held, retriedAt: placed.retriedAt})
 			continue
--- a/hickoryd/internal/edgedispatch/migrate.go
+++ b/hickoryd/internal/edgedispatch/migrate.go
@@ -188,7 +188,7 @@
 // copy already, or to the first one that has room. It returns that server and how long the
 // transfer took.
 func (m *migration) transferToAny(ctx context.Context, criteria balance.Criteria) (serverlist.Server, time.Duration, error) {
-	if m.target != nil && m.isLeaving(m.target.ID) {
+	if m.target != nil && m.takesNoWork(m.target.ID) {
 		m.target, m.lastTook = nil, 0
 	}
 	var targets []serverlist.Server
--- a/hickoryd/internal/edgedispatch/plain.go
+++ b/hickoryd/internal/edgedispatch/plain.go
@@ -33,8 +33,7 @@
 	slowShare = 0.6
 	// minSlow keeps routes with a short target latency from sending every request twice.
 	minSlow = 10 * time.Millisecond
-	// shortRetryAfter is the Retry-After of a plain request that no server has run:
-	// the time after which a server may be free.
+	// shortRetryAfter is the least Retry-After of a plain request that no server has run.
 	shortRetryAfter = 300 * time.Millisecond
 )
 
@@ -144,7 +143,7 @@
 	if failed != nil {
 		return failed.forward(ctx, sink)
 	}
-	return finalFailure(ctx, call.history.Runs(), last, shortRetryAfter)
+	return finalFailure(ctx, call.history.Runs(), last, d.plainRetryAfter(r))
 }
 
 // slowAfter returns the time after which a request without a response is sent to another
