Follow a store that goes back to an older copy of itself

A host ignored the list of servers until the store's revisions had caught up with those that it knew, and then missed what had changed until then; its own registration stayed lost for up to 15 s; and a leader that the store had forgotten and a new one could give orders at the same time, with fencing tokens that go back.

Positions are compared by era first, in the store, in core/serverlist and between hosts. A new era makes a host read everything and register again; drains and removals stay known, the configuration does not go back. Terms end with the era, fencing tokens contain it, and no term begins in the ten seconds after. The stand-in store can go back to a copy.

TestStoreGoesBack (real hosts) failed before: a server that started after the store had gone back was unknown for a minute.

--- a/core/serverlist/serverlist.go
+++ b/core/serverlist/serverlist.go
@@ -6,6 +6,9 @@
 // while the store is down, so a registration that goes missing during or shortly
 // after an outage does not prove that its server has stopped.
 //
+// The store may also be replaced by a copy of itself that is some seconds old. Revisions go
+// back then and are given out again; the era of the store tells them apart.
+//
 // The command hickoryd edge uses this package, for the users' platform. The servers of
 // a platform with the Consul HTTP API, which hickoryd serve uses, are in core/backend.
 package serverlist
@@ -30,6 +33,10 @@
 // about two seconds.
 const ReregistrationPeriod = 2500 * time.Millisecond
 
+// removalRetention is how long a removed registration is remembered, so that an older copy
+// of the store does not bring it back. Copies are some seconds old.
+const removalRetention = time.Minute
+
 type (
 	// Stage is the phase of generation that a model server runs: prefill or decode.
 	Stage string
@@ -58,6 +65,15 @@
 		CreateRevision uint64
 	}
 
+	// Position is a point in the history of the store. Positions of different eras are in
+	// the order of the eras.
+	Position struct {
+		// Era rises each time the store is replaced by a copy of itself. It is 0 if the
+		// store states none.
+		Era      uint64
+		Revision uint64
+	}
+
 	// Change is one change of a registration. A nil Server means that the
 	// registration was removed.
 	Change struct {
@@ -69,15 +85,24 @@
 	// List is the list of registrations. It is not safe for concurrent use.
 	List struct {
 		servers map[string]entry
-		// revision is the newest revision of the store up to which the list is
-		// complete.
-		revision    uint64
+		// removed are the registrations that were removed lately, by ID.
+		removed map[string]removal
+		// position is the newest position of the store up to which the list is complete.
+		position Position
+		// eraBegan is when the store was last replaced by a copy of itself, as far as this
+		// host has noticed, or zero.
+		eraBegan    time.Time
 		isStoreDown bool
 		restoredAt  time.Time
 		version     uint64
 		hadOutage   bool
 	}
 
+	removal struct {
+		server Server
+		at     time.Time
+	}
+
 	entry struct {
 		server   Server
 		revision uint64
@@ -89,7 +114,7 @@
 
 // NewList returns an empty list.
 func NewList() *List {
-	return &List{servers: make(map[string]entry)}
+	return &List{servers: make(map[string]entry), removed: make(map[string]removal)}
 }
 
 // Version returns a number that changes with each change of the servers.
@@ -97,9 +122,35 @@
 	return l.version
 }
 
-// Revision returns the newest revision of the store up to which the list is complete.
-func (l *List) Revision() uint64 {
-	return l.revision
+// Position returns the newest position of the store up to which the list is complete.
+func (l *List) Position() Position {
+	return l.position
+}
+
+// IsBefore reports whether a position is before another one.
+func (p Position) IsBefore(other Position) bool {
+	return p.Era < other.Era || p.Era == other.Era && p.Revision < other.Revision
+}
+
+// BeginEra records at now that the store is in the given era. It reports whether the store
+// has been replaced by a copy of itself since. The list is incomplete then until Replace or
+// Adopt: the copy may lack registrations, which their servers write again, as after an
+// outage, and it may have such that have been removed.
+func (l *List) BeginEra(now time.Time, era uint64) bool {
+	isReplaced := l.position.Era != 0 && era > l.position.Era
+	if era > l.position.Era {
+		l.position.Era = era
+	}
+	if !isReplaced {
+		return false
+	}
+	l.position.Revision = 0
+	for id, e := range l.servers {
+		e.revision = 0
+		l.servers[id] = e
+	}
+	l.hadOutage, l.restoredAt, l.eraBegan = true, now, now
+	return true
 }
 
 // MarkStoreUnavailable records that the store does not respond.
@@ -121,14 +172,14 @@
 	for _, c := range changes {
 		l.apply(now, c)
 	}
-	l.revision = max(l.revision, revision)
+	l.position.Revision = max(l.position.Revision, revision)
 	l.removeMissing(now)
 }
 
 // Replace replaces the list with the store's complete list as of revision. Servers
 // that are not in it count as removed. A list older than the current one is ignored.
 func (l *List) Replace(now time.Time, servers []Change, revision uint64) {
-	if revision < l.revision {
+	if revision < l.position.Revision {
 		return
 	}
 	present := make(map[string]bool, len(servers))
@@ -141,7 +192,7 @@
 			l.apply(now, Change{ID: id, Revision: revision})
 		}
 	}
-	l.revision = max(l.revision, revision)
+	l.position.Revision = max(l.position.Revision, revision)
 	l.removeMissing(now)
 }
 
@@ -169,6 +220,9 @@
 		l.remove(now, c, held, isHeld)
 		return
 	}
+	if !isHeld && l.wasRemoved(now, *c.Server) {
+		return
+	}
 	next := entry{server: *c.Server, revision: c.Revision}
 	held.keepDrain(&next.server)
 	if !isHeld || held.server != next.server {
@@ -197,10 +251,29 @@
 		}
 		return
 	}
-	delete(l.servers, c.ID)
+	l.delete(now, c.ID)
+}
+
+// delete deletes a registration and remembers it.
+func (l *List) delete(now time.Time, id string) {
+	for removedID, r := range l.removed {
+		if now.Sub(r.at) > removalRetention {
+			delete(l.removed, removedID)
+		}
+	}
+	l.removed[id] = removal{l.servers[id].server, now}
+	delete(l.servers, id)
 	l.version++
 }
 
+// wasRemoved reports whether a registration was removed before the store was replaced by
+// a copy that still has it. A server that registers again has another CreateRevision.
+func (l *List) wasRemoved(now time.Time, s Server) bool {
+	r, ok := l.removed[s.ID]
+	return ok && r.at.Before(l.eraBegan) && now.Sub(l.eraBegan) <= removalRetention &&
+		r.server.CreateRevision == s.CreateRevision && r.server.StartedAt.Equal(s.StartedAt)
+}
+
 // isRemovalUncertain reports whether the server of a registration that is missing at
 // now may register again.
 func (l *List) isRemovalUncertain(now time.Time) bool {
@@ -215,30 +288,35 @@
 	}
 	for id, e := range l.servers {
 		if !e.missingSince.IsZero() {
-			delete(l.servers, id)
-			l.version++
+			l.delete(now, id)
 		}
 	}
 }
 
-// Adopt replaces the list with the list of another host as of revision, unless the
+// Adopt replaces the list with the list of another host as of position, unless the
 // own list is as new. The other host has decided which registrations still count, so
 // servers that are not in its list are removed at once.
-func (l *List) Adopt(servers []Server, revision uint64) {
-	if revision <= l.revision {
+func (l *List) Adopt(now time.Time, servers []Server, position Position) {
+	if !l.position.IsBefore(position) {
 		return
 	}
+	l.BeginEra(now, position.Era)
 	next := make(map[string]entry, len(servers))
 	for _, s := range servers {
 		held, isHeld := l.servers[s.ID]
+		if !isHeld && l.wasRemoved(now, s) {
+			continue
+		}
 		held.keepDrain(&s)
 		if !isHeld || held.server != s {
 			l.version++
 		}
-		next[s.ID] = entry{server: s, revision: revision}
+		next[s.ID] = entry{server: s, revision: position.Revision}
 	}
-	if len(next) != len(l.servers) {
-		l.version++
+	for id := range l.servers {
+		if _, isKept := next[id]; !isKept {
+			l.delete(now, id)
+		}
 	}
-	l.servers, l.revision = next, revision
+	l.servers, l.position.Revision = next, position.Revision
 }
--- a/hickoryd/internal/edgehost/client.go
+++ b/hickoryd/internal/edgehost/client.go
@@ -79,13 +79,13 @@
 }
 
 // Fetch queries a few hosts for the servers and hosts that they have read from the store
-// and merges their responses. revision is that of the server list that this host has
+// and merges their responses. position is that of the server list that this host has
 // already.
-func (c *Client) Fetch(ctx context.Context, revision uint64) (registry.StoreView, error) {
+func (c *Client) Fetch(ctx context.Context, position serverlist.Position) (registry.StoreView, error) {
 	addresses := c.randomPeers(fetchFanout)
 	responses := make(chan *peerapi.FetchStateResponse, len(addresses))
 	for _, address := range addresses {
-		go c.runFetch(ctx, address, revision, responses)
+		go c.runFetch(ctx, address, position, responses)
 	}
 	var best registry.StoreView
 	hasResponse := false
@@ -103,13 +103,13 @@
 	return best, nil
 }
 
-// merge adds the response b to a, the responses merged so far. The server list with the
-// higher revision wins, and the longer host list. A response's revision is that of its
-// server list, and 0 if it contains none.
+// merge adds the response b to a, the responses merged so far. The newer server list wins,
+// and the longer host list. A response's position is that of its server list, and zero if it
+// contains none.
 func merge(a, b registry.StoreView) registry.StoreView {
 	best := a
-	if b.HasServers && b.Revision > a.Revision {
-		best.Servers, best.Revision, best.HasServers = b.Servers, b.Revision, true
+	if b.HasServers && a.Position.IsBefore(b.Position) {
+		best.Servers, best.Position, best.HasServers = b.Servers, b.Position, true
 	}
 	if len(b.Hosts) > len(a.Hosts) {
 		best.Hosts = b.Hosts
@@ -118,20 +118,20 @@
 	return best
 }
 
-func (c *Client) runFetch(ctx context.Context, address netip.AddrPort, revision uint64, responses chan<- *peerapi.FetchStateResponse) {
-	response, err := c.fetch(ctx, address, revision)
+func (c *Client) runFetch(ctx context.Context, address netip.AddrPort, position serverlist.Position, responses chan<- *peerapi.FetchStateResponse) {
+	response, err := c.fetch(ctx, address, position)
 	if err != nil {
 		c.logger.WithError(err).WithField("host", address.String()).Debug("host did not respond")
 	}
 	responses <- response
 }
 
-func (c *Client) fetch(ctx context.Context, address netip.AddrPort, revision uint64) (*peerapi.FetchStateResponse, error) {
+func (c *Client) fetch(ctx context.Context, address netip.AddrPort, position serverlist.Position) (*peerapi.FetchStateResponse, error) {
 	peer, err := c.edgeClient(address)
 	if err != nil {
 		return nil, err
 	}
-	return peer.FetchState(ctx, &peerapi.FetchStateRequest{ServersRevision: revision})
+	return peer.FetchState(ctx, &peerapi.FetchStateRequest{ServersRevision: position.Revision, StoreEra: position.Era})
 }
 
 // ReportLoss notifies all other hosts that a server failed while it ran the request
@@ -302,7 +302,7 @@
 
 func decodeView(response *peerapi.FetchStateResponse, logger log.Interface) registry.StoreView {
 	view := registry.StoreView{
-		Revision: response.GetServersRevision(), HasServers: len(response.GetServers()) > 0, IsStoreReachable: response.GetIsStoreReachable(),
+		Position: serverlist.Position{Era: response.GetStoreEra(), Revision: response.GetServersRevision()}, HasServers: len(response.GetServers()) > 0, IsStoreReachable: response.GetIsStoreReachable(),
 	}
 	for _, s := range response.GetServers() {
 		server, err := decodeServer(s)
--- a/hickoryd/internal/edgehost/edgehost_test.go
+++ b/hickoryd/internal/edgehost/edgehost_test.go
@@ -52,10 +52,10 @@
 	silence chan struct{}
 }
 
-func (h *host) ViewSince(time.Time, uint64) registry.StoreView {
+func (h *host) ViewSince(time.Time, serverlist.Position) registry.StoreView {
 	return registry.StoreView{
 		Servers:    []serverlist.Server{{ID: "s1", Service: "model", Address: netip.MustParseAddrPort("10.0.0.9:80"), Stage: serverlist.Decode, SoftwareVersion: "v1.2", Slots: 4, CreateRevision: 3}},
-		HasServers: true, Revision: 7, IsStoreReachable: true, Hosts: []netip.AddrPort{netip.MustParseAddrPort("10.0.0.1:1")},
+		HasServers: true, Position: serverlist.Position{Era: 2, Revision: 7}, IsStoreReachable: true, Hosts: []netip.AddrPort{netip.MustParseAddrPort("10.0.0.1:1")},
 	}
 }
 
@@ -145,21 +145,21 @@
 
 func TestFetch(t *testing.T) {
 	_, client := newPair(t)
-	got, err := client.Fetch(t.Context(), 0)
+	got, err := client.Fetch(t.Context(), serverlist.Position{})
 	if err != nil {
 		t.Fatal(err)
 	}
-	if !got.HasServers || got.Revision != 7 || !got.IsStoreReachable || len(got.Hosts) != 1 {
+	if !got.HasServers || got.Position != (serverlist.Position{Era: 2, Revision: 7}) || !got.IsStoreReachable || len(got.Hosts) != 1 {
 		t.Errorf("view %+v", got)
 	}
-	if want := (&host{}).ViewSince(time.Time{}, 0).Servers[0]; len(got.Servers) != 1 || got.Servers[0] != want {
+	if want := (&host{}).ViewSince(time.Time{}, serverlist.Position{}).Servers[0]; len(got.Servers) != 1 || got.Servers[0] != want {
 		t.Errorf("servers %+v, want %+v", got.Servers, want)
 	}
 }
 
 func TestFetchWithoutHosts(t *testing.T) {
 	client := edgehost.NewClient(netip.MustParseAddrPort("127.0.0.1:1"), nil, &log.Logger{Handler: discard.New()})
-	if _, err := client.Fetch(t.Context(), 0); err == nil {
+	if _, err := client.Fetch(t.Context(), serverlist.Position{}); err == nil {
 		t.Error("Fetch without any host returned no error")
 	}
 }
--- a/hickoryd/internal/edgehost/server.go
+++ b/hickoryd/internal/edgehost/server.go
@@ -15,8 +15,8 @@
 	// Source holds what this host has read from the store.
 	Source interface {
 		// ViewSince returns the hosts, and the servers if their list is newer than the
-		// given revision.
-		ViewSince(now time.Time, revision uint64) registry.StoreView
+		// given position.
+		ViewSince(now time.Time, position serverlist.Position) registry.StoreView
 		// Configuration returns the version and the document of the configuration in
 		// force, or 0 and nil before the first one. The caller must not modify the document.
 		Configuration() (version uint64, document []byte)
@@ -75,8 +75,10 @@
 
 // FetchState implements peerapi.EdgeServer.
 func (s *Server) FetchState(_ context.Context, request *peerapi.FetchStateRequest) (*peerapi.FetchStateResponse, error) {
-	view := s.source.ViewSince(time.Now(), request.GetServersRevision())
-	response := &peerapi.FetchStateResponse{ServersRevision: view.Revision, IsStoreReachable: view.IsStoreReachable}
+	view := s.source.ViewSince(time.Now(), serverlist.Position{Era: request.GetStoreEra(), Revision: request.GetServersRevision()})
+	response := &peerapi.FetchStateResponse{
+		ServersRevision: view.Position.Revision, StoreEra: view.Position.Era, IsStoreReachable: view.IsStoreReachable,
+	}
 	for _, server := range view.Servers {
 		response.Servers = append(response.Servers, encodeServer(server))
 	}
--- a/hickoryd/internal/edgeorder/controller.go
+++ b/hickoryd/internal/edgeorder/controller.go
@@ -1,8 +1,8 @@
 // Package edgeorder orders model servers to change their stage, as core/stage plans it:
 // the initial setup gives each service its target number of prefill servers, and later
 // only surplus prefill servers change to decode. Only one host at a time gives orders: the
-// leader, which holds platform.LeaderKey in the platform's store. The revision of the key
-// is the fencing token of the leader's orders.
+// leader, which holds platform.LeaderKey in the platform's store. The era of the store and
+// the revision of the key make the fencing token of the leader's orders.
 package edgeorder
 
 import (
@@ -15,6 +15,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
 
+	"github.com/hickoryfront/hickoryfront/core/serverlist"
 	"github.com/hickoryfront/hickoryfront/core/stage"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/registry"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/timing"
@@ -56,13 +57,16 @@
 		Servers() *registry.Snapshot
 		// IsStoreUnreachable reports whether the platform's store is unreachable.
 		IsStoreUnreachable() bool
+		// Era returns the era of the store, and when this host noticed that the store had
+		// been replaced by a copy of itself, or the zero time.
+		Era() (era uint64, began time.Time)
 	}
 
 	// Store is the part of the platform's store that a Controller uses.
 	Store interface {
 		Get(ctx context.Context, key string) (platform.Page, error)
 		NewLease(ctx context.Context, lifetime time.Duration) (uint64, time.Duration, error)
-		Commit(ctx context.Context, t platform.Transaction) (uint64, error)
+		Commit(ctx context.Context, t platform.Transaction) (serverlist.Position, error)
 	}
 
 	// Controller orders the changes of stages that its planner plans.
@@ -85,6 +89,9 @@
 
 	// term is the time in which this host is the leader.
 	term struct {
+		// era is the era of the store in which the term began. It ends with the era: the
+		// store has forgotten it then.
+		era uint64
 		// token is the fencing token of the term.
 		token uint64
 		// ends is when the leader stops giving orders.
@@ -112,6 +119,9 @@
 		if now.Before(c.nextAttempt) || c.registry.IsStoreUnreachable() {
 			continue
 		}
+		if _, began := c.registry.Era(); now.Sub(began) < leaseLifetime {
+			continue // a leader that the store has forgotten may still give orders
+		}
 		if !c.isListStable(now) {
 			continue
 		}
@@ -150,7 +160,7 @@
 		}
 		t.ends = t.ends.Add(handoverWait)
 	}
-	for time.Now().Before(t.ends) {
+	for time.Now().Before(t.ends) && c.isInEra(t) {
 		for _, change := range c.planner.Plan(time.Now(), c.registry.Servers().Servers, isStartup) {
 			if err := c.order(ctx, t, change); err != nil {
 				c.logger.WithError(err).WithField("server", change.Server.ID).Warn("stage order failed")
@@ -174,9 +184,9 @@
 	if err != nil {
 		return term{}, fmt.Errorf("request leader lease: %w", err)
 	}
-	token, err := c.commitKey(ctx, lease, 0)
+	position, err := c.commitKey(ctx, lease, 0)
 	if err == nil {
-		return term{token: token, ends: begin.Add(orderTime), isFirst: true}, nil
+		return c.newTerm(position, begin, true)
 	}
 	if !errors.Is(err, platform.ErrConflict) {
 		return term{}, fmt.Errorf("write leader key: %w", err)
@@ -185,20 +195,43 @@
 	if err != nil {
 		return term{}, fmt.Errorf("read key of the last leader: %w", err)
 	}
-	token, err = c.commitKey(ctx, lease, last.Items[0].ModRevision)
+	position, err = c.commitKey(ctx, lease, last.Items[0].ModRevision)
 	if errors.Is(err, platform.ErrConflict) {
 		return term{}, errNotLeader
 	}
 	if err != nil {
 		return term{}, fmt.Errorf("write leader key: %w", err)
 	}
-	return term{token: token, ends: begin.Add(orderTime)}, nil
+	return c.newTerm(position, begin, false)
+}
+
+// newTerm returns the term that began at begin with a transaction at position. The error is
+// errNotLeader if the store has been replaced by a copy without this host having noticed.
+func (c *Controller) newTerm(position serverlist.Position, begin time.Time, isFirst bool) (term, error) {
+	t := term{era: position.Era, token: fencingToken(position), ends: begin.Add(orderTime), isFirst: isFirst}
+	if !c.isInEra(t) {
+		return term{}, errNotLeader // a leader that the store has forgotten may still give orders
+	}
+	return t, nil
+}
+
+// isInEra reports whether the store is in the era in which a term began.
+func (c *Controller) isInEra(t term) bool {
+	era, _ := c.registry.Era()
+	return era == t.era
+}
+
+// fencingToken returns a number that rises with the position. It can be written as a JSON
+// number without loss.
+func fencingToken(p serverlist.Position) uint64 {
+	const revisionBits = 40
+	return p.Era<<revisionBits | p.Revision
 }
 
 // commitKey takes the leader's key if the key is free and if platform.LastLeaderKey has
 // the revision lastRevision. Revision 0 means that there was no leader yet. commitKey
-// returns the revision of the transaction, which is the fencing token.
-func (c *Controller) commitKey(ctx context.Context, lease, lastRevision uint64) (uint64, error) {
+// returns the position of the transaction, of which the fencing token is made.
+func (c *Controller) commitKey(ctx context.Context, lease, lastRevision uint64) (serverlist.Position, error) {
 	return c.store.Commit(ctx, platform.Transaction{
 		Conditions: []platform.Condition{{Key: platform.LeaderKey}, {Key: platform.LastLeaderKey, Revision: lastRevision}},
 		Puts: []platform.Put{
--- a/hickoryd/internal/quarantine/quarantine.go
+++ b/hickoryd/internal/quarantine/quarantine.go
@@ -14,6 +14,7 @@
 
 	"github.com/hickoryfront/hickoryfront/core/crash"
 	"github.com/hickoryfront/hickoryfront/core/hoststate"
+	"github.com/hickoryfront/hickoryfront/core/serverlist"
 	"github.com/hickoryfront/hickoryfront/platform"
 )
 
@@ -34,9 +35,9 @@
 	Registry interface {
 		// IsStoreUnreachable reports whether the store does not respond to this host.
 		IsStoreUnreachable() bool
-		// List reads all keys with a prefix, and returns a revision up to which changes
+		// List reads all keys with a prefix, and returns the position after which changes
 		// may have been missed.
-		List(ctx context.Context, prefix string) (items []platform.Item, revision uint64, err error)
+		List(ctx context.Context, prefix string) (items []platform.Item, position serverlist.Position, err error)
 	}
 
 	// Quarantine decides which requests are refused. It is safe for concurrent use.
--- a/hickoryd/internal/quarantine/quarantine_test.go
+++ b/hickoryd/internal/quarantine/quarantine_test.go
@@ -15,6 +15,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/hickoryfront/hickoryfront/core/crash"
+	"github.com/hickoryfront/hickoryfront/core/serverlist"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/quarantine"
 	"github.com/hickoryfront/hickoryfront/platform"
 )
@@ -69,8 +70,8 @@
 
 func (r registry) IsStoreUnreachable() bool { return r.isUnreachable }
 
-func (registry) List(context.Context, string) ([]platform.Item, uint64, error) {
-	return nil, 0, errors.New("no store")
+func (registry) List(context.Context, string) ([]platform.Item, serverlist.Position, error) {
+	return nil, serverlist.Position{}, errors.New("no store")
 }
 
 func newQuarantine(t *testing.T, p *peers, isStoreUnreachable bool) *quarantine.Quarantine {
--- a/hickoryd/internal/quarantine/store.go
+++ b/hickoryd/internal/quarantine/store.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/hickoryfront/hickoryfront/core/crash"
+	"github.com/hickoryfront/hickoryfront/core/serverlist"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/idletimeout"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/timing"
 	"github.com/hickoryfront/hickoryfront/platform"
@@ -170,16 +171,16 @@
 
 // RunRefusals follows the refusals in the store until ctx ends.
 func (q *Quarantine) RunRefusals(ctx context.Context) {
-	var after uint64
+	var after serverlist.Position
 	for ctx.Err() == nil {
 		if q.registry.IsStoreUnreachable() {
-			after = 0
+			after = serverlist.Position{}
 			_ = timing.Sleep(ctx, retryDelay) // the loop condition checks ctx
 			continue
 		}
 		next, err := q.followRefusals(ctx, after)
 		if err != nil {
-			after = 0
+			after = serverlist.Position{}
 			_ = timing.Sleep(ctx, retryDelay+rand.N(retryDelay)) // the loop condition checks ctx
 			continue
 		}
@@ -187,23 +188,26 @@
 	}
 }
 
-// followRefusals reads all refusals if after is 0, and otherwise waits for a change after
-// that revision. It returns the revision from which the next call continues.
-func (q *Quarantine) followRefusals(ctx context.Context, after uint64) (uint64, error) {
-	if after == 0 {
-		items, revision, err := q.registry.List(ctx, platform.PartRefusalsPrefix)
+// followRefusals reads all refusals if after is zero, and otherwise waits for a change after
+// that position. It returns the position from which the next call continues.
+func (q *Quarantine) followRefusals(ctx context.Context, after serverlist.Position) (serverlist.Position, error) {
+	if after == (serverlist.Position{}) {
+		items, position, err := q.registry.List(ctx, platform.PartRefusalsPrefix)
 		q.applyRefusals(items)
-		return revision, err
+		return position, err
 	}
 	ctx, cancel := context.WithTimeout(idletimeout.WithWait(ctx, watchWait, nil), watchWait+callTimeout)
 	defer cancel()
-	page, err := q.store.Watch(ctx, platform.PartRefusalsPrefix, after, watchWait)
+	page, err := q.store.Watch(ctx, platform.PartRefusalsPrefix, after.Revision, watchWait)
 	if err != nil {
-		return 0, err
+		return serverlist.Position{}, err
 	}
 	q.applyRefusals(page.Items)
+	if page.Era != after.Era {
+		return serverlist.Position{}, nil // these events do not follow those of the era before
+	}
 	for _, item := range page.Items {
-		after = max(after, item.ModRevision)
+		after.Revision = max(after.Revision, item.ModRevision)
 	}
 	return after, nil
 }
--- a/hickoryd/internal/registry/follow.go
+++ b/hickoryd/internal/registry/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"net/netip"
 	"time"
@@ -41,6 +42,13 @@
 	retryDelay = 500 * time.Millisecond
 )
 
+var (
+	// errOldEra means that a response is from before the store was replaced by a copy.
+	errOldEra = errors.New("response of an older era of the store")
+	// errEraChanged means that the store was replaced by a copy during a read.
+	errEraChanged = errors.New("era of the store has changed between two pages")
+)
+
 // RunServers polls the registrations of backend servers until ctx ends. The poll
 // also checks whether the store responds to this host.
 func (r *Registry) RunServers(ctx context.Context) {
@@ -70,9 +78,8 @@
 	if !isComplete {
 		return r.listServers(ctx)
 	}
-	r.mu.Lock()
-	after := r.list.Revision()
-	r.mu.Unlock()
+	position := r.position()
+	after := position.Revision
 	ctx, cancel := context.WithTimeout(ctx, maxCallTime)
 	defer cancel()
 	r.calls.Inc()
@@ -85,6 +92,12 @@
 	if err != nil {
 		return true, err
 	}
+	if r.beginEra(time.Now(), page.Era) {
+		return r.listServers(ctx) // these events do not follow those of the era before
+	}
+	if page.Era < position.Era {
+		return true, fmt.Errorf("%w: %d after %d", errOldEra, page.Era, position.Era)
+	}
 	r.markStoreReachable(time.Now())
 	changes := r.decodeServers(page.Items)
 	r.updateServers(func(list *serverlist.List) { list.Apply(time.Now(), changes, nextRevision(page.Items, after)) })
@@ -105,37 +118,51 @@
 
 // listServers replaces the list by all registrations in the store.
 func (r *Registry) listServers(ctx context.Context) (bool, error) {
-	items, revision, err := r.listAll(ctx, platform.ServersPrefix, false)
+	items, position, err := r.listAll(ctx, platform.ServersPrefix, false)
 	if err != nil {
 		return false, err
 	}
+	r.beginEra(time.Now(), position.Era)
+	if known := r.position(); position.Era < known.Era {
+		return false, fmt.Errorf("%w: %d after %d", errOldEra, position.Era, known.Era)
+	}
 	r.markStoreReachable(time.Now())
 	changes := r.decodeServers(items)
-	r.updateServers(func(list *serverlist.List) { list.Replace(time.Now(), changes, revision) })
+	r.updateServers(func(list *serverlist.List) { list.Replace(time.Now(), changes, position.Revision) })
 	return true, nil
 }
 
-// List reads all keys with a prefix from the store. It returns the revision of the first
+// position returns the position up to which the server list is complete.
+func (r *Registry) position() serverlist.Position {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.list.Position()
+}
+
+// List reads all keys with a prefix from the store. It returns the position of the first
 // page: the pages are no consistent snapshot, so changes after the first page have to be
 // read again.
-func (r *Registry) List(ctx context.Context, prefix string) (items []platform.Item, revision uint64, err error) {
+func (r *Registry) List(ctx context.Context, prefix string) (items []platform.Item, position serverlist.Position, err error) {
 	return r.listAll(ctx, prefix, false)
 }
 
 // listAll is List, which with allowStale may return an old state.
-func (r *Registry) listAll(ctx context.Context, prefix string, allowStale bool) (items []platform.Item, revision uint64, err error) {
+func (r *Registry) listAll(ctx context.Context, prefix string, allowStale bool) (items []platform.Item, position serverlist.Position, err error) {
 	after := ""
 	for {
 		page, err := r.readPage(ctx, prefix, after, allowStale)
 		if err != nil {
-			return nil, 0, err
+			return nil, position, err
+		}
+		if after == "" {
+			position = page.Position
 		}
-		if revision == 0 {
-			revision = page.Revision
+		if page.Era != position.Era {
+			return nil, position, fmt.Errorf("%w: %d and %d", errEraChanged, position.Era, page.Era)
 		}
 		items = append(items, page.Items...)
 		if !page.IsTruncated || len(page.Items) == 0 {
-			return items, revision, nil
+			return items, position, nil
 		}
 		after = page.Items[len(page.Items)-1].Key
 	}
@@ -153,17 +180,15 @@
 func (r *Registry) fetchFromPeers(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
-	r.mu.Lock()
-	revision := r.list.Revision()
-	r.mu.Unlock()
 	r.peerCalls.Inc()
-	view, err := r.peers.Fetch(ctx, revision)
+	view, err := r.peers.Fetch(ctx, r.position())
 	if err != nil {
 		r.logger.WithError(err).Debug("no other host responded")
 		return
 	}
 	if view.HasServers {
-		r.updateServers(func(list *serverlist.List) { list.Adopt(view.Servers, view.Revision) })
+		r.beginEra(time.Now(), view.Position.Era)
+		r.updateServers(func(list *serverlist.List) { list.Adopt(time.Now(), view.Servers, view.Position) })
 	}
 	if len(view.Hosts) > 0 {
 		r.setHosts(view.Hosts)
@@ -227,6 +252,7 @@
 		if err != nil {
 			return 0, err
 		}
+		r.beginEra(time.Now(), page.Era)
 		r.applyDocument(page.Items[0].Value, "store")
 		return max(page.Revision, page.Items[0].ModRevision), nil // a read misses no change
 	}
@@ -234,6 +260,9 @@
 	if err != nil {
 		return 0, err
 	}
+	if r.beginEra(time.Now(), page.Era) {
+		return 0, nil // these events do not follow those of the era before
+	}
 	for _, item := range page.Items {
 		if item.Key == platform.ConfigurationKey && !item.IsDeleted {
 			r.applyDocument(item.Value, "store")
@@ -298,6 +327,7 @@
 	var lease uint64
 	var renewed time.Time
 	pause := hostListStartDelay
+	isReplaced := false
 	for ctx.Err() == nil {
 		if isUnreachable, _ := r.storeState(); !isUnreachable {
 			now := time.Now()
@@ -305,9 +335,19 @@
 				lease = r.register(ctx, lease)
 				renewed = now
 			}
-			r.listHosts(ctx)
+			if !isReplaced {
+				r.listHosts(ctx)
+			}
+		}
+		isReplaced = false
+		select {
+		case <-ctx.Done():
+		case <-r.replaced:
+			// The copy may lack this host, and others, which register again as well.
+			lease, pause, isReplaced = 0, hostListStartDelay, true
+			continue
+		case <-time.After(pause):
 		}
-		_ = timing.Sleep(ctx, pause) // the loop condition checks ctx
 		if lease != 0 {
 			pause = hostListPeriod + rand.N(hostListPeriod/4)
 		}
--- a/hickoryd/internal/registry/registry.go
+++ b/hickoryd/internal/registry/registry.go
@@ -29,8 +29,8 @@
 	// Peers are the other hosts.
 	Peers interface {
 		// Fetch returns the view of the store that other hosts have, without the servers
-		// if they are no newer than revision.
-		Fetch(ctx context.Context, revision uint64) (StoreView, error)
+		// if they are no newer than position.
+		Fetch(ctx context.Context, position serverlist.Position) (StoreView, error)
 		// FetchConfiguration returns the newest document that other hosts have in force,
 		// or nil if it is no newer than version.
 		FetchConfiguration(ctx context.Context, version uint64) ([]byte, error)
@@ -41,10 +41,10 @@
 	// StoreView is a copy of the platform store's servers and hosts: that of one host, or
 	// those of several hosts merged.
 	StoreView struct {
-		// Servers is complete up to Revision if HasServers is true, and empty
+		// Servers is complete up to Position if HasServers is true, and empty
 		// otherwise.
 		Servers    []serverlist.Server
-		Revision   uint64
+		Position   serverlist.Position
 		HasServers bool
 		Hosts      []netip.AddrPort
 		// IsStoreReachable is set if the store is reachable from one of these hosts
@@ -91,6 +91,11 @@
 		// changed is closed and replaced when the store becomes unreachable or
 		// reachable again, and when the configuration has to be read again.
 		changed chan struct{}
+		// replaced receives a value when the store has been replaced by a copy of itself,
+		// which may lack this host's registration.
+		replaced chan struct{}
+		// eraBegan is when this host noticed that, or zero.
+		eraBegan time.Time
 		// loggedKeys are the keys of invalid entries that were logged already.
 		loggedKeys map[string]bool
 
@@ -106,7 +111,7 @@
 func New(options Options, store *platform.Store, peers Peers, logger log.Interface, set *metrics.Set) *Registry {
 	r := &Registry{
 		options: options, store: store, peers: peers, logger: logger,
-		list: serverlist.NewList(), changed: make(chan struct{}), loggedKeys: make(map[string]bool),
+		list: serverlist.NewList(), changed: make(chan struct{}), replaced: make(chan struct{}, 1), loggedKeys: make(map[string]bool),
 		calls:                 set.NewCounter(`hickoryfront_store_calls_total`),
 		failures:              set.NewCounter(`hickoryfront_store_failures_total`),
 		configurationFailures: set.NewCounter(`hickoryfront_configuration_read_failures_total`),
@@ -167,13 +172,13 @@
 }
 
 // ViewSince returns this host's view of the store, without the servers if they are no
-// newer than revision.
-func (r *Registry) ViewSince(now time.Time, revision uint64) StoreView {
+// newer than position.
+func (r *Registry) ViewSince(now time.Time, position serverlist.Position) StoreView {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	view := StoreView{Hosts: r.hosts, IsStoreReachable: !r.isUnreachable && now.Sub(r.lastResponse) < 2*r.options.Poll}
-	if r.list.Revision() > revision {
-		view.Servers, view.Revision, view.HasServers = r.list.Servers(), r.list.Revision(), true
+	if position.IsBefore(r.list.Position()) {
+		view.Servers, view.Position, view.HasServers = r.list.Servers(), r.list.Position(), true
 	}
 	return view
 }
@@ -258,6 +263,34 @@
 	r.logger.WithError(err).WithField("lastAnswer", now.Sub(r.lastResponse).String()).Warn("store is unreachable; reading from other hosts")
 }
 
+// beginEra records at now the era that the store has stated. It reports whether the store
+// has been replaced by a copy of itself.
+func (r *Registry) beginEra(now time.Time, era uint64) bool {
+	isReplaced := false
+	r.updateServers(func(list *serverlist.List) { isReplaced = list.BeginEra(now, era) })
+	if !isReplaced {
+		return false
+	}
+	r.logger.WithField("era", era).Warn("store has been replaced by an older copy; reading all servers and the configuration again")
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.eraBegan = now
+	r.notifyChange()
+	select {
+	case r.replaced <- struct{}{}:
+	default: // a value waits already
+	}
+	return true
+}
+
+// Era returns the era of the store, and when this host noticed that the store had been
+// replaced by a copy of itself, or the zero time.
+func (r *Registry) Era() (uint64, time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.list.Position().Era, r.eraBegan
+}
+
 // rereadConfiguration makes RunConfiguration cancel its watch and read the document
 // again.
 func (r *Registry) rereadConfiguration() {
--- a/hickoryd/internal/registry/registry_test.go
+++ b/hickoryd/internal/registry/registry_test.go
@@ -182,7 +182,7 @@
 	document []byte
 }
 
-func (p *peers) Fetch(context.Context, uint64) (registry.StoreView, error) {
+func (p *peers) Fetch(context.Context, serverlist.Position) (registry.StoreView, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.view, nil
@@ -271,7 +271,7 @@
 	p.mu.Lock()
 	p.document = []byte(`{"version":3}`)
 	p.view = registry.StoreView{
-		Revision: 9, HasServers: true,
+		Position: serverlist.Position{Revision: 9}, HasServers: true,
 		Servers: []serverlist.Server{{ID: "a", Service: "s", CreateRevision: 1, IsDraining: true}},
 	}
 	p.mu.Unlock()
--- a/hickorylab/edgesoak/configuration_test.go
+++ b/hickorylab/edgesoak/configuration_test.go
@@ -3,8 +3,11 @@
 import (
 	"fmt"
 	"net/netip"
+	"slices"
 	"testing"
+	"time"
 
+	"github.com/hickoryfront/hickoryfront/core/hoststate"
 	"github.com/hickoryfront/hickoryfront/hickorylab/metastore"
 )
 
@@ -14,6 +17,9 @@
 	// largeRoutes is the number of routes of a configuration near the store's limit of
 	// 1 MB for one value.
 	largeRoutes = 4_200
+	// storeGap is the time after which operators and servers have written again what a store
+	// has lost that has gone back to a copy of itself.
+	storeGap = 1500 * time.Millisecond
 )
 
 // TestLargeConfigurationsOverSlowLinks guards against hosts with slow links that never
@@ -66,3 +72,56 @@
 		})
 	}
 }
+
+// TestStoreGoesBack guards against hosts that ignore the store after it has been replaced by
+// an older copy of itself, until its revisions have caught up, and against hosts that go back
+// with it: to an older configuration, or to servers that are draining or gone.
+func TestStoreGoesBack(t *testing.T) {
+	t.Parallel()
+	e := startEnvironment(t, retrySlacks[0])
+	const hostsPrefix = "hickoryfront/hosts/"
+	for i := range hostCount {
+		e.await("a host is registered", func() bool { return e.store.Has(fmt.Sprint(hostsPrefix, "host-", i)) })
+	}
+	older := e.store.Copy().Without(hostsPrefix)
+	for range 50 { // so that the revisions take long to catch up
+		e.workers.RegisterAgain()
+	}
+	draining, gone := e.plainServers[0], e.plainServers[1]
+	draining.Drain()
+	gone.Crash()
+	goneID := gone.ID()
+	e.store.Put("op/config", configuration(2, "shop"))
+	e.awaitConfiguration(2)
+	for i := range hostCount {
+		e.await("a host knows the drain and the removal", func() bool { return !e.takesWork(i, draining.ID()) && !e.takesWork(i, goneID) })
+	}
+
+	e.store.Restore(older)
+	deadline := time.Now().Add(storeGap)
+	for time.Now().Before(deadline) {
+		for i := range hostCount {
+			if s := e.state(i); s.Configuration.Version != 2 || e.takesWork(i, draining.ID()) || e.takesWork(i, goneID) {
+				t.Fatalf("host %d has gone back with the store: version %d, draining server takes work %t, removed server takes work %t",
+					i, s.Configuration.Version, e.takesWork(i, draining.ID()), e.takesWork(i, goneID))
+			}
+		}
+	}
+	e.workers.RegisterAgain()
+	e.store.Put("op/config", configuration(2, "shop"))
+
+	added := e.startServer("shop", "", 28)
+	e.store.Put("op/config", configuration(3, "shop"))
+	e.awaitConfiguration(3)
+	for i := range hostCount {
+		e.await("a host knows a server that has started since", func() bool { return e.takesWork(i, added.ID()) })
+		e.await("a host is registered again", func() bool { return e.store.Has(fmt.Sprint(hostsPrefix, "host-", i)) })
+		e.await("a host knows the others again", func() bool { return len(e.state(i).Hosts) == hostCount })
+	}
+	e.checkRecovery()
+}
+
+// takesWork reports whether a host lists a server that is not draining.
+func (e *environment) takesWork(host int, id string) bool {
+	return slices.ContainsFunc(e.state(host).Servers, func(s hoststate.Server) bool { return s.ID == id && !s.IsDraining })
+}
--- a/hickorylab/edgesoak/environment_test.go
+++ b/hickorylab/edgesoak/environment_test.go
@@ -51,6 +51,8 @@
 		hosts        []*harness.Process
 		client       *http.Client
 		counter      atomic.Uint64
+		// configuration is the newest one that was written.
+		configuration atomic.Pointer[map[string]any]
 		// kills counts the starts and the ends of the kills of each host. It is odd while
 		// a kill is in progress.
 		kills [hostCount]atomic.Uint64
@@ -199,7 +201,20 @@
 // another service.
 func (e *environment) changeConfiguration(random *rand.Rand) {
 	service := []string{"shop", "annex"}[random.IntN(2)]
-	e.store.Put("op/config", configuration(int(e.counter.Add(1))+1000, service))
+	document := configuration(int(e.counter.Add(1))+1000, service)
+	e.configuration.Store(&document)
+	e.store.Put("op/config", document)
+}
+
+// restoreStore replaces the store by an older copy. After some time the operators and the
+// servers write again what it lacks.
+func (e *environment) restoreStore(older metastore.Copy) {
+	e.store.Restore(older)
+	time.Sleep(storeGap)
+	e.workers.RegisterAgain()
+	if document := e.configuration.Load(); document != nil {
+		e.store.Put("op/config", *document)
+	}
 }
 
 // killHost kills a host.
--- a/hickorylab/edgesoak/soak_test.go
+++ b/hickorylab/edgesoak/soak_test.go
@@ -152,6 +152,18 @@
 		e.store.Compact()
 		return func() {}
 	}},
+	{name: "the store goes back to an older copy", inject: func(e *environment, random *rand.Rand) func() {
+		older := e.store.Copy()
+		e.changeConfiguration(random)
+		server := e.randomDecodeServer(random)
+		server.Drain()
+		time.Sleep(time.Duration(random.IntN(500)) * time.Millisecond)
+		e.restoreStore(older)
+		return func() {
+			server.Crash()
+			e.mustRestart(server.Restart)
+		}
+	}},
 	{name: "the configuration changes", inject: func(e *environment, random *rand.Rand) func() {
 		e.changeConfiguration(random)
 		return func() {}
--- a/hickorylab/metastore/link.go
+++ b/hickorylab/metastore/link.go
@@ -29,12 +29,16 @@
 	}
 )
 
-// send sends a response and returns early if ctx ends.
+// send sends a response and returns early if ctx ends. A nil link has no limit.
 func (l *link) send(ctx context.Context, w http.ResponseWriter, r *bufferedResponse) {
 	for name, values := range r.header {
 		w.Header()[name] = values
 	}
 	w.WriteHeader(r.status)
+	if l == nil {
+		_, _ = w.Write(r.body.Bytes()) // the caller may have disconnected
+		return
+	}
 	for r.body.Len() > 0 {
 		part := r.body.Next(partBytes)
 		select {
--- a/hickorylab/metastore/metastore.go
+++ b/hickorylab/metastore/metastore.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/http"
 	"net/netip"
 	"slices"
@@ -34,7 +35,23 @@
 
 	// Store is the stand-in, an http.Handler. It is safe for concurrent use.
 	Store struct {
-		mu       sync.Mutex
+		mu sync.Mutex
+		contents
+		// era rises each time the store goes back to a copy.
+		era     uint64
+		changed chan struct{}
+		modes   map[netip.Addr]Mode
+		links   map[netip.Addr]*link
+		hidden  string
+		calls   int
+	}
+
+	// Copy is a copy of what a store contains.
+	Copy struct {
+		contents contents
+	}
+
+	contents struct {
 		revision uint64
 		items    map[string]item
 		history  []item
@@ -42,11 +59,6 @@
 		compacted uint64
 		leases    map[uint64]time.Time
 		ttls      map[uint64]time.Duration
-		changed   chan struct{}
-		modes     map[netip.Addr]Mode
-		links     map[netip.Addr]*link
-		hidden    string
-		calls     int
 	}
 
 	// item is a key, or in the history a change of a key, as it is encoded.
@@ -72,7 +84,7 @@
 // New returns an empty store.
 func New() *Store {
 	return &Store{
-		revision: 1, items: make(map[string]item), leases: make(map[uint64]time.Time), ttls: make(map[uint64]time.Duration),
+		era: 1, contents: contents{revision: 1, items: make(map[string]item), leases: make(map[uint64]time.Time), ttls: make(map[uint64]time.Duration)},
 		changed: make(chan struct{}), modes: make(map[netip.Addr]Mode), links: make(map[netip.Addr]*link),
 	}
 }
@@ -125,6 +137,39 @@
 	s.history, s.compacted = nil, s.revision
 }
 
+// Copy returns a copy of what the store contains.
+func (s *Store) Copy() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Copy{s.contents.clone()}
+}
+
+// Without returns the copy without the keys that have a prefix.
+func (c Copy) Without(prefix string) Copy {
+	without := c.contents.clone()
+	maps.DeleteFunc(without.items, func(key string, _ item) bool { return strings.HasPrefix(key, prefix) })
+	return Copy{without}
+}
+
+// Has reports whether a key exists.
+func (s *Store) Has(key string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, ok := s.items[key]
+	return ok
+}
+
+// Restore replaces what the store contains by an older copy of it. Revisions go back, and
+// calls in progress get no response.
+func (s *Store) Restore(c Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.contents = c.contents.clone()
+	s.era++
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 // Calls returns the number of calls so far.
 func (s *Store) Calls() int {
 	s.mu.Lock()
@@ -136,7 +181,8 @@
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	s.calls++
-	mode, link := s.modeOf(r), s.linkOf(r)
+	mode, link, era := s.modeOf(r), s.linkOf(r), s.era
+	w.Header().Set("Store-Era", strconv.FormatUint(era, 10))
 	s.mu.Unlock()
 	switch mode {
 	case Refuse:
@@ -146,12 +192,18 @@
 		<-r.Context().Done()
 		return
 	}
-	if link == nil {
+	if strings.HasSuffix(r.URL.Path, "/kv-watch") && link == nil {
 		s.serve(w, r)
 		return
 	}
 	response := newBufferedResponse()
 	s.serve(response, r)
+	s.mu.Lock()
+	isReplaced := s.era != era
+	s.mu.Unlock()
+	if isReplaced {
+		panic(http.ErrAbortHandler)
+	}
 	link.send(r.Context(), w, response)
 }
 
@@ -229,11 +281,18 @@
 	after, _ := strconv.ParseUint(query.Get("after"), 10, 64)
 	wait, _ := strconv.Atoi(query.Get("wait-ms"))
 	deadline := time.After(time.Duration(wait) * time.Millisecond)
+	s.mu.Lock()
+	era := s.era
+	s.mu.Unlock()
 	for {
 		s.mu.Lock()
 		s.expire()
-		events, isCompacted, at, changed := s.eventsAfter(query.Get("path-prefix"), after), after < s.compacted, s.revision, s.changed
+		events, at, changed := s.eventsAfter(query.Get("path-prefix"), after), s.revision, s.changed
+		isCompacted, isReplaced := after < s.compacted || after > s.revision, s.era != era
 		s.mu.Unlock()
+		if isReplaced {
+			panic(http.ErrAbortHandler)
+		}
 		if isCompacted {
 			w.WriteHeader(http.StatusGone)
 			return
@@ -355,3 +414,9 @@
 		}
 	}
 }
+
+func (c contents) clone() contents {
+	c.items, c.history = maps.Clone(c.items), slices.Clone(c.history)
+	c.leases, c.ttls = maps.Clone(c.leases), maps.Clone(c.ttls)
+	return c
+}
--- a/hickorylab/worker/worker.go
+++ b/hickorylab/worker/worker.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -48,6 +49,7 @@
 		store *metastore.Store
 
 		mu           sync.Mutex
+		servers      []*Server
 		incarnations int
 		// runs counts how often the servers ran each request, by its ID. A run that
 		// migrates between servers counts once.
@@ -129,6 +131,24 @@
 	return len(g.handles)
 }
 
+// RegisterAgain registers all servers that run, and removes the registrations of the
+// others, as heartbeats and leases do after the store has gone back to a copy of itself.
+func (g *Group) RegisterAgain() {
+	g.mu.Lock()
+	servers := slices.Clone(g.servers)
+	g.mu.Unlock()
+	for _, s := range servers {
+		s.mu.Lock()
+		id, isCrashed := s.id, s.isCrashed
+		s.mu.Unlock()
+		if isCrashed {
+			g.store.Remove("servers/" + id)
+		} else {
+			s.register()
+		}
+	}
+}
+
 // Start starts a server with the software DefaultVersion, a plain one if stage is empty.
 func (g *Group) Start(service, stage, address string) (*Server, error) {
 	return g.StartVersion(service, stage, address, DefaultVersion)
@@ -138,6 +158,9 @@
 // and its events name.
 func (g *Group) StartVersion(service, stage, address, version string) (*Server, error) {
 	s := &Server{group: g, service: service, stage: stage, address: address, version: version}
+	g.mu.Lock()
+	g.servers = append(g.servers, s)
+	g.mu.Unlock()
 	return s, s.Restart()
 }
 
@@ -220,6 +243,13 @@
 	return s.version
 }
 
+// ID returns the ID of the server's incarnation.
+func (s *Server) ID() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.id
+}
+
 // Stage returns the stage of the server.
 func (s *Server) Stage() string {
 	s.mu.Lock()
