Test responses that end with their connection

The code served these already; a stream that ends inside an event is resumed or truncated, and a plain response whose connection is reset is not forwarded.

--- /dev/null
+++ b/hickoryd/internal/edgedispatch/unframed_test.go
@@ -0,0 +1,65 @@
+package edgedispatch_test
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+
+	"github.com/hickoryfront/hickoryfront/core/route"
+)
+
+// unframed responds without a length and without chunks, so that the response ends with its
+// connection. With isReset the connection is reset at the end.
+func unframed(body string, isReset bool) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			panic(err) // only for a server that can't be hijacked
+		}
+		defer conn.Close()
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nRequest-Id: "+r.Header.Get("Request-Id")+"\r\nServer-Stamp: stamp\r\n\r\n"+body)
+		if isReset {
+			_ = conn.(*net.TCPConn).SetLinger(0)
+		}
+	}
+}
+
+// A response may end with its connection. A stream that ends inside an event, or any response
+// whose connection is reset, was broken off and must not look complete.
+func TestResponseThatEndsWithItsConnection(t *testing.T) {
+	unsafe := route.Route{Kind: route.Unsafe, MaxServers: 1}
+	stream := route.Route{Name: "r", Kind: route.Streaming, IsGeneration: true, MaxServers: 1}
+	resumable := route.Route{Name: "r", Kind: route.Streaming, IsGeneration: true, IsResumable: true, MaxServers: 2}
+	tests := []struct {
+		name       string
+		route      route.Route
+		first      http.HandlerFunc
+		wantStatus int // 0: truncated
+		wantBody   string
+	}{
+		{name: "plain", route: unsafe, first: unframed("body", false), wantStatus: http.StatusOK, wantBody: "body"},
+		{name: "stream", route: stream, first: unframed("id: 1\n\nid: 2\n\n", false), wantStatus: http.StatusOK, wantBody: "id: 1\n\nid: 2\n\n"},
+		{name: "stream ends inside an event", route: stream, first: unframed("id: 1\n\nid: 2\n", false), wantBody: "id: 1\n\n"},
+		{name: "resumable stream ends inside an event", route: resumable, first: unframed("id: 1\n\nid: 2\n", false), wantStatus: http.StatusOK, wantBody: "id: 1\n\nid: 2\n\n"},
+		{name: "plain response is reset", route: unsafe, first: unframed("body", true), wantStatus: http.StatusBadGateway},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var hasCapacity atomic.Bool
+			hasCapacity.Store(true)
+			list := servers{startServer(t, "first", "", tt.first)}
+			if tt.route.IsGeneration {
+				first := startDecodeServer(t, "first", &hasCapacity, tt.first)
+				second := startDecodeServer(t, "second", &hasCapacity, events("1", "2"))
+				second.FailureDomain = "elsewhere" // the first server is preferred
+				list = servers{first, second}
+			}
+			status, body := serve(t, list, tt.route, 100)
+			if status != tt.wantStatus || body != tt.wantBody {
+				t.Errorf("status %d, body %q; want %d and %q", status, body, tt.wantStatus, tt.wantBody)
+			}
+		})
+	}
+}
