--- a/hickoryd/internal/edgehost/client.go
+++ b/hickoryd/internal/edgehost/client.go
@@ -83,19 +83,18 @@
 // already.
 func (c *Client) Fetch(ctx context.Context, position serverlist.Position) (registry.StoreView, error) {
 	addresses := c.randomPeers(fetchFanout)
-	responses := make(chan *peerapi.FetchStateResponse, len(addresses))
-	for _, address := range addresses {
-		go c.runFetch(ctx, address, position, responses)
-	}
+	responses := query(ctx, c, addresses, func(ctx context.Context, peer peerapi.EdgeClient) (*peerapi.FetchStateResponse, error) {
+		return peer.FetchState(ctx, &peerapi.FetchStateRequest{ServersRevision: position.Revision, StoreEra: position.Era})
+	})
 	var best registry.StoreView
 	hasResponse := false
 	for range addresses {
 		response := <-responses
-		if response == nil {
+		if response.err != nil {
 			continue
 		}
 		hasResponse = true
-		best = merge(best, decodeView(response, c.logger))
+		best = merge(best, decodeView(response.value, c.logger))
 	}
 	if !hasResponse {
 		return best, ErrNoResponse
@@ -118,22 +117,6 @@
 	return best
 }
 
-func (c *Client) runFetch(ctx context.Context, address netip.AddrPort, position serverlist.Position, responses chan<- *peerapi.FetchStateResponse) {
-	response, err := c.fetch(ctx, address, position)
-	if err != nil {
-		c.logger.WithError(err).WithField("host", address.String()).Debug("host did not respond")
-	}
-	responses <- response
-}
-
-func (c *Client) fetch(ctx context.Context, address netip.AddrPort, position serverlist.Position) (*peerapi.FetchStateResponse, error) {
-	peer, err := c.edgeClient(address)
-	if err != nil {
-		return nil, err
-	}
-	return peer.FetchState(ctx, &peerapi.FetchStateRequest{ServersRevision: position.Revision, StoreEra: position.Era})
-}
-
 // ReportLoss notifies all other hosts that a server failed while it ran the request
 // with the given fingerprint.
 func (c *Client) ReportLoss(ctx context.Context, fingerprint uint64, server string) {
@@ -176,19 +159,18 @@
 		addresses = c.otherHosts()
 	}
 	request := &peerapi.FindOriginRequest{RequestId: requestID, Service: service, WindowMs: encodeWindow(window)}
-	responses := make(chan *peerapi.FindOriginResponse, len(addresses))
-	for _, address := range addresses {
-		go c.runFindOrigin(ctx, address, request, responses)
-	}
-	var merged streamorigin.Finding
+	responses := query(ctx, c, addresses, func(ctx context.Context, peer peerapi.EdgeClient) (*peerapi.FindOriginResponse, error) {
+		return peer.FindOrigin(ctx, request)
+	})
+	merged := streamorigin.Finding{}
 	hasResponse := false
 	for range addresses {
 		response := <-responses
-		if response == nil {
+		if response.err != nil {
 			continue
 		}
 		hasResponse = true
-		merged = merged.Merge(decodeFinding(response))
+		merged = merged.Merge(decodeFinding(response.value))
 		if merged.IsFound {
 			break
 		}
@@ -199,22 +181,6 @@
 	return merged, nil
 }
 
-func (c *Client) runFindOrigin(ctx context.Context, address netip.AddrPort, request *peerapi.FindOriginRequest, responses chan<- *peerapi.FindOriginResponse) {
-	response, err := c.findOrigin(ctx, address, request)
-	if err != nil {
-		c.logger.WithError(err).WithField("host", address.String()).Debug("host did not respond")
-	}
-	responses <- response
-}
-
-func (c *Client) findOrigin(ctx context.Context, address netip.AddrPort, request *peerapi.FindOriginRequest) (*peerapi.FindOriginResponse, error) {
-	peer, err := c.edgeClient(address)
-	if err != nil {
-		return nil, err
-	}
-	return peer.FindOrigin(ctx, request)
-}
-
 // notifyAll makes a call to each other host in the background.
 func (c *Client) notifyAll(ctx context.Context, call func(context.Context, peerapi.EdgeClient) error) {
 	for _, address := range c.otherHosts() {
--- a/hickoryd/internal/edgehost/configuration.go
+++ b/hickoryd/internal/edgehost/configuration.go
@@ -24,70 +24,44 @@
 	partTimeout = time.Second
 )
 
-// hostVersion is the version of the configuration that a host has in force.
-type hostVersion struct {
-	address netip.AddrPort
-	version uint64
-}
-
 // FetchConfiguration queries a few hosts for the version of the configuration that they
 // have in force, and fetches the newest document from its host. It returns nil if none of
 // them has a version above the given one.
 func (c *Client) FetchConfiguration(ctx context.Context, version uint64) ([]byte, error) {
-	newest, err := c.newestVersion(ctx)
-	if err != nil || newest.version <= version {
+	address, newest, err := c.newestVersion(ctx)
+	if err != nil || newest <= version {
 		return nil, err
 	}
-	document, err := c.fetchDocument(ctx, newest.address, version)
+	document, err := c.fetchDocument(ctx, address, version)
 	if err != nil {
-		return nil, fmt.Errorf("fetch configuration from %s, %d bytes so far: %w", newest.address, len(document), err)
+		return nil, fmt.Errorf("fetch configuration from %s, %d bytes so far: %w", address, len(document), err)
 	}
 	return document, nil
 }
 
-// newestVersion queries a few hosts and returns the highest version.
-func (c *Client) newestVersion(ctx context.Context) (hostVersion, error) {
+// newestVersion queries a few hosts and returns the highest version and its host.
+func (c *Client) newestVersion(ctx context.Context) (address netip.AddrPort, version uint64, err error) {
 	ctx, cancel := context.WithTimeout(ctx, versionTimeout)
 	defer cancel()
 	addresses := c.randomPeers(fetchFanout)
-	responses := make(chan *hostVersion, len(addresses))
-	for _, address := range addresses {
-		go c.runFetchVersion(ctx, address, responses)
-	}
-	var newest hostVersion
+	responses := query(ctx, c, addresses, func(ctx context.Context, peer peerapi.EdgeClient) (*peerapi.FetchVersionResponse, error) {
+		return peer.FetchVersion(ctx, &peerapi.FetchVersionRequest{})
+	})
 	hasResponse := false
 	for range addresses {
 		response := <-responses
-		if response == nil {
+		if response.err != nil {
 			continue
 		}
 		hasResponse = true
-		if response.version > newest.version {
-			newest = *response
+		if newer := response.value.GetConfigVersion(); newer > version {
+			address, version = response.address, newer
 		}
 	}
 	if !hasResponse {
-		return newest, ErrNoResponse
-	}
-	return newest, nil
-}
-
-func (c *Client) runFetchVersion(ctx context.Context, address netip.AddrPort, responses chan<- *hostVersion) {
-	response, err := c.fetchVersion(ctx, address)
-	if err != nil {
-		c.logger.WithError(err).WithField("host", address.String()).Debug("host did not respond")
-		responses <- nil
-		return
-	}
-	responses <- &hostVersion{address, response.GetConfigVersion()}
-}
-
-func (c *Client) fetchVersion(ctx context.Context, address netip.AddrPort) (*peerapi.FetchVersionResponse, error) {
-	peer, err := c.edgeClient(address)
-	if err != nil {
-		return nil, err
+		return address, version, ErrNoResponse
 	}
-	return peer.FetchVersion(ctx, &peerapi.FetchVersionRequest{})
+	return address, version, nil
 }
 
 // fetchDocument fetches a document. With an error it returns the part that has arrived.
--- a/hickoryd/internal/edgehost/quarantine.go
+++ b/hickoryd/internal/edgehost/quarantine.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/netip"
 	"time"
 
 	"github.com/hickoryfront/hickoryfront/core/crash"
@@ -40,13 +39,12 @@
 	ctx, cancel := context.WithTimeout(ctx, findStartsTimeout)
 	defer cancel()
 	addresses := c.otherHosts()
-	responses := make(chan *peerapi.FindStartsResponse, len(addresses))
-	for _, address := range addresses {
-		go c.runFindStarts(ctx, address, service, parts, responses)
-	}
+	responses := query(ctx, c, addresses, func(ctx context.Context, peer peerapi.EdgeClient) (*peerapi.FindStartsResponse, error) {
+		return peer.FindStarts(ctx, &peerapi.FindStartsRequest{Service: service, Parts: parts})
+	})
 	ages := make(map[string]time.Duration)
 	for range addresses {
-		for _, start := range (<-responses).GetStarts() {
+		for _, start := range (<-responses).value.GetStarts() {
 			age := time.Duration(start.GetAgeMs()) * time.Millisecond
 			if known, ok := ages[start.GetPart()]; !ok || age < known {
 				ages[start.GetPart()] = age
@@ -56,22 +54,6 @@
 	return ages
 }
 
-func (c *Client) runFindStarts(ctx context.Context, address netip.AddrPort, service string, parts []string, responses chan<- *peerapi.FindStartsResponse) {
-	response, err := c.findStarts(ctx, address, service, parts)
-	if err != nil {
-		c.logger.WithError(err).WithField("host", address.String()).Debug("host did not respond")
-	}
-	responses <- response
-}
-
-func (c *Client) findStarts(ctx context.Context, address netip.AddrPort, service string, parts []string) (*peerapi.FindStartsResponse, error) {
-	peer, err := c.edgeClient(address)
-	if err != nil {
-		return nil, err
-	}
-	return peer.FindStarts(ctx, &peerapi.FindStartsRequest{Service: service, Parts: parts})
-}
-
 // ReportPartLoss implements peerapi.EdgeServer.
 func (s *Server) ReportPartLoss(_ context.Context, request *peerapi.ReportPartLossRequest) (*peerapi.ReportPartLossResponse, error) {
 	s.quarantine.ReportPartLoss(time.Now(), crash.PartLoss{
