Treat a missing start time of a server as unknown

Hosts of the previous version leave out the time when a server started when they send their server list. A host that took such a list saw a restart of each server, and forgot its drain, its announced end and its health; the next list from the store was a restart again.

Server.HasRestarted needs both times, and a list without them keeps those that the host has. TestRestartEndsDrain now gives the drained incarnation a start time, which it has in any list with times, and both tests check a list without times in between; they fail on the code before.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -205,11 +205,14 @@
 	known := make(map[string]bool, len(servers))
 	for _, s := range servers {
 		known[s.ID] = true
-		if l := t.load(s.ID); !l.startedAt.Equal(s.StartedAt) {
-			l.startedAt, l.skipUntil, l.endedUntil = s.StartedAt, time.Time{}, time.Time{}
-			l.pausedUntil, l.leavingSince = time.Time{}, time.Time{}
+		l := t.load(s.ID)
+		if s.HasRestarted(l.startedAt) {
+			l.skipUntil, l.endedUntil, l.pausedUntil, l.leavingSince = time.Time{}, time.Time{}, time.Time{}, time.Time{}
 			t.health.Forget(s.ID)
 		}
+		if !s.StartedAt.IsZero() {
+			l.startedAt = s.StartedAt
+		}
 	}
 	for id, l := range t.loads {
 		if !known[id] && l.requests <= 0 && now.Sub(l.leavingSince) > leavingRetention {
--- a/core/balance/balance_test.go
+++ b/core/balance/balance_test.go
@@ -208,6 +208,12 @@
 	if ranked := table.Rank(now, []serverlist.Server{server}, criteria); len(ranked) > 0 {
 		t.Error("ranked though it is leaving")
 	}
+	unknown := server
+	unknown.StartedAt = time.Time{}
+	table.Retain(now, []serverlist.Server{unknown})
+	if !table.TakesNoWork(now, "a") {
+		t.Error("takes work after a list without the time of its start")
+	}
 	table.Retain(now, []serverlist.Server{restarted})
 	if _, ok := table.Pick(now, []serverlist.Server{restarted}, criteria); !ok || table.TakesNoWork(now, "a") {
 		t.Error("the new incarnation gets no work")
--- a/core/serverlist/serverlist.go
+++ b/core/serverlist/serverlist.go
@@ -112,6 +112,12 @@
 	}
 )
 
+// HasRestarted reports whether the server has started again since the incarnation that
+// started at the given time. It reports false if one of the times is not registered.
+func (s Server) HasRestarted(since time.Time) bool {
+	return !s.StartedAt.IsZero() && !since.IsZero() && !s.StartedAt.Equal(since)
+}
+
 // NewList returns an empty list.
 func NewList() *List {
 	return &List{servers: make(map[string]entry), removed: make(map[string]removal)}
@@ -224,18 +230,24 @@
 		return
 	}
 	next := entry{server: *c.Server, revision: c.Revision}
-	held.keepDrain(&next.server)
+	held.carryOver(&next.server)
 	if !isHeld || held.server != next.server {
 		l.version++
 	}
 	l.servers[c.ID] = next
 }
 
-// keepDrain marks next as draining if e, an older view of the same registration, is
-// draining: a registration that drains never takes work again, unless the server has
-// started again.
-func (e entry) keepDrain(next *Server) {
-	if e.server.IsDraining && e.server.CreateRevision == next.CreateRevision && e.server.StartedAt.Equal(next.StartedAt) {
+// carryOver keeps in next what e, an older view of the same registration, has. A
+// registration that drains never takes work again, unless the server has started again. The
+// time of its start is missing in lists from hosts of older versions.
+func (e entry) carryOver(next *Server) {
+	if e.server.CreateRevision != next.CreateRevision || next.HasRestarted(e.server.StartedAt) {
+		return
+	}
+	if next.StartedAt.IsZero() {
+		next.StartedAt = e.server.StartedAt
+	}
+	if e.server.IsDraining {
 		next.IsDraining = true
 	}
 }
@@ -271,7 +283,7 @@
 func (l *List) wasRemoved(now time.Time, s Server) bool {
 	r, ok := l.removed[s.ID]
 	return ok && r.at.Before(l.eraBegan) && now.Sub(l.eraBegan) <= removalRetention &&
-		r.server.CreateRevision == s.CreateRevision && r.server.StartedAt.Equal(s.StartedAt)
+		r.server.CreateRevision == s.CreateRevision && !s.HasRestarted(r.server.StartedAt)
 }
 
 // isRemovalUncertain reports whether the server of a registration that is missing at
@@ -307,7 +319,7 @@
 		if !isHeld && l.wasRemoved(now, s) {
 			continue
 		}
-		held.keepDrain(&s)
+		held.carryOver(&s)
 		if !isHeld || held.server != s {
 			l.version++
 		}
--- a/core/serverlist/serverlist_test.go
+++ b/core/serverlist/serverlist_test.go
@@ -151,8 +151,8 @@
 // A server that starts again may keep its ID and its registration. What is known of the
 // incarnation before, such as its drain, must not apply to the new one.
 func TestRestartEndsDrain(t *testing.T) {
-	restarted := server("a")
-	restarted.StartedAt = start.Add(time.Minute)
+	drained, restarted, unknown := draining("a"), server("a"), server("a")
+	drained.StartedAt, restarted.StartedAt = start, start.Add(time.Minute)
 	for name, update := range map[string]func(l *serverlist.List){
 		"store": func(l *serverlist.List) {
 			l.Apply(start, []serverlist.Change{{ID: "a", Server: restarted, Revision: 9}}, 9)
@@ -162,7 +162,11 @@
 		},
 	} {
 		l := serverlist.NewList()
-		l.Apply(start, []serverlist.Change{{ID: "a", Server: draining("a"), Revision: 7}}, 7)
+		l.Apply(start, []serverlist.Change{{ID: "a", Server: drained, Revision: 7}}, 7)
+		l.Adopt(start, []serverlist.Server{*unknown}, serverlist.Position{Revision: 8})
+		if _, takesWork := lookup(l, "a"); takesWork {
+			t.Errorf("%s: takes work after a list without the time of its start", name)
+		}
 		update(l)
 		if isListed, takesWork := lookup(l, "a"); !isListed || !takesWork {
 			t.Errorf("%s: listed %t, takes work %t; want both", name, isListed, takesWork)
