--- a/core/retrybudget/retrybudget.go
+++ b/core/retrybudget/retrybudget.go
@@ -21,7 +21,7 @@
 	// hosts before.
 	reserve = 0.2
 	// hostRetention is how long a number of hosts counts after the host list has become
-	// shorter. Registrations may lapse in an outage while their hosts go on.
+	// shorter. In an outage the registration of a running host may lapse.
 	hostRetention = 2 * time.Minute
 )
 
--- a/hickoryd/consul/client.go
+++ b/hickoryd/consul/client.go
@@ -26,7 +26,7 @@
 	maxValueBytes = 1 << 20
 	maxReplyBytes = 64 << 20
 	indexHeader   = "X-Consul-Index"
-	// maxCallTime limits a call as a whole, without the wait of a blocking query. A call
+	// maxCallTime limits an entire call, without the wait of a blocking query. A call
 	// that makes no progress is canceled much earlier.
 	maxCallTime = 30 * time.Second
 )
--- a/hickoryd/internal/edgedispatch/migrate.go
+++ b/hickoryd/internal/edgedispatch/migrate.go
@@ -267,7 +267,7 @@
 		g.counters.migrationsRejected.Inc()
 	}
 	if errors.Is(err, errNotRun) {
-		g.recordRetry(g.request) // the run could go on nowhere else
+		g.recordRetry(g.request) // no other server can continue the run
 	}
 	return err
 }
--- a/hickoryd/internal/edgehost/configuration.go
+++ b/hickoryd/internal/edgehost/configuration.go
@@ -19,7 +19,7 @@
 	versionTimeout = 250 * time.Millisecond
 	// partBytes is the size of the parts of a document.
 	partBytes = 32 << 10
-	// partTimeout limits the wait for the next part of a document. A document as a whole
+	// partTimeout limits the wait for the next part of a document. An entire document
 	// has no limit: a large one takes seconds over a slow link.
 	partTimeout = time.Second
 )
--- a/hickoryd/internal/edgehost/quarantine.go
+++ b/hickoryd/internal/edgehost/quarantine.go
@@ -34,7 +34,7 @@
 }
 
 // FindStarts returns the time since a server last began to answer a request with each of
-// the parts, for those of which one of the hosts that respond in time knows one.
+// the parts, for those for which one of the hosts that respond in time has one.
 func (c *Client) FindStarts(ctx context.Context, service string, parts []string) map[string]time.Duration {
 	ctx, cancel := context.WithTimeout(ctx, findStartsTimeout)
 	defer cancel()
--- a/hickoryd/internal/quarantine/quarantine.go
+++ b/hickoryd/internal/quarantine/quarantine.go
@@ -27,7 +27,7 @@
 		// more.
 		ReportRefusal(ctx context.Context, refusal crash.PartRefusal, isLifted bool)
 		// FindStarts returns the time since a server last began to answer a request with
-		// each of the parts, for those of which another host knows one.
+		// each of the parts, for those for which another host has one.
 		FindStarts(ctx context.Context, service string, parts []string) map[string]time.Duration
 	}
 
--- a/hickoryd/internal/quarantine/quarantine_test.go
+++ b/hickoryd/internal/quarantine/quarantine_test.go
@@ -136,8 +136,8 @@
 	}
 }
 
-// While no host can write its losses to the store, each host decides on those that it
-// knows.
+// While no host can write its losses to the store, each host decides on those that have
+// been reported to it.
 func TestDecisionWithoutStore(t *testing.T) {
 	q := newQuarantine(t, &peers{}, true)
 	for _, server := range []string{"a", "b", "c"} {
@@ -161,7 +161,7 @@
 	if _, isRefused := q.Check(time.Now(), service, []string{"x"}); isRefused {
 		t.Error("refused after a server has begun to answer")
 	}
-	await(t, "the other hosts know that the refusal has ended", func() bool {
+	await(t, "the other hosts have ended the refusal", func() bool {
 		_, _, lifted := p.reported()
 		return len(lifted) == 1
 	})
--- a/hickoryd/internal/registry/follow.go
+++ b/hickoryd/internal/registry/follow.go
@@ -35,7 +35,7 @@
 	hostLease = 60 * time.Second
 	// renewPeriod is the time between two renewals of hostLease.
 	renewPeriod = 15 * time.Second
-	// maxCallTime limits a call of the store as a whole, without the wait of a watch. The
+	// maxCallTime limits an entire call of the store, without the wait of a watch. The
 	// store's client cancels a call that makes no progress much earlier.
 	maxCallTime = 30 * time.Second
 	// retryDelay is the minimum time before RunConfiguration retries a failed call.
--- a/hickorylab/edgesoak/configuration_test.go
+++ b/hickorylab/edgesoak/configuration_test.go
@@ -94,7 +94,7 @@
 	e.store.Put("op/config", configuration(2, "shop"))
 	e.awaitConfiguration(2)
 	for i := range hostCount {
-		e.await("a host knows the drain and the removal", func() bool { return !e.takesWork(i, draining.ID()) && !e.takesWork(i, goneID) })
+		e.await("a host has the drain and the removal", func() bool { return !e.takesWork(i, draining.ID()) && !e.takesWork(i, goneID) })
 	}
 
 	e.store.Restore(older)
@@ -114,9 +114,9 @@
 	e.store.Put("op/config", configuration(3, "shop"))
 	e.awaitConfiguration(3)
 	for i := range hostCount {
-		e.await("a host knows a server that has started since", func() bool { return e.takesWork(i, added.ID()) })
+		e.await("a host has a server that has started since", func() bool { return e.takesWork(i, added.ID()) })
 		e.await("a host is registered again", func() bool { return e.store.Has(fmt.Sprint(hostsPrefix, "host-", i)) })
-		e.await("a host knows the others again", func() bool { return len(e.state(i).Hosts) == hostCount })
+		e.await("a host has the others again", func() bool { return len(e.state(i).Hosts) == hostCount })
 	}
 	e.checkRecovery()
 }
