Do not wait for the end of a rejection

Callers got 503 at the end of their time, or their stream began late, when a server had rejected their request at once: the rest of the rejection's body was read first, up to 256 KB and until the request's deadline, so that the connection could be reused. Bytes may come without end.

A response that is not forwarded is read for 100 ms and up to 64 KB now; a connection with more is closed. A prefill's handle is decoded only from a complete response.

--- a/hickoryd/internal/edgedispatch/decode.go
+++ b/hickoryd/internal/edgedispatch/decode.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"slices"
 	"time"
@@ -63,7 +64,7 @@
 	}
 	defer response.Close()
 	if response.Metadata.IsNotRun {
-		body := readRest(response)
+		body := drain(response)
 		g.releaseReservation(held)
 		if response.Metadata.IsMisdirected {
 			g.unusedHandle = source // the server has not fetched it
@@ -115,11 +116,12 @@
 // may be retried on another server.
 func (g *generation) forwardFailure(server serverlist.Server, response *upstream.Response) error {
 	g.recordResult(server.ID, health.Failure)
-	body := readRest(response)
 	err := fmt.Errorf("%w: status %d", errInvalid, response.StatusCode)
 	if g.isStarted || g.history.MayReplace() || !response.Metadata.HasStamp {
+		drain(response)
 		return err
 	}
+	body, _ := io.ReadAll(io.LimitReader(response.Body, maxBufferedResponseBytes)) // after an error the body is incomplete
 	buffered := &plainResponse{response: response.Response, body: body}
 	return buffered.send(g.sink)
 }
--- a/hickoryd/internal/edgedispatch/plain.go
+++ b/hickoryd/internal/edgedispatch/plain.go
@@ -1,7 +1,6 @@
 package edgedispatch
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -23,9 +22,12 @@
 
 const (
 	// maxBufferedResponseBytes is the maximum size of a response that is buffered completely
-	// before the caller gets any of it, so that the request can still be retried. It
-	// also bounds what readRest reads.
+	// before the caller gets any of it, so that the request can still be retried.
 	maxBufferedResponseBytes = 256 << 10
+	// maxDrainedBytes and drainTimeout limit the reading of a response that is not
+	// forwarded.
+	maxDrainedBytes = 64 << 10
+	drainTimeout    = 100 * time.Millisecond
 	// maxPlainAttempts is the maximum number of servers that one request is sent to.
 	maxPlainAttempts = 4
 	// slowShare is the part of the target latency after which a safe request without
@@ -280,7 +282,7 @@
 	}
 	if response.Metadata.IsNotRun {
 		defer response.Close()
-		readRest(response)
+		drain(response)
 		return plainResult{err: fmt.Errorf("%w: status %d", errNotRun, response.StatusCode)}
 	}
 	if !response.Metadata.HasStamp || response.Metadata.IsEncoded {
@@ -386,9 +388,8 @@
 	health.Success: "success", health.Failure: "failure", health.Broken: "broken", health.Unreachable: "unreachable",
 }
 
-// readRest reads the rest of a short response, so that its connection can be reused.
-func readRest(response *upstream.Response) []byte {
-	var body bytes.Buffer
-	_, _ = io.Copy(&body, io.LimitReader(response.Body, maxBufferedResponseBytes)) // after an error the body is incomplete and the connection is not reused
-	return body.Bytes()
+// drain reads a response that is not forwarded, so that its connection can be reused. It
+// returns what it has read within drainTimeout, as the body may have no end.
+func drain(response *upstream.Response) []byte {
+	return response.ReadRest(maxDrainedBytes, drainTimeout)
 }
--- a/hickoryd/internal/edgedispatch/prefill.go
+++ b/hickoryd/internal/edgedispatch/prefill.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"time"
 
@@ -109,10 +110,15 @@
 		return kvHandle{}, err
 	}
 	defer response.Close()
-	body := readRest(response)
 	if response.StatusCode != http.StatusOK {
+		drain(response)
 		return kvHandle{}, fmt.Errorf("%w: prefill returned status %d", errNotRun, response.StatusCode)
 	}
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedResponseBytes))
+	if err != nil {
+		g.recordResult(server.ID, health.Broken)
+		return kvHandle{}, fmt.Errorf("read the handle of a KV cache: %w", err)
+	}
 	handle, err := platform.DecodeKVHandle(body)
 	if err != nil {
 		g.recordResult(server.ID, health.Broken)
--- a/hickoryd/internal/upstream/connection.go
+++ b/hickoryd/internal/upstream/connection.go
@@ -154,6 +154,20 @@
 	r.connection.pool.putIdle(r.connection)
 }
 
+// ReadRest reads at most limit bytes of the rest of the body, so that the connection can be
+// reused, and stops at an error or after timeout.
+func (r *Response) ReadRest(limit int64, timeout time.Duration) []byte {
+	socket := r.connection.socket
+	if err := socket.SetReadDeadline(time.Now().Add(timeout)); err != nil {
+		return nil // the connection is closed
+	}
+	rest, _ := io.ReadAll(io.LimitReader(r.Body, limit)) // after an error the body is incomplete, and the connection is not reused
+	if err := socket.SetReadDeadline(time.Time{}); err != nil {
+		r.body.isComplete = false // the connection is closed
+	}
+	return rest
+}
+
 // IsComplete reports whether the body was read to its end.
 func (r *Response) IsComplete() bool {
 	return r.body.isComplete
