Refuse a stream whose server's error response is incomplete

A stream that can't be repeated ended with its server's error response. If that broke off, or was longer than the 256 KB that are kept, the caller got the part of it with a Content-Length, and it looked complete. The caller gets 502 now.

TestIncompleteErrorResponse failed in both of its cases: 500 with 1 of 100 bytes, and with 262,144 of 1,048,576.

--- a/hickoryd/internal/edgedispatch/decode.go
+++ b/hickoryd/internal/edgedispatch/decode.go
@@ -122,6 +122,9 @@
 		return err
 	}
 	body, _ := io.ReadAll(io.LimitReader(response.Body, maxBufferedResponseBytes)) // after an error the body is incomplete
+	if !response.IsComplete() {
+		return fmt.Errorf("%w, incomplete body of %d bytes", err, len(body))
+	}
 	buffered := &plainResponse{response: response.Response, body: body}
 	return buffered.send(g.sink)
 }
--- a/hickoryd/internal/edgedispatch/endless_test.go
+++ b/hickoryd/internal/edgedispatch/endless_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -70,3 +71,32 @@
 		})
 	}
 }
+
+// The error response of a server that breaks off, or is too long to be kept, must not look
+// complete to the caller.
+func TestIncompleteErrorResponse(t *testing.T) {
+	stream := route.Route{Name: "r", Kind: route.Streaming, IsGeneration: true, MaxServers: 1}
+	for name, body := range map[string]struct {
+		length string
+		text   string
+	}{
+		"breaks off": {length: "100", text: "x"},
+		"too long":   {text: strings.Repeat("x", 1<<20)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var hasCapacity atomic.Bool
+			hasCapacity.Store(true)
+			server := startDecodeServer(t, "a", &hasCapacity, func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("Server-Stamp", "stamp")
+				if body.length != "" {
+					w.Header().Set("Content-Length", body.length)
+				}
+				w.WriteHeader(http.StatusInternalServerError)
+				_, _ = io.WriteString(w, body.text)
+			})
+			if status, got := serve(t, servers{server}, stream, 100); status != http.StatusBadGateway {
+				t.Errorf("status %d with %d bytes, want a refusal", status, len(got))
+			}
+		})
+	}
+}
