--- a/core/hoststate/hoststate.go
+++ b/core/hoststate/hoststate.go
@@ -27,6 +27,8 @@
 		Hosts   []netip.AddrPort `json:"hosts"`
 		Servers []Server         `json:"servers"`
 		Budgets []Budget         `json:"budgets"`
+		// RefusedParts are the prompt parts that crash servers.
+		RefusedParts []RefusedParts `json:"refusedParts"`
 	}
 
 	// Configuration describes the configuration in force.
@@ -68,4 +70,11 @@
 		Retries  int     `json:"repeats"`
 		Allowed  float64 `json:"allowed"`
 	}
+
+	// RefusedParts refuses the requests of a service whose prompts have all of Parts.
+	RefusedParts struct {
+		Service string    `json:"service"`
+		Parts   []string  `json:"parts"`
+		Until   time.Time `json:"until"`
+	}
 )
--- a/hickory/internal/command/edgestatus/status.go
+++ b/hickory/internal/command/edgestatus/status.go
@@ -40,7 +40,7 @@
 	return &factory.Command{
 		Streams: f.Streams,
 		Use:     "status",
-		Short:   "list hosts with readiness, configuration, store and retry budgets",
+		Short:   "list hosts with readiness, configuration, store, retry budgets and refused prompt parts",
 		Example: "  hickory edge status 10.0.0.1:9464 10.0.0.2:9464\n  HICKORY_ADDRESS=10.0.0.1:9464 hickory edge status --json\n",
 		Flags:   func(flags *flag.FlagSet) { flags.BoolVar(&o.JSON, "json", false, "print JSON") },
 		Run: func(ctx context.Context, args []string) error {
@@ -82,10 +82,10 @@
 	for _, s := range states {
 		rows = append(rows, []string{
 			s.Host, s.FailureDomain, readiness(s), configuration(s, newest), store(s), strconv.FormatInt(s.InFlight, 10),
-			strconv.Itoa(len(s.Servers)), strconv.Itoa(len(s.Hosts)), budgets(s),
+			strconv.Itoa(len(s.Servers)), strconv.Itoa(len(s.Hosts)), budgets(s), refusedParts(s),
 		})
 	}
-	headings := []string{"host", "domain", "state", "configuration", "store", "in flight", "servers", "hosts", "repeats in 10 s"}
+	headings := []string{"host", "domain", "state", "configuration", "store", "in flight", "servers", "hosts", "repeats in 10 s", "refused prompt parts"}
 	return tableprinter.Table(o.Streams.Out, headings, rows)
 }
 
@@ -136,3 +136,15 @@
 	}
 	return strings.Join(parts, ", ")
 }
+
+// refusedParts returns the prompt parts that crash servers, by service.
+func refusedParts(s hoststate.State) string {
+	parts := make([]string, 0, len(s.RefusedParts))
+	for _, r := range s.RefusedParts {
+		parts = append(parts, r.Service+" "+strings.Join(r.Parts, "+"))
+	}
+	if len(parts) == 0 {
+		return noValue
+	}
+	return strings.Join(parts, ", ")
+}
--- a/hickoryd/internal/quarantine/quarantine.go
+++ b/hickoryd/internal/quarantine/quarantine.go
@@ -13,6 +13,7 @@
 	"github.com/apex/log"
 
 	"github.com/hickoryfront/hickoryfront/core/crash"
+	"github.com/hickoryfront/hickoryfront/core/hoststate"
 	"github.com/hickoryfront/hickoryfront/platform"
 )
 
@@ -83,6 +84,13 @@
 	return q.table.Refusals(now)
 }
 
+// Describe fills in the part of s that concerns refused parts, as of now.
+func (q *Quarantine) Describe(now time.Time, s *hoststate.State) {
+	for _, refusal := range q.Refusals(now) {
+		s.RefusedParts = append(s.RefusedParts, hoststate.RefusedParts{Service: refusal.Service, Parts: refusal.Parts, Until: now.Add(refusal.Duration)})
+	}
+}
+
 // RecordStart records that a server has begun at now to answer a request with the given
 // parts.
 func (q *Quarantine) RecordStart(now time.Time, service string, parts []string) {
