Add a failing test of servers that state a limit

Real hosts, 7 and 63, send requests to stand-in servers that state a limit, to plain, prefill and decode servers; the limit changes, ends and goes with its incarnation; hosts are killed, start, freeze, or don't find each other. The bound is the platform's: in 4 s one and a half times what the limit allows and 5 more, from hosts that were told half a second before.

--- a/hickorylab/edgesoak/caller_test.go
+++ b/hickorylab/edgesoak/caller_test.go
@@ -151,7 +151,7 @@
 // response.
 func (c *caller) exchange(r callerRequest, o *outcome) (string, error) {
 	if c.conn == nil {
-		conn, err := net.DialTimeout("tcp", c.environment.address(1+c.host, 18080), min(dialTimeout, time.Until(o.deadline)))
+		conn, err := net.DialTimeout("tcp", c.environment.hostPort(c.host, 18080), min(dialTimeout, time.Until(o.deadline)))
 		if err != nil {
 			return "", err
 		}
--- a/hickorylab/edgesoak/environment_test.go
+++ b/hickorylab/edgesoak/environment_test.go
@@ -20,6 +20,8 @@
 
 const (
 	hostCount = 3
+	// firstHostOctet is the last octet of the address of host 0.
+	firstHostOctet = 100
 	// prefillCount is the number of model servers that start with the stage prefill.
 	prefillCount = 2
 	// waitTimeout ends a wait whose condition never holds. It does not bound how fast
@@ -35,6 +37,8 @@
 		// retrySlack is a setting of the hosts.
 		retrySlack    int
 		decodeServers int
+		// hostCount is the number of hosts, or 0 for the constant hostCount.
+		hostCount int
 		// areHostsIsolated is set if the hosts don't find each other.
 		areHostsIsolated bool
 	}
@@ -55,7 +59,7 @@
 		configuration atomic.Pointer[map[string]any]
 		// kills counts the starts and the ends of the kills of each host. It is odd while
 		// a kill is in progress.
-		kills [hostCount]atomic.Uint64
+		kills []atomic.Uint64
 	}
 )
 
@@ -69,10 +73,13 @@
 // startEnvironmentWith is like startEnvironment with other options.
 func startEnvironmentWith(tb testing.TB, options environmentOptions) *environment {
 	tb.Helper()
+	if options.hostCount == 0 {
+		options.hostCount = hostCount
+	}
 	store := metastore.New()
 	e := &environment{
 		environmentOptions: options, tb: tb, network: harness.FreeNetwork(tb), store: store, workers: worker.NewGroup(store),
-		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 20}},
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 20}}, kills: make([]atomic.Uint64, options.hostCount),
 	}
 	if options.areHostsIsolated {
 		store.Hide("hickoryfront/hosts/")
@@ -92,10 +99,10 @@
 		}
 		e.modelServers = append(e.modelServers, e.startServer("model", stage, 30+i))
 	}
-	for i := range hostCount {
+	for i := range e.hostCount {
 		e.hosts = append(e.hosts, e.startHost(i))
 	}
-	for i := range hostCount {
+	for i := range e.hostCount {
 		e.awaitReady(i)
 	}
 	return e
@@ -126,7 +133,12 @@
 }
 
 func (e *environment) hostAddress(i int) netip.Addr {
-	return netip.MustParseAddr(fmt.Sprintf("%s.%d", e.network, 1+i))
+	return netip.MustParseAddr(fmt.Sprintf("%s.%d", e.network, firstHostOctet+i))
+}
+
+// hostPort returns the address of a host's listener.
+func (e *environment) hostPort(i, port int) string {
+	return netip.AddrPortFrom(e.hostAddress(i), uint16(port)).String()
 }
 
 func (e *environment) serve(address string, handler http.Handler) {
@@ -149,15 +161,16 @@
 }
 
 func (e *environment) startHost(i int) *harness.Process {
-	var seeds []string
-	for n := range hostCount {
-		if n == i || !e.areHostsIsolated {
-			seeds = append(seeds, e.address(1+n, 18082))
+	seeds := []string{e.hostPort(i, 18082)}
+	if !e.areHostsIsolated {
+		seeds = nil
+		for n := range min(e.hostCount, hostCount) {
+			seeds = append(seeds, e.hostPort(n, 18082))
 		}
 	}
 	text := fmt.Sprintf("[host]\nname = host-%d\nfailureDomain = z1\n[listen]\ncaller = %s\nready = %s\npeer = %s\noperator = %s\n"+
 		"[store]\naddress = %s\n[peers]\nseeds = %s\n[repeats]\nslack = %d\n",
-		i, e.address(1+i, 18080), e.address(1+i, 18081), e.address(1+i, 18082), e.address(1+i, 18083), e.storeAddress(), strings.Join(seeds, ","), e.retrySlack)
+		i, e.hostPort(i, 18080), e.hostPort(i, 18081), e.hostPort(i, 18082), e.hostPort(i, 18083), e.storeAddress(), strings.Join(seeds, ","), e.retrySlack)
 	path := filepath.Join(e.tb.TempDir(), "host.ini")
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		e.tb.Fatal(err)
@@ -184,7 +197,7 @@
 }
 
 func (e *environment) isReady(i int) bool {
-	response, err := e.client.Get("http://" + e.address(1+i, 18081) + "/hickoryfront/readiness")
+	response, err := e.client.Get("http://" + e.hostPort(i, 18081) + "/hickoryfront/readiness")
 	if err != nil {
 		return false
 	}
--- a/hickorylab/edgesoak/state_test.go
+++ b/hickorylab/edgesoak/state_test.go
@@ -29,7 +29,7 @@
 // state returns a host's state, or an empty one if the host does not respond.
 func (e *environment) state(i int) hoststate.State {
 	var s hoststate.State
-	response, err := e.client.Get("http://" + e.address(1+i, 18083) + hoststate.Path)
+	response, err := e.client.Get("http://" + e.hostPort(i, 18083) + hoststate.Path)
 	if err != nil {
 		return s
 	}
--- a/hickorylab/worker/worker.go
+++ b/hickorylab/worker/worker.go
@@ -71,6 +71,7 @@
 		service string
 		address string
 		version string // of its software
+		limiter limiter
 
 		mu            sync.Mutex
 		silence       *silence
@@ -169,6 +170,13 @@
 	return s.start(false)
 }
 
+// RestartUnderID crashes the server and starts a new incarnation with the ID of the one
+// before, whose registration stays meanwhile.
+func (s *Server) RestartUnderID() error {
+	s.crash(true)
+	return s.start(true)
+}
+
 // start starts a new incarnation of the server with empty memory. With keepsID it has the
 // ID of the one before.
 func (s *Server) start(keepsID bool) error {
@@ -182,6 +190,7 @@
 	s.group.mu.Unlock()
 	s.mu.Lock()
 	s.silence = newSilence()
+	s.limiter.set(time.Now(), 0)
 	if !keepsID {
 		s.id = id
 	}
@@ -322,6 +331,7 @@
 func (s *Server) serveRequest(w http.ResponseWriter, r *http.Request, stage string) {
 	defer s.beginServing(r.Header.Get("Request-Id"))()
 	s.group.countDeadlyArrival(r)
+	s.limiter.state(w, r)
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
