Send requests to limited servers with permits of their homes

Servers that had stated how many requests a second they take from all hosts together got up to twice as much as allowed in the users' record (35 in 4 s where 16 are allowed): no host read the statement. A limit of each host by itself would not have been enough, since 63 hosts with a burst of one request each send 63.

A request to a limited server needs a permit now. Three homes of the server issue these at the rate of the limit; each has a third and keeps one permit at most, so that the burst doesn't depend on the number of hosts. Plain requests, retries, hedges, prefills, runs and migrations take one. Hosts report the begin and the end of a limit to each other. A host that no home responds to sends nothing.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -18,6 +18,11 @@
 	// remoteWeight is the load, in requests, by which a server in another failure
 	// domain must be below a server in the preferred domain to be chosen.
 	remoteWeight = 1.0
+	// limitedWeight is the load, in requests, that equals a limit. It is below the spread of
+	// costs, so that a server gets requests in whose responses the end of its limit shows.
+	limitedWeight = 0.3
+	// costSpread spreads requests over servers of equal load.
+	costSpread = 0.5
 	// failureWeight is the load, in requests, that equals a failure rate of 1.
 	failureWeight = 20.0
 	// stageChangePeriod is the time for which a server that changes its stage is
@@ -75,6 +80,10 @@
 		endedUntil time.Time
 		// pausedUntil is the end of the time for which the server has asked for no work.
 		pausedUntil time.Time
+		// isLimited is set if the server takes a limited number of requests, each with a
+		// permit, and noPermitUntil is until when there is none.
+		isLimited     bool
+		noPermitUntil time.Time
 		// leavingSince is when the server last said that it is leaving, or zero.
 		leavingSince time.Time
 	}
@@ -141,8 +150,23 @@
 	}
 }
 
+// SetLimited records whether each request to a server needs a permit.
+func (t *Table) SetLimited(server string, isLimited bool) {
+	l := t.load(server)
+	l.isLimited = isLimited
+	l.noPermitUntil = time.Time{}
+}
+
+// MarkNoPermit records at now that there is no permit for a request to a server during a
+// time.
+func (t *Table) MarkNoPermit(now time.Time, server string, wait time.Duration) {
+	if l := t.load(server); l.isLimited {
+		l.noPermitUntil = now.Add(wait)
+	}
+}
+
 // PauseLeft returns the time until the first of the servers that match takes work again, if
-// all of them have asked for none. Otherwise it returns 0.
+// none of them does: they have asked for none, or there is no permit. Otherwise it returns 0.
 func (t *Table) PauseLeft(now time.Time, servers []serverlist.Server, criteria Criteria) time.Duration {
 	var least time.Duration
 	for _, s := range servers {
@@ -150,10 +174,14 @@
 			continue
 		}
 		l, ok := t.loads[s.ID]
-		if !ok || !now.Before(l.pausedUntil) {
+		if !ok {
 			return 0
 		}
-		if left := l.pausedUntil.Sub(now); least == 0 || left < least {
+		left := max(l.pausedUntil.Sub(now), l.noPermitUntil.Sub(now))
+		if left <= 0 {
+			return 0
+		}
+		if least == 0 || left < least {
 			least = left
 		}
 	}
@@ -208,6 +236,7 @@
 		l := t.load(s.ID)
 		if s.HasRestarted(l.startedAt) {
 			l.skipUntil, l.endedUntil, l.pausedUntil, l.leavingSince = time.Time{}, time.Time{}, time.Time{}, time.Time{}
+			l.isLimited, l.noPermitUntil = false, time.Time{}
 			t.health.Forget(s.ID)
 		}
 		if !s.StartedAt.IsZero() {
@@ -236,7 +265,7 @@
 	var bestCost float64
 	isFound := false
 	for _, s := range servers {
-		if !criteria.Matches(s) || t.TakesNoWork(now, s.ID) || (!isEjectedAllowed && t.health.IsEjected(now, s.ID)) {
+		if !criteria.Matches(s) || t.TakesNoWork(now, s.ID) || t.hasNoPermit(now, s.ID) || (!isEjectedAllowed && t.health.IsEjected(now, s.ID)) {
 			continue
 		}
 		cost := t.cost(s, criteria)
@@ -248,8 +277,8 @@
 }
 
 // Rank returns the matching servers that may have free capacity, best first. It
-// excludes servers that are ejected, have ended, are leaving, have asked for no work, or
-// were recently full or changing their stage.
+// excludes servers that are ejected, have ended, are leaving, have asked for no work, have no
+// permit, or were recently full or changing their stage.
 func (t *Table) Rank(now time.Time, servers []serverlist.Server, criteria Criteria) []serverlist.Server {
 	type candidate struct {
 		server serverlist.Server
@@ -257,7 +286,7 @@
 	}
 	var candidates []candidate
 	for _, s := range servers {
-		if !criteria.Matches(s) || t.TakesNoWork(now, s.ID) || t.health.IsEjected(now, s.ID) || t.isSkipped(now, s.ID) {
+		if !criteria.Matches(s) || t.TakesNoWork(now, s.ID) || t.hasNoPermit(now, s.ID) || t.health.IsEjected(now, s.ID) || t.isSkipped(now, s.ID) {
 			continue
 		}
 		candidates = append(candidates, candidate{s, t.cost(s, criteria)})
@@ -275,10 +304,18 @@
 	return ok && now.Before(l.skipUntil)
 }
 
+func (t *Table) hasNoPermit(now time.Time, server string) bool {
+	l, ok := t.loads[server]
+	return ok && now.Before(l.noPermitUntil)
+}
+
 func (t *Table) cost(s serverlist.Server, criteria Criteria) float64 {
-	cost := rand.Float64() * 0.5 // spreads requests over servers of equal load
+	cost := rand.Float64() * costSpread
 	if l, ok := t.loads[s.ID]; ok {
 		cost += float64(l.requests)
+		if l.isLimited {
+			cost += limitedWeight
+		}
 	}
 	if s.FailureDomain != criteria.FailureDomain {
 		cost += remoteWeight
--- a/core/balance/balance_test.go
+++ b/core/balance/balance_test.go
@@ -253,3 +253,34 @@
 		t.Error("a server is excluded for a day")
 	}
 }
+
+// TestServerWithoutPermit guards against requests to a server that has no permit left, and
+// against a Retry-After that ends before there is one.
+func TestServerWithoutPermit(t *testing.T) {
+	criteria := balance.Criteria{Service: "s"}
+	list := []serverlist.Server{{ID: "a", Service: "s"}}
+	table := balance.NewTable()
+	table.MarkNoPermit(start, "a", time.Second)
+	if _, ok := table.Pick(start, list, criteria); !ok {
+		t.Error("a server without a limit needs no permit")
+	}
+	table.SetLimited("a", true)
+	table.MarkNoPermit(start, "a", time.Second)
+	if _, ok := table.Pick(start, list, criteria); ok || len(table.Rank(start, list, criteria)) > 0 {
+		t.Error("picked a server that has no permit left")
+	}
+	if left := table.PauseLeft(start, list, criteria); left != time.Second {
+		t.Errorf("%v left, want 1s", left)
+	}
+	if table.TakesNoWork(start, "a") {
+		t.Error("a request that has a permit must be sent")
+	}
+	if _, ok := table.Pick(start.Add(time.Second), list, criteria); !ok {
+		t.Error("no server picked when there may be a permit again")
+	}
+	table.MarkNoPermit(start, "a", time.Second)
+	table.SetLimited("a", false)
+	if _, ok := table.Pick(start, list, criteria); !ok {
+		t.Error("no server picked after the limit has ended")
+	}
+}
--- a/core/serverlimit/table.go
+++ b/core/serverlimit/table.go
@@ -1,7 +1,11 @@
-// Package serverlimit holds the limits that backend servers state. A server in need states
-// in its responses how many requests a second it takes from all hosts together, until a
-// response states none. The command hickoryd edge uses it, for the backend servers of the
+// Package serverlimit keeps hosts to the limits that backend servers state. A server in need
+// states in its responses how many requests a second it takes from all hosts together, until
+// a response states none. The command hickoryd edge uses it, for the backend servers of the
 // users' platform.
+//
+// A host that has heard of a limit sends a request to the server only with a permit. A few
+// hosts, the server's homes, issue these at the rate of the limit. A host that reaches none
+// of them sends the server nothing.
 package serverlimit
 
 import (
@@ -42,8 +46,9 @@
 		// At is when the response with the limit arrived. For a response without one it is
 		// when its request was sent, as the response may have overtaken a newer one.
 		At time.Time
-		// Since is when the server first stated its present limit or an earlier one without
-		// a response that states none in between. It is zero without a limit.
+		// Since is when the server first stated its present limit, or an earlier one without
+		// a response that states none in between. For a statement that a host has just
+		// received it is At. It is zero without a limit.
 		Since time.Time
 	}
 
@@ -74,9 +79,6 @@
 	if !s.IsLimited {
 		return t.end(s, current)
 	}
-	if s.Since.IsZero() {
-		s.Since = s.At
-	}
 	if current.IsLimited && current.Since.Before(s.Since) {
 		s.Since = current.Since
 	}
--- a/core/serverlimit/table_test.go
+++ b/core/serverlimit/table_test.go
@@ -17,7 +17,7 @@
 }
 
 func limited(rate, seconds float64) serverlimit.Statement {
-	return serverlimit.Statement{Server: "s", IsLimited: true, Rate: rate, At: at(seconds)}
+	return serverlimit.Statement{Server: "s", IsLimited: true, Rate: rate, At: at(seconds), Since: at(seconds)}
 }
 
 func unlimited(seconds float64) serverlimit.Statement {
--- a/hickoryd/internal/edgedispatch/dispatch.go
+++ b/hickoryd/internal/edgedispatch/dispatch.go
@@ -64,8 +64,8 @@
 		IsStoreUnreachable() bool
 	}
 
-	// Peers notifies the other hosts about failed servers and the origins of streams, and
-	// queries them for those.
+	// Peers notifies the other hosts about failed servers, their limits and the origins of
+	// streams, and queries them for origins and permits.
 	Peers interface {
 		// ReportLoss reports that a server failed while it ran the request with the
 		// given fingerprint.
@@ -78,6 +78,12 @@
 		// without addresses the hosts that a starting host queries. It returns an error if
 		// none responds.
 		FindOrigin(ctx context.Context, addresses []netip.AddrPort, requestID, service string, window time.Duration) (streamorigin.Finding, error)
+		// ReportLimit reports what a server has stated about its limit to the hosts at
+		// addresses, or to all other hosts if there are none.
+		ReportLimit(ctx context.Context, addresses []netip.AddrPort, statement serverlimit.Statement)
+		// AcquirePermit asks the host at address for a permit to send one request to the
+		// server of a statement.
+		AcquirePermit(ctx context.Context, address netip.AddrPort, statement serverlimit.Statement) (serverlimit.Permit, error)
 	}
 
 	// Quarantine finds prompt parts that crash servers and refuses requests with them. The
@@ -163,6 +169,11 @@
 		hosts        retrybudget.Hosts
 		crashes      *crash.Table
 		limits       *serverlimit.Table
+		// homes and issuer issue this host's permits for servers with limits.
+		homes  *serverlimit.Homes
+		issuer *serverlimit.Issuer
+		// homeFailedAt is when homes of servers last did not respond.
+		homeFailedAt map[netip.AddrPort]time.Time
 		// meanTokens is the moving average of the reserved tokens, by service.
 		meanTokens map[string]float64
 		// callerRetry detects requests that are retries of their callers, by route.
@@ -173,7 +184,7 @@
 	}
 
 	counters struct {
-		retries, retriesDenied, decodePrefills, unusedHandles, migrations, migrationsRejected, silences, truncated, mixed, limitedRequests *metrics.Counter
+		retries, retriesDenied, decodePrefills, unusedHandles, migrations, migrationsRejected, silences, truncated, mixed, limitedRequests, permitsDenied *metrics.Counter
 	}
 )
 
@@ -181,7 +192,7 @@
 func New(background context.Context, options Options, r Registry, pool *upstream.Pool, peers Peers, quarantine Quarantine, logger log.Interface, set *metrics.Set) *Dispatcher {
 	return &Dispatcher{
 		background: background, options: options, registry: r, pool: pool, peers: peers, quarantine: quarantine, logger: logger, origins: newOrigins(),
-		balancer: balance.NewTable(), prefillQueue: prefillqueue.NewEstimator(), outputLength: outputlength.NewEstimator(), budgets: make(map[string]*retrybudget.Budget), crashes: crash.NewTable(crashTableSize), limits: serverlimit.NewTable(), meanTokens: make(map[string]float64), callerRetry: make(map[string]*callerretry.Estimator),
+		balancer: balance.NewTable(), prefillQueue: prefillqueue.NewEstimator(), outputLength: outputlength.NewEstimator(), budgets: make(map[string]*retrybudget.Budget), crashes: crash.NewTable(crashTableSize), limits: serverlimit.NewTable(), homes: serverlimit.NewHomes(), issuer: serverlimit.NewIssuer(time.Now()), homeFailedAt: make(map[netip.AddrPort]time.Time), meanTokens: make(map[string]float64), callerRetry: make(map[string]*callerretry.Estimator),
 		counters: counters{
 			retries:            set.NewCounter(`hickoryfront_edge_repeats_total`),
 			retriesDenied:      set.NewCounter(`hickoryfront_edge_repeats_denied_total`),
@@ -193,6 +204,7 @@
 			mixed:              set.NewCounter(`hickoryfront_edge_mixed_streams_total`),
 			truncated:          set.NewCounter(`hickoryfront_edge_truncated_streams_total`),
 			limitedRequests:    set.NewCounter(`hickoryfront_edge_limited_requests_total`),
+			permitsDenied:      set.NewCounter(`hickoryfront_edge_permits_denied_total`),
 		},
 	}
 }
@@ -330,17 +342,19 @@
 // servers returns the current server list. When the list has changed, servers drops
 // the state kept for servers that are no longer listed.
 func (d *Dispatcher) servers() []serverlist.Server {
-	snapshot := d.registry.Servers()
-	if toReport := d.origins.observe(time.Now(), snapshot, d.registry.Hosts(), d.registry.IsStoreUnreachable()); len(toReport) > 0 {
+	snapshot, hosts := d.registry.Servers(), d.registry.Hosts()
+	if toReport := d.origins.observe(time.Now(), snapshot, hosts, d.registry.IsStoreUnreachable()); len(toReport) > 0 {
 		go d.runReportOrigins(toReport) // choosing the hosts for many origins takes long
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.homes.Observe(time.Now(), hosts)
 	if snapshot.Version != d.serversVersion {
 		d.serversVersion = snapshot.Version
 		d.balancer.Retain(time.Now(), snapshot.Servers)
 		d.prefillQueue.Retain(snapshot.Servers)
 		d.limits.Retain(time.Now(), snapshot.Servers)
+		d.issuer.Retain(func(server string) bool { _, ok := d.limits.Newest(server); return ok })
 	}
 	return snapshot.Servers
 }
--- a/hickoryd/internal/edgedispatch/dispatch_test.go
+++ b/hickoryd/internal/edgedispatch/dispatch_test.go
@@ -20,6 +20,7 @@
 	"github.com/hickoryfront/hickoryfront/core/crash"
 	"github.com/hickoryfront/hickoryfront/core/retrybudget"
 	"github.com/hickoryfront/hickoryfront/core/route"
+	"github.com/hickoryfront/hickoryfront/core/serverlimit"
 	"github.com/hickoryfront/hickoryfront/core/serverlist"
 	"github.com/hickoryfront/hickoryfront/core/streamorigin"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/edgedispatch"
@@ -65,6 +66,12 @@
 	return streamorigin.Finding{}, nil
 }
 
+func (noPeers) ReportLimit(context.Context, []netip.AddrPort, serverlimit.Statement) {}
+
+func (noPeers) AcquirePermit(context.Context, netip.AddrPort, serverlimit.Statement) (serverlimit.Permit, error) {
+	return serverlimit.Permit{}, errors.New("no other host")
+}
+
 func (noQuarantine) Check(time.Time, string, []string) (time.Time, bool) {
 	return time.Time{}, false
 }
--- a/hickoryd/internal/edgedispatch/migrate.go
+++ b/hickoryd/internal/edgedispatch/migrate.go
@@ -199,6 +199,9 @@
 	}
 	err := errNoTarget
 	for _, target := range targets {
+		if m.target == nil && !m.acquirePermit(ctx, target) {
+			continue
+		}
 		started := time.Now()
 		if err = m.transferRunning(ctx, target); !errors.Is(err, errNotRun) {
 			return target, time.Since(started), err
--- a/hickoryd/internal/edgedispatch/plain.go
+++ b/hickoryd/internal/edgedispatch/plain.go
@@ -62,6 +62,9 @@
 		*Dispatcher
 		request *Request
 		tried   []string
+		// withoutPermit is the number of those to which the request was not sent because of
+		// their limit.
+		withoutPermit int
 		// attempts are all attempts, in the order in which they were started.
 		attempts []*plainAttempt
 		// sent holds a time for each attempt that has reached a server or still may. At
@@ -157,7 +160,7 @@
 // startNext starts an attempt at another server. It reports false if there is no other
 // server or the retry budget is used up.
 func (c *plainCall) startNext(ctx context.Context) bool {
-	if len(c.tried) == maxPlainAttempts {
+	if len(c.tried)-c.withoutPermit == maxPlainAttempts {
 		return false
 	}
 	server, ok := c.pick(balance.Criteria{Service: c.request.Route.Service, FailureDomain: c.options.FailureDomain, Excluded: c.tried})
@@ -204,6 +207,9 @@
 	if errors.Is(a.result.err, upstream.ErrNotSent) {
 		c.uncountSend()
 	}
+	if errors.Is(a.result.err, errNoPermit) {
+		c.withoutPermit++
+	}
 }
 
 // cancelOthers cancels all attempts but winner, which has its response at now. The server
@@ -244,7 +250,11 @@
 // of a long response is closed.
 func (a *plainAttempt) run(ctx context.Context, results chan<- *plainAttempt) {
 	a.beginRequest(a.server.ID, 0)
-	a.result = a.exchange(ctx)
+	if a.acquirePermit(ctx, a.server) {
+		a.result = a.exchange(ctx)
+	} else {
+		a.result.err = errNoPermit
+	}
 	if !a.hasRest() {
 		a.end(ctx)
 	}
@@ -365,6 +375,8 @@
 		result = health.Broken
 	case ctx.Err() != nil && !errors.Is(context.Cause(ctx), context.DeadlineExceeded):
 		return // the caller disconnected, or another server has responded
+	case errors.Is(r.err, errNoPermit):
+		return
 	case errors.Is(r.err, upstream.ErrNotSent):
 		result = health.Unreachable
 	case errors.Is(r.err, errNotRun):
--- a/hickoryd/internal/edgedispatch/prefill.go
+++ b/hickoryd/internal/edgedispatch/prefill.go
@@ -43,11 +43,17 @@
 		g.releaseHandle(unused)
 	}
 	var tried []string
-	for range maxPrefills {
+	for len(tried) < maxPrefills {
 		server, wait, ok := g.pickPrefill(g.request, tried, decode.FailureDomain)
 		if !ok || wait > maxPrefillWait {
 			break
 		}
+		if !g.acquirePermit(ctx, server) {
+			if ctx.Err() != nil {
+				break
+			}
+			continue // the server is not picked again for a while
+		}
 		taken := time.Now()
 		if !g.reserveRetry(taken, g.request) {
 			break // a refused or a further prefill counts as a retry, and the budget allows none
--- a/hickoryd/internal/edgedispatch/reserve.go
+++ b/hickoryd/internal/edgedispatch/reserve.go
@@ -63,6 +63,9 @@
 		headroom := int(decision.Headroom * meanTokens)
 		candidates := g.rankServers(g.decodeCriteria())
 		for _, server := range candidates[:min(len(candidates), maxServersPerSearch)] {
+			if !g.acquirePermit(ctx, server) {
+				continue
+			}
 			id, err := g.reserveWithHeadroom(ctx, server, tokens, headroom)
 			if err == nil {
 				return reservation{server: server, id: id, tokens: tokens}, nil
--- a/hickoryd/internal/edgehost/edgehost_test.go
+++ b/hickoryd/internal/edgehost/edgehost_test.go
@@ -17,6 +17,7 @@
 	"google.golang.org/grpc"
 
 	"github.com/hickoryfront/hickoryfront/core/crash"
+	"github.com/hickoryfront/hickoryfront/core/serverlimit"
 	"github.com/hickoryfront/hickoryfront/core/serverlist"
 	"github.com/hickoryfront/hickoryfront/core/streamorigin"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/edgehost"
@@ -40,6 +41,9 @@
 	losses   []crash.PartLoss
 	refusals []crash.PartRefusal
 	lifted   []crash.PartRefusal
+	limits   []serverlimit.Statement
+	// permit is the response to each request for a permit.
+	permit   serverlimit.Permit
 	ages     map[string]time.Duration
 	reported chan struct{}
 	// version and document are those of its configuration.
@@ -92,6 +96,20 @@
 	h.reported <- struct{}{}
 }
 
+func (h *host) ReportLimit(statement serverlimit.Statement) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.limits = append(h.limits, statement)
+	h.reported <- struct{}{}
+}
+
+func (h *host) IssuePermit(_ time.Time, statement serverlimit.Statement) serverlimit.Permit {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.limits = append(h.limits, statement)
+	return h.permit
+}
+
 func (h *host) FindStarts(time.Time, string, []string) map[string]time.Duration {
 	return h.ages
 }
@@ -130,7 +148,7 @@
 		t.Fatal(err)
 	}
 	server := grpc.NewServer()
-	peerapi.RegisterEdgeServer(server, edgehost.NewServer(h, h, origins, h))
+	peerapi.RegisterEdgeServer(server, edgehost.NewServer(h, h, origins, h, h))
 	go func() { _ = server.Serve(listener) }() // ends when the test stops the server
 	t.Cleanup(server.Stop)
 	return netip.MustParseAddrPort(listener.Addr().String())
--- a/hickoryd/internal/edgehost/server.go
+++ b/hickoryd/internal/edgehost/server.go
@@ -63,14 +63,15 @@
 		receiver   ReportReceiver
 		origins    OriginReceiver
 		quarantine QuarantineReceiver
+		limits     LimitReceiver
 	}
 )
 
-// NewServer returns a server that responds from source, origins and quarantine, and passes
-// reports to receiver, origins and quarantine. If origins is nil, the calls that concern the
-// origins of streams are unimplemented.
-func NewServer(source Source, receiver ReportReceiver, origins OriginReceiver, quarantine QuarantineReceiver) *Server {
-	return &Server{source: source, receiver: receiver, origins: origins, quarantine: quarantine}
+// NewServer returns a server that responds from source, origins, quarantine and limits, and
+// passes reports to receiver, origins, quarantine and limits. If origins is nil, the calls
+// that concern the origins of streams are unimplemented.
+func NewServer(source Source, receiver ReportReceiver, origins OriginReceiver, quarantine QuarantineReceiver, limits LimitReceiver) *Server {
+	return &Server{source: source, receiver: receiver, origins: origins, quarantine: quarantine, limits: limits}
 }
 
 // FetchState implements peerapi.EdgeServer.
--- a/hickorylab/edgesoak/limit_test.go
+++ b/hickorylab/edgesoak/limit_test.go
@@ -1,7 +1,6 @@
 package edgesoak_test
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
@@ -28,7 +27,6 @@
 	limited struct {
 		environment *environment
 		path        string
-		pause       time.Duration
 		stop        chan struct{}
 		group       sync.WaitGroup
 
@@ -271,5 +269,5 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	t.Log(fmt.Sprintf("%d requests were served", len(l.served)))
+	t.Logf("%d requests were served", len(l.served))
 }
