Detect that a host has lost its paths to the servers of a service

A host without paths looks like one whose servers have failed: the log names one failed attempt after the other, and nothing shows whether the host or the servers are at fault.

After a failed call of a server, or 250 ms without a response to a plain request, the host connects to two servers of the service, and to two more if none accepts; a server that is only silent accepts. The result is logged and counted. No decision depends on it yet.

--- a/hickoryd/internal/edgedispatch/dispatch.go
+++ b/hickoryd/internal/edgedispatch/dispatch.go
@@ -30,6 +30,7 @@
 	"github.com/hickoryfront/hickoryfront/core/route"
 	"github.com/hickoryfront/hickoryfront/core/serverlimit"
 	"github.com/hickoryfront/hickoryfront/core/serverlist"
+	"github.com/hickoryfront/hickoryfront/core/serverpath"
 	"github.com/hickoryfront/hickoryfront/core/streamorigin"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/registry"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/upstream"
@@ -168,6 +169,7 @@
 		budgets      map[string]*retrybudget.Budget
 		hosts        retrybudget.Hosts
 		crashes      *crash.Table
+		paths        *serverpath.Table
 		limits       *serverlimit.Table
 		// homes and issuer issue this host's permits for servers with limits.
 		homes  *serverlimit.Homes
@@ -190,9 +192,9 @@
 
 // New returns a dispatcher whose background work ends with the context background.
 func New(background context.Context, options Options, r Registry, pool *upstream.Pool, peers Peers, quarantine Quarantine, logger log.Interface, set *metrics.Set) *Dispatcher {
-	return &Dispatcher{
+	d := &Dispatcher{
 		background: background, options: options, registry: r, pool: pool, peers: peers, quarantine: quarantine, logger: logger, origins: newOrigins(),
-		balancer: balance.NewTable(), prefillQueue: prefillqueue.NewEstimator(), outputLength: outputlength.NewEstimator(), budgets: make(map[string]*retrybudget.Budget), crashes: crash.NewTable(crashTableSize), limits: serverlimit.NewTable(), homes: serverlimit.NewHomes(), issuer: serverlimit.NewIssuer(time.Now()), homeFailedAt: make(map[netip.AddrPort]time.Time), meanTokens: make(map[string]float64), callerRetry: make(map[string]*callerretry.Estimator),
+		balancer: balance.NewTable(), prefillQueue: prefillqueue.NewEstimator(), outputLength: outputlength.NewEstimator(), budgets: make(map[string]*retrybudget.Budget), crashes: crash.NewTable(crashTableSize), paths: serverpath.NewTable(), limits: serverlimit.NewTable(), homes: serverlimit.NewHomes(), issuer: serverlimit.NewIssuer(time.Now()), homeFailedAt: make(map[netip.AddrPort]time.Time), meanTokens: make(map[string]float64), callerRetry: make(map[string]*callerretry.Estimator),
 		counters: counters{
 			retries:            set.NewCounter(`hickoryfront_edge_repeats_total`),
 			retriesDenied:      set.NewCounter(`hickoryfront_edge_repeats_denied_total`),
@@ -207,6 +209,8 @@
 			permitsDenied:      set.NewCounter(`hickoryfront_edge_permits_denied_total`),
 		},
 	}
+	set.NewGauge(`hickoryfront_edge_services_without_path`, d.lostPaths)
+	return d
 }
 
 // Serve runs a request on backend servers and writes the response to sink. The
@@ -537,6 +541,7 @@
 		Header: platform.RequestHeader(r.Header, a), Body: r.Body,
 	})
 	if err != nil {
+		d.suspectAfterError(ctx, server.Service, err)
 		return nil, err
 	}
 	d.observe(server, response.Metadata)
@@ -550,10 +555,12 @@
 // call makes one call of a server's control interface.
 func (d *Dispatcher) call(ctx context.Context, server serverlist.Server, call platform.Call) (upstream.Reply, error) {
 	reply, err := d.pool.Call(ctx, server.Address, call)
-	if err == nil {
-		d.observe(server, reply.Metadata)
+	if err != nil {
+		d.suspectAfterError(ctx, server.Service, err)
+		return reply, err
 	}
-	return reply, err
+	d.observe(server, reply.Metadata)
+	return reply, nil
 }
 
 // observe takes up what a server's response states about the server itself.
--- a/hickoryd/internal/edgedispatch/plain.go
+++ b/hickoryd/internal/edgedispatch/plain.go
@@ -250,6 +250,8 @@
 // of a long response is closed.
 func (a *plainAttempt) run(ctx context.Context, results chan<- *plainAttempt) {
 	a.beginRequest(a.server.ID, 0)
+	suspicion := time.AfterFunc(suspectDelay, a.suspect)
+	defer suspicion.Stop()
 	if a.acquirePermit(ctx, a.server) {
 		a.result = a.exchange(ctx)
 	} else {
@@ -261,6 +263,12 @@
 	results <- a
 }
 
+// suspect starts a check of the paths to the servers, since the server has not responded for
+// long.
+func (a *plainAttempt) suspect() {
+	a.suspectPaths(a.server.Service)
+}
+
 // end records that the attempt has ended, and its outcome.
 func (a *plainAttempt) end(ctx context.Context) {
 	a.endRequest(a.server.ID, 0)
