Add a failing test of hosts without paths to servers

Each host reaches each stand-in server over a path of its own, which can hang, be reset, or refuse new connections while open ones go on. Hosts that have lost their paths must serve first attempts at least two thirds as often as the others, and no request may run twice. If the servers themselves are out of reach of all hosts, refusals must not take long.

--- a/hickorylab/edgesoak/environment_test.go
+++ b/hickorylab/edgesoak/environment_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"github.com/hickoryfront/hickoryfront/hickorylab/cutproxy"
 	"github.com/hickoryfront/hickoryfront/hickorylab/harness"
 	"github.com/hickoryfront/hickoryfront/hickorylab/metastore"
 	"github.com/hickoryfront/hickoryfront/hickorylab/worker"
@@ -41,6 +42,8 @@
 		hostCount int
 		// areHostsIsolated is set if the hosts don't find each other.
 		areHostsIsolated bool
+		// hasPaths is set if each host reaches each server over a path of its own.
+		hasPaths bool
 	}
 
 	// environment is a store, backend servers and hosts.
@@ -60,6 +63,8 @@
 		// kills counts the starts and the ends of the kills of each host. It is odd while
 		// a kill is in progress.
 		kills []atomic.Uint64
+		// paths are the paths of each host to the servers, if it has some of its own.
+		paths []map[*worker.Server]*cutproxy.Path
 	}
 )
 
@@ -100,6 +105,9 @@
 		e.modelServers = append(e.modelServers, e.startServer("model", stage, 30+i))
 	}
 	for i := range e.hostCount {
+		if e.hasPaths {
+			e.startPaths(i)
+		}
 		e.hosts = append(e.hosts, e.startHost(i))
 	}
 	for i := range e.hostCount {
@@ -170,7 +178,7 @@
 	}
 	text := fmt.Sprintf("[host]\nname = host-%d\nfailureDomain = z1\n[listen]\ncaller = %s\nready = %s\npeer = %s\noperator = %s\n"+
 		"[store]\naddress = %s\n[peers]\nseeds = %s\n[repeats]\nslack = %d\n",
-		i, e.hostPort(i, 18080), e.hostPort(i, 18081), e.hostPort(i, 18082), e.hostPort(i, 18083), e.storeAddress(), strings.Join(seeds, ","), e.retrySlack)
+		i, e.hostPort(i, 18080), e.hostPort(i, 18081), e.hostPort(i, 18082), e.hostPort(i, 18083), e.storeAddressOf(i), strings.Join(seeds, ","), e.retrySlack)
 	path := filepath.Join(e.tb.TempDir(), "host.ini")
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		e.tb.Fatal(err)
--- a/hickorylab/worker/worker.go
+++ b/hickorylab/worker/worker.go
@@ -418,7 +418,7 @@
 }
 
 func (s *Server) serveDecode(w http.ResponseWriter, r *http.Request, body []byte) {
-	source := r.Header.Get("Kv-Source")
+	source := s.group.ownAddress(r.Header.Get("Kv-Source"))
 	if source != "" && !s.group.takeHandle(source) {
 		s.releaseReservation(r.Header.Get("Kv-Hold"))
 		refuseAsNotRun(w)
@@ -510,7 +510,7 @@
 	}
 	handle := body.ID + migratedSuffix
 	if body.Last {
-		s.group.addHandle(body.To + "/" + handle)
+		s.group.addHandle(s.group.ownAddress(body.To) + "/" + handle)
 	}
 	jsonreply.Write(w, map[string]any{"handle": handle, "created": created})
 }
@@ -623,6 +623,24 @@
 	}
 }
 
+// ownAddress replaces the address with which text begins by that of the server with the same
+// IP address, as a caller may know the server by the address of a proxy.
+func (g *Group) ownAddress(text string) string {
+	ip, _, _ := strings.Cut(text, ":")
+	address, rest, hasRest := strings.Cut(text, "/")
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, s := range g.servers {
+		if strings.HasPrefix(s.address, ip+":") {
+			address = s.address
+		}
+	}
+	if hasRest {
+		return address + "/" + rest
+	}
+	return address
+}
+
 func (g *Group) addHandle(handle string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
