Return the retry of a request that no other host takes

A stream that had broken took a retry from the budget before it was offered to other hosts, and kept it if none took it. A broken stream starts a check of the paths now as well, so that it need not wait until a call fails.

--- a/hickoryd/internal/edgedispatch/decode.go
+++ b/hickoryd/internal/edgedispatch/decode.go
@@ -201,6 +201,7 @@
 	}
 	g.recordResult(server.ID, health.Broken)
 	if isSilent {
+		g.suspectPaths(server)
 		g.silences++
 		g.counters.silences.Inc()
 		return
--- a/hickoryd/internal/edgedispatch/dispatch.go
+++ b/hickoryd/internal/edgedispatch/dispatch.go
@@ -534,6 +534,7 @@
 // connection broke while it ran a request. If so, all hosts are notified.
 // events is the number of events that the server has sent in response.
 func (d *Dispatcher) checkReachable(r *Request, server serverlist.Server, events int) {
+	d.suspectPaths(server)
 	go d.runCheckReachable(r, server, events)
 }
 
--- a/hickoryd/internal/edgedispatch/dispatch_test.go
+++ b/hickoryd/internal/edgedispatch/dispatch_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -96,13 +97,20 @@
 
 // startServer returns a registered server that is served by f.
 func startServer(t *testing.T, id string, stage serverlist.Stage, f http.HandlerFunc) serverlist.Server {
+	t.Helper()
+	server, _ := startServerWithListener(t, id, stage, f)
+	return server
+}
+
+// startServerWithListener is startServer and returns the server's listener as well.
+func startServerWithListener(t *testing.T, id string, stage serverlist.Stage, f http.HandlerFunc) (serverlist.Server, net.Listener) {
 	t.Helper()
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
 		f(w, r)
 	}))
 	t.Cleanup(server.Close)
-	return serverlist.Server{ID: id, Service: "s", Stage: stage, Address: netip.MustParseAddrPort(server.Listener.Addr().String())}
+	return serverlist.Server{ID: id, Service: "s", Stage: stage, Address: netip.MustParseAddrPort(server.Listener.Addr().String())}, server.Listener
 }
 
 // newDispatcher returns the dispatcher of a single host with a budget of the given
--- a/hickoryd/internal/edgedispatch/relay.go
+++ b/hickoryd/internal/edgedispatch/relay.go
@@ -101,13 +101,19 @@
 // relayAgain is relay for a request that this host has sent to servers itself, with what has
 // happened to it there. It takes a retry if the request may have run.
 func (d *Dispatcher) relayAgain(ctx context.Context, r *Request, sink Sink, history *attempts.History) error {
-	if !history.MayRun(0) || history.Runs() > 0 && !d.takeRetry(time.Now(), r) {
+	taken := time.Now()
+	isRetry := history.Runs() > 0
+	if !history.MayRun(0) || isRetry && !d.takeRetry(taken, r) {
 		return errNoRelay
 	}
 	remaining, selected := *r, *r.Route
 	selected.MaxServers = max(selected.MaxServers-history.Runs(), 1)
 	remaining.Route = &selected
-	return d.relay(ctx, &remaining, sink)
+	err := d.relay(ctx, &remaining, sink)
+	if isRetry && errors.Is(err, errNoRelay) {
+		d.returnRetry(taken, r)
+	}
+	return err
 }
 
 // pickRelayHost returns a host to which a request can be passed at now. Hosts choose different
