--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -185,7 +185,7 @@
 			continue
 		}
 		listed++
-		if t.hasNoPath(s.ID) {
+		if t.HasNoPath(s.ID) {
 			lost++
 		}
 	}
@@ -195,7 +195,8 @@
 	return float64(lost) / float64(listed)
 }
 
-func (t *Table) hasNoPath(server string) bool {
+// HasNoPath reports whether this host can't connect to a server.
+func (t *Table) HasNoPath(server string) bool {
 	l, ok := t.loads[server]
 	return ok && l.hasNoPath
 }
@@ -301,7 +302,7 @@
 	var bestCost float64
 	isFound := false
 	for _, s := range servers {
-		if !criteria.Matches(s) || t.TakesNoWork(now, s.ID) || t.hasNoPermit(now, s.ID) || (!isLastResort && (t.health.IsEjected(now, s.ID) || t.hasNoPath(s.ID))) {
+		if !criteria.Matches(s) || t.TakesNoWork(now, s.ID) || t.hasNoPermit(now, s.ID) || (!isLastResort && (t.health.IsEjected(now, s.ID) || t.HasNoPath(s.ID))) {
 			continue
 		}
 		cost := t.cost(s, criteria)
@@ -322,7 +323,7 @@
 	}
 	var candidates []candidate
 	for _, s := range servers {
-		if !criteria.Matches(s) || t.TakesNoWork(now, s.ID) || t.hasNoPermit(now, s.ID) || t.hasNoPath(s.ID) || t.health.IsEjected(now, s.ID) || t.isSkipped(now, s.ID) {
+		if !criteria.Matches(s) || t.TakesNoWork(now, s.ID) || t.hasNoPermit(now, s.ID) || t.HasNoPath(s.ID) || t.health.IsEjected(now, s.ID) || t.isSkipped(now, s.ID) {
 			continue
 		}
 		candidates = append(candidates, candidate{s, t.cost(s, criteria)})
--- a/hickoryd/internal/edgedispatch/paths.go
+++ b/hickoryd/internal/edgedispatch/paths.go
@@ -181,6 +181,13 @@
 	return isChanged && isLost
 }
 
+// hasNoPath reports whether the path to a server is lost.
+func (d *Dispatcher) hasNoPath(server serverlist.Server) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.balancer.HasNoPath(server.ID)
+}
+
 // hasPaths reports whether the paths to the servers of a service are not lost.
 func (d *Dispatcher) hasPaths(service string) bool {
 	d.mu.Lock()
--- a/hickoryd/internal/edgedispatch/reserve.go
+++ b/hickoryd/internal/edgedispatch/reserve.go
@@ -53,7 +53,6 @@
 func (g *generation) reserve(ctx context.Context) (reservation, error) {
 	tokens := g.request.Metadata.PromptTokens + int(memoryMargin*float64(g.expectedOutputTokens(g.request)))
 	meanTokens := g.meanReservation(g.request.Route.Service, tokens)
-search:
 	for {
 		if err := g.checkVersion(g.servers()); err != nil {
 			return reservation{}, err
@@ -75,7 +74,7 @@
 			g.suspectRest(g.request.Route.Service)
 		}
 		for _, server := range candidates[:min(len(candidates), maxServersPerSearch)] {
-			if !g.acquirePermit(ctx, server) {
+			if g.hasNoPath(server) || !g.acquirePermit(ctx, server) {
 				continue
 			}
 			id, err := g.reserveWithHeadroom(ctx, server, tokens, headroom)
@@ -85,9 +84,8 @@
 			if ctx.Err() != nil {
 				return reservation{}, fmt.Errorf("%w: %w", upstream.ErrNotSent, ctx.Err())
 			}
-			if !errors.Is(err, errNotRun) {
-				g.awaitPaths(ctx, g.request.Route.Service) // there may be no path to the others either
-				continue search
+			if !errors.Is(err, errNotRun) && !g.awaitPaths(ctx, g.request.Route.Service) {
+				break // there is no path to the others either
 			}
 		}
 		if g.isRelayWorthwhile() {
