Bound the offers of a host that no host can help

If the servers themselves had failed, a host without paths offered its requests to all other hosts, six for each request, until each had rejected one, and again every 2 s: with 77 hosts some thousand calls a second in all, and a connection from each host to each. It offers them to the same twelve hosts only now. Even if half of the hosts have lost their paths, one of these has some in all but 1 of 4,096 cases.

TestRelayOfLostPaths with 60 other hosts: ten requests make at most 24 offers.

--- a/hickoryd/internal/edgedispatch/relay.go
+++ b/hickoryd/internal/edgedispatch/relay.go
@@ -17,9 +17,10 @@
 const (
 	// maxRelayHosts is the maximum number of hosts that one request is offered to.
 	maxRelayHosts = 3
-	// relayCandidates is the number of hosts that this host prefers, so that it needs few
-	// connections, and relaySpread the number of those among which it spreads requests.
-	relayCandidates = 8
+	// relayCandidates is the number of hosts that this host passes requests to, so that it
+	// needs few connections and offers few requests when no host has paths. relaySpread is
+	// the number of those among which it spreads requests.
+	relayCandidates = 12
 	relaySpread     = 4
 	// relayRejectionPeriod is the time for which a host that has rejected a request is
 	// offered no request to the same service.
@@ -126,23 +127,17 @@
 // pickRelayHost returns a host to which a request can be passed at now. Hosts choose different
 // ones, so that these share the load.
 func (d *Dispatcher) pickRelayHost(now time.Time, r *Request) (netip.AddrPort, bool) {
-	hosts := d.registry.Hosts()
-	preferred := d.origins.homesOf(now, d.options.Self.String(), relayCandidates, hosts, d.options.Self)
+	candidates := d.origins.homesOf(now, d.options.Self.String(), relayCandidates, d.registry.Hosts(), d.options.Self)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	isExcluded := func(host netip.AddrPort) bool {
+	candidates = slices.DeleteFunc(candidates, func(host netip.AddrPort) bool {
 		rejectedAt, ok := d.relayRejections[relayRejection{host, r.Route.Service, r.NeedsMostPaths}]
-		return host == d.options.Self || ok && now.Sub(rejectedAt) < relayRejectionPeriod
-	}
-	candidates := slices.DeleteFunc(preferred, isExcluded)
-	candidates = candidates[:min(len(candidates), relaySpread)]
-	if len(candidates) == 0 {
-		candidates = slices.DeleteFunc(slices.Clone(hosts), isExcluded)
-	}
+		return ok && now.Sub(rejectedAt) < relayRejectionPeriod
+	})
 	if len(candidates) == 0 {
 		return netip.AddrPort{}, false
 	}
-	return candidates[rand.IntN(len(candidates))], true
+	return candidates[rand.IntN(min(len(candidates), relaySpread))], true
 }
 
 func (d *Dispatcher) markRelayRejected(now time.Time, rejection relayRejection) {
--- a/hickoryd/internal/edgedispatch/relay_test.go
+++ b/hickoryd/internal/edgedispatch/relay_test.go
@@ -39,6 +39,14 @@
 
 var otherHosts = []netip.AddrPort{netip.MustParseAddrPort("10.0.0.2:1"), netip.MustParseAddrPort("10.0.0.3:1"), netip.MustParseAddrPort("10.0.0.4:1"), netip.MustParseAddrPort("10.0.0.5:1")}
 
+func manyHosts(count int) []netip.AddrPort {
+	hosts := make([]netip.AddrPort, count)
+	for i := range hosts {
+		hosts[i] = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 1, byte(i)}), 1)
+	}
+	return hosts
+}
+
 // unreachableServer returns a server that no process serves.
 func unreachableServer(id string, stage serverlist.Stage) serverlist.Server {
 	return serverlist.Server{ID: id, Service: "s", Stage: stage, Address: netip.MustParseAddrPort("127.0.0.1:1")}
@@ -68,13 +76,14 @@
 		hosts  []netip.AddrPort
 		relay  func(*edgedispatch.Request, edgedispatch.Sink) error
 		want   int // status
-		// maxOffers bounds the offers of five requests.
+		// maxOffers bounds the offers of ten requests.
 		maxOffers int
 	}{
-		{name: "plain request", route: unsafe, server: unreachableServer("a", serverlist.NoStage), hosts: otherHosts, relay: respond("ok"), want: http.StatusOK, maxOffers: 5},
-		{name: "generation", route: stream, server: unreachableServer("a", serverlist.Decode), hosts: otherHosts, relay: respond("id: 1\n\n"), want: http.StatusOK, maxOffers: 5},
+		{name: "plain request", route: unsafe, server: unreachableServer("a", serverlist.NoStage), hosts: otherHosts, relay: respond("ok"), want: http.StatusOK, maxOffers: 10},
+		{name: "generation", route: stream, server: unreachableServer("a", serverlist.Decode), hosts: otherHosts, relay: respond("id: 1\n\n"), want: http.StatusOK, maxOffers: 10},
 		{name: "no host has paths", route: unsafe, server: unreachableServer("a", serverlist.NoStage), hosts: otherHosts, relay: reject, want: http.StatusServiceUnavailable, maxOffers: 2 * len(otherHosts)},
 		{name: "no host has paths for a generation", route: stream, server: unreachableServer("a", serverlist.Decode), hosts: otherHosts, relay: reject, want: http.StatusServiceUnavailable, maxOffers: 2 * len(otherHosts)},
+		{name: "none of many hosts has paths", route: unsafe, server: unreachableServer("a", serverlist.NoStage), hosts: manyHosts(60), relay: reject, want: http.StatusServiceUnavailable, maxOffers: 2 * 12},
 		{name: "no other host", route: unsafe, server: unreachableServer("a", serverlist.NoStage), relay: reject, want: http.StatusServiceUnavailable},
 	}
 	for _, tt := range tests {
@@ -82,7 +91,7 @@
 			t.Parallel()
 			peers := &relayPeers{relay: tt.relay}
 			d := newLimitDispatcher(t, limitList{servers{tt.server}, tt.hosts}, peers)
-			for range 5 {
+			for range 10 {
 				if status, _ := send(t, d, tt.route, callerTimeout); status != tt.want {
 					t.Errorf("status %d, want %d", status, tt.want)
 				}
