--- a/hickoryd/internal/edgedispatch/limit_test.go
+++ b/hickoryd/internal/edgedispatch/limit_test.go
@@ -176,3 +176,48 @@
 	options := edgedispatch.Options{Self: selfAddress, Budget: retrybudget.Limits{Slack: 100}}
 	return edgedispatch.New(t.Context(), options, list, upstream.NewPool(netip.Addr{}, metrics.NewSet()), peers, noQuarantine{}, logger, metrics.NewSet())
 }
+
+// TestFurtherAttemptsNeedPermits guards against retries and hedges that are sent to a server
+// with a limit without a permit.
+func TestFurtherAttemptsNeedPermits(t *testing.T) {
+	safe := route.Route{Kind: route.Safe, MaxServers: 2}
+	slow := func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(1500 * time.Millisecond) // longer than the part of the target latency after which a hedge is sent
+		ok(w, r)
+	}
+	tests := []struct {
+		name   string
+		first  http.HandlerFunc
+		permit serverlimit.Permit
+		want   int // status
+		// wantRequests is the number of requests at the limited server.
+		wantRequests int64
+	}{
+		{name: "retry without a permit", first: failing, permit: serverlimit.Permit{Wait: time.Second}, want: http.StatusInternalServerError},
+		{name: "retry with a permit", first: failing, permit: serverlimit.Permit{IsGranted: true}, want: http.StatusOK, wantRequests: 1},
+		{name: "request that was rejected, without a permit", first: full, permit: serverlimit.Permit{Wait: time.Second}, want: http.StatusServiceUnavailable},
+		{name: "hedge without a permit", first: slow, permit: serverlimit.Permit{Wait: time.Second}, want: http.StatusOK},
+		{name: "hedge with a permit", first: slow, permit: serverlimit.Permit{IsGranted: true}, want: http.StatusOK, wantRequests: 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			var requests atomic.Int64
+			var isLimited atomic.Bool
+			isLimited.Store(true)
+			limited := startServer(t, "limited", serverlist.NoStage, limiting(&isLimited, &requests, ok))
+			limited.FailureDomain = "elsewhere" // the first server is preferred
+			first := startServer(t, "first", serverlist.NoStage, tt.first)
+			peers := homes{permit: func(netip.AddrPort) (serverlimit.Permit, error) { return tt.permit, nil }, reports: make(chan serverlimit.Statement, 10)}
+			d := newLimitDispatcher(t, limitList{servers{first, limited}, []netip.AddrPort{netip.MustParseAddrPort("10.0.0.2:1")}}, peers)
+			now := time.Now()
+			d.ReportLimit(serverlimit.Statement{Server: "limited", IsLimited: true, Rate: 1, At: now, Since: now})
+			if status, _ := send(t, d, safe, callerTimeout); status != tt.want {
+				t.Errorf("status %d, want %d", status, tt.want)
+			}
+			if got := requests.Load(); got != tt.wantRequests {
+				t.Errorf("%d requests at the limited server, want %d", got, tt.wantRequests)
+			}
+		})
+	}
+}
