--- a/core/hoststate/hoststate.go
+++ b/core/hoststate/hoststate.go
@@ -59,6 +59,9 @@
 		FailureRate float64 `json:"failureRate"`
 		// IsEjected is set while the server temporarily gets no work.
 		IsEjected bool `json:"isEjected"`
+		// Limit is the number of requests a second that the server takes from all hosts
+		// together, or nil if it has stated none.
+		Limit *float64 `json:"limit,omitempty"`
 	}
 
 	// Budget is this host's share of a service's retry budget.
--- a/hickory/internal/command/edgeservers/servers.go
+++ b/hickory/internal/command/edgeservers/servers.go
@@ -36,7 +36,7 @@
 	return &factory.Command{
 		Streams: f.Streams,
 		Use:     "servers",
-		Short:   "list the backend servers as one host sees them: stage, requests, memory, failures",
+		Short:   "list the backend servers as one host sees them: stage, requests, memory, failures, limits",
 		Example: "  hickory edge servers 10.0.0.1:9464\n  hickory edge servers 10.0.0.1:9464 --service model --json\n",
 		Flags: func(flags *flag.FlagSet) {
 			flags.StringVar(&o.Service, "service", "", "list the servers of one service only")
@@ -75,13 +75,21 @@
 	for _, s := range servers {
 		rows = append(rows, []string{
 			s.ID, s.Service, cmp.Or(s.Stage, "-"), s.FailureDomain, s.Address.String(), work(s),
-			strconv.Itoa(s.Requests), strconv.Itoa(s.Tokens), fmt.Sprintf("%.0f %%", 100*s.FailureRate),
+			strconv.Itoa(s.Requests), strconv.Itoa(s.Tokens), fmt.Sprintf("%.0f %%", 100*s.FailureRate), limit(s),
 		})
 	}
-	headings := []string{"server", "service", "stage", "domain", "address", "work", "requests", "tokens", "failures"}
+	headings := []string{"server", "service", "stage", "domain", "address", "work", "requests", "tokens", "failures", "limit"}
 	return tableprinter.Table(o.Streams.Out, headings, rows)
 }
 
+// limit returns the number of requests a second that a server takes from all hosts.
+func limit(s hoststate.Server) string {
+	if s.Limit == nil {
+		return "-"
+	}
+	return strconv.FormatFloat(*s.Limit, 'g', 3, 64) + "/s"
+}
+
 // work returns whether the host sends requests to a server, or why not.
 func work(s hoststate.Server) string {
 	switch {
--- a/hickoryd/internal/edgedispatch/describe.go
+++ b/hickoryd/internal/edgedispatch/describe.go
@@ -32,8 +32,12 @@
 // describeServer returns the state of one server. The caller holds mu.
 func (d *Dispatcher) describeServer(now time.Time, s serverlist.Server) hoststate.Server {
 	load := d.balancer.Load(now, s.ID)
-	return hoststate.Server{
+	described := hoststate.Server{
 		ID: s.ID, Service: s.Service, Stage: string(s.Stage), Address: s.Address, FailureDomain: s.FailureDomain, IsDraining: s.IsDraining,
 		Requests: load.Requests, Tokens: load.Tokens, FailureRate: load.FailureRate, IsEjected: load.IsEjected,
 	}
+	if limit, ok := d.limits.Limit(s.ID); ok {
+		described.Limit = &limit.Rate
+	}
+	return described
 }
--- a/hickoryd/internal/edgedispatch/dispatch.go
+++ b/hickoryd/internal/edgedispatch/dispatch.go
@@ -28,6 +28,7 @@
 	"github.com/hickoryfront/hickoryfront/core/prefillqueue"
 	"github.com/hickoryfront/hickoryfront/core/retrybudget"
 	"github.com/hickoryfront/hickoryfront/core/route"
+	"github.com/hickoryfront/hickoryfront/core/serverlimit"
 	"github.com/hickoryfront/hickoryfront/core/serverlist"
 	"github.com/hickoryfront/hickoryfront/core/streamorigin"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/registry"
@@ -161,6 +162,7 @@
 		budgets      map[string]*retrybudget.Budget
 		hosts        retrybudget.Hosts
 		crashes      *crash.Table
+		limits       *serverlimit.Table
 		// meanTokens is the moving average of the reserved tokens, by service.
 		meanTokens map[string]float64
 		// callerRetry detects requests that are retries of their callers, by route.
@@ -171,7 +173,7 @@
 	}
 
 	counters struct {
-		retries, retriesDenied, decodePrefills, unusedHandles, migrations, migrationsRejected, silences, truncated, mixed *metrics.Counter
+		retries, retriesDenied, decodePrefills, unusedHandles, migrations, migrationsRejected, silences, truncated, mixed, limitedRequests *metrics.Counter
 	}
 )
 
@@ -179,7 +181,7 @@
 func New(background context.Context, options Options, r Registry, pool *upstream.Pool, peers Peers, quarantine Quarantine, logger log.Interface, set *metrics.Set) *Dispatcher {
 	return &Dispatcher{
 		background: background, options: options, registry: r, pool: pool, peers: peers, quarantine: quarantine, logger: logger, origins: newOrigins(),
-		balancer: balance.NewTable(), prefillQueue: prefillqueue.NewEstimator(), outputLength: outputlength.NewEstimator(), budgets: make(map[string]*retrybudget.Budget), crashes: crash.NewTable(crashTableSize), meanTokens: make(map[string]float64), callerRetry: make(map[string]*callerretry.Estimator),
+		balancer: balance.NewTable(), prefillQueue: prefillqueue.NewEstimator(), outputLength: outputlength.NewEstimator(), budgets: make(map[string]*retrybudget.Budget), crashes: crash.NewTable(crashTableSize), limits: serverlimit.NewTable(), meanTokens: make(map[string]float64), callerRetry: make(map[string]*callerretry.Estimator),
 		counters: counters{
 			retries:            set.NewCounter(`hickoryfront_edge_repeats_total`),
 			retriesDenied:      set.NewCounter(`hickoryfront_edge_repeats_denied_total`),
@@ -190,6 +192,7 @@
 			silences:           set.NewCounter(`hickoryfront_edge_silent_streams_total`),
 			mixed:              set.NewCounter(`hickoryfront_edge_mixed_streams_total`),
 			truncated:          set.NewCounter(`hickoryfront_edge_truncated_streams_total`),
+			limitedRequests:    set.NewCounter(`hickoryfront_edge_limited_requests_total`),
 		},
 	}
 }
@@ -337,6 +340,7 @@
 		d.serversVersion = snapshot.Version
 		d.balancer.Retain(time.Now(), snapshot.Servers)
 		d.prefillQueue.Retain(snapshot.Servers)
+		d.limits.Retain(time.Now(), snapshot.Servers)
 	}
 	return snapshot.Servers
 }
@@ -511,7 +515,9 @@
 // send makes one attempt of a request at a server. If the response reports that the
 // server's registration is out of date, send records that.
 func (d *Dispatcher) send(ctx context.Context, server serverlist.Server, r *Request, a platform.Attempt) (*upstream.Response, error) {
+	d.countLimited(server.ID)
 	a.ServerID, a.TimeLeft = server.ID, time.Until(r.Deadline)
+	sentAt := time.Now()
 	response, err := d.pool.Do(ctx, server.Address, upstream.Request{
 		ID: r.Metadata.ID, Method: r.Method, Target: r.Target, Host: r.Host,
 		Header: platform.RequestHeader(r.Header, a), Body: r.Body,
@@ -523,6 +529,7 @@
 	if response.Metadata.IsMisdirected {
 		d.handleMisdirected(server)
 	}
+	d.observeAnswer(server, response, sentAt)
 	return response, nil
 }
 
@@ -540,6 +547,7 @@
 	if response.IsMisdirected {
 		return // another server has answered
 	}
+	d.observeLimit(server, response)
 	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
