--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -313,9 +313,9 @@
 	return best, isFound
 }
 
-// Rank returns the matching servers that may have free capacity, best first. It
-// excludes servers that are ejected, have no path, have ended, are leaving, have asked for no work, have no
-// permit, or were recently full or changing their stage.
+// Rank returns the matching servers that may have free capacity, best first. It excludes
+// servers that are ejected, have no path, have ended, are leaving, have asked for no work,
+// have no permit, or were recently full or changing their stage.
 func (t *Table) Rank(now time.Time, servers []serverlist.Server, criteria Criteria) []serverlist.Server {
 	type candidate struct {
 		server serverlist.Server
--- a/core/hoststate/hoststate.go
+++ b/core/hoststate/hoststate.go
@@ -59,6 +59,8 @@
 		FailureRate float64 `json:"failureRate"`
 		// IsEjected is set while the server temporarily gets no work.
 		IsEjected bool `json:"isEjected"`
+		// HasNoPath is set while this host can't connect to the server.
+		HasNoPath bool `json:"hasNoPath"`
 		// Limit is the number of requests a second that the server takes from all hosts
 		// together, or nil if it has stated none.
 		Limit *float64 `json:"limit,omitempty"`
--- a/hickory/internal/command/edgeservers/servers.go
+++ b/hickory/internal/command/edgeservers/servers.go
@@ -95,6 +95,8 @@
 	switch {
 	case s.IsDraining:
 		return "draining"
+	case s.HasNoPath:
+		return "no path"
 	case s.IsEjected:
 		return "ejected"
 	default:
--- a/hickoryd/internal/edge/daemon.go
+++ b/hickoryd/internal/edge/daemon.go
@@ -119,10 +119,10 @@
 // Stop drains the host and ends the daemon. It first fails the readiness check and lets
 // the handler drain, but still accepts connections for balancerDelay, until the load
 // balancer sends no more requests. Then it accepts none, ends the idle ones and waits
-// for the requests in flight, those of other hosts included, until drainShare of the grace period has passed since Stop
-// was called. At last it ends the background loops, without waiting for them, and closes
-// the other listeners and the connections to callers, operators and hosts, which aborts
-// the requests left.
+// for the requests in flight, those of other hosts included, until drainShare of the grace
+// period has passed since Stop was called. At last it ends the background loops, without
+// waiting for them, and closes the other listeners and the connections to callers, operators
+// and hosts, which aborts the requests left.
 func (d *Daemon) Stop(ctx context.Context) error {
 	started := time.Now()
 	d.isDraining.Store(true)
--- a/hickoryd/internal/edgedispatch/describe.go
+++ b/hickoryd/internal/edgedispatch/describe.go
@@ -34,7 +34,7 @@
 	load := d.balancer.Load(now, s.ID)
 	described := hoststate.Server{
 		ID: s.ID, Service: s.Service, Stage: string(s.Stage), Address: s.Address, FailureDomain: s.FailureDomain, IsDraining: s.IsDraining,
-		Requests: load.Requests, Tokens: load.Tokens, FailureRate: load.FailureRate, IsEjected: load.IsEjected,
+		Requests: load.Requests, Tokens: load.Tokens, FailureRate: load.FailureRate, IsEjected: load.IsEjected, HasNoPath: d.balancer.HasNoPath(s.ID),
 	}
 	if limit, ok := d.limits.Limit(s.ID); ok {
 		described.Limit = &limit.Rate
--- a/hickoryd/internal/edgehost/client.go
+++ b/hickoryd/internal/edgehost/client.go
@@ -1,7 +1,7 @@
 // Package edgehost is the gRPC client and server between the hosts that route on the
 // users' platform. Hosts fetch from each other what they have read from the store, report
-// failed backend servers to each other, and report and find the software versions that
-// began streams.
+// failed and limited backend servers to each other, report and find the software versions
+// that began streams, issue permits for limited servers, and pass requests to each other.
 package edgehost
 
 import (
--- a/hickoryd/internal/edgehost/relay.go
+++ b/hickoryd/internal/edgehost/relay.go
@@ -265,7 +265,7 @@
 			MaxServers: int32(r.Route.MaxServers), IsGeneration: r.Route.IsGeneration, IsResumable: r.Route.IsResumable,
 		},
 		TimeLeftMs: r.Deadline.Sub(now).Milliseconds(), Fingerprint: r.Fingerprint, BodyBytes: uint64(len(r.Body)),
-		NeedsMostPaths: r.NeedsMostPaths, IsContinued: r.IsContinued, LastEventId: r.Metadata.LastEventID, SoftwareVersion: r.SoftwareVersion,
+		NeedsMostPaths: r.NeedsMostPaths, IsContinued: r.IsContinued, IsResumed: r.Metadata.IsResumed, LastEventId: r.Metadata.LastEventID, SoftwareVersion: r.SoftwareVersion,
 	}
 }
 
@@ -287,7 +287,7 @@
 	}
 	r.Metadata, _ = platform.DecodeRequest(r.Header)
 	if r.IsContinued {
-		r.Metadata.IsResumed, r.Metadata.LastEventID = true, head.GetLastEventId()
+		r.Metadata.IsResumed, r.Metadata.LastEventID = head.GetIsResumed(), head.GetLastEventId()
 	}
 	return r
 }
