--- a/core/member/member.go
+++ b/core/member/member.go
@@ -13,6 +13,9 @@
 	"github.com/cespare/xxhash/v2"
 )
 
+// MaxPartners bounds the hosts with which one daemon exchanges heartbeats.
+const MaxPartners = 32
+
 const (
 	// StatusAlive means that the host responds.
 	StatusAlive Status = iota
--- a/core/member/member_test.go
+++ b/core/member/member_test.go
@@ -156,33 +156,6 @@
 	}
 }
 
-func TestHasQuorum(t *testing.T) {
-	tests := map[string]struct {
-		dead, left int
-		want       bool
-	}{
-		"all alive":       {0, 0, true},
-		"half dead":       {3, 0, true},
-		"most dead":       {4, 0, false},
-		"most left":       {0, 5, true},
-		"all others dead": {6, 0, false},
-	}
-	for name, test := range tests {
-		t.Run(name, func(t *testing.T) {
-			table := tableOf(0, 7)
-			for i := range test.dead {
-				table.Observe(start, stateOf(1+i, 0, member.StatusDead))
-			}
-			for i := range test.left {
-				table.Observe(start, stateOf(1+i, 1, member.StatusLeft))
-			}
-			if got := table.HasQuorum(start); got != test.want {
-				t.Errorf("quorum %v, want %v", got, test.want)
-			}
-		})
-	}
-}
-
 func TestUpdatesAreLimitedAndEnd(t *testing.T) {
 	table := tableOf(0, 100)
 	carried := map[string]int{}
--- a/core/member/spread.go
+++ b/core/member/spread.go
@@ -134,13 +134,20 @@
 			remote = append(remote, e.state.Host)
 		}
 	}
+	local, remote = t.sample(limit, local, remote)
+	return append(local, remote...)
+}
+
+// sample picks at most limit of the given hosts of this daemon's failure domain and of the
+// others, as Partners states it.
+func (t *Table) sample(limit int, local, remote []Host) (localSample, remoteSample []Host) {
 	if len(local)+len(remote) <= limit {
-		return append(local, remote...)
+		return local, remote
 	}
 	t.sortByRendezvous(local)
 	t.sortByRendezvous(remote)
 	localCount := min(len(local), max(limit/2, limit-len(remote)))
-	return append(local[:localCount:localCount], remote[:limit-localCount]...)
+	return local[:localCount:localCount], remote[:limit-localCount]
 }
 
 // Dead returns the hosts that are regarded as dead. They may merely be cut off.
--- a/core/member/table.go
+++ b/core/member/table.go
@@ -45,11 +45,14 @@
 	}
 
 	entry struct {
-		state      State
-		deadline   time.Time // time until which a suspect can refute
-		changedAt  time.Time
-		transmits  int // heartbeats that have carried the update
-		finalProbe finalProbe
+		state     State
+		deadline  time.Time // time until which a suspect can refute
+		changedAt time.Time
+		// silentSince is when the host did not respond for the first time since it was last
+		// known to be alive, or zero.
+		silentSince time.Time
+		transmits   int // heartbeats that have carried the update
+		finalProbe  finalProbe
 	}
 
 	// finalProbe is the progress of the final probe, which this daemon itself
@@ -206,20 +209,70 @@
 	return ok && e.state.Host.Incarnation == incarnation && e.state.IsLive()
 }
 
-// HasQuorum reports whether at least half of the known hosts, including this one,
-// are alive. Hosts that drained or left before they stopped responding do not
-// count. A daemon without a quorum may be cut off, or may just have been paused.
-func (t *Table) HasQuorum(time.Time) bool {
-	live, known := 1, 1
+// HasFailed reports whether this incarnation of a host may be taken for failed: it is not
+// alive, and this daemon has heard from a majority of the known hosts since the host fell
+// silent. A daemon that hears no majority may be cut off itself, and its own silence explains
+// all that it observes.
+func (t *Table) HasFailed(now time.Time, name string, incarnation uint64) bool {
+	if t.IsAlive(now, name, incarnation) {
+		return false
+	}
+	e, ok := t.entries[name]
+	if !ok {
+		return false
+	}
+	if e.state.Host.Incarnation != incarnation {
+		return e.state.Host.Incarnation > incarnation
+	}
+	return t.HasMajority(e.silentSince)
+}
+
+// HasMajority reports whether this daemon has heard directly, since the given time, from so
+// many hosts that they are a majority of the known ones together with this daemon. Exactly
+// half is a majority on the side of the host with the lowest name, so that of two halves of a
+// fleet only one has it. Hosts that drained or left before they stopped responding do not
+// count.
+//
+// In a large fleet a daemon exchanges heartbeats with some of the hosts only. Those of its own
+// failure domain and those of the others are then taken for samples of all hosts there.
+func (t *Table) HasMajority(since time.Time) bool {
+	var local, remote []Host
+	lowest := t.self.Host.Name
 	for _, e := range t.entries {
-		if e.state.IsLive() {
-			live++
-			known++
-		} else if e.state.Status == StatusDead && !e.state.Draining {
-			known++
+		if !e.state.IsLive() && (e.state.Status != StatusDead || e.state.Draining) {
+			continue
+		}
+		lowest = min(lowest, e.state.Host.Name)
+		if e.state.Host.FailureDomain == t.self.Host.FailureDomain {
+			local = append(local, e.state.Host)
+		} else {
+			remote = append(remote, e.state.Host)
+		}
+	}
+	known := float64(1 + len(local) + len(remote))
+	localSample, remoteSample := t.sample(MaxPartners, local, remote)
+	heard := 1 + t.heardOf(localSample, len(local), since) + t.heardOf(remoteSample, len(remote), since)
+	if heard*2 == known {
+		return lowest == t.self.Host.Name || t.hasHeard(lowest, since)
+	}
+	return heard*2 > known
+}
+
+// heardOf returns how many of total hosts this daemon hears, of which it exchanges heartbeats
+// with those of sample.
+func (t *Table) heardOf(sample []Host, total int, since time.Time) float64 {
+	heard := 0
+	for _, h := range sample {
+		if t.hasHeard(h.Name, since) {
+			heard++
 		}
 	}
-	return live*2 >= known
+	return float64(total*heard) / float64(max(len(sample), 1))
+}
+
+func (t *Table) hasHeard(name string, since time.Time) bool {
+	e, ok := t.entries[name]
+	return ok && e.state.LastSeen.After(since)
 }
 
 // Lookup returns the known state of a host, alive or not.
@@ -246,6 +299,9 @@
 		delete(t.byID, held.state.Host.ID())
 	}
 	e := &entry{state: s, changedAt: now, deadline: now.Add(t.SuspicionTimeout())}
+	if s.Status != StatusAlive {
+		e.silentSince = now
+	}
 	t.entries[s.Host.Name] = e
 	t.byID[s.Host.ID()] = e
 	t.version++
@@ -271,6 +327,12 @@
 	e.changedAt = now
 	e.transmits = 0
 	e.finalProbe = finalProbeNone
+	switch {
+	case status == StatusAlive:
+		e.silentSince = time.Time{}
+	case e.silentSince.IsZero():
+		e.silentSince = now
+	}
 	if status == StatusSuspect {
 		e.deadline = now.Add(t.SuspicionTimeout())
 	}
--- a/hickoryd/internal/home/remote.go
+++ b/hickoryd/internal/home/remote.go
@@ -30,7 +30,11 @@
 	Peers interface {
 		Membership
 		Lookup(name string) (member.State, bool)
-		HasQuorum(now time.Time) bool
+		// HasFailed reports whether an incarnation of a host may be taken for failed.
+		HasFailed(now time.Time, name string, incarnation uint64) bool
+		// HasMajority reports whether this daemon has heard from a majority of the known
+		// hosts since the given time.
+		HasMajority(since time.Time) bool
 		LastContact() time.Time
 	}
 
--- a/hickoryd/internal/home/reservations.go
+++ b/hickoryd/internal/home/reservations.go
@@ -167,7 +167,7 @@
 
 // Confirm implements Holders by querying the holder itself. A holder that does not
 // respond counts as failed only when its heartbeats have ended too and this daemon
-// sees a quorum of the fleet. A daemon that was cut off or paused would otherwise
+// hears a majority of the fleet. A daemon that was cut off or paused would otherwise
 // cancel the work of all other hosts.
 func (r *Reservations) Confirm(ctx context.Context, now time.Time, query slot.AuditQuery) map[string]slot.AuditResult {
 	holder := query.Holder
@@ -184,7 +184,7 @@
 		return auditResults(query.AttemptIDs, response.GetHeld())
 	case err == nil && response.GetHolder().GetIncarnation() > holder.Incarnation:
 		return resultForAll(query.AttemptIDs, slot.HolderEnded)
-	case err != nil && r.isHolderFailed(now, holder, ok):
+	case err != nil && r.isHolderFailed(now, holder, ok && known.Host.Incarnation == holder.Incarnation):
 		return resultForAll(query.AttemptIDs, slot.HolderEnded)
 	}
 	return resultForAll(query.AttemptIDs, slot.NoResponse)
@@ -208,18 +208,15 @@
 	return client.ConfirmHeld(ctx, &peerapi.ConfirmHeldRequest{RequestIds: query.AttemptIDs})
 }
 
-// isHolderFailed reports whether a holder that does not respond counts as failed.
-// known reports whether this daemon has the host in its member list; the entry of
-// an unknown host may not have arrived yet.
-func (r *Reservations) isHolderFailed(now time.Time, holder slot.Holder, known bool) bool {
-	if r.peers.IsAlive(now, holder.Host, holder.Incarnation) || !r.peers.HasQuorum(now) {
-		return false
-	}
-	if known {
-		return true
+// isHolderFailed reports whether a holder that does not respond counts as failed. isKnown
+// reports whether this daemon has its incarnation in the member list; the entry of another
+// one may not have arrived yet.
+func (r *Reservations) isHolderFailed(now time.Time, holder slot.Holder, isKnown bool) bool {
+	if isKnown {
+		return r.peers.HasFailed(now, holder.Host, holder.Incarnation)
 	}
 	lastContact := r.peers.LastContact()
-	return !lastContact.IsZero() && now.Sub(r.started) > startupPeriod
+	return !lastContact.IsZero() && now.Sub(r.started) > startupPeriod && r.peers.HasMajority(now.Add(-startupPeriod))
 }
 
 func (r *Reservations) requestSlot(ctx context.Context, home, serverID, attemptID string, terms slot.Terms) error {
--- a/hickoryd/internal/home/reservations_test.go
+++ b/hickoryd/internal/home/reservations_test.go
@@ -35,7 +35,7 @@
 	// loneView is the membership of a daemon that can't reach any other host.
 	loneView struct {
 		alive    bool // heartbeats of the other host arrive
-		minority bool // this daemon sees less than a quorum of the fleet
+		minority bool // this daemon hears no majority of the fleet
 		known    bool // the other host is in the member list
 	}
 
@@ -53,8 +53,12 @@
 func (v loneView) IsAlive(_ time.Time, name string, incarnation uint64) bool {
 	return name == self.Name && incarnation == self.Incarnation || v.alive && incarnation == other.Incarnation
 }
-func (v loneView) HasQuorum(time.Time) bool { return !v.minority }
-func (loneView) LastContact() time.Time     { return time.Now() }
+
+func (v loneView) HasFailed(now time.Time, name string, incarnation uint64) bool {
+	return !v.minority && !v.IsAlive(now, name, incarnation)
+}
+func (v loneView) HasMajority(time.Time) bool { return !v.minority }
+func (loneView) LastContact() time.Time       { return time.Now() }
 func (v loneView) Lookup(string) (member.State, bool) {
 	return member.State{Host: other}, v.known
 }
--- a/hickoryd/internal/peer/heartbeat.go
+++ b/hickoryd/internal/peer/heartbeat.go
@@ -11,8 +11,6 @@
 )
 
 const (
-	// maxPartners bounds the hosts with which one daemon exchanges heartbeats.
-	maxPartners = 32
 	// maxUpdates bounds the updates about other hosts in one heartbeat.
 	maxUpdates = 12
 	// maxNewer bounds the states in the response to a digest.
@@ -176,7 +174,7 @@
 				break
 			}
 			refilled = true
-			m.schedule.round = m.table.Partners(maxPartners)
+			m.schedule.round = m.table.Partners(member.MaxPartners)
 			rand.Shuffle(len(m.schedule.round), m.schedule.swap)
 			continue
 		}
@@ -266,7 +264,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var picked []member.Host
-	partners := m.table.Partners(maxPartners)
+	partners := m.table.Partners(member.MaxPartners)
 	for _, i := range rand.Perm(len(partners)) {
 		if partners[i].Name != target && len(picked) < indirectProbes {
 			picked = append(picked, partners[i])
--- a/hickoryd/internal/peer/membership.go
+++ b/hickoryd/internal/peer/membership.go
@@ -138,12 +138,19 @@
 	return m.table.IsAlive(now, name, incarnation)
 }
 
-// HasQuorum reports whether at least half of the known hosts are alive; exactly
-// half is enough.
-func (m *Membership) HasQuorum(now time.Time) bool {
+// HasFailed reports whether the given incarnation of a host may be taken for failed.
+func (m *Membership) HasFailed(now time.Time, name string, incarnation uint64) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.table.HasQuorum(now)
+	return m.table.HasFailed(now, name, incarnation)
+}
+
+// HasMajority reports whether this daemon has heard from a majority of the known hosts since
+// the given time.
+func (m *Membership) HasMajority(since time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.table.HasMajority(since)
 }
 
 // Lookup returns what is known of a host.
