Count the failures of one failure domain within a second once

Cause: core/crash had two rules for a common cause: 250 ms between failures of one request in hickoryd serve, one second for prompt parts. Servers of a lost domain that were noticed 467 ms apart counted as two crashes, and the request that had waited at both was refused with crashesServers (TestFailureDomainLostAtEachStep). The crash table itself, which the hosts share, had no rule, so two requests alike at two servers of the domain were refused as well. Change: one rule, in Table.Report: within a second the failures of a server or of a failure domain count once. So that a crash still counts, a suspect whose runs were short waits for the rest of the second if its next server is of the same domain, and servers of other domains are preferred. Effect for callers: a retry in another domain does not wait (before: 250 ms), one in the same domain up to a second (before: 250 ms). Limit: losses of one domain that are noticed over a second apart still count as two.

--- a/core/crash/crash.go
+++ b/core/crash/crash.go
@@ -20,16 +20,14 @@
 	// Retention is the time since the newest crash of a fingerprint after which all
 	// its crashes are forgotten.
 	Retention = 10 * time.Minute
-	// sameFailureWindow is the time within which reports about one server count as
-	// reports of the same failure.
-	sameFailureWindow = time.Second
-	// domainFailureWindow is the time within which the servers of a failure domain
-	// fail. The tests in hickorylab end a domain's processes one after the other
-	// within some ten milliseconds.
-	domainFailureWindow = 250 * time.Millisecond
-	// shortRun is twice domainFailureWindow: a request that crashed a server after
-	// running for shortRun does not crash the next one within domainFailureWindow.
-	shortRun = 2 * domainFailureWindow
+	// commonCauseWindow is the time within which failures with a common cause are noticed:
+	// those of one server by several requests or hosts, and those of servers that are lost
+	// together with their failure domain. Hosts notice a failure within some milliseconds if
+	// they are not busy. Failures that are noticed further apart count as several.
+	commonCauseWindow = time.Second
+	// shortRun is twice commonCauseWindow: a request that crashed a server after
+	// running for shortRun does not crash the next one within commonCauseWindow.
+	shortRun = 2 * commonCauseWindow
 )
 
 const (
@@ -59,8 +57,8 @@
 
 	// failure is one failure of a server with the fingerprint in flight.
 	failure struct {
-		server string
-		at     time.Time
+		server, domain string
+		at             time.Time
 	}
 )
 
@@ -85,26 +83,16 @@
 	return longestFailedRun + margin
 }
 
-// IsSameEvent reports whether a server that ran a request failed in the same event as
-// the request's previous server, such as the failure of their failure domain.
-// sinceFailure is the time since the previous failure, and longestFailedRun is the
-// longest run of the request so far that ended with a failure of its server. If
-// longestFailedRun is much longer than sinceFailure, the request did not crash both
-// servers: a request that crashes servers does so after about the same time on each.
-func IsSameEvent(sinceFailure, longestFailedRun time.Duration) bool {
-	return longestFailedRun >= shortRun && sinceFailure < domainFailureWindow
-}
-
-// RetryDelay returns how long a suspect waits before it runs again. sinceFailure is the
-// time since the request's previous server failed, and longestFailedRun is the longest
-// run of the request so far that ended with a failure of its server, or 0 if no server
-// has failed. While all these runs are short, the next failure would not distinguish a
-// crash from the failure of a failure domain.
+// RetryDelay returns how long a suspect waits before it runs again on a server of the
+// failure domain of its previous one. sinceFailure is the time since that server failed, and
+// longestFailedRun is the longest run of the request so far that ended with a failure of its
+// server, or 0 if no server has failed. While all these runs are short, the next failure
+// would not distinguish a crash from the failure of the domain.
 func RetryDelay(sinceFailure, longestFailedRun time.Duration) time.Duration {
 	if longestFailedRun == 0 || longestFailedRun >= shortRun {
 		return 0
 	}
-	return max(0, domainFailureWindow-sinceFailure)
+	return max(0, commonCauseWindow-sinceFailure)
 }
 
 // String returns the name of the decision for logs.
@@ -144,19 +132,21 @@
 	return Isolate
 }
 
-// Report counts the failure of a server with the fingerprint in flight. Reports of the
-// same failure, by several requests or daemons, count once.
-func (t *Table) Report(now time.Time, fingerprint uint64, server string) Decision {
+// Report counts the failure of a server with the fingerprint in flight. domain is the
+// server's failure domain, or empty if that is not known. Within commonCauseWindow, the
+// failures of a server or of a domain count once: several requests or daemons may report a
+// failure, and a request may have waited at several servers of a domain that was lost.
+func (t *Table) Report(now time.Time, fingerprint uint64, server, domain string) Decision {
 	decision := t.Check(now, fingerprint)
 	s, ok := t.suspects.Get(fingerprint)
 	if !ok {
 		s = &suspect{}
 		t.suspects.Add(fingerprint, s)
 	}
-	if decision == Refuse || s.hasReported(now, server) {
+	if decision == Refuse || s.isCounted(now, server, domain) {
 		return decision
 	}
-	s.failures = append(s.failures, failure{server: server, at: now})
+	s.failures = append(s.failures, failure{server: server, domain: domain, at: now})
 	return t.Check(now, fingerprint)
 }
 
@@ -173,10 +163,11 @@
 	return t.suspects.Len()
 }
 
-// hasReported reports whether the failure of a server at now has been counted already.
-func (s *suspect) hasReported(now time.Time, server string) bool {
-	for _, reported := range s.failures {
-		if reported.server == server && now.Sub(reported.at) < sameFailureWindow {
+// isCounted reports whether the failure of a server at now is counted already, as a failure
+// of the server or of its domain.
+func (s *suspect) isCounted(now time.Time, server, domain string) bool {
+	for _, counted := range s.failures {
+		if (counted.server == server || counted.domain == domain) && now.Sub(counted.at) < commonCauseWindow {
 			return true
 		}
 	}
--- a/core/crash/parts.go
+++ b/core/crash/parts.go
@@ -16,8 +16,6 @@
 	// answer before. Of failures within commonCauseWindow only one counts: a popular part
 	// is waiting at many servers when they fail for another reason.
 	refuseStartedAfterFailures = 5
-	// commonCauseWindow is the time within which servers that fail for one reason do so.
-	commonCauseWindow = time.Second
 	// firstRefusal is how long a part is refused for the first time. Each further refusal
 	// is twice as long, up to maxRefusal.
 	firstRefusal = time.Minute
@@ -149,9 +147,9 @@
 	most := 0
 	for _, part := range parts {
 		losses := t.lossesOf(now, service, part)
-		failures, limit := countFailures(losses, sameFailureWindow, false), refuseAfterFailures
+		failures, limit := countFailures(losses, false), refuseAfterFailures
 		if t.hasStarted(now, service, part) {
-			failures, limit = countFailures(losses, commonCauseWindow, true), refuseStartedAfterFailures
+			failures, limit = countFailures(losses, true), refuseStartedAfterFailures
 		}
 		if failures < limit || failures < most {
 			continue
@@ -266,13 +264,13 @@
 }
 
 // countFailures returns the number of failures behind the losses, which are in the order
-// of time. Losses within window belong to one failure if they are of the same server, or
-// in any case with acrossServers.
-func countFailures(losses []partLoss, window time.Duration, acrossServers bool) int {
+// of time. Losses within commonCauseWindow belong to one failure if they are of the same
+// server, or in any case with acrossServers.
+func countFailures(losses []partLoss, acrossServers bool) int {
 	var failures []partLoss
 	for _, loss := range losses {
 		isCounted := slices.ContainsFunc(failures, func(f partLoss) bool {
-			return (acrossServers || f.isSameServer(loss.PartLoss)) && loss.at.Sub(f.at) < window
+			return (acrossServers || f.isSameServer(loss.PartLoss)) && loss.at.Sub(f.at) < commonCauseWindow
 		})
 		if !isCounted {
 			failures = append(failures, loss)
--- a/hickoryd/internal/dispatch/crashes.go
+++ b/hickoryd/internal/dispatch/crashes.go
@@ -19,7 +19,7 @@
 
 // checkCrashes looks up, before each attempt, whether requests with the same
 // fingerprint have crashed servers. It isolates the request or returns
-// errCrashesServers. Before a retry it then waits for crash.RetryDelay.
+// errCrashesServers.
 func (g *generation) checkCrashes(ctx context.Context) error {
 	switch g.models.crashes.Check(ctx, time.Now(), g.fingerprint) {
 	case crash.Refuse:
@@ -27,26 +27,30 @@
 	case crash.Isolate:
 		g.isolated = true
 	}
+	return nil
+}
+
+// awaitDomainFailure waits before a retry on a server until its failure would no longer
+// count as the loss of the failure domain of the previous server.
+func (g *generation) awaitDomainFailure(ctx context.Context, server backend.Server) error {
+	if server.FailureDomain != g.lastFailureDomain {
+		return nil
+	}
 	return timing.Sleep(ctx, crash.RetryDelay(time.Since(g.lastFailureAt), g.longestFailedRun))
 }
 
 // checkServerFailure reports to the crash table a server that failed while it
-// ran this request, and returns whether the server failed. A failure in the same
-// event as the request's previous one is not reported: it is no evidence that
-// the request crashes servers.
+// ran this request, and returns whether the server failed.
 func (g *generation) checkServerFailure(ctx context.Context, server backend.Server, started time.Time) bool {
 	if !g.hasServerFailed(ctx, server, started) {
 		return false
 	}
 	g.models.counters.crashes.Inc()
 	now := time.Now()
-	if crash.IsSameEvent(now.Sub(g.lastFailureAt), g.longestFailedRun) {
-		return true
-	}
-	g.lastFailureAt, g.longestFailedRun = now, max(g.longestFailedRun, now.Sub(started))
+	g.lastFailureAt, g.lastFailureDomain, g.longestFailedRun = now, server.FailureDomain, max(g.longestFailedRun, now.Sub(started))
 	reportCtx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
-	g.models.crashes.Report(reportCtx, now, g.fingerprint, server.ID)
+	g.models.crashes.Report(reportCtx, now, g.fingerprint, server)
 	return true
 }
 
--- a/hickoryd/internal/dispatch/model.go
+++ b/hickoryd/internal/dispatch/model.go
@@ -110,7 +110,7 @@
 	// Crashes tracks the requests that crash the servers that run them.
 	Crashes interface {
 		Check(ctx context.Context, now time.Time, fingerprint uint64) crash.Decision
-		Report(ctx context.Context, now time.Time, fingerprint uint64, serverID string)
+		Report(ctx context.Context, now time.Time, fingerprint uint64, server backend.Server)
 		ReportSuccess(ctx context.Context, now time.Time, fingerprint uint64)
 	}
 
@@ -152,15 +152,17 @@
 		failed           failedServers
 		fingerprint      uint64
 		isolated         bool
-		longestFailedRun time.Duration    // longest run that ended with a failure of its server
-		lastFailureAt    time.Time        // when the last such failure was detected
-		direct           bool             // the decode server prefills the prompt
-		reserved         *reservedPrefill // place in a prefill queue
-		next             *backend.Server  // decode server that was secured for the next attempt
-		charged          bool             // the next retry is charged already
-		placedAt         time.Time        // start of the slot's reservation
-		retryAfter       time.Duration    // of a refusal because no server was free
-		hashes           []uint64         // of the prompt's blocks
+		longestFailedRun time.Duration // longest run that ended with a failure of its server
+		lastFailureAt    time.Time     // when the last such failure was detected
+		// lastFailureDomain is the failure domain of the server that failed then.
+		lastFailureDomain string
+		direct            bool             // the decode server prefills the prompt
+		reserved          *reservedPrefill // place in a prefill queue
+		next              *backend.Server  // decode server that was secured for the next attempt
+		charged           bool             // the next retry is charged already
+		placedAt          time.Time        // start of the slot's reservation
+		retryAfter        time.Duration    // of a refusal because no server was free
+		hashes            []uint64         // of the prompt's blocks
 	}
 )
 
@@ -250,6 +252,9 @@
 	}
 	a := g.beginAttempt(server)
 	defer a.release()
+	if err := g.awaitDomainFailure(ctx, server); err != nil {
+		return err
+	}
 	stream, err := a.open(ctx)
 	if err != nil {
 		return err
--- a/hickoryd/internal/dispatch/reserve.go
+++ b/hickoryd/internal/dispatch/reserve.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/hickoryfront/hickoryfront/core/admission"
 	"github.com/hickoryfront/hickoryfront/core/backend"
 	"github.com/hickoryfront/hickoryfront/core/config"
+	"github.com/hickoryfront/hickoryfront/core/crash"
 	"github.com/hickoryfront/hickoryfront/core/placement"
 	"github.com/hickoryfront/hickoryfront/core/prefix"
 	"github.com/hickoryfront/hickoryfront/core/slot"
@@ -292,7 +294,7 @@
 
 func (g *generation) computePlan(now time.Time, candidates []placement.Candidate) placement.Plan {
 	profile := g.request.Profile
-	return g.failed.exclude(now, g.models.policy.Plan(now, placement.Request{
+	plan := g.failed.exclude(now, g.models.policy.Plan(now, placement.Request{
 		ID:                 g.request.ID,
 		Model:              g.request.Service.Model,
 		FailureDomain:      g.models.failureDomain,
@@ -308,6 +310,24 @@
 		GoodputWeight:      profile.GoodputWeight,
 		WasteWeight:        profile.WasteWeight,
 	}, candidates))
+	if crash.RetryDelay(now.Sub(g.lastFailureAt), g.longestFailedRun) > 0 {
+		plan.Decode = otherDomainsFirst(plan.Decode, g.lastFailureDomain)
+	}
+	return plan
+}
+
+// otherDomainsFirst moves the servers of a failure domain that may just have been lost to the
+// end.
+func otherDomainsFirst(servers []backend.Server, domain string) []backend.Server {
+	var others, same []backend.Server
+	for _, server := range servers {
+		if server.FailureDomain == domain {
+			same = append(same, server)
+		} else {
+			others = append(others, server)
+		}
+	}
+	return slices.Concat(others, same)
 }
 
 // firstTokenDeadline is the time by which a token is due. For a request that may
--- a/hickoryd/internal/edgedispatch/dispatch.go
+++ b/hickoryd/internal/edgedispatch/dispatch.go
@@ -259,9 +259,15 @@
 // ReportLoss records another host's report that a server failed while it ran the
 // request with the given fingerprint.
 func (d *Dispatcher) ReportLoss(now time.Time, fingerprint uint64, server string) {
+	domain := ""
+	for _, s := range d.servers() {
+		if s.ID == server {
+			domain = s.FailureDomain
+		}
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.crashes.Report(now, fingerprint, server)
+	d.crashes.Report(now, fingerprint, server, domain)
 }
 
 // ReportReplaced records another host's report that another process listens at a
--- a/hickoryd/internal/home/crashes.go
+++ b/hickoryd/internal/home/crashes.go
@@ -10,6 +10,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
 
+	"github.com/hickoryfront/hickoryfront/core/backend"
 	"github.com/hickoryfront/hickoryfront/core/crash"
 	"github.com/hickoryfront/hickoryfront/core/rendezvous"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/peer"
@@ -78,9 +79,9 @@
 
 // Report reports to the homes that a server failed while it ran a request with the
 // fingerprint.
-func (c *Crashes) Report(ctx context.Context, now time.Time, fingerprint uint64, serverID string) {
-	c.ReportLocal(now, fingerprint, serverID)
-	c.publish(ctx, now, &peerapi.ReportCrashRequest{Fingerprint: fingerprint, ServerId: serverID, BatchSize: 1})
+func (c *Crashes) Report(ctx context.Context, now time.Time, fingerprint uint64, server backend.Server) {
+	c.ReportLocal(now, fingerprint, server.ID, server.FailureDomain)
+	c.publish(ctx, now, &peerapi.ReportCrashRequest{Fingerprint: fingerprint, ServerId: server.ID, FailureDomain: server.FailureDomain, BatchSize: 1})
 }
 
 // ReportSuccess reports to the homes that a request with the fingerprint has run
@@ -98,10 +99,10 @@
 }
 
 // ReportLocal records a crash in this daemon's own table.
-func (c *Crashes) ReportLocal(now time.Time, fingerprint uint64, serverID string) crash.Decision {
+func (c *Crashes) ReportLocal(now time.Time, fingerprint uint64, serverID, domain string) crash.Decision {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	decision := c.table.Report(now, fingerprint, serverID)
+	decision := c.table.Report(now, fingerprint, serverID, domain)
 	c.logger.WithFields(log.Fields{
 		"fingerprint": strconv.FormatUint(fingerprint, 16), "server": serverID, "verdict": decision.String(),
 	}).Info("backend server failed with a request in flight")
--- a/hickoryd/internal/peerserver/server.go
+++ b/hickoryd/internal/peerserver/server.go
@@ -38,7 +38,7 @@
 	// Crashes decides about the fingerprints whose home is this daemon.
 	Crashes interface {
 		CheckLocal(now time.Time, fingerprint uint64) crash.Decision
-		ReportLocal(now time.Time, fingerprint uint64, serverID string) crash.Decision
+		ReportLocal(now time.Time, fingerprint uint64, serverID, domain string) crash.Decision
 		ReportSuccessLocal(now time.Time, fingerprint uint64)
 	}
 
@@ -164,7 +164,7 @@
 		s.crashes.ReportSuccessLocal(now, request.GetFingerprint())
 		return &peerapi.ReportCrashResponse{}, nil
 	}
-	decision := s.crashes.ReportLocal(now, request.GetFingerprint(), request.GetServerId())
+	decision := s.crashes.ReportLocal(now, request.GetFingerprint(), request.GetServerId(), request.GetFailureDomain())
 	return &peerapi.ReportCrashResponse{Refused: decision == crash.Refuse}, nil
 }
 
