Let a few hosts try to become the leader

Cause: when changes of stages are due, each host tries to become the leader, with four calls of the store. Change: three hosts, chosen by rendezvous hashing, try at once, the others only if the changes are still due 12 s later.

--- a/hickoryd/internal/edge/wiring.go
+++ b/hickoryd/internal/edge/wiring.go
@@ -127,5 +127,5 @@
 }
 
 func newController(s Settings, r *registry.Registry, store *platform.Store, pool *upstream.Pool, logger log.Interface, set *metrics.Set) *edgeorder.Controller {
-	return edgeorder.New(s.Name, s.PrefillShare, r, store, pool, logger, set)
+	return edgeorder.New(s.Name, s.Peer, s.PrefillShare, r, store, pool, logger, set)
 }
--- a/hickoryd/internal/edgeorder/controller.go
+++ b/hickoryd/internal/edgeorder/controller.go
@@ -10,11 +10,14 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
 
+	"github.com/hickoryfront/hickoryfront/core/rendezvous"
 	"github.com/hickoryfront/hickoryfront/core/serverlist"
 	"github.com/hickoryfront/hickoryfront/core/stage"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/registry"
@@ -40,6 +43,10 @@
 	attemptInterval = 15 * time.Second
 	// callTimeout limits a call of the store or of a server.
 	callTimeout = time.Second
+	// candidates is the number of hosts that try to become the leader at once when changes
+	// are due. The others do so if the changes are still due after standbyWait.
+	candidates  = 3
+	standbyWait = 12 * time.Second
 	// listSettleTime is how long the server list must be unchanged before changes are
 	// planned. It is a little more than the time between two registrations of servers.
 	listSettleTime = 1500 * time.Millisecond
@@ -55,6 +62,8 @@
 	// Registry lists the backend servers.
 	Registry interface {
 		Servers() *registry.Snapshot
+		// Hosts returns the peer addresses of all hosts.
+		Hosts() []netip.AddrPort
 		// IsStoreUnreachable reports whether the platform's store is unreachable.
 		IsStoreUnreachable() bool
 		// Era returns the era of the store, and when this host noticed that the store had
@@ -72,6 +81,7 @@
 	// Controller orders the changes of stages that its planner plans.
 	Controller struct {
 		name       string
+		self       netip.AddrPort
 		registry   Registry
 		store      Store
 		pool       *upstream.Pool
@@ -81,6 +91,8 @@
 		started    time.Time
 		// nextAttempt is when this host may try to become the leader again.
 		nextAttempt time.Time
+		// dueSince is since when changes have been due, or zero.
+		dueSince time.Time
 		// version is the version of the server list seen last, and versionSince when
 		// it was first seen.
 		version      uint64
@@ -102,11 +114,11 @@
 )
 
 // New returns a controller for services where prefillShare of the model servers are busy
-// with prefills at the peak. With share 0 it orders no changes. name is the name of this
-// host.
-func New(name string, prefillShare float64, r Registry, store Store, pool *upstream.Pool, logger log.Interface, set *metrics.Set) *Controller {
+// with prefills at the peak. With share 0 it orders no changes. name and self are the name and
+// the peer address of this host.
+func New(name string, self netip.AddrPort, prefillShare float64, r Registry, store Store, pool *upstream.Pool, logger log.Interface, set *metrics.Set) *Controller {
 	return &Controller{
-		name: name, registry: r, store: store, pool: pool, planner: stage.NewPlanner(prefillShare), logger: logger,
+		name: name, self: self, registry: r, store: store, pool: pool, planner: stage.NewPlanner(prefillShare), logger: logger,
 		orderCount: set.NewCounter(`hickoryfront_edge_orders_total`), started: time.Now(),
 	}
 }
@@ -127,8 +139,15 @@
 		}
 		isStarting := now.Sub(c.started) < initialSetupTime
 		if len(c.planner.Plan(now, c.registry.Servers().Servers, isStarting)) == 0 {
+			c.dueSince = time.Time{}
 			continue
 		}
+		if c.dueSince.IsZero() {
+			c.dueSince = now
+		}
+		if !c.isCandidate() && now.Sub(c.dueSince) < standbyWait {
+			continue // each attempt takes calls of the store
+		}
 		c.nextAttempt = now.Add(attemptInterval)
 		if err := c.lead(ctx, isStarting); err != nil && !errors.Is(err, errNotLeader) {
 			c.logger.WithError(err).Warn("can't change the stages of backend servers; retrying")
@@ -136,6 +155,15 @@
 	}
 }
 
+// isCandidate reports whether this host tries to become the leader at once.
+func (c *Controller) isCandidate() bool {
+	var hosts []string
+	for _, host := range c.registry.Hosts() {
+		hosts = append(hosts, host.String())
+	}
+	return slices.Contains(rendezvous.New(hosts).Homes(platform.LeaderKey, candidates), c.self.String())
+}
+
 // isListStable reports whether the server list has been unchanged for
 // listSettleTime. After a start, servers register one after the other.
 func (c *Controller) isListStable(now time.Time) bool {
--- a/hickoryd/internal/edgeorder/controller_test.go
+++ b/hickoryd/internal/edgeorder/controller_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -25,9 +26,14 @@
 // testTimeout ends a wait whose condition never becomes true. It is no bound on speed.
 const testTimeout = 20 * time.Second
 
+// self is the peer address of the host.
+var self = netip.MustParseAddrPort("127.0.0.1:1")
+
 // fakeRegistry lists model servers of which too many are prefill servers.
 type fakeRegistry struct {
 	servers []serverlist.Server
+	// others are the hosts beside self.
+	others []netip.AddrPort
 
 	mu       sync.Mutex
 	era      uint64
@@ -40,6 +46,8 @@
 
 func (r *fakeRegistry) IsStoreUnreachable() bool { return false }
 
+func (r *fakeRegistry) Hosts() []netip.AddrPort { return append(r.others, self) }
+
 func (r *fakeRegistry) Era() (uint64, time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -102,15 +110,21 @@
 
 // startController runs a controller on a host whose store and registry have the given eras.
 func startController(t *testing.T, position serverlist.Position, era uint64, eraBegan time.Time) (*orders, *fakeStore) {
+	t.Helper()
+	return startControllerAmong(t, nil, position, era, eraBegan)
+}
+
+// startControllerAmong is startController with other hosts.
+func startControllerAmong(t *testing.T, others []netip.AddrPort, position serverlist.Position, era uint64, eraBegan time.Time) (*orders, *fakeStore) {
 	t.Helper()
 	received := &orders{}
 	server := httptest.NewServer(received)
 	t.Cleanup(server.Close)
-	r := &fakeRegistry{servers: []serverlist.Server{{ID: "i-1", Service: "m", Stage: serverlist.Prefill, Address: netip.MustParseAddrPort(server.Listener.Addr().String())}}}
+	r := &fakeRegistry{others: others, servers: []serverlist.Server{{ID: "i-1", Service: "m", Stage: serverlist.Prefill, Address: netip.MustParseAddrPort(server.Listener.Addr().String())}}}
 	r.setEra(era, eraBegan)
 	store := &fakeStore{position: position, committed: make(chan struct{})}
 	logger := &log.Logger{Handler: discard.New(), Level: log.InfoLevel}
-	controller := edgeorder.New("host-1", 0.13, r, store, upstream.NewPool(netip.Addr{}, metrics.NewSet()), logger, metrics.NewSet())
+	controller := edgeorder.New("host-1", self, 0.13, r, store, upstream.NewPool(netip.Addr{}, metrics.NewSet()), logger, metrics.NewSet())
 	go controller.Run(t.Context())
 	return received, store
 }
@@ -128,6 +142,28 @@
 	return 0
 }
 
+// In a large fleet only a few hosts may call the store when changes are due: each attempt to
+// become the leader takes several calls.
+func TestFewHostsTryToLead(t *testing.T) {
+	t.Parallel()
+	var others []netip.AddrPort
+	for i := range 200 {
+		others = append(others, netip.MustParseAddrPort(fmt.Sprintf("10.0.0.%d:1", i+1)))
+	}
+	_, many := startControllerAmong(t, others, serverlist.Position{Era: 1, Revision: 5}, 1, time.Time{})
+	_, alone := startController(t, serverlist.Position{Era: 1, Revision: 5}, 1, time.Time{})
+	select {
+	case <-alone.committed:
+	case <-time.After(testTimeout):
+		t.Fatal("a host without others has not tried to become the leader")
+	}
+	select {
+	case <-many.committed:
+		t.Error("a host that is no candidate has tried to become the leader at once")
+	case <-time.After(2 * time.Second):
+	}
+}
+
 // Revisions go back when the store is replaced by an older copy. Fencing tokens must not, or
 // servers reject the orders of the new leader, or obey those of the one before.
 func TestFencingTokensRiseAcrossEras(t *testing.T) {
