Let a few hosts of a failure domain read the store for the others

Cause: each host read the registrations, watched the configuration and the refusals by itself. Change: in a failure domain of six hosts or more three read the store (core/storereader), and the others follow one of them over a stream: changes of servers as the store's events, the version of the configuration, which they fetch from the reader, and a number that changes with the refusals. Each read of the store reaches the followers, also without a change. A follower whose reader is silent, ends, or has lost the store reads the store itself, within what the drain timeout leaves for a read and a query of other hosts; it then follows the next reader. A host that follows is not followed. Hosts that start for the first time wait for their role before they read anything but the list of hosts. Ruled out: followers that poll less (news comes later), watches that wait in each host (a priced call for each host and change), a tree of followers (a further hop for each level).

--- a/core/hoststate/hoststate.go
+++ b/core/hoststate/hoststate.go
@@ -25,7 +25,7 @@
 		Store         Store         `json:"store"`
 		// Hosts are the peer addresses of all known hosts, including this one.
 		Hosts []netip.AddrPort `json:"hosts"`
-		// AreHostsSettled is set once Hosts was the same in two reads. Before that the host
+		// AreHostsSettled is set once Hosts was the same in some reads, seconds apart. Before that the host
 		// issues no permits for servers with limits.
 		AreHostsSettled bool     `json:"areHostsSettled"`
 		Servers         []Server `json:"servers"`
@@ -46,6 +46,11 @@
 	Store struct {
 		IsUnreachable bool      `json:"isLost"`
 		LastResponse  time.Time `json:"lastAnswer"`
+		// FollowedHost is the peer address of the host that reads the store for this one, or
+		// empty if this one reads it itself. Followers is the number of hosts for which this
+		// one does.
+		FollowedHost string `json:"followedHost,omitempty"`
+		Followers    int    `json:"followers"`
 	}
 
 	// Server is a backend server as this host sees it.
--- a/core/serverlimit/issuer.go
+++ b/core/serverlimit/issuer.go
@@ -31,7 +31,7 @@
 	// homes of the server. It is not safe for concurrent use.
 	Issuer struct {
 		started time.Time
-		// isSettled is set once the list of hosts was the same in two reads.
+		// isSettled is set by Settle.
 		isSettled bool
 		buckets   map[string]*bucket
 	}
@@ -60,7 +60,7 @@
 	return &Issuer{started: started, buckets: make(map[string]*bucket)}
 }
 
-// Settle records that this host's list of hosts was the same in two reads some seconds apart.
+// Settle records that this host's list of hosts was the same in some reads, seconds apart.
 // Before that no permits are issued: while a fleet starts, hosts have read different lists, in
 // which many of them are homes.
 func (i *Issuer) Settle() {
--- a/core/serverlimit/issuer_test.go
+++ b/core/serverlimit/issuer_test.go
@@ -17,6 +17,8 @@
 	window = 4 * time.Second
 	factor = 1.5
 	slack  = 5
+	// settledReads is the number of equal reads of the list of hosts after which it is settled.
+	settledReads = 3
 	// tick is the step of the simulation.
 	tick = 10 * time.Millisecond
 )
@@ -48,6 +50,7 @@
 		frozenUntil time.Time
 		isUp        bool
 		isSettled   bool
+		equalReads  int
 	}
 )
 
@@ -76,12 +79,15 @@
 
 func (s *simulation) start(h *simulatedHost) {
 	h.table, h.homes, h.issuer = serverlimit.NewTable(), serverlimit.NewHomes(), serverlimit.NewIssuer(s.now)
-	h.list, h.readAt, h.isUp, h.isSettled = nil, s.now, true, false
+	h.list, h.readAt, h.isUp, h.isSettled, h.equalReads = nil, s.now, true, false, 0
 }
 
 // readList reads the list of hosts as a host does: every few seconds until it is settled.
 func (s *simulation) readList(h *simulatedHost) {
-	if !h.isSettled && h.list != nil && slices.Equal(h.list, s.registered) {
+	if !slices.Equal(h.list, s.registered) {
+		h.equalReads = 0
+	}
+	if h.equalReads++; h.equalReads == settledReads {
 		h.isSettled = true
 		h.issuer.Settle()
 	}
--- a/hickoryd/internal/edge/wiring.go
+++ b/hickoryd/internal/edge/wiring.go
@@ -98,7 +98,7 @@
 func newRegistry(s Settings, store *platform.Store, peers *edgehost.Client, logger log.Interface, set *metrics.Set) *registry.Registry {
 	return registry.New(registry.Options{
 		Self: platform.Host{Name: s.Name, Peer: s.Peer, FailureDomain: s.FailureDomain},
-		Poll: s.StorePoll(), Timeout: s.StoreTimeout,
+		Poll: s.StorePoll(), Timeout: s.StoreTimeout, IsFirstStart: s.IsFirstStart,
 	}, store, peers, logger, set)
 }
 
--- a/hickoryd/internal/edgehost/client.go
+++ b/hickoryd/internal/edgehost/client.go
@@ -37,6 +37,9 @@
 	// findTimeout limits the search for the origin of a stream, for which a caller
 	// waits.
 	findTimeout = 200 * time.Millisecond
+	// minFollowPeriod is the least time between two updates without a change that a host asks
+	// for.
+	minFollowPeriod = 100 * time.Millisecond
 	// bufferBytes is the size of a connection's read buffer and of its write buffer.
 	// It is small because messages are few and small.
 	bufferBytes = 4 << 10
--- a/hickoryd/internal/edgehost/configuration.go
+++ b/hickoryd/internal/edgehost/configuration.go
@@ -32,6 +32,12 @@
 	if err != nil || newest <= version {
 		return nil, err
 	}
+	return c.FetchConfigurationFrom(ctx, address, version)
+}
+
+// FetchConfigurationFrom fetches the document that the host at address has in force. It returns
+// nil if that is no newer than version.
+func (c *Client) FetchConfigurationFrom(ctx context.Context, address netip.AddrPort, version uint64) ([]byte, error) {
 	document, err := c.fetchDocument(ctx, address, version)
 	if err != nil {
 		return nil, fmt.Errorf("fetch configuration from %s, %d bytes so far: %w", address, len(document), err)
--- a/hickoryd/internal/edgehost/edgehost_test.go
+++ b/hickoryd/internal/edgehost/edgehost_test.go
@@ -67,6 +67,48 @@
 	return h.version, h.document
 }
 
+func (h *host) Follow(ctx context.Context, position serverlist.Position, _ time.Duration, send func(registry.Update) error) error {
+	for _, update := range h.updates(position) {
+		if err := send(update); err != nil {
+			return err
+		}
+	}
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+// updates returns what a host gets that follows this one.
+func (h *host) updates(position serverlist.Position) []registry.Update {
+	server := h.ViewSince(time.Time{}, serverlist.Position{}).Servers[0]
+	return []registry.Update{
+		{StoreAge: time.Second, IsComplete: true, Servers: []serverlist.Server{server}, Position: serverlist.Position{Era: position.Era, Revision: position.Revision + 1}, ConfigVersion: 4, Refusals: 2},
+		{Changes: []serverlist.Change{{ID: server.ID, Server: &server, Revision: 9}, {ID: "gone", Revision: 10}}, Position: serverlist.Position{Era: position.Era, Revision: 10}, ConfigVersion: 5},
+	}
+}
+
+// TestFollow checks that a follower gets the updates as they are sent.
+func TestFollow(t *testing.T) {
+	h := &host{}
+	address := serve(t, h, nil)
+	client := newClient(t, address)
+	position := serverlist.Position{Era: 2, Revision: 7}
+	errEnough := errors.New("enough")
+	var got []registry.Update
+	err := client.Follow(t.Context(), address, position, time.Second, func(update registry.Update) error {
+		got = append(got, update)
+		if len(got) == 2 {
+			return errEnough
+		}
+		return nil
+	})
+	if !errors.Is(err, errEnough) {
+		t.Fatalf("error %v, want %v", err, errEnough)
+	}
+	if diff := gocmp.Diff(h.updates(position), got, gocmp.Comparer(func(a, b netip.AddrPort) bool { return a == b })); diff != "" {
+		t.Errorf("updates (-sent +received):\n%s", diff)
+	}
+}
+
 func (h *host) ReportLoss(_ time.Time, _ uint64, server string) { h.record(&h.lost, server) }
 
 func (h *host) ReportReplaced(_ time.Time, server string) { h.record(&h.replaced, server) }
--- a/hickoryd/internal/edgehost/server.go
+++ b/hickoryd/internal/edgehost/server.go
@@ -20,6 +20,9 @@
 		// Configuration returns the version and the document of the configuration in
 		// force, or 0 and nil before the first one. The caller must not modify the document.
 		Configuration() (version uint64, document []byte)
+		// Follow sends updates of what this host reads from the store to a host that has the
+		// servers up to position, at least one each period.
+		Follow(ctx context.Context, position serverlist.Position, period time.Duration, send func(registry.Update) error) error
 	}
 
 	// ReportReceiver receives the other hosts' reports about failed servers.
--- a/hickoryd/internal/originstore/originstore.go
+++ b/hickoryd/internal/originstore/originstore.go
@@ -28,7 +28,7 @@
 
 const (
 	// tick is the time between two checks of the records.
-	tick = 100 * time.Millisecond
+	tick = 200 * time.Millisecond
 	// observePeriod is the time between two observations of an unchanged server list.
 	observePeriod = time.Second
 	// historyRetention is how long versions of removed servers are remembered.
@@ -40,6 +40,9 @@
 	// for writerDelay to twice that, and read the record before they write it.
 	writers     = 3
 	writerDelay = 300 * time.Millisecond
+	// firstReadDelay is the time after which a host that is no writer reads a record for the
+	// first time when the fleet starts for the first time.
+	firstReadDelay = 1500 * time.Millisecond
 	// retryDelay is the time after a call that failed until the next one.
 	retryDelay = 500 * time.Millisecond
 	// maxAvoidance is the longest time for which servers of a version get no streams because
@@ -298,6 +301,9 @@
 	}
 	r.mu.Lock()
 	s := r.service(name)
+	if !s.isRead && s.dueAt.IsZero() && r.options.IsFirstStart && !r.isWriter(name) {
+		s.dueAt = now.Add(firstReadDelay) // by then the record has been written
+	}
 	isRead, dueAt := s.isRead, s.dueAt
 	next, isChange := r.next(now, name, listed)
 	isWriter := r.isWriter(name)
--- a/hickoryd/internal/quarantine/quarantine.go
+++ b/hickoryd/internal/quarantine/quarantine.go
@@ -35,6 +35,18 @@
 	Registry interface {
 		// IsStoreUnreachable reports whether the store does not respond to this host.
 		IsStoreUnreachable() bool
+		// FollowedRefusals returns a number that changes with the refusals in the store, as a
+		// host that reads them has told this one, and a channel that is closed when it
+		// changes. isFollowing is false while this host reads the store itself.
+		FollowedRefusals() (refusals uint64, changed <-chan struct{}, isFollowing bool)
+		// AwaitRole waits until it is known whether this host reads the store itself, but not
+		// longer than limit.
+		AwaitRole(ctx context.Context, limit time.Duration)
+		// IsFirstStart reports whether no host has run before, so that the store has no
+		// refusals when this host starts.
+		IsFirstStart() bool
+		// NotifyRefusals tells the hosts that follow this one that the refusals have changed.
+		NotifyRefusals()
 		// List reads all keys with a prefix, and returns the position after which changes
 		// may have been missed.
 		List(ctx context.Context, prefix string) (items []platform.Item, position serverlist.Position, err error)
@@ -50,6 +62,9 @@
 		logger     log.Interface
 		refused    *metrics.Counter
 		writes     chan write
+		// refusalsRead is the number that a reader of the store has told for the refusals that
+		// were read last. Only RunRefusals uses it.
+		refusalsRead uint64
 
 		mu    sync.Mutex
 		table *crash.PartTable
--- a/hickoryd/internal/quarantine/quarantine_test.go
+++ b/hickoryd/internal/quarantine/quarantine_test.go
@@ -70,6 +70,14 @@
 
 func (r registry) IsStoreUnreachable() bool { return r.isUnreachable }
 
+func (registry) FollowedRefusals() (uint64, <-chan struct{}, bool) { return 0, nil, false }
+
+func (registry) NotifyRefusals() {}
+
+func (registry) AwaitRole(context.Context, time.Duration) {}
+
+func (registry) IsFirstStart() bool { return false }
+
 func (registry) List(context.Context, string) ([]platform.Item, serverlist.Position, error) {
 	return nil, serverlist.Position{}, errors.New("no store")
 }
--- a/hickoryd/internal/quarantine/store.go
+++ b/hickoryd/internal/quarantine/store.go
@@ -27,6 +27,9 @@
 	callTimeout = 5 * time.Second
 	// watchWait is how long a watch waits for a refusal. The platform allows 30 s.
 	watchWait = 25 * time.Second
+	// roleWait is how long a host that starts waits until it is known whether it follows
+	// another one.
+	roleWait = 4 * time.Second
 	// retryDelay is the minimum time between two attempts at a call that fails.
 	retryDelay = 400 * time.Millisecond
 )
@@ -178,6 +181,19 @@
 			_ = timing.Sleep(ctx, retryDelay) // the loop condition checks ctx
 			continue
 		}
+		if refusals, changed, isFollowing := q.registry.FollowedRefusals(); isFollowing {
+			if q.readRefusals(ctx, refusals) {
+				awaitChange(ctx, changed)
+			}
+			after = serverlist.Position{}
+			continue
+		}
+		if after != (serverlist.Position{}) || q.registry.IsFirstStart() {
+			q.registry.AwaitRole(ctx, roleWait) // reads of the store may be unnecessary then
+			if _, _, isFollowing := q.registry.FollowedRefusals(); isFollowing {
+				continue
+			}
+		}
 		next, err := q.followRefusals(ctx, after)
 		if err != nil {
 			after = serverlist.Position{}
@@ -188,12 +204,38 @@
 	}
 }
 
+// readRefusals reads the refusals if the number that a reader of the store has told has changed
+// since they were read last. It reports whether they are up to date.
+func (q *Quarantine) readRefusals(ctx context.Context, refusals uint64) bool {
+	if q.refusalsRead == refusals {
+		return true
+	}
+	items, _, err := q.registry.List(ctx, platform.PartRefusalsPrefix)
+	if err != nil {
+		_ = timing.Sleep(ctx, retryDelay+rand.N(retryDelay)) // the caller's loop checks ctx
+		return false
+	}
+	q.applyRefusals(items)
+	q.refusalsRead = refusals
+	return true
+}
+
+func awaitChange(ctx context.Context, changed <-chan struct{}) {
+	select {
+	case <-ctx.Done():
+	case <-changed:
+	}
+}
+
 // followRefusals reads all refusals if after is zero, and otherwise waits for a change after
 // that position. It returns the position from which the next call continues.
 func (q *Quarantine) followRefusals(ctx context.Context, after serverlist.Position) (serverlist.Position, error) {
 	if after == (serverlist.Position{}) {
 		items, position, err := q.registry.List(ctx, platform.PartRefusalsPrefix)
 		q.applyRefusals(items)
+		if len(items) > 0 {
+			q.registry.NotifyRefusals() // they may have changed while this host read nothing
+		}
 		return position, err
 	}
 	ctx, cancel := context.WithTimeout(idletimeout.WithWait(ctx, watchWait, nil), watchWait+callTimeout)
@@ -203,6 +245,9 @@
 		return serverlist.Position{}, err
 	}
 	q.applyRefusals(page.Items)
+	if len(page.Items) > 0 {
+		q.registry.NotifyRefusals()
+	}
 	if page.Era != after.Era {
 		return serverlist.Position{}, nil // these events do not follow those of the era before
 	}
--- a/hickoryd/internal/registry/follow.go
+++ b/hickoryd/internal/registry/follow.go
@@ -12,6 +12,7 @@
 	"github.com/apex/log"
 
 	"github.com/hickoryfront/hickoryfront/core/serverlist"
+	"github.com/hickoryfront/hickoryfront/core/storereader"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/idletimeout"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/timing"
 	"github.com/hickoryfront/hickoryfront/platform"
@@ -27,11 +28,15 @@
 	peerTimeout = 250 * time.Millisecond
 	// hostListPeriod is the time between two reads of the host list.
 	hostListPeriod = 8 * time.Second
-	// hostListStartDelay is the time between two reads of the host list until two of them
-	// are the same: by then the other hosts have started as well. Until this host is
-	// registered for the first time, the delay is also the time between two attempts to
-	// register.
+	// hostListStartDelay is the time between two reads of the host list until settledReads of
+	// them in a row are the same: by then the other hosts have started as well. Reads may be
+	// stale by seconds. Until this host is registered for the first time, the delay is also
+	// the time between two attempts to register.
 	hostListStartDelay = 2500 * time.Millisecond
+	settledReads       = 3
+	// hostListFirstDelay is the time until the first read when the fleet starts for the first
+	// time. By then nearly all hosts have registered.
+	hostListFirstDelay = time.Second
 	// hostLease is how long this host's registration lasts without a renewal.
 	hostLease = 60 * time.Second
 	// renewPeriod is the time between two renewals of hostLease.
@@ -54,7 +59,14 @@
 // also checks whether the store responds to this host.
 func (r *Registry) RunServers(ctx context.Context) {
 	isComplete := false
+	if r.options.IsFirstStart {
+		r.awaitReaders(ctx, roleWait) // reads of the store may be unnecessary then
+	}
 	for ctx.Err() == nil {
+		if isClosed(r.areReadersKnown) {
+			r.followReaders(ctx)
+			isComplete = isComplete || r.position().Revision > 0
+		}
 		var err error
 		isComplete, err = r.syncServers(ctx, isComplete)
 		if ctx.Err() != nil {
@@ -65,10 +77,15 @@
 			r.fetchFromPeers(ctx)
 		}
 		r.updateServers(func(list *serverlist.List) { list.Expire(time.Now()) })
-		pause := r.options.Poll + rand.N(r.options.Poll/8)
+		poll := r.pollInterval()
+		pause := poll + rand.N(poll/8)
 		if err != nil {
 			pause /= 2
 		}
+		if err == nil && !isClosed(r.areReadersKnown) {
+			r.awaitReaders(ctx, pause)
+			continue
+		}
 		_ = timing.Sleep(ctx, pause) // the loop condition checks ctx
 	}
 }
@@ -102,6 +119,10 @@
 	r.markStoreReachable(time.Now())
 	changes := r.decodeServers(page.Items)
 	r.updateServers(func(list *serverlist.List) { list.Apply(time.Now(), changes, nextRevision(page.Items, after)) })
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.changeLog.Append(changes)
+	r.notifyUpdate() // also without changes: the store has responded
 	return true, nil
 }
 
@@ -130,9 +151,18 @@
 	r.markStoreReachable(time.Now())
 	changes := r.decodeServers(items)
 	r.updateServers(func(list *serverlist.List) { list.Replace(time.Now(), changes, position.Revision) })
+	r.resetChangeLog()
 	return true, nil
 }
 
+// resetChangeLog makes followers take the complete list, since it was replaced.
+func (r *Registry) resetChangeLog() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.changeLog.Reset(r.list.Position())
+	r.notifyUpdate()
+}
+
 // position returns the position up to which the server list is complete.
 func (r *Registry) position() serverlist.Position {
 	r.mu.Lock()
@@ -190,6 +220,7 @@
 	if view.HasServers {
 		r.beginEra(time.Now(), view.Position.Era)
 		r.updateServers(func(list *serverlist.List) { list.Adopt(time.Now(), view.Servers, view.Position) })
+		r.resetChangeLog()
 	}
 	if len(view.Hosts) > 0 {
 		r.setHosts(view.Hosts)
@@ -219,6 +250,17 @@
 			after = 0 // read the document again: the watch may have missed changes
 			continue
 		}
+		if r.awaitAnnouncement(ctx, changed) {
+			after = 0 // changes may be missed when this host reads the store again
+			continue
+		}
+		if after != 0 || r.options.IsFirstStart {
+			r.AwaitRole(ctx, roleWait) // reads of the store may be unnecessary then
+			if r.awaitAnnouncement(ctx, changed) {
+				after = 0
+				continue
+			}
+		}
 		started := time.Now()
 		next, err := r.syncConfiguration(ctx, after, changed)
 		if err != nil && ctx.Err() == nil {
@@ -328,7 +370,12 @@
 	var lease uint64
 	var renewed time.Time
 	pause := hostListStartDelay
+	if r.options.IsFirstStart {
+		pause = hostListFirstDelay
+	}
 	isReplaced := false
+	isStarting := r.options.IsFirstStart // the other hosts have not registered yet
+	isFirst := r.options.IsFirstStart
 	for ctx.Err() == nil {
 		if isUnreachable, _ := r.storeState(); !isUnreachable {
 			now := time.Now()
@@ -336,9 +383,11 @@
 				lease = r.register(ctx, lease)
 				renewed = now
 			}
-			if !isReplaced {
-				r.listHosts(ctx)
+			if !isReplaced && !isStarting {
+				r.listHosts(ctx, isFirst)
+				isFirst = false
 			}
+			isStarting = false
 		}
 		isReplaced = false
 		select {
@@ -349,6 +398,7 @@
 			continue
 		case <-time.After(pause):
 		}
+		pause = hostListStartDelay
 		if lease != 0 && r.AreHostsSettled() {
 			pause = hostListPeriod + rand.N(hostListPeriod/4)
 		}
@@ -385,16 +435,16 @@
 	return lease
 }
 
-// listHosts reads the host list and sets it if it has an entry. The list is settled once two
-// reads of it that are not stale are the same.
-func (r *Registry) listHosts(ctx context.Context) {
-	isSettled := r.AreHostsSettled()
-	items, _, err := r.listAll(ctx, platform.HostsPrefix, isSettled)
+// listHosts reads the host list and sets it, unless it has no entry or is older than the last
+// one: cheap reads are stale by seconds. With isFirst the read is not stale.
+func (r *Registry) listHosts(ctx context.Context, isFirst bool) {
+	items, position, err := r.listAll(ctx, platform.HostsPrefix, !isFirst)
 	if err != nil {
 		r.logger.WithError(err).Debug("can't read the host list; keeping the last one")
 		return
 	}
 	var hosts []netip.AddrPort
+	var listed []storereader.Host
 	for _, item := range items {
 		host, err := platform.DecodeHost(item)
 		if err != nil {
@@ -402,13 +452,23 @@
 			continue
 		}
 		hosts = append(hosts, host.Peer)
+		listed = append(listed, storereader.Host{Address: host.Peer, FailureDomain: host.FailureDomain})
 	}
-	if len(hosts) == 0 {
+	r.mu.Lock()
+	if len(hosts) == 0 || position.IsBefore(r.hostsPosition) {
+		r.mu.Unlock()
 		return
 	}
-	r.mu.Lock()
-	r.areHostsSettled = isSettled || slices.Equal(hosts, r.lastHosts)
-	r.lastHosts = hosts
+	r.hostsPosition = position
+	if !slices.Equal(listed, r.listedHosts) {
+		r.listedHosts, r.equalReads = listed, 0
+	}
+	r.equalReads++
+	r.reads++
+	r.areHostsSettled = r.areHostsSettled || r.equalReads >= settledReads
+	if r.reads == 1 {
+		close(r.areReadersKnown)
+	}
 	r.mu.Unlock()
 	r.setHosts(hosts)
 }
--- a/hickoryd/internal/registry/registry.go
+++ b/hickoryd/internal/registry/registry.go
@@ -19,6 +19,7 @@
 	"github.com/hickoryfront/hickoryfront/core/hoststate"
 	"github.com/hickoryfront/hickoryfront/core/route"
 	"github.com/hickoryfront/hickoryfront/core/serverlist"
+	"github.com/hickoryfront/hickoryfront/core/storereader"
 	"github.com/hickoryfront/hickoryfront/platform"
 )
 
@@ -34,6 +35,13 @@
 		// FetchConfiguration returns the newest document that other hosts have in force,
 		// or nil if it is no newer than version.
 		FetchConfiguration(ctx context.Context, version uint64) ([]byte, error)
+		// FetchConfigurationFrom returns the document that the host at address has in force,
+		// or nil if it is no newer than version.
+		FetchConfigurationFrom(ctx context.Context, address netip.AddrPort, version uint64) ([]byte, error)
+		// Follow receives the updates of the host at address, at least one in each period,
+		// until it can't be followed or receive fails. position is that of the list that this
+		// host has.
+		Follow(ctx context.Context, address netip.AddrPort, position serverlist.Position, period time.Duration, receive func(Update) error) error
 		// SetHosts sets the peer addresses of the hosts.
 		SetHosts(hosts []netip.AddrPort)
 	}
@@ -62,6 +70,9 @@
 		// Timeout is the time without progress after which the store's client cancels a
 		// call. Registering this host may take three times as long.
 		Timeout time.Duration
+		// IsFirstStart is set if no host has run before, so that the hosts find each other
+		// while they start.
+		IsFirstStart bool
 	}
 
 	// Snapshot is the list of registered backend servers. It is immutable.
@@ -85,10 +96,32 @@
 		document []byte
 		list     *serverlist.List
 		hosts    []netip.AddrPort
-		// lastHosts is the host list of the last read from the store, and areHostsSettled is
-		// set once it was the same as the one before.
-		lastHosts       []netip.AddrPort
+		// listedHosts are the hosts of the last read from the store, which was the same in
+		// the last equalReads reads. areHostsSettled is set once these were enough.
+		listedHosts     []storereader.Host
+		equalReads      int
 		areHostsSettled bool
+		// hostsPosition is the position of that read, and reads the number of reads.
+		// areReadersKnown is closed after the first one, from which the readers are chosen,
+		// and roleKnown once this host follows a reader, or reads the store itself.
+		hostsPosition   serverlist.Position
+		reads           int
+		areReadersKnown chan struct{}
+		roleKnown       chan struct{}
+		// changeLog holds the changes of list for the followers, and updated is closed and
+		// replaced when there is something to tell them.
+		changeLog serverlist.ChangeLog
+		updated   chan struct{}
+		// followed is the reader that this host follows, or the zero address.
+		followed netip.AddrPort
+		// announcedVersion is the version of the configuration that a reader has announced,
+		// and announced is closed and replaced when it rises.
+		announcedVersion uint64
+		announced        chan struct{}
+		// refusals is the number that FollowedRefusals returns, and refusalsChanged is closed
+		// and replaced when it changes.
+		refusals        uint64
+		refusalsChanged chan struct{}
 		// lastResponse is when the store last responded.
 		lastResponse  time.Time
 		isUnreachable bool
@@ -103,6 +136,11 @@
 		// loggedKeys are the keys of invalid entries that were logged already.
 		loggedKeys map[string]bool
 
+		// followers is the number of hosts that follow this one.
+		followers atomic.Int64
+		// readerFailedAt is when readers could not be followed. Only RunServers uses it.
+		readerFailedAt map[netip.AddrPort]time.Time
+
 		calls    *metrics.Counter
 		failures *metrics.Counter
 		// configurationFailures is the part of failures that concerns the configuration.
@@ -116,12 +154,15 @@
 	r := &Registry{
 		options: options, store: store, peers: peers, logger: logger,
 		list: serverlist.NewList(), changed: make(chan struct{}), replaced: make(chan struct{}, 1), loggedKeys: make(map[string]bool),
+		updated: make(chan struct{}), announced: make(chan struct{}), refusalsChanged: make(chan struct{}), areReadersKnown: make(chan struct{}), roleKnown: make(chan struct{}), readerFailedAt: make(map[netip.AddrPort]time.Time),
 		calls:                 set.NewCounter(`hickoryfront_store_calls_total`),
 		failures:              set.NewCounter(`hickoryfront_store_failures_total`),
 		configurationFailures: set.NewCounter(`hickoryfront_configuration_read_failures_total`),
 		peerCalls:             set.NewCounter(`hickoryfront_store_peer_fetches_total`),
 	}
 	set.NewGauge(`hickoryfront_configuration_version`, func() float64 { return float64(r.version()) })
+	set.NewGauge(`hickoryfront_store_followers`, func() float64 { return float64(r.followers.Load()) })
+	set.NewGauge(`hickoryfront_store_is_followed`, r.followsReader)
 	r.snapshot.Store(&Snapshot{})
 	return r
 }
@@ -151,7 +192,12 @@
 	return len(r.hosts)
 }
 
-// AreHostsSettled reports whether the host list was the same in two reads some seconds apart.
+// IsFirstStart reports whether no host has run before.
+func (r *Registry) IsFirstStart() bool {
+	return r.options.IsFirstStart
+}
+
+// AreHostsSettled reports whether the host list was the same in some reads seconds apart.
 // While a fleet starts, hosts have read different lists.
 func (r *Registry) AreHostsSettled() bool {
 	r.mu.Lock()
@@ -163,7 +209,10 @@
 func (r *Registry) Describe(s *hoststate.State) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	s.Store = hoststate.Store{IsUnreachable: r.isUnreachable, LastResponse: r.lastResponse}
+	s.Store = hoststate.Store{IsUnreachable: r.isUnreachable, LastResponse: r.lastResponse, Followers: int(r.followers.Load())}
+	if r.followed.IsValid() {
+		s.Store.FollowedHost = r.followed.String()
+	}
 	s.Hosts = slices.Clone(r.hosts)
 	s.AreHostsSettled = r.areHostsSettled
 	if table := r.table.Load(); table != nil {
@@ -211,6 +260,7 @@
 	}
 	r.document = bytes.Clone(document)
 	r.table.Store(route.NewTable(decoded))
+	r.notifyUpdate()
 	r.logger.WithFields(log.Fields{"version": decoded.Version, "routes": len(decoded.Routes), "source": source}).Info("configuration in force")
 }
 
@@ -273,6 +323,7 @@
 	}
 	r.isUnreachable = true
 	r.notifyChange()
+	r.notifyUpdate()
 	r.logger.WithError(err).WithField("lastAnswer", now.Sub(r.lastResponse).String()).Warn("store is unreachable; reading from other hosts")
 }
 
--- a/hickoryd/internal/registry/registry_test.go
+++ b/hickoryd/internal/registry/registry_test.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -31,6 +32,8 @@
 // storeTimeout is the setting of the hosts.
 const storeTimeout = time.Second
 
+var errNoPeer = errors.New("no such host")
+
 // store is a fake platform store whose contents and failures a test sets.
 type store struct {
 	mu sync.Mutex
@@ -45,6 +48,7 @@
 	configRevision    uint64 // revision of the configuration; 0: the newest
 	isDown            bool
 	documentTime      time.Duration // how long the configuration takes to arrive
+	hosts             []any         // registrations of hosts
 	// transfers is the number of configurations of which a part has been sent. With
 	// isListStarved, calls that concern the servers are refused meanwhile.
 	transfers     int
@@ -75,7 +79,11 @@
 	case "kv-key":
 		s.writeDocument(w, r, s.configuration())
 	case "kv-range":
-		write(w, map[string]any{"items": s.items(r.URL.Query().Get("path-prefix")), "at": s.revision})
+		items := s.hosts
+		if prefix := r.URL.Query().Get("path-prefix"); prefix != platform.HostsPrefix {
+			items = s.items(prefix)
+		}
+		write(w, map[string]any{"items": items, "at": s.revision})
 	case "kv-watch":
 		s.serveWatch(w, r)
 	default:
@@ -196,6 +204,14 @@
 
 func (p *peers) SetHosts([]netip.AddrPort) {}
 
+func (p *peers) FetchConfigurationFrom(context.Context, netip.AddrPort, uint64) ([]byte, error) {
+	return nil, errNoPeer
+}
+
+func (p *peers) Follow(context.Context, netip.AddrPort, serverlist.Position, time.Duration, func(registry.Update) error) error {
+	return errNoPeer
+}
+
 func start(t *testing.T, s *store, p *peers) *registry.Registry {
 	t.Helper()
 	server := httptest.NewServer(s)
