Review cases 2 and 3: long requests together, and a fairer form of the waiting request

Case 2, new: 17 requests of max-body-bytes in chunks arrive at one host together; its memory exceeds the limit of 134 MB, the platform kills it, and 6 of 6 holds that workers run lose their connections.

Case 3, formerly 2: the client of the earlier form waited longer than the platform's clients do. Nothing is fixed.

--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -17,9 +17,10 @@
 	id     string
 	status int // 0: no answer
 	stamp  string
-	// events are the numbers of the events received.
-	events []int
-	text   string
+	// events are the numbers of the events received, and versions who made them.
+	events   []int
+	versions map[string]int
+	text     string
 	// isComplete is set if the answer has come to its end.
 	isComplete bool
 	err        error
@@ -33,6 +34,9 @@
 	header           map[string]string
 	deadline         time.Duration
 	onEvent          func(number int)
+	// patience is the gap after which the client abandons a stream, also before its first
+	// event, or zero.
+	patience time.Duration
 }
 
 // send sends one request on a new connection and reads the answer.
@@ -40,7 +44,21 @@
 	started := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, a.deadline+time.Second)
 	defer cancel()
-	o := outcome{id: a.id}
+	o := outcome{id: a.id, versions: make(map[string]int)}
+	if a.patience > 0 {
+		leave := time.AfterFunc(a.patience, func() {
+			s.note("client abandons %s", a.id)
+			cancel()
+		})
+		defer leave.Stop()
+		onEvent := a.onEvent
+		a.onEvent = func(number int) {
+			leave.Reset(a.patience)
+			if onEvent != nil {
+				onEvent(number)
+			}
+		}
+	}
 	defer func() { o.took = time.Since(started) }()
 	request, err := http.NewRequestWithContext(ctx, a.method, "http://"+h.ip+":18080"+a.path, a.body)
 	if err != nil {
@@ -73,6 +91,9 @@
 				a.onEvent(number)
 			}
 		}
+		if _, version, ok := strings.Cut(line, " made by "); ok {
+			o.versions[strings.TrimSpace(version)]++
+		}
 		if err != nil {
 			o.isComplete = errors.Is(err, io.EOF)
 			if !o.isComplete {
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -115,7 +115,7 @@
 			continue
 		}
 		s.store = newStore()
-		s.cluster = &cluster{store: s.store, record: s.record, handles: make(map[string]handle)}
+		s.cluster = &cluster{store: s.store, record: s.record, handles: make(map[string]handle), ran: make(map[string]bool)}
 		go func() { _ = http.Serve(listener, s.store) }()
 		s.store.put("op/config", map[string]any{
 			"version": 7, "routes": routes,
@@ -130,9 +130,16 @@
 	return errors.New("no free network")
 }
 
+// targetLatency is the time within which the first event of a stream is due, in ms.
+const targetLatency = 900
+
 func streamRoute(name, prefix string, attempts int, isResumable bool) map[string]any {
+	return slowStreamRoute(name, prefix, targetLatency, attempts, isResumable)
+}
+
+func slowStreamRoute(name, prefix string, targetMS, attempts int, isResumable bool) map[string]any {
 	return map[string]any{
-		"name": name, "hostname": "h.example", "path-prefix": prefix, "kind": "streaming", "timeout-ms": 14000, "target-latency-ms": 900, "priority": 1,
+		"name": name, "hostname": "h.example", "path-prefix": prefix, "kind": "streaming", "timeout-ms": 14000, "target-latency-ms": targetMS, "priority": 1,
 		"service": "model", "max-attempts": attempts, "sticky-sessions": true, "resumable": isResumable, "target-gap-ms": 300,
 	}
 }
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -18,6 +19,7 @@
 	history  []item
 	leases   map[uint64]lease
 	changed  chan struct{}
+	isDown   atomic.Bool
 }
 
 type item struct {
@@ -39,8 +41,13 @@
 	return &store{revision: 1, items: make(map[string]item), leases: make(map[uint64]lease), changed: make(chan struct{})}
 }
 
-// put writes a key as the operator or a worker does.
+// put writes a key as the operator or a worker does. While the store is down, the writer tries
+// again until it is back.
 func (s *store) put(key string, value any) {
+	if s.isDown.Load() {
+		time.AfterFunc(100*time.Millisecond, func() { s.put(key, value) })
+		return
+	}
 	text, err := json.Marshal(value)
 	if err != nil {
 		panic(err)
@@ -107,6 +114,9 @@
 
 // ServeHTTP implements http.Handler.
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if s.isDown.Load() {
+		panic(http.ErrAbortHandler) // the connection is reset
+	}
 	w.Header().Set("Store-Era", "1")
 	query := r.URL.Query()
 	name, argument, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/hickoryfront/"), "/")
@@ -196,6 +206,9 @@
 		}
 		select {
 		case <-changed:
+			if s.isDown.Load() {
+				panic(http.ErrAbortHandler)
+			}
 		case <-deadline:
 			reply(w, http.StatusOK, map[string]any{"events": events, "at": at})
 			return
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -21,6 +21,7 @@
 
 	mu      sync.Mutex
 	handles map[string]handle // by "IP:PORT/HANDLE"
+	ran     map[string]bool   // plain requests, by ID
 	count   int
 }
 
@@ -35,6 +36,7 @@
 	cluster                    *cluster
 	id, service, address, zone string
 	stage                      string
+	version                    string // of its software
 	// eventPause is the time between two events of a stream, plainTime the time that a plain
 	// request takes.
 	eventPause, plainTime time.Duration
@@ -52,6 +54,10 @@
 	answered int // streams
 	// isUnframed says which of the next streams get an answer that ends with its connection.
 	isUnframed func() bool
+	// finished is closed when all streams come to their ends at once, as a model may end its
+	// answer before the maximum of tokens.
+	finished chan struct{}
+	sockets  map[net.Conn]bool // of streams
 }
 
 // run is a stream in progress.
@@ -61,11 +67,16 @@
 	gone    chan struct{} // closed when the stream has been closed
 }
 
+// start starts a worker with the version v1 of its software.
 func (c *cluster) start(id, service, stage, zone, address string, memory int) (*worker, error) {
+	return c.startVersion(id, service, stage, "v1", zone, address, memory)
+}
+
+func (c *cluster) startVersion(id, service, stage, version, zone, address string, memory int) (*worker, error) {
 	w := &worker{
-		cluster: c, id: id, service: service, stage: stage, zone: zone, address: address, memory: memory, state: "ready", born: time.Now(),
+		cluster: c, id: id, service: service, stage: stage, version: version, zone: zone, address: address, memory: memory, state: "ready", born: time.Now(),
 		eventPause: 20 * time.Millisecond, plainTime: 15 * time.Millisecond, holds: make(map[string]int), runs: make(map[string]*run),
-		isUnframed: func() bool { return false },
+		isUnframed: func() bool { return false }, finished: make(chan struct{}), sockets: make(map[net.Conn]bool),
 	}
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
@@ -80,7 +91,7 @@
 func (w *worker) register() {
 	w.mu.Lock()
 	entry := map[string]any{
-		"service": w.service, "address": w.address, "zone": w.zone, "version": "v1", "slots": 64, "state": w.state, "cold-remaining-ms": 0,
+		"service": w.service, "address": w.address, "zone": w.zone, "version": w.version, "slots": 64, "state": w.state, "cold-remaining-ms": 0,
 		"sequence": w.orders, "born": w.born.UnixMilli(),
 	}
 	if w.stage != "" {
@@ -100,6 +111,20 @@
 	w.cluster.record.note("worker %s reports that it is draining", w.id)
 }
 
+// crash ends the worker's process: its connections are reset, and nothing listens any more.
+func (w *worker) crash() {
+	w.cluster.record.note("worker %s crashes", w.id)
+	_ = w.server.Close()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for socket := range w.sockets {
+		if tcp, ok := socket.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		_ = socket.Close()
+	}
+}
+
 func (w *worker) isLeaving() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -240,7 +265,17 @@
 	return h, ok
 }
 
+// hasRun reports whether a worker has begun to run a plain request.
+func (c *cluster) hasRun(id string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ran[id]
+}
+
 func (w *worker) servePlain(rw http.ResponseWriter, r *http.Request, body []byte) {
+	w.cluster.mu.Lock()
+	w.cluster.ran[r.Header.Get("Request-Id")] = true
+	w.cluster.mu.Unlock()
 	w.cluster.record.note("worker %s runs %s", w.id, r.Header.Get("Request-Id"))
 	time.Sleep(w.plainTime)
 	rw.Header().Set("Server-Stamp", "stamp."+w.id)
@@ -267,8 +302,8 @@
 }
 
 // eventText is the event with the given number of the stream that answers a request.
-func eventText(body string, number int) string {
-	return fmt.Sprintf("id: %d\ndata: %s %d\n\n", number, body, number)
+func eventText(body string, number int, version string) string {
+	return fmt.Sprintf("id: %d\ndata: %s %d made by %s\n\n", number, body, number, version)
 }
 
 // serveStream streams one event for each output token.
@@ -306,7 +341,15 @@
 		return
 	}
 	defer close(current.gone)
-	defer socket.Close()
+	w.mu.Lock()
+	w.sockets[socket] = true
+	w.mu.Unlock()
+	defer func() {
+		socket.Close()
+		w.mu.Lock()
+		delete(w.sockets, socket)
+		w.mu.Unlock()
+	}()
 	w.cluster.record.note("worker %s runs %s after event %d, unframed %t", w.id, id, last, isUnframed)
 	gone := make(chan struct{})
 	go func() {
@@ -323,8 +366,9 @@
 	}
 	_, _ = out.WriteString(head + "\r\n")
 	_ = out.Flush()
+events:
 	for number := last + 1; number <= eventCount(r); number++ {
-		text := eventText(body, number)
+		text := eventText(body, number, w.version)
 		if !isUnframed {
 			text = fmt.Sprintf("%x\r\n%s\r\n", len(text), text)
 		}
@@ -337,6 +381,8 @@
 		w.mu.Unlock()
 		select {
 		case <-time.After(w.eventPause):
+		case <-w.finished:
+			break events
 		case <-gone:
 			w.cluster.record.note("worker %s: the connection of %s was closed after event %d", w.id, id, number)
 			return
