--- a/hickorylab/edgesoak/caller_test.go
+++ b/hickorylab/edgesoak/caller_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"errors"
 	"fmt"
 	"io"
@@ -42,6 +43,16 @@
 		conn        net.Conn
 		reader      *bufio.Reader
 		random      *rand.Rand
+		// maxGap is how long the caller waits for the next part of a response, or 0 to wait
+		// until the deadline.
+		maxGap time.Duration
+	}
+
+	// gapReader reads a response on a connection and gives up after a gap.
+	gapReader struct {
+		io.Reader
+		caller   *caller
+		deadline time.Time
 	}
 
 	// callerRequest is a request with all its attempts.
@@ -59,6 +70,10 @@
 		// dropAfter is the number of bytes of the response after which the caller drops the
 		// connection, or 0.
 		dropAfter int64
+		// events is the number of events of a stream, or 0 for streamEvents.
+		events int
+		// promptTokens is the size of the prompt, or 0 for 1500.
+		promptTokens int
 	}
 
 	// event is an event of a stream, without the version of the software that sent it.
@@ -161,7 +176,7 @@
 	if err != nil {
 		return "", err
 	}
-	if err := c.conn.SetDeadline(o.deadline); err != nil {
+	if err := c.extend(o.deadline); err != nil {
 		return "", err
 	}
 	if err := request.Write(c.conn); err != nil {
@@ -177,7 +192,7 @@
 	if seconds, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64); err == nil {
 		o.retryAfter = time.Duration(seconds * float64(time.Second))
 	}
-	var reader io.Reader = response.Body
+	var reader io.Reader = gapReader{response.Body, c, o.deadline}
 	if r.dropAfter > 0 {
 		reader = io.MultiReader(io.LimitReader(reader, r.dropAfter), iotest.ErrReader(errDropped))
 	}
@@ -188,6 +203,26 @@
 	return string(body), err
 }
 
+// extend sets the deadline of the connection anew.
+func (c *caller) extend(deadline time.Time) error {
+	if next := time.Now().Add(c.maxGap); c.maxGap > 0 && next.Before(deadline) {
+		deadline = next
+	}
+	return c.conn.SetDeadline(deadline)
+}
+
+// Read implements io.Reader.
+func (r gapReader) Read(p []byte) (int, error) {
+	if err := r.caller.extend(r.deadline); err != nil {
+		return 0, err
+	}
+	return r.Reader.Read(p)
+}
+
+func (r callerRequest) eventCount() uint64 {
+	return uint64(cmp.Or(r.events, streamEvents))
+}
+
 func (c *caller) encode(r callerRequest, o *outcome) (*http.Request, error) {
 	request, err := http.NewRequest(r.method, "http://h.example"+r.target, strings.NewReader(r.body))
 	if err != nil {
@@ -204,7 +239,7 @@
 	}
 	if isStream(r.path) {
 		request.Header.Set("Model", "m")
-		request.Header.Set("Token-Counts", fmt.Sprintf("1500,%d", streamEvents))
+		request.Header.Set("Token-Counts", fmt.Sprintf("%d,%d", cmp.Or(r.promptTokens, 1500), r.eventCount()))
 		if r.prompt != "" {
 			request.Header.Set("Prompt-Prefix", r.prompt)
 		}
@@ -318,7 +353,7 @@
 		return worker.ResponseBody(r.method, r.target, r.body)
 	}
 	var complete strings.Builder
-	for number := r.lastEvent + 1; number <= streamEvents; number++ {
+	for number := r.lastEvent + 1; number <= r.eventCount(); number++ {
 		complete.WriteString(worker.Event(r.target, r.body, number))
 	}
 	return complete.String()
--- a/hickorylab/edgesoak/environment_test.go
+++ b/hickorylab/edgesoak/environment_test.go
@@ -44,6 +44,8 @@
 		areHostsIsolated bool
 		// hasPaths is set if each host reaches each server over a path of its own.
 		hasPaths bool
+		// configuration returns the configurations, or is nil for the function configuration.
+		configuration func(version int, shop string) map[string]any
 	}
 
 	// environment is a store, backend servers and hosts.
@@ -60,8 +62,8 @@
 		settings []string
 		client   *http.Client
 		counter  atomic.Uint64
-		// configuration is the newest one that was written.
-		configuration atomic.Pointer[map[string]any]
+		// newest is the newest configuration that was written.
+		newest atomic.Pointer[map[string]any]
 		// kills counts the starts and the ends of the kills of each host. It is odd while
 		// a kill is in progress.
 		kills []atomic.Uint64
@@ -83,6 +85,9 @@
 	if options.hostCount == 0 {
 		options.hostCount = hostCount
 	}
+	if options.configuration == nil {
+		options.configuration = configuration
+	}
 	store := metastore.New()
 	e := &environment{
 		environmentOptions: options, tb: tb, network: harness.FreeNetwork(tb), store: store, workers: worker.NewGroup(store),
@@ -92,7 +97,7 @@
 		store.Hide("hickoryfront/hosts/")
 	}
 	e.serve(e.storeAddress(), store)
-	store.Put("op/config", configuration(1, "shop"))
+	store.Put("op/config", options.configuration(1, "shop"))
 	for i := range 3 {
 		e.plainServers = append(e.plainServers, e.startServer("shop", "", 20+i))
 	}
@@ -231,7 +236,7 @@
 func (e *environment) changeConfiguration(random *rand.Rand) {
 	service := []string{"shop", "annex"}[random.IntN(2)]
 	document := configuration(int(e.counter.Add(1))+1000, service)
-	e.configuration.Store(&document)
+	e.newest.Store(&document)
 	e.store.Put("op/config", document)
 }
 
@@ -241,7 +246,7 @@
 	e.store.Restore(older)
 	time.Sleep(storeGap)
 	e.workers.RegisterAgain()
-	if document := e.configuration.Load(); document != nil {
+	if document := e.newest.Load(); document != nil {
 		e.store.Put("op/config", *document)
 	}
 }
--- a/hickorylab/edgesoak/soak_test.go
+++ b/hickorylab/edgesoak/soak_test.go
@@ -22,6 +22,10 @@
 	// firstVariable the one with the first seed.
 	seedsVariable = "HICKORYFRONT_SOAK_SEEDS"
 	firstVariable = "HICKORYFRONT_SOAK_FIRST"
+	// hostsVariable names the environment variable with the number of hosts of a fleet,
+	// callersVariable that of the callers of each host.
+	hostsVariable   = "HICKORYFRONT_SOAK_HOSTS"
+	callersVariable = "HICKORYFRONT_SOAK_CALLERS"
 	// callersPerHost is the number of callers of each host. Each of them sends one
 	// request after the other.
 	callersPerHost = 3
--- a/hickorylab/harness/harness.go
+++ b/hickorylab/harness/harness.go
@@ -442,6 +442,11 @@
 	p.signal(syscall.SIGTERM)
 }
 
+// Signal sends a signal to the process.
+func (p *Process) Signal(s syscall.Signal) {
+	p.signal(s)
+}
+
 // Exited returns a channel that is closed when the process has ended.
 func (p *Process) Exited() <-chan struct{} {
 	return p.exited
--- a/hickorylab/worker/worker.go
+++ b/hickorylab/worker/worker.go
@@ -31,8 +31,6 @@
 	prefillLatency = 20 * time.Millisecond
 	// eventInterval is the time between two events of a stream.
 	eventInterval = 10 * time.Millisecond
-	// migratedSuffix marks the handles of runs that were migrated.
-	migratedSuffix = "-moved"
 	// reservationTTL is the time after which a reservation is released.
 	reservationTTL = 2 * time.Second
 	// versionPrefix begins the comment line with which a server of another version than
@@ -59,10 +57,13 @@
 		arrivals map[string]int
 		// brokenOff holds the IDs of the requests that a crash of their server broke off.
 		brokenOff map[string]bool
-		// handles holds the KV caches that are not fetched yet, by server address and
-		// handle.
+		// handles holds the KV caches of prompts that are not fetched yet, by server address
+		// and handle.
 		handles map[string]bool
-		deadly  deadly
+		// copies are those of the KV caches of runs, by the address of the run's server and
+		// handle.
+		copies map[string]*kvCopy
+		deadly deadly
 	}
 
 	// Server is one server, an http.Handler. A crash ends its incarnation.
@@ -92,6 +93,7 @@
 	// run is one stream in progress.
 	run struct {
 		lastEvent uint64        // number of the last event
+		tokens    int           // memory of the run
 		migrated  chan struct{} // closed when the run continues on another server
 	}
 )
@@ -99,7 +101,7 @@
 // NewGroup returns a group whose servers register in a store.
 func NewGroup(store *metastore.Store) *Group {
 	return &Group{
-		store: store, runs: make(map[string]int), arrivals: make(map[string]int), brokenOff: make(map[string]bool), handles: make(map[string]bool),
+		store: store, runs: make(map[string]int), arrivals: make(map[string]int), brokenOff: make(map[string]bool), handles: make(map[string]bool), copies: make(map[string]*kvCopy),
 	}
 }
 
@@ -321,6 +323,7 @@
 		s.releaseReservation(argument)
 	case "kv-handle":
 		s.group.takeHandle(s.address + "/" + argument)
+		s.group.dropCopy(s.address + "/" + argument)
 	case "kv-move":
 		s.serveMigration(w, r)
 	default:
@@ -419,13 +422,14 @@
 
 func (s *Server) serveDecode(w http.ResponseWriter, r *http.Request, body []byte) {
 	source := s.group.ownAddress(r.Header.Get("Kv-Source"))
-	if source != "" && !s.group.takeHandle(source) {
+	isMigrated := s.group.takeCopy(source, s)
+	if source != "" && !isMigrated && !s.group.takeHandle(source) {
 		s.releaseReservation(r.Header.Get("Kv-Hold"))
 		refuseAsNotRun(w)
 		return
 	}
 	s.releaseReservation(r.Header.Get("Kv-Hold"))
-	if !s.reserveTokens(promptTokens(r)) {
+	if !isMigrated && !s.reserveTokens(promptTokens(r)) {
 		refuseAsNotRun(w)
 		return
 	}
@@ -433,7 +437,7 @@
 	last, _ := strconv.ParseUint(r.Header.Get("Last-Event-Id"), 10, 64)
 	current := s.startRun(r, last)
 	defer s.endRun(r)
-	if !strings.HasSuffix(source, migratedSuffix) { // a migrated run was counted by its first server
+	if !isMigrated { // a migrated run was counted by its first server
 		s.group.countRun(r)
 	}
 	w.Header().Set("Server-Stamp", "stamp")
@@ -472,7 +476,7 @@
 func (s *Server) startRun(r *http.Request, last uint64) *run {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	current := &run{lastEvent: last, migrated: make(chan struct{})}
+	current := &run{lastEvent: last, tokens: promptTokens(r), migrated: make(chan struct{})}
 	s.running[r.Header.Get("Request-Id")] = current
 	return current
 }
@@ -483,38 +487,6 @@
 	delete(s.running, r.Header.Get("Request-Id"))
 }
 
-func (s *Server) serveMigration(w http.ResponseWriter, r *http.Request) {
-	var body struct {
-		ID   string `json:"id"`
-		To   string `json:"to"`
-		Last bool   `json:"last"`
-	}
-	if json.NewDecoder(r.Body).Decode(&body) != nil {
-		w.WriteHeader(http.StatusBadRequest)
-		return
-	}
-	s.mu.Lock()
-	current, ok := s.running[body.ID]
-	var created uint64
-	if ok {
-		created = current.lastEvent
-	}
-	if ok && body.Last {
-		delete(s.running, body.ID)
-		close(current.migrated)
-	}
-	s.mu.Unlock()
-	if !ok {
-		w.WriteHeader(http.StatusNotFound)
-		return
-	}
-	handle := body.ID + migratedSuffix
-	if body.Last {
-		s.group.addHandle(s.group.ownAddress(body.To) + "/" + handle)
-	}
-	jsonreply.Write(w, map[string]any{"handle": handle, "created": created})
-}
-
 func (s *Server) serveReport(w http.ResponseWriter) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -615,11 +587,14 @@
 	for id := range serving {
 		g.brokenOff[id] = true
 	}
-	for handle := range g.handles {
-		name, isHere := strings.CutPrefix(handle, address+"/")
-		if id, isMigrated := strings.CutSuffix(name, migratedSuffix); isHere && isMigrated {
-			g.brokenOff[id] = true
+	for _, c := range g.copies {
+		if c.target.address != address {
+			continue
+		}
+		if c.isStopped {
+			g.brokenOff[c.id] = true
 		}
+		c.target, c.tokens = c.source, 0
 	}
 }
 
--- a/hickorylab/worker/worker_test.go
+++ b/hickorylab/worker/worker_test.go
@@ -116,7 +116,7 @@
 		{"stream", "decode", "POST", "/draft/", "prompt"},
 		{"report", "decode", "GET", "/hickoryfront/report", ""},
 		{"reservation", "decode", "POST", "/hickoryfront/hold-take", `{"tokens":10}`},
-		{"transfer", "decode", "POST", "/hickoryfront/kv-move", `{"id":"stream","to":"127.0.0.1:1"}`},
+		{"transfer", "decode", "POST", "/hickoryfront/kv-move", `{"id":"stream","to":"` + s.address("prefill") + `"}`},
 	} {
 		group.Go(func() {
 			status, _, err := do(s.request(call.stage, call.method, call.path, call.name, call.body))
