Show what a request waited for when it ended, and rejected migrations

The logs could not tell whether a request that is cut at the stop of its host waited for memory, for a prefill, for a transfer or at a server, nor which server turned a migrated run away. The entry 'stream ended' has the phase and the software version that binds the stream, and a rejected migrated run has an entry of its own. No decision has changed.

--- a/hickoryd/internal/edgedispatch/decode.go
+++ b/hickoryd/internal/edgedispatch/decode.go
@@ -52,7 +52,7 @@
 	if source.id != "" {
 		attempt.KVSource = platform.KVSource(source.server.Address, source.id)
 	}
-	g.isSent, g.attemptEvents = true, 0
+	g.isSent, g.attemptEvents, g.phase = true, 0, phaseDecode
 	response, err := g.send(ctx, held.server, g.request, attempt)
 	if errors.Is(err, upstream.ErrNotSent) {
 		g.recordResult(held.server.ID, health.Unreachable)
--- a/hickoryd/internal/edgedispatch/generation.go
+++ b/hickoryd/internal/edgedispatch/generation.go
@@ -25,6 +25,15 @@
 	maxStreamAttempts = 5
 )
 
+// Phases of a request.
+const (
+	phaseCapacity  = "capacity"  // it waits for memory at a decode server
+	phasePrefill   = "prefill"   // a prefill server has the prompt
+	phaseDecode    = "decode"    // a decode server has the request
+	phaseMigration = "migration" // its run has stopped, and its KV cache is being transferred
+	phaseRelay     = "relay"     // another host has the request
+)
+
 // errNoRetry refuses a request that was sent to a decode server and needs another one.
 var errNoRetry = &Failure{Status: http.StatusServiceUnavailable, RetryAfter: fullRetryAfter, Reason: "retry budget is used up"}
 
@@ -79,6 +88,8 @@
 		// send counts as a retry.
 		isSent bool
 		timing streamTiming
+		// phase is what the request waits for, for the log.
+		phase string
 		// successor is what the next attempt uses, or nil.
 		successor *successor
 		// migrated is where the next attempt resumes a migrated run, or nil.
@@ -108,6 +119,7 @@
 			return nil
 		}
 		if errors.Is(err, errPathsLost) {
+			g.phase = phaseRelay
 			if err = g.relayRest(ctx); !errors.Is(err, errNoRelay) {
 				return err
 			}
@@ -257,6 +269,7 @@
 	if g.isSent && !g.hasRetry(g.request) {
 		return placement{}, errNoRetry
 	}
+	g.phase = phaseCapacity
 	held, err := g.reserve(ctx)
 	if err != nil {
 		return placement{}, err
@@ -276,6 +289,7 @@
 		g.discard(placed)
 		return placement{}, failure
 	}
+	g.phase = phasePrefill
 	if placed.source, err = g.prefill(ctx, held.server); err != nil {
 		g.discard(placed)
 		return placement{}, err
--- a/hickoryd/internal/edgedispatch/migrate.go
+++ b/hickoryd/internal/edgedispatch/migrate.go
@@ -119,6 +119,7 @@
 		return nil
 	}
 	m.cancelSearch()
+	m.phase = phaseMigration
 	select {
 	case migrated := <-m.done:
 		return migrated
@@ -268,6 +269,7 @@
 	err := g.decode(ctx, held, kvHandle{server: migrated.server, id: migrated.handle})
 	if cannotHaveRun(err) {
 		g.counters.migrationsRejected.Inc()
+		g.logger.WithFields(g.request.logFields()).WithFields(log.Fields{"server": migrated.server.ID, "error": err.Error()}).Warn("migrated run rejected by its new server")
 	}
 	if errors.Is(err, errNotRun) {
 		g.recordRetry(g.request) // no other server can continue the run
--- a/hickoryd/internal/edgedispatch/timing.go
+++ b/hickoryd/internal/edgedispatch/timing.go
@@ -39,7 +39,7 @@
 	}
 	g.logger.WithFields(g.request.logFields()).WithFields(log.Fields{
 		"promptTokens": r.PromptTokens, "maxOutputTokens": r.MaxOutputTokens, "outputHint": r.OutputHint,
-		"resumes": r.ResumesID, "resumesAfter": r.LastEventID, "softwareVersions": g.sentVersions,
+		"resumes": r.ResumesID, "resumesAfter": r.LastEventID, "phase": g.phase, "version": g.softwareVersion, "softwareVersions": g.sentVersions,
 		"servers": g.tried, "runs": g.history.Runs(), "silences": g.silences, "prefills": g.prefills, "events": g.timing.events,
 		"askedBefore": g.request.Arrived.Sub(g.firstAttempt).Round(time.Millisecond).String(),
 		"room":        since(g.timing.reservedAt), "prompt": since(g.timing.prefilledAt), "first": since(g.timing.firstAt), "last": since(g.timing.lastAt),
