Name the run's own server when a migrated run resumes

Callers of streams on a draining model server got a truncated response (LOST). The platform finds the KV cache of a migrated run by the address of the run's own server and the handle; hosts sent the address of the server that has the copy. A server that looks at the address has no such cache and turns the run away, and a stream that may run once has no other way to go on.

Class: a field of the protocol that only a lenient peer was ever asked about.

TestMigratedRunGoesOnAtItsOwnServer failed before (resumed with the KV cache of the target), and so did TestStopsInSeries (32 of 416 requests lost with 9 hosts).

--- a/hickoryd/internal/edgedispatch/migrate.go
+++ b/hickoryd/internal/edgedispatch/migrate.go
@@ -43,10 +43,11 @@
 )
 
 type (
-	// migratedRun is the server at which a run resumes after it was migrated off a
-	// draining server, and the handle of the run's KV cache there.
+	// migratedRun is a run that was stopped to migrate it off a draining server.
 	migratedRun struct {
-		server serverlist.Server
+		// server is the one at which the run resumes, source the run's own server.
+		server, source serverlist.Server
+		// handle is the handle of the KV cache at source.
 		handle string
 		// events is the number of events that the run has generated.
 		events uint64
@@ -227,10 +228,10 @@
 func (m *migration) complete(ctx context.Context, target serverlist.Server) (*migratedRun, error) {
 	handle, err := m.transfer(ctx, target, true)
 	if err == nil {
-		return &migratedRun{server: target, handle: handle.ID, events: handle.Events}, nil
+		return &migratedRun{server: target, source: m.server, handle: handle.ID, events: handle.Events}, nil
 	}
 	if handle.ID != "" {
-		return &migratedRun{server: m.server, handle: handle.ID, events: handle.Events}, nil // the run has stopped and resumes at its own server
+		return &migratedRun{server: m.server, source: m.server, handle: handle.ID, events: handle.Events}, nil // the run has stopped and resumes at its own server
 	}
 	return nil, err
 }
@@ -266,7 +267,7 @@
 	held := reservation{server: migrated.server, tokens: g.request.Metadata.PromptTokens}
 	g.beginRequest(held.server.ID, held.tokens)
 	defer g.endRequest(held.server.ID, held.tokens)
-	err := g.decode(ctx, held, kvHandle{server: migrated.server, id: migrated.handle})
+	err := g.decode(ctx, held, kvHandle{server: migrated.source, id: migrated.handle})
 	if cannotHaveRun(err) {
 		g.counters.migrationsRejected.Inc()
 		g.logger.WithFields(g.request.logFields()).WithFields(log.Fields{"server": migrated.server.ID, "error": err.Error()}).Warn("migrated run rejected by its new server")
--- a/hickoryd/internal/edgedispatch/migrate_test.go
+++ b/hickoryd/internal/edgedispatch/migrate_test.go
@@ -292,6 +292,10 @@
 				list := &changingServers{}
 				source := &migrationSource{events: 1000, drainAt: 2, stopped: make(chan struct{})}
 				first := startServer(t, "first", serverlist.Decode, func(w http.ResponseWriter, r *http.Request) {
+					if r.Header.Get("Kv-Source") != "" {
+						full(w, r) // the run's KV cache has expired
+						return
+					}
 					if !strings.HasPrefix(r.URL.Path, "/hickoryfront/") {
 						runs.Add(1)
 					}
@@ -336,6 +340,72 @@
 	}
 }
 
+// TestMigratedRunGoesOnAtItsOwnServer guards against a resumed run whose KV cache is looked for
+// at another server than the run's own.
+func TestMigratedRunGoesOnAtItsOwnServer(t *testing.T) {
+	turnAway := []struct {
+		name string
+		how  http.HandlerFunc // nil: the server can't be reached
+	}{
+		{"resumed", func(w http.ResponseWriter, r *http.Request) { sendRest(w, r) }},
+	}
+	for _, target := range turnAway {
+		for _, r := range []route.Route{{Kind: route.Streaming, IsGeneration: true, MaxServers: 1}, resumable} {
+			t.Run(fmt.Sprintf("%s, resumable %t", target.name, r.IsResumable), func(t *testing.T) {
+				t.Parallel()
+				list := &changingServers{}
+				run := &migrationSource{events: 1000, drainAt: 2, stopped: make(chan struct{})}
+				var ownAddress atomic.Value
+				resume := func(next http.HandlerFunc) http.HandlerFunc {
+					return func(w http.ResponseWriter, r *http.Request) {
+						if source := r.Header.Get("Kv-Source"); source != ownAddress.Load() {
+							t.Errorf("resumed with the KV cache of %q, want %q", source, ownAddress.Load())
+						}
+						next(w, r)
+					}
+				}
+				own := startServer(t, "own", serverlist.Decode, func(w http.ResponseWriter, r *http.Request) {
+					if r.Header.Get("Kv-Source") != "" {
+						resume(sendRest)(w, r)
+						return
+					}
+					run.ServeHTTP(w, r)
+				})
+				ownAddress.Store(own.Address.String() + "/run")
+				second := startServer(t, "second", serverlist.Decode, func(w http.ResponseWriter, r *http.Request) {
+					if !strings.HasPrefix(r.URL.Path, "/hickoryfront/") {
+						resume(target.how)(w, r)
+					}
+				})
+				if target.how == nil {
+					second.Address = netip.MustParseAddrPort("127.0.0.1:1")
+				}
+				run.onDrain = func() {
+					draining := own
+					draining.IsDraining = true
+					list.set(servers{draining, second})
+				}
+				list.set(servers{own})
+				status, body := send(t, newDispatcher(t, list, 100), r, callerTimeout)
+				if status != http.StatusOK || !strings.HasSuffix(body, restEvent) {
+					t.Errorf("status %d, want 200; body ends with %q, want the rest of the run", status, body[max(0, len(body)-30):])
+				}
+			})
+		}
+	}
+}
+
+// restEvent ends the last event of a resumed run.
+const restEvent = "data: rest\n\n"
+
+// sendRest resumes a run with one more event.
+func sendRest(w http.ResponseWriter, r *http.Request) {
+	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	w.Header().Set("Server-Stamp", "stamp")
+	w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+	fmt.Fprintf(w, "id: %d\n%s", last+1, restEvent)
+}
+
 // TestServerThatBeginsToLeaveGetsNoRequest guards against a request that is sent to a server
 // long after the server has begun to leave, because its prompt was read meanwhile.
 func TestServerThatBeginsToLeaveGetsNoRequest(t *testing.T) {
