Resume a migrated run at its own server if the other one turns it away

Callers of streams on a draining model server got a truncated response (LOST) when the server with the copy of the run rejected it: its copy had expired, it was changing its stage, had started again or could not be reached. Cause: a run was stopped with one way to go on, and the rejection ended the stream, or for a stream that may run twice used up a second run. The run's own server keeps the KV cache and resumes it as the same run, so it is asked next; only then is the KV cache freed and, for a stream that may run twice, a new run begun. A rejection used to free the KV cache at once.

--- a/hickoryd/internal/edgedispatch/decode.go
+++ b/hickoryd/internal/edgedispatch/decode.go
@@ -56,7 +56,7 @@
 	response, err := g.send(ctx, held.server, g.request, attempt)
 	if errors.Is(err, upstream.ErrNotSent) {
 		g.recordResult(held.server.ID, health.Unreachable)
-		g.releaseHandle(source)
+		g.releasePrompt(source)
 		return err
 	}
 	if err != nil {
@@ -68,11 +68,11 @@
 	if response.Metadata.IsNotRun {
 		body := drain(response)
 		g.releaseReservation(held)
-		if response.Metadata.IsMisdirected {
+		if response.Metadata.IsMisdirected && !source.isOfRun {
 			g.unusedHandle = source // the server has not fetched it
-		} else {
+		} else if !response.Metadata.IsMisdirected {
 			g.returnable = append(g.returnable, held.server.ID)
-			g.releaseHandle(source)
+			g.releasePrompt(source)
 			g.markFull(held.server.ID)
 			if response.Metadata.RetryAfter == 0 {
 				go g.runInspect(held.server)
@@ -107,6 +107,8 @@
 	switch {
 	case errors.As(err, &migrated):
 		g.history.Record(attempts.Migrated)
+	case cannotHaveRun(err) && g.canGoOnElsewhere:
+		g.history.Record(attempts.TurnedAway)
 	case cannotHaveRun(err):
 		g.history.Record(attempts.NotRun)
 	default:
--- a/hickoryd/internal/edgedispatch/migrate.go
+++ b/hickoryd/internal/edgedispatch/migrate.go
@@ -45,7 +45,8 @@
 type (
 	// migratedRun is a run that was stopped to migrate it off a draining server.
 	migratedRun struct {
-		// server is the one at which the run resumes, source the run's own server.
+		// server is the one at which the run resumes. source is the run's own server, which
+		// still holds its KV cache and can resume it too.
 		server, source serverlist.Server
 		// handle is the handle of the KV cache at source.
 		handle string
@@ -261,23 +262,47 @@
 	}
 }
 
-// resumeRun continues a migrated run at the server that holds its KV cache.
+// servers returns the servers that can resume the run, in the order in which they are asked.
+func (m *migratedRun) servers() []serverlist.Server {
+	if m.server.ID == m.source.ID {
+		return []serverlist.Server{m.source}
+	}
+	return []serverlist.Server{m.server, m.source}
+}
+
+// resumeRun continues a migrated run at the server that has its KV cache. If that turns the run
+// away, the run's own server continues it.
 func (g *generation) resumeRun(ctx context.Context, migrated *migratedRun) error {
 	g.counters.migrations.Inc()
-	held := reservation{server: migrated.server, tokens: g.request.Metadata.PromptTokens}
-	g.beginRequest(held.server.ID, held.tokens)
-	defer g.endRequest(held.server.ID, held.tokens)
-	err := g.decode(ctx, held, kvHandle{server: migrated.source, id: migrated.handle})
-	if cannotHaveRun(err) {
+	source := kvHandle{server: migrated.source, id: migrated.handle, isOfRun: true}
+	servers := migrated.servers()
+	var err error
+	for i, server := range servers {
+		g.canGoOnElsewhere = i < len(servers)-1
+		err = g.resumeRunAt(ctx, server, source)
+		if !cannotHaveRun(err) {
+			return err
+		}
 		g.counters.migrationsRejected.Inc()
-		g.logger.WithFields(g.request.logFields()).WithFields(log.Fields{"server": migrated.server.ID, "error": err.Error()}).Warn("migrated run rejected by its new server")
-	}
-	if errors.Is(err, errNotRun) {
-		g.recordRetry(g.request) // no other server can continue the run
+		g.logger.WithFields(g.request.logFields()).WithFields(log.Fields{"server": server.ID, "error": err.Error()}).Warn("migrated run rejected by a server")
+		if errors.Is(err, errNotRun) {
+			g.recordRetry(g.request) // only these servers can continue the run
+		}
+		if ctx.Err() != nil || g.successor != nil {
+			break
+		}
 	}
+	g.releaseHandle(source)
 	return err
 }
 
+func (g *generation) resumeRunAt(ctx context.Context, server serverlist.Server, source kvHandle) error {
+	held := reservation{server: server, tokens: g.request.Metadata.PromptTokens}
+	g.beginRequest(server.ID, held.tokens)
+	defer g.endRequest(server.ID, held.tokens)
+	return g.decode(ctx, held, source)
+}
+
 // isLeaving reports whether a server takes no new work and its runs must migrate, because
 // it is draining or no longer listed.
 func isLeaving(servers []serverlist.Server, id string) bool {
--- a/hickoryd/internal/edgedispatch/migrate_test.go
+++ b/hickoryd/internal/edgedispatch/migrate_test.go
@@ -340,13 +340,17 @@
 	}
 }
 
-// TestMigratedRunGoesOnAtItsOwnServer guards against a resumed run whose KV cache is looked for
-// at another server than the run's own.
+// TestMigratedRunGoesOnAtItsOwnServer guards against a stream that is truncated because the
+// server with the copy of its run turns the run away, and against a resumed run whose KV cache
+// is looked for at another server than the run's own.
 func TestMigratedRunGoesOnAtItsOwnServer(t *testing.T) {
 	turnAway := []struct {
 		name string
 		how  http.HandlerFunc // nil: the server can't be reached
 	}{
+		{"421", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusMisdirectedRequest) }},
+		{"503 not run", full},
+		{"connection refused", nil},
 		{"resumed", func(w http.ResponseWriter, r *http.Request) { sendRest(w, r) }},
 	}
 	for _, target := range turnAway {
--- a/hickoryd/internal/edgedispatch/prefill.go
+++ b/hickoryd/internal/edgedispatch/prefill.go
@@ -85,6 +85,8 @@
 	server    serverlist.Server
 	id        string
 	createdAt time.Time
+	// isOfRun is set if the KV cache is that of a run that has stopped, and not of a prompt.
+	isOfRun bool
 }
 
 // prefillAt runs the prefill on the given server and updates the estimate of its
