Let streams wait for servers of their version that start again

Cause: the last two decode servers of the old version crashed; once their registrations had lapsed (2.8 to 4.3 s later, host by host), each host refused the version for good, half a second to two seconds before the servers were back. A missing registration shows that a server has ended, not that it won't start again; only a drain shows that. A stream now waits while a server of its version has vanished without a drain in the last 10 s, or is registered and refuses connections; its deadline and its caller's patience end the wait as before. A server that has started again under its ID also counts as another one, where it was excluded before.

--- a/core/streamorigin/history.go
+++ b/core/streamorigin/history.go
@@ -1,6 +1,7 @@
 package streamorigin
 
 import (
+	"maps"
 	"time"
 
 	"github.com/hickoryfront/hickoryfront/core/serverlist"
@@ -11,6 +12,10 @@
 // list, which the platform states as 3 s.
 const maxObservationGap = 9 * time.Second
 
+// returnPeriod is how long a server that has vanished without a drain may take to register
+// again. Crashed servers are back after some seconds.
+const returnPeriod = 10 * time.Second
+
 type (
 	// History holds the software versions that the server list has shown for each
 	// service. Prefill servers do not count, because they generate no events.
@@ -21,8 +26,15 @@
 		start        time.Time
 		lastObserved time.Time
 		services     map[string]versions
+		// serving are the servers of the newest observation that generate events and do not
+		// drain, by ID.
+		serving map[string]serverlist.Server
+		// lostAt is when a server of a service and a version last vanished without a drain.
+		lostAt map[serviceVersion]time.Time
 	}
 
+	serviceVersion struct{ service, version string }
+
 	// versions are the software versions of a service.
 	versions map[string]listing
 
@@ -39,7 +51,7 @@
 // NewHistory returns an empty history. A software version is removed from it when the
 // version was not listed for the time retention. No window may be longer than that.
 func NewHistory(retention time.Duration) *History {
-	return &History{retention: retention, services: make(map[string]versions)}
+	return &History{retention: retention, services: make(map[string]versions), lostAt: make(map[serviceVersion]time.Time)}
 }
 
 // Observe adds the server list at now. The caller must observe the list every few
@@ -64,9 +76,36 @@
 		}
 		v[s.SoftwareVersion] = listing{until: now, isCurrent: true}
 	}
+	h.observeLosses(now, servers)
 	h.removeExpired(now)
 }
 
+// observeLosses records the servers that have vanished without a drain since the previous
+// observation.
+func (h *History) observeLosses(now time.Time, servers []serverlist.Server) {
+	serving, listed := make(map[string]serverlist.Server), make(map[string]bool)
+	for _, s := range servers {
+		listed[s.ID] = true
+		if s.Stage != serverlist.Prefill && !s.IsDraining {
+			serving[s.ID] = s
+		}
+	}
+	for id, s := range h.serving {
+		if !listed[id] {
+			h.lostAt[serviceVersion{s.Service, s.SoftwareVersion}] = now
+		}
+	}
+	h.serving = serving
+	maps.DeleteFunc(h.lostAt, func(_ serviceVersion, at time.Time) bool { return now.Sub(at) > returnPeriod })
+}
+
+// MayReturn reports whether a server of a service and a version has vanished without a drain so
+// lately that it may register again.
+func (h *History) MayReturn(now time.Time, service, version string) bool {
+	at, ok := h.lostAt[serviceVersion{service, version}]
+	return ok && now.Sub(at) <= returnPeriod
+}
+
 // Sole returns the software version that all servers of a service had during the whole
 // window before now, the removed ones included. It returns false if there was none or
 // more than one, or if the history is shorter than the window.
--- a/core/streamorigin/history_test.go
+++ b/core/streamorigin/history_test.go
@@ -173,3 +173,38 @@
 		}
 	})
 }
+
+// TestMayReturn guards against streams that are refused for good while the servers of their
+// version start again.
+func TestMayReturn(t *testing.T) {
+	const period = 10 * time.Second
+	server := func(stage serverlist.Stage, isDraining bool) []serverlist.Server {
+		return []serverlist.Server{{ID: "i", Service: "s", Stage: stage, SoftwareVersion: "v1", IsDraining: isDraining}}
+	}
+	tests := []struct {
+		name  string
+		lists [][]serverlist.Server
+		want  bool
+	}{
+		{name: "never listed", lists: [][]serverlist.Server{nil}},
+		{name: "listed", lists: [][]serverlist.Server{server(serverlist.Decode, false)}},
+		{name: "vanished", lists: [][]serverlist.Server{server(serverlist.Decode, false), nil}, want: true},
+		{name: "vanished after a drain", lists: [][]serverlist.Server{server(serverlist.Decode, false), server(serverlist.Decode, true), nil}},
+		{name: "a prefill server vanished", lists: [][]serverlist.Server{server(serverlist.Prefill, false), nil}},
+		{name: "changed its stage", lists: [][]serverlist.Server{server(serverlist.Decode, false), server(serverlist.Prefill, false)}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			h, now := streamorigin.NewHistory(retention), time.Unix(1000, 0)
+			for _, list := range tt.lists {
+				h.Observe(now, list)
+			}
+			if got := h.MayReturn(now.Add(period), "s", "v1"); got != tt.want {
+				t.Errorf("may return: %t, want %t", got, tt.want)
+			}
+			if h.MayReturn(now.Add(period+1), "s", "v1") || h.MayReturn(now, "s", "v2") || h.MayReturn(now, "other", "v1") {
+				t.Error("may return after the period, at another version or in another service")
+			}
+		})
+	}
+}
--- a/hickoryd/internal/edgedispatch/decode.go
+++ b/hickoryd/internal/edgedispatch/decode.go
@@ -23,7 +23,7 @@
 // If the server stays silent and another one is ready to resume the stream, decode ends
 // and the next attempt is the one at the other server.
 func (g *generation) decode(ctx context.Context, held reservation, source kvHandle) error {
-	g.tried = append(g.tried, held.server.ID)
+	g.tried, g.triedStarts = append(g.tried, held.server.ID), append(g.triedStarts, held.server.StartedAt)
 	attemptCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	watch := g.watchSilence(ctx, cancel)
--- a/hickoryd/internal/edgedispatch/generation.go
+++ b/hickoryd/internal/edgedispatch/generation.go
@@ -13,6 +13,7 @@
 	"github.com/hickoryfront/hickoryfront/core/attempts"
 	"github.com/hickoryfront/hickoryfront/core/eventstream"
 	"github.com/hickoryfront/hickoryfront/core/route"
+	"github.com/hickoryfront/hickoryfront/core/serverlist"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/upstream"
 )
 
@@ -31,6 +32,7 @@
 	phasePrefill   = "prefill"   // a prefill server has the prompt
 	phaseDecode    = "decode"    // a decode server has the request
 	phaseMigration = "migration" // its run has stopped, and its KV cache is being transferred
+	phaseVersion   = "version"   // it waits for a server of its software version
 	phaseRelay     = "relay"     // another host has the request
 )
 
@@ -55,8 +57,10 @@
 		firstAttempt time.Time
 		sink         Sink
 		relay        *eventstream.Relay
-		// tried are the IDs of the decode servers that the request was sent to.
-		tried []string
+		// tried are the IDs of the decode servers that the request was sent to, triedStarts the
+		// starts of their incarnations.
+		tried       []string
+		triedStarts []time.Time
 		// returnable are those of tried that did not run the request for want of capacity, or
 		// were silent, so that a stream that has begun may return to them.
 		returnable []string
@@ -72,6 +76,9 @@
 		// softwareVersion is the one at which the stream must go on: that of the server whose
 		// response has started, or of the stream that the caller resumes. Before that it is "".
 		softwareVersion string
+		// hasEndedServer is set if a server of that version had ended at probedAt.
+		hasEndedServer bool
+		probedAt       time.Time
 		// sentVersions are the software versions of the servers whose events the caller has received.
 		sentVersions []string
 		// prefills is the number of prompts sent to prefill servers.
@@ -188,16 +195,18 @@
 	return g.tried[len(g.tried)-1]
 }
 
-// excluded returns the IDs of the servers that the next attempt may not use.
+// excluded returns the IDs of the servers that the next attempt may not use. A server that has
+// started again since it had the request is another one.
 func (g *generation) excluded() []string {
-	if !g.isStarted && g.softwareVersion == "" {
-		return g.tried
-	}
+	isReturnable := g.isStarted || g.softwareVersion != ""
+	listed := g.registry.Servers().Servers
 	var excluded []string
-	for _, id := range g.tried {
-		if !slices.Contains(g.returnable, id) {
-			excluded = append(excluded, id)
+	for i, id := range g.tried {
+		hasRestarted := func(s serverlist.Server) bool { return s.ID == id && s.HasRestarted(g.triedStarts[i]) }
+		if isReturnable && slices.Contains(g.returnable, id) || slices.ContainsFunc(listed, hasRestarted) {
+			continue
 		}
+		excluded = append(excluded, id)
 	}
 	return excluded
 }
--- a/hickoryd/internal/edgedispatch/origin.go
+++ b/hickoryd/internal/edgedispatch/origin.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"iter"
 	"maps"
@@ -13,11 +14,13 @@
 
 	"github.com/apex/log"
 
+	"github.com/hickoryfront/hickoryfront/core/balance"
 	"github.com/hickoryfront/hickoryfront/core/rendezvous"
 	"github.com/hickoryfront/hickoryfront/core/serverlist"
 	"github.com/hickoryfront/hickoryfront/core/streamorigin"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/originstore"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/registry"
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/upstream"
 )
 
 const (
@@ -35,6 +38,9 @@
 	// the hosts may know different lists of hosts.
 	originHomes   = 2
 	originLookups = 16
+	// probePeriod is the time between two checks whether the servers of a stream's version
+	// have ended.
+	probePeriod = 500 * time.Millisecond
 	// unknownRetryAfter is the Retry-After of a request that resumes a stream of unknown
 	// origin: the retry reaches another host.
 	unknownRetryAfter = 300 * time.Millisecond
@@ -121,6 +127,13 @@
 	return f
 }
 
+// mayReturn reports whether servers of a service and a version may register again at now.
+func (o *origins) mayReturn(now time.Time, service, softwareVersion string) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.history.MayReturn(now, service, softwareVersion)
+}
+
 // homesOf returns up to n hosts of highest weight for a stream, without self. hosts is the
 // current list. Hosts that it no longer has are included if there are fewer than n, as a
 // host's registration may lapse while the host goes on.
@@ -266,17 +279,32 @@
 }
 
 // checkVersion returns a *Failure if the stream has a software version of which no server
-// is left that the request was not sent to.
-func (g *generation) checkVersion(servers []serverlist.Server) error {
-	if g.softwareVersion == "" {
+// is left that the request was not sent to, and none is likely to register again.
+func (g *generation) checkVersion(ctx context.Context, servers []serverlist.Server) error {
+	criteria := g.decodeCriteria()
+	if g.softwareVersion == "" || slices.ContainsFunc(servers, criteria.Matches) {
 		return nil
 	}
-	if slices.ContainsFunc(servers, g.decodeCriteria().Matches) {
+	criteria.Excluded = nil
+	if g.origins.mayReturn(time.Now(), g.request.Route.Service, g.softwareVersion) || g.haveEnded(ctx, servers, criteria) {
+		g.phase = phaseVersion
 		return nil
 	}
 	return &Failure{Status: http.StatusServiceUnavailable, Reason: fmt.Sprintf("no decode server of software version %q is left", g.softwareVersion)}
 }
 
+// haveEnded reports whether no process listens at the address of a server that is still
+// registered and not draining, so that the server is likely to start again.
+func (g *generation) haveEnded(ctx context.Context, servers []serverlist.Server, criteria balance.Criteria) bool {
+	if now := time.Now(); now.Sub(g.probedAt) >= probePeriod {
+		g.probedAt = now
+		g.hasEndedServer = slices.ContainsFunc(servers, func(s serverlist.Server) bool {
+			return criteria.Matches(s) && errors.Is(g.pool.Probe(ctx, s.Address), upstream.ErrRefused)
+		})
+	}
+	return g.hasEndedServer
+}
+
 func servicesOf(servers []serverlist.Server) []string {
 	var services []string
 	for _, s := range servers {
--- a/hickoryd/internal/edgedispatch/reserve.go
+++ b/hickoryd/internal/edgedispatch/reserve.go
@@ -54,7 +54,7 @@
 	tokens := g.request.Metadata.PromptTokens + int(memoryMargin*float64(g.expectedOutputTokens(g.request)))
 	meanTokens := g.meanReservation(g.request.Route.Service, tokens)
 	for {
-		if err := g.checkVersion(g.servers()); err != nil {
+		if err := g.checkVersion(ctx, g.servers()); err != nil {
 			return reservation{}, err
 		}
 		if !g.request.IsRelayed && !g.hasPaths(g.request.Route.Service) {
--- a/hickoryd/internal/edgedispatch/version_test.go
+++ b/hickoryd/internal/edgedispatch/version_test.go
@@ -424,3 +424,48 @@
 		t.Errorf("status %d, events %q after %v; want event 3 soon after %v", status, got, took, wait)
 	}
 }
+
+// TestStreamWaitsForRestartOfItsServers guards against streams that are cut or refused because
+// the last server of their software version has crashed and is about to start again.
+func TestStreamWaitsForRestartOfItsServers(t *testing.T) {
+	const downTime = 700 * time.Millisecond
+	for _, isResumed := range []bool{false, true} {
+		for _, keepsID := range []bool{false, true} {
+			t.Run(fmt.Sprintf("resumed by its caller %t, under its ID %t", isResumed, keepsID), func(t *testing.T) {
+				t.Parallel()
+				list := &changingServers{}
+				other := startVersion(t, "other", "v2", 3, complete)
+				next := startVersion(t, "next", "v1", 3, complete)
+				next.StartedAt = time.UnixMilli(2000)
+				var crash func()
+				first := startVersion(t, "first", "v1", 2, func(http.ResponseWriter, *http.Request) {
+					crash()
+					panic(http.ErrAbortHandler)
+				})
+				first.StartedAt = time.UnixMilli(1000)
+				gone := first
+				gone.Address = netip.MustParseAddrPort("127.0.0.1:1")
+				crash = func() {
+					if keepsID {
+						next.ID = first.ID
+						list.set(servers{gone, other}) // the registration stays for a while
+					} else {
+						list.set(servers{other})
+					}
+					time.AfterFunc(downTime, func() { list.set(servers{other, next}) })
+				}
+				list.set(servers{first, other})
+				d := newVersionDispatcher(t, list, &originPeers{finding: streamorigin.Finding{IsFound: true, SoftwareVersion: "v1"}})
+				from, want := resumption{id: "r1", resumes: "r0", lastEvent: 1}, "2:v1 3:v1"
+				if isResumed {
+					_ = d.FindOrigin(time.Now(), "r0", "s", time.Second) // observes the list
+					from, want = resumption{id: "r1", resumes: "r0", lastEvent: 2}, "3:v1"
+					crash()
+				}
+				if status, got := resume(t, d, from); status != http.StatusOK || got != want {
+					t.Errorf("status %d, events %q; want 200 and %s", status, got, want)
+				}
+			})
+		}
+	}
+}
