Refuse to conclude a version at a host that hears from nobody

Another operator reported that streams went on at a worker of another version at a front machine that had been out of step during a release. Now a version that is concluded from the host's own list needs the store or at least one other host; the early return for an unreachable store is covered by the same rule. A host that knows the stream's origin goes on as before.

--- a/core/streamorigin/finding.go
+++ b/core/streamorigin/finding.go
@@ -49,9 +49,11 @@
 }
 
 // Resolve returns the software version at which the stream may go on, or false if that is
-// unknown. stored is nil if the store could not be read. A complete record is newer than what
-// hosts conclude from their lists of servers, which may be seconds old.
-func (f Finding) Resolve(stored *Stored) (version string, ok bool) {
+// unknown. stored is nil if the store could not be read, and hasOthers is set if the finding
+// includes that of another host. A complete record is newer than what hosts conclude from their
+// lists of servers, which may be seconds old. A host that hears neither from the store nor from
+// other hosts may have missed a version.
+func (f Finding) Resolve(stored *Stored, hasOthers bool) (version string, ok bool) {
 	switch {
 	case f.IsFound:
 		return f.SoftwareVersion, true
@@ -65,7 +67,7 @@
 		return sole, true
 	case stored != nil && stored.Record != nil && len(stored.Record.Versions) > 1:
 		return "", false
-	case f.IsSole:
+	case f.IsSole && (hasOthers || stored != nil):
 		return f.SoleVersion, true
 	default:
 		return "", false
--- a/core/streamorigin/finding_test.go
+++ b/core/streamorigin/finding_test.go
@@ -50,12 +50,16 @@
 		name    string
 		finding streamorigin.Finding
 		stored  *streamorigin.Stored
+		isAlone bool // whether no other host was heard
 		want    string
 		wantOK  bool
 	}{
 		{name: "found", finding: streamorigin.Finding{IsFound: true, SoftwareVersion: "v1", IsMixed: true}, stored: storedOf("v2"), want: "v1", wantOK: true},
 		{name: "found in the store", finding: streamorigin.Finding{IsMixed: true}, stored: &streamorigin.Stored{IsFound: true, SoftwareVersion: "v1"}, want: "v1", wantOK: true},
 		{name: "sole, store not read", finding: streamorigin.Finding{IsSole: true, SoleVersion: "v1"}, want: "v1", wantOK: true},
+		{name: "sole, neither store nor other hosts heard", finding: streamorigin.Finding{IsSole: true, SoleVersion: "v1"}, isAlone: true},
+		{name: "sole, store read, no other host heard", finding: streamorigin.Finding{IsSole: true, SoleVersion: "v1"}, stored: storedOf("v1"), isAlone: true, want: "v1", wantOK: true},
+		{name: "found here, nothing else heard", finding: streamorigin.Finding{IsFound: true, SoftwareVersion: "v1"}, isAlone: true, want: "v1", wantOK: true},
 		{name: "sole, no record", finding: streamorigin.Finding{IsSole: true, SoleVersion: "v1"}, stored: &streamorigin.Stored{}, want: "v1", wantOK: true},
 		{name: "sole in lists of servers that are out of date", finding: streamorigin.Finding{IsSole: true, SoleVersion: "v1"}, stored: storedOf("v1", "v2")},
 		{name: "sole here, another version recorded", finding: streamorigin.Finding{IsSole: true, SoleVersion: "v1"}, stored: storedOf("v2")},
@@ -69,7 +73,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			if got, ok := tt.finding.Resolve(tt.stored); got != tt.want || ok != tt.wantOK {
+			if got, ok := tt.finding.Resolve(tt.stored, !tt.isAlone); got != tt.want || ok != tt.wantOK {
 				t.Errorf("version %q, %t; want %q, %t", got, ok, tt.want, tt.wantOK)
 			}
 		})
--- a/core/streamorigin/record_test.go
+++ b/core/streamorigin/record_test.go
@@ -137,10 +137,10 @@
 	finding.SoleVersion, finding.IsSole = h.history.Sole(now, "s", modelWindow)
 	finding.IsMixed = h.history.IsMixed(now, "s", modelWindow)
 	if store.isDown {
-		return finding.Resolve(nil)
+		return finding.Resolve(nil, true)
 	}
 	version, isFound := store.origins[id]
-	return finding.Resolve(&streamorigin.Stored{Record: store.record, Era: store.era, IsFound: isFound, SoftwareVersion: version})
+	return finding.Resolve(&streamorigin.Stored{Record: store.record, Era: store.era, IsFound: isFound, SoftwareVersion: version}, true)
 }
 
 // TestStreamsAfterAllHostsFail starts, ends and drains servers of two versions, kills all hosts
--- a/hickoryd/internal/edgedispatch/origin.go
+++ b/hickoryd/internal/edgedispatch/origin.go
@@ -223,20 +223,19 @@
 	now, window := time.Now(), r.Route.Timeout+originstore.ListLag
 	finding := d.FindOrigin(now, r.Metadata.ResumesID, r.Route.Service, window)
 	hosts := d.origins.homesOf(now, r.Metadata.ResumesID, originLookups, d.registry.Hosts(), d.options.Self)
+	hasOthers := false
 	if !finding.IsFound {
 		found, err := d.peers.FindOrigin(ctx, hosts, r.Metadata.ResumesID, r.Route.Service, window)
-		if err != nil && d.registry.IsStoreUnreachable() {
-			return "", errUnknownOrigin // this host's own server list may be out of date
-		}
+		hasOthers = err == nil
 		finding = finding.Merge(found)
 	}
 	var stored *streamorigin.Stored
 	if !finding.IsFound {
 		stored = d.originStore.Find(ctx, r.Route.Service, r.Metadata.ResumesID)
 	}
-	version, ok := finding.Resolve(stored)
+	version, ok := finding.Resolve(stored, hasOthers)
 	d.logger.WithFields(r.logFields()).WithFields(log.Fields{
-		"resumes": r.Metadata.ResumesID, "softwareVersion": version, "known": ok, "found": finding.IsFound, "mixed": finding.IsMixed, "store": describeStored(stored),
+		"resumes": r.Metadata.ResumesID, "softwareVersion": version, "known": ok, "found": finding.IsFound, "mixed": finding.IsMixed, "otherHosts": hasOthers, "store": describeStored(stored),
 	}).Info("stream resumed by its caller")
 	if !ok {
 		return "", errUnknownOrigin
