--- a/hickorylab/metastore/metastore.go
+++ b/hickorylab/metastore/metastore.go
@@ -123,6 +123,13 @@
 	return s.commit(transaction{Puts: []item{{Key: key, Value: text}}})
 }
 
+// PutBytes writes a value that need not be JSON.
+func (s *Store) PutBytes(key string, value []byte) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.commit(transaction{Puts: []item{{Key: key, Value: value}}})
+}
+
 // Remove removes a key.
 func (s *Store) Remove(key string) {
 	s.mu.Lock()
