Report the origins of streams before a second version serves

Cause: a host reported which version began a stream only once its service had several, and a host that stands still when the second one joins can't. Origins are now reported in any case: together, every 500 ms, while there is one version, and at once while there are several. They go to an eighth of the hosts, at least 8, so that a host needs few connections for it; a lookup asks these first and then as before, so hosts of the former version are found too. A host of the former version may not find an origin at a holder and then reads the store, as before.

Open: a stream that began less than 500 ms before its host fell silent.

--- a/hickoryd/internal/edgedispatch/origin.go
+++ b/hickoryd/internal/edgedispatch/origin.go
@@ -38,6 +38,16 @@
 	// the hosts may know different lists of hosts.
 	originHomes   = 2
 	originLookups = 16
+	// Few hosts hold origins, so that a host needs few connections to report them: one of
+	// originHolderShare, but at least minOriginHolders.
+	minOriginHolders  = 8
+	originHolderShare = 8
+	// originHolderKey is the key by which the hosts that hold origins are chosen.
+	originHolderKey = "origins"
+	// originReportPeriod is the time between two reports of origins while a service has one
+	// software version. The origins of streams that have begun since the last report are
+	// unknown if their host falls silent.
+	originReportPeriod = 500 * time.Millisecond
 	// probePeriod is the time between two checks whether the servers of a stream's version
 	// have ended.
 	probePeriod = 500 * time.Millisecond
@@ -61,9 +71,15 @@
 	observedAt time.Time
 	// mixed are the services with several software versions at the last observation.
 	mixed map[string]bool
-	// hosts is the list of hosts, from which homes was built. recentHosts are those of
-	// earlier lists with the time until which they count, from which recentHomes was built.
+	// own are the streams that began at this host, with the time until which they are held, and
+	// pending those of their origins that are to be reported.
+	own     map[string]time.Time
+	pending []streamorigin.Origin
+	// hosts is the list of hosts, from which homes was built, and holders those of them that
+	// hold origins. recentHosts are those of earlier lists with the time until which they
+	// count, from which recentHomes was built.
 	hosts       []netip.AddrPort
+	holders     *rendezvous.HostSet
 	homes       *rendezvous.HostSet
 	recentHosts map[netip.AddrPort]time.Time
 	recentHomes *rendezvous.HostSet
@@ -72,7 +88,7 @@
 func newOrigins() *origins {
 	return &origins{
 		table: streamorigin.NewTable(maxOrigins, originLifetime), history: streamorigin.NewHistory(versionRetention),
-		mixed: make(map[string]bool), homes: rendezvous.New(nil), recentHosts: make(map[netip.AddrPort]time.Time), recentHomes: rendezvous.New(nil),
+		mixed: make(map[string]bool), own: make(map[string]time.Time), holders: rendezvous.New(nil), homes: rendezvous.New(nil), recentHosts: make(map[netip.AddrPort]time.Time), recentHomes: rendezvous.New(nil),
 	}
 }
 
@@ -99,19 +115,58 @@
 		}
 		mixed[service] = true
 		if !o.mixed[service] {
-			toReport = append(toReport, o.table.Origins(now, service)...)
+			toReport = append(toReport, o.ownOrigins(now, service)...)
 		}
 	}
 	o.mixed = mixed
 	return toReport
 }
 
-// record adds the origin of a stream. It reports whether the origin has to be reported.
-func (o *origins) record(now time.Time, origin streamorigin.Origin) bool {
+// ownOrigins returns the origins of the streams of a service that began at this host. The
+// caller holds mu.
+func (o *origins) ownOrigins(now time.Time, service string) []streamorigin.Origin {
+	maps.DeleteFunc(o.own, func(_ string, until time.Time) bool { return !now.Before(until) })
+	return slices.DeleteFunc(o.table.Origins(now, service), func(origin streamorigin.Origin) bool {
+		_, isOwn := o.own[origin.RequestID]
+		return !isOwn
+	})
+}
+
+// record adds the origin of a stream of another host.
+func (o *origins) record(now time.Time, origin streamorigin.Origin) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.table.Record(now, origin)
+}
+
+// begin adds the origin of a stream that begins at this host, which is to be reported. It
+// returns the time after which takePending must be called, or false if that is set already.
+func (o *origins) begin(now time.Time, origin streamorigin.Origin) (time.Duration, bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.table.Record(now, origin)
-	return o.mixed[origin.Service]
+	if len(o.own) >= maxOrigins {
+		clear(o.own) // they have been reported
+	}
+	o.own[origin.RequestID] = now.Add(originLifetime)
+	o.pending = append(o.pending, origin)
+	switch {
+	case o.mixed[origin.Service]:
+		return 0, true
+	case len(o.pending) == 1:
+		return originReportPeriod, true
+	default:
+		return 0, false
+	}
+}
+
+// takePending returns the origins that are to be reported.
+func (o *origins) takePending() []streamorigin.Origin {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	pending := o.pending
+	o.pending = nil
+	return pending
 }
 
 // find returns what this host knows of the origin of a stream.
@@ -134,16 +189,30 @@
 	return o.history.MayReturn(now, service, softwareVersion)
 }
 
-// homesOf returns up to n hosts of highest weight for a stream, without self. hosts is the
+// homesOf returns up to n hosts of highest weight for a key, without self. hosts is the
 // current list. Hosts that it no longer has are included if there are fewer than n, as a
 // host's registration may lapse while the host goes on.
-func (o *origins) homesOf(now time.Time, requestID string, n int, hosts []netip.AddrPort, self netip.AddrPort) []netip.AddrPort {
+func (o *origins) homesOf(now time.Time, key string, n int, hosts []netip.AddrPort, self netip.AddrPort) []netip.AddrPort {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.updateHosts(now, hosts)
+	return chooseHomes(key, n, self, o.homes, o.recentHomes)
+}
+
+// holdersOf is homesOf for the origin of a stream: the hosts that hold origins come first.
+func (o *origins) holdersOf(now time.Time, requestID string, n int, hosts []netip.AddrPort, self netip.AddrPort) []netip.AddrPort {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.updateHosts(now, hosts)
+	return chooseHomes(requestID, n, self, o.holders, o.homes, o.recentHomes)
+}
+
+// chooseHomes returns up to n hosts of highest weight for a key, without self, those of the
+// first sets first.
+func chooseHomes(key string, n int, self netip.AddrPort, sets ...*rendezvous.HostSet) []netip.AddrPort {
 	homes := make([]netip.AddrPort, 0, n)
-	for _, set := range []*rendezvous.HostSet{o.homes, o.recentHomes} {
-		for _, name := range set.Homes(requestID, n+1) {
+	for _, set := range sets {
+		for _, name := range set.Homes(key, n+1) {
 			address := netip.MustParseAddrPort(name)
 			if address != self && len(homes) < n && !slices.Contains(homes, address) {
 				homes = append(homes, address)
@@ -164,6 +233,7 @@
 	maps.DeleteFunc(o.recentHosts, func(_ netip.AddrPort, until time.Time) bool { return !now.Before(until) })
 	o.hosts = hosts
 	o.homes, o.recentHomes = newHostSet(slices.Values(hosts)), newHostSet(maps.Keys(o.recentHosts))
+	o.holders = rendezvous.New(o.homes.Homes(originHolderKey, max(minOriginHolders, len(hosts)/originHolderShare)))
 }
 
 func newHostSet(hosts iter.Seq[netip.AddrPort]) *rendezvous.HostSet {
@@ -190,14 +260,24 @@
 }
 
 // recordOrigin records the software version that begins a stream, and reports it to other
-// hosts if the service has several.
+// hosts: at once if the service has several versions, and otherwise together with others, as a
+// host that falls silent before a further version serves can't report it any more.
 func (d *Dispatcher) recordOrigin(origin streamorigin.Origin) {
-	d.originStore.Record(time.Now(), origin)
-	if d.origins.record(time.Now(), origin) {
-		d.reportOrigins([]streamorigin.Origin{origin})
+	now := time.Now()
+	d.originStore.Record(now, origin)
+	switch delay, ok := d.origins.begin(now, origin); {
+	case ok && delay == 0:
+		d.runReportPending()
+	case ok:
+		time.AfterFunc(delay, d.runReportPending)
 	}
 }
 
+// runReportPending reports the origins that were not reported yet.
+func (d *Dispatcher) runReportPending() {
+	d.reportOrigins(d.origins.takePending())
+}
+
 // runReportOrigins reports the origins of the streams of a service that has become mixed.
 func (d *Dispatcher) runReportOrigins(toReport []streamorigin.Origin) {
 	d.reportOrigins(toReport)
@@ -208,7 +288,7 @@
 	now, hosts := time.Now(), d.registry.Hosts()
 	byHost := make(map[netip.AddrPort][]streamorigin.Origin)
 	for _, origin := range toReport {
-		for _, home := range d.origins.homesOf(now, origin.RequestID, originHomes, hosts, d.options.Self) {
+		for _, home := range d.origins.holdersOf(now, origin.RequestID, originHomes, hosts, d.options.Self) {
 			byHost[home] = append(byHost[home], origin)
 		}
 	}
@@ -222,7 +302,7 @@
 func (d *Dispatcher) resolveOrigin(ctx context.Context, r *Request) (string, error) {
 	now, window := time.Now(), r.Route.Timeout+originstore.ListLag
 	finding := d.FindOrigin(now, r.Metadata.ResumesID, r.Route.Service, window)
-	hosts := d.origins.homesOf(now, r.Metadata.ResumesID, originLookups, d.registry.Hosts(), d.options.Self)
+	hosts := d.origins.holdersOf(now, r.Metadata.ResumesID, originLookups, d.registry.Hosts(), d.options.Self)
 	hasOthers := false
 	if !finding.IsFound {
 		found, err := d.peers.FindOrigin(ctx, hosts, r.Metadata.ResumesID, r.Route.Service, window)
--- a/hickoryd/internal/edgedispatch/version_test.go
+++ b/hickoryd/internal/edgedispatch/version_test.go
@@ -386,6 +386,23 @@
 	}
 }
 
+// TestOriginIsReportedBeforeOtherVersions guards against streams that no other host can take up
+// because their host fell silent before a second software version served.
+func TestOriginIsReportedBeforeOtherVersions(t *testing.T) {
+	list := &changingServers{}
+	list.set(servers{startVersion(t, "first", "v1", 3, complete)})
+	peers := &originPeers{}
+	if status, _ := resume(t, newVersionDispatcher(t, list, peers), resumption{id: "r1"}); status != http.StatusOK {
+		t.Fatalf("status %d, want 200", status)
+	}
+	want := streamorigin.Origin{RequestID: "r1", Service: "s", SoftwareVersion: "v1"}
+	for deadline := time.Now().Add(5 * time.Second); !peers.hasReport(want); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("the origin of a stream is not reported while its service has one version")
+		}
+	}
+}
+
 // TestLapsedHostsAreQueried guards against streams that can't be resumed because the
 // registrations of the other hosts have lapsed, as they do when the store was away.
 func TestLapsedHostsAreQueried(t *testing.T) {
