Skip an earlier refusal that a server repeats on a kept connection

Another operator reported that a faulty worker wrote an earlier refusal once more on a kept connection, so that clients were told 'not run' for requests that ran (REFUSED), or such a request ran at a second worker (TWICE). It can happen here in two of three ways: a repeated refusal of a call names no request, and was taken for the response to the next request on the connection; and a repeated refusal of an earlier attempt at the same request names the right one. A repeated refusal of another request was skipped already.

A response on a reused connection must name its request now, as the platform's servers do, and one that names a request is no response to a call. A request is not sent on a connection on which it was refused before, as nothing would show which attempt a second refusal means. The scripted server of that test serves connections side by side now.

--- a/hickoryd/internal/upstream/connection.go
+++ b/hickoryd/internal/upstream/connection.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -31,13 +32,17 @@
 	// maxReadResponses bounds the responses that are read for one request: its own, and
 	// those skipped before it, which are informational or belong to another request.
 	maxReadResponses = 4
+	// maxNotRun is the number of requests that were not run after which a connection is not
+	// reused.
+	maxNotRun = 32
 )
 
 type (
 	// Request is one request to a backend server.
 	Request struct {
-		// ID is the request ID that the response echoes. A response that names
-		// another ID is skipped; if ID is empty, every response is accepted.
+		// ID is the request ID that the response echoes. A response that names another ID, or
+		// on a reused connection none, is skipped. It is empty for calls, whose responses
+		// name no ID.
 		ID     string
 		Method string
 		// Target is the path and query in the encoding in which they are sent.
@@ -79,6 +84,11 @@
 		// reusableUntil is the time from which the connection has been idle too long
 		// to be reused. It is zero before the first response.
 		reusableUntil time.Time
+		// isUsed is set once a response was read.
+		isUsed bool
+		// notRun are the IDs of the requests that the server has stated on this connection not
+		// to have run.
+		notRun []string
 	}
 
 	// limitedReader fails with errHeadTooLong once it has read left bytes while isLimited is
@@ -110,7 +120,7 @@
 // are read. Its error wraps ErrNotSent or ErrMayHaveRun. If ctx ends before the
 // response is closed, Do closes the connection.
 func (p *Pool) Do(ctx context.Context, address netip.AddrPort, r Request) (*Response, error) {
-	c, err := p.connect(ctx, address)
+	c, err := p.connect(ctx, address, r.ID)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
@@ -146,7 +156,7 @@
 // Otherwise it closes the connection.
 func (r *Response) Close() {
 	isOpen := r.stop()
-	if !isOpen || !r.body.isComplete || r.Response.Close || !r.isRequestWritten() || r.connection.reader.Buffered() > 0 {
+	if !isOpen || !r.body.isComplete || r.Response.Close || len(r.connection.notRun) >= maxNotRun || !r.isRequestWritten() || r.connection.reader.Buffered() > 0 {
 		r.connection.close()
 		return
 	}
@@ -256,7 +266,11 @@
 			continue
 		}
 		metadata := platform.DecodeResponse(response)
-		if r.ID == "" || metadata.RequestID == "" || metadata.RequestID == r.ID {
+		if c.isResponseTo(r, metadata) {
+			c.isUsed = true
+			if metadata.IsNotRun && r.ID != "" {
+				c.notRun = append(c.notRun, r.ID)
+			}
 			return response, metadata, nil
 		}
 		n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxInternalReadBytes))
@@ -267,6 +281,19 @@
 	return nil, platform.Response{}, errors.New("too many answers to other requests")
 }
 
+// isResponseTo reports whether a response with the given metadata is the one to r. A server may
+// send an earlier response once more, so only the first one on a connection need not name its
+// request.
+func (c *connection) isResponseTo(r Request, metadata platform.Response) bool {
+	return metadata.RequestID == r.ID || !c.isUsed && (r.ID == "" || metadata.RequestID == "")
+}
+
+// hasRefused reports whether the server has stated on this connection that it did not run the
+// request. If it states so once more, nothing shows which attempt it means.
+func (c *connection) hasRefused(id string) bool {
+	return id != "" && slices.Contains(c.notRun, id)
+}
+
 // shorten returns an error with the start of err's text if that is long: it may quote what
 // the server has sent.
 func shorten(err error) error {
--- a/hickoryd/internal/upstream/pool.go
+++ b/hickoryd/internal/upstream/pool.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -126,10 +127,11 @@
 	clear(p.idle)
 }
 
-// connect returns an idle connection, or a new one.
-func (p *Pool) connect(ctx context.Context, address netip.AddrPort) (*connection, error) {
+// connect returns an idle connection on which the request with the given ID was not refused
+// before, or a new one.
+func (p *Pool) connect(ctx context.Context, address netip.AddrPort, id string) (*connection, error) {
 	for {
-		c := p.takeIdle(address)
+		c := p.takeIdle(address, id)
 		if c == nil {
 			break
 		}
@@ -147,18 +149,20 @@
 	return newConnection(p, address, socket), nil
 }
 
-// takeIdle removes the most recently used connection from the idle ones and returns
-// it, or nil if there is none. The server is least likely to have closed that one.
-func (p *Pool) takeIdle(address netip.AddrPort) *connection {
+// takeIdle removes the most recently used connection that connect may return from the idle
+// ones and returns it, or nil if there is none. The server is least likely to have closed that
+// one.
+func (p *Pool) takeIdle(address netip.AddrPort, id string) *connection {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	connections := p.idle[address]
-	if len(connections) == 0 {
-		return nil
+	for i, c := range slices.Backward(connections) {
+		if !c.hasRefused(id) {
+			p.idle[address] = slices.Delete(connections, i, i+1)
+			return c
+		}
 	}
-	c := connections[len(connections)-1]
-	p.idle[address] = connections[:len(connections)-1]
-	return c
+	return nil
 }
 
 // putIdle adds a connection to the idle ones, or closes the connection if the server
--- a/hickoryd/internal/upstream/pool_test.go
+++ b/hickoryd/internal/upstream/pool_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -47,17 +48,21 @@
 			return
 		}
 		s.accepted.Add(1)
-		reader := bufio.NewReader(socket)
-		for _, text := range s.script {
-			request, err := http.ReadRequest(reader)
-			if err != nil {
-				break
-			}
-			_, _ = io.Copy(io.Discard, request.Body)
-			s.heads <- request.Method + " " + request.RequestURI
-			_, _ = io.WriteString(socket, text)
+		go s.runConnection(socket)
+	}
+}
+
+func (s *scriptedServer) runConnection(socket net.Conn) {
+	defer socket.Close()
+	reader := bufio.NewReader(socket)
+	for _, text := range s.script {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
 		}
-		socket.Close()
+		_, _ = io.Copy(io.Discard, request.Body)
+		s.heads <- request.Method + " " + request.RequestURI
+		_, _ = io.WriteString(socket, text)
 	}
 }
 
@@ -186,6 +191,52 @@
 	}
 }
 
+// TestEarlierRefusalIsNoResponse guards against a refusal that a server writes once more on a
+// kept connection and that is taken for the response to a request that the server runs.
+func TestEarlierRefusalIsNoResponse(t *testing.T) {
+	const (
+		run     = "HTTP/1.1 200 OK\r\nRequest-Id: r2\r\nContent-Length: 2\r\n\r\nok"
+		refusal = "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\n%sContent-Length: 0\r\n\r\n"
+	)
+	named := func(id string) string { return fmt.Sprintf(refusal, "Request-Id: "+id+"\r\n") }
+	unnamed := fmt.Sprintf(refusal, "")
+	tests := []struct {
+		name   string
+		first  string // ID of the request that is refused; "" for a call
+		script []string
+		want   int64 // connections
+	}{
+		{name: "of another request", first: "r1", script: []string{named("r1"), named("r1") + run}, want: 1},
+		{name: "of a call", first: "", script: []string{unnamed, unnamed + run}, want: 1},
+		{name: "without an ID", first: "r1", script: []string{named("r1"), unnamed + run}, want: 1},
+		{name: "of an earlier attempt at the request", first: "r2", script: []string{named("r2"), named("r2") + run}, want: 2},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			server, pool := startScriptedServer(t, tt.script...), newPool()
+			first, err := pool.Do(t.Context(), server.address(), get(tt.first))
+			if err != nil || !first.Metadata.IsNotRun {
+				t.Fatalf("first request: error %v, want a refusal", err)
+			}
+			_, _ = io.ReadAll(first.Body)
+			first.Close()
+			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+			defer cancel()
+			second, err := pool.Do(ctx, server.address(), get("r2"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer second.Close()
+			if got := server.accepted.Load(); got != tt.want {
+				t.Errorf("%d connections, want %d", got, tt.want)
+			}
+			if isReused := tt.want == 1; isReused && second.Metadata.IsNotRun {
+				t.Error("an earlier refusal was taken for the response to a request that was run")
+			}
+		})
+	}
+}
+
 // The server reads the request and doesn't respond, so only the end of the context can
 // make Do return. A context that ends before the connection exists is another case:
 // nothing was sent then.
