Answer the requests that a stopping host can't serve

Cause: at 94 % of the grace period the host closed all connections, and nothing ended the requests before. The check on arrival assumed that a stream takes 5 s, and was never made again while it waited.

A generation that waits for a server is checked again: from the time on at which it could no longer end before the host does, it is refused as not run, so that its caller goes to another host in time. 250 ms before the connections are closed, every request in flight ends in its own way: 503 if it can't have run, 504 otherwise, a started response is cut. The rule is in core/draining and serves both checks. A request of another host is handed back in the same cases, so that it is offered to a third one.

--- a/hickoryd/internal/edge/daemon.go
+++ b/hickoryd/internal/edge/daemon.go
@@ -122,7 +122,8 @@
 // the handler drain, but still accepts connections for balancerDelay, until the load
 // balancer sends no more requests. Then it accepts none, ends the idle ones and waits
 // for the requests in flight, those of other hosts included, until drainShare of the grace
-// period has passed since Stop was called. At last it ends the background loops, without
+// period has passed since Stop was called. Shortly before, the dispatcher ends those that are
+// left, so that they get an answer. At last it ends the background loops, without
 // waiting for them, and closes the other listeners and the connections to callers, operators
 // and hosts, which aborts the requests left.
 func (d *Daemon) Stop(ctx context.Context) error {
@@ -130,6 +131,7 @@
 	d.isDraining.Store(true)
 	drainEnd := started.Add(time.Duration(drainShare * float64(d.settings.Grace)))
 	d.handler.Drain(drainEnd)
+	d.dispatcher.Drain(drainEnd)
 	d.edgeServer.DrainRelays()
 	d.logger.WithField("inFlight", d.handler.InFlight()).Info("daemon stopping")
 	if err := timing.Sleep(ctx, balancerDelay); err != nil {
--- a/hickoryd/internal/edgecaller/caller.go
+++ b/hickoryd/internal/edgecaller/caller.go
@@ -16,6 +16,7 @@
 	"github.com/apex/log"
 
 	"github.com/hickoryfront/hickoryfront/core/crash"
+	"github.com/hickoryfront/hickoryfront/core/draining"
 	"github.com/hickoryfront/hickoryfront/core/route"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/edgedispatch"
 	"github.com/hickoryfront/hickoryfront/platform"
@@ -32,12 +33,6 @@
 	// startRetryAfter is the Retry-After while the host has no configuration or buffers
 	// too many bodies: the time after which it should have loaded its routes.
 	startRetryAfter = 500 * time.Millisecond
-	// typicalStreamTime is the time in which nearly all streams end: 160 events of 13
-	// tokens, at a few milliseconds a token.
-	typicalStreamTime = 5 * time.Second
-	// drainRetryAfter is the Retry-After of a draining host. It is short, since the
-	// retry goes to another host.
-	drainRetryAfter = 20 * time.Millisecond
 	// maxTotalBodyBytes is the total size of the request bodies in memory above which
 	// further bodies are refused. It is a part of the memory of the smallest host. A body
 	// counts only once it is read, so bodies that arrive together can exceed it.
@@ -190,14 +185,10 @@
 	if drainEnd == nil {
 		return nil
 	}
-	end := request.Deadline
-	if streamEnd := now.Add(typicalStreamTime); request.Route.Kind == route.Streaming && streamEnd.Before(end) {
-		end = streamEnd
-	}
-	if end.Before(*drainEnd) {
+	if draining.CanFinish(now, request.Deadline, *drainEnd, request.Route.Kind == route.Streaming) {
 		return nil
 	}
-	return &edgedispatch.Failure{Status: http.StatusServiceUnavailable, RetryAfter: drainRetryAfter, Reason: "host is leaving"}
+	return &edgedispatch.Failure{Status: http.StatusServiceUnavailable, RetryAfter: draining.RetryAfter, Reason: "host is leaving"}
 }
 
 // readBody reads the body of a request into memory, within the limits on one body and
--- a/hickoryd/internal/edgedispatch/dispatch.go
+++ b/hickoryd/internal/edgedispatch/dispatch.go
@@ -209,6 +209,7 @@
 		// homes and issuer issue this host's permits for servers with limits.
 		homes  *serverlimit.Homes
 		issuer *serverlimit.Issuer
+		stop   *stop
 		// homeFailedAt is when homes of servers last did not respond.
 		homeFailedAt map[netip.AddrPort]time.Time
 		// meanTokens is the moving average of the reserved tokens, by service.
@@ -228,7 +229,7 @@
 // New returns a dispatcher whose background work ends with the context background.
 func New(background context.Context, options Options, r Registry, pool *upstream.Pool, peers Peers, quarantine Quarantine, originStore OriginStore, logger log.Interface, set *metrics.Set) *Dispatcher {
 	d := &Dispatcher{
-		background: background, options: options, registry: r, pool: pool, peers: peers, quarantine: quarantine, originStore: originStore, logger: logger, origins: newOrigins(),
+		background: background, options: options, registry: r, pool: pool, peers: peers, quarantine: quarantine, originStore: originStore, logger: logger, origins: newOrigins(), stop: newStop(),
 		balancer: balance.NewTable(), prefillQueue: prefillqueue.NewEstimator(), outputLength: outputlength.NewEstimator(), budgets: make(map[string]*retrybudget.Budget), crashes: crash.NewTable(crashTableSize), paths: serverpath.NewTable(), pathChecks: make(map[string]chan struct{}), relayRejections: make(map[relayRejection]time.Time), limits: serverlimit.NewTable(), homes: serverlimit.NewHomes(), issuer: serverlimit.NewIssuer(time.Now()), homeFailedAt: make(map[netip.AddrPort]time.Time), meanTokens: make(map[string]float64), callerRetry: make(map[string]*callerretry.Estimator),
 		counters: counters{
 			retries:            set.NewCounter(`hickoryfront_edge_repeats_total`),
@@ -259,6 +260,8 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	defer cancel()
+	ctx, stop := d.stop.bind(ctx)
+	defer stop()
 	if !r.IsRelayed && !d.hasPaths(r.Route.Service) {
 		if err := d.relay(ctx, r, sink); !errors.Is(err, errNoRelay) {
 			return relayFailure(ctx, err)
--- a/hickoryd/internal/edgedispatch/generation.go
+++ b/hickoryd/internal/edgedispatch/generation.go
@@ -11,6 +11,7 @@
 	"github.com/apex/log"
 
 	"github.com/hickoryfront/hickoryfront/core/attempts"
+	"github.com/hickoryfront/hickoryfront/core/draining"
 	"github.com/hickoryfront/hickoryfront/core/eventstream"
 	"github.com/hickoryfront/hickoryfront/core/route"
 	"github.com/hickoryfront/hickoryfront/core/serverlist"
@@ -180,7 +181,10 @@
 		return fmt.Errorf("%w: %v", ErrTruncated, last) // %v: a truncated response must not match a *Failure
 	}
 	retryAfter := fullRetryAfter
-	if ctx.Err() != nil {
+	switch {
+	case errors.Is(context.Cause(ctx), errStopping):
+		retryAfter = draining.RetryAfter
+	case ctx.Err() != nil:
 		retryAfter = 0 // the caller's timeout has passed
 	}
 	return finalFailure(ctx, g.history.Runs(), last, retryAfter)
--- a/hickoryd/internal/edgedispatch/reserve.go
+++ b/hickoryd/internal/edgedispatch/reserve.go
@@ -61,6 +61,9 @@
 			return reservation{}, errPathsLost
 		}
 		now := time.Now()
+		if err := g.checkDraining(now); err != nil {
+			return reservation{}, err
+		}
 		decision := capacitywait.Decide(now, g.waitConditions())
 		if decision.IsRefused {
 			if !g.request.IsRelayed && !g.awaitPaths(ctx, g.request.Route.Service) {
--- a/hickoryd/internal/edgehost/relay.go
+++ b/hickoryd/internal/edgehost/relay.go
@@ -214,8 +214,8 @@
 	if sink.isStarted || !errors.As(err, &failure) {
 		return err
 	}
-	// A host that has just lost its own paths leaves the request to another one.
-	isRejection := failure.Status == http.StatusServiceUnavailable && !r.accepts(head)
+	// A host that stops or has just lost its own paths leaves the request to another one.
+	isRejection := failure.Status == http.StatusServiceUnavailable && (r.isDraining.Load() || !r.accepts(head))
 	return sink.stream.Send(&peerapi.RelayResponse{Part: &peerapi.RelayResponse_Failure{Failure: &peerapi.RelayFailure{
 		Status: int32(failure.Status), RetryAfterMs: failure.RetryAfter.Milliseconds(), Reason: failure.Reason, IsRejection: isRejection,
 	}}})
--- a/hickorylab/edgesoak/environment_test.go
+++ b/hickorylab/edgesoak/environment_test.go
@@ -44,6 +44,8 @@
 		areHostsIsolated bool
 		// hasPaths is set if each host reaches each server over a path of its own.
 		hasPaths bool
+		// grace is the time from SIGTERM to the end of a host, or 0 for the default.
+		grace time.Duration
 		// configuration returns the configurations, or is nil for the function configuration.
 		configuration func(version int, shop string) map[string]any
 	}
@@ -196,6 +198,9 @@
 	text := fmt.Sprintf("[host]\nname = host-%d\nfailureDomain = z1\nfirstStart = %t\n[listen]\ncaller = %s\nready = %s\npeer = %s\noperator = %s\n"+
 		"[store]\naddress = %s\n[peers]\nseeds = %s\n[repeats]\nslack = %d\n",
 		i, isFirstStart, e.hostPort(i, 18080), e.hostPort(i, 18081), e.hostPort(i, 18082), e.hostPort(i, 18083), e.storeAddressOf(i), strings.Join(seeds, ","), e.retrySlack)
+	if e.grace > 0 {
+		text += fmt.Sprintf("[shutdown]\ngrace = %s\n", e.grace)
+	}
 	if err := os.WriteFile(e.settings[i], []byte(text), 0o600); err != nil {
 		e.tb.Fatal(err)
 	}
--- /dev/null
+++ b/hickorylab/edgesoak/stopwaiting_test.go
@@ -0,0 +1,79 @@
+package edgesoak_test
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/hickoryfront/hickoryfront/hickorylab/worker"
+)
+
+// TestStoppingHostAnswersRequests guards against a host that stops and closes the connection of a
+// request that waits, for a server or at one, without an answer. Requests are sent every 100 ms
+// before and after the SIGTERM.
+func TestStoppingHostAnswersRequests(t *testing.T) {
+	t.Parallel()
+	const patience = 14 * time.Second
+	for _, grace := range []time.Duration{2 * time.Second, 8 * time.Second, 12 * time.Second} {
+		t.Run(fmt.Sprint("grace ", grace), func(t *testing.T) {
+			t.Parallel()
+			e := startEnvironmentWith(t, environmentOptions{retrySlack: 500, decodeServers: 3, grace: grace, configuration: patientConfiguration})
+			for _, s := range e.plainServers {
+				s.Pause(time.Minute) // calls wait at a server
+			}
+			var group sync.WaitGroup
+			terminated := time.AfterFunc(time.Second, func() {
+				e.hosts[0].Terminate()
+				e.hosts[0].Terminate()
+			})
+			defer terminated.Stop()
+			for began := time.Now(); time.Since(began) < time.Second+grace; time.Sleep(100 * time.Millisecond) {
+				for _, r := range waitingRequests(e) {
+					group.Go(func() {
+						c := &caller{environment: e, random: rand.New(rand.NewPCG(1, e.counter.Load()))}
+						defer c.close()
+						o := c.attempt(r, time.Now().Add(patience))
+						isUnread := !o.isSent() || !o.wasRead(e.workers) && isClosed(o.err)
+						if o.err != nil && !isUnread {
+							t.Errorf("%v, sent %v after the first; log of its host:\n%s", o, o.sentAt.Sub(began).Round(time.Millisecond), e.hostLog(o))
+						}
+					})
+				}
+			}
+			group.Wait()
+		})
+	}
+}
+
+// waitingRequests returns requests that no server ever answers: calls at silent servers, a first
+// attempt at a stream that no server has room for, and such a stream that is taken up again.
+func waitingRequests(e *environment) []callerRequest {
+	lookup, hold, first, resumed := e.newRequest("/lookup/"), e.newRequest("/hold/"), e.newRequest("/draft/"), e.newRequest("/draft/")
+	first.promptTokens = worker.MemoryTokens + 1
+	resumed.promptTokens, resumed.firstAttempt, resumed.lastEvent = worker.MemoryTokens+1, "earlier", 1
+	return []callerRequest{lookup, hold, first, resumed}
+}
+
+// patientConfiguration is configuration with long timeouts.
+func patientConfiguration(version int, shop string) map[string]any {
+	document := configuration(version, shop)
+	for _, r := range document["routes"].([]any) {
+		route := r.(map[string]any)
+		route["timeout-ms"], route["target-latency-ms"] = 14_000, 2000
+	}
+	return document
+}
+
+// isClosed reports whether the other side has closed the connection.
+func isClosed(err error) bool {
+	var netErr net.Error
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) ||
+		errors.As(err, &netErr) && !errors.Is(err, os.ErrDeadlineExceeded)
+}
