Count request bodies in a ledger while they are read

Cause: the limit of 24 MiB counted a body only once it had been read, so that bodies which arrive together all passed, and a body in chunks was read by io.ReadAll, whose buffers take about twice its size.

Each buffer is now taken in a ledger (core/memoryledger) before it is allocated, also while a body grows, against a fifth of the setting memoryMB. A body that doesn't fit is refused at once as not run; the host reads the rest of it without keeping it, as a connection that is closed with unread bytes is reset and its caller might not get the answer. Metrics: hickoryfront_edge_body_bytes, hickoryfront_edge_bodies_refused_total.

TestLongBodiesTogether: 20 bodies of 400 KiB, sized and in chunks, with 1 MiB: some are served, all others get 503, and short requests beside them 200. Open: responses held for slow callers (256 KiB each) and idle connections are not counted; bodies of other hosts' requests have their limit of 8 MiB as before.

--- a/hickoryd/internal/edge/wiring.go
+++ b/hickoryd/internal/edge/wiring.go
@@ -13,6 +13,7 @@
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
 
+	"github.com/hickoryfront/hickoryfront/core/memoryledger"
 	"github.com/hickoryfront/hickoryfront/core/retrybudget"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/edgecaller"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/edgedispatch"
@@ -32,6 +33,8 @@
 	// memoryMB) that is the Go runtime's memory limit. The rest holds the sockets'
 	// buffers and the program.
 	memoryShare = 0.6
+	// bodyShare is the part of that memory that request bodies may take.
+	bodyShare = 0.2
 	// gcPercent is the growth of the heap between two garbage collections. It is low
 	// because memory is scarcer than processor time on these hosts.
 	gcPercent = 50
@@ -118,8 +121,8 @@
 	}, r, pool, peers, q, records, logger, set)
 }
 
-func newHandler(r *registry.Registry, d *edgedispatch.Dispatcher, logger log.Interface, set *metrics.Set) *edgecaller.Handler {
-	return edgecaller.New(r, d, logger, set)
+func newHandler(s Settings, r *registry.Registry, d *edgedispatch.Dispatcher, logger log.Interface, set *metrics.Set) *edgecaller.Handler {
+	return edgecaller.New(r, d, memoryledger.New(int64(bodyShare*float64(s.MemoryMB)*(1<<20))), logger, set)
 }
 
 func newEdgeServer(r *registry.Registry, d *edgedispatch.Dispatcher, q *quarantine.Quarantine) *edgehost.Server {
--- a/hickoryd/internal/edgecaller/caller.go
+++ b/hickoryd/internal/edgecaller/caller.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -17,6 +16,7 @@
 
 	"github.com/hickoryfront/hickoryfront/core/crash"
 	"github.com/hickoryfront/hickoryfront/core/draining"
+	"github.com/hickoryfront/hickoryfront/core/memoryledger"
 	"github.com/hickoryfront/hickoryfront/core/route"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/edgedispatch"
 	"github.com/hickoryfront/hickoryfront/platform"
@@ -33,10 +33,6 @@
 	// startRetryAfter is the Retry-After while the host has no configuration or buffers
 	// too many bodies: the time after which it should have loaded its routes.
 	startRetryAfter = 500 * time.Millisecond
-	// maxTotalBodyBytes is the total size of the request bodies in memory above which
-	// further bodies are refused. It is a part of the memory of the smallest host. A body
-	// counts only once it is read, so bodies that arrive together can exceed it.
-	maxTotalBodyBytes = 24 << 20
 )
 
 var (
@@ -64,19 +60,23 @@
 		// drainEnd is when the requests in flight are aborted, or nil if the host is not
 		// draining.
 		drainEnd atomic.Pointer[time.Time]
-		// bufferedBytes is the total size of the request bodies that were read and are
-		// still in memory.
-		bufferedBytes atomic.Int64
-		inFlight      atomic.Int64
+		// memory counts the request bodies that are being read or in memory.
+		memory   *memoryledger.Ledger
+		inFlight atomic.Int64
 
-		requests *metrics.Counter
-		set      *metrics.Set
+		requests      *metrics.Counter
+		bodiesRefused *metrics.Counter
+		set           *metrics.Set
 	}
 )
 
-// New returns a handler.
-func New(routes Routes, dispatcher Dispatcher, logger log.Interface, set *metrics.Set) *Handler {
-	h := &Handler{routes: routes, dispatcher: dispatcher, logger: logger, set: set, requests: set.NewCounter(`hickoryfront_edge_requests_total`)}
+// New returns a handler that counts request bodies in the ledger memory.
+func New(routes Routes, dispatcher Dispatcher, memory *memoryledger.Ledger, logger log.Interface, set *metrics.Set) *Handler {
+	h := &Handler{
+		routes: routes, dispatcher: dispatcher, memory: memory, logger: logger, set: set,
+		requests: set.NewCounter(`hickoryfront_edge_requests_total`), bodiesRefused: set.NewCounter(`hickoryfront_edge_bodies_refused_total`),
+	}
+	set.NewGauge(`hickoryfront_edge_body_bytes`, func() float64 { return float64(memory.Used()) })
 	set.NewGauge(`hickoryfront_edge_requests_in_flight`, func() float64 { return float64(h.inFlight.Load()) })
 	return h
 }
@@ -103,13 +103,14 @@
 	if r.ContentLength != 0 {
 		h.limitBody(s.controller, arrived)
 	}
-	request, err := h.read(r, s.controller, arrived)
-	defer h.bufferedBytes.Add(-int64(len(request.Body)))
+	b := &body{ledger: h.memory}
+	defer b.release()
+	request, err := h.read(r, b, s.controller, arrived)
 	if err == nil {
 		s.id = request.Metadata.ID
 		err = h.dispatcher.Serve(r.Context(), request, s)
 	}
-	h.finish(r, request, s, err)
+	h.finish(r, request, b, s, err)
 }
 
 // limitBody sets the deadline for reading a body. The deadline applies to refused
@@ -122,9 +123,13 @@
 
 // finish ends the response. A response that has started and can't be finished must
 // not look complete, so its connection is aborted.
-func (h *Handler) finish(r *http.Request, request *edgedispatch.Request, s *sink, err error) {
+func (h *Handler) finish(r *http.Request, request *edgedispatch.Request, b *body, s *sink, err error) {
 	failure := unsentFailure(s, err)
 	h.observe(request, s, failure, err)
+	if failure != nil && b.isRefused {
+		h.refuseEarly(r, s, failure)
+		return
+	}
 	if failure != nil {
 		s.fail(failure)
 		return // the response is complete, even if the read deadline of the body has canceled the context
@@ -145,7 +150,7 @@
 }
 
 // read decodes a request and reads its body. The request returned is never nil.
-func (h *Handler) read(r *http.Request, controller *http.ResponseController, arrived time.Time) (*edgedispatch.Request, error) {
+func (h *Handler) read(r *http.Request, b *body, controller *http.ResponseController, arrived time.Time) (*edgedispatch.Request, error) {
 	request := &edgedispatch.Request{Method: r.Method, Target: targetOf(r), Host: r.Host, Header: r.Header, Arrived: arrived}
 	var err error
 	request.Metadata, err = platform.DecodeRequest(r.Header)
@@ -168,7 +173,7 @@
 	if err := h.checkDraining(request, arrived); err != nil {
 		return request, err
 	}
-	if err := h.readBody(request, r, controller, table.Limits()); err != nil {
+	if err := h.readBody(request, b, r, controller, table.Limits()); err != nil {
 		return request, err
 	}
 	if err := h.checkDraining(request, time.Now()); err != nil { // the drain may have begun meanwhile
@@ -191,47 +196,6 @@
 	return &edgedispatch.Failure{Status: http.StatusServiceUnavailable, RetryAfter: draining.RetryAfter, Reason: "host is leaving"}
 }
 
-// readBody reads the body of a request into memory, within the limits on one body and
-// on all bodies.
-func (h *Handler) readBody(request *edgedispatch.Request, r *http.Request, controller *http.ResponseController, limits route.Limits) error {
-	limit := limits.BodyBytes
-	if limit <= 0 {
-		limit = defaultBodyBytes
-	}
-	if r.ContentLength == 0 {
-		return nil
-	}
-	if r.ContentLength > limit {
-		return &edgedispatch.Failure{Status: http.StatusRequestEntityTooLarge, Reason: "body too long"}
-	}
-	if h.bufferedBytes.Load()+max(r.ContentLength, 0) > maxTotalBodyBytes {
-		return errTooManyBodies
-	}
-	body, err := readAll(io.LimitReader(r.Body, limit+1), r.ContentLength)
-	request.Body = body
-	h.bufferedBytes.Add(int64(len(body)))
-	if err != nil {
-		return &edgedispatch.Failure{Status: http.StatusRequestTimeout, Reason: "body not read: " + err.Error()}
-	}
-	if int64(len(body)) > limit {
-		return &edgedispatch.Failure{Status: http.StatusRequestEntityTooLarge, Reason: "body too long"}
-	}
-	if err := controller.SetReadDeadline(time.Time{}); err != nil {
-		h.logger.WithError(err).Warn("can't clear the read deadline of a body")
-	}
-	return nil
-}
-
-// readAll reads a body of the given length. A negative length is unknown.
-func readAll(r io.Reader, length int64) ([]byte, error) {
-	if length < 0 {
-		return io.ReadAll(r)
-	}
-	body := make([]byte, length)
-	n, err := io.ReadFull(r, body)
-	return body[:n], err
-}
-
 // targetOf returns path and query as the caller sent them.
 func targetOf(r *http.Request) string {
 	if strings.HasPrefix(r.RequestURI, "/") {
--- a/hickoryd/internal/edgecaller/caller_test.go
+++ b/hickoryd/internal/edgecaller/caller_test.go
@@ -78,7 +78,7 @@
 			if dispatch == nil {
 				dispatch = echo
 			}
-			handler := edgecaller.New(tt.routes, dispatch, &log.Logger{Handler: discard.New()}, metrics.NewSet())
+			handler := edgecaller.New(tt.routes, dispatch, newLedger(), &log.Logger{Handler: discard.New()}, metrics.NewSet())
 			if tt.drainTime > 0 {
 				handler.Drain(time.Now().Add(tt.drainTime))
 			}
