Don't take the stop of a run for the end of its stream

Cause: such a stream ends with its connection, in the same way whether the server has finished or this host has just stopped the run to migrate it, and the end was read as success before the migration was asked. For a response that only its connection ends, the migration is now asked first, and the stream is complete only if the run can't have been stopped: where the answer to the last transfer is lost, the response is cut.

Looked through for the same cause: prefills and calls fail to decode when cut; a plain response that ends cleanly with its connection can't be told from a complete one, and this host never ends one itself.

--- a/hickoryd/internal/edgedispatch/decode.go
+++ b/hickoryd/internal/edgedispatch/decode.go
@@ -149,12 +149,15 @@
 	for {
 		event, err := events.Next()
 		if err != nil {
-			if events.IsComplete(err) {
+			if events.IsComplete(err) && !endsWithConnection(response) {
 				return nil
 			}
 			if migrated := migration.result(ctx); migrated != nil {
 				return migrated
 			}
+			if events.IsComplete(err) && ctx.Err() == nil && !migration.mayHaveStopped.Load() {
+				return nil
+			}
 			return withCause(ctx, fmt.Errorf("%w: stream ended after event %d: %w", upstream.ErrMayHaveRun, g.relay.LastID(), err))
 		}
 		g.attemptEvents++
@@ -177,6 +180,12 @@
 	}
 }
 
+// endsWithConnection reports whether only the end of its connection ends a response. A server
+// that stops a run to migrate it ends such a response in the same way as a complete one.
+func endsWithConnection(response *upstream.Response) bool {
+	return response.ContentLength < 0 && len(response.TransferEncoding) == 0
+}
+
 // recordEvent records an event of server that is sent to the caller at now.
 func (g *generation) recordEvent(now time.Time, server serverlist.Server) {
 	g.timing.recordEvent(now)
--- a/hickoryd/internal/edgedispatch/migrate.go
+++ b/hickoryd/internal/edgedispatch/migrate.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -69,6 +70,8 @@
 		// checkedVersion is the version of the server list that was checked last.
 		checkedVersion uint64
 		started        bool
+		// mayHaveStopped is set once the server may have stopped the run by the last transfer.
+		mayHaveStopped atomic.Bool
 		// done receives the result. abandoned is closed when nobody awaits it.
 		done      chan *migratedRun
 		abandoned chan struct{}
@@ -227,7 +230,11 @@
 
 // complete stops the run and transfers the part of its KV cache that is new.
 func (m *migration) complete(ctx context.Context, target serverlist.Server) (*migratedRun, error) {
+	m.mayHaveStopped.Store(true)
 	handle, err := m.transfer(ctx, target, true)
+	if errors.Is(err, upstream.ErrNotSent) || errors.Is(err, errTransferInProgress) || errors.Is(err, errInvalid) {
+		m.mayHaveStopped.Store(false) // the run goes on, or had ended
+	}
 	if err == nil {
 		return &migratedRun{server: target, source: m.server, handle: handle.ID, events: handle.Events}, nil
 	}
--- a/hickoryd/internal/edgedispatch/migrate_test.go
+++ b/hickoryd/internal/edgedispatch/migrate_test.go
@@ -40,8 +40,12 @@
 		// events is the number of events after which the stream ends, if it is not stopped.
 		events int
 		// drainAt is the number of the event after which the server drains.
-		drainAt  int
-		onDrain  func()
+		drainAt int
+		// losesAnswer is set if the response to the transfer that stops the run is lost.
+		losesAnswer bool
+		// isUnframed is set if the stream ends with its connection.
+		isUnframed bool
+		onDrain    func()
 		stopped  chan struct{}
 		stopOnce sync.Once
 	}
@@ -93,6 +97,9 @@
 	case body.Last:
 		s.stopOnce.Do(func() { close(s.stopped) })
 		time.Sleep(s.stopTime)
+		if s.losesAnswer {
+			panic(http.ErrAbortHandler)
+		}
 	case s.transfers.Add(1) == 1:
 		time.Sleep(s.transferTime + s.allTransfersTime)
 	default:
@@ -103,13 +110,26 @@
 
 // stream sends events until the run is stopped or ends.
 func (s *migrationSource) stream(w http.ResponseWriter, r *http.Request) {
+	send := func(id string) { sendEvents(w, id) }
+	if s.isUnframed {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			panic(err) // only for a server that can't be hijacked
+		}
+		defer conn.Close()
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nRequest-Id: "+r.Header.Get("Request-Id")+"\r\nServer-Stamp: stamp\r\n\r\n")
+		send = func(id string) { _, _ = io.WriteString(conn, "id: "+id+"\n\n") }
+	}
 	for id := 1; id <= s.events; id++ {
-		sendEvents(w, fmt.Sprint(id))
+		send(fmt.Sprint(id))
 		if id == s.drainAt {
 			s.onDrain()
 		}
 		select {
 		case <-s.stopped:
+			if s.isUnframed {
+				return
+			}
 			panic(http.ErrAbortHandler)
 		case <-r.Context().Done():
 			return
@@ -129,19 +149,23 @@
 		events                 int
 		transfers              int64 // least number of transfers before the run is stopped
 		isEnding               bool  // the run ends at its own server, before it is migrated
+		isUnframed             bool  // the stream ends with its connection
 	}{
 		{name: "the server pauses when it has stopped the run", stopTime: pause, events: 1000},
 		{name: "the server pauses during the first transfer", transferTime: pause, events: 1000},
 		{name: "the run ends during the first transfer", transferTime: pause, events: 5, isEnding: true},
 		{name: "all transfers are slow", allTransfersTime: 300 * time.Millisecond, events: 100, transfers: 2},
 		{name: "the first transfer is slow", transferTime: 500 * time.Millisecond, events: 1000, transfers: 2},
+		{name: "the stream ends with its connection", events: 1000, isUnframed: true},
+		{name: "the stream ends with its connection, and the server pauses then", stopTime: pause, events: 1000, isUnframed: true},
+		{name: "the run ends with its connection during the first transfer", transferTime: pause, events: 5, isEnding: true, isUnframed: true},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			t.Parallel()
 			var resumed atomic.Bool
 			list := &changingServers{}
-			source := &migrationSource{transferTime: tt.transferTime, stopTime: tt.stopTime, allTransfersTime: tt.allTransfersTime, events: tt.events, drainAt: 2, stopped: make(chan struct{})}
+			source := &migrationSource{transferTime: tt.transferTime, stopTime: tt.stopTime, allTransfersTime: tt.allTransfersTime, events: tt.events, drainAt: 2, isUnframed: tt.isUnframed, stopped: make(chan struct{})}
 			first := startServer(t, "first", serverlist.Decode, source.ServeHTTP)
 			second := startServer(t, "second", serverlist.Decode, func(w http.ResponseWriter, r *http.Request) {
 				last, err := strconv.Atoi(r.Header.Get("Last-Event-Id"))
@@ -174,6 +198,26 @@
 	}
 }
 
+// TestLostAnswerToLastTransfer guards against a stream that looks complete although its server has
+// stopped the run, when only the end of the connection ends the stream and the answer that tells
+// of the stop is lost.
+func TestLostAnswerToLastTransfer(t *testing.T) {
+	list := &changingServers{}
+	source := &migrationSource{events: 1000, drainAt: 2, isUnframed: true, losesAnswer: true, stopped: make(chan struct{})}
+	first := startServer(t, "first", serverlist.Decode, source.ServeHTTP)
+	second := startServer(t, "second", serverlist.Decode, full)
+	source.onDrain = func() {
+		draining := first
+		draining.IsDraining = true
+		list.set(servers{draining, second})
+	}
+	list.set(servers{first})
+	status, body := send(t, newDispatcher(t, list, 100), route.Route{Kind: route.Streaming, IsGeneration: true, MaxServers: 1}, callerTimeout)
+	if status != 0 || !isWhole(body) {
+		t.Errorf("status %d, body %q; want a truncated response", status, body)
+	}
+}
+
 // isWhole reports whether body has the events 1, 2, 3 and so on.
 func isWhole(body string) bool {
 	var want strings.Builder
