Confirm a server's incarnation before a stream relies on its version

Cause: a server that starts again under its ID may have another version, and the list of servers shows the one before until the next registration, at most some seconds later, or for as long as the store is away. Streams went on at such servers, and new ones there were recorded at the wrong version.

A server is now asked for its start (the field born of its report) before a stream that has a version goes on there, and before a resumable stream begins there while the store is unreachable or within 9 s after a connection to it ended early. If it has started again, it proves nothing until it is registered anew: resumable streams skip it, others don't. Weighed: refusing all in an outage needs no call, but refuses streams whose version can be proved; a call per resumed stream is rare and takes a millisecond. A server or platform that states no start is trusted as before.

Open: a server that starts again between the question and the request.

--- a/hickoryd/internal/edgedispatch/dispatch.go
+++ b/hickoryd/internal/edgedispatch/dispatch.go
@@ -212,6 +212,10 @@
 		stop   *stop
 		// homeFailedAt is when homes of servers last did not respond.
 		homeFailedAt map[netip.AddrPort]time.Time
+		// restarted are the servers that have started again since they were registered, with the
+		// registered start, and endedAt is when connections to servers last ended early.
+		restarted map[string]time.Time
+		endedAt   map[string]time.Time
 		// meanTokens is the moving average of the reserved tokens, by service.
 		meanTokens map[string]float64
 		// callerRetry detects requests that are retries of their callers, by route.
@@ -230,7 +234,7 @@
 func New(background context.Context, options Options, r Registry, pool *upstream.Pool, peers Peers, quarantine Quarantine, originStore OriginStore, logger log.Interface, set *metrics.Set) *Dispatcher {
 	d := &Dispatcher{
 		background: background, options: options, registry: r, pool: pool, peers: peers, quarantine: quarantine, originStore: originStore, logger: logger, origins: newOrigins(), stop: newStop(),
-		balancer: balance.NewTable(), prefillQueue: prefillqueue.NewEstimator(), outputLength: outputlength.NewEstimator(), budgets: make(map[string]*retrybudget.Budget), crashes: crash.NewTable(crashTableSize), paths: serverpath.NewTable(), pathChecks: make(map[string]chan struct{}), relayRejections: make(map[relayRejection]time.Time), limits: serverlimit.NewTable(), homes: serverlimit.NewHomes(), issuer: serverlimit.NewIssuer(time.Now()), homeFailedAt: make(map[netip.AddrPort]time.Time), meanTokens: make(map[string]float64), callerRetry: make(map[string]*callerretry.Estimator),
+		balancer: balance.NewTable(), prefillQueue: prefillqueue.NewEstimator(), outputLength: outputlength.NewEstimator(), budgets: make(map[string]*retrybudget.Budget), crashes: crash.NewTable(crashTableSize), paths: serverpath.NewTable(), pathChecks: make(map[string]chan struct{}), relayRejections: make(map[relayRejection]time.Time), limits: serverlimit.NewTable(), homes: serverlimit.NewHomes(), issuer: serverlimit.NewIssuer(time.Now()), homeFailedAt: make(map[netip.AddrPort]time.Time), restarted: make(map[string]time.Time), endedAt: make(map[string]time.Time), meanTokens: make(map[string]float64), callerRetry: make(map[string]*callerretry.Estimator),
 		counters: counters{
 			retries:            set.NewCounter(`hickoryfront_edge_repeats_total`),
 			retriesDenied:      set.NewCounter(`hickoryfront_edge_repeats_denied_total`),
@@ -408,6 +412,7 @@
 		d.serversVersion = snapshot.Version
 		d.balancer.Retain(time.Now(), snapshot.Servers)
 		d.prefillQueue.Retain(snapshot.Servers)
+		d.retainRestarted(snapshot.Servers)
 		d.limits.Retain(time.Now(), snapshot.Servers)
 		d.issuer.Retain(func(server string) bool { _, ok := d.limits.Newest(server); return ok })
 	}
@@ -498,7 +503,11 @@
 func (d *Dispatcher) recordResult(server string, result health.Result) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.balancer.Report(time.Now(), server, result)
+	now := time.Now()
+	d.balancer.Report(now, server, result)
+	if result == health.Unreachable || result == health.Broken {
+		d.recordEnd(now, server)
+	}
 }
 
 // markFull records that a server had no free capacity, so that rankServers skips the
--- a/hickoryd/internal/edgedispatch/migrate_test.go
+++ b/hickoryd/internal/edgedispatch/migrate_test.go
@@ -46,8 +46,8 @@
 		// isUnframed is set if the stream ends with its connection.
 		isUnframed bool
 		onDrain    func()
-		stopped  chan struct{}
-		stopOnce sync.Once
+		stopped    chan struct{}
+		stopOnce   sync.Once
 	}
 )
 
--- a/hickoryd/internal/edgedispatch/reserve.go
+++ b/hickoryd/internal/edgedispatch/reserve.go
@@ -80,7 +80,7 @@
 			if g.hasNoPath(server) || !g.acquirePermit(ctx, server) {
 				continue
 			}
-			id, err := g.reserveWithHeadroom(ctx, server, tokens, headroom)
+			id, err := g.reserveProven(ctx, server, tokens, headroom)
 			if err == nil {
 				return reservation{server: server, id: id, tokens: tokens}, nil
 			}
@@ -112,6 +112,9 @@
 		Service: g.request.Route.Service, Stage: serverlist.Decode, SoftwareVersion: g.softwareVersion,
 		FailureDomain: g.options.FailureDomain, Excluded: g.excluded(),
 	}
+	if g.request.Route.IsResumable {
+		criteria.Excluded = append(criteria.Excluded, g.startedAgain()...)
+	}
 	if g.softwareVersion == "" && g.request.Route.IsResumable {
 		criteria.AvoidedVersions = g.originStore.AvoidedVersions(time.Now(), g.request.Route.Service)
 	}
--- a/hickoryd/internal/edgedispatch/version_test.go
+++ b/hickoryd/internal/edgedispatch/version_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httputil"
 	"net/netip"
 	"strconv"
 	"strings"
@@ -486,3 +487,55 @@
 		}
 	}
 }
+
+// TestRestartedServerProvesNoVersion guards against streams that go on, or begin, at a server that
+// has started again under its ID with another version, while the list of servers shows the one
+// before.
+func TestRestartedServerProvesNoVersion(t *testing.T) {
+	registered, restarted := time.UnixMilli(1000), time.UnixMilli(2000)
+	start := func(t *testing.T, id, version string, started time.Time) serverlist.Server {
+		s := startVersion(t, id, version, 3, complete)
+		backend := s.Address.String()
+		proxied := startServer(t, id, serverlist.Decode, func(w http.ResponseWriter, r *http.Request) {
+			if strings.HasSuffix(r.URL.Path, "/report") {
+				_, _ = fmt.Fprintf(w, `{"stage":"decode","born":%d}`, started.UnixMilli())
+				return
+			}
+			(&httputil.ReverseProxy{Rewrite: func(p *httputil.ProxyRequest) { p.Out.URL.Scheme, p.Out.URL.Host = "http", backend }}).ServeHTTP(w, r)
+		})
+		proxied.SoftwareVersion, proxied.StartedAt = "v1", registered
+		return proxied
+	}
+	tests := []struct {
+		name          string
+		from          resumption
+		isUnreachable bool // the store
+		hasOther      bool // whether a server of the version serves that has not started again
+		status        int
+		want          string
+	}{
+		{name: "a stream is taken up", from: resumption{id: "r2", resumes: "r1", lastEvent: 2}, hasOther: true, status: http.StatusOK, want: "3:v1"},
+		{name: "a stream is taken up, the store is away", from: resumption{id: "r2", resumes: "r1", lastEvent: 2}, isUnreachable: true, hasOther: true, status: http.StatusOK, want: "3:v1"},
+		{name: "a stream is taken up, no other server", from: resumption{id: "r2", resumes: "r1", lastEvent: 2}, status: http.StatusServiceUnavailable, want: `no decode server of software version "v1" is left`},
+		{name: "a stream begins while the store is away", from: resumption{id: "r1"}, isUnreachable: true, hasOther: true, status: http.StatusOK, want: "1:v1 2:v1 3:v1"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			list := &changingServers{}
+			all := servers{start(t, "restarted", "v2", restarted)}
+			if tt.hasOther {
+				other := start(t, "other", "v1", registered)
+				other.FailureDomain = "elsewhere" // the restarted one is preferred
+				all = append(all, other)
+			}
+			list.set(all)
+			hosts := newHostList(list)
+			hosts.isUnreachable.Store(tt.isUnreachable)
+			d := newHostDispatcher(t, hosts, &originPeers{finding: streamorigin.Finding{IsFound: true, SoftwareVersion: "v1"}})
+			if status, got := resume(t, d, tt.from); status != tt.status || got != tt.want {
+				t.Errorf("status %d, got %q; want %d and %q", status, got, tt.status, tt.want)
+			}
+		})
+	}
+}
--- a/hickorylab/worker/worker.go
+++ b/hickorylab/worker/worker.go
@@ -492,6 +492,7 @@
 	defer s.mu.Unlock()
 	jsonreply.Write(w, map[string]any{
 		"stage": s.stage, "busy": false, "sequence": s.appliedOrders, "running": len(s.running), "kv-cache-used": s.usedTokens, "kv-cache-total": MemoryTokens,
+		"born": s.startedAt.UnixMilli(),
 	})
 }
 
