--- a/hickorylab/edgesoak/stops_test.go
+++ b/hickorylab/edgesoak/stops_test.go
@@ -89,10 +89,12 @@
 // overlapping series, with further signals and changes of the configuration in between, while
 // callers use their connections until these are closed. Seeds are set as for TestSoak.
 func TestStopsInSeries(t *testing.T) {
+	t.Parallel()
 	hosts := numberFromEnvironment(hostsVariable, 9)
 	for seed := range numberFromEnvironment(seedsVariable, 1) {
 		seed += numberFromEnvironment(firstVariable, 1)
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
 			f := startFleet(t, hosts)
 			f.play(uint64(seed), append(slices.Clone(plannedSeries), soundSeries...), 25*time.Second)
 			f.check(t)
