Let hosts freeze and servers crash in every second soak of a fleet

Planned work and disruptions that excuse nothing were all that the soak had, so losses beside crashes of servers and frozen hosts went unseen. Even seeds have both now. A host that is being restarted gets no signals from the other series, as the harness replaces its process then. No check has changed.

--- a/hickorylab/edgesoak/stops_test.go
+++ b/hickorylab/edgesoak/stops_test.go
@@ -44,9 +44,11 @@
 		rotation []atomic.Bool
 		version  atomic.Int64
 
-		mu       sync.Mutex
-		stops    map[int][]time.Time // of the SIGTERMs, by host
-		outcomes []outcome
+		mu    sync.Mutex
+		stops map[int][]time.Time // of the SIGTERMs, by host
+		// restarting are the hosts that are being stopped and started.
+		restarting map[int]bool
+		outcomes   []outcome
 	}
 
 	// series is a row of disruptions that starts one every period on average.
@@ -60,7 +62,7 @@
 var plannedSeries = []series{
 	{period: 400 * time.Millisecond, strike: (*fleet).restart},
 	{period: 300 * time.Millisecond, strike: func(f *fleet, random *rand.Rand) {
-		f.hosts[random.IntN(f.hostCount)].Signal(syscall.SIGHUP)
+		f.signal(random.IntN(f.hostCount), syscall.SIGHUP)
 	}},
 	{period: 2 * time.Second, strike: (*fleet).reconfigure},
 	{period: 800 * time.Millisecond, strike: (*fleet).replaceServer},
@@ -84,10 +86,34 @@
 	}},
 }
 
+// unplannedSeries are disruptions of hosts and servers, which excuse the requests that they break.
+var unplannedSeries = []series{
+	{period: 2 * time.Second, strike: func(f *fleet, random *rand.Rand) {
+		i, pause := random.IntN(f.hostCount), time.Duration(500+random.IntN(2500))*time.Millisecond
+		f.signal(i, syscall.SIGSTOP)
+		f.group.Go(func() {
+			time.Sleep(pause)
+			f.signal(i, syscall.SIGCONT)
+		})
+	}},
+	{period: time.Second, strike: func(f *fleet, random *rand.Rand) {
+		server, pause := f.randomServer(random), time.Duration(500+random.IntN(3500))*time.Millisecond
+		if server.Uptime(time.Now()) < drainTime {
+			return
+		}
+		server.Crash()
+		f.group.Go(func() {
+			time.Sleep(pause)
+			f.mustRestart(server.Restart)
+		})
+	}},
+}
+
 // TestStopsInSeries guards against requests that are read by a host and get no answer, or are
 // cut while their server goes on, because the host stops. Hosts are stopped and started in
 // overlapping series, with further signals and changes of the configuration in between, while
-// callers use their connections until these are closed. Seeds are set as for TestSoak.
+// callers use their connections until these are closed. With even seeds hosts freeze and servers
+// crash as well. Seeds are set as for TestSoak.
 func TestStopsInSeries(t *testing.T) {
 	t.Parallel()
 	hosts := numberFromEnvironment(hostsVariable, 9)
@@ -96,7 +122,11 @@
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
 			f := startFleet(t, hosts)
-			f.play(uint64(seed), append(slices.Clone(plannedSeries), soundSeries...), 25*time.Second)
+			all := append(slices.Clone(plannedSeries), soundSeries...)
+			if seed%2 == 0 {
+				all = append(all, unplannedSeries...)
+			}
+			f.play(uint64(seed), all, 25*time.Second)
 			f.check(t)
 		})
 	}
@@ -106,7 +136,7 @@
 	e := startEnvironmentWith(t, environmentOptions{
 		retrySlack: 194, hostCount: hosts, decodeServers: max(4, hosts*58/77), configuration: fleetConfiguration,
 	})
-	f := &fleet{environment: e, stop: make(chan struct{}), rotation: make([]atomic.Bool, hosts), stops: make(map[int][]time.Time)}
+	f := &fleet{environment: e, stop: make(chan struct{}), rotation: make([]atomic.Bool, hosts), stops: make(map[int][]time.Time), restarting: make(map[int]bool)}
 	for i := range hosts {
 		f.rotation[i].Store(true)
 		f.group.Go(func() { f.runChecks(i) })
@@ -177,13 +207,17 @@
 func (f *fleet) restart(random *rand.Rand) {
 	i := random.IntN(f.hostCount)
 	f.mu.Lock()
-	if stops := f.stops[i]; len(stops) > 0 && time.Since(stops[len(stops)-1]) < 2*graceTime {
-		f.mu.Unlock()
+	isRestarting := f.restarting[i]
+	f.restarting[i] = true
+	f.mu.Unlock()
+	if isRestarting {
 		return
 	}
+	host := f.hosts[i]
+	host.Resume()
+	f.mu.Lock()
 	f.stops[i] = append(f.stops[i], time.Now())
 	f.mu.Unlock()
-	host := f.hosts[i]
 	host.Terminate()
 	further, pause := random.IntN(3), time.Duration(random.IntN(3000))*time.Millisecond
 	f.group.Go(func() {
@@ -200,9 +234,21 @@
 		}
 		time.Sleep(pause)
 		host.Start()
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.restarting[i] = false
 	})
 }
 
+// signal sends a signal to a host unless it is being stopped and started.
+func (f *fleet) signal(i int, s syscall.Signal) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.restarting[i] {
+		f.hosts[i].Signal(s)
+	}
+}
+
 // replaceServer drains a model server and starts it again once its requests have ended.
 func (f *fleet) replaceServer(random *rand.Rand) {
 	server := f.modelServers[random.IntN(len(f.modelServers))]
@@ -213,6 +259,9 @@
 	f.group.Go(func() {
 		time.Sleep(drainTime)
 		f.await("a draining server has ended its requests", func() bool { return server.InFlight() == 0 })
+		if server.IsCrashed() {
+			return // and is restarted by who has crashed it
+		}
 		server.Crash()
 		f.mustRestart(server.Restart)
 	})
--- a/hickorylab/worker/worker.go
+++ b/hickorylab/worker/worker.go
@@ -279,6 +279,13 @@
 	return now.Sub(s.startedAt)
 }
 
+// IsCrashed reports whether the server is down.
+func (s *Server) IsCrashed() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.isCrashed
+}
+
 // InFlight returns the number of requests that the server is serving.
 func (s *Server) InFlight() int {
 	s.mu.Lock()
