Ask a run's own server beside a silent one

A stream on a draining server was truncated (LOST) although no server had crashed: the server with the copy of its run fell silent for two seconds, which a sound server may do, and when it went on the copy had expired, and so had the KV cache at the run's own server, which was asked only then.

A KV cache can be used once, so only one of the two continues the run; the other attempt is canceled. A run that has gone on at its own, draining server is migrated again. The outcome TurnedAway of core/attempts, which the earlier form needed, is gone. TestMigratedRunGoesOnAtItsOwnServer has the case, which was truncated before for streams that run once; the soak also checks that no host has ended by itself.

--- a/core/attempts/attempts.go
+++ b/core/attempts/attempts.go
@@ -15,9 +15,6 @@
 	MayHaveRun
 	// Migrated means that the run has stopped and can go on at another server.
 	Migrated
-	// TurnedAway means that a server did not continue the migrated run, and that another one
-	// still can.
-	TurnedAway
 )
 
 type (
@@ -47,12 +44,9 @@
 	return &History{rule: rule}
 }
 
-// Record adds the outcome of an attempt. The attempts after Migrated, up to the first that
-// is not TurnedAway, continue the run.
+// Record adds the outcome of an attempt. The attempt after Migrated is the one that
+// continues the run.
 func (h *History) Record(o Outcome) {
-	if o == TurnedAway {
-		return
-	}
 	isContinued := h.isMigrated
 	h.isMigrated = o == Migrated
 	if o != NotRun && !isContinued {
--- a/hickoryd/internal/edgedispatch/decode.go
+++ b/hickoryd/internal/edgedispatch/decode.go
@@ -53,10 +53,19 @@
 		attempt.KVSource = platform.KVSource(source.server.Address, source.id)
 	}
 	g.isSent, g.attemptEvents, g.phase = true, 0, phaseDecode
+	if len(source.holders) > 0 {
+		server, response, err := g.sendToHolders(ctx, source.holders, attempt)
+		if err != nil {
+			g.releaseHandle(source)
+			return withCause(ctx, err)
+		}
+		defer response.Close()
+		return g.relayResponse(ctx, watch, server, response)
+	}
 	response, err := g.send(ctx, held.server, g.request, attempt)
 	if errors.Is(err, upstream.ErrNotSent) {
 		g.recordResult(held.server.ID, health.Unreachable)
-		g.releasePrompt(source)
+		g.releaseHandle(source)
 		return err
 	}
 	if err != nil {
@@ -68,11 +77,11 @@
 	if response.Metadata.IsNotRun {
 		body := drain(response)
 		g.releaseReservation(held)
-		if response.Metadata.IsMisdirected && !source.isOfRun {
+		if response.Metadata.IsMisdirected {
 			g.unusedHandle = source // the server has not fetched it
-		} else if !response.Metadata.IsMisdirected {
+		} else {
 			g.returnable = append(g.returnable, held.server.ID)
-			g.releasePrompt(source)
+			g.releaseHandle(source)
 			g.markFull(held.server.ID)
 			if response.Metadata.RetryAfter == 0 {
 				go g.runInspect(held.server)
@@ -80,24 +89,29 @@
 		}
 		return fmt.Errorf("%w: status %d: %.80s", errNotRun, response.StatusCode, body)
 	}
+	return g.relayResponse(ctx, watch, held.server, response)
+}
+
+// relayResponse relays the response of a server that has taken the request.
+func (g *generation) relayResponse(ctx context.Context, watch *silenceWatch, server serverlist.Server, response *upstream.Response) error {
 	if response.StatusCode >= http.StatusMultipleChoices {
-		return g.forwardFailure(held.server, response)
+		return g.forwardFailure(server, response)
 	}
 	if !response.Metadata.HasStamp || response.Metadata.IsEncoded {
-		g.recordResult(held.server.ID, health.Broken)
+		g.recordResult(server.ID, health.Broken)
 		return fmt.Errorf("%w: status %d", errInvalid, response.StatusCode)
 	}
-	err = g.forward(ctx, response, watch, held.server)
+	err := g.forward(ctx, response, watch, server)
 	if migrated := (*migratedRun)(nil); errors.As(err, &migrated) {
 		return err
 	}
 	if err != nil {
 		if !errors.Is(err, ErrTruncated) {
-			g.recordBroken(ctx, held.server)
+			g.recordBroken(ctx, server)
 		}
 		return err
 	}
-	g.recordResult(held.server.ID, health.Success)
+	g.recordResult(server.ID, health.Success)
 	return nil
 }
 
@@ -107,8 +121,6 @@
 	switch {
 	case errors.As(err, &migrated):
 		g.history.Record(attempts.Migrated)
-	case cannotHaveRun(err) && g.canGoOnElsewhere:
-		g.history.Record(attempts.TurnedAway)
 	case cannotHaveRun(err):
 		g.history.Record(attempts.NotRun)
 	default:
--- a/hickoryd/internal/edgedispatch/generation.go
+++ b/hickoryd/internal/edgedispatch/generation.go
@@ -102,9 +102,6 @@
 		successor *successor
 		// migrated is where the next attempt resumes a migrated run, or nil.
 		migrated *migratedRun
-		// canGoOnElsewhere is set during an attempt to continue a migrated run if one more
-		// server can continue it.
-		canGoOnElsewhere bool
 	}
 )
 
--- a/hickoryd/internal/edgedispatch/migrate.go
+++ b/hickoryd/internal/edgedispatch/migrate.go
@@ -87,7 +87,11 @@
 }
 
 func newMigration(g *generation, server serverlist.Server) *migration {
-	return &migration{generation: g, server: server, checkedVersion: g.registry.Servers().Version, done: make(chan *migratedRun), abandoned: make(chan struct{})}
+	m := &migration{generation: g, server: server, done: make(chan *migratedRun), abandoned: make(chan struct{})}
+	if snapshot := g.registry.Servers(); !isLeaving(snapshot.Servers, server.ID) { // a migrated run may have gone on at its own server
+		m.checkedVersion = snapshot.Version
+	}
+	return m
 }
 
 // check starts the migration once the server list shows that the server is draining
@@ -269,44 +273,16 @@
 	}
 }
 
-// servers returns the servers that can resume the run, in the order in which they are asked.
-func (m *migratedRun) servers() []serverlist.Server {
-	if m.server.ID == m.source.ID {
-		return []serverlist.Server{m.source}
-	}
-	return []serverlist.Server{m.server, m.source}
-}
-
-// resumeRun continues a migrated run at the server that has its KV cache. If that turns the run
-// away, the run's own server continues it.
+// resumeRun continues a migrated run at a server that has its KV cache.
 func (g *generation) resumeRun(ctx context.Context, migrated *migratedRun) error {
 	g.counters.migrations.Inc()
-	source := kvHandle{server: migrated.source, id: migrated.handle, isOfRun: true}
-	servers := migrated.servers()
-	var err error
-	for i, server := range servers {
-		g.canGoOnElsewhere = i < len(servers)-1
-		err = g.resumeRunAt(ctx, server, source)
-		if !cannotHaveRun(err) {
-			return err
-		}
-		g.counters.migrationsRejected.Inc()
-		g.logger.WithFields(g.request.logFields()).WithFields(log.Fields{"server": server.ID, "error": err.Error()}).Warn("migrated run rejected by a server")
-		if errors.Is(err, errNotRun) {
-			g.recordRetry(g.request) // only these servers can continue the run
-		}
-		if ctx.Err() != nil || g.successor != nil {
-			break
-		}
+	source := kvHandle{server: migrated.source, id: migrated.handle, holders: []serverlist.Server{migrated.server}}
+	if migrated.server.ID != migrated.source.ID {
+		source.holders = append(source.holders, migrated.source)
 	}
-	g.releaseHandle(source)
-	return err
-}
-
-func (g *generation) resumeRunAt(ctx context.Context, server serverlist.Server, source kvHandle) error {
-	held := reservation{server: server, tokens: g.request.Metadata.PromptTokens}
-	g.beginRequest(server.ID, held.tokens)
-	defer g.endRequest(server.ID, held.tokens)
+	held := reservation{server: migrated.server, tokens: g.request.Metadata.PromptTokens}
+	g.beginRequest(held.server.ID, held.tokens)
+	defer g.endRequest(held.server.ID, held.tokens)
 	return g.decode(ctx, held, source)
 }
 
--- a/hickoryd/internal/edgedispatch/migrate_test.go
+++ b/hickoryd/internal/edgedispatch/migrate_test.go
@@ -395,6 +395,7 @@
 		{"421", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusMisdirectedRequest) }},
 		{"503 not run", full},
 		{"connection refused", nil},
+		{"silence", silent},
 		{"resumed", func(w http.ResponseWriter, r *http.Request) { sendRest(w, r) }},
 	}
 	for _, target := range turnAway {
--- a/hickoryd/internal/edgedispatch/prefill.go
+++ b/hickoryd/internal/edgedispatch/prefill.go
@@ -85,8 +85,9 @@
 	server    serverlist.Server
 	id        string
 	createdAt time.Time
-	// isOfRun is set if the KV cache is that of a run that has stopped, and not of a prompt.
-	isOfRun bool
+	// holders are the servers that can continue a stopped run, in the order in which they are
+	// asked, if the KV cache is that of a run and not of a prompt.
+	holders []serverlist.Server
 }
 
 // prefillAt runs the prefill on the given server and updates the estimate of its
--- a/hickoryd/internal/edgedispatch/reserve.go
+++ b/hickoryd/internal/edgedispatch/reserve.go
@@ -202,14 +202,6 @@
 	}
 }
 
-// releasePrompt is releaseHandle for the KV cache of a prompt. That of a stopped run is kept,
-// as another server may continue the run.
-func (g *generation) releasePrompt(source kvHandle) {
-	if !source.isOfRun {
-		g.releaseHandle(source)
-	}
-}
-
 func (g *generation) runRelease(server serverlist.Server, call platform.Call) {
 	ctx, cancel := context.WithTimeout(g.background, backgroundTimeout)
 	defer cancel()
--- a/hickorylab/edgesoak/stops_test.go
+++ b/hickorylab/edgesoak/stops_test.go
@@ -306,9 +306,17 @@
 	return inRotation[random.IntN(len(inRotation))]
 }
 
-// check requires that no request was lost and counts the others by their result.
+// check requires that each host runs and that no request was lost, and counts the others by their
+// result.
 func (f *fleet) check(t *testing.T) {
 	t.Helper()
+	for i, host := range f.hosts {
+		select {
+		case <-host.Exited():
+			t.Errorf("host %d has ended by itself; its log ends with:\n%s", i, lastLines(host.Log(), 10))
+		default:
+		}
+	}
 	counts := make(map[string]int)
 	for _, o := range f.outcomes {
 		switch {
