Don't let SIGHUP end a host that is starting

A host that got SIGHUP within some milliseconds after its start ended by itself: the handler was set only after the settings had been read. SIGHUP is ignored from the start of the command on, until it is handled; the settings are read after that, so that a change is not missed. What remains is the time until the Go runtime calls the command.

--- a/hickoryd/internal/command/edge.go
+++ b/hickoryd/internal/command/edge.go
@@ -60,6 +60,7 @@
 
 // Execute implements subcommands.Command.
 func (e *Edge) Execute(ctx context.Context, flags *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	signal.Ignore(syscall.SIGHUP) // until run handles it; by default it would end the process
 	if e.settings == "" || flags.NArg() > 0 {
 		fmt.Fprintf(e.errors, "hickoryd: give the settings file with --settings or %s\n", settingsVariable)
 		return subcommands.ExitUsageError
