Stop a run only when the server that continues it responds

Before a run is stopped, its next server must respond to a question for its state within 150 ms; otherwise another one is chosen, and the run goes on meanwhile. A server that has not continued a run is no target for it again. Migrations no longer use up attempts, but there are at most 8 for a request. In two tests the unreachable server now vanishes after it has responded, as one that doesn't respond is not chosen any more.

--- a/hickoryd/internal/edgedispatch/generation.go
+++ b/hickoryd/internal/edgedispatch/generation.go
@@ -102,6 +102,10 @@
 		successor *successor
 		// migrated is where the next attempt resumes a migrated run, or nil.
 		migrated *migratedRun
+		// migrations is the number of migrations, and unfitTargets are the IDs of the servers
+		// that have not continued a migrated run.
+		migrations   int
+		unfitTargets []string
 	}
 )
 
@@ -148,6 +152,9 @@
 		migrated := (*migratedRun)(nil)
 		if errors.As(err, &migrated) {
 			g.migrated = migrated
+			if g.migrations++; g.migrations <= maxMigrations {
+				g.number-- // the run is the same
+			}
 			continue
 		}
 		if errors.Is(err, ErrTruncated) || ctx.Err() != nil || !g.history.MayRun(0) {
--- a/hickoryd/internal/edgedispatch/holders.go
+++ b/hickoryd/internal/edgedispatch/holders.go
@@ -58,12 +58,14 @@
 				for _, other := range asked {
 					if other != a {
 						other.cancel()
+						g.unfitTargets = append(g.unfitTargets, other.server.ID)
 					}
 				}
 				g.noteTried(a.server, holders)
 				return a.server, a.response, nil
 			}
 			a.cancel()
+			g.unfitTargets = append(g.unfitTargets, a.server.ID)
 			g.recordRejection(ctx, a)
 			if failure == nil || !cannotHaveRun(a.err) {
 				failure = a.err
--- a/hickoryd/internal/edgedispatch/migrate.go
+++ b/hickoryd/internal/edgedispatch/migrate.go
@@ -33,6 +33,11 @@
 	// migrationPause is the time between two searches for a server with free capacity, and
 	// between two transfers.
 	migrationPause = 120 * time.Millisecond
+	// targetTimeout is the time within which a server must respond to be the one at which a run
+	// goes on.
+	targetTimeout = 150 * time.Millisecond
+	// maxMigrations is the maximum number of migrations of one request.
+	maxMigrations = 8
 )
 
 var (
@@ -164,11 +169,14 @@
 func (m *migration) migrate(ctx, searchCtx context.Context) (*migratedRun, error) {
 	criteria := balance.Criteria{
 		Service: m.request.Route.Service, Stage: serverlist.Decode, SoftwareVersion: m.server.SoftwareVersion,
-		FailureDomain: m.server.FailureDomain, Excluded: []string{m.server.ID},
+		FailureDomain: m.server.FailureDomain, Excluded: append([]string{m.server.ID}, m.unfitTargets...),
 	}
 	for {
 		target, took, err := m.transferToAny(searchCtx, criteria)
 		switch {
+		case err == nil && m.isCopyNear(took) && !m.responds(searchCtx, target):
+			criteria.Excluded = append(criteria.Excluded, target.ID)
+			m.target, m.lastTook = nil, 0
 		case err == nil && searchCtx.Err() == nil && m.isCopyNear(took):
 			migrated, err := m.complete(ctx, target)
 			if !errors.Is(err, upstream.ErrNotSent) && !errors.Is(err, errTransferInProgress) {
@@ -188,6 +196,15 @@
 	}
 }
 
+// responds reports whether a server responds at once. One that has fallen silent would let the
+// copy of a stopped run expire.
+func (m *migration) responds(ctx context.Context, target serverlist.Server) bool {
+	ctx, cancel := context.WithTimeout(ctx, targetTimeout)
+	defer cancel()
+	reply, err := m.call(ctx, target, platform.ReportCall(target.ID))
+	return err == nil && reply.Status != http.StatusMisdirectedRequest
+}
+
 // isCopyNear reports whether the run is to be stopped after a transfer that took the given
 // time.
 func (m *migration) isCopyNear(took time.Duration) bool {
--- a/hickoryd/internal/edgedispatch/migrate_test.go
+++ b/hickoryd/internal/edgedispatch/migrate_test.go
@@ -351,7 +351,7 @@
 					}
 				})
 				if target.turnAway == nil {
-					second.Address = netip.MustParseAddrPort("127.0.0.1:1")
+					second.Address = startVanishingServer(t)
 				}
 				third := startServer(t, "third", serverlist.Decode, func(w http.ResponseWriter, r *http.Request) {
 					if strings.HasPrefix(r.URL.Path, "/hickoryfront/") {
@@ -427,7 +427,7 @@
 					}
 				})
 				if target.how == nil {
-					second.Address = netip.MustParseAddrPort("127.0.0.1:1")
+					second.Address = startVanishingServer(t)
 				}
 				run.onDrain = func() {
 					draining := own
@@ -444,6 +444,23 @@
 	}
 }
 
+// startVanishingServer returns the address of a server that responds once, and then refuses
+// connections.
+func startVanishingServer(t *testing.T) netip.AddrPort {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		listener.Close()
+		w.Header().Set("Connection", "close")
+	})}
+	t.Cleanup(func() { server.Close() })
+	go func() { _ = server.Serve(listener) }() // returns when the listener is closed
+	return netip.MustParseAddrPort(listener.Addr().String())
+}
+
 // restEvent ends the last event of a resumed run.
 const restEvent = "data: rest\n\n"
 
