--- a/hickorylab/edgesoak/stops_test.go
+++ b/hickorylab/edgesoak/stops_test.go
@@ -117,7 +117,7 @@
 func TestStopsInSeries(t *testing.T) {
 	t.Parallel()
 	hosts := numberFromEnvironment(hostsVariable, 9)
-	for seed := range numberFromEnvironment(seedsVariable, 1) {
+	for seed := range numberFromEnvironment(seedsVariable, 2) {
 		seed += numberFromEnvironment(firstVariable, 1)
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
