Don't migrate a run to a server that changes its stage

Before a run is stopped, the state of its next server must show that it decodes and isn't changing its stage; so far it only had to answer. One more such case is left: an order between the answer and the request.

--- a/hickoryd/internal/edgedispatch/migrate.go
+++ b/hickoryd/internal/edgedispatch/migrate.go
@@ -174,7 +174,7 @@
 	for {
 		target, took, err := m.transferToAny(searchCtx, criteria)
 		switch {
-		case err == nil && m.isCopyNear(took) && !m.responds(searchCtx, target):
+		case err == nil && m.isCopyNear(took) && !m.canContinue(searchCtx, target):
 			criteria.Excluded = append(criteria.Excluded, target.ID)
 			m.target, m.lastTook = nil, 0
 		case err == nil && searchCtx.Err() == nil && m.isCopyNear(took):
@@ -196,13 +196,18 @@
 	}
 }
 
-// responds reports whether a server responds at once. One that has fallen silent would let the
-// copy of a stopped run expire.
-func (m *migration) responds(ctx context.Context, target serverlist.Server) bool {
+// canContinue reports whether a server responds at once and is a decode server. One that has
+// fallen silent would let the copy of a stopped run expire, and one that changes its stage would
+// reject it.
+func (m *migration) canContinue(ctx context.Context, target serverlist.Server) bool {
 	ctx, cancel := context.WithTimeout(ctx, targetTimeout)
 	defer cancel()
 	reply, err := m.call(ctx, target, platform.ReportCall(target.ID))
-	return err == nil && reply.Status != http.StatusMisdirectedRequest
+	if err != nil || reply.Status == http.StatusMisdirectedRequest {
+		return false
+	}
+	report, err := platform.DecodeReport(reply.Body)
+	return reply.Status != http.StatusOK || err != nil || !report.IsSwitching && report.Stage != serverlist.Prefill
 }
 
 // isCopyNear reports whether the run is to be stopped after a transfer that took the given
--- a/hickorylab/edgesoak/stops_test.go
+++ b/hickorylab/edgesoak/stops_test.go
@@ -77,10 +77,10 @@
 		f.store.SetMode(netip.Addr{}, metastore.Serve)
 	}},
 	{period: 2 * time.Second, strike: func(f *fleet, random *rand.Rand) {
-		host := f.hostAddress(random.IntN(f.hostCount))
+		host, length := f.hostAddress(random.IntN(f.hostCount)), time.Duration(random.IntN(5000))*time.Millisecond
 		f.store.SetMode(host, metastore.Refuse)
 		f.group.Go(func() {
-			f.sleep(time.Duration(random.IntN(5000)) * time.Millisecond)
+			f.sleep(length)
 			f.store.SetMode(host, metastore.Serve)
 		})
 	}},
--- a/hickorylab/worker/migration.go
+++ b/hickorylab/worker/migration.go
@@ -18,6 +18,7 @@
 	source, target *Server
 	// isStopped is set once the run at source was stopped for its last transfer.
 	isStopped bool
+	expiresAt time.Time
 	expiry    *time.Timer
 }
 
@@ -74,11 +75,11 @@
 		if !isCopied {
 			c.target, c.tokens = source, 0
 		}
-		c.expiry = time.AfterFunc(copyTTL, func() { g.dropCopy(key) })
+		c.expiry = time.AfterFunc(copyTTL, func() { g.expireCopy(key) })
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	c.isStopped = isLast
+	c.isStopped, c.expiresAt = isLast, time.Now().Add(copyTTL)
 	c.expiry.Reset(copyTTL)
 	g.copies[key] = c
 	return isCopied
@@ -102,6 +103,17 @@
 	return ok
 }
 
+// expireCopy frees a copy unless a further transfer has prolonged its life.
+func (g *Group) expireCopy(key string) {
+	g.mu.Lock()
+	c, ok := g.copies[key]
+	isExpired := ok && !time.Now().Before(c.expiresAt)
+	g.mu.Unlock()
+	if isExpired {
+		g.dropCopy(key)
+	}
+}
+
 // dropCopy frees a copy that was not used.
 func (g *Group) dropCopy(key string) {
 	g.mu.Lock()
