--- a/hickorylab/edgesoak/oddentries_test.go
+++ b/hickorylab/edgesoak/oddentries_test.go
@@ -46,8 +46,15 @@
 	for _, s := range e.plainServers {
 		s.Crash()
 	}
+	for _, host := range e.hosts {
+		host.Pause() // so that all of the changes follow the last one that a host has read
+	}
+	write(e.store)
 	write(e.store)
 	e.startServer("shop", "", 28)
+	for _, host := range e.hosts {
+		host.Resume()
+	}
 	for i, host := range e.hosts {
 		e.await(fmt.Sprintf("host %d serves at the new server", i), func() bool {
 			o := e.send(i, "/lookup/")
