Don't take a response without events for the end of a stream

At a first attempt such a response began the caller's stream and ended it at once.

A run has at least one event, so a server whose response brings no new one is treated as one that has broken off: the stream goes on at another server, or is cut. The response to the caller begins with its first event and no longer with the head of a server, so that a request without any event is answered with 502. Only the maximum of output tokens tells that nothing can be left: a caller that has as many events gets its end. The same rule holds for a stream that another host goes on with.

A case of TestStreamKeepsItsSoftwareVersion stated that the head of a silent server binds the stream to its version. No head reaches the caller now, so the stream may begin at another version; the case still checks that no two versions are joined.

--- a/hickoryd/internal/edgedispatch/decode.go
+++ b/hickoryd/internal/edgedispatch/decode.go
@@ -17,6 +17,9 @@
 	"github.com/hickoryfront/hickoryfront/platform"
 )
 
+// errNoEvent means that a stream ended before it had brought an event.
+var errNoEvent = errors.New("stream ended without an event")
+
 // decode runs the request at a decode server, on the memory reserved there, and
 // relays the events of the run. The server fetches the KV cache that source names.
 //
@@ -147,28 +150,21 @@
 
 // forward relays events to the caller until the stream ends or its run is migrated.
 func (g *generation) forward(ctx context.Context, response *upstream.Response, watch *silenceWatch, server serverlist.Server) error {
-	if !g.isStarted {
-		g.isStarted = true
-		g.beginStream(server)
-		watch.begin(g.softwareVersion)
-		if err := g.sink.Start(response.StatusCode, platform.ResponseHeader(response.Header)); err != nil {
-			return fmt.Errorf("%w: %w", ErrTruncated, err)
-		}
-	}
 	events := eventstream.NewReader(response.Body)
+	hasNewEvents := false
 	migration := newMigration(g, server)
 	defer migration.stop()
 	for {
 		event, err := events.Next()
 		if err != nil {
 			if events.IsComplete(err) && !endsWithConnection(response) {
-				return nil
+				return g.end(hasNewEvents, response, watch, server)
 			}
 			if migrated := migration.result(ctx); migrated != nil {
 				return migrated
 			}
 			if events.IsComplete(err) && ctx.Err() == nil && !migration.mayHaveStopped.Load() {
-				return nil
+				return g.end(hasNewEvents, response, watch, server)
 			}
 			return withCause(ctx, fmt.Errorf("%w: stream ended after event %d: %w", upstream.ErrMayHaveRun, g.relay.LastID(), err))
 		}
@@ -182,9 +178,9 @@
 		if err != nil {
 			return fmt.Errorf("%w: %w", upstream.ErrMayHaveRun, err)
 		}
-		if isNew {
-			g.recordEvent(time.Now(), server)
-			if err := g.sink.Write(event.Bytes); err != nil {
+		hasNewEvents = hasNewEvents || isNew && event.HasID
+		if isNew && hasNewEvents { // the first event begins the response, and not a comment before it
+			if err := g.relayEvent(event, response, watch, server); err != nil {
 				return fmt.Errorf("%w: %w", ErrTruncated, err)
 			}
 		}
@@ -192,6 +188,45 @@
 	}
 }
 
+// relayEvent sends an event to the caller.
+func (g *generation) relayEvent(event eventstream.Event, response *upstream.Response, watch *silenceWatch, server serverlist.Server) error {
+	if err := g.begin(response, watch, server); err != nil {
+		return err
+	}
+	g.recordEvent(time.Now(), server)
+	return g.sink.Write(event.Bytes)
+}
+
+// begin begins the response to the caller, unless an earlier server has done so.
+func (g *generation) begin(response *upstream.Response, watch *silenceWatch, server serverlist.Server) error {
+	if g.isStarted {
+		return nil
+	}
+	g.isStarted = true
+	g.beginStream(server)
+	watch.begin(g.softwareVersion)
+	return g.sink.Start(response.StatusCode, platform.ResponseHeader(response.Header))
+}
+
+// end ends the response to the caller with that of a server, unless the caller may lack a part of
+// the stream: a run has at least one event, so a server without a new one may have lost the run.
+func (g *generation) end(hasNewEvents bool, response *upstream.Response, watch *silenceWatch, server serverlist.Server) error {
+	if !hasNewEvents && !g.hasAllEvents() {
+		return fmt.Errorf("%w: %w after event %d", upstream.ErrMayHaveRun, errNoEvent, g.relay.LastID())
+	}
+	if err := g.begin(response, watch, server); err != nil {
+		return fmt.Errorf("%w: %w", ErrTruncated, err)
+	}
+	return nil
+}
+
+// hasAllEvents reports whether the caller has as many events as the request allows tokens, so that
+// the stream has no further one.
+func (g *generation) hasAllEvents() bool {
+	maxEvents := g.request.Metadata.MaxOutputTokens
+	return maxEvents > 0 && g.relay.LastID() >= uint64(maxEvents)
+}
+
 // endsWithConnection reports whether only the end of its connection ends a response. A server
 // that stops a run to migrate it ends such a response in the same way as a complete one.
 func endsWithConnection(response *upstream.Response) bool {
--- a/hickoryd/internal/edgedispatch/relay.go
+++ b/hickoryd/internal/edgedispatch/relay.go
@@ -49,6 +49,8 @@
 	// continuedSink receives the rest of a stream that has begun.
 	continuedSink struct {
 		sink Sink
+		// hasPart is set once a part of the stream has come.
+		hasPart bool
 	}
 )
 
@@ -163,21 +165,25 @@
 // relayRest passes a generation to another host, which goes on with it after the last event
 // that the caller has received. The error is errNoRelay if no host takes it.
 func (g *generation) relayRest(ctx context.Context) error {
-	rest, sink := *g.request, g.sink
-	if g.isStarted {
-		rest.IsContinued, rest.SoftwareVersion = true, g.softwareVersion
-		rest.Metadata.IsResumed, rest.Metadata.LastEventID = g.relay.IsResumed(), g.relay.LastID()
-		sink = continuedSink{sink}
+	rest := *g.request
+	if !g.isStarted {
+		return g.relayAgain(ctx, &rest, g.sink, g.history)
 	}
+	rest.IsContinued, rest.SoftwareVersion = true, g.softwareVersion
+	rest.Metadata.IsResumed, rest.Metadata.LastEventID = g.relay.IsResumed(), g.relay.LastID()
+	sink := &continuedSink{sink: g.sink}
 	err := g.relayAgain(ctx, &rest, sink, g.history)
-	if failure := (*Failure)(nil); g.isStarted && errors.As(err, &failure) {
+	if failure := (*Failure)(nil); errors.As(err, &failure) {
 		return g.failure(ctx, failure)
 	}
+	if err == nil && !sink.hasPart && !g.hasAllEvents() {
+		return g.failure(ctx, errNoEvent)
+	}
 	return err
 }
 
 // Start implements Sink. The headers of the response were sent when the stream began.
-func (s continuedSink) Start(status int, _ http.Header) error {
+func (s *continuedSink) Start(status int, _ http.Header) error {
 	if status != http.StatusOK {
 		return fmt.Errorf("%w: status %d", errInvalid, status)
 	}
@@ -185,6 +191,7 @@
 }
 
 // Write implements Sink.
-func (s continuedSink) Write(part []byte) error {
+func (s *continuedSink) Write(part []byte) error {
+	s.hasPart = true
 	return s.sink.Write(part)
 }
--- a/hickoryd/internal/edgedispatch/relay_test.go
+++ b/hickoryd/internal/edgedispatch/relay_test.go
@@ -58,6 +58,9 @@
 		if err := sink.Start(http.StatusOK, http.Header{}); err != nil {
 			return err
 		}
+		if body == "" {
+			return nil
+		}
 		return sink.Write([]byte(body))
 	}
 }
@@ -127,10 +130,12 @@
 	tests := []struct {
 		name        string
 		relay       func(*edgedispatch.Request, edgedispatch.Sink) error
+		wantStatus  int // 0: truncated
 		wantBody    string
 		wantRetries int
 	}{
-		{name: "another host goes on", relay: respond("id: 2\n\nid: 3\n\n"), wantBody: "id: 1\n\nid: 2\n\nid: 3\n\n", wantRetries: 1},
+		{name: "another host goes on", relay: respond("id: 2\n\nid: 3\n\n"), wantStatus: http.StatusOK, wantBody: "id: 1\n\nid: 2\n\nid: 3\n\n", wantRetries: 1},
+		{name: "another host has no further event", relay: respond(""), wantBody: "id: 1\n\n", wantRetries: 1},
 		{name: "no host takes it", relay: reject, wantBody: "id: 1\n\n"},
 	}
 	for _, tt := range tests {
@@ -147,9 +152,9 @@
 			d := newLimitDispatcher(t, limitList{servers{server}, otherHosts}, peers)
 
 			resumable := route.Route{Name: "r", Kind: route.Streaming, IsGeneration: true, IsResumable: true, MaxServers: 2}
-			_, body := send(t, d, resumable, callerTimeout)
-			if body != tt.wantBody {
-				t.Errorf("body %q, want %q", body, tt.wantBody)
+			status, body := send(t, d, resumable, callerTimeout)
+			if status != tt.wantStatus || body != tt.wantBody {
+				t.Errorf("status %d, body %q; want %d and %q", status, body, tt.wantStatus, tt.wantBody)
 			}
 			if !isContinued.Load() {
 				t.Error("the request was not passed on as a stream that has begun")
--- a/hickoryd/internal/edgedispatch/version_test.go
+++ b/hickoryd/internal/edgedispatch/version_test.go
@@ -201,7 +201,7 @@
 	}{
 		{name: "broken off", end: broken, others: []string{"v2", "v1"}, want: "1:v1 2:v1 3:v1", status: http.StatusOK},
 		{name: "silent", end: silent, others: []string{"v2", "v1"}, want: "1:v1 2:v1 3:v1", status: http.StatusOK},
-		{name: "silent after the headers", last: noEvent, end: silent, others: []string{"v2", "v1"}, want: "1:v1 2:v1 3:v1", status: http.StatusOK},
+		{name: "silent after the headers, so that no event binds the stream", last: noEvent, end: silent, others: []string{"v2", "v1"}, want: "1:v2 2:v2 3:v2", status: http.StatusOK},
 		{name: "broken off without another server of the version", end: broken, others: []string{"v2", "v3"}, want: "1:v1 2:v1"},
 	}
 	for _, tt := range tests {
