Relay only a stream's events to callers

A response is a stream if its status is 200, it is stamped and not encoded, and its media type, where it states one, is text/event-stream; checkStream decides that for first attempts and for those that resume. An event without an ID belongs to no stream, as the protocol gives each event one: the server counts as broken off there, and the stream goes on elsewhere or is cut. Comments pass.

--- a/core/eventstream/eventstream.go
+++ b/core/eventstream/eventstream.go
@@ -26,6 +26,9 @@
 	ErrTooLong = fmt.Errorf("event longer than %d bytes", maxEventBytes)
 	// ErrGap means that a run left out an event.
 	ErrGap = errors.New("event missing from the stream")
+	// ErrNoID means that a run sent something else than events: the text of an error, or the
+	// head of another response.
+	ErrNoID = errors.New("event without an ID")
 )
 
 type (
@@ -35,6 +38,9 @@
 		// ID is the event's number. It is valid when HasID is set.
 		ID    uint64
 		HasID bool
+		// IsComment is set if the event has only comments, or nothing. It is no part of the
+		// stream's content.
+		IsComment bool
 	}
 
 	// Reader reads events. It never returns part of an event.
@@ -89,8 +95,11 @@
 }
 
 func parseEvent(event []byte) Event {
-	parsed := Event{Bytes: event}
+	parsed := Event{Bytes: event, IsComment: true}
 	for line := range bytes.Lines(event) {
+		if text := bytes.TrimRight(line, "\r\n"); len(text) > 0 && text[0] != ':' {
+			parsed.IsComment = false
+		}
 		value, ok := bytes.CutPrefix(line, []byte("id:"))
 		if !ok {
 			continue
@@ -110,11 +119,14 @@
 }
 
 // Accept reports whether an event is to be sent to the caller. It returns false
-// for an event that the caller already has, and ErrGap when an event is missing
-// before this one.
+// for an event that the caller already has, ErrGap when an event is missing
+// before this one, and ErrNoID for an event that can't belong to the stream.
 func (r *Relay) Accept(e Event) (bool, error) {
-	if !e.HasID {
+	switch {
+	case e.IsComment:
 		return true, nil
+	case !e.HasID:
+		return false, fmt.Errorf("%w: %.80q", ErrNoID, e.Bytes)
 	}
 	if r.isResumed && e.ID <= r.last {
 		return false, nil
--- a/core/eventstream/eventstream_test.go
+++ b/core/eventstream/eventstream_test.go
@@ -52,6 +52,30 @@
 	}
 }
 
+// TestRelayTakesEventsOnly guards against bytes in a stream that are no event of it: the text of an
+// error or the head of another response.
+func TestRelayTakesEventsOnly(t *testing.T) {
+	for text, want := range map[string]error{
+		"id: 1\ndata: a\n\n":            nil,
+		": comment\nid: 1\n\n":          nil,
+		"weight-versions: 3\nid: 1\n\n": nil,
+		": ping\r\n\r\n":                nil,
+		"\n":                            nil,
+		"overloaded\n\n":                eventstream.ErrNoID,
+		"event: error\ndata: x\n\n":     eventstream.ErrNoID,
+		"id: none\n\n":                  eventstream.ErrNoID,
+		"HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n": eventstream.ErrNoID,
+	} {
+		event, err := eventstream.NewReader(strings.NewReader(text)).Next()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if isNew, err := eventstream.NewRelay(0, false).Accept(event); !errors.Is(err, want) || isNew != (want == nil) {
+			t.Errorf("%q is accepted: %t, error %v; want error %v", text, isNew, err, want)
+		}
+	}
+}
+
 // TestRelayJoinsRuns checks that the caller gets each event once when several
 // runs supply the stream, and that a missing event is an error.
 func TestRelayJoinsRuns(t *testing.T) {
--- a/hickoryd/internal/edgedispatch/decode.go
+++ b/hickoryd/internal/edgedispatch/decode.go
@@ -100,9 +100,9 @@
 	if response.StatusCode >= http.StatusMultipleChoices {
 		return g.forwardFailure(server, response)
 	}
-	if !response.Metadata.HasStamp || response.Metadata.IsEncoded {
+	if err := checkStream(response); err != nil {
 		g.recordResult(server.ID, health.Broken)
-		return fmt.Errorf("%w: status %d", errInvalid, response.StatusCode)
+		return err
 	}
 	err := g.forward(ctx, response, watch, server)
 	if migrated := (*migratedRun)(nil); errors.As(err, &migrated) {
@@ -118,6 +118,16 @@
 	return nil
 }
 
+// checkStream returns an error if a response is no stream of a server's events. Such a response
+// neither begins nor continues the stream of a caller.
+func checkStream(response *upstream.Response) error {
+	if r := response.Metadata; !r.IsEventStream || !r.HasStamp || r.IsEncoded {
+		return fmt.Errorf("%w: status %d, content type %.40q, stamped %t, encoded %t",
+			errInvalid, response.StatusCode, response.Header.Get("Content-Type"), r.HasStamp, r.IsEncoded)
+	}
+	return nil
+}
+
 // recordOutcome records how the attempt has ended.
 func (g *generation) recordOutcome(err error) {
 	migrated := (*migratedRun)(nil)
--- a/hickoryd/internal/edgedispatch/dispatch_test.go
+++ b/hickoryd/internal/edgedispatch/dispatch_test.go
@@ -239,9 +239,16 @@
 	}
 }
 
+// beginEvents sets the headers of a stream. Without a content type the HTTP server would state
+// the one that the first bytes look like.
+func beginEvents(w http.ResponseWriter) {
+	w.Header().Set("Server-Stamp", "stamp")
+	w.Header().Set("Content-Type", "text/event-stream")
+}
+
 func events(ids ...string) http.HandlerFunc {
 	return func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("Server-Stamp", "stamp")
+		beginEvents(w)
 		for _, id := range ids {
 			_, _ = io.WriteString(w, "id: "+id+"\n\n")
 		}
--- a/hickoryd/internal/edgedispatch/migrate_test.go
+++ b/hickoryd/internal/edgedispatch/migrate_test.go
@@ -467,7 +467,7 @@
 // sendRest resumes a run with one more event.
 func sendRest(w http.ResponseWriter, r *http.Request) {
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
-	w.Header().Set("Server-Stamp", "stamp")
+	beginEvents(w)
 	w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
 	fmt.Fprintf(w, "id: %d\n%s", last+1, restEvent)
 }
--- a/hickoryd/internal/edgedispatch/nostream_test.go
+++ b/hickoryd/internal/edgedispatch/nostream_test.go
@@ -33,9 +33,16 @@
 	return "Transfer-Encoding: chunked\r\n\r\n" + body + "0\r\n\r\n"
 }
 
-// noStreams are responses that have no new events, although some of them are well-formed streams.
+// noStreams are responses that have no events, although some of them are well-formed streams.
 var noStreams = map[string]http.HandlerFunc{
 	"204":                             raw("204 No Content", "\r\n"),
+	"206 with an event":               raw("206 Partial Content", "Content-Type: text/event-stream\r\n"+chunked("id: 3\n\n")),
+	"201 with an event":               raw("201 Created", "Content-Type: text/event-stream\r\n"+chunked("id: 3\n\n")),
+	"JSON with an event":              raw("200 OK", "Content-Type: application/json\r\n"+chunked("id: 3\n\n")),
+	"text with an empty line":         raw("200 OK", "Content-Type: text/plain\r\n"+chunked("overloaded\n\n")),
+	"no type, text":                   raw("200 OK", chunked("overloaded\n\n")),
+	"stream of an error's text":       raw("200 OK", "Content-Type: text/event-stream\r\n"+chunked("event: error\ndata: overloaded\n\n")),
+	"stream of another head":          raw("200 OK", "Content-Type: text/event-stream\r\n\r\nHTTP/1.1 500 Internal Server Error\r\nContent-Length: 5\r\n\r\nerror"),
 	"empty, with a length":            raw("200 OK", "Content-Type: text/event-stream\r\nContent-Length: 0\r\n\r\n"),
 	"empty, in chunks":                raw("200 OK", "Content-Type: text/event-stream\r\n"+chunked("")),
 	"empty, ends with its connection": raw("200 OK", "Content-Type: text/event-stream\r\n\r\n"),
@@ -43,8 +50,9 @@
 	"only events that the caller has": raw("200 OK", "Content-Type: text/event-stream\r\n"+chunked("id: 1\n\nid: 2\n\n")),
 }
 
-// TestResponseWithoutEvents guards against a stream that ends as complete because a server responds
-// without any event.
+// TestResponseWithoutEvents guards against a stream that ends as complete, or that has other bytes
+// than its events in it, because a server responds with something else than a stream or with one
+// that has no event.
 func TestResponseWithoutEvents(t *testing.T) {
 	once := route.Route{Kind: route.Streaming, IsGeneration: true, MaxServers: 1}
 	twice := route.Route{Kind: route.Streaming, IsGeneration: true, IsResumable: true, MaxServers: 2}
@@ -78,6 +86,30 @@
 	}
 }
 
+// TestBytesAmongEvents guards against bytes in the middle of a caller's stream that are no event:
+// the text of an error, or the whole head of another response.
+func TestBytesAmongEvents(t *testing.T) {
+	const stream = "Content-Type: text/event-stream\r\n"
+	resumable := route.Route{Kind: route.Streaming, IsGeneration: true, IsResumable: true, MaxServers: 2}
+	for name, bytes := range map[string]string{
+		"head":           "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 5\r\n\r\nerror",
+		"text":           "overloaded\n\n",
+		"error event":    "event: error\ndata: overloaded\n\n",
+		"event, no ID":   "data: c\n\n",
+		"part of a head": "HTTP/1.1 500 Internal",
+	} {
+		for framing, head := range map[string]string{"chunks": chunked("id: 1\n\nid: 2\n\n" + bytes), "no length": "\r\nid: 1\n\nid: 2\n\n" + bytes} {
+			t.Run(name+", "+framing, func(t *testing.T) {
+				t.Parallel()
+				status, body := serve(t, startDecodeServers(t, []http.HandlerFunc{raw("200 OK", stream+head), events("3")}), resumable, 100)
+				if want := "id: 1\n\nid: 2\n\nid: 3\n\n"; status != http.StatusOK || body != want {
+					t.Errorf("status %d, body %q; want 200 and %q", status, body, want)
+				}
+			})
+		}
+	}
+}
+
 // TestStreamWithNothingLeft guards against a whole stream that is called broken: its server broke
 // off after the last event, and the next one has nothing left to send. Only the maximum of output
 // tokens, which the request states, shows that.
--- a/hickoryd/internal/edgedispatch/silence_test.go
+++ b/hickoryd/internal/edgedispatch/silence_test.go
@@ -35,7 +35,7 @@
 
 // sendEvents sends events and makes sure that they reach the host.
 func sendEvents(w http.ResponseWriter, ids ...string) {
-	w.Header().Set("Server-Stamp", "stamp")
+	beginEvents(w)
 	for _, id := range ids {
 		_, _ = io.WriteString(w, "id: "+id+"\n\n")
 	}
--- a/hickoryd/internal/edgedispatch/version_test.go
+++ b/hickoryd/internal/edgedispatch/version_test.go
@@ -122,7 +122,7 @@
 	hasCapacity.Store(true)
 	server := startDecodeServer(t, id, &hasCapacity, func(w http.ResponseWriter, r *http.Request) {
 		first, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
-		w.Header().Set("Server-Stamp", "stamp")
+		beginEvents(w)
 		for number := first + 1; number <= last; number++ {
 			_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", number, version)
 		}
