--- a/hickoryd/internal/edgedispatch/holders.go
+++ b/hickoryd/internal/edgedispatch/holders.go
@@ -86,6 +86,11 @@
 		a.response.Close()
 		a.err = fmt.Errorf("%w: status %d: %.80s", errNotRun, a.response.StatusCode, body)
 	}
+	if a.err == nil {
+		if a.err = checkStream(a.response); a.err != nil {
+			a.response.Close()
+		}
+	}
 	select {
 	case results <- a:
 	case <-isOver:
--- a/hickoryd/internal/edgedispatch/migrate_test.go
+++ b/hickoryd/internal/edgedispatch/migrate_test.go
@@ -396,6 +396,10 @@
 		{"503 not run", full},
 		{"connection refused", nil},
 		{"silence", silent},
+		{"204", raw("204 No Content", "\r\n")},
+		{"500", failing},
+		{"200 without a stamp", unstamped},
+		{"200 with JSON", raw("200 OK", "Content-Type: application/json\r\n"+chunked("{}"))},
 		{"resumed", func(w http.ResponseWriter, r *http.Request) { sendRest(w, r) }},
 	}
 	for _, target := range turnAway {
