--- a/hickoryd/internal/edgedispatch/generation.go
+++ b/hickoryd/internal/edgedispatch/generation.go
@@ -106,6 +106,8 @@
 		// that have not continued a migrated run.
 		migrations   int
 		unfitTargets []string
+		// reportedEvents is the number of events that a server has reported of the run.
+		reportedEvents uint64
 	}
 )
 
@@ -151,7 +153,7 @@
 		}
 		migrated := (*migratedRun)(nil)
 		if errors.As(err, &migrated) {
-			g.migrated = migrated
+			g.migrated, g.reportedEvents = migrated, max(g.reportedEvents, migrated.events)
 			if g.migrations++; g.migrations <= maxMigrations {
 				g.number-- // the run is the same
 			}
--- a/hickoryd/internal/edgedispatch/migrate_test.go
+++ b/hickoryd/internal/edgedispatch/migrate_test.go
@@ -43,6 +43,8 @@
 		drainAt int
 		// losesAnswer is set if the response to the transfer that stops the run is lost.
 		losesAnswer bool
+		// created is the number of events that the server reports, or 0 for 1.
+		created int
 		// isUnframed is set if the stream ends with its connection.
 		isUnframed bool
 		onDrain    func()
@@ -105,7 +107,7 @@
 	default:
 		time.Sleep(s.allTransfersTime)
 	}
-	_, _ = io.WriteString(w, `{"handle":"run","created":1}`)
+	_, _ = fmt.Fprintf(w, `{"handle":"run","created":%d}`, max(s.created, 1))
 }
 
 // stream sends events until the run is stopped or ends.
@@ -218,6 +220,44 @@
 	}
 }
 
+// TestMigratedRunEndsEarly guards against a stream that looks complete although the server at which
+// its run was to go on ended it before the number of events that the run's own server has reported.
+func TestMigratedRunEndsEarly(t *testing.T) {
+	const created = 50
+	for name, tt := range map[string]struct {
+		last int // number of the last event
+		want int // status, 0: truncated
+	}{
+		"before":  {last: created - 2},
+		"there":   {last: created, want: http.StatusOK},
+		"later":   {last: created + 5, want: http.StatusOK},
+		"at once": {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			list := &changingServers{}
+			source := &migrationSource{events: 1000, drainAt: 2, created: created, stopped: make(chan struct{})}
+			first := startServer(t, "first", serverlist.Decode, source.ServeHTTP)
+			second := startServer(t, "second", serverlist.Decode, func(w http.ResponseWriter, r *http.Request) {
+				first, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+				beginEvents(w)
+				for number := first + 1; number <= tt.last; number++ {
+					sendEvents(w, strconv.Itoa(number))
+				}
+			})
+			source.onDrain = func() {
+				draining := first
+				draining.IsDraining = true
+				list.set(servers{draining, second})
+			}
+			list.set(servers{first})
+			status, body := send(t, newDispatcher(t, list, 100), route.Route{Kind: route.Streaming, IsGeneration: true, MaxServers: 1}, callerTimeout)
+			if status != tt.want || !isWhole(body) {
+				t.Errorf("status %d, want %d; body %q", status, tt.want, body)
+			}
+		})
+	}
+}
+
 // isWhole reports whether body has the events 1, 2, 3 and so on.
 func isWhole(body string) bool {
 	var want strings.Builder
