Check that a server lives when its connection ends a response

Only ends that this host had ordered were excluded so far.

When a connection ends a response, the host now checks that a process still listens at the server's address. If none does, the response has broken off: streams go on elsewhere or are cut, a safe request is retried, any other one is answered with 502. Responses with a length or chunks aren't checked.

--- a/hickoryd/internal/edgedispatch/decode.go
+++ b/hickoryd/internal/edgedispatch/decode.go
@@ -174,6 +174,9 @@
 				return migrated
 			}
 			if events.IsComplete(err) && ctx.Err() == nil && !migration.mayHaveStopped.Load() {
+				if err := g.checkEndOfConnection(ctx, server, response); err != nil {
+					return err
+				}
 				return g.end(hasNewEvents, response, watch, server)
 			}
 			return withCause(ctx, fmt.Errorf("%w: stream ended after event %d: %w", upstream.ErrMayHaveRun, g.relay.LastID(), err))
@@ -241,12 +244,6 @@
 	return maxEvents > 0 && g.relay.LastID() >= uint64(maxEvents)
 }
 
-// endsWithConnection reports whether only the end of its connection ends a response. A server
-// that stops a run to migrate it ends such a response in the same way as a complete one.
-func endsWithConnection(response *upstream.Response) bool {
-	return response.ContentLength < 0 && len(response.TransferEncoding) == 0
-}
-
 // recordEvent records an event of server that is sent to the caller at now.
 func (g *generation) recordEvent(now time.Time, server serverlist.Server) {
 	g.timing.recordEvent(now)
--- a/hickoryd/internal/edgedispatch/plain.go
+++ b/hickoryd/internal/edgedispatch/plain.go
@@ -330,6 +330,9 @@
 	if err != nil {
 		return plainResult{err: fmt.Errorf("%w: %w", upstream.ErrMayHaveRun, err), mayHaveRun: true}
 	}
+	if err := a.checkEndOfConnection(ctx, a.server, response); err != nil {
+		return plainResult{err: err, mayHaveRun: true}
+	}
 	return plainResult{response: &plainResponse{response: response.Response, body: body}, mayHaveRun: true}
 }
 
@@ -375,8 +378,9 @@
 			}
 		}
 		if readErr == io.EOF {
-			a.close(ctx, nil)
-			return nil
+			readErr = a.checkEndOfConnection(ctx, a.server, r.rest)
+			a.close(ctx, readErr)
+			return readErr
 		}
 		if readErr != nil {
 			a.close(ctx, readErr)
--- a/hickoryd/internal/edgedispatch/unframed_test.go
+++ b/hickoryd/internal/edgedispatch/unframed_test.go
@@ -4,10 +4,12 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 
 	"github.com/hickoryfront/hickoryfront/core/route"
+	"github.com/hickoryfront/hickoryfront/core/serverlist"
 )
 
 // unframed responds without a length and without chunks, so that the response ends with its
@@ -63,3 +65,51 @@
 		})
 	}
 }
+
+// TestServerEndsWithItsResponse guards against a response that looks complete although its server
+// has crashed: the kernel ends the connections of a process in order, so that a response without
+// length and chunks ends as a complete one does.
+func TestServerEndsWithItsResponse(t *testing.T) {
+	long := strings.Repeat("x", 300<<10)
+	resumable := route.Route{Name: "r", Kind: route.Streaming, IsGeneration: true, IsResumable: true, MaxServers: 2}
+	once := route.Route{Name: "r", Kind: route.Streaming, IsGeneration: true, MaxServers: 1}
+	tests := []struct {
+		name       string
+		route      route.Route
+		body       string // of the server that ends
+		wantStatus int    // 0: truncated
+		wantBody   string
+	}{
+		{"stream that runs once", once, "id: 1\n\n", 0, "id: 1\n\n"},
+		{"resumable stream", resumable, "id: 1\n\n", http.StatusOK, "id: 1\n\nid: 2\n\n"},
+		{"unsafe request", route.Route{Kind: route.Unsafe, MaxServers: 1}, "body", http.StatusBadGateway, ""},
+		{"safe request", route.Route{Kind: route.Safe, MaxServers: 2}, "bo", http.StatusOK, "ok"},
+		{"long response", route.Route{Kind: route.Unsafe, MaxServers: 1}, long, 0, long},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			var hasCapacity atomic.Bool
+			hasCapacity.Store(true)
+			var listener net.Listener
+			var first serverlist.Server
+			respond := unframed(tt.body, false)
+			crash := func(w http.ResponseWriter, r *http.Request) {
+				listener.Close()
+				respond(w, r)
+			}
+			second := startServer(t, "second", "", ok)
+			if tt.route.IsGeneration {
+				first, listener = startServerWithListener(t, "first", serverlist.Decode, decodeHandler(&hasCapacity, crash))
+				second = startDecodeServer(t, "second", &hasCapacity, events("2"))
+			} else {
+				first, listener = startServerWithListener(t, "first", "", crash)
+			}
+			second.FailureDomain = "elsewhere" // the first server is preferred
+			status, body := serve(t, servers{first, second}, tt.route, 100)
+			if status != tt.wantStatus || body != tt.wantBody {
+				t.Errorf("status %d, body of %d bytes; want %d and %d bytes", status, len(body), tt.wantStatus, len(tt.wantBody))
+			}
+		})
+	}
+}
