Take no long streams when a stopping host is out of rotation

Cause: a stream counted as one that ends in time if 5 s were left, the time in which nearly all end, however late it came. With grace periods above 8.6 s that holds for streams that arrive later than 3 s after the SIGTERM, on connections opened before.

Until the load balancer has taken the host out of rotation, a refused caller may reach the same host again, and the typical time decides as before. From then on a caller reaches another host at once, so a stream is taken only if its deadline is before the end, as a call is.

--- a/core/draining/draining.go
+++ b/core/draining/draining.go
@@ -18,17 +18,27 @@
 // goes to another host.
 const RetryAfter = 20 * time.Millisecond
 
-// CanFinish reports whether a request that starts at a server at now ends before end, when the
-// host ends. deadline is the time at which the request is over in any case.
-func CanFinish(now, deadline, end time.Time, isStream bool) bool {
+// Stop is the planned end of a host.
+type Stop struct {
+	// OutOfRotation is when the load balancer sends the host no new connections any more.
+	OutOfRotation time.Time
+	// End is when the host ends.
+	End time.Time
+}
+
+// CanFinish reports whether a request that arrived at arrived and starts at a server at now ends
+// before the host does. deadline is the time at which the request is over in any case. Most
+// streams end sooner, but one that arrives when its caller would reach another host at once isn't
+// put at risk.
+func (s Stop) CanFinish(now, arrived, deadline time.Time, isStream bool) bool {
 	finish := deadline
-	if streamEnd := now.Add(typicalStreamTime); isStream && streamEnd.Before(finish) {
-		finish = streamEnd
+	if typicalEnd := now.Add(typicalStreamTime); isStream && arrived.Before(s.OutOfRotation) && typicalEnd.Before(finish) {
+		finish = typicalEnd
 	}
-	return finish.Before(end)
+	return finish.Before(s.End)
 }
 
-// LastAnswers returns when the requests in flight get their answers at a host that ends at end.
-func LastAnswers(end time.Time) time.Time {
-	return end.Add(-answerTime)
+// LastAnswers returns when the requests that are still in flight get their answers.
+func (s Stop) LastAnswers() time.Time {
+	return s.End.Add(-answerTime)
 }
--- a/core/draining/draining_test.go
+++ b/core/draining/draining_test.go
@@ -13,6 +13,7 @@
 		name          string
 		deadline, end time.Duration // from now
 		isStream      bool
+		isLate        bool // it arrives when the host is out of rotation
 		want          bool
 	}{
 		{name: "a call whose deadline is before the end", deadline: time.Second, end: 2 * time.Second, want: true},
@@ -21,15 +22,21 @@
 		{name: "a stream of typical length", deadline: time.Minute, end: 6 * time.Second, isStream: true, want: true},
 		{name: "a stream that would be cut", deadline: time.Minute, end: 5 * time.Second, isStream: true},
 		{name: "a stream with a short deadline", deadline: time.Second, end: 2 * time.Second, isStream: true, want: true},
+		{name: "a late stream that may last longer than a typical one", deadline: time.Minute, end: 6 * time.Second, isStream: true, isLate: true},
+		{name: "a late stream with a short deadline", deadline: time.Second, end: 2 * time.Second, isStream: true, isLate: true, want: true},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			if got := draining.CanFinish(now, now.Add(tt.deadline), now.Add(tt.end), tt.isStream); got != tt.want {
+			stop := draining.Stop{OutOfRotation: now.Add(time.Millisecond), End: now.Add(tt.end)}
+			if tt.isLate {
+				stop.OutOfRotation = now
+			}
+			if got := stop.CanFinish(now, now, now.Add(tt.deadline), tt.isStream); got != tt.want {
 				t.Errorf("can finish: %t, want %t", got, tt.want)
 			}
 		})
 	}
-	if end := now.Add(time.Second); !draining.LastAnswers(end).Before(end) {
+	if stop := (draining.Stop{End: now.Add(time.Second)}); !stop.LastAnswers().Before(stop.End) {
 		t.Error("the last answers have no time to reach their callers")
 	}
 }
--- a/hickoryd/internal/edge/daemon.go
+++ b/hickoryd/internal/edge/daemon.go
@@ -18,6 +18,7 @@
 	"github.com/apex/log"
 	"google.golang.org/grpc"
 
+	"github.com/hickoryfront/hickoryfront/core/draining"
 	"github.com/hickoryfront/hickoryfront/core/hoststate"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/callerserver"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/edgecaller"
@@ -130,8 +131,9 @@
 	started := time.Now()
 	d.isDraining.Store(true)
 	drainEnd := started.Add(time.Duration(drainShare * float64(d.settings.Grace)))
-	d.handler.Drain(drainEnd)
-	d.dispatcher.Drain(drainEnd)
+	planned := draining.Stop{OutOfRotation: started.Add(balancerDelay), End: drainEnd}
+	d.handler.Drain(planned)
+	d.dispatcher.Drain(planned)
 	d.edgeServer.DrainRelays()
 	d.logger.WithField("inFlight", d.handler.InFlight()).Info("daemon stopping")
 	if err := timing.Sleep(ctx, balancerDelay); err != nil {
--- a/hickoryd/internal/edgecaller/caller.go
+++ b/hickoryd/internal/edgecaller/caller.go
@@ -57,9 +57,8 @@
 		routes     Routes
 		dispatcher Dispatcher
 		logger     log.Interface
-		// drainEnd is when the requests in flight are aborted, or nil if the host is not
-		// draining.
-		drainEnd atomic.Pointer[time.Time]
+		// stop is the planned end of the host, or nil if the host is not draining.
+		stop atomic.Pointer[draining.Stop]
 		// memory counts the request bodies that are being read or in memory.
 		memory   *memoryledger.Ledger
 		inFlight atomic.Int64
@@ -82,10 +81,10 @@
 }
 
 // Drain closes each caller's connection after its current request, so that callers
-// connect to another host. From then on, requests that might not finish before end are
-// refused at once.
-func (h *Handler) Drain(end time.Time) {
-	h.drainEnd.Store(&end)
+// connect to another host. From then on, requests that might not finish before the host ends
+// are refused at once.
+func (h *Handler) Drain(stop draining.Stop) {
+	h.stop.Store(&stop)
 }
 
 // InFlight returns the number of requests without a complete response.
@@ -186,11 +185,8 @@
 // checkDraining refuses a request that a draining host may not be able to finish if it
 // starts now.
 func (h *Handler) checkDraining(request *edgedispatch.Request, now time.Time) error {
-	drainEnd := h.drainEnd.Load()
-	if drainEnd == nil {
-		return nil
-	}
-	if draining.CanFinish(now, request.Deadline, *drainEnd, request.Route.Kind == route.Streaming) {
+	stop := h.stop.Load()
+	if stop == nil || stop.CanFinish(now, now, request.Deadline, request.Route.Kind == route.Streaming) {
 		return nil
 	}
 	return &edgedispatch.Failure{Status: http.StatusServiceUnavailable, RetryAfter: draining.RetryAfter, Reason: "host is leaving"}
--- a/hickoryd/internal/edgecaller/caller_test.go
+++ b/hickoryd/internal/edgecaller/caller_test.go
@@ -14,6 +14,7 @@
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
 
+	"github.com/hickoryfront/hickoryfront/core/draining"
 	"github.com/hickoryfront/hickoryfront/core/route"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/edgecaller"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/edgedispatch"
@@ -80,7 +81,8 @@
 			}
 			handler := edgecaller.New(tt.routes, dispatch, newLedger(), &log.Logger{Handler: discard.New()}, metrics.NewSet())
 			if tt.drainTime > 0 {
-				handler.Drain(time.Now().Add(tt.drainTime))
+				stop := time.Now().Add(tt.drainTime)
+				handler.Drain(draining.Stop{OutOfRotation: stop, End: stop})
 			}
 			server := httptest.NewServer(handler)
 			defer server.Close()
--- a/hickoryd/internal/edgecaller/drain_test.go
+++ b/hickoryd/internal/edgecaller/drain_test.go
@@ -14,6 +14,7 @@
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
 
+	"github.com/hickoryfront/hickoryfront/core/draining"
 	"github.com/hickoryfront/hickoryfront/core/route"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/edgecaller"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/edgedispatch"
@@ -91,7 +92,8 @@
 // after delay.
 func (b *heldBody) runDrain(handler *edgecaller.Handler, drainTime, delay time.Duration) {
 	<-b.awaited
-	handler.Drain(time.Now().Add(drainTime))
+	stop := time.Now().Add(drainTime)
+	handler.Drain(draining.Stop{OutOfRotation: stop, End: stop})
 	time.Sleep(delay)
 	close(b.released)
 }
--- a/hickoryd/internal/edgecaller/sink.go
+++ b/hickoryd/internal/edgecaller/sink.go
@@ -62,7 +62,7 @@
 // after the response.
 func (s *sink) begin(status int) {
 	s.status = status
-	if s.handler.drainEnd.Load() != nil {
+	if s.handler.stop.Load() != nil {
 		s.writer.Header().Set("Connection", "close")
 	}
 	s.writer.WriteHeader(status)
--- a/hickoryd/internal/edgedispatch/drain.go
+++ b/hickoryd/internal/edgedispatch/drain.go
@@ -15,8 +15,8 @@
 
 // stop is the stop of the host. It is safe for concurrent use.
 type stop struct {
-	// end is when the host ends, or nil before the drain.
-	end atomic.Pointer[time.Time]
+	// planned is nil before the drain.
+	planned atomic.Pointer[draining.Stop]
 	// isOver ends when the requests in flight get their answers.
 	isOver context.Context
 	finish context.CancelFunc
@@ -39,18 +39,18 @@
 
 // Drain prepares for the end of the host. Generations that have no server by the time at which
 // they could no longer end before the host does are refused, so that their callers go to another
-// host. Shortly before end, the requests that are still in flight end, and those whose response
+// host. Shortly before the end, the requests that are still in flight end, and those whose response
 // has not started are answered.
-func (d *Dispatcher) Drain(end time.Time) {
-	d.stop.end.Store(&end)
-	time.AfterFunc(time.Until(draining.LastAnswers(end)), d.stop.finish)
+func (d *Dispatcher) Drain(planned draining.Stop) {
+	d.stop.planned.Store(&planned)
+	time.AfterFunc(time.Until(planned.LastAnswers()), d.stop.finish)
 }
 
 // checkDraining returns a *Failure if the request has no server, may be refused, and can't end
 // any more before the host does.
 func (g *generation) checkDraining(now time.Time) error {
-	end := g.stop.end.Load()
-	if end == nil || g.isStarted || !g.history.MayRefuse() || draining.CanFinish(now, g.request.Deadline, *end, true) {
+	planned := g.stop.planned.Load()
+	if planned == nil || g.isStarted || !g.history.MayRefuse() || planned.CanFinish(now, g.request.Arrived, g.request.Deadline, true) {
 		return nil
 	}
 	return &Failure{Status: http.StatusServiceUnavailable, RetryAfter: draining.RetryAfter, Reason: "host is leaving, and no decode server has room"}
--- a/hickorylab/edgesoak/stopwaiting_test.go
+++ b/hickorylab/edgesoak/stopwaiting_test.go
@@ -1,6 +1,7 @@
 package edgesoak_test
 
 import (
+	"bufio"
 	"errors"
 	"fmt"
 	"io"
@@ -52,6 +53,44 @@
 	}
 }
 
+// TestStoppingHostTakesNoLateStreams guards against a host that takes long streams late in its grace
+// period and cuts them at its end. Each caller sends its stream on a connection that it opened before.
+func TestStoppingHostTakesNoLateStreams(t *testing.T) {
+	t.Parallel()
+	const (
+		grace    = 12 * time.Second
+		patience = 14 * time.Second
+		idleTime = 700 * time.Millisecond // of the connection
+	)
+	e := startEnvironmentWith(t, environmentOptions{retrySlack: 500, decodeServers: 4, grace: grace, configuration: patientConfiguration})
+	stopAt := time.Now().Add(time.Second)
+	terminated := time.AfterFunc(time.Until(stopAt), func() { e.hosts[0].Terminate() })
+	defer terminated.Stop()
+	var group sync.WaitGroup
+	for time.Since(stopAt) < 6*time.Second {
+		group.Go(func() {
+			c := &caller{environment: e, random: rand.New(rand.NewPCG(1, e.counter.Load()))}
+			defer c.close()
+			var err error
+			if c.conn, err = net.DialTimeout("tcp", e.hostPort(0, 18080), dialTimeout); err != nil {
+				return // the host accepts no connections any more
+			}
+			c.reader = bufio.NewReader(c.conn)
+			time.Sleep(idleTime)
+			r := e.newRequest([]string{"/draft/", "/check/"}[c.random.IntN(2)])
+			r.events, r.promptTokens = 900, 100
+			o := c.attempt(r, time.Now().Add(patience))
+			isExcused := o.sentAt.Before(stopAt.Add(admittedTime)) && o.endedAt.After(stopAt.Add(grace*5/6))
+			isUnread := !o.isSent() || !o.wasRead(e.workers) && isClosed(o.err)
+			if o.err != nil && !isExcused && !isUnread {
+				t.Errorf("%v, sent %v after the SIGTERM; log of its host:\n%s", o, o.sentAt.Sub(stopAt).Round(time.Millisecond), e.hostLog(o))
+			}
+		})
+		time.Sleep(50 * time.Millisecond)
+	}
+	group.Wait()
+}
+
 // waitingRequests returns requests that no server ever answers: calls at silent servers, a first
 // attempt at a stream that no server has room for, and such a stream that is taken up again.
 func waitingRequests(e *environment) []callerRequest {
