--- a/hickorylab/edgesoak/stops_test.go
+++ b/hickorylab/edgesoak/stops_test.go
@@ -31,6 +31,8 @@
 	// sending new connections to a host after maxMisses failures.
 	checkPeriod = time.Second
 	maxMisses   = 2
+	// unframedShare is the share of the streams that end with their connections.
+	unframedShare = 0.1
 	// fleetEvents is the maximum number of events of a stream.
 	fleetEvents = 650
 )
@@ -68,9 +70,13 @@
 	{period: 800 * time.Millisecond, strike: (*fleet).replaceServer},
 }
 
-// soundSeries are disruptions of the store and of sound servers, which excuse no lost request.
+// soundSeries are disruptions of the store and of servers, which excuse no lost request but those
+// that a faulty server has broken off itself.
 var soundSeries = []series{
 	{period: 300 * time.Millisecond, strike: func(f *fleet, random *rand.Rand) { f.randomServer(random).Pause(silenceTime(random)) }},
+	{period: time.Second, strike: func(f *fleet, random *rand.Rand) {
+		f.randomDecodeServer(random).Garble(time.Duration(random.IntN(1000)) * time.Millisecond)
+	}},
 	{period: 5 * time.Second, strike: func(f *fleet, random *rand.Rand) {
 		f.store.SetMode(netip.Addr{}, []metastore.Mode{metastore.Refuse, metastore.Hang}[random.IntN(2)])
 		f.sleep(time.Duration(random.IntN(4000)) * time.Millisecond)
@@ -136,6 +142,9 @@
 	e := startEnvironmentWith(t, environmentOptions{
 		retrySlack: 194, hostCount: hosts, decodeServers: max(4, hosts*58/77), configuration: fleetConfiguration,
 	})
+	for _, s := range e.decodeServers() {
+		s.SetUnframedShare(unframedShare)
+	}
 	f := &fleet{environment: e, stop: make(chan struct{}), rotation: make([]atomic.Bool, hosts), stops: make(map[int][]time.Time), restarting: make(map[int]bool)}
 	for i := range hosts {
 		f.rotation[i].Store(true)
--- a/hickorylab/worker/worker.go
+++ b/hickorylab/worker/worker.go
@@ -68,11 +68,12 @@
 
 	// Server is one server, an http.Handler. A crash ends its incarnation.
 	Server struct {
-		group   *Group
-		service string
-		address string
-		version string // of its software
-		limiter limiter
+		group    *Group
+		service  string
+		address  string
+		version  string // of its software
+		limiter  limiter
+		garbling garbling
 
 		mu            sync.Mutex
 		silence       *silence
@@ -447,17 +448,23 @@
 	if !isMigrated { // a migrated run was counted by its first server
 		s.group.countRun(r)
 	}
-	w.Header().Set("Server-Stamp", "stamp")
-	w.Header().Set("Content-Type", "text/event-stream")
+	if s.garble(w, r) {
+		return
+	}
 	if isDeadly, keepsID := s.group.countDeadlyRun(r); isDeadly {
 		go s.runDeadlyCrash(keepsID)
 		<-r.Context().Done()
 		return
 	}
-	s.stream(w, r, string(body), current)
+	s.mu.Lock()
+	ended := s.silence.ended
+	s.mu.Unlock()
+	s.stream(s.newEventWriter(w, r), r, string(body), current, ended)
 }
 
-func (s *Server) stream(w http.ResponseWriter, r *http.Request, body string, current *run) {
+// stream sends the events of a run until it ends, or is stopped, or the server crashes.
+func (s *Server) stream(events *eventWriter, r *http.Request, body string, current *run, ended <-chan struct{}) {
+	defer events.close()
 	_, output, _ := strings.Cut(r.Header.Get("Token-Counts"), ",")
 	total, _ := strconv.ParseUint(output, 10, 64)
 	for {
@@ -465,14 +472,17 @@
 		current.lastEvent++
 		number := current.lastEvent
 		s.mu.Unlock()
-		if number > total {
-			return
+		if number > total || events.write(s.event(r.RequestURI, body, number)) != nil {
+			return // the run has ended, or the host has disconnected
 		}
-		_, _ = io.WriteString(w, s.event(r.RequestURI, body, number)) // the caller may have disconnected
-		_ = http.NewResponseController(w).Flush()
 		select {
 		case <-current.migrated:
-			panic(http.ErrAbortHandler)
+			events.stop()
+			return
+		case <-ended:
+			time.Sleep(crashTime)
+			events.stop()
+			return
 		case <-r.Context().Done():
 			return
 		case <-time.After(eventInterval):
