Remove missing servers in time after an outage of the store

Cause: a registration that is missing after an outage stays for 2.5 s, the time in which its server may register again, but it was removed only at the next read of the list after that, up to one poll interval later. That time is in neither the platform's bounds nor the settings.

The registry now removes missing registrations when that time is over.

--- a/core/serverlist/serverlist.go
+++ b/core/serverlist/serverlist.go
@@ -202,6 +202,20 @@
 	l.removeMissing(now)
 }
 
+// NextExpiry returns when Expire removes registrations that are missing. It returns false if none
+// is missing, or if that time isn't known, since the store is down.
+func (l *List) NextExpiry() (time.Time, bool) {
+	if l.isStoreDown {
+		return time.Time{}, false
+	}
+	for _, e := range l.servers {
+		if !e.missingSince.IsZero() {
+			return l.restoredAt.Add(ReregistrationPeriod), true
+		}
+	}
+	return time.Time{}, false
+}
+
 // Expire removes registrations that went missing around an outage and were not
 // created again within ReregistrationPeriod.
 func (l *List) Expire(now time.Time) {
--- a/hickoryd/internal/registry/registry.go
+++ b/hickoryd/internal/registry/registry.go
@@ -95,7 +95,10 @@
 		mu       sync.Mutex
 		document []byte
 		list     *serverlist.List
-		hosts    []netip.AddrPort
+		// expiresAt is the last time for which the removal of missing registrations was
+		// scheduled.
+		expiresAt time.Time
+		hosts     []netip.AddrPort
 		// listedHosts are the hosts of the last read from the store, which was the same in
 		// the last equalReads reads. areHostsSettled is set once these were enough.
 		listedHosts     []storereader.Host
@@ -271,6 +274,7 @@
 	defer r.mu.Unlock()
 	before := r.list.Version()
 	f(r.list)
+	r.scheduleExpiry(time.Now())
 	if r.list.Version() == before {
 		return
 	}
@@ -279,6 +283,22 @@
 	r.snapshot.Store(next)
 }
 
+// scheduleExpiry removes missing registrations in time: the next read of the list may be late. The
+// caller holds mu.
+func (r *Registry) scheduleExpiry(now time.Time) {
+	at, ok := r.list.NextExpiry()
+	if !ok || at.Equal(r.expiresAt) {
+		return
+	}
+	r.expiresAt = at
+	time.AfterFunc(at.Sub(now), r.expire)
+}
+
+// expire removes the registrations that are missing for too long.
+func (r *Registry) expire() {
+	r.updateServers(func(list *serverlist.List) { list.Expire(time.Now()) })
+}
+
 func (r *Registry) logServerChanges(before, after []serverlist.Server) {
 	known := make(map[string]serverlist.Server, len(before))
 	for _, s := range before {
@@ -304,6 +324,7 @@
 	defer r.mu.Unlock()
 	r.lastResponse = now
 	r.list.MarkStoreAvailable(now)
+	r.scheduleExpiry(now)
 	if !r.isUnreachable {
 		return
 	}
--- a/hickoryd/internal/registry/registry_test.go
+++ b/hickoryd/internal/registry/registry_test.go
@@ -213,12 +213,18 @@
 }
 
 func start(t *testing.T, s *store, p *peers) *registry.Registry {
+	t.Helper()
+	return startPolling(t, s, p, 20*time.Millisecond)
+}
+
+// startPolling is start with a poll interval.
+func startPolling(t *testing.T, s *store, p *peers, poll time.Duration) *registry.Registry {
 	t.Helper()
 	server := httptest.NewServer(s)
 	t.Cleanup(server.Close)
 	logger := &log.Logger{Handler: discard.New(), Level: log.InfoLevel}
 	address := netip.MustParseAddrPort(server.Listener.Addr().String())
-	r := registry.New(registry.Options{Poll: 20 * time.Millisecond, Timeout: storeTimeout},
+	r := registry.New(registry.Options{Poll: poll, Timeout: storeTimeout},
 		platform.NewStore(&http.Client{Transport: idletimeout.NewTransport(http.DefaultTransport, storeTimeout)}, address), p, logger, metrics.NewSet())
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
@@ -331,6 +337,23 @@
 	}
 }
 
+// TestMissingServerExpiresInTime guards against work for a server that left around an outage of the
+// store: it stayed in the list until the next read after the time in which it could have come back.
+func TestMissingServerExpiresInTime(t *testing.T) {
+	const slack = 300 * time.Millisecond
+	s := &store{revision: 5, version: 1, servers: map[string]string{"a": "ready", "b": "ready"}}
+	r := startPolling(t, s, &peers{}, 2*time.Second)
+	s.set(func() { s.isDown = true })
+	await(t, "the store is unreachable", r.IsStoreUnreachable)
+	s.set(func() { s.isDown, s.revision, s.history, s.servers = false, 9, 9, map[string]string{"b": "ready"} })
+	await(t, "the store is reachable again", func() bool { return !r.IsStoreUnreachable() })
+	reachableAt := time.Now()
+	await(t, "the missing server is removed", func() bool { return len(r.Servers().Servers) == 1 })
+	if took := time.Since(reachableAt); took < serverlist.ReregistrationPeriod-slack || took > serverlist.ReregistrationPeriod+slack {
+		t.Errorf("removed after %v, want %v", took, serverlist.ReregistrationPeriod)
+	}
+}
+
 // Servers and hosts are read concurrently, and both lists may have invalid entries.
 // The race detector finds unguarded access to the keys that both loops log.
 func TestInvalidEntriesOfBothLists(t *testing.T) {
