Don't count requests that the soak disturbs itself as not served

TestStreamsWhenAllHostsFail failed on a starved machine: 'only 6 of 17 requests that reached a host were served' (beside 150 busy processes, load 150; at load 40 to 70 with 1,100 processes when it was listed). Traced with the results by cause, which the test prints now: beside that load '3 of 13 requests were served, 10 were disturbed by the test, the others ended with map[]'. What the test itself kills and drops is a fixed number, and a starved machine sends few requests besides. At rest these were a quarter (111 of 144 served, 33 disturbed, none failed).

The check was wrong, so it is replaced by a stricter one: of the requests that the test has not disturbed, three quarters must be served.

--- a/hickorylab/edgesoak/caller_test.go
+++ b/hickorylab/edgesoak/caller_test.go
@@ -29,6 +29,9 @@
 	clockSlack = 5 * time.Millisecond
 	// causeLost is the cause of a missing response for which the host is to blame.
 	causeLost = "lost by the host"
+	// causeDropped and causeHostKilled are causes that the test itself is to blame for.
+	causeDropped    = "dropped by the caller"
+	causeHostKilled = "host killed"
 	// streamEvents is the number of events of a stream.
 	streamEvents = 25
 )
@@ -330,9 +333,9 @@
 func (o outcome) breakCause(workers *worker.Group) string {
 	switch {
 	case errors.Is(o.err, errDropped):
-		return "dropped by the caller"
+		return causeDropped
 	case o.isHostKilled:
-		return "host killed"
+		return causeHostKilled
 	case workers.IsBrokenOff(o.id):
 		return "server crashed"
 	case o.isDeadlineReached():
--- a/hickorylab/edgesoak/soak_test.go
+++ b/hickorylab/edgesoak/soak_test.go
@@ -310,21 +310,27 @@
 	t.Logf("%d requests, without a complete response by cause: %v", len(c.outcomes), broken)
 }
 
-// checkServed requires that half of the requests were served that reached a host.
+// checkServed requires that three quarters of the requests were served that reached a host and that the test
+// did not disturb.
 func (c *callers) checkServed(t *testing.T, outcomes []outcome) {
 	t.Helper()
-	served, unreachable := 0, 0
+	served, disturbed := 0, 0
+	results := make(map[string]int)
 	for _, o := range outcomes {
-		if o.status == http.StatusOK && o.err == nil {
+		switch cause := o.breakCause(c.environment.workers); {
+		case o.err == nil && o.status == http.StatusOK:
 			served++
-		}
-		if errors.Is(o.err, syscall.ECONNREFUSED) {
-			unreachable++ // the host is killed; how often callers try to reach it is no measure of service
+		case o.err == nil:
+			results[fmt.Sprint("status ", o.status)]++
+		case errors.Is(o.err, syscall.ECONNREFUSED) || cause == causeDropped || cause == causeHostKilled:
+			disturbed++ // by the test; how often it does so is no measure of service
+		default:
+			results[cause]++
 		}
 	}
-	reached := len(outcomes) - unreachable
-	t.Logf("%d of %d requests were served, %d were sent to a killed host", served, len(outcomes), unreachable)
-	if served*2 < reached {
+	reached := len(outcomes) - disturbed
+	t.Logf("%d of %d requests were served, %d were disturbed by the test, the others ended with %v", served, len(outcomes), disturbed, results)
+	if served*4 < reached*3 {
 		t.Errorf("only %d of %d requests that reached a host were served", served, reached)
 	}
 }
