Test that stops of relaying hosts leave no request without an answer

A host without paths to servers passes its requests on while the hosts that serve them stop one after the other, and then it stops itself.

--- a/hickorylab/edgesoak/stopwaiting_test.go
+++ b/hickorylab/edgesoak/stopwaiting_test.go
@@ -7,12 +7,14 @@
 	"io"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"os"
 	"sync"
 	"syscall"
 	"testing"
 	"time"
 
+	"github.com/hickoryfront/hickoryfront/hickorylab/cutproxy"
 	"github.com/hickoryfront/hickoryfront/hickorylab/worker"
 )
 
@@ -91,6 +93,42 @@
 	group.Wait()
 }
 
+// TestStopOfRelayingHosts guards against requests that get no answer because the host that serves them
+// for another one stops, or because that other host stops.
+func TestStopOfRelayingHosts(t *testing.T) {
+	t.Parallel()
+	e := startEnvironmentWith(t, environmentOptions{retrySlack: 500, decodeServers: 4, hostCount: 4, hasPaths: true, configuration: fleetConfiguration})
+	f := &firstTries{environment: e, stop: make(chan struct{})}
+	e.cut([]int{0}, cutproxy.Reset, func(*worker.Server) bool { return true })
+	time.Sleep(settledTime)
+	for i := range 24 {
+		f.group.Go(func() { f.loop(i*e.hostCount, paths, rand.New(rand.NewPCG(5, uint64(i)))) }) // all at host 0
+	}
+	for _, i := range []int{1, 2, 3, 0} {
+		time.Sleep(settledTime)
+		e.hosts[i].Terminate()
+		<-e.hosts[i].Exited()
+		if i > 0 {
+			e.hosts[i].Start()
+			e.awaitReady(i)
+		}
+	}
+	close(f.stop)
+	f.group.Wait()
+	served := 0
+	for _, o := range f.outcomes {
+		if o.err == nil && o.status == http.StatusOK {
+			served++
+		}
+		if o.err != nil && o.breakCause(e.workers) == causeLost {
+			t.Errorf("%v; logs:\n%s", o, e.logsOf(o.id))
+		}
+	}
+	if served*2 < len(f.outcomes) {
+		t.Errorf("%d of %d requests were served, want at least half", served, len(f.outcomes))
+	}
+}
+
 // waitingRequests returns requests that no server ever answers: calls at silent servers, a first
 // attempt at a stream that no server has room for, and such a stream that is taken up again.
 func waitingRequests(e *environment) []callerRequest {
