--- a/hickoryd/internal/edgedispatch/decode.go
+++ b/hickoryd/internal/edgedispatch/decode.go
@@ -221,9 +221,9 @@
 	return g.sink.Start(response.StatusCode, platform.ResponseHeader(response.Header))
 }
 
-// end ends the response to the caller with that of a server, unless the caller may lack a part of
-// the stream: a run has at least one event, so a server without a new one may have lost the run,
-// and it has as many as its server has reported. The IDs may begin at 0.
+// end ends the response to the caller with that of a server. It returns an error if the caller may
+// lack a part of the stream: a run has at least one event, so a server without a new one may have
+// lost the run, and a run has as many events as its server has reported. IDs may begin at 0.
 func (g *generation) end(hasNewEvents bool, response *upstream.Response, watch *silenceWatch, server serverlist.Server) error {
 	if g.relay.LastID()+1 < g.reportedEvents {
 		return fmt.Errorf("%w: stream ended after event %d of %d", upstream.ErrMayHaveRun, g.relay.LastID(), g.reportedEvents)
--- a/hickoryd/internal/edgedispatch/drain.go
+++ b/hickoryd/internal/edgedispatch/drain.go
@@ -15,7 +15,7 @@
 
 // stop is the stop of the host. It is safe for concurrent use.
 type stop struct {
-	// planned is nil before the drain.
+	// planned is the planned end of the host, or nil before the drain.
 	planned atomic.Pointer[draining.Stop]
 	// isOver ends when the requests in flight get their answers.
 	isOver context.Context
--- a/hickoryd/internal/registry/registry.go
+++ b/hickoryd/internal/registry/registry.go
@@ -274,7 +274,7 @@
 	defer r.mu.Unlock()
 	before := r.list.Version()
 	f(r.list)
-	r.scheduleExpiry(time.Now())
+	r.scheduleExpiry()
 	if r.list.Version() == before {
 		return
 	}
@@ -285,13 +285,13 @@
 
 // scheduleExpiry removes missing registrations in time: the next read of the list may be late. The
 // caller holds mu.
-func (r *Registry) scheduleExpiry(now time.Time) {
+func (r *Registry) scheduleExpiry() {
 	at, ok := r.list.NextExpiry()
 	if !ok || at.Equal(r.expiresAt) {
 		return
 	}
 	r.expiresAt = at
-	time.AfterFunc(at.Sub(now), r.expire)
+	time.AfterFunc(time.Until(at), r.expire)
 }
 
 // expire removes the registrations that are missing for too long.
@@ -324,7 +324,7 @@
 	defer r.mu.Unlock()
 	r.lastResponse = now
 	r.list.MarkStoreAvailable(now)
-	r.scheduleExpiry(now)
+	r.scheduleExpiry()
 	if !r.isUnreachable {
 		return
 	}
