Soak: keep the copies of runs at a server that garbles a response

A garbled response was recorded in the same way as a crash of its server: the server lost the copies of runs that it held, and stopped runs with a copy there counted as broken off, so that the soak excused what became of them. Only the request itself is broken off now.

--- a/hickorylab/worker/garble.go
+++ b/hickorylab/worker/garble.go
@@ -71,7 +71,7 @@
 	if !isFaulty || rand.Float64() >= garbledShare {
 		return false
 	}
-	s.group.breakOff(s.address, map[string]int{r.Header.Get("Request-Id"): 1})
+	s.group.markBrokenOff(r.Header.Get("Request-Id"))
 	conn, _, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		panic(err) // only for a server that can't be hijacked
@@ -82,6 +82,12 @@
 	return true
 }
 
+func (g *Group) markBrokenOff(id string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.brokenOff[id] = true
+}
+
 func head(status string, r *http.Request) string {
 	return fmt.Sprintf("HTTP/1.1 %s\r\nRequest-Id: %s\r\nServer-Stamp: stamp\r\n", status, r.Header.Get("Request-Id"))
 }
