Cut a test path while other tests start processes

Traced: a path that hangs closes its listener and listens at the same address again; a process that another test of the binary is starting has a copy of the closed listener between its fork and its exec. Healing a path retried for this reason already, cutting one did not; both do now.

--- a/hickorylab/cutproxy/path.go
+++ b/hickorylab/cutproxy/path.go
@@ -21,8 +21,10 @@
 	fillTimeout = 50 * time.Millisecond
 	// maxFill bounds the connections that fill the queue of a listener.
 	maxFill = 8
-	// relistenPause is the time between two attempts to listen again.
+	// relistenPause is the time between two attempts to listen again, of which there are
+	// maxRelisten at most.
 	relistenPause = 10 * time.Millisecond
+	maxRelisten   = 100
 )
 
 type (
@@ -81,7 +83,7 @@
 	case Hang:
 		p.healed = make(chan struct{})
 		var err error
-		p.full, err = listenFull(p.address)
+		p.full, err = listenAgain(func() (*fullListener, error) { return listenFull(p.address) })
 		return err
 	case Reset:
 		for l := range p.links {
@@ -132,11 +134,7 @@
 }
 
 func (p *Path) listen() error {
-	listener, err := net.Listen("tcp4", p.address)
-	for attempt := 0; err != nil && attempt < 100; attempt++ { // the listener of a cut may not be gone yet
-		time.Sleep(relistenPause)
-		listener, err = net.Listen("tcp4", p.address)
-	}
+	listener, err := listenAgain(func() (net.Listener, error) { return net.Listen("tcp4", p.address) })
 	if err != nil {
 		return err
 	}
@@ -147,6 +145,17 @@
 	return nil
 }
 
+// listenAgain calls listen until it succeeds, for an address of which the listener has just been
+// closed: a process that is being started has a copy of the listener until its exec.
+func listenAgain[T any](listen func() (T, error)) (T, error) {
+	listener, err := listen()
+	for attempt := 0; err != nil && attempt < maxRelisten; attempt++ {
+		time.Sleep(relistenPause)
+		listener, err = listen()
+	}
+	return listener, err
+}
+
 func (p *Path) run(listener net.Listener) {
 	for {
 		client, err := listener.Accept()
--- a/hickorylab/cutproxy/path_test.go
+++ b/hickorylab/cutproxy/path_test.go
@@ -5,6 +5,10 @@
 	"io"
 	"net"
 	"os"
+	"os/exec"
+	"runtime"
+	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -69,6 +73,34 @@
 	}
 }
 
+// TestPathWhileProcessesStart guards against a path that can't be cut while the test starts
+// processes: between fork and exec such a process has a copy of the closed listener.
+func TestPathWhileProcessesStart(t *testing.T) {
+	const cuts = 30
+	path, err := cutproxy.ListenPath("127.0.0.1:20999", "127.0.0.1:1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer path.Close()
+	var isOver atomic.Bool
+	var starting sync.WaitGroup
+	for range 2 * runtime.GOMAXPROCS(0) {
+		starting.Go(func() {
+			for !isOver.Load() {
+				_ = exec.Command("true").Run() // only its start matters
+			}
+		})
+	}
+	for range cuts {
+		if err := errors.Join(path.Cut(cutproxy.Hang), path.Heal()); err != nil {
+			t.Error(err)
+			break
+		}
+	}
+	isOver.Store(true)
+	starting.Wait()
+}
+
 const waitTimeout = 20 * time.Second
 
 var errTimeout = errors.New("timeout")
