--- /dev/null
+++ b/core/quota/limit.go
@@ -0,0 +1,25 @@
+// Package quota keeps workspaces to their quotas, which hold over all hosts together. The
+// command hickoryd edge uses it.
+package quota
+
+// Units in which a quota is counted.
+const (
+	// Requests counts each request as 1.
+	Requests Unit = iota
+	// Tokens counts the tokens of a request.
+	Tokens
+)
+
+type (
+	// Unit is what a quota counts.
+	Unit int
+
+	// Limit is the quota of a workspace.
+	Limit struct {
+		Unit Unit
+		// Rate is in units a second, over all hosts together. Zero means no limit.
+		Rate float64
+		// Burst is the number of units that may be used at once.
+		Burst float64
+	}
+)
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -8,6 +8,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/hickoryfront/hickoryfront/core/identity"
 )
 
 // Kinds of route.
@@ -27,9 +29,10 @@
 	// Configuration is the operators' document of routes and limits.
 	Configuration struct {
 		// Version is higher in each newer document. Versions are not consecutive.
-		Version uint64
-		Routes  []Route
-		Limits  Limits
+		Version    uint64
+		Routes     []Route
+		Limits     Limits
+		Workspaces []identity.Workspace
 	}
 
 	// Route sends requests of one host name and path prefix to a service.
--- a/hickoryd/internal/edgedispatch/dispatch.go
+++ b/hickoryd/internal/edgedispatch/dispatch.go
@@ -143,7 +143,13 @@
 		// Fingerprint identifies requests that run the same thing, for the detection of
 		// requests that crash servers.
 		Fingerprint uint64
-		Arrived     time.Time
+		// Workspace is the name of the caller's workspace, or empty.
+		Workspace string
+		// Priority ranks the request among those of its service, 0 first, if IsRanked is set.
+		Priority int
+		// IsRanked is set if requests to the service have different priorities.
+		IsRanked bool
+		Arrived  time.Time
 		// Deadline is the earlier of the caller's timeout and the route's.
 		Deadline time.Time
 		// IsRelayed is set if another host has received the request and has no paths to the
--- a/hickoryd/internal/edgehost/relay.go
+++ b/hickoryd/internal/edgehost/relay.go
@@ -266,6 +266,7 @@
 		},
 		TimeLeftMs: r.Deadline.Sub(now).Milliseconds(), Fingerprint: r.Fingerprint, BodyBytes: uint64(len(r.Body)),
 		NeedsMostPaths: r.NeedsMostPaths, IsContinued: r.IsContinued, IsResumed: r.Metadata.IsResumed, LastEventId: r.Metadata.LastEventID, SoftwareVersion: r.SoftwareVersion,
+		Workspace: r.Workspace, Priority: int32(r.Priority), IsRanked: r.IsRanked,
 	}
 }
 
@@ -284,6 +285,7 @@
 		},
 		Arrived: now, Deadline: now.Add(milliseconds(head.GetTimeLeftMs())), Fingerprint: head.GetFingerprint(),
 		IsRelayed: true, IsContinued: head.GetIsContinued(), SoftwareVersion: head.GetSoftwareVersion(),
+		Workspace: head.GetWorkspace(), Priority: int(head.GetPriority()), IsRanked: head.GetIsRanked(),
 	}
 	r.Metadata, _ = platform.DecodeRequest(r.Header)
 	if r.IsContinued {
