Identify callers by their workspaces' keys

Cause: the operators' document may contain tenants with keys, public routes and traffic splits (section 1 of docs/design/workspaces-and-load.md); all of them were ignored.

Change: platform decodes them and hashes the keys while it does. A malformed value of a tenant counts as absent and is logged, the rest of the document applies: refusing the whole document would keep revoked keys valid and new ones refused. A tenant without a name still makes keys required. The document that a host keeps for other hosts has hashes in place of the keys. edgecaller finds the workspace after the route and before the body, responds with 401, replaces Authorization and Tenant, sets the priority, chooses the service of a split route by weighted rendezvous hashing, and calls an interface Quotas, which nothing implements yet. Requests are counted by workspace, in /state and with at most 64 labels.

--- a/core/hoststate/hoststate.go
+++ b/core/hoststate/hoststate.go
@@ -34,6 +34,9 @@
 		RefusedParts []RefusedParts `json:"refusedParts"`
 		// Versions are the software versions of services with resumable streams.
 		Versions []ServiceVersions `json:"versions"`
+		// Workspaces are the workspaces that have sent requests to this host, and one without a
+		// name for the requests that belong to none.
+		Workspaces []Workspace `json:"workspaces,omitempty"`
 	}
 
 	// Configuration describes the configuration in force.
@@ -96,6 +99,19 @@
 		IsComplete bool `json:"isComplete"`
 	}
 
+	// Workspace counts the requests of a workspace to this host since its start.
+	Workspace struct {
+		Name     string `json:"name"`
+		Received uint64 `json:"received"`
+		// Served counts the complete responses of backend servers, and the other numbers the
+		// requests that this host has refused: without a valid key, beyond the quota, or for
+		// another reason.
+		Served        uint64 `json:"served"`
+		UnknownKey    uint64 `json:"unknownKey"`
+		OverQuota     uint64 `json:"quota"`
+		OtherRefusals uint64 `json:"other"`
+	}
+
 	// RefusedParts refuses the requests of a service whose prompts have all of Parts.
 	RefusedParts struct {
 		Service string    `json:"service"`
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -42,6 +42,11 @@
 		PathPrefix string
 		Kind       Kind
 		Service    string
+		// Split are the services among which the route's sessions are distributed, in place of
+		// Service, or empty.
+		Split []Share
+		// IsPublic is set if requests need no key.
+		IsPublic bool
 		// Timeout is the longest time that the router holds a request.
 		Timeout time.Duration
 		// LatencyTarget is the time within which a response, or the first event
@@ -61,6 +66,15 @@
 		IsResumable bool
 	}
 
+	// Share is the part of a route's sessions that a service gets. No two shares of a route
+	// have the same service.
+	Share struct {
+		Service string
+		// Weight is in proportion to the share, and finite. A service with weight 0 gets
+		// sessions only if no other has servers.
+		Weight float64
+	}
+
 	// Limits bound what a caller may send. Zero means no limit.
 	Limits struct {
 		HeaderBytes   int64
@@ -74,13 +88,16 @@
 		configuration *Configuration
 		// routesByHost holds the routes of each host name, the longest prefix first.
 		routesByHost map[string][]*Route
+		directory    *identity.Directory
+		// ranked are the services for which RanksRequests reports true.
+		ranked map[string]bool
 	}
 )
 
 // NewTable returns the table of a configuration, which must not be modified
 // afterwards.
 func NewTable(c *Configuration) *Table {
-	t := &Table{configuration: c, routesByHost: make(map[string][]*Route)}
+	t := &Table{configuration: c, routesByHost: make(map[string][]*Route), directory: identity.NewDirectory(c.Workspaces), ranked: rankedServices(c)}
 	for i := range c.Routes {
 		r := &c.Routes[i]
 		t.routesByHost[r.HostName] = append(t.routesByHost[r.HostName], r)
@@ -124,11 +141,59 @@
 	return t.configuration.Routes
 }
 
+// Directory returns the workspaces of the configuration.
+func (t *Table) Directory() *identity.Directory {
+	return t.directory
+}
+
+// RanksRequests reports whether requests of generation routes to a service have different
+// priorities, because of their routes or of their workspaces.
+func (t *Table) RanksRequests(service string) bool {
+	return t.ranked[service]
+}
+
 // IsRetryable reports whether a request may be retried after it may have run.
 func (r *Route) IsRetryable() bool {
 	return r.Kind == Safe || (r.Kind == Streaming && r.IsResumable)
 }
 
+// rankedServices returns the services whose requests have different priorities, or nil if
+// there are none.
+func rankedServices(c *Configuration) map[string]bool {
+	var ranked map[string]bool
+	priorities := make(map[string]int)
+	note := func(service string, priority int) {
+		first, ok := priorities[service]
+		if !ok {
+			priorities[service] = priority
+			return
+		}
+		if first != priority {
+			if ranked == nil {
+				ranked = make(map[string]bool)
+			}
+			ranked[service] = true
+		}
+	}
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		if !r.IsGeneration {
+			continue
+		}
+		for service := range r.Services() {
+			note(service, r.Priority)
+		}
+	}
+	for service := range priorities {
+		for _, w := range c.Workspaces {
+			if w.Priority != nil {
+				note(service, *w.Priority)
+			}
+		}
+	}
+	return ranked
+}
+
 func withoutPort(host string) string {
 	if name, _, err := net.SplitHostPort(host); err == nil {
 		return name
--- a/hickoryd/internal/edge/daemon.go
+++ b/hickoryd/internal/edge/daemon.go
@@ -210,6 +210,7 @@
 	d.dispatcher.Describe(now, &state)
 	d.quarantine.Describe(now, &state)
 	d.records.Describe(&state)
+	d.handler.Describe(&state)
 	w.Header().Set("Content-Type", "application/json")
 	if err := json.NewEncoder(w).Encode(state); err != nil {
 		d.logger.WithError(err).Debug("operator disconnected before the state was sent")
--- a/hickoryd/internal/edge/wiring.go
+++ b/hickoryd/internal/edge/wiring.go
@@ -122,7 +122,7 @@
 }
 
 func newHandler(s Settings, r *registry.Registry, d *edgedispatch.Dispatcher, logger log.Interface, set *metrics.Set) *edgecaller.Handler {
-	return edgecaller.New(r, d, memoryledger.New(int64(bodyShare*float64(s.MemoryMB)*(1<<20))), logger, set)
+	return edgecaller.New(r, r, nil, d, memoryledger.New(int64(bodyShare*float64(s.MemoryMB)*(1<<20))), logger, set)
 }
 
 func newEdgeServer(r *registry.Registry, d *edgedispatch.Dispatcher, q *quarantine.Quarantine) *edgehost.Server {
--- a/hickoryd/internal/edgecaller/caller.go
+++ b/hickoryd/internal/edgecaller/caller.go
@@ -16,6 +16,7 @@
 
 	"github.com/hickoryfront/hickoryfront/core/crash"
 	"github.com/hickoryfront/hickoryfront/core/draining"
+	"github.com/hickoryfront/hickoryfront/core/hoststate"
 	"github.com/hickoryfront/hickoryfront/core/memoryledger"
 	"github.com/hickoryfront/hickoryfront/core/route"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/edgedispatch"
@@ -55,6 +56,8 @@
 	// Handler serves callers. It is safe for concurrent use.
 	Handler struct {
 		routes     Routes
+		services   Services
+		quotas     Quotas
 		dispatcher Dispatcher
 		logger     log.Interface
 		// stop is the planned end of the host, or nil if the host is not draining.
@@ -62,6 +65,7 @@
 		// memory counts the request bodies that are being read or in memory.
 		memory   *memoryledger.Ledger
 		inFlight atomic.Int64
+		accounts accounts
 
 		requests      *metrics.Counter
 		bodiesRefused *metrics.Counter
@@ -69,10 +73,11 @@
 	}
 )
 
-// New returns a handler that counts request bodies in the ledger memory.
-func New(routes Routes, dispatcher Dispatcher, memory *memoryledger.Ledger, logger log.Interface, set *metrics.Set) *Handler {
+// New returns a handler that counts request bodies in the ledger memory. Without quotas, which
+// may be nil, workspaces are not limited.
+func New(routes Routes, services Services, quotas Quotas, dispatcher Dispatcher, memory *memoryledger.Ledger, logger log.Interface, set *metrics.Set) *Handler {
 	h := &Handler{
-		routes: routes, dispatcher: dispatcher, memory: memory, logger: logger, set: set,
+		routes: routes, services: services, quotas: quotas, accounts: accounts{set: set}, dispatcher: dispatcher, memory: memory, logger: logger, set: set,
 		requests: set.NewCounter(`hickoryfront_edge_requests_total`), bodiesRefused: set.NewCounter(`hickoryfront_edge_bodies_refused_total`),
 	}
 	set.NewGauge(`hickoryfront_edge_body_bytes`, func() float64 { return float64(memory.Used()) })
@@ -92,6 +97,11 @@
 	return h.inFlight.Load()
 }
 
+// Describe adds the requests of each workspace to s.
+func (h *Handler) Describe(s *hoststate.State) {
+	s.Workspaces = h.accounts.describe()
+}
+
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
@@ -104,12 +114,13 @@
 	}
 	b := &body{ledger: h.memory}
 	defer b.release()
-	request, err := h.read(r, b, s.controller, arrived)
+	a := &admission{}
+	request, err := h.read(r, b, a, s.controller, arrived)
 	if err == nil {
 		s.id = request.Metadata.ID
 		err = h.dispatcher.Serve(r.Context(), request, s)
 	}
-	h.finish(r, request, b, s, err)
+	h.finish(r, request, b, a, s, err)
 }
 
 // limitBody sets the deadline for reading a body. The deadline applies to refused
@@ -122,8 +133,9 @@
 
 // finish ends the response. A response that has started and can't be finished must
 // not look complete, so its connection is aborted.
-func (h *Handler) finish(r *http.Request, request *edgedispatch.Request, b *body, s *sink, err error) {
+func (h *Handler) finish(r *http.Request, request *edgedispatch.Request, b *body, a *admission, s *sink, err error) {
 	failure := unsentFailure(s, err)
+	h.settle(request, a, failure, err)
 	h.observe(request, s, failure, err)
 	if failure != nil && b.isRefused {
 		h.refuseEarly(r, s, failure)
@@ -148,8 +160,8 @@
 	return nil
 }
 
-// read decodes a request and reads its body. The request returned is never nil.
-func (h *Handler) read(r *http.Request, b *body, controller *http.ResponseController, arrived time.Time) (*edgedispatch.Request, error) {
+// read decodes a request, finds its workspace and reads its body. The request returned is never nil.
+func (h *Handler) read(r *http.Request, b *body, a *admission, controller *http.ResponseController, arrived time.Time) (*edgedispatch.Request, error) {
 	request := &edgedispatch.Request{Method: r.Method, Target: targetOf(r), Host: r.Host, Header: r.Header, Arrived: arrived}
 	var err error
 	request.Metadata, err = platform.DecodeRequest(r.Header)
@@ -168,6 +180,9 @@
 	if request.Route == nil {
 		return request, &edgedispatch.Failure{Status: http.StatusNotFound, Reason: "no route"}
 	}
+	if err := h.identify(request, table, a); err != nil {
+		return request, err
+	}
 	request.Deadline = deadlineOf(request)
 	if err := h.checkDraining(request, arrived); err != nil {
 		return request, err
@@ -178,6 +193,9 @@
 	if err := h.checkDraining(request, time.Now()); err != nil { // the drain may have begun meanwhile
 		return request, err
 	}
+	if err := h.admit(r.Context(), request, a); err != nil {
+		return request, err
+	}
 	request.Fingerprint = crash.Fingerprint(request.Route.Service, []byte(request.Target), request.Body)
 	return request, nil
 }
@@ -238,6 +256,9 @@
 		"request": request.Metadata.ID, "route": name, "configVersion": request.ConfigVersion, "status": status, "outcome": outcome,
 		"took": took.Round(time.Millisecond / 10).String(), "bytes": s.bytes,
 	})
+	if request.Workspace != "" {
+		entry = entry.WithField("workspace", request.Workspace)
+	}
 	if !s.firstByteAt.IsZero() {
 		entry = entry.WithField("firstByte", s.firstByteAt.Sub(request.Arrived).Round(time.Millisecond/10).String())
 	}
--- a/hickoryd/internal/edgecaller/caller_test.go
+++ b/hickoryd/internal/edgecaller/caller_test.go
@@ -24,12 +24,17 @@
 	// routes are fixed routes, or none.
 	routes struct{ table *route.Table }
 
+	// servers are the services that have servers.
+	servers map[string]bool
+
 	// dispatcher is the Serve function of a test.
 	dispatcher func(request *edgedispatch.Request, sink edgedispatch.Sink) error
 )
 
 func (r routes) Table() *route.Table { return r.table }
 
+func (s servers) HasServer(service string) bool { return s[service] }
+
 func (d dispatcher) Serve(_ context.Context, request *edgedispatch.Request, sink edgedispatch.Sink) error {
 	return d(request, sink)
 }
@@ -79,7 +84,7 @@
 			if dispatch == nil {
 				dispatch = echo
 			}
-			handler := edgecaller.New(tt.routes, dispatch, newLedger(), &log.Logger{Handler: discard.New()}, metrics.NewSet())
+			handler := edgecaller.New(tt.routes, servers{}, nil, dispatch, newLedger(), &log.Logger{Handler: discard.New()}, metrics.NewSet())
 			if tt.drainTime > 0 {
 				stop := time.Now().Add(tt.drainTime)
 				handler.Drain(draining.Stop{OutOfRotation: stop, End: stop})
--- a/hickoryd/internal/edgecaller/drain_test.go
+++ b/hickoryd/internal/edgecaller/drain_test.go
@@ -69,7 +69,7 @@
 				Version: 3, Limits: route.Limits{BodyBytes: 10},
 				Routes: []route.Route{{Name: "r", HostName: "h.example", PathPrefix: "/a/", Kind: tt.kind, Timeout: tt.timeout}},
 			})
-			handler := edgecaller.New(routes{table}, dispatch, newLedger(), &log.Logger{Handler: discard.New()}, metrics.NewSet())
+			handler := edgecaller.New(routes{table}, servers{}, nil, dispatch, newLedger(), &log.Logger{Handler: discard.New()}, metrics.NewSet())
 			body := &heldBody{Reader: strings.NewReader("b"), awaited: make(chan struct{}), released: make(chan struct{})}
 			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 				r.Body = io.NopCloser(body)
--- a/hickoryd/internal/edgecaller/memory_test.go
+++ b/hickoryd/internal/edgecaller/memory_test.go
@@ -53,7 +53,7 @@
 			most.Store(max(most.Load(), memory.Used()))
 			return sink.Start(http.StatusOK, http.Header{})
 		})
-		server := httptest.NewServer(edgecaller.New(routes{table}, dispatch, memory, &log.Logger{Handler: discard.New()}, metrics.NewSet()))
+		server := httptest.NewServer(edgecaller.New(routes{table}, servers{}, nil, dispatch, memory, &log.Logger{Handler: discard.New()}, metrics.NewSet()))
 		defer server.Close()
 		var group sync.WaitGroup
 		var served, refused atomic.Int64
--- a/hickoryd/internal/edgecaller/sink.go
+++ b/hickoryd/internal/edgecaller/sink.go
@@ -53,6 +53,9 @@
 	if f.RetryAfter > 0 {
 		header.Set("Retry-After", strconv.FormatFloat(f.RetryAfter.Seconds(), 'f', 3, 64))
 	}
+	if f.Status == http.StatusUnauthorized {
+		platform.SetChallenge(header)
+	}
 	header.Set("Content-Type", "text/plain; charset=utf-8")
 	s.begin(f.Status)
 	_, _ = s.writer.Write([]byte(f.Reason + "\n")) // the caller may have disconnected
--- a/hickoryd/internal/edgecaller/slow_body_test.go
+++ b/hickoryd/internal/edgecaller/slow_body_test.go
@@ -43,7 +43,7 @@
 // meanwhile.
 func TestSlowBodiesEnd(t *testing.T) {
 	t.Parallel()
-	server := httptest.NewServer(edgecaller.New(newRoutes(), dispatcher(echo), newLedger(), &log.Logger{Handler: discard.New()}, metrics.NewSet()))
+	server := httptest.NewServer(edgecaller.New(newRoutes(), servers{}, nil, dispatcher(echo), newLedger(), &log.Logger{Handler: discard.New()}, metrics.NewSet()))
 	defer server.Close()
 	address := strings.TrimPrefix(server.URL, "http://")
 	var group sync.WaitGroup
--- a/hickoryd/internal/edgedispatch/dispatch.go
+++ b/hickoryd/internal/edgedispatch/dispatch.go
@@ -707,8 +707,12 @@
 
 // logFields returns the fields of every log entry about a request.
 func (r *Request) logFields() log.Fields {
-	return log.Fields{
+	fields := log.Fields{
 		"request": r.Metadata.ID, "route": r.Route.Name, "configVersion": r.ConfigVersion,
 		"age": time.Since(r.Arrived).Round(time.Millisecond / 10).String(),
 	}
+	if r.Workspace != "" {
+		fields["workspace"] = r.Workspace
+	}
+	return fields
 }
--- a/hickoryd/internal/originstore/originstore.go
+++ b/hickoryd/internal/originstore/originstore.go
@@ -444,7 +444,9 @@
 	}
 	for _, r := range table.Routes() {
 		if r.Kind == route.Streaming && r.IsResumable && r.IsGeneration {
-			services[r.Service] = true
+			for service := range r.Services() {
+				services[service] = true
+			}
 		}
 	}
 	return services
@@ -454,7 +456,7 @@
 func longestTimeout(table *route.Table, service string) time.Duration {
 	longest := time.Duration(0)
 	for _, r := range table.Routes() {
-		if r.Service == service {
+		if r.LeadsTo(service) {
 			longest = max(longest, r.Timeout)
 		}
 	}
--- a/hickoryd/internal/registry/registry.go
+++ b/hickoryd/internal/registry/registry.go
@@ -79,6 +79,8 @@
 	Snapshot struct {
 		Version uint64
 		Servers []serverlist.Server
+		// services are the services with servers that are not draining.
+		services map[string]bool
 	}
 
 	// Registry keeps a copy of the store's contents up to date. It is safe for
@@ -180,6 +182,11 @@
 	return r.snapshot.Load()
 }
 
+// HasServer reports whether a service has a registered server that is not draining.
+func (r *Registry) HasServer(service string) bool {
+	return r.snapshot.Load().services[service]
+}
+
 // Hosts returns the peer addresses of the hosts of the system, or nil before they are
 // known. The caller must not modify the slice.
 func (r *Registry) Hosts() []netip.AddrPort {
@@ -248,23 +255,51 @@
 	return view
 }
 
-// applyDocument puts a configuration into force if it is newer than the current one.
+// applyDocument puts a configuration into force if it is newer than the current one. Malformed
+// values of workspaces don't prevent that. The document is kept without keys.
 func (r *Registry) applyDocument(document []byte, source string) {
 	decoded, err := platform.DecodeConfiguration(document)
-	if err != nil {
+	if decoded == nil {
 		r.logger.WithError(err).WithField("source", source).Error("can't decode configuration; keeping the current one")
 		return
 	}
+	if !r.isNewer(decoded.Version) {
+		return
+	}
+	kept := bytes.Clone(document)
+	if len(decoded.Workspaces) > 0 {
+		var keyErr error
+		if kept, keyErr = platform.WithoutKeys(document); keyErr != nil {
+			r.logger.WithError(keyErr).WithField("source", source).Error("can't remove the keys of a configuration; keeping the current one")
+			return
+		}
+	}
+	table := route.NewTable(decoded)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	current := r.table.Load()
-	if current != nil && current.Version() >= decoded.Version {
+	if !r.isNewer(decoded.Version) { // another call may have been faster
 		return
 	}
-	r.document = bytes.Clone(document)
-	r.table.Store(route.NewTable(decoded))
+	r.document = kept
+	r.table.Store(table)
 	r.notifyUpdate()
-	r.logger.WithFields(log.Fields{"version": decoded.Version, "routes": len(decoded.Routes), "source": source}).Info("configuration in force")
+	fields := log.Fields{"version": decoded.Version, "routes": len(decoded.Routes), "source": source}
+	if len(decoded.Workspaces) > 0 {
+		fields["workspaces"] = len(decoded.Workspaces)
+	}
+	r.logger.WithFields(fields).Info("configuration in force")
+	if err != nil {
+		r.logger.WithError(err).WithField("version", decoded.Version).Error("configuration has malformed values; ignoring them")
+	}
+	for _, names := range table.Directory().Ambiguous() {
+		r.logger.WithFields(log.Fields{"version": decoded.Version, "workspaces": names}).Error("workspaces share a key, which is refused")
+	}
+}
+
+// isNewer reports whether a version of the configuration is newer than the one in force.
+func (r *Registry) isNewer(version uint64) bool {
+	current := r.table.Load()
+	return current == nil || version > current.Version()
 }
 
 // updateServers changes the list with f and publishes a new snapshot if the list's
@@ -278,11 +313,21 @@
 	if r.list.Version() == before {
 		return
 	}
-	next := &Snapshot{Version: r.list.Version(), Servers: r.list.Servers()}
+	next := newSnapshot(r.list)
 	r.logServerChanges(r.snapshot.Load().Servers, next.Servers)
 	r.snapshot.Store(next)
 }
 
+func newSnapshot(list *serverlist.List) *Snapshot {
+	s := &Snapshot{Version: list.Version(), Servers: list.Servers(), services: make(map[string]bool)}
+	for _, server := range s.Servers {
+		if !server.IsDraining {
+			s.services[server.Service] = true
+		}
+	}
+	return s
+}
+
 // scheduleExpiry removes missing registrations in time: the next read of the list may be late. The
 // caller holds mu.
 func (r *Registry) scheduleExpiry() {
