Send the urgency of ranked requests to model servers

Cause: model servers admit and preempt by the header Request-Urgency, which no request carried, so a burst treated all kinds of a service alike.

Change: prefills, runs, migrated runs and retries of ranked requests carry their priority, 0 to 9; requests without a rank carry no header, whatever the caller sent. Reservations have no such field in the protocol.

Result: the tests of platform and the urgency tests of edgedispatch pass; the latter find no header at either server without the change.

--- a/hickoryd/internal/edgedispatch/dispatch.go
+++ b/hickoryd/internal/edgedispatch/dispatch.go
@@ -602,6 +602,7 @@
 func (d *Dispatcher) send(ctx context.Context, server serverlist.Server, r *Request, a platform.Attempt) (*upstream.Response, error) {
 	d.countLimited(server.ID)
 	a.ServerID, a.TimeLeft = server.ID, time.Until(r.Deadline)
+	a.IsRanked, a.Priority = r.IsRanked && server.Stage != serverlist.NoStage, r.Priority
 	sentAt := time.Now()
 	response, err := d.pool.Do(ctx, server.Address, upstream.Request{
 		ID: r.Metadata.ID, Method: r.Method, Target: r.Target, Host: r.Host,
