Ask the home of a plain service for a server

Cause: each host chose plain servers by its own requests in flight, which with many hosts before few slots is a guess (docs/design/room.md).

Change: with [room] services = plain, the first attempt of a plain request asks the service's home (hickoryd/internal/room, calls AcquireRoom and ReleaseRoom). A refusal becomes a 503 with Retry-After. Without an answer within 280 ms, from a wrong home or from one that knows no server, the host chooses as before, and a home that did not respond is not asked for 1 s. A home holds an ask for at most 130 ms and then answers that the request still waits, so that a home that hangs is told from a long queue. Outcomes are reported in batches. The default is none, which makes no call.

--- a/core/hoststate/hoststate.go
+++ b/core/hoststate/hoststate.go
@@ -34,6 +34,31 @@
 		RefusedParts []RefusedParts `json:"refusedParts"`
 		// Versions are the software versions of services with resumable streams.
 		Versions []ServiceVersions `json:"versions"`
+		// Rooms are the services for which this host grants room at the servers.
+		Rooms []Room `json:"rooms,omitempty"`
+	}
+
+	// Room is the ledger of a service at its home.
+	Room struct {
+		Service string `json:"service"`
+		// Waiting is the number of requests of all hosts that wait for a server.
+		Waiting int          `json:"waiting"`
+		Servers []RoomServer `json:"servers"`
+	}
+
+	// RoomServer is a backend server in the ledger of its service.
+	RoomServer struct {
+		ID string `json:"id"`
+		// Limit is the number of requests that the server takes at once from all hosts.
+		Limit int `json:"limit"`
+		// Granted is the number of requests granted and not ended, Foreign the number that
+		// hosts have stated besides.
+		Granted int `json:"granted"`
+		Foreign int `json:"foreign"`
+		// ServiceTimeMs is the measured service time, or 0.
+		ServiceTimeMs float64 `json:"serviceTimeMs"`
+		// IsFailing is set while the server gets only probes.
+		IsFailing bool `json:"isFailing"`
 	}
 
 	// Configuration describes the configuration in force.
--- a/core/room/room.go
+++ b/core/room/room.go
@@ -67,7 +67,7 @@
 
 	// Request asks for a server.
 	Request struct {
-		// ID is unique among the requests of a ledger.
+		// ID is unique among the requests of a ledger. It has the form requester/number.
 		ID string
 		// Requester is the host that asks.
 		Requester string
@@ -117,6 +117,25 @@
 		Reason     string
 	}
 
+	// Answer is the response of a host to a request. It is a grant if Server is set, a refusal
+	// if Reason is set, and otherwise the request still waits, unless IsNotHome is set.
+	Answer struct {
+		Server     string
+		RetryAfter time.Duration
+		Reason     string
+		// IsNotHome is set if the host isn't the home of the service.
+		IsNotHome bool
+	}
+
+	// Released is the report that a granted request has ended, or that a request is no longer
+	// waited for.
+	Released struct {
+		RequestID string
+		Outcome   Outcome
+		// Took is the time that the server took.
+		Took time.Duration
+	}
+
 	// Load is the state of a server in the ledger.
 	Load struct {
 		Server string
--- a/hickoryd/internal/edge/settings.go
+++ b/hickoryd/internal/edge/settings.go
@@ -56,6 +56,10 @@
 	// share 0 the stages stay as they are.
 	PrefillShare float64
 
+	// RoomServices is the kind of services whose requests ask for room at servers: none or
+	// plain.
+	RoomServices string
+
 	MemoryMB int
 	Grace    time.Duration
 	LogLevel string
@@ -115,6 +119,7 @@
 		setting.Bind("repeats", "ratio", "0.2", "retries to a service for each request, of all hosts together", setting.Number(&s.RetryRatio)),
 		setting.Bind("repeats", "slack", "20", "retries to a service in 10 s in addition to ratio, of all hosts together", setting.Number(&s.RetrySlack)),
 		setting.Bind("stages", "prefillShare", "0.13", "part of a service's model servers that is busy with prefills at the peak, without the reserve; 0 leaves the stages unchanged", setting.Fraction(&s.PrefillShare)),
+		setting.Bind("room", "services", "none", "services whose homes choose the servers for all hosts together: none or plain", setting.OneOf(&s.RoomServices, "none", "plain")),
 		setting.Bind("shutdown", "grace", "8s", "longest time from the termination signal to the exit of the process", setting.Duration(&s.Grace)),
 		setting.Bind("log", "level", "info", "debug, info, warn or error", setting.OneOf(&s.LogLevel, "debug", "info", "warn", "error")),
 	}
--- a/hickoryd/internal/edge/wiring.go
+++ b/hickoryd/internal/edge/wiring.go
@@ -23,6 +23,7 @@
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/originstore"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/quarantine"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/registry"
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/room"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/tcp"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/upstream"
 	"github.com/hickoryfront/hickoryfront/platform"
@@ -61,7 +62,7 @@
 		fx.Provide(
 			func() log.Interface { return logger },
 			metrics.NewSet,
-			newLifetime, newPool, newStore, newPeers, newRegistry, newQuarantine, newRecords, newDispatcher, newHandler, newEdgeServer, newController, New,
+			newLifetime, newPool, newStore, newPeers, newRegistry, newQuarantine, newRecords, newRooms, newDispatcher, newHandler, newEdgeServer, newController, New,
 		),
 		fx.Invoke(limitMemory, register),
 	)
@@ -115,18 +116,33 @@
 	}, store, r, logger, set)
 }
 
-func newDispatcher(l *lifetime, s Settings, r *registry.Registry, pool *upstream.Pool, peers *edgehost.Client, q *quarantine.Quarantine, records *originstore.Records, logger log.Interface, set *metrics.Set) *edgedispatch.Dispatcher {
-	return edgedispatch.New(l, edgedispatch.Options{
+func newDispatcher(l *lifetime, s Settings, r *registry.Registry, pool *upstream.Pool, peers *edgehost.Client, q *quarantine.Quarantine, records *originstore.Records, rooms *room.Rooms, logger log.Interface, set *metrics.Set) *edgedispatch.Dispatcher {
+	options := edgedispatch.Options{
 		FailureDomain: s.FailureDomain, Self: s.Peer, Budget: retrybudget.Limits{Ratio: s.RetryRatio, Slack: s.RetrySlack},
-	}, r, pool, peers, q, records, logger, set)
+	}
+	if rooms != nil {
+		options.Rooms = rooms
+	}
+	return edgedispatch.New(l, options, r, pool, peers, q, records, logger, set)
+}
+
+// newRooms returns nil if no service uses them.
+func newRooms(l *lifetime, s Settings, r *registry.Registry, peers *edgehost.Client, logger log.Interface, set *metrics.Set) *room.Rooms {
+	if s.RoomServices == "none" {
+		return nil
+	}
+	return room.New(l, room.Options{Self: s.Peer, FailureDomain: s.FailureDomain}, r, peers, logger, set)
 }
 
 func newHandler(s Settings, r *registry.Registry, d *edgedispatch.Dispatcher, logger log.Interface, set *metrics.Set) *edgecaller.Handler {
 	return edgecaller.New(r, d, memoryledger.New(int64(bodyShare*float64(s.MemoryMB)*(1<<20))), logger, set)
 }
 
-func newEdgeServer(r *registry.Registry, d *edgedispatch.Dispatcher, q *quarantine.Quarantine) *edgehost.Server {
-	return edgehost.NewServer(r, d, d, q, d, d)
+func newEdgeServer(r *registry.Registry, d *edgedispatch.Dispatcher, q *quarantine.Quarantine, rooms *room.Rooms) *edgehost.Server {
+	if rooms == nil {
+		return edgehost.NewServer(r, d, d, q, d, d, nil)
+	}
+	return edgehost.NewServer(r, d, d, q, d, d, rooms)
 }
 
 func newController(s Settings, r *registry.Registry, store *platform.Store, pool *upstream.Pool, logger log.Interface, set *metrics.Set) *edgeorder.Controller {
--- a/hickoryd/internal/edgedispatch/describe.go
+++ b/hickoryd/internal/edgedispatch/describe.go
@@ -12,6 +12,9 @@
 // Describe adds to s the state of the backend servers as this host sees it, and the
 // usage of this host's retry budgets, both at now.
 func (d *Dispatcher) Describe(now time.Time, s *hoststate.State) {
+	if d.options.Rooms != nil {
+		d.options.Rooms.Describe(s)
+	}
 	servers, hosts := d.servers(), d.registry.HostCount()
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/hickoryd/internal/edgedispatch/dispatch.go
+++ b/hickoryd/internal/edgedispatch/dispatch.go
@@ -181,6 +181,8 @@
 		// Self is this host's peer address.
 		Self   netip.AddrPort
 		Budget retrybudget.Limits
+		// Rooms grants room at plain servers, or is nil.
+		Rooms Rooms
 	}
 
 	// Dispatcher serves requests. It is safe for concurrent use.
--- a/hickoryd/internal/edgedispatch/plain.go
+++ b/hickoryd/internal/edgedispatch/plain.go
@@ -12,7 +12,6 @@
 	"github.com/apex/log"
 
 	"github.com/hickoryfront/hickoryfront/core/attempts"
-	"github.com/hickoryfront/hickoryfront/core/balance"
 	"github.com/hickoryfront/hickoryfront/core/health"
 	"github.com/hickoryfront/hickoryfront/core/route"
 	"github.com/hickoryfront/hickoryfront/core/serverlist"
@@ -72,6 +71,8 @@
 		sent []time.Time
 		// history is what has happened to the request at servers.
 		history *attempts.History
+		// room is what the home of the service has granted for the first attempt, or nil.
+		room *grantedRoom
 		// inProgress is the number of attempts that have not ended.
 		inProgress int
 		// results receives each attempt once its result is set.
@@ -85,6 +86,8 @@
 		server  serverlist.Server
 		number  int
 		started time.Time
+		// room is released when the attempt has ended. It is nil without a grant.
+		room *grantedRoom
 		// cancel ends the attempt.
 		cancel context.CancelCauseFunc
 		result plainResult
@@ -116,6 +119,9 @@
 func (d *Dispatcher) servePlain(ctx context.Context, r *Request, sink Sink) error {
 	call := &plainCall{Dispatcher: d, request: r, history: attempts.New(ruleOf(r.Route)), results: make(chan *plainAttempt, maxPlainAttempts)}
 	defer call.finish(ctx)
+	if err := call.acquireRoom(ctx); err != nil {
+		return err
+	}
 	call.startNext(ctx) // before the ticker, so that it is slow at the first tick
 	slow := time.NewTicker(max(slowAfter(r.Route), minSlow))
 	defer slow.Stop()
@@ -177,14 +183,14 @@
 	if len(c.tried)-c.withoutPermit == maxPlainAttempts {
 		return false
 	}
-	server, ok := c.pick(balance.Criteria{Service: c.request.Route.Service, FailureDomain: c.options.FailureDomain, Excluded: c.tried})
+	server, room, ok := c.next()
 	if !ok || !c.countSend(time.Now()) {
 		return false
 	}
 	c.tried = append(c.tried, server.ID)
 	c.inProgress++
 	ctx, cancel := context.WithCancelCause(ctx)
-	attempt := &plainAttempt{Dispatcher: c.Dispatcher, request: c.request, server: server, number: len(c.tried), started: time.Now(), cancel: cancel}
+	attempt := &plainAttempt{Dispatcher: c.Dispatcher, request: c.request, server: server, number: len(c.tried), started: time.Now(), room: room, cancel: cancel}
 	c.attempts = append(c.attempts, attempt)
 	go attempt.run(ctx, c.results)
 	return true
@@ -286,6 +292,7 @@
 // end records that the attempt has ended, and its outcome.
 func (a *plainAttempt) end(ctx context.Context) {
 	a.endRequest(a.server.ID, 0)
+	a.releaseRoom(ctx)
 	a.recordOutcome(ctx)
 }
 
--- a/hickoryd/internal/edgehost/client.go
+++ b/hickoryd/internal/edgehost/client.go
@@ -1,7 +1,8 @@
 // Package edgehost is the gRPC client and server between the hosts that route on the
 // users' platform. Hosts fetch from each other what they have read from the store, report
 // failed and limited backend servers to each other, report and find the software versions
-// that began streams, issue permits for limited servers, and pass requests to each other.
+// that began streams, issue permits for limited servers, grant room at servers, and pass
+// requests to each other.
 package edgehost
 
 import (
--- a/hickoryd/internal/edgehost/edgehost_test.go
+++ b/hickoryd/internal/edgehost/edgehost_test.go
@@ -17,6 +17,7 @@
 	"google.golang.org/grpc"
 
 	"github.com/hickoryfront/hickoryfront/core/crash"
+	"github.com/hickoryfront/hickoryfront/core/room"
 	"github.com/hickoryfront/hickoryfront/core/serverlimit"
 	"github.com/hickoryfront/hickoryfront/core/serverlist"
 	"github.com/hickoryfront/hickoryfront/core/streamorigin"
@@ -46,6 +47,12 @@
 	permit   serverlimit.Permit
 	ages     map[string]time.Duration
 	reported chan struct{}
+	// rooms are the responses to requests for room by service. The others are what was
+	// received last.
+	rooms        map[string]room.Answer
+	roomRequest  room.Request
+	roomInFlight map[string]int
+	released     []room.Released
 	// version and document are those of its configuration.
 	version  uint64
 	document []byte
@@ -190,7 +197,7 @@
 		t.Fatal(err)
 	}
 	server := grpc.NewServer()
-	peerapi.RegisterEdgeServer(server, edgehost.NewServer(h, h, origins, h, h, nil))
+	peerapi.RegisterEdgeServer(server, edgehost.NewServer(h, h, origins, h, h, nil, h))
 	go func() { _ = server.Serve(listener) }() // ends when the test stops the server
 	t.Cleanup(server.Stop)
 	return netip.MustParseAddrPort(listener.Addr().String())
--- /dev/null
+++ b/hickoryd/internal/room/room.go
@@ -0,0 +1,327 @@
+// Package room asks for room at backend servers before requests are sent to them, and is the
+// home of services: the host that grants it for all hosts. The decisions are in core/room.
+package room
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/apex/log"
+
+	"github.com/hickoryfront/hickoryfront/core/hoststate"
+	"github.com/hickoryfront/hickoryfront/core/room"
+	"github.com/hickoryfront/hickoryfront/core/serverlimit"
+	"github.com/hickoryfront/hickoryfront/core/serverlist"
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/registry"
+)
+
+const (
+	// holdPeriod is how long a home holds an ask whose request waits, before it answers that
+	// the request still waits. The host asks again then. answerTimeout is the time that an
+	// answer may take besides. Together they are below 300 ms, the time within which a host
+	// must detect that a home hangs.
+	holdPeriod    = 130 * time.Millisecond
+	answerTimeout = 150 * time.Millisecond
+	// homeRetryPeriod is the time for which a home that did not respond is not asked again.
+	homeRetryPeriod = time.Second
+	// idlePeriod is how long the ledger of a service is kept without an ask.
+	idlePeriod = time.Minute
+)
+
+// ErrNoHome means that no home decides about a request, which the caller sends to a server of
+// its own choice.
+var ErrNoHome = errors.New("no home of the service has decided")
+
+type (
+	// Registry lists the backend servers and the hosts.
+	Registry interface {
+		Servers() *registry.Snapshot
+		// Hosts returns the peer addresses of all hosts.
+		Hosts() []netip.AddrPort
+	}
+
+	// Peers calls the homes on other hosts.
+	Peers interface {
+		// AcquireRoom asks the host at address for room for a request. inFlight is what this
+		// host has in flight at the servers of the service.
+		AcquireRoom(ctx context.Context, address netip.AddrPort, service string, request room.Request, inFlight map[string]int) (room.Answer, error)
+		// ReleaseRoom reports the end of requests to the host at address.
+		ReleaseRoom(ctx context.Context, address netip.AddrPort, service string, released []room.Released) error
+	}
+
+	// Options configure Rooms.
+	Options struct {
+		// Self is this host's peer address.
+		Self netip.AddrPort
+		// FailureDomain is this host's.
+		FailureDomain string
+	}
+
+	// Ask asks for room for one request.
+	Ask struct {
+		Service   string
+		Workspace string
+		// Urgency is 0 for the most urgent requests.
+		Urgency int
+		// IsReturn is set if the caller has been refused before.
+		IsReturn bool
+		Arrived  time.Time
+		// Target is until when the response should be complete, Deadline when the caller
+		// gives up.
+		Target, Deadline time.Time
+		// Excluded are the servers that this host can't use.
+		Excluded []string
+		// InFlight is what this host has in flight at servers.
+		InFlight map[string]int
+	}
+
+	// Refusal is the error of a request for which there is no room before its target.
+	Refusal struct {
+		// RetryAfter is the time after which the caller should return.
+		RetryAfter time.Duration
+		Reason     string
+	}
+
+	// Grant allows one request to be sent to Server.
+	Grant struct {
+		Server string
+
+		rooms   *Rooms
+		home    netip.AddrPort
+		service string
+		id      string
+	}
+
+	// Rooms asks homes, and is the home of some services. It is safe for concurrent use.
+	Rooms struct {
+		options    Options
+		registry   Registry
+		peers      Peers
+		logger     log.Interface
+		background context.Context
+		// incarnation distinguishes the requests of this process from those of earlier ones.
+		incarnation uint32
+		grants      *metrics.Counter
+		refusals    *metrics.Counter
+		fallbacks   *metrics.Counter
+
+		mu       sync.Mutex
+		hosts    *serverlimit.Homes
+		homes    map[string]*home
+		failedAt map[netip.AddrPort]time.Time
+		outboxes map[netip.AddrPort]*outbox
+		number   uint64
+	}
+)
+
+// New returns the rooms of a host, whose background work ends with the context background.
+func New(background context.Context, options Options, r Registry, peers Peers, logger log.Interface, set *metrics.Set) *Rooms {
+	rooms := &Rooms{
+		options: options, registry: r, peers: peers, logger: logger, background: background, incarnation: rand.Uint32(),
+		grants:    set.NewCounter(`hickoryfront_edge_room_grants_total`),
+		refusals:  set.NewCounter(`hickoryfront_edge_room_refusals_total`),
+		fallbacks: set.NewCounter(`hickoryfront_edge_room_fallbacks_total`),
+		hosts:     serverlimit.NewHomes(), homes: make(map[string]*home),
+		failedAt: make(map[netip.AddrPort]time.Time), outboxes: make(map[netip.AddrPort]*outbox),
+	}
+	set.NewGauge(`hickoryfront_edge_room_waiting`, rooms.waiting)
+	set.RegisterMetricsWriter(rooms.writeLimits)
+	return rooms
+}
+
+// Error implements error.
+func (r *Refusal) Error() string {
+	return r.Reason
+}
+
+// Acquire asks the home of the service for a server, and waits while the home has the request
+// in its queue. The error is a *Refusal, or ErrNoHome if this host has to choose the server
+// itself, or that of ctx.
+func (r *Rooms) Acquire(ctx context.Context, ask Ask) (*Grant, error) {
+	home, id, ok := r.homeOf(time.Now(), ask.Service)
+	if !ok {
+		r.fallbacks.Inc()
+		return nil, ErrNoHome
+	}
+	request := room.Request{
+		ID: id, Requester: r.options.Self.String(), Workspace: ask.Workspace, Urgency: ask.Urgency, IsReturn: ask.IsReturn,
+		Arrived: ask.Arrived, Target: ask.Target, Deadline: ask.Deadline, FailureDomain: r.options.FailureDomain, Excluded: ask.Excluded,
+	}
+	answer, err := r.await(ctx, home, ask, request)
+	switch {
+	case err != nil:
+		// The home may have granted the request meanwhile.
+		r.release(home, ask.Service, room.Released{RequestID: id, Outcome: room.Unused})
+		if ctx.Err() != nil {
+			return nil, ctx.Err()
+		}
+		r.logger.WithError(err).WithFields(log.Fields{"service": ask.Service, "host": home.String()}).Debug("home did not respond to a request for room")
+		r.fallbacks.Inc()
+		return nil, fmt.Errorf("%w: %w", ErrNoHome, err)
+	case answer.Server != "":
+		r.grants.Inc()
+		return &Grant{Server: answer.Server, rooms: r, home: home, service: ask.Service, id: id}, nil
+	case answer.IsNotHome || answer.Reason == room.ReasonNoServer:
+		r.fallbacks.Inc()
+		return nil, ErrNoHome
+	default:
+		r.refusals.Inc()
+		return nil, &Refusal{RetryAfter: answer.RetryAfter, Reason: answer.Reason}
+	}
+}
+
+// await asks a home until it grants or refuses the request.
+func (r *Rooms) await(ctx context.Context, home netip.AddrPort, ask Ask, request room.Request) (room.Answer, error) {
+	inFlight := ask.InFlight
+	for {
+		answer, err := r.askOnce(ctx, home, ask.Service, request, inFlight)
+		if err != nil && ctx.Err() == nil {
+			r.markFailed(time.Now(), home)
+		}
+		if err != nil || answer.Server != "" || answer.IsNotHome || answer.Reason != "" {
+			return answer, err
+		}
+		if time.Now().After(ask.Target.Add(answerTimeout)) {
+			return answer, fmt.Errorf("%w before the target of the request", ErrNoHome)
+		}
+		inFlight = nil // the home has it
+	}
+}
+
+func (r *Rooms) askOnce(ctx context.Context, home netip.AddrPort, service string, request room.Request, inFlight map[string]int) (room.Answer, error) {
+	if home == r.options.Self {
+		return r.AcquireRoom(ctx, service, request, inFlight), ctx.Err()
+	}
+	ctx, cancel := context.WithTimeout(ctx, holdPeriod+answerTimeout)
+	defer cancel()
+	return r.peers.AcquireRoom(ctx, home, service, request, inFlight)
+}
+
+// homeOf returns the home of a service and the ID of a new request to it. It returns false if
+// there is none or it has not responded lately.
+func (r *Rooms) homeOf(now time.Time, service string) (netip.AddrPort, string, bool) {
+	hosts := r.registry.Hosts()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	home, ok := r.firstOf(now, hosts, service)
+	if failedAt, hasFailed := r.failedAt[home]; !ok || hasFailed && now.Sub(failedAt) < homeRetryPeriod {
+		return home, "", false
+	}
+	r.number++
+	return home, fmt.Sprintf("%s/%x-%x", r.options.Self, r.incarnation, r.number), true
+}
+
+// firstOf returns the first host in the rendezvous order of a service. The caller holds mu.
+func (r *Rooms) firstOf(now time.Time, hosts []netip.AddrPort, service string) (netip.AddrPort, bool) {
+	r.hosts.Observe(now, hosts)
+	homes := r.hosts.Of(service)
+	if len(homes) == 0 {
+		return netip.AddrPort{}, false
+	}
+	return homes[0], true
+}
+
+func (r *Rooms) markFailed(now time.Time, home netip.AddrPort) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for other, failedAt := range r.failedAt {
+		if now.Sub(failedAt) >= homeRetryPeriod {
+			delete(r.failedAt, other)
+		}
+	}
+	r.failedAt[home] = now
+}
+
+// Release reports the outcome of the granted request, at which the server took a time.
+func (g *Grant) Release(outcome room.Outcome, took time.Duration) {
+	g.rooms.release(g.home, g.service, room.Released{RequestID: g.id, Outcome: outcome, Took: took})
+}
+
+func (r *Rooms) release(home netip.AddrPort, service string, released room.Released) {
+	if home == r.options.Self {
+		r.ReleaseRoom(service, []room.Released{released})
+		return
+	}
+	r.mu.Lock()
+	o, ok := r.outboxes[home]
+	if !ok {
+		r.dropOutboxes(time.Now())
+		o = &outbox{rooms: r, home: home}
+		r.outboxes[home] = o
+	}
+	r.mu.Unlock()
+	o.add(time.Now(), service, released)
+}
+
+// AcquireRoom responds to a host that asks for room for a request, if this host is the home of
+// the service: when the request is granted or refused, or while it waits after holdPeriod. If
+// ctx ends before, the request is cancelled.
+func (r *Rooms) AcquireRoom(ctx context.Context, service string, request room.Request, inFlight map[string]int) room.Answer {
+	h, ok := r.home(time.Now(), service)
+	if !ok {
+		return room.Answer{IsNotHome: true}
+	}
+	return h.acquire(ctx, request, inFlight, r.registry.Servers())
+}
+
+// ReleaseRoom receives the reports of a host that requests have ended.
+func (r *Rooms) ReleaseRoom(service string, released []room.Released) {
+	r.mu.Lock()
+	h, ok := r.homes[service]
+	r.mu.Unlock()
+	if ok {
+		h.release(time.Now(), released)
+	}
+}
+
+// home returns the ledger of a service if this host is its home. It drops the ledgers that are
+// not used any more.
+func (r *Rooms) home(now time.Time, service string) (*home, bool) {
+	hosts := r.registry.Hosts()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if first, ok := r.firstOf(now, hosts, service); !ok || first != r.options.Self {
+		return nil, false
+	}
+	h, ok := r.homes[service]
+	if !ok {
+		for other, h := range r.homes {
+			if now.Sub(h.usedAt) > idlePeriod {
+				delete(r.homes, other)
+			}
+		}
+		h = newHome(now, service)
+		r.homes[service] = h
+	}
+	h.usedAt = now
+	return h, true
+}
+
+// servers returns the plain servers of a service, or none if one of them states no slots: its
+// capacity is unknown then.
+func servers(snapshot *registry.Snapshot, service string) []room.Server {
+	var servers []room.Server
+	for _, s := range snapshot.Servers {
+		if s.Service != service || s.Stage != serverlist.NoStage {
+			continue
+		}
+		if s.Slots <= 0 {
+			return nil
+		}
+		servers = append(servers, room.Server{ID: s.ID, FailureDomain: s.FailureDomain, Slots: s.Slots, StartedAt: s.StartedAt, TakesNoWork: s.IsDraining})
+	}
+	return servers
+}
+
+// Describe adds to s the ledgers of the services for which this host is the home.
+func (r *Rooms) Describe(s *hoststate.State) {
+	for _, h := range r.allHomes() {
+		s.Rooms = append(s.Rooms, h.describe())
+	}
+}
--- a/hickorylab/edgesoak/environment_test.go
+++ b/hickorylab/edgesoak/environment_test.go
@@ -46,6 +46,8 @@
 		hasPaths bool
 		// grace is the time from SIGTERM to the end of a host, or 0 for the default.
 		grace time.Duration
+		// roomServices is a setting of the hosts, or empty for the default.
+		roomServices string
 		// configuration returns the configurations, or is nil for the function configuration.
 		configuration func(version int, shop string) map[string]any
 	}
@@ -201,6 +203,9 @@
 	if e.grace > 0 {
 		text += fmt.Sprintf("[shutdown]\ngrace = %s\n", e.grace)
 	}
+	if e.roomServices != "" {
+		text += fmt.Sprintf("[room]\nservices = %s\n", e.roomServices)
+	}
 	if err := os.WriteFile(e.settings[i], []byte(text), 0o600); err != nil {
 		e.tb.Fatal(err)
 	}
