Choose prefill servers for all hosts at one host

Change: the home of a service's prefill servers grants them as that of a plain service does, two prompts a server, in the order of urgency. Homes are asked from 24 hosts on ([room] minHosts); the deployment enables them.

Tests of the touched packages pass. Not yet measured on the deployments.

--- a/core/hoststate/hoststate.go
+++ b/core/hoststate/hoststate.go
@@ -44,6 +44,7 @@
 	// Room is the ledger of a service at its home.
 	Room struct {
 		Service string `json:"service"`
+		Stage   string `json:"stage,omitempty"` // of model servers
 		// Waiting is the number of requests of all hosts that wait for a server.
 		Waiting int          `json:"waiting"`
 		Servers []RoomServer `json:"servers"`
--- a/core/prefillqueue/prefillqueue.go
+++ b/core/prefillqueue/prefillqueue.go
@@ -49,6 +49,8 @@
 	queue struct {
 		// tokens is the number of this host's tokens in the queue.
 		tokens int
+		// prompts is the number of this host's prompts in the queue.
+		prompts int
 		// otherHosts is the wait behind other hosts' prompts at the time observed.
 		otherHosts time.Duration
 		observed   time.Time
@@ -83,6 +85,7 @@
 	q := e.queue(server)
 	entry := Entry{Server: server, tokens: tokens, ahead: q.tokens, enqueued: now}
 	q.tokens += tokens
+	q.prompts++
 	return entry
 }
 
@@ -91,6 +94,7 @@
 func (e *Estimator) Complete(now time.Time, entry Entry) {
 	q := e.queue(entry.Server)
 	q.tokens -= entry.tokens
+	q.prompts--
 	took := now.Sub(entry.enqueued)
 	if took <= 0 {
 		return
@@ -106,6 +110,7 @@
 func (e *Estimator) Fail(now time.Time, entry Entry, isRefused bool) {
 	q := e.queue(entry.Server)
 	q.tokens -= entry.tokens
+	q.prompts--
 	if isRefused {
 		q.otherHosts, q.observed = refusalWait, now
 	}
@@ -134,6 +139,20 @@
 	return e.duration(q.tokens) + time.Duration(decay*float64(q.otherHosts))
 }
 
+// Duration returns the time that a server is expected to take for the prefill of a prompt.
+func (e *Estimator) Duration(tokens int) time.Duration {
+	return e.duration(tokens)
+}
+
+// Prompts returns the number of this host's prompts in a server's queue.
+func (e *Estimator) Prompts(server string) int {
+	q, ok := e.servers[server]
+	if !ok {
+		return 0
+	}
+	return q.prompts
+}
+
 func (e *Estimator) duration(tokens int) time.Duration {
 	return time.Duration(float64(tokens) / e.tokensPerMs * float64(time.Millisecond))
 }
--- a/core/room/room.go
+++ b/core/room/room.go
@@ -8,6 +8,8 @@
 
 import (
 	"time"
+
+	"github.com/hickoryfront/hickoryfront/core/serverlist"
 )
 
 const (
@@ -65,6 +67,13 @@
 	// Outcome is how a granted request has ended.
 	Outcome int
 
+	// Pool names the servers of one ledger: those of a service that have the same stage.
+	Pool struct {
+		Service string
+		// Stage is NoStage for plain servers.
+		Stage serverlist.Stage
+	}
+
 	// Request asks for a server.
 	Request struct {
 		// ID is unique among the requests of a ledger. It has the form requester/number.
--- a/hickoryd/internal/edge/settings.go
+++ b/hickoryd/internal/edge/settings.go
@@ -21,6 +21,14 @@
 	minPollInterval = 300 * time.Millisecond
 )
 
+// Values of the setting services in section room.
+const (
+	roomNone    = "none"
+	roomPlain   = "plain"
+	roomPrefill = "prefill"
+	roomAll     = "all"
+)
+
 // ErrInvalid means that the settings can't be read or fail a check.
 var ErrInvalid = errors.New("invalid settings")
 
@@ -56,9 +64,10 @@
 	// share 0 the stages stay as they are.
 	PrefillShare float64
 
-	// RoomServices is the kind of services whose requests ask for room at servers: none or
-	// plain.
+	// RoomServices are the servers that homes choose: none, plain, prefill or all.
 	RoomServices string
+	// RoomMinHosts is the number of hosts from which on homes choose servers.
+	RoomMinHosts int
 
 	MemoryMB int
 	Grace    time.Duration
@@ -119,7 +128,8 @@
 		setting.Bind("repeats", "ratio", "0.2", "retries to a service for each request, of all hosts together", setting.Number(&s.RetryRatio)),
 		setting.Bind("repeats", "slack", "20", "retries to a service in 10 s in addition to ratio, of all hosts together", setting.Number(&s.RetrySlack)),
 		setting.Bind("stages", "prefillShare", "0.13", "part of a service's model servers that is busy with prefills at the peak, without the reserve; 0 leaves the stages unchanged", setting.Fraction(&s.PrefillShare)),
-		setting.Bind("room", "services", "none", "services whose homes choose the servers for all hosts together: none or plain", setting.OneOf(&s.RoomServices, "none", "plain")),
+		setting.Bind("room", "services", "none", "servers that a home chooses for all hosts together: none, plain (servers of plain services), prefill (prefill servers) or all (both)", setting.OneOf(&s.RoomServices, roomNone, roomPlain, roomPrefill, roomAll)),
+		setting.Bind("room", "minHosts", "24", "number of hosts from which on homes choose servers; fewer hosts know the load of a server from their own requests", setting.Integer(&s.RoomMinHosts)),
 		setting.Bind("shutdown", "grace", "8s", "longest time from the termination signal to the exit of the process", setting.Duration(&s.Grace)),
 		setting.Bind("log", "level", "info", "debug, info, warn or error", setting.OneOf(&s.LogLevel, "debug", "info", "warn", "error")),
 	}
--- a/hickoryd/internal/edge/wiring.go
+++ b/hickoryd/internal/edge/wiring.go
@@ -120,18 +120,21 @@
 	options := edgedispatch.Options{
 		FailureDomain: s.FailureDomain, Self: s.Peer, Budget: retrybudget.Limits{Ratio: s.RetryRatio, Slack: s.RetrySlack},
 	}
-	if rooms != nil {
+	if s.RoomServices == roomPlain || s.RoomServices == roomAll {
 		options.Rooms = rooms
 	}
+	if s.RoomServices == roomPrefill || s.RoomServices == roomAll {
+		options.PrefillRooms = rooms
+	}
 	return edgedispatch.New(l, options, r, pool, peers, q, records, logger, set)
 }
 
 // newRooms returns nil if no service uses them.
 func newRooms(l *lifetime, s Settings, r *registry.Registry, peers *edgehost.Client, logger log.Interface, set *metrics.Set) *room.Rooms {
-	if s.RoomServices == "none" {
+	if s.RoomServices == roomNone {
 		return nil
 	}
-	return room.New(l, room.Options{Self: s.Peer, FailureDomain: s.FailureDomain}, r, peers, logger, set)
+	return room.New(l, room.Options{Self: s.Peer, MinHosts: s.RoomMinHosts}, r, peers, logger, set)
 }
 
 func newHandler(s Settings, r *registry.Registry, d *edgedispatch.Dispatcher, logger log.Interface, set *metrics.Set) *edgecaller.Handler {
--- a/hickoryd/internal/edgedispatch/describe.go
+++ b/hickoryd/internal/edgedispatch/describe.go
@@ -12,8 +12,8 @@
 // Describe adds to s the state of the backend servers as this host sees it, and the
 // usage of this host's retry budgets, both at now.
 func (d *Dispatcher) Describe(now time.Time, s *hoststate.State) {
-	if d.options.Rooms != nil {
-		d.options.Rooms.Describe(s)
+	if rooms := cmp.Or(d.options.Rooms, d.options.PrefillRooms); rooms != nil {
+		rooms.Describe(s)
 	}
 	servers, hosts := d.servers(), d.registry.HostCount()
 	d.mu.Lock()
--- a/hickoryd/internal/edgedispatch/dispatch.go
+++ b/hickoryd/internal/edgedispatch/dispatch.go
@@ -183,6 +183,8 @@
 		Budget retrybudget.Limits
 		// Rooms grants room at plain servers, or is nil.
 		Rooms Rooms
+		// PrefillRooms grants room at prefill servers, or is nil.
+		PrefillRooms Rooms
 	}
 
 	// Dispatcher serves requests. It is safe for concurrent use.
--- a/hickoryd/internal/edgedispatch/prefill.go
+++ b/hickoryd/internal/edgedispatch/prefill.go
@@ -44,11 +44,13 @@
 	}
 	var tried []string
 	for len(tried) < maxPrefills {
-		server, wait, ok := g.pickPrefill(g.request, tried, decode.FailureDomain)
-		if !ok || wait > maxPrefillWait {
+		place, ok := g.acquirePrefill(ctx, tried, decode.FailureDomain)
+		if !ok {
 			break
 		}
+		server, started := place.server, time.Now()
 		if !g.acquirePermit(ctx, server) {
+			place.release(ctx, started, errNoPermit)
 			if ctx.Err() != nil {
 				break
 			}
@@ -56,9 +58,11 @@
 		}
 		taken := time.Now()
 		if !g.reserveRetry(taken, g.request) {
+			place.release(ctx, started, errNoPermit)
 			break // a refused or a further prefill counts as a retry, and the budget allows none
 		}
 		handle, err := g.prefillAt(ctx, server)
+		place.release(ctx, started, err)
 		if err == nil && !g.isPrefilled || errors.Is(err, upstream.ErrNotSent) {
 			g.returnRetry(taken, g.request)
 		} else {
--- a/hickoryd/internal/edgedispatch/room.go
+++ b/hickoryd/internal/edgedispatch/room.go
@@ -71,12 +71,9 @@
 	criteria := balance.Criteria{Service: r.Route.Service, FailureDomain: c.options.FailureDomain}
 	usable := c.rankServers(criteria)
 	ask := room.Ask{
-		Service: r.Route.Service, Workspace: r.Workspace, Urgency: defaultUrgency, IsReturn: c.firstAttemptAt(r).Before(r.Arrived),
+		Pool: coreroom.Pool{Service: r.Route.Service}, Workspace: r.Workspace, FailureDomain: c.options.FailureDomain, Urgency: urgencyOf(r), IsReturn: c.firstAttemptAt(r).Before(r.Arrived),
 		Arrived: r.Arrived, Target: r.Deadline, Deadline: r.Deadline, InFlight: make(map[string]int),
 	}
-	if r.IsRanked {
-		ask.Urgency = r.Priority
-	}
 	if target := r.Arrived.Add(r.Route.LatencyTarget); r.Route.LatencyTarget > 0 && target.Before(r.Deadline) {
 		ask.Target = target
 	}
@@ -95,6 +92,14 @@
 	return ask, len(usable) > 0
 }
 
+// urgencyOf returns the urgency of a request.
+func urgencyOf(r *Request) int {
+	if r.IsRanked {
+		return r.Priority
+	}
+	return defaultUrgency
+}
+
 // requestsAt returns the number of requests that this host has in flight at a server.
 func (d *Dispatcher) requestsAt(now time.Time, server string) int {
 	d.mu.Lock()
--- a/hickoryd/internal/edgehost/edgehost_test.go
+++ b/hickoryd/internal/edgehost/edgehost_test.go
@@ -51,6 +51,7 @@
 	// received last.
 	rooms        map[string]room.Answer
 	roomRequest  room.Request
+	roomPool     room.Pool
 	roomInFlight map[string]int
 	released     []room.Released
 	// version and document are those of its configuration.
--- a/hickoryd/internal/edgehost/room.go
+++ b/hickoryd/internal/edgehost/room.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/hickoryfront/hickoryfront/core/room"
+	"github.com/hickoryfront/hickoryfront/core/serverlist"
 	"github.com/hickoryfront/hickoryfront/peerapi"
 )
 
@@ -14,9 +15,9 @@
 type RoomReceiver interface {
 	// AcquireRoom responds to another host that asks for room for a request, and states what
 	// it has in flight at the servers of the service.
-	AcquireRoom(ctx context.Context, service string, request room.Request, inFlight map[string]int) room.Answer
+	AcquireRoom(ctx context.Context, pool room.Pool, request room.Request, inFlight map[string]int) room.Answer
 	// ReleaseRoom receives a report that requests with room have ended.
-	ReleaseRoom(service string, released []room.Released)
+	ReleaseRoom(pool room.Pool, released []room.Released)
 }
 
 var (
@@ -32,12 +33,12 @@
 
 // AcquireRoom asks the host at address, the home of a service, for room for a request. inFlight
 // is what this host has in flight at the servers of the service.
-func (c *Client) AcquireRoom(ctx context.Context, address netip.AddrPort, service string, request room.Request, inFlight map[string]int) (room.Answer, error) {
+func (c *Client) AcquireRoom(ctx context.Context, address netip.AddrPort, pool room.Pool, request room.Request, inFlight map[string]int) (room.Answer, error) {
 	peer, err := c.edgeClient(address)
 	if err != nil {
 		return room.Answer{}, err
 	}
-	response, err := peer.AcquireRoom(ctx, encodeRoomRequest(time.Now(), service, request, inFlight))
+	response, err := peer.AcquireRoom(ctx, encodeRoomRequest(time.Now(), pool, request, inFlight))
 	if err != nil {
 		return room.Answer{}, err
 	}
@@ -49,12 +50,12 @@
 
 // ReleaseRoom reports to the host at address, the home of a service, that requests with room
 // have ended.
-func (c *Client) ReleaseRoom(ctx context.Context, address netip.AddrPort, service string, released []room.Released) error {
+func (c *Client) ReleaseRoom(ctx context.Context, address netip.AddrPort, pool room.Pool, released []room.Released) error {
 	peer, err := c.edgeClient(address)
 	if err != nil {
 		return err
 	}
-	request := &peerapi.ReleaseRoomRequest{Service: service, Released: make([]*peerapi.ReleasedRoom, 0, len(released))}
+	request := &peerapi.ReleaseRoomRequest{Service: pool.Service, Stage: string(pool.Stage), Released: make([]*peerapi.ReleasedRoom, 0, len(released))}
 	for _, r := range released {
 		request.Released = append(request.Released, &peerapi.ReleasedRoom{RequestId: r.RequestID, Outcome: encodedOutcomes[r.Outcome], TookMs: r.Took.Milliseconds()})
 	}
@@ -68,7 +69,7 @@
 		return s.UnimplementedEdgeServer.AcquireRoom(ctx, request)
 	}
 	decoded, inFlight := decodeRoomRequest(time.Now(), request)
-	answer := s.rooms.AcquireRoom(ctx, request.GetService(), decoded, inFlight)
+	answer := s.rooms.AcquireRoom(ctx, room.Pool{Service: request.GetService(), Stage: serverlist.Stage(request.GetStage())}, decoded, inFlight)
 	return &peerapi.AcquireRoomResponse{
 		ServerId: answer.Server, RetryAfterMs: answer.RetryAfter.Milliseconds(), Reason: answer.Reason, IsNotHome: answer.IsNotHome,
 	}, nil
@@ -83,15 +84,15 @@
 	for _, r := range request.GetReleased() {
 		released = append(released, room.Released{RequestID: r.GetRequestId(), Outcome: decodedOutcomes[r.GetOutcome()], Took: time.Duration(r.GetTookMs()) * time.Millisecond})
 	}
-	s.rooms.ReleaseRoom(request.GetService(), released)
+	s.rooms.ReleaseRoom(room.Pool{Service: request.GetService(), Stage: serverlist.Stage(request.GetStage())}, released)
 	return &peerapi.ReleaseRoomResponse{}, nil
 }
 
 // encodeRoomRequest encodes a request with ages and remaining times instead of times, as the
 // clocks of hosts differ.
-func encodeRoomRequest(now time.Time, service string, r room.Request, inFlight map[string]int) *peerapi.AcquireRoomRequest {
+func encodeRoomRequest(now time.Time, pool room.Pool, r room.Request, inFlight map[string]int) *peerapi.AcquireRoomRequest {
 	request := &peerapi.AcquireRoomRequest{
-		Service: service, RequestId: r.ID, Workspace: r.Workspace, Urgency: int32(r.Urgency), IsReturn: r.IsReturn,
+		Service: pool.Service, Stage: string(pool.Stage), ServiceTimeMs: r.ServiceTime.Milliseconds(), RequestId: r.ID, Workspace: r.Workspace, Urgency: int32(r.Urgency), IsReturn: r.IsReturn,
 		AgeMs: now.Sub(r.Arrived).Milliseconds(), TargetMs: r.Target.Sub(now).Milliseconds(), DeadlineMs: r.Deadline.Sub(now).Milliseconds(),
 		FailureDomain: r.FailureDomain, Excluded: r.Excluded, InFlight: make(map[string]uint32, len(inFlight)),
 	}
@@ -113,5 +114,6 @@
 		ID: request.GetRequestId(), Requester: requester, Workspace: request.GetWorkspace(), Urgency: int(request.GetUrgency()), IsReturn: request.GetIsReturn(),
 		Arrived: after(-request.GetAgeMs()), Target: after(request.GetTargetMs()), Deadline: after(request.GetDeadlineMs()),
 		FailureDomain: request.GetFailureDomain(), Excluded: request.GetExcluded(),
+		ServiceTime: time.Duration(request.GetServiceTimeMs()) * time.Millisecond,
 	}, inFlight
 }
--- a/hickoryd/internal/edgehost/room_test.go
+++ b/hickoryd/internal/edgehost/room_test.go
@@ -9,16 +9,18 @@
 	"github.com/google/go-cmp/cmp/cmpopts"
 
 	"github.com/hickoryfront/hickoryfront/core/room"
+	"github.com/hickoryfront/hickoryfront/core/serverlist"
 )
 
-func (h *host) AcquireRoom(_ context.Context, service string, request room.Request, inFlight map[string]int) room.Answer {
+func (h *host) AcquireRoom(_ context.Context, pool room.Pool, request room.Request, inFlight map[string]int) room.Answer {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.roomRequest, h.roomInFlight = request, inFlight
-	return h.rooms[service]
+	h.roomPool = pool
+	return h.rooms[pool.Service]
 }
 
-func (h *host) ReleaseRoom(_ string, released []room.Released) {
+func (h *host) ReleaseRoom(_ room.Pool, released []room.Released) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.released = append(h.released, released...)
@@ -36,12 +38,13 @@
 	now := time.Now()
 	request := room.Request{
 		ID: "10.0.0.1:82/a-1", Requester: "10.0.0.1:82", Workspace: "w", Urgency: 3, IsReturn: true,
-		Arrived: now.Add(-time.Minute), Target: now.Add(time.Hour), Deadline: now.Add(2 * time.Hour), FailureDomain: "z1", Excluded: []string{"s2"},
+		Arrived: now.Add(-time.Minute), Target: now.Add(time.Hour), Deadline: now.Add(2 * time.Hour), FailureDomain: "z1", Excluded: []string{"s2"}, ServiceTime: 70 * time.Millisecond,
 	}
 	inFlight := map[string]int{"s1": 2}
 	for service, want := range answers {
-		got, err := client.AcquireRoom(t.Context(), address, service, request, inFlight)
-		if err != nil || got != want {
+		pool := room.Pool{Service: service, Stage: serverlist.Prefill}
+		got, err := client.AcquireRoom(t.Context(), address, pool, request, inFlight)
+		if err != nil || got != want || h.roomPool != pool {
 			t.Errorf("%s: answer %+v, error %v, want %+v", service, got, err, want)
 		}
 		if diff := gocmp.Diff(request, h.roomRequest, cmpopts.EquateApproxTime(transferTime)) + gocmp.Diff(inFlight, h.roomInFlight); diff != "" {
@@ -52,7 +55,7 @@
 	for i, outcome := range []room.Outcome{room.Unused, room.Served, room.Shed, room.Failed} {
 		released = append(released, room.Released{RequestID: string(rune('a' + i)), Outcome: outcome, Took: time.Duration(i) * time.Second})
 	}
-	if err := client.ReleaseRoom(t.Context(), address, "granted", released); err != nil {
+	if err := client.ReleaseRoom(t.Context(), address, room.Pool{Service: "granted"}, released); err != nil {
 		t.Fatal(err)
 	}
 	if diff := gocmp.Diff(released, h.released); diff != "" {
--- a/hickoryd/internal/room/home.go
+++ b/hickoryd/internal/room/home.go
@@ -13,6 +13,7 @@
 
 	"github.com/hickoryfront/hickoryfront/core/hoststate"
 	"github.com/hickoryfront/hickoryfront/core/room"
+	"github.com/hickoryfront/hickoryfront/core/serverlist"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/registry"
 )
 
@@ -21,9 +22,9 @@
 const abandonPeriod = time.Second
 
 type (
-	// home grants the room of one service to all hosts.
+	// home grants the room of one pool of servers to all hosts.
 	home struct {
-		service string
+		pool room.Pool
 		// usedAt is when a host last asked. The mutex of Rooms guards it.
 		usedAt time.Time
 
@@ -49,8 +50,8 @@
 	}
 )
 
-func newHome(now time.Time, service string) *home {
-	return &home{service: service, ledger: room.NewLedger(now), waiters: make(map[string]*waiter), checked: now}
+func newHome(now time.Time, pool room.Pool) *home {
+	return &home{pool: pool, ledger: room.NewLedger(now), waiters: make(map[string]*waiter), checked: now}
 }
 
 func (h *home) acquire(ctx context.Context, request room.Request, inFlight map[string]int, snapshot *registry.Snapshot) room.Answer {
@@ -75,7 +76,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if !h.hasList || h.version != snapshot.Version {
-		h.ledger.SetServers(now, servers(snapshot, h.service))
+		h.ledger.SetServers(now, servers(snapshot, h.pool))
 		h.version, h.hasList = snapshot.Version, true
 	}
 	w, ok := h.waiters[request.ID]
@@ -165,7 +166,7 @@
 func (h *home) describe() hoststate.Room {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	described := hoststate.Room{Service: h.service, Waiting: h.ledger.Waiting()}
+	described := hoststate.Room{Service: h.pool.Service, Stage: string(h.pool.Stage), Waiting: h.ledger.Waiting()}
 	for _, l := range h.ledger.Loads() {
 		described.Servers = append(described.Servers, hoststate.RoomServer{
 			ID: l.Server, Limit: l.Limit, Granted: l.Granted, Foreign: l.Foreign,
@@ -175,7 +176,7 @@
 	return described
 }
 
-// allHomes returns the ledgers that this host has, by service.
+// allHomes returns the ledgers that this host has, by service and stage.
 func (r *Rooms) allHomes() []*home {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -183,7 +184,9 @@
 	for _, h := range r.homes {
 		homes = append(homes, h)
 	}
-	slices.SortFunc(homes, func(a, b *home) int { return cmp.Compare(a.service, b.service) })
+	slices.SortFunc(homes, func(a, b *home) int {
+		return cmp.Or(cmp.Compare(a.pool.Service, b.pool.Service), cmp.Compare(a.pool.Stage, b.pool.Stage))
+	})
 	return homes
 }
 
@@ -199,8 +202,11 @@
 // writeLimits writes the concurrency limit of each server of which this host is the home.
 func (r *Rooms) writeLimits(w io.Writer) {
 	for _, h := range r.allHomes() {
+		if h.pool.Stage != serverlist.NoStage {
+			continue // model servers are too many for time series of their own
+		}
 		for _, s := range h.describe().Servers {
-			metrics.WriteGaugeUint64(w, fmt.Sprintf(`hickoryfront_edge_room_limit{service=%q,server=%q}`, h.service, s.ID), uint64(s.Limit))
+			metrics.WriteGaugeUint64(w, fmt.Sprintf(`hickoryfront_edge_room_limit{service=%q,server=%q}`, h.pool.Service, s.ID), uint64(s.Limit))
 		}
 	}
 }
--- a/hickoryd/internal/room/outbox.go
+++ b/hickoryd/internal/room/outbox.go
@@ -24,7 +24,7 @@
 	home  netip.AddrPort
 
 	mu      sync.Mutex
-	pending map[string][]room.Released // by service
+	pending map[room.Pool][]room.Released
 	count   int
 	sentAt  time.Time
 	// isScheduled is set while run is about to send what is pending.
@@ -32,13 +32,13 @@
 }
 
 // add adds a report at now. It is sent at once if none was sent within batchPeriod.
-func (o *outbox) add(now time.Time, service string, released room.Released) {
+func (o *outbox) add(now time.Time, pool room.Pool, released room.Released) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.pending == nil {
-		o.pending = make(map[string][]room.Released)
+		o.pending = make(map[room.Pool][]room.Released)
 	}
-	o.pending[service] = append(o.pending[service], released)
+	o.pending[pool] = append(o.pending[pool], released)
 	o.count++
 	wait := batchPeriod - now.Sub(o.sentAt)
 	switch {
@@ -53,16 +53,16 @@
 
 // run sends what is pending. A report that doesn't arrive is not repeated: the grants expire.
 func (o *outbox) run() {
-	for service, released := range o.take(time.Now()) {
+	for pool, released := range o.take(time.Now()) {
 		ctx, cancel := context.WithTimeout(o.rooms.background, reportTimeout)
-		if err := o.rooms.peers.ReleaseRoom(ctx, o.home, service, released); err != nil {
+		if err := o.rooms.peers.ReleaseRoom(ctx, o.home, pool, released); err != nil {
 			o.rooms.logger.WithError(err).WithField("host", o.home.String()).Debug("report of ended requests to a home failed")
 		}
 		cancel()
 	}
 }
 
-func (o *outbox) take(now time.Time) map[string][]room.Released {
+func (o *outbox) take(now time.Time) map[room.Pool][]room.Released {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	pending := o.pending
--- a/hickoryd/internal/room/room.go
+++ b/hickoryd/internal/room/room.go
@@ -30,6 +30,9 @@
 	answerTimeout = 150 * time.Millisecond
 	// homeRetryPeriod is the time for which a home that did not respond is not asked again.
 	homeRetryPeriod = time.Second
+	// prefillSlots is the number of prompts that a prefill server has at once: one that it reads
+	// and the next one, so that it isn't idle while a prompt is on its way.
+	prefillSlots = 2
 	// idlePeriod is how long the ledger of a service is kept without an ask.
 	idlePeriod = time.Minute
 )
@@ -50,22 +53,22 @@
 	Peers interface {
 		// AcquireRoom asks the host at address for room for a request. inFlight is what this
 		// host has in flight at the servers of the service.
-		AcquireRoom(ctx context.Context, address netip.AddrPort, service string, request room.Request, inFlight map[string]int) (room.Answer, error)
+		AcquireRoom(ctx context.Context, address netip.AddrPort, pool room.Pool, request room.Request, inFlight map[string]int) (room.Answer, error)
 		// ReleaseRoom reports the end of requests to the host at address.
-		ReleaseRoom(ctx context.Context, address netip.AddrPort, service string, released []room.Released) error
+		ReleaseRoom(ctx context.Context, address netip.AddrPort, pool room.Pool, released []room.Released) error
 	}
 
 	// Options configure Rooms.
 	Options struct {
 		// Self is this host's peer address.
 		Self netip.AddrPort
-		// FailureDomain is this host's.
-		FailureDomain string
+		// MinHosts is the number of hosts from which on homes are asked.
+		MinHosts int
 	}
 
 	// Ask asks for room for one request.
 	Ask struct {
-		Service   string
+		Pool      room.Pool
 		Workspace string
 		// Urgency is 0 for the most urgent requests.
 		Urgency int
@@ -75,6 +78,10 @@
 		// Target is until when the response should be complete, Deadline when the caller
 		// gives up.
 		Target, Deadline time.Time
+		// FailureDomain is the one in which a server is preferred.
+		FailureDomain string
+		// ServiceTime is the expected service time while the home has measured none, or 0.
+		ServiceTime time.Duration
 		// Excluded are the servers that this host can't use.
 		Excluded []string
 		// InFlight is what this host has in flight at servers.
@@ -92,10 +99,10 @@
 	Grant struct {
 		Server string
 
-		rooms   *Rooms
-		home    netip.AddrPort
-		service string
-		id      string
+		rooms *Rooms
+		home  netip.AddrPort
+		pool  room.Pool
+		id    string
 	}
 
 	// Rooms asks homes, and is the home of some services. It is safe for concurrent use.
@@ -113,7 +120,7 @@
 
 		mu       sync.Mutex
 		hosts    *serverlimit.Homes
-		homes    map[string]*home
+		homes    map[room.Pool]*home
 		failedAt map[netip.AddrPort]time.Time
 		outboxes map[netip.AddrPort]*outbox
 		number   uint64
@@ -127,7 +134,7 @@
 		grants:    set.NewCounter(`hickoryfront_edge_room_grants_total`),
 		refusals:  set.NewCounter(`hickoryfront_edge_room_refusals_total`),
 		fallbacks: set.NewCounter(`hickoryfront_edge_room_fallbacks_total`),
-		hosts:     serverlimit.NewHomes(), homes: make(map[string]*home),
+		hosts:     serverlimit.NewHomes(), homes: make(map[room.Pool]*home),
 		failedAt: make(map[netip.AddrPort]time.Time), outboxes: make(map[netip.AddrPort]*outbox),
 	}
 	set.NewGauge(`hickoryfront_edge_room_waiting`, rooms.waiting)
@@ -144,29 +151,32 @@
 // in its queue. The error is a *Refusal, or ErrNoHome if this host has to choose the server
 // itself, or that of ctx.
 func (r *Rooms) Acquire(ctx context.Context, ask Ask) (*Grant, error) {
-	home, id, ok := r.homeOf(time.Now(), ask.Service)
+	if len(r.registry.Hosts()) < r.options.MinHosts {
+		return nil, ErrNoHome
+	}
+	home, id, ok := r.homeOf(time.Now(), ask.Pool)
 	if !ok {
 		r.fallbacks.Inc()
 		return nil, ErrNoHome
 	}
 	request := room.Request{
 		ID: id, Requester: r.options.Self.String(), Workspace: ask.Workspace, Urgency: ask.Urgency, IsReturn: ask.IsReturn,
-		Arrived: ask.Arrived, Target: ask.Target, Deadline: ask.Deadline, FailureDomain: r.options.FailureDomain, Excluded: ask.Excluded,
+		Arrived: ask.Arrived, Target: ask.Target, Deadline: ask.Deadline, FailureDomain: ask.FailureDomain, Excluded: ask.Excluded, ServiceTime: ask.ServiceTime,
 	}
 	answer, err := r.await(ctx, home, ask, request)
 	switch {
 	case err != nil:
 		// The home may have granted the request meanwhile.
-		r.release(home, ask.Service, room.Released{RequestID: id, Outcome: room.Unused})
+		r.release(home, ask.Pool, room.Released{RequestID: id, Outcome: room.Unused})
 		if ctx.Err() != nil {
 			return nil, ctx.Err()
 		}
-		r.logger.WithError(err).WithFields(log.Fields{"service": ask.Service, "host": home.String()}).Debug("home did not respond to a request for room")
+		r.logger.WithError(err).WithFields(log.Fields{"service": ask.Pool.Service, "stage": ask.Pool.Stage, "host": home.String()}).Debug("home did not respond to a request for room")
 		r.fallbacks.Inc()
 		return nil, fmt.Errorf("%w: %w", ErrNoHome, err)
 	case answer.Server != "":
 		r.grants.Inc()
-		return &Grant{Server: answer.Server, rooms: r, home: home, service: ask.Service, id: id}, nil
+		return &Grant{Server: answer.Server, rooms: r, home: home, pool: ask.Pool, id: id}, nil
 	case answer.IsNotHome || answer.Reason == room.ReasonNoServer:
 		r.fallbacks.Inc()
 		return nil, ErrNoHome
@@ -180,7 +190,7 @@
 func (r *Rooms) await(ctx context.Context, home netip.AddrPort, ask Ask, request room.Request) (room.Answer, error) {
 	inFlight := ask.InFlight
 	for {
-		answer, err := r.askOnce(ctx, home, ask.Service, request, inFlight)
+		answer, err := r.askOnce(ctx, home, ask.Pool, request, inFlight)
 		if err != nil && ctx.Err() == nil {
 			r.markFailed(time.Now(), home)
 		}
@@ -194,22 +204,22 @@
 	}
 }
 
-func (r *Rooms) askOnce(ctx context.Context, home netip.AddrPort, service string, request room.Request, inFlight map[string]int) (room.Answer, error) {
+func (r *Rooms) askOnce(ctx context.Context, home netip.AddrPort, pool room.Pool, request room.Request, inFlight map[string]int) (room.Answer, error) {
 	if home == r.options.Self {
-		return r.AcquireRoom(ctx, service, request, inFlight), ctx.Err()
+		return r.AcquireRoom(ctx, pool, request, inFlight), ctx.Err()
 	}
 	ctx, cancel := context.WithTimeout(ctx, holdPeriod+answerTimeout)
 	defer cancel()
-	return r.peers.AcquireRoom(ctx, home, service, request, inFlight)
+	return r.peers.AcquireRoom(ctx, home, pool, request, inFlight)
 }
 
 // homeOf returns the home of a service and the ID of a new request to it. It returns false if
 // there is none or it has not responded lately.
-func (r *Rooms) homeOf(now time.Time, service string) (netip.AddrPort, string, bool) {
+func (r *Rooms) homeOf(now time.Time, pool room.Pool) (netip.AddrPort, string, bool) {
 	hosts := r.registry.Hosts()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	home, ok := r.firstOf(now, hosts, service)
+	home, ok := r.firstOf(now, hosts, pool)
 	if failedAt, hasFailed := r.failedAt[home]; !ok || hasFailed && now.Sub(failedAt) < homeRetryPeriod {
 		return home, "", false
 	}
@@ -218,9 +228,9 @@
 }
 
 // firstOf returns the first host in the rendezvous order of a service. The caller holds mu.
-func (r *Rooms) firstOf(now time.Time, hosts []netip.AddrPort, service string) (netip.AddrPort, bool) {
+func (r *Rooms) firstOf(now time.Time, hosts []netip.AddrPort, pool room.Pool) (netip.AddrPort, bool) {
 	r.hosts.Observe(now, hosts)
-	homes := r.hosts.Of(service)
+	homes := r.hosts.Of(pool.Service + string(pool.Stage))
 	if len(homes) == 0 {
 		return netip.AddrPort{}, false
 	}
@@ -240,12 +250,12 @@
 
 // Release reports the outcome of the granted request, at which the server took a time.
 func (g *Grant) Release(outcome room.Outcome, took time.Duration) {
-	g.rooms.release(g.home, g.service, room.Released{RequestID: g.id, Outcome: outcome, Took: took})
+	g.rooms.release(g.home, g.pool, room.Released{RequestID: g.id, Outcome: outcome, Took: took})
 }
 
-func (r *Rooms) release(home netip.AddrPort, service string, released room.Released) {
+func (r *Rooms) release(home netip.AddrPort, pool room.Pool, released room.Released) {
 	if home == r.options.Self {
-		r.ReleaseRoom(service, []room.Released{released})
+		r.ReleaseRoom(pool, []room.Released{released})
 		return
 	}
 	r.mu.Lock()
@@ -256,14 +266,14 @@
 		r.outboxes[home] = o
 	}
 	r.mu.Unlock()
-	o.add(time.Now(), service, released)
+	o.add(time.Now(), pool, released)
 }
 
 // AcquireRoom responds to a host that asks for room for a request, if this host is the home of
 // the service: when the request is granted or refused, or while it waits after holdPeriod. If
 // ctx ends before, the request is cancelled.
-func (r *Rooms) AcquireRoom(ctx context.Context, service string, request room.Request, inFlight map[string]int) room.Answer {
-	h, ok := r.home(time.Now(), service)
+func (r *Rooms) AcquireRoom(ctx context.Context, pool room.Pool, request room.Request, inFlight map[string]int) room.Answer {
+	h, ok := r.home(time.Now(), pool)
 	if !ok {
 		return room.Answer{IsNotHome: true}
 	}
@@ -271,9 +281,9 @@
 }
 
 // ReleaseRoom receives the reports of a host that requests have ended.
-func (r *Rooms) ReleaseRoom(service string, released []room.Released) {
+func (r *Rooms) ReleaseRoom(pool room.Pool, released []room.Released) {
 	r.mu.Lock()
-	h, ok := r.homes[service]
+	h, ok := r.homes[pool]
 	r.mu.Unlock()
 	if ok {
 		h.release(time.Now(), released)
@@ -282,39 +292,43 @@
 
 // home returns the ledger of a service if this host is its home. It drops the ledgers that are
 // not used any more.
-func (r *Rooms) home(now time.Time, service string) (*home, bool) {
+func (r *Rooms) home(now time.Time, pool room.Pool) (*home, bool) {
 	hosts := r.registry.Hosts()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if first, ok := r.firstOf(now, hosts, service); !ok || first != r.options.Self {
+	if first, ok := r.firstOf(now, hosts, pool); !ok || first != r.options.Self {
 		return nil, false
 	}
-	h, ok := r.homes[service]
+	h, ok := r.homes[pool]
 	if !ok {
 		for other, h := range r.homes {
 			if now.Sub(h.usedAt) > idlePeriod {
 				delete(r.homes, other)
 			}
 		}
-		h = newHome(now, service)
-		r.homes[service] = h
+		h = newHome(now, pool)
+		r.homes[pool] = h
 	}
 	h.usedAt = now
 	return h, true
 }
 
-// servers returns the plain servers of a service, or none if one of them states no slots: its
-// capacity is unknown then.
-func servers(snapshot *registry.Snapshot, service string) []room.Server {
+// servers returns the servers of a pool, or none if a plain one states no slots: its capacity is
+// unknown then.
+func servers(snapshot *registry.Snapshot, pool room.Pool) []room.Server {
 	var servers []room.Server
 	for _, s := range snapshot.Servers {
-		if s.Service != service || s.Stage != serverlist.NoStage {
+		if s.Service != pool.Service || s.Stage != pool.Stage {
 			continue
 		}
-		if s.Slots <= 0 {
+		slots := s.Slots
+		if pool.Stage == serverlist.Prefill {
+			slots = prefillSlots
+		}
+		if slots <= 0 {
 			return nil
 		}
-		servers = append(servers, room.Server{ID: s.ID, FailureDomain: s.FailureDomain, Slots: s.Slots, StartedAt: s.StartedAt, TakesNoWork: s.IsDraining})
+		servers = append(servers, room.Server{ID: s.ID, FailureDomain: s.FailureDomain, Slots: slots, StartedAt: s.StartedAt, TakesNoWork: s.IsDraining})
 	}
 	return servers
 }
--- a/hickoryd/internal/room/room_test.go
+++ b/hickoryd/internal/room/room_test.go
@@ -52,18 +52,18 @@
 func (l list) Hosts() []netip.AddrPort     { return l.hosts }
 func (l list) Servers() *registry.Snapshot { return &registry.Snapshot{Servers: l.servers, Version: 1} }
 
-func (c *cluster) AcquireRoom(ctx context.Context, address netip.AddrPort, service string, request coreroom.Request, inFlight map[string]int) (coreroom.Answer, error) {
+func (c *cluster) AcquireRoom(ctx context.Context, address netip.AddrPort, pool coreroom.Pool, request coreroom.Request, inFlight map[string]int) (coreroom.Answer, error) {
 	c.calls.Add(1)
 	if fault := c.fault.Load(); fault != nil {
 		if err := (*fault)(ctx); err != nil {
 			return coreroom.Answer{}, err
 		}
 	}
-	return c.rooms[address].AcquireRoom(ctx, service, request, inFlight), ctx.Err()
+	return c.rooms[address].AcquireRoom(ctx, pool, request, inFlight), ctx.Err()
 }
 
-func (c *cluster) ReleaseRoom(_ context.Context, address netip.AddrPort, service string, released []coreroom.Released) error {
-	c.rooms[address].ReleaseRoom(service, released)
+func (c *cluster) ReleaseRoom(_ context.Context, address netip.AddrPort, pool coreroom.Pool, released []coreroom.Released) error {
+	c.rooms[address].ReleaseRoom(pool, released)
 	return nil
 }
 
@@ -110,7 +110,7 @@
 
 func newAsk(target time.Duration) room.Ask {
 	now := time.Now()
-	return room.Ask{Service: service, Urgency: 5, Arrived: now, Target: now.Add(target), Deadline: now.Add(2 * target)}
+	return room.Ask{Pool: coreroom.Pool{Service: service}, Urgency: 5, Arrived: now, Target: now.Add(target), Deadline: now.Add(2 * target)}
 }
 
 // TestOneHomeCountsForAllHosts guards against grants beyond the slots while all hosts ask at
@@ -239,7 +239,7 @@
 	for _, address := range c.hosts {
 		for i := range serviceCount {
 			ask := newAsk(waitTimeout)
-			ask.Service = fmt.Sprint(service, i)
+			ask.Pool.Service = fmt.Sprint(service, i)
 			grant, err := c.rooms[address].Acquire(t.Context(), ask)
 			switch {
 			case err == nil:
--- a/hickorylab/edgesoak/environment_test.go
+++ b/hickorylab/edgesoak/environment_test.go
@@ -210,7 +210,7 @@
 		text += fmt.Sprintf("[shutdown]\ngrace = %s\n", e.grace)
 	}
 	if e.roomServices != "" {
-		text += fmt.Sprintf("[room]\nservices = %s\n", e.roomServices)
+		text += fmt.Sprintf("[room]\nservices = %s\nminHosts = 1\n", e.roomServices)
 	}
 	if err := os.WriteFile(e.settings[i], []byte(text), 0o600); err != nil {
 		e.tb.Fatal(err)
--- a/hickorylab/edgesoak/room_test.go
+++ b/hickorylab/edgesoak/room_test.go
@@ -26,7 +26,7 @@
 // because the host is killed that grants the room at the servers.
 func TestRoomHomeIsKilled(t *testing.T) {
 	t.Parallel()
-	e := startEnvironmentWith(t, environmentOptions{hostCount: 9, roomServices: "plain", retrySlack: 100})
+	e := startEnvironmentWith(t, environmentOptions{hostCount: 9, roomServices: "all", retrySlack: 100})
 	e.awaitSettled()
 	stop := make(chan struct{})
 	var group sync.WaitGroup
