Ask homes for units of quotas and grant them over the peer protocol

Cause: the decisions of core/quota need a host that makes the calls.

Change: workspacequota.Quotas admits requests: it asks the homes of the workspace (100 ms each, 300 ms in total), remembers that they have no units, falls back to the local allowance when none responds, returns units in the background, and grants units as a home. A host that becomes a home asks the earlier ones, once it is asked itself, whether they still grant. edgehost carries AcquireQuota and ReturnQuota; FailedPrecondition and Unimplemented mean that a host grants no units. Nothing calls Admit yet.

--- a/core/hoststate/hoststate.go
+++ b/core/hoststate/hoststate.go
@@ -34,6 +34,8 @@
 		RefusedParts []RefusedParts `json:"refusedParts"`
 		// Versions are the software versions of services with resumable streams.
 		Versions []ServiceVersions `json:"versions"`
+		// Quotas are the workspaces of which this host grants units as a home.
+		Quotas []Quota `json:"quotas,omitempty"`
 	}
 
 	// Configuration describes the configuration in force.
@@ -96,6 +98,19 @@
 		IsComplete bool `json:"isComplete"`
 	}
 
+	// Quota is what this host, as one of the homes of a workspace, knows of the workspace's
+	// quota. Rate (units a second) and Burst (units) are those of all homes together.
+	Quota struct {
+		Workspace string  `json:"workspace"`
+		Rate      float64 `json:"rate"`
+		Burst     float64 `json:"burst"`
+		// Level is the number of units that this home has left. It is negative by up to one
+		// request while the quota is used up.
+		Level float64 `json:"level"`
+		// Granted is the number of units granted in the last window, without those returned.
+		Granted float64 `json:"granted"`
+	}
+
 	// RefusedParts refuses the requests of a service whose prompts have all of Parts.
 	RefusedParts struct {
 		Service string    `json:"service"`
--- a/core/quota/limit.go
+++ b/core/quota/limit.go
@@ -2,6 +2,8 @@
 // command hickoryd edge uses it.
 package quota
 
+import "errors"
+
 // Units in which a quota is counted.
 const (
 	// Requests counts each request as 1.
@@ -23,3 +25,6 @@
 		Burst float64
 	}
 )
+
+// ErrNoHome means that a host is no home of a workspace, or does not grant its units yet.
+var ErrNoHome = errors.New("the host does not grant units of this workspace; ask another home")
--- a/core/quota/requester.go
+++ b/core/quota/requester.go
@@ -46,6 +46,9 @@
 		Homes []netip.AddrPort
 		// Ahead are further units to ask for.
 		Ahead float64
+		// Home is the home that granted the units at GrantedAt, if Step is Admit.
+		Home      netip.AddrPort
+		GrantedAt time.Time
 		// Wait is the time until the homes may have units again, if Step is Refuse.
 		Wait time.Duration
 	}
@@ -106,7 +109,7 @@
 	d.usedAt = now
 	d.lease.observe(now, ask.Units)
 	if d.lease.take(now, ask.Units) {
-		return Decision{Step: Admit}
+		return Decision{Step: Admit, Home: d.lease.home, GrantedAt: d.lease.askedAt}
 	}
 	if d.deniedVersion == ask.Version && now.Before(d.deniedUntil) {
 		return Decision{Step: Refuse, Wait: d.deniedUntil.Sub(now)}
@@ -117,16 +120,16 @@
 		asked[0], asked[i] = asked[i], asked[0]
 	}
 	decision := Decision{Homes: asked}
-	if r.bounds.HasTolerance() {
+	if r.bounds.HasTolerance() && len(asked) > 0 && asked[0] != r.self {
 		decision.Ahead = d.lease.ahead()
 	}
 	return decision
 }
 
 // Grant records that a home has granted units for an ask that was sent at askedAt.
-func (r *Requester) Grant(askedAt time.Time, ask Ask, granted float64) {
+func (r *Requester) Grant(askedAt time.Time, ask Ask, home netip.AddrPort, granted float64) {
 	if d, ok := r.workspaces[ask.Workspace]; ok && granted > ask.Units {
-		d.lease.set(askedAt, granted-ask.Units)
+		d.lease.set(askedAt, home, granted-ask.Units)
 	}
 }
 
@@ -189,8 +192,9 @@
 
 // Lease holds units that a home has granted ahead, and measures how many the host uses.
 type Lease struct {
-	units     float64
-	expiresAt time.Time
+	units   float64
+	home    netip.AddrPort
+	askedAt time.Time
 	// used and usedBefore are the units of the requests in the present and the last period.
 	used, usedBefore float64
 	count, before    int // of these requests
@@ -219,7 +223,7 @@
 }
 
 func (l *Lease) take(now time.Time, units float64) bool {
-	if !now.Before(l.expiresAt) || l.units < units {
+	if !l.lasts(now) || l.units < units {
 		return false
 	}
 	l.units -= units
@@ -227,12 +231,16 @@
 }
 
 // set replaces the units. Those left are dropped, as they expire earlier.
-func (l *Lease) set(askedAt time.Time, units float64) {
-	l.units, l.expiresAt = units, askedAt.Add(leasePeriod)
+func (l *Lease) set(askedAt time.Time, home netip.AddrPort, units float64) {
+	l.askedAt, l.home, l.units = askedAt, home, units
+}
+
+func (l *Lease) lasts(now time.Time) bool {
+	return now.Sub(l.askedAt) < leasePeriod
 }
 
 func (l *Lease) giveBack(now time.Time, units float64) bool {
-	if !now.Before(l.expiresAt) {
+	if !l.lasts(now) {
 		return false
 	}
 	l.units += units
--- a/core/quota/simulation_test.go
+++ b/core/quota/simulation_test.go
@@ -242,7 +242,7 @@
 		case !ok:
 			h.requester.MarkSilent(s.now, address)
 		case answer.Granted > 0:
-			h.requester.Grant(s.now, ask, answer.Granted)
+			h.requester.Grant(s.now, ask, address, answer.Granted)
 			return home, true
 		case wait == 0 || answer.Wait < wait:
 			wait = answer.Wait
--- a/hickoryd/internal/edge/daemon.go
+++ b/hickoryd/internal/edge/daemon.go
@@ -30,6 +30,7 @@
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/registry"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/timing"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/upstream"
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/workspacequota"
 	"github.com/hickoryfront/hickoryfront/peerapi"
 	"github.com/hickoryfront/hickoryfront/platform"
 )
@@ -66,6 +67,7 @@
 	dispatcher      *edgedispatch.Dispatcher
 	quarantine      *quarantine.Quarantine
 	records         *originstore.Records
+	quotas          *workspacequota.Quotas
 	edgeServer      *edgehost.Server
 	stageController *edgeorder.Controller
 	logger          log.Interface
@@ -80,8 +82,8 @@
 }
 
 // New returns a daemon. Start starts it.
-func New(s Settings, l *lifetime, r *registry.Registry, pool *upstream.Pool, peers *edgehost.Client, handler *edgecaller.Handler, dispatcher *edgedispatch.Dispatcher, q *quarantine.Quarantine, records *originstore.Records, edgeServer *edgehost.Server, stageController *edgeorder.Controller, logger log.Interface, set *metrics.Set) *Daemon {
-	d := &Daemon{settings: s, lifetime: l, registry: r, pool: pool, peers: peers, handler: handler, dispatcher: dispatcher, quarantine: q, records: records, edgeServer: edgeServer, stageController: stageController, logger: logger, set: set}
+func New(s Settings, l *lifetime, r *registry.Registry, pool *upstream.Pool, peers *edgehost.Client, handler *edgecaller.Handler, dispatcher *edgedispatch.Dispatcher, q *quarantine.Quarantine, records *originstore.Records, quotas *workspacequota.Quotas, edgeServer *edgehost.Server, stageController *edgeorder.Controller, logger log.Interface, set *metrics.Set) *Daemon {
+	d := &Daemon{settings: s, lifetime: l, registry: r, pool: pool, peers: peers, handler: handler, dispatcher: dispatcher, quarantine: q, records: records, quotas: quotas, edgeServer: edgeServer, stageController: stageController, logger: logger, set: set}
 	noLog := stdlog.New(io.Discard, "", 0) // broken connections of callers need no log entry
 	d.caller = callerserver.New(&http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: noLog,
@@ -210,6 +212,7 @@
 	d.dispatcher.Describe(now, &state)
 	d.quarantine.Describe(now, &state)
 	d.records.Describe(&state)
+	d.quotas.Describe(now, &state)
 	w.Header().Set("Content-Type", "application/json")
 	if err := json.NewEncoder(w).Encode(state); err != nil {
 		d.logger.WithError(err).Debug("operator disconnected before the state was sent")
--- a/hickoryd/internal/edge/settings.go
+++ b/hickoryd/internal/edge/settings.go
@@ -10,6 +10,7 @@
 	"os"
 	"time"
 
+	"github.com/hickoryfront/hickoryfront/core/quota"
 	"github.com/hickoryfront/hickoryfront/core/setting"
 )
 
@@ -51,6 +52,9 @@
 	RetryRatio float64
 	RetrySlack float64
 
+	// Quota are the bounds of what hosts may admit beyond the quotas of workspaces.
+	Quota quota.Bounds
+
 	// PrefillShare is the part of a service's model servers that is busy with prefills
 	// at the peak. The planned number of prefill servers includes a reserve besides. With
 	// share 0 the stages stay as they are.
@@ -114,6 +118,9 @@
 		setting.Bind("peers", "seeds", "", "addresses of other hosts to query while no other host is known", setting.AddrPorts(&s.Seeds)),
 		setting.Bind("repeats", "ratio", "0.2", "retries to a service for each request, of all hosts together", setting.Number(&s.RetryRatio)),
 		setting.Bind("repeats", "slack", "20", "retries to a service in 10 s in addition to ratio, of all hosts together", setting.Number(&s.RetrySlack)),
+		setting.Bind("quota", "window", "8s", "sliding window over which the units of a workspace are counted against its quota", setting.Duration(&s.Quota.Window)),
+		setting.Bind("quota", "overshoot", "0", "part by which all hosts together may exceed what a quota allows in window", setting.Number(&s.Quota.Overshoot)),
+		setting.Bind("quota", "slack", "0", "units that all hosts together may admit in window in addition to overshoot; if both are 0, a host that reaches no home of a quota refuses the requests", setting.Number(&s.Quota.Slack)),
 		setting.Bind("stages", "prefillShare", "0.13", "part of a service's model servers that is busy with prefills at the peak, without the reserve; 0 leaves the stages unchanged", setting.Fraction(&s.PrefillShare)),
 		setting.Bind("shutdown", "grace", "8s", "longest time from the termination signal to the exit of the process", setting.Duration(&s.Grace)),
 		setting.Bind("log", "level", "info", "debug, info, warn or error", setting.OneOf(&s.LogLevel, "debug", "info", "warn", "error")),
--- a/hickoryd/internal/edge/settings_test.go
+++ b/hickoryd/internal/edge/settings_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/hickoryfront/hickoryfront/core/quota"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/edge"
 )
 
@@ -61,3 +62,23 @@
 		t.Errorf("a drain may be noticed only after %v, later than the drain timeout", longest)
 	}
 }
+
+// TestQuotaBounds guards against bounds of quotas that the daemon does not get, and against a
+// daemon that admits requests beyond quotas although the platform states no bounds.
+func TestQuotaBounds(t *testing.T) {
+	tests := []struct {
+		name, text string
+		want       quota.Bounds
+	}{
+		{name: "none", want: quota.Bounds{Window: 8 * time.Second}},
+		{name: "bounds", text: "[quota]\nwindow = 4s\novershoot = 0.1\nslack = 140000\n", want: quota.Bounds{Window: 4 * time.Second, Overshoot: 0.1, Slack: 140_000}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s, err := edge.ParseSettings([]byte(validSettings + tt.text))
+			if err != nil || s.Quota != tt.want {
+				t.Errorf("bounds %+v, error %v", s.Quota, err)
+			}
+		})
+	}
+}
--- a/hickoryd/internal/edge/wiring.go
+++ b/hickoryd/internal/edge/wiring.go
@@ -25,6 +25,7 @@
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/registry"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/tcp"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/upstream"
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/workspacequota"
 	"github.com/hickoryfront/hickoryfront/platform"
 )
 
@@ -61,7 +62,7 @@
 		fx.Provide(
 			func() log.Interface { return logger },
 			metrics.NewSet,
-			newLifetime, newPool, newStore, newPeers, newRegistry, newQuarantine, newRecords, newDispatcher, newHandler, newEdgeServer, newController, New,
+			newLifetime, newPool, newStore, newPeers, newRegistry, newQuarantine, newRecords, newDispatcher, newHandler, newQuotas, newEdgeServer, newController, New,
 		),
 		fx.Invoke(limitMemory, register),
 	)
@@ -125,8 +126,12 @@
 	return edgecaller.New(r, d, memoryledger.New(int64(bodyShare*float64(s.MemoryMB)*(1<<20))), logger, set)
 }
 
-func newEdgeServer(r *registry.Registry, d *edgedispatch.Dispatcher, q *quarantine.Quarantine) *edgehost.Server {
-	return edgehost.NewServer(r, d, d, q, d, d)
+func newQuotas(l *lifetime, s Settings, r *registry.Registry, peers *edgehost.Client, logger log.Interface, set *metrics.Set) *workspacequota.Quotas {
+	return workspacequota.New(l, time.Now(), workspacequota.Options{Self: s.Peer, Bounds: s.Quota, IsFirstStart: s.IsFirstStart}, r, peers, logger, set)
+}
+
+func newEdgeServer(r *registry.Registry, d *edgedispatch.Dispatcher, q *quarantine.Quarantine, quotas *workspacequota.Quotas) *edgehost.Server {
+	return edgehost.NewServer(r, d, d, q, d, quotas, d)
 }
 
 func newController(s Settings, r *registry.Registry, store *platform.Store, pool *upstream.Pool, logger log.Interface, set *metrics.Set) *edgeorder.Controller {
--- a/hickoryd/internal/edgehost/configuration_test.go
+++ b/hickoryd/internal/edgehost/configuration_test.go
@@ -59,7 +59,7 @@
 	h := &host{version: 5, document: make([]byte, 3*slowLink)} // as it can't be compressed, it takes 3 s
 	_, _ = rand.NewChaCha8([32]byte{}).Read(h.document)        // never fails
 	server := grpc.NewServer()
-	peerapi.RegisterEdgeServer(server, edgehost.NewServer(h, h, nil, h, h, nil))
+	peerapi.RegisterEdgeServer(server, edgehost.NewServer(h, h, nil, h, h, nil, nil))
 	go func() { _ = server.Serve(slowListener{listener}) }() // ends when the test stops the server
 	t.Cleanup(server.Stop)
 	client := newClient(t, netip.MustParseAddrPort(listener.Addr().String()))
--- a/hickoryd/internal/edgehost/edgehost_test.go
+++ b/hickoryd/internal/edgehost/edgehost_test.go
@@ -43,7 +43,9 @@
 	lifted   []crash.PartRefusal
 	limits   []serverlimit.Statement
 	// permit is the response to each request for a permit.
-	permit   serverlimit.Permit
+	permit serverlimit.Permit
+	// quotas is nil if the host knows no quotas.
+	quotas   edgehost.QuotaReceiver
 	ages     map[string]time.Duration
 	reported chan struct{}
 	// version and document are those of its configuration.
@@ -190,7 +192,7 @@
 		t.Fatal(err)
 	}
 	server := grpc.NewServer()
-	peerapi.RegisterEdgeServer(server, edgehost.NewServer(h, h, origins, h, h, nil))
+	peerapi.RegisterEdgeServer(server, edgehost.NewServer(h, h, origins, h, h, h.quotas, nil))
 	go func() { _ = server.Serve(listener) }() // ends when the test stops the server
 	t.Cleanup(server.Stop)
 	return netip.MustParseAddrPort(listener.Addr().String())
--- a/hickoryd/internal/edgehost/relay_test.go
+++ b/hickoryd/internal/edgehost/relay_test.go
@@ -68,7 +68,7 @@
 func serveRelays(t *testing.T, d relayDispatcher) (netip.AddrPort, *edgehost.Server, *grpc.Server) {
 	t.Helper()
 	h := &host{}
-	edgeServer := edgehost.NewServer(h, h, h, h, h, d)
+	edgeServer := edgehost.NewServer(h, h, h, h, h, nil, d)
 	address, server := serveEdge(t, edgeServer)
 	return address, edgeServer, server
 }
--- a/hickoryd/internal/edgehost/server.go
+++ b/hickoryd/internal/edgehost/server.go
@@ -67,15 +67,17 @@
 		origins    OriginReceiver
 		quarantine QuarantineReceiver
 		limits     LimitReceiver
+		quotas     QuotaReceiver
 		relays     *relays
 	}
 )
 
 // NewServer returns a server that responds from source, origins, quarantine and limits, passes
 // reports to receiver, origins, quarantine and limits, and other hosts' requests to dispatcher.
-// If origins is nil, the calls that concern the origins of streams are unimplemented.
-func NewServer(source Source, receiver ReportReceiver, origins OriginReceiver, quarantine QuarantineReceiver, limits LimitReceiver, dispatcher RelayDispatcher) *Server {
-	return &Server{source: source, receiver: receiver, origins: origins, quarantine: quarantine, limits: limits, relays: &relays{dispatcher: dispatcher}}
+// If origins is nil, the calls that concern the origins of streams are unimplemented, and if
+// quotas is nil, those that concern quotas.
+func NewServer(source Source, receiver ReportReceiver, origins OriginReceiver, quarantine QuarantineReceiver, limits LimitReceiver, quotas QuotaReceiver, dispatcher RelayDispatcher) *Server {
+	return &Server{source: source, receiver: receiver, origins: origins, quarantine: quarantine, limits: limits, quotas: quotas, relays: &relays{dispatcher: dispatcher}}
 }
 
 // FetchState implements peerapi.EdgeServer.
