--- a/core/hoststate/hoststate.go
+++ b/core/hoststate/hoststate.go
@@ -39,6 +39,8 @@
 		Workspaces []Workspace `json:"workspaces,omitempty"`
 		// Rooms are the services for which this host grants room at the servers.
 		Rooms []Room `json:"rooms,omitempty"`
+		// Quotas are the workspaces of which this host grants units as a home.
+		Quotas []Quota `json:"quotas,omitempty"`
 	}
 
 	// Room is the ledger of a service at its home.
@@ -138,6 +140,19 @@
 		OtherRefusals uint64 `json:"other"`
 	}
 
+	// Quota is what this host, as one of the homes of a workspace, knows of the workspace's
+	// quota. Rate (units a second) and Burst (units) are those of all homes together.
+	Quota struct {
+		Workspace string  `json:"workspace"`
+		Rate      float64 `json:"rate"`
+		Burst     float64 `json:"burst"`
+		// Level is the number of units that this home has left. It is negative by up to one
+		// request while the quota is used up.
+		Level float64 `json:"level"`
+		// Granted is the number of units granted in the last window, without those returned.
+		Granted float64 `json:"granted"`
+	}
+
 	// RefusedParts refuses the requests of a service whose prompts have all of Parts.
 	RefusedParts struct {
 		Service string    `json:"service"`
--- a/hickoryd/internal/edge/wiring.go
+++ b/hickoryd/internal/edge/wiring.go
@@ -26,6 +26,7 @@
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/room"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/tcp"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/upstream"
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/workspacequota"
 	"github.com/hickoryfront/hickoryfront/platform"
 )
 
@@ -62,7 +63,7 @@
 		fx.Provide(
 			func() log.Interface { return logger },
 			metrics.NewSet,
-			newLifetime, newPool, newStore, newPeers, newRegistry, newQuarantine, newRecords, newRooms, newDispatcher, newHandler, newEdgeServer, newController, New,
+			newLifetime, newPool, newStore, newPeers, newRegistry, newQuarantine, newRecords, newRooms, newDispatcher, newQuotas, newHandler, newEdgeServer, newController, New,
 		),
 		fx.Invoke(limitMemory, register),
 	)
@@ -137,15 +138,20 @@
 	return room.New(l, room.Options{Self: s.Peer, MinHosts: s.RoomMinHosts}, r, peers, logger, set)
 }
 
-func newHandler(s Settings, r *registry.Registry, d *edgedispatch.Dispatcher, logger log.Interface, set *metrics.Set) *edgecaller.Handler {
-	return edgecaller.New(r, r, nil, d, memoryledger.New(int64(bodyShare*float64(s.MemoryMB)*(1<<20))), logger, set)
+func newHandler(s Settings, r *registry.Registry, d *edgedispatch.Dispatcher, quotas *workspacequota.Quotas, logger log.Interface, set *metrics.Set) *edgecaller.Handler {
+	return edgecaller.New(r, r, quotas, d, memoryledger.New(int64(bodyShare*float64(s.MemoryMB)*(1<<20))), logger, set)
 }
 
-func newEdgeServer(r *registry.Registry, d *edgedispatch.Dispatcher, q *quarantine.Quarantine, rooms *room.Rooms) *edgehost.Server {
-	if rooms == nil {
-		return edgehost.NewServer(r, d, d, q, d, d, nil)
+func newQuotas(l *lifetime, s Settings, r *registry.Registry, peers *edgehost.Client, logger log.Interface, set *metrics.Set) *workspacequota.Quotas {
+	return workspacequota.New(l, time.Now(), workspacequota.Options{Self: s.Peer, Bounds: s.Quota, IsFirstStart: s.IsFirstStart}, r, peers, logger, set)
+}
+
+func newEdgeServer(r *registry.Registry, d *edgedispatch.Dispatcher, q *quarantine.Quarantine, quotas *workspacequota.Quotas, rooms *room.Rooms) *edgehost.Server {
+	receivers := edgehost.Receivers{Source: r, Reports: d, Origins: d, Quarantine: q, Limits: d, Quotas: quotas, Relays: d}
+	if rooms != nil {
+		receivers.Rooms = rooms
 	}
-	return edgehost.NewServer(r, d, d, q, d, d, rooms)
+	return edgehost.NewServer(receivers)
 }
 
 func newController(s Settings, r *registry.Registry, store *platform.Store, pool *upstream.Pool, logger log.Interface, set *metrics.Set) *edgeorder.Controller {
--- a/hickoryd/internal/edgehost/relay_test.go
+++ b/hickoryd/internal/edgehost/relay_test.go
@@ -68,7 +68,7 @@
 func serveRelays(t *testing.T, d relayDispatcher) (netip.AddrPort, *edgehost.Server, *grpc.Server) {
 	t.Helper()
 	h := &host{}
-	edgeServer := edgehost.NewServer(h, h, h, h, h, d, nil)
+	edgeServer := edgehost.NewServer(edgehost.Receivers{Source: h, Reports: h, Origins: h, Quarantine: h, Limits: h, Relays: d})
 	address, server := serveEdge(t, edgeServer)
 	return address, edgeServer, server
 }
--- a/hickoryd/internal/edgehost/server.go
+++ b/hickoryd/internal/edgehost/server.go
@@ -59,6 +59,19 @@
 		FindStarts(now time.Time, service string, parts []string) map[string]time.Duration
 	}
 
+	// Receivers are what serves the calls of the other hosts. The calls of those that are nil
+	// are unimplemented; Source, Reports, Limits and Relays are required.
+	Receivers struct {
+		Source     Source
+		Reports    ReportReceiver
+		Origins    OriginReceiver
+		Quarantine QuarantineReceiver
+		Limits     LimitReceiver
+		Quotas     QuotaReceiver
+		Rooms      RoomReceiver
+		Relays     RelayDispatcher
+	}
+
 	// Server serves the calls of the other hosts.
 	Server struct {
 		peerapi.UnimplementedEdgeServer
@@ -67,17 +80,18 @@
 		origins    OriginReceiver
 		quarantine QuarantineReceiver
 		limits     LimitReceiver
+		quotas     QuotaReceiver
 		rooms      RoomReceiver
 		relays     *relays
 	}
 )
 
-// NewServer returns a server that responds from source, origins, quarantine and limits, passes
-// reports to receiver, origins, quarantine and limits, and other hosts' requests to dispatcher.
-// If origins is nil, the calls that concern the origins of streams are unimplemented, and
-// without rooms those that concern room at servers.
-func NewServer(source Source, receiver ReportReceiver, origins OriginReceiver, quarantine QuarantineReceiver, limits LimitReceiver, dispatcher RelayDispatcher, rooms RoomReceiver) *Server {
-	return &Server{source: source, receiver: receiver, origins: origins, quarantine: quarantine, limits: limits, rooms: rooms, relays: &relays{dispatcher: dispatcher}}
+// NewServer returns a server that passes the calls of other hosts to r.
+func NewServer(r Receivers) *Server {
+	return &Server{
+		source: r.Source, receiver: r.Reports, origins: r.Origins, quarantine: r.Quarantine, limits: r.Limits,
+		quotas: r.Quotas, rooms: r.Rooms, relays: &relays{dispatcher: r.Relays},
+	}
 }
 
 // FetchState implements peerapi.EdgeServer.
