Let less urgent requests yield memory while it is scarce

Cause: the most urgent kind of a service earned the least in bursts. A first attempt was refused at 0.75 of its target, so a kind with a longer target searched for longer, and nothing used the priority. Large requests found no memory, as others took each part that became free.

Change: ranked requests have a rank among the priorities that this host has seen for the service. While most recent reservations are rejected, less urgent ones leave the memory of one request of each more urgent priority free, search less often, and let more urgent ones of the same host search first. The most urgent wait longer and return earlier. One server in five, in turn and the same at all hosts, is kept for large requests. Requests without ranks decide as before.

In calm the calls are the same.

--- a/core/capacitywait/capacitywait.go
+++ b/core/capacitywait/capacitywait.go
@@ -6,6 +6,9 @@
 // that. Late requests yield to those that are on time: a late first attempt is refused
 // and told when to retry, and a late retry searches less often and leaves memory free.
 //
+// Where the requests of a service have different priorities, Contention observes the service and
+// Line orders the requests that wait on this host.
+//
 // The command hickoryd edge uses this package, for the decode servers of the users'
 // platform. In hickoryd serve, core/admission decides which requests wait, and
 // core/slot holds the memory of the decode servers.
@@ -53,6 +56,14 @@
 		IsStreaming bool
 		// Jitter, 0 to 1, keeps refused callers from retrying at the same time.
 		Jitter float64
+		// IsRanked is set if the requests of the service have different priorities. Rank is
+		// then 0 for the most urgent of them to 1 for the least urgent.
+		IsRanked bool
+		Rank     float64
+		// IsScarce is set while the service's memory is scarce.
+		IsScarce bool
+		// Lot, 0 to 1, is drawn for each attempt. It decides whether a ranked request yields.
+		Lot float64
 	}
 
 	// Decision states how a request searches for a server and waits, or that it is
@@ -63,6 +74,9 @@
 		// Headroom is the memory that must stay free at the server that takes this
 		// request, in typical requests.
 		Headroom float64
+		// IsYielding is set if the request also leaves what Contention.Yield returns, for more
+		// urgent ones.
+		IsYielding bool
 		// IsRefused is set if the request is refused. RetryAfter is then the delay
 		// after which the caller should retry; 0 sets no delay.
 		IsRefused  bool
@@ -78,12 +92,19 @@
 //   - A late retry searches less often and leaves headroom, except in its last search.
 //     At lateUntil it is refused without a delay after which to retry.
 //   - A late first attempt is refused at once, with a delay after which to retry.
+//
+// Of a ranked service, the more urgent a request, the longer its first attempt waits, and a less
+// urgent one leaves headroom and searches less often while memory is scarce, except in its last
+// search and for a part of the attempts. Its retries wait as long as others and yield by rank only.
 func Decide(now time.Time, r Request) Decision {
-	isRetry := r.FirstArrived.Before(r.Arrived)
+	if r.IsRanked {
+		return decideRanked(now, r)
+	}
+	isRetry := r.isRetry()
 	switch {
 	case r.IsStreaming && now.Before(r.Deadline):
 		return Decision{Pause: onTimePause}
-	case now.Before(r.FirstArrived.Add(time.Duration(onTimeShare * float64(r.LatencyTarget)))):
+	case r.isOnTime(now):
 		return Decision{Pause: onTimePause}
 	case isRetry && now.Before(lateUntil(r)):
 		return Decision{Pause: latePause, Headroom: headroomAt(now, r)}
@@ -94,6 +115,15 @@
 	}
 }
 
+// isOnTime reports whether a request can still meet its target latency.
+func (r Request) isOnTime(now time.Time) bool {
+	return now.Before(r.FirstArrived.Add(time.Duration(onTimeShare * float64(r.LatencyTarget))))
+}
+
+func (r Request) isRetry() bool {
+	return r.FirstArrived.Before(r.Arrived)
+}
+
 // headroomAt returns the memory that a late retry leaves free at now. In its last
 // search it leaves none: a request that needs most of a server's memory would find
 // no server otherwise.
--- a/hickoryd/internal/edgedispatch/dispatch.go
+++ b/hickoryd/internal/edgedispatch/dispatch.go
@@ -194,6 +194,7 @@
 		logger      log.Interface
 		counters    counters
 		origins     *origins
+		ranked      *rankedServices
 		// background ends with the process. Work that outlives its request uses it
 		// instead of the request's context.
 		background context.Context
@@ -239,7 +240,7 @@
 // New returns a dispatcher whose background work ends with the context background.
 func New(background context.Context, options Options, r Registry, pool *upstream.Pool, peers Peers, quarantine Quarantine, originStore OriginStore, logger log.Interface, set *metrics.Set) *Dispatcher {
 	d := &Dispatcher{
-		background: background, options: options, registry: r, pool: pool, peers: peers, quarantine: quarantine, originStore: originStore, logger: logger, origins: newOrigins(), stop: newStop(),
+		background: background, options: options, registry: r, pool: pool, peers: peers, quarantine: quarantine, originStore: originStore, logger: logger, origins: newOrigins(), ranked: newRankedServices(), stop: newStop(),
 		balancer: balance.NewTable(), prefillQueue: prefillqueue.NewEstimator(), outputLength: outputlength.NewEstimator(), budgets: make(map[string]*retrybudget.Budget), crashes: crash.NewTable(crashTableSize), paths: serverpath.NewTable(), pathChecks: make(map[string]chan struct{}), relayRejections: make(map[relayRejection]time.Time), limits: serverlimit.NewTable(), homes: serverlimit.NewHomes(), issuer: serverlimit.NewIssuer(time.Now()), homeFailedAt: make(map[netip.AddrPort]time.Time), restarted: make(map[string]time.Time), endedAt: make(map[string]time.Time), meanTokens: make(map[string]float64), callerRetry: make(map[string]*callerretry.Estimator),
 		counters: counters{
 			retries:            set.NewCounter(`hickoryfront_edge_repeats_total`),
--- a/hickoryd/internal/edgedispatch/reserve.go
+++ b/hickoryd/internal/edgedispatch/reserve.go
@@ -53,6 +53,8 @@
 func (g *generation) reserve(ctx context.Context) (reservation, error) {
 	tokens := g.request.Metadata.PromptTokens + int(memoryMargin*float64(g.expectedOutputTokens(g.request)))
 	meanTokens := g.meanReservation(g.request.Route.Service, tokens)
+	wait := g.ranked.join(time.Now(), g.request, g.waitConditions(), tokens)
+	defer wait.leave()
 	for {
 		if err := g.checkVersion(ctx, g.servers()); err != nil {
 			return reservation{}, err
@@ -64,23 +66,26 @@
 		if err := g.checkDraining(now); err != nil {
 			return reservation{}, err
 		}
-		decision := capacitywait.Decide(now, g.waitConditions())
+		decision := capacitywait.Decide(now, wait.conditions(now, g.waitConditions()))
 		if decision.IsRefused {
 			if !g.request.IsRelayed && !g.awaitPaths(ctx, g.request.Route.Service) {
 				return reservation{}, errPathsLost
 			}
 			return reservation{}, &Failure{Status: http.StatusServiceUnavailable, RetryAfter: decision.RetryAfter, Reason: "no decode server has room"}
 		}
-		headroom := int(decision.Headroom * meanTokens)
+		lateHeadroom := int(decision.Headroom * meanTokens)
 		candidates := g.rankServers(g.decodeCriteria())
 		if len(candidates) == 0 {
 			g.suspectRest(g.request.Route.Service)
 		}
+		candidates = wait.candidates(now, candidates)
 		for _, server := range candidates[:min(len(candidates), maxServersPerSearch)] {
 			if g.hasNoPath(server) || !g.acquirePermit(ctx, server) {
 				continue
 			}
+			headroom := wait.headroom(now, server, decision, lateHeadroom)
 			id, err := g.reserveProven(ctx, server, tokens, headroom)
+			wait.record(time.Now(), headroom, err)
 			if err == nil {
 				return reservation{server: server, id: id, tokens: tokens}, nil
 			}
@@ -175,10 +180,10 @@
 	case reply.Status != http.StatusOK:
 		if reply.Status == http.StatusMisdirectedRequest {
 			g.handleMisdirected(server)
-		} else {
-			g.markFull(server.ID)
+			return "", fmt.Errorf("%w: reservation returned status %d", errNotRun, reply.Status)
 		}
-		return "", fmt.Errorf("%w: reservation returned status %d", errNotRun, reply.Status)
+		g.markFull(server.ID)
+		return "", fmt.Errorf("%w: reservation returned status %d", errFull, reply.Status)
 	}
 	id, err := platform.DecodeReservation(reply.Body)
 	if err != nil {
--- a/hickoryd/internal/edgedispatch/urgency_test.go
+++ b/hickoryd/internal/edgedispatch/urgency_test.go
@@ -1,6 +1,7 @@
 package edgedispatch_test
 
 import (
+	"errors"
 	"io"
 	"net/http"
 	"strings"
@@ -14,8 +15,9 @@
 	"github.com/hickoryfront/hickoryfront/platform"
 )
 
-// sendRanked sends a generation of a priority and returns the status that the caller gets.
-func sendRanked(t *testing.T, d *edgedispatch.Dispatcher, priority int, isRanked bool) int {
+// sendRanked sends a generation of a priority and returns the status that the caller gets, and the
+// delay after which it is told to retry.
+func sendRanked(t *testing.T, d *edgedispatch.Dispatcher, priority int, isRanked bool) (int, time.Duration) {
 	t.Helper()
 	now := time.Now()
 	got := &sink{}
@@ -25,10 +27,10 @@
 		Method:   http.MethodPost, Target: "/x", Host: "h", Header: http.Header{"Request-Id": {"r1"}, "Request-Urgency": {"0"}}, Arrived: now, Deadline: now.Add(callerTimeout),
 		Priority: priority, IsRanked: isRanked,
 	}, got)
-	if err != nil {
-		t.Logf("not served: %v", err)
+	if failure := (*edgedispatch.Failure)(nil); errors.As(err, &failure) {
+		return failure.Status, failure.RetryAfter
 	}
-	return got.status
+	return got.status, 0
 }
 
 // TestUrgencyAtModelServers guards against prefills and runs that model servers admit without
@@ -49,7 +51,7 @@
 					_, _ = io.WriteString(w, `{"handle":"h","tokens":100,"version":1}`)
 				}
 			})
-			if status := sendRanked(t, newDispatcher(t, servers{decode, prefill}, 100), 3, name == "ranked"); status != http.StatusOK {
+			if status, _ := sendRanked(t, newDispatcher(t, servers{decode, prefill}, 100), 3, name == "ranked"); status != http.StatusOK {
 				t.Fatalf("status %d, want 200", status)
 			}
 			for _, call := range []string{"prefill", "decode"} {
@@ -60,3 +62,37 @@
 		})
 	}
 }
+
+// TestLessUrgentRequestsReturnLater guards against refused callers of a less urgent kind that return
+// when those of the most urgent kind do.
+func TestLessUrgentRequestsReturnLater(t *testing.T) {
+	var hasCapacity atomic.Bool
+	d := newDispatcher(t, servers{startDecodeServer(t, "decode", &hasCapacity, events("1"))}, 100)
+	_, urgent := sendRanked(t, d, 1, true)
+	_, less := sendRanked(t, d, 4, true)
+	if _, unranked := sendRanked(t, d, 4, false); urgent <= 0 || urgent >= unranked || less <= urgent {
+		t.Errorf("told to retry after %v, less urgent %v, without a rank %v", urgent, less, unranked)
+	}
+}
+
+// TestCalmReservations guards against calls that less urgent requests cost while memory is free.
+func TestCalmReservations(t *testing.T) {
+	var reservations atomic.Int64
+	var hasCapacity atomic.Bool
+	hasCapacity.Store(true)
+	serve := decodeHandler(&hasCapacity, events("1"))
+	d := newDispatcher(t, servers{startServer(t, "decode", serverlist.Decode, func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasSuffix(r.URL.Path, "/hold-take") {
+			reservations.Add(1)
+		}
+		serve(w, r)
+	})}, 100)
+	for i := range 10 {
+		if status, _ := sendRanked(t, d, i%2, true); status != http.StatusOK {
+			t.Errorf("status %d, want 200", status)
+		}
+	}
+	if reservations.Load() != 10 {
+		t.Errorf("%d reservations for 10 requests", reservations.Load())
+	}
+}
