--- a/hickorylab/edgesoak/environment_test.go
+++ b/hickorylab/edgesoak/environment_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -67,8 +68,9 @@
 		settings []string
 		client   *http.Client
 		counter  atomic.Uint64
-		// newest is the newest configuration that was written.
-		newest atomic.Pointer[map[string]any]
+		// newest is the newest configuration that was written. writing is held while one is.
+		writing sync.Mutex
+		newest  atomic.Pointer[map[string]any]
 		// kills counts the starts and the ends of the kills of each host. It is odd while
 		// a kill is in progress.
 		kills []atomic.Uint64
@@ -245,6 +247,8 @@
 // changeConfiguration writes a new configuration, which may lead the plain routes to
 // another service.
 func (e *environment) changeConfiguration(random *rand.Rand) {
+	e.writing.Lock()
+	defer e.writing.Unlock()
 	service := []string{"shop", "annex"}[random.IntN(2)]
 	document := e.configuration(int(e.counter.Add(1))+1000, service)
 	e.newest.Store(&document)
@@ -257,6 +261,8 @@
 	e.store.Restore(older)
 	time.Sleep(storeGap)
 	e.workers.RegisterAgain()
+	e.writing.Lock()
+	defer e.writing.Unlock()
 	if document := e.newest.Load(); document != nil {
 		e.store.Put("op/config", *document)
 	}
--- a/hickorylab/edgesoak/soak_test.go
+++ b/hickorylab/edgesoak/soak_test.go
@@ -251,8 +251,8 @@
 	c.check(t)
 	e.checkRecovery()
 	if e.hasWorkspaces {
+		e.checkRevocation(random) // after which every host has counted requests of the workspace
 		p.check(t)
-		e.checkRevocation(random)
 	}
 }
 
--- a/hickorylab/edgesoak/workspaces_test.go
+++ b/hickorylab/edgesoak/workspaces_test.go
@@ -3,12 +3,14 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/hickoryfront/hickoryfront/core/hoststate"
 	"github.com/hickoryfront/hickoryfront/hickorylab/worker"
 )
 
@@ -17,6 +19,8 @@
 	workspaceCount = 3
 	// probePeriod is the time between two requests with keys that change.
 	probePeriod = 50 * time.Millisecond
+	// probesPerKey is the number of these requests after which the key is revoked.
+	probesPerKey = 20
 )
 
 type (
@@ -83,6 +87,9 @@
 			return
 		case <-time.After(probePeriod):
 		}
+		if len(p.probes)%probesPerKey == probesPerKey-1 {
+			e.changeConfiguration(random)
+		}
 		if newest := e.newestVersion(); newest != versions[len(versions)-1] {
 			versions = append(versions, newest)
 		}
@@ -148,14 +155,35 @@
 		}
 	}
 	t.Logf("%d requests with the key of another document were refused, %d with that of the one in force were not", refused, served)
-	if served == 0 {
-		t.Error("no request was sent with the key of the document in force")
+	if served == 0 || refused == 0 {
+		t.Error("want requests with the key of the document in force, and with revoked ones")
+	}
+	for i := range hostCount {
+		for _, path := range []string{hoststate.Path, "/metrics"} {
+			if page := e.get("http://" + e.hostPort(i, 18083) + path); strings.Contains(page, "secret-") || !strings.Contains(page, "changing") {
+				t.Errorf("page %s of host %d has a key, or lacks a workspace:\n%s", path, i, page)
+			}
+		}
 	}
 	for _, fault := range e.workers.IdentityFaults() {
 		t.Errorf("server got a wrong identity: %s", fault)
 	}
 }
 
+// get returns a page of a host.
+func (e *environment) get(url string) string {
+	response, err := e.client.Get(url)
+	if err != nil {
+		e.tb.Fatal(err)
+	}
+	defer response.Body.Close()
+	page, err := io.ReadAll(response.Body)
+	if err != nil {
+		e.tb.Fatal(err)
+	}
+	return string(page)
+}
+
 // checkRevocation requires that a revoked key is refused by all hosts once the document without
 // it is in force, and that the new one is served.
 func (e *environment) checkRevocation(random *rand.Rand) {
