Check a key again when the body has arrived

Cause: a body may arrive for ten seconds after its headers. A key that was revoked in that time stayed valid for the request, and a first document with workspaces would have let the key pass on to a server.

Change: if the configuration has changed meanwhile, the workspace is found again before the quota is asked. Without a change this compares one pointer.

--- a/hickoryd/internal/edgecaller/caller.go
+++ b/hickoryd/internal/edgecaller/caller.go
@@ -193,6 +193,9 @@
 	if err := h.checkDraining(request, time.Now()); err != nil { // the drain may have begun meanwhile
 		return request, err
 	}
+	if err := h.recheck(request, table, a); err != nil {
+		return request, err
+	}
 	if err := h.admit(r.Context(), request, a); err != nil {
 		return request, err
 	}
--- a/hickoryd/internal/edgecaller/identity.go
+++ b/hickoryd/internal/edgecaller/identity.go
@@ -40,8 +40,9 @@
 	admission struct {
 		// isEnforced is set if the configuration has workspaces.
 		isEnforced bool
-		// workspace is nil if the request belongs to none.
+		// workspace is nil if the request belongs to none. Otherwise key is the request's.
 		workspace *identity.Workspace
+		key       identity.KeyHash
 		giveBack  func()
 		// refusal is why the request was refused, or empty.
 		refusal refusal
@@ -71,7 +72,7 @@
 	if err != nil {
 		failure = &edgedispatch.Failure{Status: http.StatusUnauthorized, Reason: err.Error()}
 	} else if workspace, ok := directory.Find(hash); ok {
-		a.workspace, request.Workspace = workspace, workspace.Name
+		a.workspace, a.key, request.Workspace = workspace, hash, workspace.Name
 		return nil
 	} else {
 		failure = errUnknownKey
@@ -88,6 +89,35 @@
 	return failure
 }
 
+// recheck finds the workspace again if the configuration has changed since table, while the
+// body arrived: that may take seconds, in which the key may have been revoked.
+func (h *Handler) recheck(request *edgedispatch.Request, table *route.Table, a *admission) error {
+	newest := h.routes.Table()
+	if newest == table || !newest.Directory().IsEnforced() {
+		return nil
+	}
+	if !a.isEnforced { // the request still has its headers
+		request.ConfigVersion = newest.Version()
+		return h.identify(request, newest, a)
+	}
+	if a.workspace == nil {
+		return nil
+	}
+	workspace, ok := newest.Directory().Find(a.key)
+	request.ConfigVersion = newest.Version()
+	switch {
+	case ok:
+		a.workspace, request.Workspace = workspace, workspace.Name
+	case request.Route.IsPublic:
+		a.workspace, request.Workspace = nil, ""
+	default:
+		a.refusal = refusedKey
+		return errUnknownKey
+	}
+	platform.SetTenant(request.Header, request.Workspace)
+	return nil
+}
+
 // rank chooses the service of a split route and sets the priority of a request.
 func (h *Handler) rank(request *edgedispatch.Request, table *route.Table, a *admission) {
 	if len(request.Route.Split) > 0 {
--- a/hickoryd/internal/edgecaller/identity_test.go
+++ b/hickoryd/internal/edgecaller/identity_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -17,7 +18,7 @@
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
 	"github.com/apex/log/handlers/json"
-	"github.com/google/go-cmp/cmp"
+	gocmp "github.com/google/go-cmp/cmp"
 
 	"github.com/hickoryfront/hickoryfront/core/hoststate"
 	"github.com/hickoryfront/hickoryfront/core/identity"
@@ -31,6 +32,9 @@
 	// changingRoutes are routes that a test changes.
 	changingRoutes struct{ atomic.Pointer[route.Table] }
 
+	// readerFunc is the Read function of a body.
+	readerFunc func(p []byte) (int, error)
+
 	// quotas refuse workspaces and record the units that were taken and given back.
 	quotas struct {
 		refusal      *edgedispatch.Failure
@@ -39,6 +43,8 @@
 	}
 )
 
+func (f readerFunc) Read(p []byte) (int, error) { return f(p) }
+
 func (r *changingRoutes) Table() *route.Table { return r.Load() }
 
 func (q *quotas) Admit(_ context.Context, _ *identity.Workspace, version uint64, units float64) (func(), *edgedispatch.Failure) {
@@ -147,7 +153,7 @@
 				want.Set("Tenant", tt.tenant)
 			}
 			want.Set("Request-Id", "r1")
-			if diff := cmp.Diff(want, passed.Header); diff != "" {
+			if diff := gocmp.Diff(want, passed.Header); diff != "" {
 				t.Errorf("headers passed on (-want +got):\n%s", diff)
 			}
 			isRanked := !tt.isOpen && tt.path == "/a/"
@@ -202,6 +208,49 @@
 	}
 }
 
+// TestKeyChangesWhileTheBodyArrives guards against a key that stays valid, or with its former
+// workspace, for a request whose body arrives slowly.
+func TestKeyChangesWhileTheBodyArrives(t *testing.T) {
+	moved := identity.Workspace{Name: "v", Keys: workspace("w").Keys}
+	tests := []struct {
+		name, path string
+		first      *route.Table // nil: one with the key
+		next       *route.Table
+		want       int
+		tenant     string
+	}{
+		{name: "revoked", path: "/a/", next: newTable(workspace("v")), want: http.StatusUnauthorized},
+		{name: "revoked on a public route", path: "/public/", next: newTable(workspace("v")), want: http.StatusOK},
+		{name: "another workspace", path: "/a/", next: newTable(moved), want: http.StatusOK, tenant: "v"},
+		{name: "still valid", path: "/a/", next: newTable(workspace("v"), workspace("w")), want: http.StatusOK, tenant: "w"},
+		{name: "first workspaces, valid key", path: "/a/", first: newTable(), next: newTable(workspace("w")), want: http.StatusOK, tenant: "w"},
+		{name: "first workspaces, unknown key", path: "/a/", first: newTable(), next: newTable(workspace("v")), want: http.StatusUnauthorized},
+		{name: "no workspaces any more", path: "/a/", next: newTable(), want: http.StatusOK, tenant: "w"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var current changingRoutes
+			current.Store(cmp.Or(tt.first, newTable(workspace("w"))))
+			tenant := ""
+			dispatch := dispatcher(func(request *edgedispatch.Request, sink edgedispatch.Sink) error {
+				tenant = request.Header.Get("Tenant")
+				return echo(request, sink)
+			})
+			handler := edgecaller.New(&current, servers{}, nil, dispatch, newLedger(), &log.Logger{Handler: discard.New()}, metrics.NewSet())
+			request := httptest.NewRequest(http.MethodPost, "http://h.example"+tt.path, readerFunc(func([]byte) (int, error) {
+				current.Store(tt.next)
+				return 0, io.EOF
+			}))
+			request.Header = http.Header{"Authorization": {"Token key-w"}, "Request-Id": {"r"}}
+			recorder := httptest.NewRecorder()
+			handler.ServeHTTP(recorder, request)
+			if recorder.Code != tt.want || tenant != tt.tenant {
+				t.Errorf("status %d, Tenant %q, want %d, %q", recorder.Code, tenant, tt.want, tt.tenant)
+			}
+		})
+	}
+}
+
 // TestSplitRoute guards against a resumed stream that goes on at another service, and against
 // sessions at a service without servers.
 func TestSplitRoute(t *testing.T) {
@@ -320,7 +369,7 @@
 	}
 	handler.Describe(&state)
 	want := []hoststate.Workspace{{Received: 2, Served: 1, UnknownKey: 1}, {Name: workspaces[0].Name, Received: 2, Served: 1, OtherRefusals: 1}, {Name: workspaces[1].Name, Received: 1, Served: 1}}
-	if diff := cmp.Diff(want, state.Workspaces[:3]); diff != "" || len(state.Workspaces) != 101 {
+	if diff := gocmp.Diff(want, state.Workspaces[:3]); diff != "" || len(state.Workspaces) != 101 {
 		t.Errorf("%d accounts (-want +got):\n%s", len(state.Workspaces), diff)
 	}
 	var text bytes.Buffer
