Give returning callers a quarter of the room under overload

Change: returning callers wait apart, until their deadline, and get a quarter of the grants while others wait.

TestReturningCallersUnderOverload fails before (20 of 21 grants to returning callers) and passes.

--- a/core/room/queue.go
+++ b/core/room/queue.go
@@ -7,8 +7,17 @@
 	"time"
 )
 
-// maxTags bounds the number of workspaces whose share is remembered.
-const maxTags = 2048
+const (
+	// maxTags bounds the number of workspaces whose share is remembered.
+	maxTags = 2048
+	// returnShare is the part of the grants that returning callers get under overload. They
+	// are late already, so that a request that can still be on time is worth more, but they
+	// must be served before they give up. If they always came first, no request would be on
+	// time for as long as an overload lasts.
+	returnShare = 0.25
+	// creditStep is what a grant to another request adds to the credit of returning callers.
+	creditStep = returnShare / (1 - returnShare)
+)
 
 type (
 	// entry is a request that waits.
@@ -21,9 +30,10 @@
 		isAdmitted bool
 	}
 
-	// queue holds the requests that wait, by urgency, returning callers first. In each of
-	// these classes the workspace that has had the least is the next one, with its request
-	// of the earliest deadline.
+	// queue holds the requests that wait, by urgency, those of returning callers apart from
+	// the others. In each of these classes the workspace that has had the least is the next
+	// one, with its request of the earliest deadline. Of the grants of an urgency, returning
+	// callers get returnShare while others wait as well.
 	queue struct {
 		classes [2 * (maxUrgency + 1)]map[string]*lane
 		byID    map[string]*entry
@@ -31,6 +41,8 @@
 		// queueing: a workspace that was idle begins at virtual, the tag of the newest grant.
 		tags    map[string]float64
 		virtual float64
+		// credit is the number of grants due to the returning callers of each urgency.
+		credit [maxUrgency + 1]float64
 	}
 
 	// lane holds the requests of a workspace in one class.
@@ -81,9 +93,9 @@
 
 // pop removes the request that is next, or returns nil.
 func (q *queue) pop() *entry {
-	for _, class := range q.classes {
+	for urgency := range maxUrgency + 1 {
 		var best *lane
-		for _, l := range class {
+		for _, l := range q.nextClass(urgency) {
 			if best == nil || q.compare(q.tag(l.workspace), l.entries[0], q.tag(best.workspace), best.entries[0]) < 0 {
 				best = l
 			}
@@ -97,6 +109,15 @@
 	return nil
 }
 
+// nextClass returns the class of an urgency that the next grant is due to.
+func (q *queue) nextClass(urgency int) map[string]*lane {
+	returning, others := q.classes[2*urgency], q.classes[2*urgency+1]
+	if len(returning) > 0 && (len(others) == 0 || q.credit[urgency] >= 1) {
+		return returning
+	}
+	return others
+}
+
 func (q *queue) remove(id string) {
 	e, ok := q.byID[id]
 	if !ok {
@@ -120,6 +141,11 @@
 	tag := q.tag(e.Workspace)
 	q.virtual = tag
 	q.tags[e.Workspace] = tag + 1
+	if credit := &q.credit[e.Urgency]; e.IsReturn {
+		*credit = max(*credit-1, 0)
+	} else {
+		*credit = min(*credit+creditStep, 1)
+	}
 }
 
 // reset forgets the shares while nothing waits, and those of idle workspaces if there are
@@ -128,6 +154,7 @@
 	if len(q.byID) == 0 {
 		clear(q.tags)
 		q.virtual = 0
+		q.credit = [maxUrgency + 1]float64{}
 		return
 	}
 	if len(q.tags) > maxTags {
@@ -145,10 +172,8 @@
 		tag   float64
 		entry *entry
 	}
-	ordered := make([]*entry, 0, len(q.byID))
-	var places []place
-	for _, class := range q.classes {
-		places = places[:0]
+	sorted := func(class map[string]*lane) []place {
+		var places []place
 		for _, l := range class {
 			entries := slices.Clone(l.entries)
 			slices.SortFunc(entries, (*entry).compare)
@@ -157,8 +182,21 @@
 			}
 		}
 		slices.SortFunc(places, func(a, b place) int { return q.compare(a.tag, a.entry, b.tag, b.entry) })
-		for _, p := range places {
-			ordered = append(ordered, p.entry)
+		return places
+	}
+	ordered := make([]*entry, 0, len(q.byID))
+	for urgency := range maxUrgency + 1 {
+		returning, others := sorted(q.classes[2*urgency]), sorted(q.classes[2*urgency+1])
+		credit := q.credit[urgency]
+		for len(returning)+len(others) > 0 {
+			next := &others
+			if len(returning) > 0 && (len(others) == 0 || credit >= 1) {
+				next, credit = &returning, credit-1
+			} else {
+				credit += creditStep
+			}
+			ordered = append(ordered, (*next)[0].entry)
+			*next = (*next)[1:]
 		}
 	}
 	return ordered
--- a/core/room/room_test.go
+++ b/core/room/room_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -388,3 +389,30 @@
 		})
 	}
 }
+
+// TestReturningCallersUnderOverload guards against an overload in which returning callers, who
+// are late already, take all the room, so that no other request is on time, and against one in
+// which they get none until they give up.
+func TestReturningCallersUnderOverload(t *testing.T) {
+	l := room.NewLedger(at(0))
+	l.SetServers(at(0), []room.Server{{ID: "s", Slots: 2}})
+	for i := range 20 {
+		l.Ask(at(0), room.Request{ID: fmt.Sprint("new", i), Arrived: at(0), Target: at(60), Deadline: at(90)})
+		l.Ask(at(0), room.Request{ID: fmt.Sprint("returning", i), IsReturn: true, Arrived: at(0), Target: at(50), Deadline: at(50)})
+	}
+	returning, granted := 0, 0
+	for i := 0; granted < 20; i++ {
+		now := at(float64(i) / 10)
+		grants, _, _ := l.Decide(now)
+		for _, g := range grants {
+			granted++
+			if strings.HasPrefix(g.RequestID, "returning") {
+				returning++
+			}
+			l.Release(now, g.RequestID, room.Served, 0)
+		}
+	}
+	if returning < 4 || returning > 6 {
+		t.Errorf("%d of %d grants for returning callers, want a quarter", returning, granted)
+	}
+}
--- a/hickoryd/internal/edgedispatch/room.go
+++ b/hickoryd/internal/edgedispatch/room.go
@@ -74,7 +74,7 @@
 		Pool: coreroom.Pool{Service: r.Route.Service}, Workspace: r.Workspace, FailureDomain: c.options.FailureDomain, Urgency: urgencyOf(r), IsReturn: c.firstAttemptAt(r).Before(r.Arrived),
 		Arrived: r.Arrived, Target: r.Deadline, Deadline: r.Deadline, InFlight: make(map[string]int),
 	}
-	if target := r.Arrived.Add(r.Route.LatencyTarget); r.Route.LatencyTarget > 0 && target.Before(r.Deadline) {
+	if target := r.Arrived.Add(r.Route.LatencyTarget); r.Route.LatencyTarget > 0 && target.Before(r.Deadline) && !ask.IsReturn {
 		ask.Target = target
 	}
 	now := time.Now()
