Serve workspaces with quotas while all homes have just started

The homes of a workspace that sends three times its quota refuse 5,993 requests, most of them the small ones that cost 200 tokens beside 4,000 of a generation, and callers that return are refused again.

Change: while homes answer that they don't grant yet, each host admits its equal part of the rate and of what the operators tolerate. A home grants a request that is small against its bucket only if the bucket holds its units, so that small requests are granted beside large ones. Refused callers return one after the other, by the time in which the host's part of the quota has the units for each.

--- a/core/quota/ledger.go
+++ b/core/quota/ledger.go
@@ -8,6 +8,9 @@
 )
 
 const (
+	// smallRequests is the number of times that a small request fits into a bucket.
+	smallRequests = 4
+
 	// HomeCount is the number of hosts that grant the units of a workspace, unless there are
 	// fewer. Each grants an equal part of the quota.
 	HomeCount = 3
@@ -46,6 +49,8 @@
 		Limit   Limit
 		// Units are what a request needs, and Ahead what may be granted for later requests.
 		Units, Ahead float64
+		// Hosts is the number of hosts that the requester knows. It isn't sent.
+		Hosts int
 	}
 
 	// Answer is a home's response.
@@ -127,10 +132,10 @@
 	if b.limit.Rate <= 0 {
 		return Answer{Granted: ask.Units}
 	}
-	if b.level <= 0 {
-		wait := time.Duration(-b.level / b.rate() * float64(time.Second))
-		if !(-b.level/b.rate() < maxWait.Seconds()) {
-			wait = maxWait
+	if missing := b.needed(ask.Units) - b.level; missing >= 0 {
+		wait := maxWait
+		if seconds := missing / b.rate(); seconds < maxWait.Seconds() {
+			wait = time.Duration(seconds * float64(time.Second))
 		}
 		return Answer{Wait: max(wait, minWait)}
 	}
@@ -216,6 +221,17 @@
 	b.returned = min(returned, b.returned+returned*seconds)
 }
 
+// needed returns the level above which a request of the given units is granted. A request that is
+// small against the bucket needs its units, so that large requests leave some for smaller ones under
+// overload. Another one may make the level negative, as otherwise units are lost while the bucket is
+// full and no request comes.
+func (b *bucket) needed(units float64) float64 {
+	if units*smallRequests <= b.capacity() {
+		return units
+	}
+	return 0
+}
+
 func (b *bucket) rate() float64 {
 	return b.limit.Rate / float64(b.homes)
 }
--- a/core/quota/requester.go
+++ b/core/quota/requester.go
@@ -15,6 +15,9 @@
 	leasePeriod = time.Second
 	// returnPeriod is the age up to which units are returned to a home.
 	returnPeriod = 2 * time.Second
+	// maxBooking bounds the time after which a refused caller returns. Workspaces exceed their
+	// quotas for some seconds, and callers wait no longer than a third of the time they have left.
+	maxBooking = 5 * time.Second
 )
 
 // Results of Requester.Begin.
@@ -51,6 +54,8 @@
 		GrantedAt time.Time
 		// Wait is the time until the homes may have units again, if Step is Refuse.
 		Wait time.Duration
+		// RetryAfter is the time after which the caller should return, if Step is Refuse.
+		RetryAfter time.Duration
 	}
 
 	// Requester decides for a host from where it gets the units of its requests. It is not
@@ -62,17 +67,23 @@
 		random     *rand.Rand
 		workspaces map[string]*demand
 		silentAt   map[netip.AddrPort]time.Time
+		startingAt map[netip.AddrPort]time.Time
 		cleanedAt  time.Time
 	}
 
 	// demand is what a host knows of a workspace that it has requests of.
 	demand struct {
-		usedAt      time.Time
-		lease       Lease
+		usedAt time.Time
+		lease  Lease
+		// deniedUntil is until when the homes have no units for a request of deniedUnits.
 		deniedUntil time.Time
+		deniedUnits float64
 		// deniedVersion is that of the document when the homes had no units.
 		deniedVersion uint64
-		allowance     *Allowance
+		// bookedUntil is the time up to which refused callers have been told to return.
+		bookedUntil time.Time
+		allowance   *Allowance
+		startShare  *startShare
 	}
 )
 
@@ -80,7 +91,7 @@
 func NewRequester(self netip.AddrPort, bounds Bounds, started time.Time, random *rand.Rand) *Requester {
 	return &Requester{
 		self: self, bounds: bounds, started: started, random: random,
-		workspaces: make(map[string]*demand), silentAt: make(map[netip.AddrPort]time.Time),
+		workspaces: make(map[string]*demand), silentAt: make(map[netip.AddrPort]time.Time), startingAt: make(map[netip.AddrPort]time.Time),
 	}
 }
 
@@ -111,8 +122,9 @@
 	if d.lease.take(now, ask.Units) {
 		return Decision{Step: Admit, Home: d.lease.home, GrantedAt: d.lease.askedAt}
 	}
-	if d.deniedVersion == ask.Version && now.Before(d.deniedUntil) {
-		return Decision{Step: Refuse, Wait: d.deniedUntil.Sub(now)}
+	if d.deniedVersion == ask.Version && now.Before(d.deniedUntil) && ask.Units >= d.deniedUnits {
+		wait := d.deniedUntil.Sub(now)
+		return Decision{Step: Refuse, Wait: wait, RetryAfter: d.book(now, ask, wait)}
 	}
 	asked := slices.DeleteFunc(slices.Clone(homes), func(home netip.AddrPort) bool { return now.Sub(r.silentAt[home]) < homeRetryPeriod })
 	r.random.Shuffle(len(asked), func(i, j int) { asked[i], asked[j] = asked[j], asked[i] })
@@ -133,16 +145,65 @@
 	}
 }
 
-// Deny records at now that no home that answers has units before wait is over.
-func (r *Requester) Deny(now time.Time, ask Ask, wait time.Duration) {
-	if d, ok := r.workspaces[ask.Workspace]; ok {
-		d.deniedUntil, d.deniedVersion = now.Add(wait), ask.Version
+// Deny records at now that no home that answers has units before wait is over. It returns the
+// time after which the caller should return.
+func (r *Requester) Deny(now time.Time, ask Ask, wait time.Duration) time.Duration {
+	d, ok := r.workspaces[ask.Workspace]
+	if !ok {
+		return wait
+	}
+	d.deniedUntil, d.deniedUnits, d.deniedVersion = now.Add(wait), ask.Units, ask.Version
+	return d.book(now, ask, wait)
+}
+
+// book returns the time after which a refused caller should return. Each further one returns later,
+// by the time in which this host's part of the quota has the units for it, so that callers don't
+// return together to be refused again.
+func (d *demand) book(now time.Time, ask Ask, wait time.Duration) time.Duration {
+	if first := now.Add(wait); d.bookedUntil.Before(first) {
+		d.bookedUntil = first
+	}
+	after := d.bookedUntil.Sub(now)
+	step := maxBooking
+	if seconds := ask.Units * float64(max(ask.Hosts, 1)) / ask.Limit.Rate; seconds < maxBooking.Seconds() {
+		step = time.Duration(seconds * float64(time.Second))
+	}
+	if after+step <= maxBooking {
+		d.bookedUntil = d.bookedUntil.Add(step)
 	}
+	return after
 }
 
-// MarkSilent records that a home did not answer at now, or does not grant.
-func (r *Requester) MarkSilent(now time.Time, home netip.AddrPort) {
+// MarkSilent records that a home did not answer at now, or that it does not grant yet if isStarting
+// is set.
+func (r *Requester) MarkSilent(now time.Time, home netip.AddrPort, isStarting bool) {
 	r.silentAt[home] = now
+	if isStarting {
+		r.startingAt[home] = now
+	}
+}
+
+// IsStarting reports whether one of the homes has answered lately that it does not grant yet.
+func (r *Requester) IsStarting(now time.Time, homes []netip.AddrPort) bool {
+	return slices.ContainsFunc(homes, func(home netip.AddrPort) bool {
+		at, ok := r.startingAt[home]
+		return ok && now.Sub(at) < 2*homeRetryPeriod
+	})
+}
+
+// TakeStartShare reports whether the host may admit a request while the homes of the workspace do
+// not grant yet, as after a start of all hosts: each host has an equal part of the rate and of what the
+// operators tolerate, and none of the burst. hosts is the number of hosts.
+func (r *Requester) TakeStartShare(now time.Time, ask Ask, hosts int) bool {
+	d, ok := r.workspaces[ask.Workspace]
+	if !ok || hosts == 0 {
+		return false
+	}
+	tolerated := r.bounds.excess(ask.Limit) / float64(hosts)
+	if d.startShare == nil {
+		d.startShare = &startShare{level: tolerated - ask.Units*r.random.Float64(), filledAt: now}
+	}
+	return d.startShare.take(now, ask.Units, ask.Limit.Rate/float64(hosts), tolerated)
 }
 
 // TakeAllowance reports whether the host may admit a request although no home answers. hosts
@@ -188,6 +249,11 @@
 			delete(r.silentAt, home)
 		}
 	}
+	for home, startingAt := range r.startingAt {
+		if now.Sub(startingAt) >= 2*homeRetryPeriod {
+			delete(r.startingAt, home)
+		}
+	}
 }
 
 // Lease holds units that a home has granted ahead, and measures how many the host uses.
@@ -265,3 +331,21 @@
 	a.admitted.add(now, units)
 	return true
 }
+
+// startShare is a host's part of the rate of a workspace while the homes do not grant yet. The level
+// starts lower by a random part of a request and may become negative by one request: a part that is
+// less than a request is then a request for some of the hosts.
+type startShare struct {
+	level    float64
+	filledAt time.Time
+}
+
+func (s *startShare) take(now time.Time, units, rate, tolerated float64) bool {
+	s.level = min(s.level+rate*now.Sub(s.filledAt).Seconds(), max(tolerated, rate*minBurst))
+	s.filledAt = now
+	if s.level <= 0 {
+		return false
+	}
+	s.level -= units
+	return true
+}
--- a/hickoryd/internal/workspacequota/quotas.go
+++ b/hickoryd/internal/workspacequota/quotas.go
@@ -133,6 +133,7 @@
 	hosts, now := q.hosts.Hosts(), time.Now()
 	q.mu.Lock()
 	q.groups.Observe(now, hosts)
+	ask.Hosts = q.groups.HostCount()
 	group := q.groups.Group(ask.Workspace)
 	decision := q.requester.Begin(now, ask, q.groups.Homes(group))
 	q.mu.Unlock()
@@ -141,7 +142,7 @@
 		return q.giveBack(grant{decision.Home, ask.Workspace, units, decision.GrantedAt}), nil
 	case quota.Refuse:
 		q.denials.Inc()
-		return nil, refuse(decision.Wait)
+		return nil, refuse(decision.RetryAfter)
 	case quota.AskHomes:
 	}
 	ask.Ahead = decision.Ahead
@@ -162,7 +163,7 @@
 		case err != nil:
 			q.logger.WithError(err).WithFields(log.Fields{"workspace": ask.Workspace, "host": home.String()}).Debug("home granted no quota")
 			q.mu.Lock()
-			q.requester.MarkSilent(time.Now(), home)
+			q.requester.MarkSilent(time.Now(), home, errors.Is(err, quota.ErrNoHome))
 			q.mu.Unlock()
 		case answer.Granted >= ask.Units:
 			q.mu.Lock()
@@ -179,10 +180,10 @@
 	}
 	q.noteAnswer(group)
 	q.mu.Lock()
-	q.requester.Deny(time.Now(), ask, wait)
+	retryAfter := q.requester.Deny(time.Now(), ask, wait)
 	q.mu.Unlock()
 	q.denials.Inc()
-	return nil, refuse(wait)
+	return nil, refuse(retryAfter)
 }
 
 func (q *Quotas) ask(ctx context.Context, home netip.AddrPort, ask quota.Ask) (quota.Answer, error) {
@@ -195,13 +196,23 @@
 	return q.peers.AcquireQuota(ctx, home, ask)
 }
 
-// fallBack admits a request within the local allowance, as no home has answered.
+// fallBack admits a request within this host's part of the rate while the homes do not grant yet, or
+// within the local allowance if none has answered.
 func (q *Quotas) fallBack(ask quota.Ask, group int, homes []netip.AddrPort) (func(), *edgedispatch.Failure) {
-	areSettled := q.hosts.AreHostsSettled()
+	areSettled, now := q.hosts.AreHostsSettled(), time.Now()
 	q.mu.Lock()
+	if q.requester.IsStarting(now, q.groups.Homes(group)) {
+		isAdmitted := q.requester.TakeStartShare(now, ask, ask.Hosts)
+		q.mu.Unlock()
+		q.fallbacks.Inc()
+		if !isAdmitted {
+			return nil, refuse(silentRetryAfter)
+		}
+		return func() {}, nil
+	}
 	isNew := !q.silent[group]
 	q.silent[group] = true
-	isAdmitted := areSettled && q.requester.TakeAllowance(time.Now(), ask, q.groups.HostCount())
+	isAdmitted := areSettled && q.requester.TakeAllowance(now, ask, ask.Hosts)
 	q.mu.Unlock()
 	q.fallbacks.Inc()
 	if isNew {
