Start the paths to the servers of annex at their addresses

Cause: the paths of hosts to servers ran at the octets after those of shop, while the servers of annex have others. Nothing used these until routes were split between both services: 5 to 10 % of the first attempts at hosts with paths were refused in five cases of TestHostsWithoutPathsToServers.

Change: the paths have the servers' addresses. A test of the registry checks which services have servers.

--- a/hickoryd/internal/registry/workspaces_test.go
+++ b/hickoryd/internal/registry/workspaces_test.go
@@ -60,3 +60,14 @@
 		t.Error("the key of one workspace is unknown")
 	}
 }
+
+// TestHasServer guards against shares of a split route for services whose servers all drain.
+func TestHasServer(t *testing.T) {
+	s := &store{revision: 5, version: 1, servers: map[string]string{"a": "ready", "b": "draining"}}
+	r := start(t, s, &peers{})
+	if !r.HasServer("s") || r.HasServer("other") {
+		t.Error("want servers of the service s only")
+	}
+	s.set(func() { s.revision, s.servers["a"] = 6, "draining" })
+	await(t, "all servers drain", func() bool { return !r.HasServer("s") })
+}
--- a/hickorylab/edgesoak/environment_test.go
+++ b/hickorylab/edgesoak/environment_test.go
@@ -22,6 +22,8 @@
 
 const (
 	hostCount = 3
+	// shopCount is the number of plain servers of the service shop, which come first.
+	shopCount = 3
 	// firstHostOctet is the last octet of the address of host 0.
 	firstHostOctet = 100
 	// prefillCount is the number of model servers that start with the stage prefill.
@@ -108,7 +110,7 @@
 	}
 	e.serve(e.storeAddress(), store)
 	store.Put("op/config", options.configuration(1, "shop"))
-	for i := range 3 {
+	for i := range shopCount {
 		e.plainServers = append(e.plainServers, e.startServer("shop", "", 20+i))
 	}
 	for i := range 2 {
--- a/hickorylab/edgesoak/paths_test.go
+++ b/hickorylab/edgesoak/paths_test.go
@@ -41,9 +41,12 @@
 func (e *environment) startPaths(i int) {
 	paths := make(map[*worker.Server]*cutproxy.Path)
 	for n, server := range append(append([]*worker.Server{}, e.plainServers...), e.modelServers...) {
-		octet := 20 + n
-		if n >= len(e.plainServers) {
+		octet := 20 + n // the octets with which startEnvironmentWith starts the servers
+		switch {
+		case n >= len(e.plainServers):
 			octet = 30 + n - len(e.plainServers)
+		case n >= shopCount:
+			octet = 25 + n - shopCount
 		}
 		path, err := cutproxy.ListenPath(e.address(octet, firstPathPort+i), e.address(octet, serverPort))
 		if err != nil {
