--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -110,7 +110,7 @@
 // quota that are not given out, while nothing fails.
 func TestCalm(t *testing.T) {
 	for _, hosts := range []int{7, 75, 145, 295} {
-		for _, load := range []float64{0.5, 0.8, 1.5} {
+		for _, load := range []float64{0.1, 0.5, 0.8, 1.5} {
 			for _, w := range []*simulatedWorkspace{large(load), small(load)} {
 				t.Run(fmt.Sprintf("%d hosts, %s, load %v", hosts, w.name, load), func(t *testing.T) {
 					t.Parallel()
@@ -118,6 +118,7 @@
 					s.run(10*time.Second, nil)
 					since := s.now
 					s.run(period(w), nil)
+					t.Logf("%d hosts, %s, load %v: %.2f asks for each request", hosts, w.name, load, float64(s.asks)/float64(w.offered))
 					if load < 1 && w.refused > 0 {
 						t.Errorf("%d of %d requests refused", w.refused, w.offered)
 					}
