--- a/hickoryd/internal/command/edge.go
+++ b/hickoryd/internal/command/edge.go
@@ -33,7 +33,9 @@
 	output   io.Writer
 	errors   io.Writer
 	settings string
-	isCheck  bool
+	// quotaBounds replaces the section quota of the settings, or is empty.
+	quotaBounds string
+	isCheck     bool
 }
 
 // NewEdge returns the edge subcommand, which writes its log to output and its
@@ -48,13 +50,14 @@
 
 // Usage implements subcommands.Command.
 func (*Edge) Usage() string {
-	return "hickoryd edge [--settings FILE] [--check]\n\nRuns the daemon on the users' platform until it is signalled.\n" +
-		"Without --settings, " + settingsVariable + " names the file.\n\nExample:\n  hickoryd edge --settings host-1.ini\n\n"
+	return "hickoryd edge [--settings FILE] [--quota-bounds WINDOW,OVERSHOOT,SLACK] [--check]\n\nRuns the daemon on the users' platform until it is signalled.\n" +
+		"Without --settings, " + settingsVariable + " names the file. A deployment that knows the bounds\nof quotas as separate values, or doesn't know them, passes them with --quota-bounds.\n\nExample:\n  hickoryd edge --settings host-1.ini\n\n"
 }
 
 // SetFlags implements subcommands.Command.
 func (e *Edge) SetFlags(flags *flag.FlagSet) {
 	flags.StringVar(&e.settings, "settings", os.Getenv(settingsVariable), "settings file")
+	flags.StringVar(&e.quotaBounds, "quota-bounds", "", "window in seconds, overshoot and slack of quotas, in place of section quota; empty parts keep the settings")
 	flags.BoolVar(&e.isCheck, "check", false, "check the settings file and exit")
 }
 
@@ -66,6 +69,9 @@
 		return subcommands.ExitUsageError
 	}
 	loaded, err := edge.LoadSettings(e.settings)
+	if err == nil {
+		err = loaded.SetQuotaBounds(e.quotaBounds)
+	}
 	if err != nil {
 		fmt.Fprintf(e.errors, "hickoryd: %v\n", err)
 		return subcommands.ExitUsageError
--- a/hickoryd/internal/edge/settings.go
+++ b/hickoryd/internal/edge/settings.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/hickoryfront/hickoryfront/core/quota"
@@ -110,6 +111,33 @@
 	return time.Duration(float64(s.DrainTimeout-2*s.StoreTimeout) * pollShare)
 }
 
+// SetQuotaBounds replaces the bounds of quotas by those in text: window in seconds, overshoot and
+// slack, separated by commas. Empty parts, and an empty text, change nothing. The error is ErrInvalid.
+func (s *Settings) SetQuotaBounds(text string) error {
+	if text == "" {
+		return nil
+	}
+	parts := strings.Split(text, ",")
+	window := s.Quota.Window.Seconds()
+	targets := []*float64{&window, &s.Quota.Overshoot, &s.Quota.Slack}
+	if len(parts) != len(targets) {
+		return fmt.Errorf("%w: bounds of quotas: %q is not WINDOW,OVERSHOOT,SLACK", ErrInvalid, text)
+	}
+	for i, part := range parts {
+		if part == "" {
+			continue
+		}
+		if err := setting.Number(targets[i])(part); err != nil {
+			return fmt.Errorf("%w: bounds of quotas: %w", ErrInvalid, err)
+		}
+	}
+	s.Quota.Window = time.Duration(window * float64(time.Second))
+	if s.Quota.Window <= 0 {
+		return fmt.Errorf("%w: bounds of quotas: the window must be above zero", ErrInvalid)
+	}
+	return nil
+}
+
 // Keys returns all settings in order.
 func Keys() []setting.Key {
 	return setting.Keys(bindings(&Settings{}))
--- a/hickoryd/internal/edge/settings_test.go
+++ b/hickoryd/internal/edge/settings_test.go
@@ -82,3 +82,32 @@
 		})
 	}
 }
+
+// TestSetQuotaBounds guards against bounds that are lost or misread, with which hosts without homes
+// would admit nothing or too much.
+func TestSetQuotaBounds(t *testing.T) {
+	standard := quota.Bounds{Window: 8 * time.Second}
+	tests := []struct {
+		text    string
+		want    quota.Bounds
+		isValid bool
+	}{
+		{text: "", want: standard, isValid: true},
+		{text: ",,", want: standard, isValid: true},
+		{text: "4,0.1,140000", want: quota.Bounds{Window: 4 * time.Second, Overshoot: 0.1, Slack: 140_000}, isValid: true},
+		{text: "4,0.1"},
+		{text: "4,much,1"},
+		{text: "0,0.1,1"},
+		{text: "4,-1,1"},
+	}
+	for _, tt := range tests {
+		s, err := edge.ParseSettings([]byte(validSettings))
+		if err != nil {
+			t.Fatal(err)
+		}
+		err = s.SetQuotaBounds(tt.text)
+		if (err == nil) != tt.isValid || tt.isValid && s.Quota != tt.want {
+			t.Errorf("%q: bounds %+v, error %v", tt.text, s.Quota, err)
+		}
+	}
+}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -17,7 +17,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"regexp"
 	"strings"
 	"sync"
 	"syscall"
@@ -32,10 +31,6 @@
 	longest = 115 * time.Second
 )
 
-// optionalSection is the section of the settings template for platforms that have bounds for
-// quotas.
-var optionalSection = regexp.MustCompile(`(?s)\{\{#bounds\.quota-window-s\}\}.*\{\{/bounds\.quota-window-s\}\}`)
-
 // record is the file record.txt.
 type record struct {
 	mu    sync.Mutex
@@ -201,8 +196,7 @@
 		"{{ip}}", h.ip, "{{platform.address}}", s.network+".10:18500", "{{bounds.drain-timeout-ms}}", "2000", "{{seed-nodes}}", strings.Join(seeds, ","),
 		"{{bounds.retry-budget-ratio}}", "0.2", "{{bounds.retry-budget-slack}}", "54", "{{bounds.grace-period-s}}", "8",
 	)
-	// The platform omits a section whose value it does not have, as this stand-in has none.
-	filled := values.Replace(optionalSection.ReplaceAllString(string(text), ""))
+	filled := values.Replace(string(text))
 	if strings.Contains(filled, "{{") {
 		return errors.New("the settings template has a field that this stand-in doesn't know")
 	}
