Count what peers make a host hold, and bound its connections

Cause: only request bodies were counted. Connections, heads, parsed fields, responses that nobody reads and calls of other hosts had no common bound, and the readiness and operators' servers had no MaxHeaderBytes.

Change: core/memoryledger has parts, and a relief that is asked before bytes are denied. hickoryd/internal/listenlimit wraps a listener: it counts connections and heads, closes the connection that has been idle or incomplete for longest at a bound, and never one whose request a backend server may have. A request whose connection was closed before its last byte was read is not passed on. Slow peers (below 16 KB/s after 0.5 s) are dropped only when bodies or responses don't fit, those that hold most first. edgecaller takes the usual size of a route's responses before it dispatches a request, and refuses with 503 without running it if that doesn't fit. The readiness and operators' listeners accept 8 KB of head (net/http adds 4 KB to the 4 KB that are set) and no body. The listener for other hosts has bounds on calls, header fields and connections.

Tests of callerserver, edgecaller, edge, reference, edgehost and memoryledger pass.

--- a/hickoryd/internal/callerserver/connection.go
+++ b/hickoryd/internal/callerserver/connection.go
@@ -82,6 +82,11 @@
 	return nil
 }
 
+// NetConn returns the connection that c tracks.
+func (c *connection) NetConn() net.Conn {
+	return c.Conn
+}
+
 // readArrived reads the bytes that have arrived, without waiting. The result is io.EOF if
 // there are none.
 func (c *connection) readArrived(p []byte) (int, error) {
--- a/hickoryd/internal/edge/daemon.go
+++ b/hickoryd/internal/edge/daemon.go
@@ -25,6 +25,7 @@
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/edgedispatch"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/edgehost"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/edgeorder"
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/listenlimit"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/originstore"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/quarantine"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/registry"
@@ -70,6 +71,7 @@
 	stageController *edgeorder.Controller
 	logger          log.Interface
 	set             *metrics.Set
+	memory          *memory
 
 	caller     *callerserver.Server
 	ready      *http.Server
@@ -80,15 +82,17 @@
 }
 
 // New returns a daemon. Start starts it.
-func New(s Settings, l *lifetime, r *registry.Registry, pool *upstream.Pool, peers *edgehost.Client, handler *edgecaller.Handler, dispatcher *edgedispatch.Dispatcher, q *quarantine.Quarantine, records *originstore.Records, edgeServer *edgehost.Server, stageController *edgeorder.Controller, logger log.Interface, set *metrics.Set) *Daemon {
-	d := &Daemon{settings: s, lifetime: l, registry: r, pool: pool, peers: peers, handler: handler, dispatcher: dispatcher, quarantine: q, records: records, edgeServer: edgeServer, stageController: stageController, logger: logger, set: set}
+func New(s Settings, l *lifetime, r *registry.Registry, pool *upstream.Pool, peers *edgehost.Client, handler *edgecaller.Handler, dispatcher *edgedispatch.Dispatcher, q *quarantine.Quarantine, records *originstore.Records, edgeServer *edgehost.Server, stageController *edgeorder.Controller, logger log.Interface, set *metrics.Set, m *memory) *Daemon {
+	d := &Daemon{settings: s, lifetime: l, registry: r, pool: pool, peers: peers, handler: handler, dispatcher: dispatcher, quarantine: q, records: records, edgeServer: edgeServer, stageController: stageController, logger: logger, set: set, memory: m}
 	noLog := stdlog.New(io.Discard, "", 0) // broken connections of callers need no log entry
-	d.caller = callerserver.New(&http.Server{
+	caller := &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: noLog,
-	})
-	d.ready = &http.Server{Handler: d.readiness(), ReadHeaderTimeout: headerTimeout, ErrorLog: noLog}
-	d.operator = &http.Server{Handler: d.operators(), ReadHeaderTimeout: headerTimeout, ErrorLog: noLog}
-	d.peerServer = grpc.NewServer(grpc.ReadBufferSize(peerBufferBytes), grpc.WriteBufferSize(peerBufferBytes))
+	}
+	m.caller.Limit(caller)
+	d.caller = callerserver.New(caller)
+	d.ready = limitSmall(&http.Server{Handler: d.readiness(), ErrorLog: noLog}, m.ready)
+	d.operator = limitSmall(&http.Server{Handler: d.operators(), ErrorLog: noLog}, m.operator)
+	d.peerServer = grpc.NewServer(append(m.peerOptions(), grpc.ReadBufferSize(peerBufferBytes), grpc.WriteBufferSize(peerBufferBytes))...)
 	peerapi.RegisterEdgeServer(d.peerServer, edgeServer)
 	return d
 }
@@ -98,18 +102,19 @@
 	for _, s := range []struct {
 		address netip.AddrPort
 		serve   func(net.Listener) error
+		limiter *listenlimit.Limiter
 	}{
-		{d.settings.Caller, d.caller.Serve},
-		{d.settings.Ready, d.ready.Serve},
-		{d.settings.Operator, d.operator.Serve},
-		{d.settings.Peer, d.peerServer.Serve},
+		{d.settings.Caller, d.caller.Serve, d.memory.caller},
+		{d.settings.Ready, d.ready.Serve, d.memory.ready},
+		{d.settings.Operator, d.operator.Serve, d.memory.operator},
+		{d.settings.Peer, d.peerServer.Serve, d.memory.peer},
 	} {
 		config := net.ListenConfig{KeepAlive: keepAliveIdle}
 		listener, err := config.Listen(ctx, "tcp4", s.address.String())
 		if err != nil {
 			return fmt.Errorf("listen: %w", err)
 		}
-		go d.runServer(listener, s.serve)
+		go d.runServer(s.limiter.Wrap(listener), s.serve)
 	}
 	for _, loop := range []func(context.Context){d.registry.RunServers, d.registry.RunConfiguration, d.registry.RunHosts, d.quarantine.RunWrites, d.quarantine.RunRefusals, d.records.Run, d.pool.Run, d.stageController.Run} {
 		d.loops.Add(1)
--- a/hickoryd/internal/edge/settings.go
+++ b/hickoryd/internal/edge/settings.go
@@ -56,6 +56,14 @@
 	// share 0 the stages stay as they are.
 	PrefillShare float64
 
+	// CallerConnections, ReadyConnections, PeerConnections and OperatorConnections are the
+	// maximum numbers of connections of the listeners, or 0 for what memory and
+	// descriptors allow.
+	CallerConnections   int
+	ReadyConnections    int
+	PeerConnections     int
+	OperatorConnections int
+
 	MemoryMB int
 	Grace    time.Duration
 	LogLevel string
@@ -108,6 +116,10 @@
 		setting.Bind("listen", "ready", "", "address of the readiness check", setting.AddrPort(&s.Ready)),
 		setting.Bind("listen", "peer", "", "address for the other hosts", setting.AddrPort(&s.Peer)),
 		setting.Bind("listen", "operator", "", "address of metrics and status", setting.AddrPort(&s.Operator)),
+		setting.Bind("listen", "callerConnections", "0", "maximum number of connections of callers; 0: half of the descriptors, and as many as fit into 20 % of the memory at 16 KB each", setting.Integer(&s.CallerConnections)),
+		setting.Bind("listen", "readyConnections", "0", "maximum number of connections of the readiness check; 0: a 16th of the descriptors, and as many as fit into 1.5 % of the memory at 16 KB each", setting.Integer(&s.ReadyConnections)),
+		setting.Bind("listen", "peerConnections", "0", "maximum number of connections from other hosts; 0: an 8th of the descriptors, and as many as fit into 5 % of the memory at 16 KB each", setting.Integer(&s.PeerConnections)),
+		setting.Bind("listen", "operatorConnections", "0", "maximum number of connections for metrics and status; 0: a 32nd of the descriptors, and as many as fit into 1.5 % of the memory at 16 KB each", setting.Integer(&s.OperatorConnections)),
 		setting.Bind("store", "address", "", "address of the platform's store", setting.AddrPort(&s.Store)),
 		setting.Bind("store", "drainTimeout", "2s", "time after the start of a backend server's drain within which hosts must stop sending it new requests", setting.Duration(&s.DrainTimeout)),
 		setting.Bind("store", "timeout", "500ms", "longest time without progress of a call to the store", setting.Duration(&s.StoreTimeout)),
--- a/hickoryd/internal/edge/wiring.go
+++ b/hickoryd/internal/edge/wiring.go
@@ -13,7 +13,6 @@
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
 
-	"github.com/hickoryfront/hickoryfront/core/memoryledger"
 	"github.com/hickoryfront/hickoryfront/core/retrybudget"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/edgecaller"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/edgedispatch"
@@ -61,7 +60,7 @@
 		fx.Provide(
 			func() log.Interface { return logger },
 			metrics.NewSet,
-			newLifetime, newPool, newStore, newPeers, newRegistry, newQuarantine, newRecords, newDispatcher, newHandler, newEdgeServer, newController, New,
+			newMemory, newLifetime, newPool, newStore, newPeers, newRegistry, newQuarantine, newRecords, newDispatcher, newHandler, newEdgeServer, newController, New,
 		),
 		fx.Invoke(limitMemory, register),
 	)
@@ -121,8 +120,10 @@
 	}, r, pool, peers, q, records, logger, set)
 }
 
-func newHandler(s Settings, r *registry.Registry, d *edgedispatch.Dispatcher, logger log.Interface, set *metrics.Set) *edgecaller.Handler {
-	return edgecaller.New(r, d, memoryledger.New(int64(bodyShare*float64(s.MemoryMB)*(1<<20))), logger, set)
+func newHandler(m *memory, r *registry.Registry, d *edgedispatch.Dispatcher, logger log.Interface, set *metrics.Set) *edgecaller.Handler {
+	h := edgecaller.New(r, d, m.bodies, logger, set)
+	h.CountResponses(m.responses)
+	return h
 }
 
 func newEdgeServer(r *registry.Registry, d *edgedispatch.Dispatcher, q *quarantine.Quarantine) *edgehost.Server {
--- a/hickoryd/internal/edgecaller/caller.go
+++ b/hickoryd/internal/edgecaller/caller.go
@@ -62,6 +62,8 @@
 		// memory counts the request bodies that are being read or in memory.
 		memory   *memoryledger.Ledger
 		inFlight atomic.Int64
+		// responses counts the responses that callers have not taken.
+		responses responses
 
 		requests      *metrics.Counter
 		bodiesRefused *metrics.Counter
@@ -107,11 +109,20 @@
 	request, err := h.read(r, b, s.controller, arrived)
 	if err == nil {
 		s.id = request.Metadata.ID
-		err = h.dispatcher.Serve(r.Context(), request, s)
+		err = h.serve(r.Context(), request, s)
 	}
 	h.finish(r, request, b, s, err)
 }
 
+// serve dispatches a request if there is memory for its response.
+func (h *Handler) serve(ctx context.Context, request *edgedispatch.Request, s *sink) error {
+	if err := h.responses.admit(s, request.Route.Name); err != nil {
+		return err
+	}
+	defer h.responses.release(s)
+	return h.dispatcher.Serve(ctx, request, s)
+}
+
 // limitBody sets the deadline for reading a body. The deadline applies to refused
 // requests too, since the HTTP server reads the rest of a body before it responds.
 func (h *Handler) limitBody(controller *http.ResponseController, arrived time.Time) {
--- a/hickoryd/internal/edgecaller/sink.go
+++ b/hickoryd/internal/edgecaller/sink.go
@@ -18,6 +18,11 @@
 	// status is 0 until the response has started.
 	status int
 	bytes  int
+	// held is what the response has taken in the ledger of responses, and largest the size of
+	// its largest part.
+	held, largest int64
+	// route is the name under which its size is recorded.
+	route string
 	// firstByteAt is when the first part of the body was written.
 	firstByteAt time.Time
 }
@@ -36,6 +41,7 @@
 	if s.firstByteAt.IsZero() {
 		s.firstByteAt = time.Now()
 	}
+	s.handler.responses.hold(s, int64(len(part)))
 	n, err := s.writer.Write(part)
 	s.bytes += n
 	if err != nil {
