--- a/hickoryd/internal/edge/daemon.go
+++ b/hickoryd/internal/edge/daemon.go
@@ -92,7 +92,7 @@
 	d.caller = callerserver.New(caller)
 	d.ready = limitSmall(&http.Server{Handler: d.readiness(), ErrorLog: noLog}, m.ready)
 	d.operator = limitSmall(&http.Server{Handler: d.operators(), ErrorLog: noLog}, m.operator)
-	d.peerServer = grpc.NewServer(append(m.peerOptions(), grpc.ReadBufferSize(peerBufferBytes), grpc.WriteBufferSize(peerBufferBytes))...)
+	d.peerServer = grpc.NewServer(append(m.calls.ServerOptions(hostCalls), grpc.ReadBufferSize(peerBufferBytes), grpc.WriteBufferSize(peerBufferBytes))...)
 	peerapi.RegisterEdgeServer(d.peerServer, edgeServer)
 	return d
 }
--- a/hickoryd/internal/edgehost/relay.go
+++ b/hickoryd/internal/edgehost/relay.go
@@ -157,7 +157,7 @@
 	if head == nil || head.GetRoute() == nil {
 		return status.Error(codes.InvalidArgument, errNoHead.Error())
 	}
-	size := int64(head.GetBodyBytes())
+	size := int64(min(head.GetBodyBytes(), maxRelayedBytes+1)) // a larger size would be negative
 	defer r.bufferedBytes.Add(-size)
 	if err := r.check(head, r.bufferedBytes.Add(size)); err != nil {
 		return stream.Send(&peerapi.RelayResponse{Part: &peerapi.RelayResponse_Failure{Failure: &peerapi.RelayFailure{
--- a/hickoryd/internal/listenlimit/connection.go
+++ b/hickoryd/internal/listenlimit/connection.go
@@ -63,7 +63,7 @@
 
 // Close implements net.Conn.
 func (c *connection) Close() error {
-	c.release(false)
+	c.end(func() bool { return true })
 	return c.Conn.Close()
 }
 
@@ -97,8 +97,11 @@
 		return true
 	}
 	bytes := int64(n) * headFactor
-	for !c.limiter.options.Heads.TryAcquire(bytes) {
-		if !c.limiter.closeOldest(c) {
+	heads := c.limiter.options.Heads
+	for !heads.TryAcquire(bytes) {
+		// Closing idle connections helps only if the memory is short beyond the part for heads.
+		isPartFull := bytes > heads.Limit()-heads.Used()
+		if !c.limiter.closeOldest(c, isPartFull) {
 			return false
 		}
 	}
@@ -168,11 +171,11 @@
 }
 
 // idleSince returns since when the connection has been idle or incomplete. It reports false if a
-// backend server may have a request of it.
-func (c *connection) idleSince() (time.Time, bool) {
+// backend server may have a request of it, or if hasHead is set and it holds no head.
+func (c *connection) idleSince(hasHead bool) (time.Time, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.since, c.atServer == 0 && !c.isClosed
+	return c.since, c.atServer == 0 && !c.isClosed && (!hasHead || c.headBytes > 0)
 }
 
 // slowBytes returns the bytes that the connection holds, and whether its peer sends a request or
@@ -180,6 +183,11 @@
 func (c *connection) slowBytes(now time.Time) (int64, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	return c.slow(now)
+}
+
+// slow is slowBytes under the lock.
+func (c *connection) slow(now time.Time) (int64, bool) {
 	if c.isClosed || c.isMultiplexed {
 		return 0, false
 	}
@@ -194,37 +202,45 @@
 	return held, elapsed >= slowTime && float64(done) < minRate*elapsed.Seconds()
 }
 
-// evict closes the connection, unless a backend server has a request of it whose response its
-// peer may still read. It reports whether it has closed the connection.
-func (c *connection) evict(isSlow bool) bool {
-	if !c.release(!isSlow) {
-		return false
-	}
-	_ = c.Conn.Close() // ends the reads and writes in progress
-	return true
+// evictIdle closes the connection unless a backend server may have a request of it by now. It
+// reports whether it has closed the connection.
+func (c *connection) evictIdle() bool {
+	return c.evict(func() bool { return c.atServer == 0 })
+}
+
+// evictSlow closes the connection if its peer is still below the minimum rate. It reports whether
+// it has closed the connection.
+func (c *connection) evictSlow(now time.Time) bool {
+	return c.evict(func() bool {
+		_, isSlow := c.slow(now)
+		return isSlow
+	})
 }
 
-// release ends the accounting of the connection. If onlyIdle is set, it does so only if no
-// backend server has a request of it. It reports whether the connection has ended by that.
-func (c *connection) release(onlyIdle bool) bool {
-	if !c.end(onlyIdle) {
+// evict closes the connection if condition holds, which is called under the lock.
+func (c *connection) evict(condition func() bool) bool {
+	if !c.end(condition) {
 		return false
 	}
-	c.limiter.remove(c) // without c.mu, which the limiter locks after its own
+	_ = c.Conn.Close() // ends the reads and writes in progress
 	return true
 }
 
-func (c *connection) end(onlyIdle bool) bool {
+// end ends the accounting of the connection if condition holds. It reports whether it has.
+func (c *connection) end(condition func() bool) bool {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.isClosed || onlyIdle && c.atServer > 0 {
-		return false
+	isEnded := !c.isClosed && condition()
+	if isEnded {
+		c.isClosed = true
+		c.limiter.options.Heads.Release(c.headBytes)
+		c.headBytes = 0
+		c.limiter.options.Memory.Release(ConnectionBytes)
 	}
-	c.isClosed = true
-	c.limiter.options.Heads.Release(c.headBytes)
-	c.headBytes = 0
-	c.limiter.options.Memory.Release(ConnectionBytes)
-	return true
+	c.mu.Unlock()
+	if isEnded {
+		c.limiter.remove(c) // without c.mu, which the limiter locks after its own
+	}
+	return isEnded
 }
 
 func (c *connection) beginWrite(n int) {
--- a/hickoryd/internal/listenlimit/listener.go
+++ b/hickoryd/internal/listenlimit/listener.go
@@ -77,9 +77,7 @@
 	}
 	set.NewGauge(`hickoryfront_connections`+label, func() float64 { return float64(l.count()) })
 	set.NewGauge(`hickoryfront_connections_max`+label, func() float64 { return float64(o.Connections) })
-	for _, ledger := range []*memoryledger.Ledger{o.Memory, o.Heads} {
-		ledger.SetRelief(func(int64) bool { return l.closeOldest(nil) })
-	}
+	o.Memory.SetRelief(func(int64) bool { return l.closeOldest(nil, false) })
 	return l
 }
 
@@ -101,7 +99,7 @@
 		}
 	}
 	l.mu.Unlock()
-	if worst == nil || !worst.evict(true) {
+	if worst == nil || !worst.evictSlow(now) {
 		return false
 	}
 	l.dropped.Inc()
@@ -125,7 +123,7 @@
 
 func (l *Limiter) add(socket net.Conn) (*connection, bool) {
 	for l.count() >= l.options.Connections {
-		if !l.closeOldest(nil) {
+		if !l.closeOldest(nil, false) {
 			return nil, false
 		}
 	}
@@ -140,13 +138,13 @@
 }
 
 // closeOldest closes the connection that has been idle or incomplete for longest, other than
-// except, and reports whether there was one.
-func (l *Limiter) closeOldest(except *connection) bool {
+// except, and reports whether there was one. With hasHead it closes only one that holds a head.
+func (l *Limiter) closeOldest(except *connection, hasHead bool) bool {
 	l.mu.Lock()
 	var oldest *connection
 	var from time.Time
 	for c := range l.connections {
-		if since, ok := c.idleSince(); ok && c != except && (oldest == nil || since.Before(from)) {
+		if since, ok := c.idleSince(hasHead); ok && c != except && (oldest == nil || since.Before(from)) {
 			oldest, from = c, since
 		}
 	}
@@ -154,7 +152,7 @@
 	if oldest == nil {
 		return false
 	}
-	if oldest.evict(false) {
+	if oldest.evictIdle() {
 		l.closed.Inc()
 	}
 	return true // it has ended, or a request has begun on it meanwhile
--- a/hickoryd/internal/node/node.go
+++ b/hickoryd/internal/node/node.go
@@ -75,6 +75,7 @@
 		Logger       log.Interface
 		Set          *metrics.Set
 		Security     *transport.Security
+		Listeners    *listeners
 		Gate         *Gate
 		Membership   *peer.Membership
 		Registration *Registration
@@ -121,13 +122,13 @@
 		claims: p.Claims, keyed: p.Keyed,
 	}
 	var err error
-	if n.callers, err = newHTTPServer(p.Settings.Listen.Caller, routes(p.Caller), p.Security, p.Logger); err != nil {
+	if n.callers, err = newHTTPServer(p.Settings.Listen.Caller, routes(p.Caller), p.Security, p.Listeners.caller, p.Logger); err != nil {
 		return nil, err
 	}
-	if n.operators, err = newHTTPServer(p.Settings.Listen.Operator, routes(p.Operator), p.Security, p.Logger); err != nil {
+	if n.operators, err = newHTTPServer(p.Settings.Listen.Operator, routes(p.Operator), p.Security, p.Listeners.operator, p.Logger); err != nil {
 		return nil, err
 	}
-	n.peers, err = newPeerServer(p.Settings.Listen.Peer, p.PeerServer, p.Security, p.Logger)
+	n.peers, err = newPeerServer(p.Settings.Listen.Peer, p.PeerServer, p.Security, p.Listeners, p.Logger)
 	return n, err
 }
 
--- a/hickoryd/internal/node/servers.go
+++ b/hickoryd/internal/node/servers.go
@@ -14,6 +14,7 @@
 	"google.golang.org/grpc/keepalive"
 
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/callerserver"
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/listenlimit"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/transport"
 	"github.com/hickoryfront/hickoryfront/peerapi"
 )
@@ -43,19 +44,17 @@
 	}
 )
 
-func newHTTPServer(address netip.AddrPort, engine *gin.Engine, security *transport.Security, logger log.Interface) (*httpServer, error) {
+func newHTTPServer(address netip.AddrPort, engine *gin.Engine, security *transport.Security, limiter *listenlimit.Limiter, logger log.Interface) (*httpServer, error) {
 	listener, err := net.Listen("tcp", address.String())
 	if err != nil {
 		return nil, err
 	}
-	return &httpServer{
-		server: callerserver.New(&http.Server{
-			Handler: engine, TLSConfig: security.Server(), ReadHeaderTimeout: readHeaderTimeout,
-			IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		}),
-		listener: listener,
-		logger:   logger,
-	}, nil
+	server := &http.Server{
+		Handler: engine, TLSConfig: security.Server(), ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}
+	limiter.Limit(server)
+	return &httpServer{server: callerserver.New(server), listener: limiter.Wrap(listener), logger: logger}, nil
 }
 
 // run serves until the server is shut down.
@@ -65,15 +64,15 @@
 	}
 }
 
-func newPeerServer(address netip.AddrPort, service peerapi.PeerServer, security *transport.Security, logger log.Interface) (*peerServer, error) {
+func newPeerServer(address netip.AddrPort, service peerapi.PeerServer, security *transport.Security, l *listeners, logger log.Interface) (*peerServer, error) {
 	listener, err := net.Listen("tcp", address.String())
 	if err != nil {
 		return nil, err
 	}
-	server := grpc.NewServer(grpc.Creds(security.PeerServer()),
-		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: minPingInterval}))
+	server := grpc.NewServer(append(l.calls.ServerOptions(peerCalls), grpc.Creds(security.PeerServer()),
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: minPingInterval}))...)
 	peerapi.RegisterPeerServer(server, service)
-	return &peerServer{server: server, listener: listener, logger: logger}, nil
+	return &peerServer{server: server, listener: l.peer.Wrap(listener), logger: logger}, nil
 }
 
 // run serves until the server is stopped.
--- a/hickoryd/internal/node/wiring.go
+++ b/hickoryd/internal/node/wiring.go
@@ -43,7 +43,7 @@
 			func() log.Interface { return logger },
 			func() member.Host { return hostOf(s, start) },
 			metrics.NewSet,
-			transport.New,
+			transport.New, newListeners,
 			newPlatform, newServerList, newPool, newDirectory, newSlots, newMembership, newClaims,
 			newStore, newRegistration, newGate, newSync, newCanceller, newModels, newPlain, newRouter, newReservations, newAuditor, newPrefixes,
 			home.NewCrashes, newPeers, newKeyed, newRecordings, peer.NewHomeClient,
--- a/hickoryd/internal/settings/settings.go
+++ b/hickoryd/internal/settings/settings.go
@@ -73,6 +73,13 @@
 		MaxResponseBytes int64
 		ShutdownPeriod   time.Duration
 		KVBytesPerSecond int64
+		// MemoryMB is the memory from which the bounds of the listeners follow.
+		MemoryMB int
+		// CallerConnections, OperatorConnections and PeerConnections are the maximum numbers
+		// of connections, or 0 for what memory and descriptors allow.
+		CallerConnections   int
+		OperatorConnections int
+		PeerConnections     int
 	}
 
 	// Auth holds the operators' token.
@@ -222,6 +229,10 @@
 		setting.Bind("limits", "answerBytes", "65536", "largest response body stored with its idempotency key, in bytes", setting.Integer(&s.Limits.MaxResponseBytes)),
 		setting.Bind("limits", "shutdown", "10m", "longest wait for requests in flight at shutdown", setting.Duration(&s.Limits.ShutdownPeriod)),
 		setting.Bind("limits", "kvRate", "1250000000", "rate of a backend server's link for KV cache transfers, in bytes per second", setting.Integer(&s.Limits.KVBytesPerSecond)),
+		setting.Bind("limits", "memoryMB", "1024", "memory from which the bounds of the listeners follow, in MB", setting.Integer(&s.Limits.MemoryMB)),
+		setting.Bind("limits", "callerConnections", "0", "maximum number of connections of callers; 0: half of the descriptors, and as many as fit into 22 % of the memory at 16 KB each", setting.Integer(&s.Limits.CallerConnections)),
+		setting.Bind("limits", "operatorConnections", "0", "maximum number of connections of operators; 0: a 32nd of the descriptors, and as many as fit into 1.5 % of the memory at 16 KB each", setting.Integer(&s.Limits.OperatorConnections)),
+		setting.Bind("limits", "peerConnections", "0", "maximum number of connections from other daemons; 0: an 8th of the descriptors, and as many as fit into 7.5 % of the memory at 16 KB each", setting.Integer(&s.Limits.PeerConnections)),
 		setting.Bind("auth", "operatorToken", "", "bearer token of the operators' API", setting.Secret(&s.Auth.OperatorToken)),
 		setting.Bind("tls", "certificate", "", "certificate file", setting.Text(&s.TLS.Certificate)),
 		setting.Bind("tls", "key", "", "private key file", setting.Text(&s.TLS.Key)),
--- a/hickorylab/crowd/crowd_test.go
+++ b/hickorylab/crowd/crowd_test.go
@@ -1,7 +1,10 @@
 package crowd_test
 
 import (
+	"bufio"
+	"io"
 	"net"
+	"net/http"
 	"sync"
 	"testing"
 	"time"
@@ -77,6 +80,48 @@
 	}
 }
 
+// TestKeptConnections guards against bounds that ordinary callers meet: the smallest host in use
+// carries a thousand kept connections, each of which is used again.
+func TestKeptConnections(t *testing.T) {
+	const connections, smallestDescriptors, senders = 1000, 2870, 8 // senders divides connections
+	e := startEnvironment(t)
+	h := e.startHostWith(t, smallestDescriptors)
+	kept := make([]net.Conn, connections)
+	var group sync.WaitGroup
+	for first := range senders {
+		group.Go(func() {
+			for n := first; n < 2*connections; n += senders {
+				i := n % connections
+				if kept[i] == nil {
+					var err error
+					if kept[i], err = net.Dial("tcp", e.hostAddress(callerPort)); err != nil {
+						t.Error(err)
+						return
+					}
+				}
+				write(kept[i], head("GET", "/lookup/kept", n)+"\r\n")
+				response, err := http.ReadResponse(bufio.NewReader(kept[i]), nil)
+				if err != nil || response.StatusCode != http.StatusOK {
+					t.Errorf("connection %d, request %d: response %v, error %v", i, n/connections, response, err)
+					return
+				}
+				_, _ = io.Copy(io.Discard, response.Body) // only the status counts
+				response.Body.Close()
+			}
+		})
+	}
+	group.Wait()
+	for _, socket := range kept {
+		if socket != nil {
+			defer socket.Close()
+		}
+	}
+	if peak := h.peakMB(t); peak > memoryMB {
+		t.Errorf("at most %.0f MB resident, want at most %d", peak, memoryMB)
+	}
+	t.Logf("%d connections: at most %.0f MB, %d descriptors open", connections, h.peakMB(t), h.openDescriptors(t))
+}
+
 // play starts a host, connects a crowd and checks the host while the crowd stays connected.
 func (e *environment) play(t *testing.T, k kind, p place) {
 	t.Helper()
--- a/hickorylab/crowd/host_test.go
+++ b/hickorylab/crowd/host_test.go
@@ -113,6 +113,12 @@
 
 // startHost starts a host that has no memory of an earlier case, and waits until it is ready.
 func (e *environment) startHost(t *testing.T) *host {
+	t.Helper()
+	return e.startHostWith(t, descriptors)
+}
+
+// startHostWith is like startHost with another number of descriptors.
+func (e *environment) startHostWith(t *testing.T, descriptors int) *host {
 	t.Helper()
 	dir := t.TempDir()
 	path := filepath.Join(dir, "host.ini")
