--- a/hickoryd/internal/edge/wiring.go
+++ b/hickoryd/internal/edge/wiring.go
@@ -13,7 +13,6 @@
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
 
-	"github.com/hickoryfront/hickoryfront/core/memoryledger"
 	"github.com/hickoryfront/hickoryfront/core/retrybudget"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/edgecaller"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/edgedispatch"
@@ -63,7 +62,7 @@
 		fx.Provide(
 			func() log.Interface { return logger },
 			metrics.NewSet,
-			newLifetime, newPool, newStore, newPeers, newRegistry, newQuarantine, newRecords, newRooms, newDispatcher, newQuotas, newHandler, newEdgeServer, newController, New,
+			newMemory, newLifetime, newPool, newStore, newPeers, newRegistry, newQuarantine, newRecords, newRooms, newDispatcher, newQuotas, newHandler, newEdgeServer, newController, New,
 		),
 		fx.Invoke(limitMemory, register),
 	)
@@ -138,8 +137,10 @@
 	return room.New(l, room.Options{Self: s.Peer, MinHosts: s.RoomMinHosts}, r, peers, logger, set)
 }
 
-func newHandler(s Settings, r *registry.Registry, d *edgedispatch.Dispatcher, quotas *workspacequota.Quotas, logger log.Interface, set *metrics.Set) *edgecaller.Handler {
-	return edgecaller.New(r, r, quotas, d, memoryledger.New(int64(bodyShare*float64(s.MemoryMB)*(1<<20))), logger, set)
+func newHandler(m *memory, r *registry.Registry, d *edgedispatch.Dispatcher, quotas *workspacequota.Quotas, logger log.Interface, set *metrics.Set) *edgecaller.Handler {
+	h := edgecaller.New(r, r, quotas, d, m.bodies, logger, set)
+	h.CountResponses(m.responses)
+	return h
 }
 
 func newQuotas(l *lifetime, s Settings, r *registry.Registry, peers *edgehost.Client, logger log.Interface, set *metrics.Set) *workspacequota.Quotas {
