--- a/hickoryd/internal/edgecaller/responses_test.go
+++ b/hickoryd/internal/edgecaller/responses_test.go
@@ -33,7 +33,7 @@
 		}
 		return sink.Write(make([]byte, partBytes))
 	})
-	handler := edgecaller.New(newRoutes(), dispatch, newLedger(), &log.Logger{Handler: discard.New()}, metrics.NewSet())
+	handler := edgecaller.New(newRoutes(), nil, nil, dispatch, newLedger(), &log.Logger{Handler: discard.New()}, metrics.NewSet())
 	handler.CountResponses(memory)
 	server := httptest.NewServer(handler)
 	defer server.Close()
