Share the room of a service among three homes

Change: the first three hosts in the rendezvous order share the room; each grants a third of the slots of each plain server, or a third of the prefill servers, to a third of the hosts.

TestHomesShareSlots is new; the package passes twice with -race.

--- a/hickoryd/internal/edge/wiring.go
+++ b/hickoryd/internal/edge/wiring.go
@@ -134,7 +134,7 @@
 	if s.RoomServices == roomNone {
 		return nil
 	}
-	return room.New(l, room.Options{Self: s.Peer, MinHosts: s.RoomMinHosts}, r, peers, logger, set)
+	return room.New(l, room.Options{Self: s.Peer, MinHosts: s.RoomMinHosts, Homes: s.RoomHomes}, r, peers, logger, set)
 }
 
 func newHandler(m *memory, r *registry.Registry, d *edgedispatch.Dispatcher, quotas *workspacequota.Quotas, logger log.Interface, set *metrics.Set) *edgecaller.Handler {
--- a/hickoryd/internal/room/home.go
+++ b/hickoryd/internal/room/home.go
@@ -33,6 +33,8 @@
 		// version is the version of the server list that the ledger has.
 		version uint64
 		hasList bool
+		// listedPart is the part of the servers that the ledger has.
+		listedPart part
 		// waiters are the requests whose hosts have no grant or refusal yet.
 		waiters map[string]*waiter
 		checked time.Time
@@ -40,6 +42,11 @@
 		timer *time.Timer
 	}
 
+	// part is one of count equal parts of the room of a pool.
+	part struct {
+		number, count int
+	}
+
 	waiter struct {
 		// answer receives one answer.
 		answer chan room.Answer
@@ -54,8 +61,8 @@
 	return &home{pool: pool, ledger: room.NewLedger(now), waiters: make(map[string]*waiter), checked: now}
 }
 
-func (h *home) acquire(ctx context.Context, request room.Request, inFlight map[string]int, snapshot *registry.Snapshot) room.Answer {
-	w := h.ask(time.Now(), request, inFlight, snapshot)
+func (h *home) acquire(ctx context.Context, request room.Request, inFlight map[string]int, snapshot *registry.Snapshot, p part) room.Answer {
+	w := h.ask(time.Now(), request, inFlight, snapshot, p)
 	timer := time.NewTimer(holdPeriod)
 	defer timer.Stop()
 	select {
@@ -72,12 +79,12 @@
 }
 
 // ask returns the waiter of a request, which is new or waits already.
-func (h *home) ask(now time.Time, request room.Request, inFlight map[string]int, snapshot *registry.Snapshot) *waiter {
+func (h *home) ask(now time.Time, request room.Request, inFlight map[string]int, snapshot *registry.Snapshot, p part) *waiter {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if !h.hasList || h.version != snapshot.Version {
-		h.ledger.SetServers(now, servers(snapshot, h.pool))
-		h.version, h.hasList = snapshot.Version, true
+	if !h.hasList || h.version != snapshot.Version || h.listedPart != p {
+		h.ledger.SetServers(now, servers(snapshot, h.pool, p))
+		h.version, h.hasList, h.listedPart = snapshot.Version, true, p
 	}
 	w, ok := h.waiters[request.ID]
 	if !ok {
--- a/hickoryd/internal/room/room.go
+++ b/hickoryd/internal/room/room.go
@@ -8,15 +8,17 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
+	"github.com/cespare/xxhash/v2"
 
+	"github.com/hickoryfront/hickoryfront/core/homes"
 	"github.com/hickoryfront/hickoryfront/core/hoststate"
 	"github.com/hickoryfront/hickoryfront/core/room"
-	"github.com/hickoryfront/hickoryfront/core/serverlimit"
 	"github.com/hickoryfront/hickoryfront/core/serverlist"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/registry"
 )
@@ -64,6 +66,9 @@
 		Self netip.AddrPort
 		// MinHosts is the number of hosts from which on homes are asked.
 		MinHosts int
+		// Homes is the number of hosts that share the room of a pool, or 0 for one. Each grants
+		// its part to a part of the hosts.
+		Homes int
 	}
 
 	// Ask asks for room for one request.
@@ -114,12 +119,14 @@
 		background context.Context
 		// incarnation distinguishes the requests of this process from those of earlier ones.
 		incarnation uint32
-		grants      *metrics.Counter
-		refusals    *metrics.Counter
-		fallbacks   *metrics.Counter
+		// share chooses the home that this host asks.
+		share     uint64
+		grants    *metrics.Counter
+		refusals  *metrics.Counter
+		fallbacks *metrics.Counter
 
 		mu    sync.Mutex
-		hosts *serverlimit.Homes
+		hosts *homes.Set
 		homes map[room.Pool]*home
 		// failedAt is when homes last did not respond, or were tried again since.
 		failedAt map[netip.AddrPort]time.Time
@@ -131,11 +138,11 @@
 // New returns the rooms of a host, whose background work ends with the context background.
 func New(background context.Context, options Options, r Registry, peers Peers, logger log.Interface, set *metrics.Set) *Rooms {
 	rooms := &Rooms{
-		options: options, registry: r, peers: peers, logger: logger, background: background, incarnation: rand.Uint32(),
+		options: options, registry: r, peers: peers, logger: logger, background: background, incarnation: rand.Uint32(), share: xxhash.Sum64String(options.Self.String()),
 		grants:    set.NewCounter(`hickoryfront_edge_room_grants_total`),
 		refusals:  set.NewCounter(`hickoryfront_edge_room_refusals_total`),
 		fallbacks: set.NewCounter(`hickoryfront_edge_room_fallbacks_total`),
-		hosts:     serverlimit.NewHomes(), homes: make(map[room.Pool]*home),
+		hosts:     homes.New(), homes: make(map[room.Pool]*home),
 		failedAt: make(map[netip.AddrPort]time.Time), outboxes: make(map[netip.AddrPort]*outbox),
 	}
 	set.NewGauge(`hickoryfront_edge_room_waiting`, rooms.waiting)
@@ -223,10 +230,11 @@
 	hosts := r.registry.Hosts()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	home, ok := r.firstOf(now, hosts, pool)
-	if !ok {
-		return home, "", false
+	homes := r.homesOf(now, hosts, pool)
+	if len(homes) == 0 {
+		return netip.AddrPort{}, "", false
 	}
+	home := homes[r.share%uint64(len(homes))]
 	if failedAt, hasFailed := r.failedAt[home]; hasFailed {
 		if now.Sub(failedAt) < homeRetryPeriod {
 			return home, "", false
@@ -237,14 +245,10 @@
 	return home, fmt.Sprintf("%s/%x-%x", r.options.Self, r.incarnation, r.number), true
 }
 
-// firstOf returns the first host in the rendezvous order of a service. The caller holds mu.
-func (r *Rooms) firstOf(now time.Time, hosts []netip.AddrPort, pool room.Pool) (netip.AddrPort, bool) {
+// homesOf returns the hosts that share the room of a pool. The caller holds mu.
+func (r *Rooms) homesOf(now time.Time, hosts []netip.AddrPort, pool room.Pool) []netip.AddrPort {
 	r.hosts.Observe(now, hosts)
-	homes := r.hosts.Of(pool.Service + string(pool.Stage))
-	if len(homes) == 0 {
-		return netip.AddrPort{}, false
-	}
-	return homes[0], true
+	return r.hosts.Of(pool.Service+string(pool.Stage), max(r.options.Homes, 1))
 }
 
 func (r *Rooms) markFailed(now time.Time, home netip.AddrPort) {
@@ -289,11 +293,11 @@
 // the service: when the request is granted or refused, or while it waits after holdPeriod. If
 // ctx ends before, the request is cancelled.
 func (r *Rooms) AcquireRoom(ctx context.Context, pool room.Pool, request room.Request, inFlight map[string]int) room.Answer {
-	h, ok := r.home(time.Now(), pool)
+	h, p, ok := r.home(time.Now(), pool)
 	if !ok {
 		return room.Answer{IsNotHome: true}
 	}
-	return h.acquire(ctx, request, inFlight, r.registry.Servers())
+	return h.acquire(ctx, request, inFlight, r.registry.Servers(), p)
 }
 
 // ReleaseRoom receives the reports of a host that requests have ended.
@@ -308,12 +312,14 @@
 
 // home returns the ledger of a service if this host is its home. It drops the ledgers that are
 // not used any more.
-func (r *Rooms) home(now time.Time, pool room.Pool) (*home, bool) {
+func (r *Rooms) home(now time.Time, pool room.Pool) (*home, part, bool) {
 	hosts := r.registry.Hosts()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if first, ok := r.firstOf(now, hosts, pool); !ok || first != r.options.Self {
-		return nil, false
+	homes := r.homesOf(now, hosts, pool)
+	number := slices.Index(homes, r.options.Self)
+	if number < 0 {
+		return nil, part{}, false
 	}
 	h, ok := r.homes[pool]
 	if !ok {
@@ -326,24 +332,24 @@
 		r.homes[pool] = h
 	}
 	h.usedAt = now
-	return h, true
+	return h, part{number, len(homes)}, true
 }
 
-// servers returns the servers of a pool, or none if a plain one states no slots: its capacity is
+// servers returns the servers of a part of a pool, or none if a plain one states no slots: its capacity is
 // unknown then.
-func servers(snapshot *registry.Snapshot, pool room.Pool) []room.Server {
+func servers(snapshot *registry.Snapshot, pool room.Pool, p part) []room.Server {
 	var servers []room.Server
 	for _, s := range snapshot.Servers {
 		if s.Service != pool.Service || s.Stage != pool.Stage {
 			continue
 		}
-		slots := s.Slots
-		if pool.Stage == serverlist.Prefill {
-			slots = prefillSlots
-		}
-		if slots <= 0 {
+		if s.Stage == serverlist.NoStage && s.Slots <= 0 {
 			return nil
 		}
+		slots := p.slots(s)
+		if slots == 0 {
+			continue
+		}
 		servers = append(servers, room.Server{ID: s.ID, FailureDomain: s.FailureDomain, Slots: slots, StartedAt: s.StartedAt, TakesNoWork: s.IsDraining})
 	}
 	return servers
@@ -355,3 +361,20 @@
 		s.Rooms = append(s.Rooms, h.describe())
 	}
 }
+
+// slots returns the slots of a server that a home grants: its part of those of a plain server, and
+// all or none of a prefill server, which has too few to divide.
+func (p part) slots(s serverlist.Server) int {
+	offset := int(xxhash.Sum64String(s.ID) % uint64(p.count))
+	if s.Stage == serverlist.Prefill {
+		if offset == p.number {
+			return prefillSlots
+		}
+		return 0
+	}
+	slots := s.Slots / p.count
+	if (p.number+offset)%p.count < s.Slots%p.count { // the rest goes to different homes for different servers
+		slots++
+	}
+	return slots
+}
--- a/hickoryd/internal/room/room_test.go
+++ b/hickoryd/internal/room/room_test.go
@@ -70,6 +70,11 @@
 // newCluster starts hosts that know the same servers. Those with an odd number know only the
 // first host if isSplit is set.
 func newCluster(t *testing.T, isSplit bool) *cluster {
+	return newClusterOf(t, isSplit, 1)
+}
+
+// newClusterOf is newCluster with a number of homes of each service.
+func newClusterOf(t *testing.T, isSplit bool, homes int) *cluster {
 	c := &cluster{tb: t, rooms: make(map[netip.AddrPort]*room.Rooms)}
 	for i := range hostCount {
 		c.hosts = append(c.hosts, netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, byte(10 + i)}), 82))
@@ -83,7 +88,7 @@
 		if isSplit && i%2 == 1 {
 			l.hosts = c.hosts[:1]
 		}
-		c.rooms[address] = room.New(t.Context(), room.Options{Self: address}, l, c, &log.Logger{Handler: discard.New()}, metrics.NewSet())
+		c.rooms[address] = room.New(t.Context(), room.Options{Self: address, Homes: homes}, l, c, &log.Logger{Handler: discard.New()}, metrics.NewSet())
 	}
 	return c
 }
@@ -256,3 +261,34 @@
 		t.Errorf("%d requests granted, %d left to their hosts; want some of each", granted, own)
 	}
 }
+
+// TestHomesShareSlots guards against homes that grant more together than the servers take, and
+// against a home that gets the asks of all hosts.
+func TestHomesShareSlots(t *testing.T) {
+	c := newClusterOf(t, false, 3)
+	var grants []*room.Grant
+	for i := range 100 {
+		ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+		if grant, err := c.rooms[c.hosts[i%hostCount]].Acquire(ctx, newAsk(waitTimeout)); err == nil {
+			grants = append(grants, grant)
+		}
+		cancel()
+	}
+	homes, listed := 0, 0
+	for _, address := range c.hosts {
+		var s hoststate.State
+		if c.rooms[address].Describe(&s); len(s.Rooms) > 0 {
+			homes++
+			for _, server := range s.Rooms[0].Servers {
+				listed += server.Granted
+			}
+		}
+	}
+	// Three parts of the slots of two servers, each rounded up and with one request in advance.
+	if most := 2 * (slots + 2 + 3); len(grants) < slots || len(grants) > most || listed != len(grants) || homes < 2 {
+		t.Errorf("%d grants, %d listed at %d homes, want at most %d at several homes", len(grants), listed, homes, most)
+	}
+	for _, grant := range grants {
+		grant.Release(coreroom.Served, time.Millisecond)
+	}
+}
