Identify relayed requests that the other host has not identified

Cause: a host that accepts a relayed request forwards the headers that the other host has passed on. A host of the previous version, or one whose configuration has no workspaces yet, passes on the caller's Authorization and Tenant, so a backend server received the key and a Tenant of the caller's choice, also for an unknown key.

Change: a host with workspaces finds the workspace of a relayed request that states none, sets or removes the headers, and refuses it with 401 if its route needs a key. A stream that has begun and a request by a newer configuration continue without Tenant. Nothing changes without workspaces.

--- a/hickoryd/internal/edge/wiring.go
+++ b/hickoryd/internal/edge/wiring.go
@@ -147,7 +147,7 @@
 }
 
 func newEdgeServer(r *registry.Registry, d *edgedispatch.Dispatcher, q *quarantine.Quarantine, quotas *workspacequota.Quotas, rooms *room.Rooms) *edgehost.Server {
-	receivers := edgehost.Receivers{Source: r, Reports: d, Origins: d, Quarantine: q, Limits: d, Quotas: quotas, Relays: d}
+	receivers := edgehost.Receivers{Source: r, Reports: d, Origins: d, Quarantine: q, Limits: d, Quotas: quotas, Relays: d, Routes: r}
 	if rooms != nil {
 		receivers.Rooms = rooms
 	}
--- a/hickoryd/internal/edgehost/relay.go
+++ b/hickoryd/internal/edgehost/relay.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -40,6 +41,8 @@
 	errTooMuch  = errors.New("too many bodies of other hosts' requests")
 	errNoHead   = errors.New("request without a head")
 	errBodySize = errors.New("body has another size than announced")
+	// errRelayedKey refuses a request without a known key.
+	errRelayedKey = &edgedispatch.Failure{Status: http.StatusUnauthorized, Reason: "unknown key"}
 )
 
 type (
@@ -51,9 +54,17 @@
 		Serve(ctx context.Context, request *edgedispatch.Request, sink edgedispatch.Sink) error
 	}
 
+	// RelayRoutes holds the routes of the current configuration.
+	RelayRoutes interface {
+		// Table returns the routes, or nil if no configuration was loaded yet.
+		Table() *route.Table
+	}
+
 	// relays serves the requests of other hosts.
 	relays struct {
-		dispatcher    RelayDispatcher
+		dispatcher RelayDispatcher
+		// routes is nil if requests are served with the headers that the other hosts pass on.
+		routes        RelayRoutes
 		isDraining    atomic.Bool
 		inFlight      atomic.Int64
 		bufferedBytes atomic.Int64
@@ -172,6 +183,9 @@
 		return err
 	}
 	sink := &relaySink{stream: stream}
+	if err := r.identify(request); err != nil {
+		return r.end(sink, head, err)
+	}
 	return r.end(sink, head, r.dispatcher.Serve(stream.Context(), request, sink))
 }
 
@@ -204,6 +218,38 @@
 	return nil
 }
 
+// identify finds the workspace of a request that the other host has not identified, and replaces
+// the headers that state it: a host of an earlier version, or with an older configuration
+// without workspaces, passes on the caller's key and the caller's own Tenant. The error is a
+// *Failure if the request needs a key and has no known one. A stream that has begun continues, and
+// a request by a newer configuration than this host's may be one of a public route.
+func (r *relays) identify(request *edgedispatch.Request) error {
+	if r.routes == nil {
+		return nil
+	}
+	table := r.routes.Table()
+	if table == nil || !table.Directory().IsEnforced() {
+		return nil
+	}
+	if request.Workspace == "" {
+		hash, err := platform.DecodeKey(request.Header)
+		if workspace, ok := table.Directory().Find(hash); err == nil && ok {
+			request.Workspace = workspace.Name
+		} else if !request.IsContinued && request.ConfigVersion <= table.Version() && !isPublic(table, request) {
+			return errRelayedKey
+		}
+	}
+	platform.SetTenant(request.Header, request.Workspace)
+	return nil
+}
+
+// isPublic reports whether the route of a request is public.
+func isPublic(table *route.Table, request *edgedispatch.Request) bool {
+	path, _, _ := strings.Cut(request.Target, "?")
+	found := table.Find(request.Host, path)
+	return found != nil && found.IsPublic
+}
+
 func (r *relays) accepts(head *peerapi.RelayHead) bool {
 	return r.dispatcher.AcceptsRelay(head.GetRoute().GetService(), head.GetNeedsMostPaths())
 }
--- a/hickoryd/internal/edgehost/relay_test.go
+++ b/hickoryd/internal/edgehost/relay_test.go
@@ -14,6 +14,7 @@
 	gocmp "github.com/google/go-cmp/cmp"
 	"google.golang.org/grpc"
 
+	"github.com/hickoryfront/hickoryfront/core/identity"
 	"github.com/hickoryfront/hickoryfront/core/route"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/edgedispatch"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/edgehost"
@@ -269,3 +270,83 @@
 		t.Error(err)
 	}
 }
+
+// relayRoutes are the routes of a host.
+type relayRoutes struct{ table *route.Table }
+
+func (r relayRoutes) Table() *route.Table { return r.table }
+
+// TestRelayIdentity guards against a caller's key, or a Tenant that the caller has set, that reach
+// a backend server through another host which does not know workspaces, because its version is
+// earlier or its configuration older, and against requests that are refused although the other
+// host has identified them.
+func TestRelayIdentity(t *testing.T) {
+	configuration := &route.Configuration{
+		Version: 7, Workspaces: []identity.Workspace{{Name: "w", Keys: []identity.KeyHash{identity.HashKey("key-w")}}},
+		Routes: []route.Route{{HostName: "h.example", PathPrefix: "/a", Service: "s"}, {HostName: "h.example", PathPrefix: "/public", Service: "s", IsPublic: true}},
+	}
+	enforced := route.NewTable(configuration)
+	open := route.NewTable(&route.Configuration{Version: 7, Routes: configuration.Routes})
+	tests := []struct {
+		name, key, tenant string
+		table             *route.Table
+		target            string
+		workspace         string
+		version           uint64
+		isContinued       bool
+		wantStatus        int // of the refusal
+		want              http.Header
+	}{
+		{name: "valid key", key: "Token key-w", tenant: "forged", table: enforced, target: "/a", want: http.Header{"Tenant": {"w"}}},
+		{name: "unknown key", key: "Token key-x", tenant: "w", table: enforced, target: "/a", wantStatus: http.StatusUnauthorized},
+		{name: "no key", tenant: "w", table: enforced, target: "/a?q", wantStatus: http.StatusUnauthorized},
+		{name: "public, no key", tenant: "w", table: enforced, target: "/public?q", want: http.Header{}},
+		{name: "public, unknown key", key: "Token key-x", tenant: "w", table: enforced, target: "/public", want: http.Header{}},
+		{name: "public, valid key", key: "Token key-w", table: enforced, target: "/public", want: http.Header{"Tenant": {"w"}}},
+		{name: "identified", tenant: "v", workspace: "v", table: enforced, target: "/a", want: http.Header{"Tenant": {"v"}}},
+		{name: "newer configuration", table: enforced, target: "/a", version: 8, want: http.Header{}},
+		{name: "stream that has begun", key: "Token key-x", tenant: "w", table: enforced, target: "/a", isContinued: true, want: http.Header{}},
+		{name: "no workspaces", key: "Token key-w", tenant: "own", table: open, target: "/a", want: http.Header{"Authorization": {"Token key-w"}, "Tenant": {"own"}}},
+		{name: "no configuration, identified", tenant: "v", workspace: "v", target: "/a", want: http.Header{"Tenant": {"v"}}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var got *edgedispatch.Request
+			h := &host{}
+			address, _ := serveEdge(t, edgehost.NewServer(edgehost.Receivers{
+				Source: h, Reports: h, Limits: h, Routes: relayRoutes{tt.table},
+				Relays: relayDispatcher{serve: func(_ context.Context, r *edgedispatch.Request, s edgedispatch.Sink) error {
+					got = r
+					return s.Start(http.StatusOK, nil)
+				}},
+			}))
+			sent := newRelayRequest(time.Now())
+			sent.Target, sent.Workspace, sent.IsContinued, sent.ConfigVersion = tt.target, tt.workspace, tt.isContinued, max(tt.version, 3)
+			sent.Header = http.Header{"Request-Id": {"r1"}}
+			if tt.key != "" {
+				sent.Header.Set("Authorization", tt.key)
+			}
+			if tt.tenant != "" {
+				sent.Header.Set("Tenant", tt.tenant)
+			}
+			err := newClient(t).Relay(t.Context(), address, sent, &responseSink{})
+			if tt.wantStatus != 0 {
+				var failure *edgedispatch.Failure
+				if !errors.As(err, &failure) || failure.Status != tt.wantStatus || got != nil {
+					t.Fatalf("error %v, dispatched %t, want status %d", err, got != nil, tt.wantStatus)
+				}
+				return
+			}
+			if err != nil {
+				t.Fatal(err)
+			}
+			tt.want.Set("Request-Id", "r1")
+			if diff := gocmp.Diff(tt.want, got.Header); diff != "" {
+				t.Errorf("headers (-want +got):\n%s", diff)
+			}
+			if workspace := tt.want.Get("Tenant"); tt.table == enforced && got.Workspace != workspace {
+				t.Errorf("workspace %q, want %q", got.Workspace, workspace)
+			}
+		})
+	}
+}
--- a/hickoryd/internal/edgehost/server.go
+++ b/hickoryd/internal/edgehost/server.go
@@ -60,7 +60,8 @@
 	}
 
 	// Receivers are what serves the calls of the other hosts. The calls of those that are nil
-	// are unimplemented; Source, Reports, Limits and Relays are required.
+	// are unimplemented; Source, Reports, Limits and Relays are required. Without Routes, relayed
+	// requests are served as the other hosts have identified them.
 	Receivers struct {
 		Source     Source
 		Reports    ReportReceiver
@@ -70,6 +71,7 @@
 		Quotas     QuotaReceiver
 		Rooms      RoomReceiver
 		Relays     RelayDispatcher
+		Routes     RelayRoutes
 	}
 
 	// Server serves the calls of the other hosts.
@@ -90,7 +92,7 @@
 func NewServer(r Receivers) *Server {
 	return &Server{
 		source: r.Source, receiver: r.Reports, origins: r.Origins, quarantine: r.Quarantine, limits: r.Limits,
-		quotas: r.Quotas, rooms: r.Rooms, relays: &relays{dispatcher: r.Relays},
+		quotas: r.Quotas, rooms: r.Rooms, relays: &relays{dispatcher: r.Relays, routes: r.Routes},
 	}
 }
 
