Serve requests whose route becomes public while the body arrives

Cause: the key of a request is checked again against the newest configuration once the body has arrived, but IsPublic was still that of the older one. A request without a key got 401 if the same document introduced workspaces and made its route public.

Change: the check takes the route's IsPublic from the newest configuration.

Result: the two new cases of TestKeyChangesWhileTheBodyArrives got 401 before and get 200 now. The package edgecaller passes.

--- a/hickoryd/internal/edgecaller/identity.go
+++ b/hickoryd/internal/edgecaller/identity.go
@@ -96,6 +96,11 @@
 	if newest == table || !newest.Directory().IsEnforced() {
 		return nil
 	}
+	if found := newest.Find(request.Host, pathOf(request.Target)); found != nil && found.IsPublic && !request.Route.IsPublic {
+		public := *request.Route
+		public.IsPublic = true
+		request.Route = &public
+	}
 	if !a.isEnforced { // the request still has its headers
 		request.ConfigVersion = newest.Version()
 		return h.identify(request, newest, a)
--- a/hickoryd/internal/edgecaller/identity_test.go
+++ b/hickoryd/internal/edgecaller/identity_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -71,6 +72,15 @@
 	})
 }
 
+// newPrivateTable returns the table of newTable without public routes.
+func newPrivateTable(workspaces ...identity.Workspace) *route.Table {
+	routes := slices.Clone(newTable().Routes())
+	for i := range routes {
+		routes[i].IsPublic = false
+	}
+	return route.NewTable(&route.Configuration{Version: 6, Workspaces: workspaces, Routes: routes})
+}
+
 // exchange sends a request to a handler without a network.
 func exchange(handler http.Handler, path string, header http.Header) *httptest.ResponseRecorder {
 	request := httptest.NewRequest(http.MethodPost, "http://h.example"+path, strings.NewReader("b"))
@@ -209,7 +219,8 @@
 }
 
 // TestKeyChangesWhileTheBodyArrives guards against a key that stays valid, or with its former
-// workspace, for a request whose body arrives slowly.
+// workspace, for a request whose body arrives slowly, and against a request that is refused although
+// its route has become public.
 func TestKeyChangesWhileTheBodyArrives(t *testing.T) {
 	moved := identity.Workspace{Name: "v", Keys: workspace("w").Keys}
 	tests := []struct {
@@ -225,6 +236,8 @@
 		{name: "still valid", path: "/a/", next: newTable(workspace("v"), workspace("w")), want: http.StatusOK, tenant: "w"},
 		{name: "first workspaces, valid key", path: "/a/", first: newTable(), next: newTable(workspace("w")), want: http.StatusOK, tenant: "w"},
 		{name: "first workspaces, unknown key", path: "/a/", first: newTable(), next: newTable(workspace("v")), want: http.StatusUnauthorized},
+		{name: "first workspaces, route is public since then", path: "/public/", first: newPrivateTable(), next: newTable(workspace("v")), want: http.StatusOK},
+		{name: "revoked, route is public since then", path: "/public/", first: newPrivateTable(workspace("w")), next: newTable(workspace("v")), want: http.StatusOK},
 		{name: "no workspaces any more", path: "/a/", next: newTable(), want: http.StatusOK, tenant: "w"},
 	}
 	for _, tt := range tests {
