Pause between fetches of a configuration that a host can't decode

Cause: a host that follows a reader of the store fetched an announced document again at once if it was not in force after the fetch. A reader of another version may have a document in force that this host can't decode: the previous version ignores the fields public, traffic-split and tenants, and this one refuses a document in which the first two have a wrong type.

Change: RunConfiguration pauses for retryDelay while the announced version is not in force, whatever the cause.

Result: TestRefusedDocumentOfReader saw 39071 fetches in a second before, and passes with at most 4 now. The package registry passes.

--- a/hickoryd/internal/registry/follower.go
+++ b/hickoryd/internal/registry/follower.go
@@ -221,6 +221,9 @@
 	}
 	if announced > r.version() {
 		r.fetchAnnounced(ctx, reader)
+		if announced > r.version() { // not received, or this host can't decode what the reader can
+			_ = timing.Sleep(ctx, retryDelay) // the caller checks ctx
+		}
 		return true
 	}
 	select {
@@ -246,6 +249,5 @@
 	started := time.Now()
 	if _, err := r.syncConfiguration(ctx, 0, changed); err != nil {
 		r.logConfigurationFailure(err, 0, isClosed(changed), time.Since(started))
-		_ = timing.Sleep(ctx, retryDelay) // the caller checks ctx
 	}
 }
