Correct the load that the tests of ranked requests state

Cause: 40 servers of 12,000 tokens hold 240 requests of 2,000 tokens, each for 4 s on average, which are 60 a second. Three kinds, one of them 1.2 times as large on average, fit at 18.75 a second each, and the comments stated 35.

Change: comments only. 30 and 40 a second are 1.6 and 2.1 times what fits.

--- a/core/capacitywait/ranked_test.go
+++ b/core/capacitywait/ranked_test.go
@@ -12,7 +12,7 @@
 )
 
 // loadOf returns a load of three kinds of the given number of requests per second each. A tenth of the
-// most urgent are three times as large as the others. The servers have room for about 35 of each.
+// most urgent are three times as large as the others. The servers have room for about 19 of each.
 func loadOf(hosts int, perSecond float64, isRanked bool) load {
 	return load{hosts: hosts, isRanked: isRanked, kinds: []kind{
 		{priority: 0, target: 800 * time.Millisecond, perSecond: perSecond, tokens: 2000, largeTokens: 6000},
@@ -31,7 +31,7 @@
 
 // TestKindsInABurst guards against a kind that is served less, or earns less of its value, than a less
 // urgent one with a longer target, against large requests that find no memory beside small ones, and
-// against a least urgent kind that starves. The load is a burst of 1.2 and 1.6 times what fits, at
+// against a least urgent kind that starves. The load is a burst of 1.6 and 2.1 times what fits, at
 // hosts that each have few requests.
 func TestKindsInABurst(t *testing.T) {
 	for _, tt := range []struct {
