--- a/hickoryd/internal/edge/settings.go
+++ b/hickoryd/internal/edge/settings.go
@@ -73,7 +73,7 @@
 	RoomServices string
 	// RoomMinHosts is the number of hosts from which on homes choose servers.
 	RoomMinHosts int
-	// RoomHomes is the number of hosts that share the room of a service.
+	// RoomHomes is the number of hosts that share the room of a plain service.
 	RoomHomes int
 	// CallerConnections, ReadyConnections, PeerConnections and OperatorConnections are the
 	// maximum numbers of connections of the listeners, or 0 for what memory and
@@ -178,7 +178,7 @@
 		setting.Bind("stages", "prefillShare", "0.13", "part of a service's model servers that is busy with prefills at the peak, without the reserve; 0 leaves the stages unchanged", setting.Fraction(&s.PrefillShare)),
 		setting.Bind("room", "services", "none", "servers that a home chooses for all hosts together: none, plain (servers of plain services), prefill (prefill servers) or all (both)", setting.OneOf(&s.RoomServices, roomNone, roomPlain, roomPrefill, roomAll)),
 		setting.Bind("room", "minHosts", "24", "number of hosts from which on homes choose servers; fewer hosts know the load of a server from their own requests", setting.Integer(&s.RoomMinHosts)),
-		setting.Bind("room", "homes", "3", "number of hosts that share the room of a service: each grants its part to a part of the hosts", setting.Integer(&s.RoomHomes)),
+		setting.Bind("room", "homes", "3", "number of hosts that share the room of a plain service: each grants its part to a part of the hosts", setting.Integer(&s.RoomHomes)),
 		setting.Bind("shutdown", "grace", "8s", "longest time from the termination signal to the exit of the process", setting.Duration(&s.Grace)),
 		setting.Bind("log", "level", "info", "debug, info, warn or error", setting.OneOf(&s.LogLevel, "debug", "info", "warn", "error")),
 	}
--- a/hickoryd/internal/room/room.go
+++ b/hickoryd/internal/room/room.go
@@ -66,8 +66,8 @@
 		Self netip.AddrPort
 		// MinHosts is the number of hosts from which on homes are asked.
 		MinHosts int
-		// Homes is the number of hosts that share the room of a pool, or 0 for one. Each grants
-		// its part to a part of the hosts.
+		// Homes is the number of hosts that share the room of a plain service, or 0 for one. Each
+		// grants its part to a part of the hosts.
 		Homes int
 	}
 
@@ -245,10 +245,15 @@
 	return home, fmt.Sprintf("%s/%x-%x", r.options.Self, r.incarnation, r.number), true
 }
 
-// homesOf returns the hosts that share the room of a pool. The caller holds mu.
+// homesOf returns the hosts that share the room of a pool: one for prefill servers, as these have
+// too few slots to divide. The caller holds mu.
 func (r *Rooms) homesOf(now time.Time, hosts []netip.AddrPort, pool room.Pool) []netip.AddrPort {
 	r.hosts.Observe(now, hosts)
-	return r.hosts.Of(pool.Service+string(pool.Stage), max(r.options.Homes, 1))
+	count := 1
+	if pool.Stage == serverlist.NoStage {
+		count = max(r.options.Homes, 1)
+	}
+	return r.hosts.Of(pool.Service+string(pool.Stage), count)
 }
 
 func (r *Rooms) markFailed(now time.Time, home netip.AddrPort) {
@@ -362,16 +367,12 @@
 	}
 }
 
-// slots returns the slots of a server that a home grants: its part of those of a plain server, and
-// all or none of a prefill server, which has too few to divide.
+// slots returns the slots of a server that a home grants.
 func (p part) slots(s serverlist.Server) int {
-	offset := int(xxhash.Sum64String(s.ID) % uint64(p.count))
 	if s.Stage == serverlist.Prefill {
-		if offset == p.number {
-			return prefillSlots
-		}
-		return 0
+		return prefillSlots
 	}
+	offset := int(xxhash.Sum64String(s.ID) % uint64(p.count))
 	slots := s.Slots / p.count
 	if (p.number+offset)%p.count < s.Slots%p.count { // the rest goes to different homes for different servers
 		slots++
