Keep to the bounds of a quota while homes do not grant yet

Cause: while homes do not grant, each host admitted its part of the rate and of what the operators tolerate, by a host list that may not be settled. After a loss of power that has ended all registrations, the first hosts read a list of few hosts and took the parts of all. One home that answered was enough, although the others granted to hosts that reached them. The local allowance and this share took the same tolerance in one window. A share that was used again after a while started at its full level without the random part of a request, so that each host admitted up to one request more.

Change: a host uses the share only once its host list is settled and if all homes have answered that they do not grant. The share and the allowance subtract each other, and a share that has not been used for a window starts below the tolerance by a random part of a request. The simulation returns units of a lease as hosts do.

TestUnsettledList failed before.

--- a/core/quota/requester.go
+++ b/core/quota/requester.go
@@ -183,11 +183,12 @@
 	}
 }
 
-// IsStarting reports whether one of the homes has answered lately that it does not grant yet.
+// IsStarting reports whether all homes have answered lately that they do not grant yet. A home that
+// did not answer may grant to other hosts.
 func (r *Requester) IsStarting(now time.Time, homes []netip.AddrPort) bool {
-	return slices.ContainsFunc(homes, func(home netip.AddrPort) bool {
+	return len(homes) > 0 && !slices.ContainsFunc(homes, func(home netip.AddrPort) bool {
 		at, ok := r.startingAt[home]
-		return ok && now.Sub(at) < 2*homeRetryPeriod
+		return !ok || now.Sub(at) >= 2*homeRetryPeriod
 	})
 }
 
@@ -200,10 +201,18 @@
 		return false
 	}
 	tolerated := r.bounds.excess(ask.Limit) / float64(hosts)
+	if d.allowance != nil { // both admit from what the operators tolerate
+		tolerated = max(0, tolerated-d.allowance.admitted.sum(now))
+	}
+	rate := ask.Limit.Rate / float64(hosts)
+	first := tolerated - ask.Units*r.random.Float64()
 	if d.startShare == nil {
-		d.startShare = &startShare{level: tolerated - ask.Units*r.random.Float64(), filledAt: now}
+		d.startShare = &startShare{level: first, filledAt: now}
+	} else if now.Sub(d.startShare.filledAt) >= r.windowLength() { // the homes have granted meanwhile
+		d.startShare.level = min(d.startShare.level+rate*now.Sub(d.startShare.filledAt).Seconds(), first)
+		d.startShare.filledAt = now
 	}
-	return d.startShare.take(now, ask.Units, ask.Limit.Rate/float64(hosts), tolerated)
+	return d.startShare.take(now, ask.Units, rate, tolerated)
 }
 
 // TakeAllowance reports whether the host may admit a request although no home answers. hosts
@@ -211,19 +220,28 @@
 func (r *Requester) TakeAllowance(now time.Time, ask Ask, hosts int) bool {
 	// What this host admitted before it started again is in the window until then, and other
 	// hosts may not count it as a host yet.
-	if !r.bounds.HasTolerance() || hosts == 0 || now.Sub(r.started) < max(r.bounds.Window*(slotCount+1)/slotCount, joinPeriod) {
+	if !r.bounds.HasTolerance() || hosts == 0 || now.Sub(r.started) < max(r.windowLength(), joinPeriod) {
 		return false
 	}
 	d, ok := r.workspaces[ask.Workspace]
 	if !ok {
 		return false
 	}
+	if d.startShare != nil && now.Sub(d.startShare.filledAt) < r.windowLength() { // it has taken a part of the same tolerance
+		return false
+	}
 	if d.allowance == nil {
 		d.allowance = NewAllowance(r.bounds.Window)
 	}
 	return d.allowance.Take(now, ask.Units, r.bounds.excess(ask.Limit)/float64(hosts))
 }
 
+// windowLength returns the time after which what was admitted before has left the window. A
+// windowSum includes up to one slot more than the window.
+func (r *Requester) windowLength() time.Duration {
+	return r.bounds.Window * (slotCount + 1) / slotCount
+}
+
 // Return keeps units that were not used. It reports whether they should be returned to the
 // home that granted them at grantedAt instead.
 func (r *Requester) Return(now, grantedAt time.Time, workspace string, units float64) (toHome bool) {
--- a/core/quota/simulation_test.go
+++ b/core/quota/simulation_test.go
@@ -48,12 +48,14 @@
 	// simulatedWorkspace sends load times its rate, in requests of size units. Requests come
 	// at random times, or with equal distances that vary by a quarter.
 	simulatedWorkspace struct {
-		name             string
-		limit            quota.Limit
-		version          uint64
-		load, size       float64
-		isEven           bool
-		failures         float64 // part of the requests that end without having run
+		name       string
+		limit      quota.Limit
+		version    uint64
+		load, size float64
+		isEven     bool
+		failures   float64 // part of the requests that end without having run
+		// failsAfter is when such a request ends, or 0 for a random time up to 3 s.
+		failsAfter       time.Duration
 		next             time.Time
 		admitted         []admission
 		refused, offered int
@@ -205,27 +207,36 @@
 			continue
 		}
 		w.offered++
-		home, ok := s.admit(h, w)
+		home, grantedAt, ok := s.admit(h, w)
 		if !ok {
 			w.refused++
 			continue
 		}
 		if s.random.Float64() < w.failures {
-			s.returns = append(s.returns, returned{at: s.now.Add(s.upTo(3 * time.Second)), grantedAt: s.now, from: h, home: home, workspace: w})
+			after := w.failsAfter
+			if after == 0 {
+				after = s.upTo(3 * time.Second)
+			}
+			s.returns = append(s.returns, returned{at: s.now.Add(after), grantedAt: grantedAt, from: h, home: home, workspace: w})
 			continue
 		}
 		w.admitted = append(w.admitted, admission{s.now, w.size})
 	}
 }
 
-// admit asks the homes as a host does. It returns the home that has granted, or nil if the
-// host had the units.
-func (s *simulation) admit(h *simulatedHost, w *simulatedWorkspace) (*simulatedHost, bool) {
+// admit asks the homes as a host does. It returns the home that has granted the units, and when, or
+// nil if the units are not from a home.
+func (s *simulation) admit(h *simulatedHost, w *simulatedWorkspace) (home *simulatedHost, grantedAt time.Time, isAdmitted bool) {
 	h.groups.Observe(s.now, h.list)
 	ask := quota.Ask{Workspace: w.name, Version: w.version, Limit: w.limit, Units: w.size, Hosts: h.groups.HostCount()}
 	d := h.requester.Begin(s.now, ask, h.groups.Homes(h.groups.Group(w.name)))
-	if d.Step != quota.AskHomes {
-		return nil, d.Step == quota.Admit
+	switch d.Step {
+	case quota.Admit:
+		home, _ = s.reached(h, d.Home)
+		return home, d.GrantedAt, true
+	case quota.Refuse:
+		return nil, s.now, false
+	case quota.AskHomes:
 	}
 	ask.Ahead = d.Ahead
 	wait := time.Duration(0)
@@ -244,19 +255,22 @@
 			h.requester.MarkSilent(s.now, address, isReached)
 		case answer.Granted > 0:
 			h.requester.Grant(s.now, ask, address, answer.Granted)
-			return home, true
+			return home, s.now, true
 		case wait == 0 || answer.Wait < wait:
 			wait = answer.Wait
 		}
 	}
 	if wait > 0 {
 		h.requester.Deny(s.now, ask, wait)
-		return nil, false
+		return nil, s.now, false
+	}
+	if !h.isSettled {
+		return nil, s.now, false
 	}
 	if h.requester.IsStarting(s.now, h.groups.Homes(h.groups.Group(w.name))) {
-		return nil, h.requester.TakeStartShare(s.now, ask, h.groups.HostCount())
+		return nil, s.now, h.requester.TakeStartShare(s.now, ask, h.groups.HostCount())
 	}
-	return nil, h.isSettled && h.requester.TakeAllowance(s.now, ask, h.groups.HostCount())
+	return nil, s.now, h.requester.TakeAllowance(s.now, ask, h.groups.HostCount())
 }
 
 // grant responds as a home does. It returns false if the host does not grant.
--- a/hickoryd/internal/workspacequota/quotas.go
+++ b/hickoryd/internal/workspacequota/quotas.go
@@ -201,7 +201,7 @@
 func (q *Quotas) fallBack(ask quota.Ask, group int, homes []netip.AddrPort) (func(), *edgedispatch.Failure) {
 	areSettled, now := q.hosts.AreHostsSettled(), time.Now()
 	q.mu.Lock()
-	if q.requester.IsStarting(now, q.groups.Homes(group)) {
+	if areSettled && q.requester.IsStarting(now, q.groups.Homes(group)) { // an earlier list may lack most hosts
 		isAdmitted := q.requester.TakeStartShare(now, ask, ask.Hosts)
 		q.mu.Unlock()
 		q.fallbacks.Inc()
--- a/hickoryd/internal/workspacequota/quotas_test.go
+++ b/hickoryd/internal/workspacequota/quotas_test.go
@@ -151,6 +151,22 @@
 	}
 }
 
+// unsettledList is the list of a host that has read it only once.
+type unsettledList struct{ hostList }
+
+func (unsettledList) AreHostsSettled() bool { return false }
+
+// TestUnsettledList guards against a host that takes the parts of hosts which have not registered
+// again yet, as after a loss of power that has ended all registrations.
+func TestUnsettledList(t *testing.T) {
+	logger := &log.Logger{Handler: discard.New(), Level: log.DebugLevel}
+	options := workspacequota.Options{Self: self, Bounds: bounds}
+	q := workspacequota.New(t.Context(), time.Now(), options, unsettledList{hostList{self}}, &homes{respond: silent}, logger, metrics.NewSet())
+	if _, refusal := q.Admit(t.Context(), workspace, 1, 100); refusal == nil || refusal.Status != http.StatusServiceUnavailable {
+		t.Errorf("refusal %+v, want status 503", refusal)
+	}
+}
+
 // TestCallerLeaves guards against a home that is taken for silent because a caller has left.
 func TestCallerLeaves(t *testing.T) {
 	h := &homes{respond: firstThen(hanging, granted)}
