Do not use units again that were granted long ago

Cause: a host put the units of a request that had not run into its lease, however long ago they were granted. They were admitted beside all that homes grant in the present window. Units that go back to a home were limited to an age of 2 s.

Change: the limit of 2 s applies to both.

Result: TestOldUnitsAreNotUsedAgain failed before.

--- a/core/quota/requester.go
+++ b/core/quota/requester.go
@@ -242,13 +242,15 @@
 	return r.bounds.Window * (slotCount + 1) / slotCount
 }
 
-// Return keeps units that were not used. It reports whether they should be returned to the
-// home that granted them at grantedAt instead.
+// Return keeps units that were not used, unless they are older than returnPeriod: such units would
+// be admitted beside all that homes grant in the present window. It reports whether the units should
+// be returned to the home that granted them at grantedAt instead.
 func (r *Requester) Return(now, grantedAt time.Time, workspace string, units float64) (toHome bool) {
-	if d, ok := r.workspaces[workspace]; ok && d.lease.giveBack(now, units) {
+	if now.Sub(grantedAt) >= returnPeriod {
 		return false
 	}
-	return now.Sub(grantedAt) < returnPeriod
+	d, ok := r.workspaces[workspace]
+	return !ok || !d.lease.giveBack(now, units)
 }
 
 // clean removes the workspaces without requests of late, and the homes that may be asked again.
