Cancel the requests of dead hosts at a busy home

Cause: a home cancelled requests whose hosts no longer ask only when its timer ran. Each ask and each report sets that timer again to 10 ms later, so that it did not run while they arrived without a pause: requests of dead hosts waited until their targets and were granted until their deadlines, and their waiters remained in memory.

Change: each decision cancels them, at most once a second as before.

--- a/hickoryd/internal/room/home.go
+++ b/hickoryd/internal/room/home.go
@@ -85,10 +85,12 @@
 		h.waiters[request.ID] = w
 		h.ledger.Observe(now, request.Requester, inFlight)
 		h.ledger.Ask(now, request)
-		h.decide(now)
 	}
 	w.askedAt = now
 	w.asks++
+	if !ok {
+		h.decide(now)
+	}
 	return w
 }
 
@@ -123,6 +125,7 @@
 
 // decide passes the ledger's decisions on, and sets the timer. The caller holds mu.
 func (h *home) decide(now time.Time) {
+	h.dropAbandoned(now)
 	grants, refusals, next := h.ledger.Decide(now)
 	for _, g := range grants {
 		h.respond(g.RequestID, room.Answer{Server: g.Server})
@@ -145,22 +148,27 @@
 	}
 }
 
-// run decides at the time that the ledger has stated, and cancels requests whose hosts don't
-// ask for them any more.
+// run decides at the time that the ledger has stated.
 func (h *home) run() {
 	now := time.Now()
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if now.Sub(h.checked) > abandonPeriod {
-		h.checked = now
-		for id, w := range h.waiters {
-			if w.asks == 0 && now.Sub(w.askedAt) > abandonPeriod {
-				delete(h.waiters, id)
-				h.ledger.Cancel(now, id)
-			}
+	h.decide(now)
+}
+
+// dropAbandoned cancels requests whose hosts don't ask for them any more. Each decision calls it:
+// while asks arrive without a pause, the timer is set again before it runs. The caller holds mu.
+func (h *home) dropAbandoned(now time.Time) {
+	if now.Sub(h.checked) <= abandonPeriod {
+		return
+	}
+	h.checked = now
+	for id, w := range h.waiters {
+		if w.asks == 0 && now.Sub(w.askedAt) > abandonPeriod {
+			delete(h.waiters, id)
+			h.ledger.Cancel(now, id)
 		}
 	}
-	h.decide(now)
 }
 
 func (h *home) describe() hoststate.Room {
