Do not apply a server list that is older than the home's

Cause: the server list of an ask is read before the home is locked, so that an ask could apply an older list after a newer one. The home then dropped a new server with its grants, and granted its room again when the next ask brought the newer list.

Change: a home applies only newer lists. Their versions only rise within a process.

Result: TestOlderServerList failed before, with two of three grants left.

--- a/hickoryd/internal/room/home.go
+++ b/hickoryd/internal/room/home.go
@@ -75,7 +75,7 @@
 func (h *home) ask(now time.Time, request room.Request, inFlight map[string]int, snapshot *registry.Snapshot) *waiter {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if !h.hasList || h.version != snapshot.Version {
+	if !h.hasList || h.version < snapshot.Version { // another ask may have brought a newer list
 		h.ledger.SetServers(now, servers(snapshot, h.pool))
 		h.version, h.hasList = snapshot.Version, true
 	}
