Judge whether a prompt is in time by its own length

Cause: the home judged each request by the mean service time of all and two mean deviations. The target of a prompt is 350 ms and its own expected time away. Where prompts of 20 and 600 ms alternate, the home refused those of both lengths at once unless a server had room.

Change: a request that states its expected service time is judged by that.

Result: TestOwnServiceTime failed before, with a refusal after 0 s for both lengths.

--- a/core/room/room.go
+++ b/core/room/room.go
@@ -94,7 +94,8 @@
 		FailureDomain string
 		// Excluded are the servers that the request can't use.
 		Excluded []string
-		// ServiceTime is the expected service time while the ledger has measured none, or 0.
+		// ServiceTime is the expected service time of this request, or 0 if that of the servers
+		// applies.
 		ServiceTime time.Duration
 	}
 
@@ -434,8 +435,8 @@
 	if e.latest().IsZero() {
 		return true
 	}
-	took := e.ServiceTime
-	if l.service.count > 0 {
+	took := e.ServiceTime // prompts differ in length by far more than the deviation of the service time
+	if took == 0 {
 		took = l.service.high()
 	}
 	return !now.Add(wait + took).After(e.latest())
--- a/core/room/room_test.go
+++ b/core/room/room_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -416,3 +417,49 @@
 		t.Errorf("%d of %d grants for returning callers, want a quarter", returning, granted)
 	}
 }
+
+// TestOwnServiceTime guards against requests that are refused because others take longer, and
+// against long ones that wait too long because others take less.
+func TestOwnServiceTime(t *testing.T) {
+	const longest = 350 * time.Millisecond // wait
+	short, long := 20*time.Millisecond, 600*time.Millisecond
+	for _, took := range []time.Duration{short, long} {
+		now, number := time.Unix(1_700_000_000, 0), 0
+		l := room.NewLedger(now)
+		l.SetServers(now, []room.Server{{ID: "a", Slots: 2}, {ID: "b", Slots: 2}})
+		ask := func(took time.Duration) string {
+			number++
+			r := room.Request{ID: fmt.Sprint("h/", number), Requester: "h", Arrived: now, Target: now.Add(longest + took), Deadline: now.Add(time.Minute), ServiceTime: took}
+			l.Ask(now, r)
+			return r.ID
+		}
+		for range 40 {
+			for _, took := range []time.Duration{short, long} {
+				id := ask(took)
+				l.Decide(now)
+				now = now.Add(took)
+				l.Release(now, id, room.Served, took)
+			}
+		}
+		for isGranted := true; isGranted; {
+			ask(time.Second)
+			grants, _, _ := l.Decide(now)
+			isGranted = len(grants) > 0
+		}
+		now = now.Add(20 * time.Millisecond)
+		id := ask(took)
+		asked := now
+		for refused := time.Duration(-1); refused < 0; now = now.Add(10 * time.Millisecond) {
+			_, refusals, _ := l.Decide(now)
+			if !slices.ContainsFunc(refusals, func(r room.Refusal) bool { return r.RequestID == id }) {
+				if now.Sub(asked) > time.Second {
+					t.Fatalf("a request of %v waits for more than a second", took)
+				}
+				continue
+			}
+			if refused = now.Sub(asked); refused < 50*time.Millisecond || refused > longest+20*time.Millisecond {
+				t.Errorf("a request of %v is refused after %v", took, refused)
+			}
+		}
+	}
+}
--- a/hickoryd/internal/room/room.go
+++ b/hickoryd/internal/room/room.go
@@ -80,7 +80,8 @@
 		Target, Deadline time.Time
 		// FailureDomain is the one in which a server is preferred.
 		FailureDomain string
-		// ServiceTime is the expected service time while the home has measured none, or 0.
+		// ServiceTime is the expected service time of this request, or 0 if that of the servers
+		// applies.
 		ServiceTime time.Duration
 		// Excluded are the servers that this host can't use.
 		Excluded []string
