Use the start share at once where registrations have outlived the hosts

The wait is needed only after registrations have lapsed, since the first lists are short then.

Change: a host that finds its own earlier registration in its first read of the list uses the start share at once, as those of the others are listed too.

TestBoundHoldsAtStarts and TestBoundHoldsWhateverHappens pass with it, with hosts that restart twice in a window and with registrations that have lapsed; their simulation tells both apart. Not yet measured on the deployments.

--- a/core/quota/simulation_test.go
+++ b/core/quota/simulation_test.go
@@ -41,7 +41,9 @@
 		list                []netip.AddrPort
 		readAt, frozenUntil time.Time
 		equalReads          int
-		isUp, isSettled     bool
+		// wasListed is set if the host was registered when it started.
+		wasListed       bool
+		isUp, isSettled bool
 		// isCut is set while it reaches no store, and only the hosts for which it is set as well.
 		isCut bool
 	}
@@ -99,14 +101,15 @@
 	n := len(s.hosts)
 	h := &simulatedHost{address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(n / 200), byte(1 + n%200)}), 1)}
 	s.hosts, s.byAddress[h.address] = append(s.hosts, h), h
-	s.registered = append(slices.Clone(s.registered), h.address)
 	s.start(h)
+	s.registered = append(slices.Clone(s.registered), h.address)
 }
 
 func (s *simulation) start(h *simulatedHost) {
 	h.groups, h.ledger = quota.NewGroups(h.address), quota.NewLedger(s.now, false, bounds.Window)
 	h.requester = quota.NewRequester(h.address, bounds, s.now, s.random)
 	h.list, h.readAt, h.isUp, h.isSettled, h.equalReads = nil, s.now, true, false, 0
+	h.wasListed = slices.Contains(s.registered, h.address)
 }
 
 // stop ends a host. Its registration is removed if the stop is planned.
@@ -264,7 +267,7 @@
 		h.requester.Deny(s.now, ask, wait)
 		return nil, s.now, false
 	}
-	if (h.isSettled || h.equalReads >= 2) && h.requester.IsStarting(s.now, h.groups.Homes(h.groups.Group(w.name))) {
+	if (h.isSettled || h.equalReads >= 2 || h.wasListed && h.equalReads > 0) && h.requester.IsStarting(s.now, h.groups.Homes(h.groups.Group(w.name))) {
 		return nil, s.now, h.requester.TakeStartShare(s.now, ask, h.groups.HostCount())
 	}
 	return nil, s.now, h.isSettled && h.requester.TakeAllowance(s.now, ask, h.groups.HostCount())
--- a/hickoryd/internal/registry/follow.go
+++ b/hickoryd/internal/registry/follow.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -428,10 +429,16 @@
 		return 0
 	}
 	put := platform.Put{Key: platform.HostsPrefix + r.options.Self.Name, Value: value, Lease: lease}
-	if _, err := r.store.Commit(ctx, platform.Transaction{Puts: []platform.Put{put}}); err != nil {
+	position, err := r.store.Commit(ctx, platform.Transaction{Puts: []platform.Put{put}})
+	if err != nil {
 		r.logger.WithError(err).Warn("can't register this host; retrying")
 		return 0
 	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.registeredAt == 0 {
+		r.registeredAt = position.Revision
+	}
 	return lease
 }
 
@@ -445,12 +452,16 @@
 	}
 	var hosts []netip.AddrPort
 	var listed []storereader.Host
+	ownCreated := uint64(math.MaxUint64)
 	for _, item := range items {
 		host, err := platform.DecodeHost(item)
 		if err != nil {
 			r.logInvalid(item, err)
 			continue
 		}
+		if host.Name == r.options.Self.Name {
+			ownCreated = item.CreateRevision
+		}
 		hosts = append(hosts, host.Peer)
 		listed = append(listed, storereader.Host{Address: host.Peer, FailureDomain: host.FailureDomain})
 	}
@@ -467,6 +478,7 @@
 	r.reads++
 	r.areHostsSettled = r.areHostsSettled || r.equalReads >= settledReads
 	if r.reads == 1 {
+		r.wasListed = r.registeredAt > 0 && ownCreated < r.registeredAt
 		close(r.areReadersKnown)
 	}
 	r.mu.Unlock()
--- a/hickoryd/internal/registry/registry.go
+++ b/hickoryd/internal/registry/registry.go
@@ -109,8 +109,12 @@
 		// hostsPosition is the position of that read, and reads the number of reads.
 		// areReadersKnown is closed after the first one, from which the readers are chosen,
 		// and roleKnown once this host follows a reader, or reads the store itself.
-		hostsPosition   serverlist.Position
-		reads           int
+		hostsPosition serverlist.Position
+		reads         int
+		// registeredAt is the revision of this process' first registration of the host, or 0, and
+		// wasListed is set if the host was registered before.
+		registeredAt    uint64
+		wasListed       bool
 		areReadersKnown chan struct{}
 		roleKnown       chan struct{}
 		// changeLog holds the changes of list for the followers, and updated is closed and
@@ -215,12 +219,13 @@
 	return r.areHostsSettled
 }
 
-// IsHostListRepeated reports whether the last two reads of the host list were the same. After a loss
-// of power on all hosts, the first read may lack hosts that have not registered again.
-func (r *Registry) IsHostListRepeated() bool {
+// IsHostListComplete reports whether the host list is unlikely to lack running hosts. After all hosts
+// have failed, it lacks those that have not registered again, unless the registrations from
+// before have not lapsed: then this host's own was still listed when it started.
+func (r *Registry) IsHostListComplete() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.areHostsSettled || r.equalReads >= 2
+	return r.areHostsSettled || r.equalReads >= 2 || r.wasListed && r.reads > 0
 }
 
 // Describe fills in the parts of s that concern the store.
--- a/hickoryd/internal/workspacequota/quotas.go
+++ b/hickoryd/internal/workspacequota/quotas.go
@@ -55,8 +55,8 @@
 		Hosts() []netip.AddrPort
 		// AreHostsSettled reports whether the list was the same in some reads, seconds apart.
 		AreHostsSettled() bool
-		// IsHostListRepeated reports whether the last two reads of the list were the same.
-		IsHostListRepeated() bool
+		// IsHostListComplete reports whether the list is unlikely to lack running hosts.
+		IsHostListComplete() bool
 	}
 
 	// Options configure Quotas.
@@ -201,9 +201,9 @@
 // fallBack admits a request within this host's part of the rate while the homes do not grant yet, or
 // within the local allowance if none has answered.
 func (q *Quotas) fallBack(ask quota.Ask, group int, homes []netip.AddrPort) (func(), *edgedispatch.Failure) {
-	areSettled, isRepeated, now := q.hosts.AreHostsSettled(), q.hosts.IsHostListRepeated(), time.Now()
+	areSettled, isComplete, now := q.hosts.AreHostsSettled(), q.hosts.IsHostListComplete(), time.Now()
 	q.mu.Lock()
-	if isRepeated && q.requester.IsStarting(now, q.groups.Homes(group)) { // an earlier list may lack most hosts
+	if isComplete && q.requester.IsStarting(now, q.groups.Homes(group)) { // an earlier list may lack most hosts
 		isAdmitted := q.requester.TakeStartShare(now, ask, ask.Hosts)
 		q.mu.Unlock()
 		q.fallbacks.Inc()
--- a/hickoryd/internal/workspacequota/quotas_test.go
+++ b/hickoryd/internal/workspacequota/quotas_test.go
@@ -43,7 +43,7 @@
 func (h hostList) Hosts() []netip.AddrPort { return h }
 
 func (h hostList) AreHostsSettled() bool    { return true }
-func (h hostList) IsHostListRepeated() bool { return true }
+func (h hostList) IsHostListComplete() bool { return true }
 
 func (h *homes) AcquireQuota(ctx context.Context, _ netip.AddrPort, _ quota.Ask) (quota.Answer, error) {
 	h.mu.Lock()
@@ -156,7 +156,7 @@
 type unsettledList struct{ hostList }
 
 func (unsettledList) AreHostsSettled() bool    { return false }
-func (unsettledList) IsHostListRepeated() bool { return false }
+func (unsettledList) IsHostListComplete() bool { return false }
 
 // TestUnsettledList guards against a host that takes the parts of hosts which have not registered
 // again yet, as after a loss of power that has ended all registrations.
