Let resumed streams go on while the quota of their workspace is not known

Change: a resumed stream is refused for a used-up quota only. A host whose part is used up while homes start responds with 503 and not with 429, as the quota is not known to be used up.

The case in TestQuotas fails before and passes.

--- a/hickoryd/internal/edgecaller/identity.go
+++ b/hickoryd/internal/edgecaller/identity.go
@@ -157,6 +157,9 @@
 	ctx, cancel := context.WithDeadline(ctx, request.Deadline)
 	defer cancel()
 	giveBack, failure := h.quotas.Admit(ctx, a.workspace, request.ConfigVersion, unitsOf(request, a.workspace))
+	if failure != nil && failure.Status == http.StatusServiceUnavailable && request.Metadata.IsResumed {
+		return nil // the stream has begun within the quota, whose homes have failed since
+	}
 	if failure != nil {
 		a.refusal = refusedQuota
 		return failure
--- a/hickoryd/internal/edgecaller/identity_test.go
+++ b/hickoryd/internal/edgecaller/identity_test.go
@@ -302,8 +302,10 @@
 // against units that are not given back, or given back for a request that may have run.
 func TestQuotas(t *testing.T) {
 	refused := &edgedispatch.Failure{Status: http.StatusTooManyRequests, RetryAfter: time.Second, Reason: "over the quota"}
+	unknown := &edgedispatch.Failure{Status: http.StatusServiceUnavailable, RetryAfter: time.Second, Reason: "no home"}
 	tests := []struct {
 		name    string
+		resumes bool
 		unit    quota.Unit
 		counts  string
 		refusal *edgedispatch.Failure
@@ -319,6 +321,9 @@
 		{name: "negative counts", unit: quota.Tokens, counts: "-1000,5", want: http.StatusOK, taken: 200},
 		{name: "counts beyond an integer", unit: quota.Tokens, counts: "9223372036854775807,9223372036854775807", want: http.StatusOK, taken: 2 * (1 << 63)},
 		{name: "refused", refusal: refused, want: http.StatusTooManyRequests},
+		{name: "a resumed stream is refused", resumes: true, refusal: refused, want: http.StatusTooManyRequests},
+		{name: "no home", refusal: unknown, want: http.StatusServiceUnavailable},
+		{name: "a resumed stream without a home goes on", resumes: true, refusal: unknown, want: http.StatusOK},
 		{name: "not run", result: &edgedispatch.Failure{Status: http.StatusServiceUnavailable}, want: http.StatusServiceUnavailable, taken: 1, given: 1},
 		{name: "misdirected", result: &edgedispatch.Failure{Status: http.StatusMisdirectedRequest}, want: http.StatusMisdirectedRequest, taken: 1, given: 1},
 		{name: "may have run", result: &edgedispatch.Failure{Status: http.StatusBadGateway}, want: http.StatusBadGateway, taken: 1},
@@ -339,6 +344,9 @@
 			if tt.counts != "" {
 				header.Set("Token-Counts", tt.counts)
 			}
+			if tt.resumes {
+				header.Set("Last-Event-Id", "3")
+			}
 			response := exchange(handler, "/a/", header)
 			if response.Code != tt.want || q.taken != tt.taken || q.given != tt.given || tt.taken > 0 && q.version != 7 {
 				t.Errorf("status %d, want %d; took %g units, want %g; gave %g back, want %g", response.Code, tt.want, q.taken, tt.taken, q.given, tt.given)
--- a/hickoryd/internal/workspacequota/quotas.go
+++ b/hickoryd/internal/workspacequota/quotas.go
@@ -208,7 +208,7 @@
 		q.mu.Unlock()
 		q.fallbacks.Inc()
 		if !isAdmitted {
-			return nil, refuse(silentRetryAfter)
+			return nil, unavailable("the homes of the workspace's quota have just started")
 		}
 		return func() {}, nil
 	}
@@ -222,13 +222,16 @@
 			Info("no home of a workspace's quota responds")
 	}
 	if !isAdmitted {
-		return nil, &edgedispatch.Failure{
-			Status: http.StatusServiceUnavailable, RetryAfter: silentRetryAfter + rand.N(silentRetryAfter), Reason: "no home of the workspace's quota responds",
-		}
+		return nil, unavailable("no home of the workspace's quota responds")
 	}
 	return func() {}, nil
 }
 
+// unavailable returns the refusal of a request while it is not known whether its workspace has units.
+func unavailable(reason string) *edgedispatch.Failure {
+	return &edgedispatch.Failure{Status: http.StatusServiceUnavailable, RetryAfter: silentRetryAfter + rand.N(silentRetryAfter), Reason: reason}
+}
+
 // noteAnswer records that a home of a group has answered.
 func (q *Quotas) noteAnswer(group int) {
 	q.mu.Lock()
