Let only streams that may be resumed go on without a known quota

Cause: let every request with Last-Event-Id pass while no home of the quota responds, also on routes whose requests can't be resumed, so that callers could avoid the quota by that header.

Change: the route must allow its streams to be resumed.

The package passes.

--- a/hickoryd/internal/edgecaller/identity.go
+++ b/hickoryd/internal/edgecaller/identity.go
@@ -157,7 +157,7 @@
 	ctx, cancel := context.WithDeadline(ctx, request.Deadline)
 	defer cancel()
 	giveBack, failure := h.quotas.Admit(ctx, a.workspace, request.ConfigVersion, unitsOf(request, a.workspace))
-	if failure != nil && failure.Status == http.StatusServiceUnavailable && request.Metadata.IsResumed {
+	if failure != nil && failure.Status == http.StatusServiceUnavailable && request.Metadata.IsResumed && request.Route.IsResumable {
 		return nil // the stream has begun within the quota, whose homes have failed since
 	}
 	if failure != nil {
--- a/hickoryd/internal/edgecaller/identity_test.go
+++ b/hickoryd/internal/edgecaller/identity_test.go
@@ -66,6 +66,7 @@
 		Version: 7, Workspaces: workspaces,
 		Routes: []route.Route{
 			{Name: "private", HostName: "h.example", PathPrefix: "/a/", Service: "s", Priority: 3, IsGeneration: true},
+			{Name: "resumable", HostName: "h.example", PathPrefix: "/resumable/", Service: "s", Priority: 3, IsGeneration: true, IsResumable: true},
 			{Name: "public", HostName: "h.example", PathPrefix: "/public/", Service: "p", IsPublic: true},
 			{Name: "split", HostName: "h.example", PathPrefix: "/split/", IsPublic: true, Split: []route.Share{{Service: "x", Weight: 1}, {Service: "y", Weight: 1}}},
 		},
@@ -305,6 +306,7 @@
 	unknown := &edgedispatch.Failure{Status: http.StatusServiceUnavailable, RetryAfter: time.Second, Reason: "no home"}
 	tests := []struct {
 		name    string
+		path    string // "": /a/
 		resumes bool
 		unit    quota.Unit
 		counts  string
@@ -323,7 +325,8 @@
 		{name: "refused", refusal: refused, want: http.StatusTooManyRequests},
 		{name: "a resumed stream is refused", resumes: true, refusal: refused, want: http.StatusTooManyRequests},
 		{name: "no home", refusal: unknown, want: http.StatusServiceUnavailable},
-		{name: "a resumed stream without a home goes on", resumes: true, refusal: unknown, want: http.StatusOK},
+		{name: "a resumed stream without a home goes on", path: "/resumable/", resumes: true, refusal: unknown, want: http.StatusOK},
+		{name: "no home, the route can't be resumed", resumes: true, refusal: unknown, want: http.StatusServiceUnavailable},
 		{name: "not run", result: &edgedispatch.Failure{Status: http.StatusServiceUnavailable}, want: http.StatusServiceUnavailable, taken: 1, given: 1},
 		{name: "misdirected", result: &edgedispatch.Failure{Status: http.StatusMisdirectedRequest}, want: http.StatusMisdirectedRequest, taken: 1, given: 1},
 		{name: "may have run", result: &edgedispatch.Failure{Status: http.StatusBadGateway}, want: http.StatusBadGateway, taken: 1},
@@ -347,7 +350,7 @@
 			if tt.resumes {
 				header.Set("Last-Event-Id", "3")
 			}
-			response := exchange(handler, "/a/", header)
+			response := exchange(handler, cmp.Or(tt.path, "/a/"), header)
 			if response.Code != tt.want || q.taken != tt.taken || q.given != tt.given || tt.taken > 0 && q.version != 7 {
 				t.Errorf("status %d, want %d; took %g units, want %g; gave %g back, want %g", response.Code, tt.want, q.taken, tt.taken, q.given, tt.given)
 			}
