--- a/hickory/internal/command/edgestatus/status.go
+++ b/hickory/internal/command/edgestatus/status.go
@@ -3,10 +3,13 @@
 package edgestatus
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"flag"
 	"fmt"
+	"maps"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -40,7 +43,7 @@
 	return &factory.Command{
 		Streams: f.Streams,
 		Use:     "status",
-		Short:   "list hosts with readiness, configuration, store, retry budgets and refused prompt parts",
+		Short:   "list hosts with readiness, configuration, store, retry budgets and refused prompt parts, and requests by workspace",
 		Example: "  hickory edge status 10.0.0.1:9464 10.0.0.2:9464\n  HICKORY_ADDRESS=10.0.0.1:9464 hickory edge status --json\n",
 		Flags:   func(flags *flag.FlagSet) { flags.BoolVar(&o.JSON, "json", false, "print JSON") },
 		Run: func(ctx context.Context, args []string) error {
@@ -86,7 +89,40 @@
 		})
 	}
 	headings := []string{"host", "domain", "state", "configuration", "store", "in flight", "servers", "hosts", "repeats in 10 s", "refused prompt parts"}
-	return tableprinter.Table(o.Streams.Out, headings, rows)
+	if err := tableprinter.Table(o.Streams.Out, headings, rows); err != nil {
+		return err
+	}
+	return writeWorkspaces(o, states)
+}
+
+// writeWorkspaces prints the sums of the requests of each workspace, if there are any.
+func writeWorkspaces(o *Options, states []hoststate.State) error {
+	sums := make(map[string]hoststate.Workspace)
+	for _, s := range states {
+		for _, w := range s.Workspaces {
+			sum := sums[w.Name]
+			sum.Received += w.Received
+			sum.Served += w.Served
+			sum.UnknownKey += w.UnknownKey
+			sum.OverQuota += w.OverQuota
+			sum.OtherRefusals += w.OtherRefusals
+			sums[w.Name] = sum
+		}
+	}
+	if len(sums) == 0 {
+		return nil
+	}
+	var rows [][]string
+	for _, name := range slices.Sorted(maps.Keys(sums)) {
+		sum := sums[name]
+		row := []string{cmp.Or(name, noValue)}
+		for _, n := range []uint64{sum.Received, sum.Served, sum.UnknownKey, sum.OverQuota, sum.OtherRefusals} {
+			row = append(row, strconv.FormatUint(n, 10))
+		}
+		rows = append(rows, row)
+	}
+	fmt.Fprintln(o.Streams.Out)
+	return tableprinter.Table(o.Streams.Out, []string{"workspace", "received", "served", "unknown key", "over quota", "refused otherwise"}, rows)
 }
 
 // readiness returns the text of the state column.
--- a/hickory/internal/command/root/root_test.go
+++ b/hickory/internal/command/root/root_test.go
@@ -41,7 +41,8 @@
 		{ID: "s1", Service: "model", Stage: "decode", FailureDomain: "z1", Address: netip.MustParseAddrPort("10.0.0.9:80"), Requests: 1, Tokens: 4000, FailureRate: 0.6, IsEjected: true, Limit: &serverLimit},
 		{ID: "s2", Service: "shop", FailureDomain: "z2", Address: netip.MustParseAddrPort("10.0.0.8:80"), HasNoPath: true},
 	},
-	Budgets: []hoststate.Budget{{Service: "model", Requests: 40, Retries: 1, Allowed: 8}},
+	Workspaces: []hoststate.Workspace{{Received: 3, UnknownKey: 3}, {Name: "hule930", Received: 12, Served: 9, OverQuota: 2, OtherRefusals: 1}},
+	Budgets:    []hoststate.Budget{{Service: "model", Requests: 40, Retries: 1, Allowed: 8}},
 }
 
 // daemon is a fake of the daemon's administration API.
@@ -199,6 +200,7 @@
 		{name: "host list", args: "host list", out: "host-2"},
 		{name: "status", args: "status", out: "cart"},
 		{name: "edge status", daemon: daemon{state: unreachableStore}, args: "edge status", out: "host-7  z1      ready  4              lost, answered 1.5s ago  2          2        0      model 1 of 8     model 5c1e+91bd"},
+		{name: "edge status of workspaces", daemon: daemon{state: unreachableStore}, args: "edge status", out: "-          3         0       3            0           0\nhule930    12        9       0            2           1"},
 		{name: "edge status as JSON", daemon: daemon{state: unreachableStore}, args: "edge status --json", out: `"isLost": true`},
 		{name: "edge status of an unreachable host", args: "edge status 127.0.0.1:1", code: 1, errs: "host did not respond"},
 		{name: "edge servers", daemon: daemon{state: unreachableStore}, args: "edge servers", out: "s1      model    decode  z1      10.0.0.9:80  ejected  1         4000    60 %      1.9/s"},
--- a/hickoryd/internal/reference/reference.go
+++ b/hickoryd/internal/reference/reference.go
@@ -19,7 +19,8 @@
 This page is generated from the tables against which the programs check their
 configuration (` + "`go test ./internal/reference -update`" + ` in the module hickoryd).
 
-All configuration is INI text. Unknown and duplicate keys are rejected; all
+All configuration is INI text, except for the operators' document of the users'
+platform. Unknown and duplicate keys are rejected; all
 invalid keys are reported at once, with section and key. A duration is a number
 with a unit, for example 500ms, 2s or 10m. An address is an IP address with a
 port. The items of a list are separated by commas. A line that begins with ; or #
@@ -69,6 +70,31 @@
 
 `
 
+// documentSection describes what the operators' document of the users' platform may contain
+// besides routes and limits, and what a host makes of malformed values.
+const documentSection = `## Document of the operators of the users' platform
+
+The operators' document (JSON, key ` + "`op/config`" + ` of the store) has routes, limits and tenants. A
+document that can't be decoded is refused as a whole, and the one before stays in force. A
+malformed value of a tenant affects that tenant only, as otherwise one of them would keep
+revoked keys valid and new keys refused; it is logged.
+
+| field | meaning | if malformed |
+| --- | --- | --- |
+| ` + "`routes[].public`" + ` | true: requests need no key | the document is refused |
+| ` + "`routes[].traffic-split`" + ` | services with ` + "`service`" + ` and ` + "`weight`" + `, in place of ` + "`service`" + `; the weights of a service that is listed twice are added up | a negative weight counts as 0, otherwise the document is refused |
+| ` + "`tenants`" + ` | workspaces; if there is at least one, requests need a key | the document is refused if it is no array |
+| ` + "`tenants[].name`" + ` | name of the workspace; not empty, without control characters | the tenant has no keys; others need theirs all the same |
+| | the same name twice | the keys of both belong to the workspace, the other values are those of the first |
+| ` + "`tenants[].api-keys`" + ` | keys, strings that are not empty | the key is ignored |
+| | the same key in two workspaces | the key is refused |
+| ` + "`tenants[].priority`" + ` | integer from 0, the most urgent; takes precedence over the route's | the route's applies |
+| ` + "`tenants[].rate-per-s`" + `, ` + "`tenants[].burst`" + ` | quota, numbers from 0; rate 0 is no limit | the tenant has no quota |
+| ` + "`tenants[].unit`" + ` | ` + "`tokens`" + `, or anything else for requests | requests |
+| ` + "`tenants[].plain-tokens`" + ` | tokens of a request without ` + "`Token-Counts`" + `, an integer from 0 | 0 |
+
+`
+
 // meanings explains every kind of refusal.
 var meanings = map[refusal.Kind]meaning{
 	refusal.InvalidRequest:        {"the request is malformed, or a value is out of bounds", "no"},
@@ -97,6 +123,7 @@
 	writeKeys(&page, settings.Keys())
 	page.WriteString(edgeIntro)
 	writeKeys(&page, edge.Keys())
+	page.WriteString(documentSection)
 	page.WriteString(entriesIntro)
 	for _, s := range sections() {
 		fmt.Fprintf(&page, "### %s\n\n%s\n\n", s.title, s.about)
--- a/hickorylab/edgesoak/caller_test.go
+++ b/hickorylab/edgesoak/caller_test.go
@@ -75,6 +75,8 @@
 		dropAfter int64
 		// events is the number of events of a stream, or 0 for streamEvents.
 		events int
+		// key is the key of the request, or empty for that of a workspace that all documents have.
+		key string
 		// promptTokens is the size of the prompt, or 0 for 1500.
 		promptTokens int
 	}
@@ -236,6 +238,9 @@
 	}
 	request.Header.Set("Request-Id", o.id)
 	request.Header.Set("Deadline-Ms", strconv.FormatInt(time.Until(o.deadline).Milliseconds(), 10))
+	if c.environment.hasWorkspaces {
+		c.identify(request, r)
+	}
 	if r.firstAttempt != "" {
 		request.Header.Set("Last-Event-Id", strconv.FormatUint(r.lastEvent, 10))
 		request.Header.Set("Resumes", r.firstAttempt)
--- a/hickorylab/worker/worker.go
+++ b/hickorylab/worker/worker.go
@@ -64,6 +64,8 @@
 		// handle.
 		copies map[string]*kvCopy
 		deadly deadly
+		// identityFaults are the requests with a wrong identity.
+		identityFaults []string
 	}
 
 	// Server is one server, an http.Handler. A crash ends its incarnation.
@@ -319,6 +321,7 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	s.group.checkIdentity(r)
 	name, argument, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/hickoryfront/"), "/")
 	switch name {
 	case "report":
