Review: a script for prompts of many parts, one of which crashes workers

The decision which part is to be refused takes time with the third power of the number of parts, under the lock that each request needs.

--- a/review/lab2/main.go
+++ b/review/lab2/main.go
@@ -48,7 +48,9 @@
 	record *os.File
 	broken []string
 
-	// poisoned events, for the case that counts them
+	// tainted is the part of a prompt that crashes workers, or empty.
+	tainted string
+	// crashes are those of workers that began to run what crashes them.
 	crashes []crash
 	// mixed is the number of streams with events of two versions.
 	mixed atomic.Int64
--- a/review/lab2/worker.go
+++ b/review/lab2/worker.go
@@ -438,6 +438,10 @@
 	w.mu.Unlock()
 	from, _, _ := net.SplitHostPort(c.RemoteAddr().String())
 	w.group.record(ran{at: time.Now(), worker: id, from: from, id: requestID, method: r.Method, target: r.RequestURI})
+	if tainted := w.group.lab.tainted; tainted != "" && strings.Contains(r.Header.Get("Prompt-Prefix"), tainted+":") {
+		w.group.lab.poisoned(w, from)
+		return answer{}, false
+	}
 	defer func() {
 		w.mu.Lock()
 		if w.runs[requestID] == state {
