--- a/hickoryd/internal/edgecaller/body.go
+++ b/hickoryd/internal/edgecaller/body.go
@@ -31,7 +31,8 @@
 }
 
 // read reads a body of the given length, or of unknown length if that is negative. The error
-// is errTooLong, errNoMemory or that of the reader.
+// is errTooLong, errNoMemory or that of the reader: io.EOF alone ends a body of unknown length,
+// since net/http returns io.ErrUnexpectedEOF for one whose connection ends before its last chunk.
 func (b *body) read(r io.Reader, length, limit int64) error {
 	size := length
 	if length < 0 {
@@ -41,15 +42,20 @@
 		return err
 	}
 	for {
-		n, err := io.ReadFull(r, b.data[len(b.data):cap(b.data)])
+		n, err := r.Read(b.data[len(b.data):cap(b.data)])
 		b.data = b.data[:len(b.data)+n]
+		isFull := len(b.data) == cap(b.data)
 		switch {
-		case err == io.EOF || errors.Is(err, io.ErrUnexpectedEOF) && length < 0:
+		case length >= 0 && isFull:
 			return nil
+		case err == io.EOF && length < 0:
+			return nil
+		case err == io.EOF:
+			return io.ErrUnexpectedEOF
 		case err != nil:
 			return err
-		case length >= 0:
-			return nil
+		case !isFull:
+			continue
 		case int64(len(b.data)) == limit:
 			return b.checkEnd(r)
 		}
@@ -99,6 +105,9 @@
 	if limit <= 0 {
 		limit = defaultBodyBytes
 	}
+	if hasNoFraming(r) {
+		return &edgedispatch.Failure{Status: http.StatusLengthRequired, Reason: "a body in HTTP/1.0 needs a length"}
+	}
 	if r.ContentLength == 0 {
 		return nil
 	}
@@ -125,6 +134,15 @@
 	return nil
 }
 
+// hasNoFraming reports whether a request may have a body of which nothing states the end:
+// net/http removes Transfer-Encoding from a request in HTTP/1.0 and takes its body for empty.
+func hasNoFraming(r *http.Request) bool {
+	if r.ProtoAtLeast(1, 1) || r.Header.Get("Content-Length") != "" {
+		return false
+	}
+	return r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch
+}
+
 // refuseEarly sends an error response before the body was read, and then reads the rest without
 // keeping it: a connection that is closed with unread bytes is reset, and the caller might not get
 // the response.
