--- a/hickoryd/engine/client.go
+++ b/hickoryd/engine/client.go
@@ -56,8 +56,13 @@
 
 type (
 	// Client sends requests to all engines. It is safe for concurrent use.
+	//
+	// Replies name no request, so a reply that a faulty engine sends twice would be taken for
+	// that to the next call on its connection. A call that changes something therefore has a
+	// connection of its own; only readings of an engine's state share connections.
 	Client struct {
-		unary *http.Client
+		readings *http.Client
+		changes  *http.Client
 	}
 
 	// Stream is one token stream. Every stream has a connection of its own, so that
@@ -72,7 +77,7 @@
 
 // New returns a client.
 func New() *Client {
-	return &Client{unary: &http.Client{Transport: newTransport(false)}}
+	return &Client{readings: &http.Client{Transport: newTransport(false)}, changes: &http.Client{Transport: newTransport(true)}}
 }
 
 // Prefill computes the KV cache of a prompt.
@@ -239,7 +244,7 @@
 	if err != nil {
 		return err
 	}
-	return c.do(request, reply)
+	return do(c.changes, request, reply)
 }
 
 func (c *Client) get(ctx context.Context, address netip.AddrPort, path string, query url.Values, reply any) error {
@@ -247,11 +252,11 @@
 	if err != nil {
 		return err
 	}
-	return c.do(request, reply)
+	return do(c.readings, request, reply)
 }
 
-func (c *Client) do(request *http.Request, reply any) error {
-	response, err := send(c.unary, request)
+func do(client *http.Client, request *http.Request, reply any) error {
+	response, err := send(client, request)
 	if err != nil {
 		return err
 	}
--- a/hickoryd/internal/upstream/connection.go
+++ b/hickoryd/internal/upstream/connection.go
@@ -32,6 +32,9 @@
 	// maxReadResponses bounds the responses that are read for one request: its own, and
 	// those skipped before it, which are informational or belong to another request.
 	maxReadResponses = 4
+	// settleTime is the time within which a server that has sent an earlier response once more also
+	// sends the one that it owes.
+	settleTime = 20 * time.Millisecond
 	// maxNotRun is the number of requests that were not run after which a connection is not
 	// reused.
 	maxNotRun = 32
@@ -43,8 +46,10 @@
 		// ID is the request ID that the response echoes. A response that names another ID, or
 		// on a reused connection none, is skipped. It is empty for calls, whose responses
 		// name no ID.
-		ID     string
-		Method string
+		ID string
+		// IsTentative is set for a call that may be taken for rejected although it was not.
+		IsTentative bool
+		Method      string
 		// Target is the path and query in the encoding in which they are sent.
 		Target string
 		Host   string
@@ -86,6 +91,13 @@
 		reusableUntil time.Time
 		// isUsed is set once a response was read.
 		isUsed bool
+		// latestID is the request ID of the latest response, or empty if it named none. The server
+		// may send that response once more in place of the next one.
+		latestID string
+		// isRejected is set if the latest response is a rejection, and settledAt is when a response
+		// that the server still owes has arrived.
+		isRejected bool
+		settledAt  time.Time
 		// notRun are the IDs of the requests that the server has stated on this connection not
 		// to have run.
 		notRun []string
@@ -120,7 +132,7 @@
 // are read. Its error wraps ErrNotSent or ErrMayHaveRun. If ctx ends before the
 // response is closed, Do closes the connection.
 func (p *Pool) Do(ctx context.Context, address netip.AddrPort, r Request) (*Response, error) {
-	c, err := p.connect(ctx, address, r.ID)
+	c, err := p.connect(ctx, address, r)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
@@ -138,7 +150,7 @@
 // Call makes one call of a server's control interface.
 func (p *Pool) Call(ctx context.Context, address netip.AddrPort, call platform.Call) (Reply, error) {
 	response, err := p.Do(ctx, address, Request{
-		Method: call.Method, Target: call.Path, Host: address.String(), Header: call.Header, Body: call.Body,
+		IsTentative: call.IsTentative, Method: call.Method, Target: call.Path, Host: address.String(), Header: call.Header, Body: call.Body,
 	})
 	if err != nil {
 		return Reply{}, err
@@ -160,7 +172,8 @@
 		r.connection.close()
 		return
 	}
-	r.connection.reusableUntil = time.Now().Add(idleTimeoutOf(r.Header))
+	now := time.Now()
+	r.connection.reusableUntil, r.connection.settledAt = now.Add(idleTimeoutOf(r.Header)), now.Add(settleTime)
 	r.connection.pool.putIdle(r.connection)
 }
 
@@ -267,7 +280,7 @@
 		}
 		metadata := platform.DecodeResponse(response)
 		if c.isResponseTo(r, metadata) {
-			c.isUsed = true
+			c.isUsed, c.latestID, c.isRejected = true, metadata.RequestID, response.StatusCode >= http.StatusMultipleChoices
 			if metadata.IsNotRun && r.ID != "" {
 				c.notRun = append(c.notRun, r.ID)
 			}
@@ -288,10 +301,17 @@
 	return metadata.RequestID == r.ID || !c.isUsed && (r.ID == "" || metadata.RequestID == "")
 }
 
-// hasRefused reports whether the server has stated on this connection that it did not run the
-// request. If it states so once more, nothing shows which attempt it means.
-func (c *connection) hasRefused(id string) bool {
-	return id != "" && slices.Contains(c.notRun, id)
+// canIdentify reports whether the response to a request can be told from an earlier response that
+// the server sends once more: from the latest one, and from all refusals. A tentative call may
+// follow one that was rejected.
+func (c *connection) canIdentify(now time.Time, r Request) bool {
+	switch {
+	case !c.isUsed:
+		return true
+	case r.IsTentative && c.latestID == "":
+		return c.isRejected && now.After(c.settledAt)
+	}
+	return r.ID != c.latestID && !slices.Contains(c.notRun, r.ID)
 }
 
 // shorten returns an error with the start of err's text if that is long: it may quote what
--- a/hickoryd/internal/upstream/pool.go
+++ b/hickoryd/internal/upstream/pool.go
@@ -127,11 +127,10 @@
 	clear(p.idle)
 }
 
-// connect returns an idle connection on which the request with the given ID was not refused
-// before, or a new one.
-func (p *Pool) connect(ctx context.Context, address netip.AddrPort, id string) (*connection, error) {
+// connect returns an idle connection that can identify the response to a request, or a new one.
+func (p *Pool) connect(ctx context.Context, address netip.AddrPort, r Request) (*connection, error) {
 	for {
-		c := p.takeIdle(address, id)
+		c := p.takeIdle(time.Now(), address, r)
 		if c == nil {
 			break
 		}
@@ -152,12 +151,12 @@
 // takeIdle removes the most recently used connection that connect may return from the idle
 // ones and returns it, or nil if there is none. The server is least likely to have closed that
 // one.
-func (p *Pool) takeIdle(address netip.AddrPort, id string) *connection {
+func (p *Pool) takeIdle(now time.Time, address netip.AddrPort, r Request) *connection {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	connections := p.idle[address]
 	for i, c := range slices.Backward(connections) {
-		if !c.hasRefused(id) {
+		if c.canIdentify(now, r) {
 			p.idle[address] = slices.Delete(connections, i, i+1)
 			return c
 		}
