--- a/core/crash/crash.go
+++ b/core/crash/crash.go
@@ -7,6 +7,7 @@
 package crash
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -25,6 +26,8 @@
 	// together with their failure domain. Hosts notice a failure within some milliseconds if
 	// they are not busy. Failures that are noticed further apart count as several.
 	commonCauseWindow = time.Second
+	// maxSkew is the largest difference between the clocks of two hosts.
+	maxSkew = 5 * time.Second
 	// shortRun is twice commonCauseWindow: a request that crashed a server after
 	// running for shortRun does not crash the next one within commonCauseWindow.
 	shortRun = 2 * commonCauseWindow
@@ -51,14 +54,18 @@
 		suspects *lru.Cache[uint64, *suspect]
 	}
 
-	suspect struct {
-		failures []failure
+	// Failure is one failure of a server with a fingerprint in flight.
+	Failure struct {
+		Server string
+		// Started is when the server's incarnation started, or zero if that is not known.
+		Started time.Time
+		// Domain is the server's failure domain, or empty if that is not known.
+		Domain string
+		At     time.Time
 	}
 
-	// failure is one failure of a server with the fingerprint in flight.
-	failure struct {
-		server, domain string
-		at             time.Time
+	suspect struct {
+		failures []Failure // in the order of time
 	}
 )
 
@@ -122,7 +129,7 @@
 	if !ok {
 		return Clear
 	}
-	if now.Sub(s.failures[len(s.failures)-1].at) > Retention {
+	if now.Sub(s.failures[len(s.failures)-1].At) > Retention {
 		t.suspects.Remove(fingerprint)
 		return Clear
 	}
@@ -137,17 +144,42 @@
 // failures of a server or of a domain count once: several requests or daemons may report a
 // failure, and a request may have waited at several servers of a domain that was lost.
 func (t *Table) Report(now time.Time, fingerprint uint64, server, domain string) Decision {
-	decision := t.Check(now, fingerprint)
-	s, ok := t.suspects.Get(fingerprint)
-	if !ok {
-		s = &suspect{}
-		t.suspects.Add(fingerprint, s)
+	return t.Record(now, fingerprint, Failure{Server: server, Domain: domain, At: now})
+}
+
+// Record is Report for a failure that has just happened.
+func (t *Table) Record(now time.Time, fingerprint uint64, f Failure) Decision {
+	return t.count(now, fingerprint, f, 0)
+}
+
+// Merge counts a failure that another process has recorded by its own clock, which may differ
+// from this one's by maxSkew. One of a server's incarnation still counts once.
+func (t *Table) Merge(now time.Time, fingerprint uint64, f Failure) Decision {
+	if now.Sub(f.At) > Retention {
+		return t.Check(now, fingerprint)
 	}
-	if decision == Refuse || s.isCounted(now, server, domain) {
-		return decision
+	if f.At.After(now) {
+		f.At = now
 	}
-	s.failures = append(s.failures, failure{server: server, domain: domain, at: now})
-	return t.Check(now, fingerprint)
+	return t.count(now, fingerprint, f, maxSkew)
+}
+
+// Refuse refuses a fingerprint as another process has done at the given time.
+func (t *Table) Refuse(at time.Time, fingerprint uint64) {
+	t.Check(at, fingerprint) // forgets old failures
+	s := t.suspectOf(fingerprint)
+	for len(s.failures) < RefuseAfterCrashes {
+		s.add(Failure{At: at})
+	}
+}
+
+// Failures returns the failures that count against a fingerprint at now, in the order of time.
+func (t *Table) Failures(now time.Time, fingerprint uint64) []Failure {
+	if t.Check(now, fingerprint) == Clear {
+		return nil
+	}
+	s, _ := t.suspects.Get(fingerprint)
+	return slices.Clone(s.failures)
 }
 
 // ReportSuccess clears a suspect after a request with it has run in isolation without
@@ -163,13 +195,38 @@
 	return t.suspects.Len()
 }
 
-// isCounted reports whether the failure of a server at now is counted already, as a failure
-// of the server or of its domain.
-func (s *suspect) isCounted(now time.Time, server, domain string) bool {
-	for _, counted := range s.failures {
-		if (counted.server == server || counted.domain == domain) && now.Sub(counted.at) < commonCauseWindow {
-			return true
-		}
+// count counts a failure unless it is counted already.
+func (t *Table) count(now time.Time, fingerprint uint64, f Failure, skew time.Duration) Decision {
+	decision := t.Check(now, fingerprint)
+	s := t.suspectOf(fingerprint)
+	isCounted := slices.ContainsFunc(s.failures, func(counted Failure) bool { return f.isSame(counted, skew) })
+	if decision == Refuse || isCounted {
+		return decision
+	}
+	s.add(f)
+	return t.Check(now, fingerprint)
+}
+
+func (t *Table) suspectOf(fingerprint uint64) *suspect {
+	s, ok := t.suspects.Get(fingerprint)
+	if !ok {
+		s = &suspect{}
+		t.suspects.Add(fingerprint, s)
+	}
+	return s
+}
+
+func (s *suspect) add(f Failure) {
+	s.failures = append(s.failures, f)
+	slices.SortStableFunc(s.failures, func(a, b Failure) int { return a.At.Compare(b.At) })
+}
+
+// isSame reports whether two failures count once, by clocks that may differ by skew.
+func (f Failure) isSame(other Failure, skew time.Duration) bool {
+	apart := f.At.Sub(other.At).Abs()
+	hasRestarted := !f.Started.IsZero() && !other.Started.IsZero() && !f.Started.Equal(other.Started)
+	if f.Server == other.Server && !hasRestarted {
+		return apart < commonCauseWindow+skew
 	}
-	return false
+	return (f.Server == other.Server || f.Domain == other.Domain) && apart < commonCauseWindow
 }
--- a/core/crash/crash_test.go
+++ b/core/crash/crash_test.go
@@ -81,6 +81,50 @@
 	}
 }
 
+// TestMerge checks which failures that another host has recorded count beside a failure that this
+// host has seen. Clocks differ, so one failure of a server may seem to be two.
+func TestMerge(t *testing.T) {
+	born := start.Add(-time.Hour)
+	for name, test := range map[string]struct {
+		failure crash.Failure // of the other host
+		want    crash.Decision
+	}{
+		"another server, long ago":               {failure: crash.Failure{Server: "decode-2", Domain: "a", At: start.Add(-time.Minute)}, want: crash.Refuse},
+		"another server of the domain, at once":  {failure: crash.Failure{Server: "decode-2", Domain: "a", At: start.Add(-500 * time.Millisecond)}, want: crash.Isolate},
+		"another domain, at once":                {failure: crash.Failure{Server: "decode-2", Domain: "b", At: start}, want: crash.Refuse},
+		"the same failure by a clock behind":     {failure: crash.Failure{Server: "decode-1", Started: born, Domain: "a", At: start.Add(-5 * time.Second)}, want: crash.Isolate},
+		"the same failure by a clock ahead":      {failure: crash.Failure{Server: "decode-1", Started: born, Domain: "a", At: start.Add(5 * time.Second)}, want: crash.Isolate},
+		"the server had started again meanwhile": {failure: crash.Failure{Server: "decode-1", Started: born.Add(-time.Minute), Domain: "a", At: start.Add(-3 * time.Second)}, want: crash.Refuse},
+		"forgotten":                              {failure: crash.Failure{Server: "decode-2", Domain: "b", At: start.Add(-crash.Retention - 1)}, want: crash.Isolate},
+	} {
+		t.Run(name, func(t *testing.T) {
+			table := crash.NewTable(100)
+			table.Record(start, 1, crash.Failure{Server: "decode-1", Started: born, Domain: "a", At: start})
+			if got := table.Merge(start, 1, test.failure); got != test.want {
+				t.Errorf("decision %v, want %v", got, test.want)
+			}
+		})
+	}
+}
+
+// TestRefusalOfAnotherHost checks how long a refusal is in force that was decided elsewhere.
+func TestRefusalOfAnotherHost(t *testing.T) {
+	table := crash.NewTable(100)
+	table.Report(start.Add(-time.Hour), 1, "decode-1", "a") // forgotten
+	table.Refuse(start.Add(-time.Minute), 1)
+	for after, want := range map[time.Duration]crash.Decision{0: crash.Refuse, crash.Retention - time.Minute: crash.Refuse} {
+		if got := table.Check(start.Add(after), 1); got != want {
+			t.Errorf("after %v: %v, want %v", after, got, want)
+		}
+	}
+	if got := len(table.Failures(start, 1)); got != crash.RefuseAfterCrashes {
+		t.Errorf("%d failures, want %d", got, crash.RefuseAfterCrashes)
+	}
+	if got := table.Check(start.Add(crash.Retention), 1); got != crash.Clear {
+		t.Errorf("after the retention: %v, want Clear", got)
+	}
+}
+
 func TestTableIsBounded(t *testing.T) {
 	table := crash.NewTable(10)
 	for i := range 1000 {
--- a/hickoryd/internal/edge/daemon.go
+++ b/hickoryd/internal/edge/daemon.go
@@ -118,7 +118,7 @@
 		}
 		go d.runServer(s.limiter.Wrap(listener), s.serve)
 	}
-	for _, loop := range []func(context.Context){d.registry.RunServers, d.registry.RunConfiguration, d.registry.RunHosts, d.quarantine.RunWrites, d.quarantine.RunRefusals, d.records.Run, d.pool.Run, d.stageController.Run} {
+	for _, loop := range []func(context.Context){d.registry.RunServers, d.registry.RunConfiguration, d.registry.RunHosts, d.quarantine.RunWrites, d.quarantine.RunRequestWrites, d.quarantine.RunRefusals, d.records.Run, d.pool.Run, d.stageController.Run} {
 		d.loops.Add(1)
 		go d.runLoop(loop)
 	}
--- a/hickoryd/internal/edgedispatch/dispatch.go
+++ b/hickoryd/internal/edgedispatch/dispatch.go
@@ -38,8 +38,6 @@
 )
 
 const (
-	// crashTableSize is the maximum number of fingerprints in the crash table.
-	crashTableSize = 4096
 	// reservationWeight is the weight of the newest request in the moving average of
 	// reservations, which thus covers about the last twenty requests.
 	reservationWeight = 0.05
@@ -94,9 +92,15 @@
 		Relay(ctx context.Context, address netip.AddrPort, request *Request, sink Sink) error
 	}
 
-	// Quarantine finds prompt parts that crash servers and refuses requests with them. The
+	// Quarantine finds requests, and parts of prompts, that crash servers and refuses them. The
 	// last part of a prompt is the request's own and not among the parts.
 	Quarantine interface {
+		// IsRefused reports whether requests with a fingerprint are refused at now.
+		IsRefused(now time.Time, fingerprint uint64) bool
+		// RecordRequestLoss records at now that a server failed while it ran a request of this
+		// host, and ReportRequestLoss one of another host.
+		RecordRequestLoss(now time.Time, fingerprint uint64, failure crash.Failure)
+		ReportRequestLoss(now time.Time, fingerprint uint64, failure crash.Failure)
 		// Check returns when the refusal of a request with the given parts ends. It returns
 		// false if the request is not refused at now.
 		Check(now time.Time, service string, parts []string) (time.Time, bool)
@@ -209,7 +213,6 @@
 		outputLength *outputlength.Estimator
 		budgets      map[string]*retrybudget.Budget
 		hosts        retrybudget.Hosts
-		crashes      *crash.Table
 		paths        *serverpath.Table
 		// pathChecks are closed when the checks of services that are in progress have their
 		// first results.
@@ -245,7 +248,7 @@
 func New(background context.Context, options Options, r Registry, pool *upstream.Pool, peers Peers, quarantine Quarantine, originStore OriginStore, logger log.Interface, set *metrics.Set) *Dispatcher {
 	d := &Dispatcher{
 		background: background, options: options, registry: r, pool: pool, peers: peers, quarantine: quarantine, originStore: originStore, logger: logger, origins: newOrigins(), ranked: newRankedServices(), stop: newStop(),
-		balancer: balance.NewTable(), prefillQueue: prefillqueue.NewEstimator(), outputLength: outputlength.NewEstimator(), budgets: make(map[string]*retrybudget.Budget), crashes: crash.NewTable(crashTableSize), paths: serverpath.NewTable(), pathChecks: make(map[string]chan struct{}), relayRejections: make(map[relayRejection]time.Time), limits: serverlimit.NewTable(), homes: serverlimit.NewHomes(), issuer: serverlimit.NewIssuer(time.Now()), homeFailedAt: make(map[netip.AddrPort]time.Time), restarted: make(map[string]time.Time), endedAt: make(map[string]time.Time), meanTokens: make(map[string]float64), callerRetry: make(map[string]*callerretry.Estimator),
+		balancer: balance.NewTable(), prefillQueue: prefillqueue.NewEstimator(), outputLength: outputlength.NewEstimator(), budgets: make(map[string]*retrybudget.Budget), paths: serverpath.NewTable(), pathChecks: make(map[string]chan struct{}), relayRejections: make(map[relayRejection]time.Time), limits: serverlimit.NewTable(), homes: serverlimit.NewHomes(), issuer: serverlimit.NewIssuer(time.Now()), homeFailedAt: make(map[netip.AddrPort]time.Time), restarted: make(map[string]time.Time), endedAt: make(map[string]time.Time), meanTokens: make(map[string]float64), callerRetry: make(map[string]*callerretry.Estimator),
 		counters: counters{
 			retries:            set.NewCounter(`hickoryfront_edge_repeats_total`),
 			retriesDenied:      set.NewCounter(`hickoryfront_edge_repeats_denied_total`),
@@ -292,15 +295,13 @@
 // ReportLoss records another host's report that a server failed while it ran the
 // request with the given fingerprint.
 func (d *Dispatcher) ReportLoss(now time.Time, fingerprint uint64, server string) {
-	domain := ""
+	failed := serverlist.Server{ID: server}
 	for _, s := range d.servers() {
 		if s.ID == server {
-			domain = s.FailureDomain
+			failed = s
 		}
 	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.crashes.Report(now, fingerprint, server, domain)
+	d.quarantine.ReportRequestLoss(now, fingerprint, failureOf(now, failed))
 }
 
 // ReportReplaced records another host's report that another process listens at a
@@ -322,9 +323,7 @@
 	if until, isRefused := d.quarantine.Check(now, r.Route.Service, r.sharedParts()); isRefused {
 		return &Failure{Status: http.StatusServiceUnavailable, RetryAfter: until.Sub(now), Reason: "parts of the prompt have crashed backend servers"}
 	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.crashes.Check(now, r.Fingerprint) == crash.Refuse {
+	if d.quarantine.IsRefused(now, r.Fingerprint) {
 		return &Failure{Status: http.StatusServiceUnavailable, Reason: "request has crashed backend servers"}
 	}
 	return nil
@@ -591,7 +590,7 @@
 	}
 	now := time.Now()
 	d.logger.WithError(err).WithFields(r.logFields()).WithFields(log.Fields{"server": server.ID, "fingerprint": r.Fingerprint, "parts": r.partIDs(), "events": events}).Warn("backend server failed while it ran a request")
-	d.ReportLoss(now, r.Fingerprint, server.ID)
+	d.quarantine.RecordRequestLoss(now, r.Fingerprint, failureOf(now, server))
 	d.peers.ReportLoss(d.background, r.Fingerprint, server.ID)
 	parts := r.sharedParts()
 	if len(parts) == 0 || events > 0 || !errors.Is(err, upstream.ErrRefused) {
@@ -671,6 +670,11 @@
 	return max(shortRetryAfter, d.balancer.PauseLeft(time.Now(), servers, balance.Criteria{Service: r.Route.Service}))
 }
 
+// failureOf returns the failure of a server at the given time.
+func failureOf(at time.Time, server serverlist.Server) crash.Failure {
+	return crash.Failure{Server: server.ID, Started: server.StartedAt, Domain: server.FailureDomain, At: at}
+}
+
 // cannotHaveRun reports whether the server of a failed attempt can't have run the
 // request.
 func cannotHaveRun(err error) bool {
--- a/hickoryd/internal/edgedispatch/dispatch_test.go
+++ b/hickoryd/internal/edgedispatch/dispatch_test.go
@@ -82,6 +82,12 @@
 	return time.Time{}, false
 }
 
+func (noQuarantine) IsRefused(time.Time, uint64) bool { return false }
+
+func (noQuarantine) RecordRequestLoss(time.Time, uint64, crash.Failure) {}
+
+func (noQuarantine) ReportRequestLoss(time.Time, uint64, crash.Failure) {}
+
 func (noQuarantine) RecordStart(time.Time, string, []string) {}
 
 func (noQuarantine) RecordLoss(context.Context, time.Time, crash.PartLoss) {}
--- a/hickoryd/internal/quarantine/quarantine.go
+++ b/hickoryd/internal/quarantine/quarantine.go
@@ -1,5 +1,5 @@
-// Package quarantine keeps prompt parts that crash backend servers away from them, on all
-// hosts. Hosts report to each other which requests servers failed on, and write the same to
+// Package quarantine keeps requests, and parts of prompts, that crash backend servers away from
+// them, on all hosts. Hosts report to each other which requests servers failed on, and write the same to
 // the platform's store: it reaches hosts that can't reach each other, and those that start
 // later.
 package quarantine
@@ -66,8 +66,14 @@
 		// were read last. Only RunRefusals uses it.
 		refusalsRead uint64
 
+		requestsRefused *metrics.Counter
+		// pendingRequests are the fingerprints whose failures wait to be written to the store.
+		pendingRequests chan uint64
+
 		mu    sync.Mutex
 		table *crash.PartTable
+		// requests are the whole requests that servers have failed with.
+		requests *crash.Table
 	}
 )
 
@@ -76,6 +82,7 @@
 	q := &Quarantine{
 		background: background, store: store, peers: peers, registry: registry, logger: logger, table: crash.NewPartTable(),
 		refused: set.NewCounter(`hickoryfront_edge_part_refusals_total`), writes: make(chan write, maxWrites),
+		requestsRefused: set.NewCounter(`hickoryfront_edge_request_refusals_total`), requests: crash.NewTable(maxRequests), pendingRequests: make(chan uint64, maxPendingRequests),
 	}
 	set.NewGauge(`hickoryfront_edge_refused_parts`, func() float64 { return float64(len(q.Refusals(time.Now()))) })
 	return q
--- a/hickoryd/internal/quarantine/store.go
+++ b/hickoryd/internal/quarantine/store.go
@@ -34,12 +34,20 @@
 	retryDelay = 400 * time.Millisecond
 )
 
-// write is a key that waits to be written to the store.
-type write struct {
-	item platform.Item
-	// loss is what the key holds if it is a loss, or nil.
-	loss *crash.PartLoss
-}
+type (
+	// write is a key that waits to be written to the store.
+	write struct {
+		item platform.Item
+		// loss is what the key holds if it is a loss, or nil.
+		loss *crash.PartLoss
+	}
+
+	// storeLease is the lease that new keys are bound to. Its id is 0 before the first one.
+	storeLease struct {
+		id        uint64
+		grantedAt time.Time
+	}
+)
 
 func (q *Quarantine) enqueueLoss(now time.Time, loss crash.PartLoss) {
 	item, err := platform.EncodePartLoss(platform.PartLoss{PartLoss: loss, At: now})
@@ -66,16 +74,11 @@
 // RunWrites writes losses and refusals to the store until ctx ends. Once a loss is written,
 // it reads those of the other hosts and decides with them.
 func (q *Quarantine) RunWrites(ctx context.Context) {
-	var lease uint64
-	var leasedAt time.Time
+	var lease storeLease
 	for ctx.Err() == nil {
 		pending := q.awaitWrites(ctx)
 		for len(pending) > 0 && ctx.Err() == nil {
-			now := time.Now()
-			if lease == 0 || now.Sub(leasedAt) > maxLeaseAge {
-				lease, leasedAt = q.newLease(ctx), now
-			}
-			if lease == 0 || !q.commit(ctx, pending, &lease) {
+			if !q.renew(ctx, &lease) || !q.commit(ctx, pending, &lease) {
 				_ = timing.Sleep(ctx, retryDelay+rand.N(retryDelay)) // the loop condition checks ctx
 				continue
 			}
@@ -105,26 +108,31 @@
 	return pending
 }
 
-// newLease returns a new lease, or 0 if the store does not grant one.
-func (q *Quarantine) newLease(ctx context.Context) uint64 {
+// renew replaces a lease that is too old, and reports whether there is one.
+func (q *Quarantine) renew(ctx context.Context, lease *storeLease) bool {
+	now := time.Now()
+	if lease.id != 0 && now.Sub(lease.grantedAt) <= maxLeaseAge {
+		return true
+	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	lease, _, err := q.store.NewLease(ctx, leaseTTL)
+	id, _, err := q.store.NewLease(ctx, leaseTTL)
 	if err != nil {
-		q.logger.WithError(err).Debug("no lease for losses of prompt parts; retrying")
-		return 0
+		q.logger.WithError(err).Debug("no lease for failures of servers; retrying")
+		id = 0
 	}
-	return lease
+	*lease = storeLease{id: id, grantedAt: now}
+	return id != 0
 }
 
-// commit writes to the store and reports whether that has succeeded. It sets the lease to 0
-// if it has expired.
-func (q *Quarantine) commit(ctx context.Context, writes []write, lease *uint64) bool {
+// commit writes to the store and reports whether that has succeeded. It drops the lease if it
+// has expired.
+func (q *Quarantine) commit(ctx context.Context, writes []write, lease *storeLease) bool {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	var transaction platform.Transaction
 	for _, w := range writes {
-		put := platform.Put{Key: w.item.Key, Value: w.item.Value, Lease: *lease}
+		put := platform.Put{Key: w.item.Key, Value: w.item.Value, Lease: lease.id}
 		transaction.Puts = append(transaction.Puts, put)
 	}
 	_, err := q.store.Commit(ctx, transaction)
@@ -132,7 +140,7 @@
 		q.logger.WithError(err).Debug("losses of prompt parts not written; retrying")
 	}
 	if errors.Is(err, platform.ErrNotFound) {
-		*lease = 0
+		lease.id = 0
 	}
 	return err == nil
 }
@@ -265,6 +273,10 @@
 		if item.IsDeleted {
 			continue
 		}
+		if platform.IsRequestRefusal(item.Key) {
+			q.applyRequestRefusal(now, item)
+			continue
+		}
 		refusal, err := platform.DecodePartRefusal(item)
 		if err != nil {
 			q.logger.WithError(err).Warn("can't decode a refusal of prompt parts; ignoring it")
--- a/hickorylab/metastore/metastore.go
+++ b/hickorylab/metastore/metastore.go
@@ -341,6 +341,7 @@
 	for _, condition := range t.Expected {
 		if s.items[condition.Key].Revision != condition.Revision {
 			w.WriteHeader(http.StatusPreconditionFailed)
+			jsonreply.Write(w, map[string]any{"items": s.expected(t.Expected)})
 			return
 		}
 	}
@@ -353,6 +354,17 @@
 	jsonreply.Write(w, map[string]any{"revision": s.commit(t)})
 }
 
+// expected returns the current items of the keys of conditions. The caller holds mu.
+func (s *Store) expected(conditions []item) []item {
+	current := []item{}
+	for _, condition := range conditions {
+		if found, ok := s.items[condition.Key]; ok {
+			current = append(current, found)
+		}
+	}
+	return current
+}
+
 func (s *Store) serveLease(w http.ResponseWriter, r *http.Request) {
 	var body struct {
 		TTL float64 `json:"ttl-ms"`
--- a/hickorylab/worker/deadly.go
+++ b/hickorylab/worker/deadly.go
@@ -12,10 +12,13 @@
 const restartDelay = 1500 * time.Millisecond
 
 type (
-	// deadly is a part of prompts that crashes each server which begins to answer it.
+	// deadly is a part of prompts that crashes each server which begins to answer it, or a whole
+	// request.
 	deadly struct {
 		mu   sync.Mutex
 		part string
+		// path is the start of the path of the whole request.
+		path string
 		// keepsIDs is set if the servers start again under the IDs that they had.
 		keepsIDs bool
 		crashes  []time.Time
@@ -32,7 +35,15 @@
 	g.deadly.part, g.deadly.keepsIDs = part, keepsIDs
 }
 
-// DeadlyCrashes returns the times at which the deadly part crashed servers, in order.
+// SetDeadlyPath makes requests whose paths start with path crash each server that runs them. The
+// servers start again after some time. An empty path ends this.
+func (g *Group) SetDeadlyPath(path string) {
+	g.deadly.mu.Lock()
+	defer g.deadly.mu.Unlock()
+	g.deadly.path = path
+}
+
+// DeadlyCrashes returns the times at which deadly requests crashed servers, in order.
 func (g *Group) DeadlyCrashes() []time.Time {
 	g.deadly.mu.Lock()
 	defer g.deadly.mu.Unlock()
@@ -67,7 +78,20 @@
 	return true, g.deadly.keepsIDs
 }
 
+// crashesOn crashes the server if a run is deadly, and reports whether it has.
+func (s *Server) crashesOn(r *http.Request) bool {
+	isDeadly, keepsID := s.group.countDeadlyRun(r)
+	if isDeadly {
+		go s.runDeadlyCrash(keepsID)
+		<-r.Context().Done()
+	}
+	return isDeadly
+}
+
 func (d *deadly) isIn(r *http.Request) bool {
+	if d.path != "" && strings.HasPrefix(r.URL.Path, d.path) {
+		return true
+	}
 	parts := strings.Split(r.Header.Get("Prompt-Prefix"), ",")
 	return d.part != "" && slices.ContainsFunc(parts[:len(parts)-1], func(entry string) bool {
 		id, _, _ := strings.Cut(entry, ":")
--- a/hickorylab/worker/worker.go
+++ b/hickorylab/worker/worker.go
@@ -419,6 +419,9 @@
 
 func (s *Server) servePlain(w http.ResponseWriter, r *http.Request, body []byte) {
 	s.group.countRun(r)
+	if s.crashesOn(r) {
+		return
+	}
 	time.Sleep(plainLatency)
 	w.Header().Set("Server-Stamp", "stamp")
 	_, _ = io.WriteString(w, ResponseBody(r.Method, r.RequestURI, string(body))) // the caller may have disconnected
@@ -454,9 +457,7 @@
 	if s.garble(w, r) {
 		return
 	}
-	if isDeadly, keepsID := s.group.countDeadlyRun(r); isDeadly {
-		go s.runDeadlyCrash(keepsID)
-		<-r.Context().Done()
+	if s.crashesOn(r) {
 		return
 	}
 	s.mu.Lock()
