--- a/core/eventstream/eventstream.go
+++ b/core/eventstream/eventstream.go
@@ -19,11 +19,15 @@
 	maxEventBytes = 1 << 20
 	// bufferBytes is the size of a reader's buffer, which holds a few events.
 	bufferBytes = 1 << 10
+	// keptBytes is the size of an event up to which its memory is used for the next one.
+	keptBytes = 8 << 10
 )
 
 var (
 	// ErrTooLong means that an event exceeds maxEventBytes.
 	ErrTooLong = fmt.Errorf("event longer than %d bytes", maxEventBytes)
+	// ErrNoMemory means that there is no memory for an event.
+	ErrNoMemory = errors.New("no memory left for an event")
 	// ErrGap means that a run left out an event.
 	ErrGap = errors.New("event missing from the stream")
 	// ErrNoID means that a run sent something else than events: the text of an error, or the
@@ -43,9 +47,17 @@
 		IsComment bool
 	}
 
+	// Memory counts the memory that an event takes.
+	Memory interface {
+		// Hold counts size bytes as held from now on. It reports false if there is no memory for
+		// them.
+		Hold(size int64) bool
+	}
+
 	// Reader reads events. It never returns part of an event.
 	Reader struct {
 		reader *bufio.Reader
+		memory Memory
 		event  []byte
 	}
 
@@ -57,20 +69,26 @@
 	}
 )
 
-// NewReader returns a reader of the events of body.
-func NewReader(body io.Reader) *Reader {
-	return &Reader{reader: bufio.NewReaderSize(body, bufferBytes)}
+// NewReader returns a reader of the events of body, which takes the memory of its events from memory.
+func NewReader(body io.Reader, memory Memory) *Reader {
+	return &Reader{reader: bufio.NewReaderSize(body, bufferBytes), memory: memory}
 }
 
 // Next returns the next complete event. Its bytes are valid until the next call.
 func (r *Reader) Next() (Event, error) {
 	r.event = r.event[:0]
+	if cap(r.event) > keptBytes {
+		r.event = nil
+		r.memory.Hold(0)
+	}
 	for {
 		line, err := r.reader.ReadSlice('\n')
-		r.event = append(r.event, line...)
-		if len(r.event) > maxEventBytes {
+		if len(r.event)+len(line) > maxEventBytes {
 			return Event{}, ErrTooLong
 		}
+		if !r.append(line) {
+			return Event{}, ErrNoMemory
+		}
 		if errors.Is(err, bufio.ErrBufferFull) {
 			continue
 		}
@@ -83,6 +101,19 @@
 	}
 }
 
+// append adds bytes to the event, and reports false if there is no memory for them.
+func (r *Reader) append(line []byte) bool {
+	if size := len(r.event) + len(line); size > cap(r.event) {
+		size = max(size, 2*cap(r.event))
+		if !r.memory.Hold(int64(size)) {
+			return false
+		}
+		r.event = append(make([]byte, 0, size), r.event...)
+	}
+	r.event = append(r.event, line...)
+	return true
+}
+
 // IsComplete reports whether an error of Next means that the stream ended between
 // events and not inside one.
 func (r *Reader) IsComplete(err error) bool {
--- a/core/eventstream/eventstream_test.go
+++ b/core/eventstream/eventstream_test.go
@@ -12,6 +12,27 @@
 	"github.com/hickoryfront/hickoryfront/core/eventstream"
 )
 
+// plenty is memory without a bound, and little one of so many bytes.
+type (
+	plenty struct{}
+	little int64
+)
+
+func (plenty) Hold(int64) bool { return true }
+
+func (l little) Hold(size int64) bool { return size <= int64(l) }
+
+// TestEventWithoutMemory guards against an event that takes memory which is not left.
+func TestEventWithoutMemory(t *testing.T) {
+	r := eventstream.NewReader(strings.NewReader("id: 1\n\ndata: "+strings.Repeat("x", 50_000)+"\n\n"), little(20_000))
+	if event, err := r.Next(); err != nil || event.ID != 1 {
+		t.Errorf("event %d, error %v; want the first one", event.ID, err)
+	}
+	if _, err := r.Next(); !errors.Is(err, eventstream.ErrNoMemory) {
+		t.Errorf("error %v, want %v", err, eventstream.ErrNoMemory)
+	}
+}
+
 // TestReader checks that only complete events are returned, and that only an end
 // between events counts as complete.
 func TestReader(t *testing.T) {
@@ -33,7 +54,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			r := eventstream.NewReader(tt.body)
+			r := eventstream.NewReader(tt.body, plenty{})
 			var got []string
 			for {
 				event, err := r.Next()
@@ -66,7 +87,7 @@
 		"id: none\n\n":                  eventstream.ErrNoID,
 		"HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n": eventstream.ErrNoID,
 	} {
-		event, err := eventstream.NewReader(strings.NewReader(text)).Next()
+		event, err := eventstream.NewReader(strings.NewReader(text), plenty{}).Next()
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -123,7 +144,7 @@
 	f.Add("id: 1\ndata: a\n\n")
 	f.Add("\n\n\r\n\r\n")
 	f.Fuzz(func(t *testing.T, body string) {
-		r := eventstream.NewReader(strings.NewReader(body))
+		r := eventstream.NewReader(strings.NewReader(body), plenty{})
 		var joined strings.Builder
 		for {
 			event, err := r.Next()
--- a/hickoryd/consul/client.go
+++ b/hickoryd/consul/client.go
@@ -25,6 +25,7 @@
 const (
 	maxValueBytes = 1 << 20
 	maxReplyBytes = 64 << 20
+	maxHeadBytes  = 64 << 10
 	indexHeader   = "X-Consul-Index"
 	// maxCallTime limits an entire call, without the wait of a blocking query. A call
 	// that makes no progress is canceled much earlier.
@@ -87,7 +88,7 @@
 	for _, class := range []string{"get", "list", "watch", "put", "delete", "lease"} {
 		calls[class] = set.NewCounter(fmt.Sprintf(`hickoryfront_platform_calls_total{class=%q}`, class))
 	}
-	transport := &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute}
+	transport := &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: maxHeadBytes}
 	return &Client{
 		baseURL: "http://" + address.String(),
 		http:    &http.Client{Transport: idletimeout.NewTransport(transport, timeout)},
--- a/hickoryd/engine/client.go
+++ b/hickoryd/engine/client.go
@@ -25,7 +25,11 @@
 )
 
 const (
-	maxReplyBytes = 16 << 20
+	// maxReadingBytes bounds a reading of an engine's state, such as a list of its cached blocks.
+	maxReadingBytes = 16 << 20
+	// maxReplyBytes bounds all other replies, and maxHeadBytes the head of each.
+	maxReplyBytes = 64 << 10
+	maxHeadBytes  = 64 << 10
 	maxLineBytes  = 1 << 20
 	dialTimeout   = time.Second
 	dataPrefix    = "data: "
@@ -244,7 +248,7 @@
 	if err != nil {
 		return err
 	}
-	return do(c.changes, request, reply)
+	return do(c.changes, request, maxReplyBytes, reply)
 }
 
 func (c *Client) get(ctx context.Context, address netip.AddrPort, path string, query url.Values, reply any) error {
@@ -252,10 +256,10 @@
 	if err != nil {
 		return err
 	}
-	return do(c.readings, request, reply)
+	return do(c.readings, request, maxReadingBytes, reply)
 }
 
-func do(client *http.Client, request *http.Request, reply any) error {
+func do(client *http.Client, request *http.Request, limit int64, reply any) error {
 	response, err := send(client, request)
 	if err != nil {
 		return err
@@ -264,7 +268,7 @@
 		return replyError(response)
 	}
 	defer response.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes))
+	data, err := io.ReadAll(io.LimitReader(response.Body, limit))
 	if err != nil {
 		return fmt.Errorf("%w: %w", ErrBroken, err)
 	}
@@ -300,6 +304,8 @@
 		MaxIdleConnsPerHost: 8,
 		IdleConnTimeout:     time.Minute,
 		DisableKeepAlives:   singleUse,
+
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 }
 
--- a/hickoryd/internal/edge/memory.go
+++ b/hickoryd/internal/edge/memory.go
@@ -25,6 +25,9 @@
 	readyShare      = 0.015
 	operatorShare   = 0.015
 	hostShare       = 0.05
+	// serversShare is the part that the responses of backend servers may hold beyond what each
+	// may hold: long heads, bodies and events.
+	serversShare = 0.15
 	// hostCalls is the maximum number of calls in progress of one other host.
 	hostCalls = 256
 	// smallHeadBytes is the maximum size of a head at the readiness and operators' listeners.
@@ -38,7 +41,7 @@
 
 // memory is the ledger of the process, divided into parts for each listener.
 type memory struct {
-	bodies, responses             *memoryledger.Ledger
+	bodies, responses, servers    *memoryledger.Ledger
 	caller, ready, operator, peer *listenlimit.Limiter
 	calls                         *listenlimit.CallLimit
 }
@@ -47,7 +50,7 @@
 	bytes := func(share float64) int64 { return int64(share * float64(s.MemoryMB) * (1 << 20)) }
 	total := memoryledger.New(bytes(peersShare))
 	callers := total.Part(bytes(callersShare))
-	m := &memory{bodies: callers.Part(bytes(bodyShare)), responses: callers.Part(bytes(responseShare)), calls: listenlimit.NewCallLimit(s.MemoryMB, set)}
+	m := &memory{bodies: callers.Part(bytes(bodyShare)), responses: callers.Part(bytes(responseShare)), servers: total.Part(bytes(serversShare)), calls: listenlimit.NewCallLimit(s.MemoryMB, set)}
 	var errs [4]error
 	m.caller, errs[0] = listenlimit.NewForPart(listenlimit.Part{
 		Name: "caller", Memory: callers, ConnectionBytes: bytes(connectionShare), HeadBytes: bytes(headShare),
@@ -69,6 +72,7 @@
 	m.responses.SetRelief(m.caller.Relieve)
 	listenlimit.AddGauges(set, "bodies", m.bodies)
 	listenlimit.AddGauges(set, "responses", m.responses)
+	listenlimit.AddGauges(set, "servers", m.servers)
 	listenlimit.AddGauges(set, "callers", callers)
 	listenlimit.AddGauges(set, "all", total)
 	return m, nil
--- a/hickoryd/internal/edge/wiring.go
+++ b/hickoryd/internal/edge/wiring.go
@@ -42,6 +42,8 @@
 	// storeConnections is the number of idle connections to the store that are kept:
 	// one for the watch, the others for reads and writes.
 	storeConnections = 4
+	// maxStoreHeadBytes bounds the head of a response of the store.
+	maxStoreHeadBytes = 64 << 10
 	// stopMargin is the time that Stop may take beyond the grace period.
 	stopMargin = 5 * time.Second
 )
@@ -82,15 +84,17 @@
 	return &lifetime{ctx, end}
 }
 
-func newPool(s Settings, set *metrics.Set) *upstream.Pool {
-	return upstream.NewPool(s.Caller.Addr(), set)
+func newPool(s Settings, m *memory, set *metrics.Set) *upstream.Pool {
+	pool := upstream.NewPool(s.Caller.Addr(), set)
+	pool.CountMemory(m.servers)
+	return pool
 }
 
 func newStore(s Settings) *platform.Store {
 	transport := &http.Transport{
 		DialContext:         tcp.NewDialer(s.Peer.Addr(), s.StoreTimeout).DialContext,
 		MaxIdleConnsPerHost: storeConnections, IdleConnTimeout: 30 * time.Second, DisableCompression: true,
-		ReadBufferSize: 2 << 10, WriteBufferSize: 1 << 10,
+		ReadBufferSize: 2 << 10, WriteBufferSize: 1 << 10, MaxResponseHeaderBytes: maxStoreHeadBytes,
 	}
 	return platform.NewStore(&http.Client{Transport: idletimeout.NewTransport(transport, s.StoreTimeout)}, s.Store)
 }
--- a/hickoryd/internal/edgedispatch/decode.go
+++ b/hickoryd/internal/edgedispatch/decode.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"slices"
 	"time"
@@ -150,7 +149,7 @@
 		drain(response)
 		return err
 	}
-	body, _ := io.ReadAll(io.LimitReader(response.Body, maxBufferedResponseBytes)) // after an error the body is incomplete
+	body, _ := response.ReadBody(maxBufferedResponseBytes) // after an error the body is incomplete
 	if !response.IsComplete() {
 		return fmt.Errorf("%w, incomplete body of %d bytes", err, len(body))
 	}
@@ -160,7 +159,7 @@
 
 // forward relays events to the caller until the stream ends or its run is migrated.
 func (g *generation) forward(ctx context.Context, response *upstream.Response, watch *silenceWatch, server serverlist.Server) error {
-	events := eventstream.NewReader(response.Body)
+	events := eventstream.NewReader(response.Body, response)
 	hasNewEvents := false
 	migration := newMigration(g, server)
 	defer migration.stop()
--- a/hickoryd/internal/edgedispatch/plain.go
+++ b/hickoryd/internal/edgedispatch/plain.go
@@ -23,6 +23,8 @@
 	// maxBufferedResponseBytes is the maximum size of a response that is buffered completely
 	// before the caller gets any of it, so that the request can still be retried.
 	maxBufferedResponseBytes = 256 << 10
+	// forwardBytes is the size of the parts in which the rest of a longer response is forwarded.
+	forwardBytes = 16 << 10
 	// maxDrainedBytes and drainTimeout limit the reading of a response that is not
 	// forwarded.
 	maxDrainedBytes = 64 << 10
@@ -103,7 +105,7 @@
 	}
 
 	// plainResponse is a response that was read completely, or up to
-	// maxBufferedResponseBytes.
+	// maxBufferedResponseBytes, or as far as there was memory for it.
 	plainResponse struct {
 		response *http.Response
 		body     []byte
@@ -329,8 +331,8 @@
 		err := fmt.Errorf("%w: status %d, stamped %t, encoded %t", errInvalid, response.StatusCode, response.Metadata.HasStamp, response.Metadata.IsEncoded)
 		return plainResult{err: err, mayHaveRun: true}
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedResponseBytes))
-	if err == nil && len(body) == maxBufferedResponseBytes && !response.IsComplete() {
+	body, err := response.ReadBody(maxBufferedResponseBytes)
+	if err == nil && !response.IsComplete() {
 		return plainResult{response: &plainResponse{response: response.Response, body: body, rest: response}, mayHaveRun: true}
 	}
 	response.Close()
@@ -366,17 +368,28 @@
 	if err := sink.Start(r.response.StatusCode, header); err != nil {
 		return fmt.Errorf("%w: %w", ErrTruncated, err)
 	}
-	if err := sink.Write(r.body); err != nil {
-		return fmt.Errorf("%w: %w", ErrTruncated, err)
+	part := len(r.body)
+	if r.rest != nil {
+		part = forwardBytes // the caller may be as slow with the rest
+	}
+	for body := r.body; ; {
+		next := body[:min(part, len(body))]
+		if err := sink.Write(next); err != nil {
+			return fmt.Errorf("%w: %w", ErrTruncated, err)
+		}
+		if body = body[len(next):]; len(body) == 0 {
+			return nil
+		}
 	}
-	return nil
 }
 
 // forwardRest streams the part of the response that was not read yet and closes the
 // response.
 func (a *plainAttempt) forwardRest(ctx context.Context, sink Sink) error {
 	r := a.result.response
-	buffer := r.body[:cap(r.body)]
+	r.body = nil
+	r.rest.Hold(0)
+	buffer := make([]byte, forwardBytes)
 	for {
 		n, readErr := r.rest.Body.Read(buffer)
 		if n > 0 {
--- a/hickoryd/internal/edgedispatch/prefill.go
+++ b/hickoryd/internal/edgedispatch/prefill.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"time"
 
@@ -127,7 +126,7 @@
 		drain(response)
 		return kvHandle{}, fmt.Errorf("%w: prefill returned status %d", errNotRun, response.StatusCode)
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedResponseBytes))
+	body, err := response.ReadBody(maxBufferedResponseBytes)
 	if err != nil {
 		g.recordResult(server.ID, health.Broken)
 		return kvHandle{}, fmt.Errorf("read the handle of a KV cache: %w", err)
--- a/hickoryd/internal/edgehost/client.go
+++ b/hickoryd/internal/edgehost/client.go
@@ -44,6 +44,8 @@
 	// bufferBytes is the size of a connection's read buffer and of its write buffer.
 	// It is small because messages are few and small.
 	bufferBytes = 4 << 10
+	// maxHeaderBytes bounds the header fields of a response.
+	maxHeaderBytes = 16 << 10
 	// connectTimeout limits an attempt to connect to a host.
 	connectTimeout = 500 * time.Millisecond
 )
@@ -260,7 +262,7 @@
 	dialer := tcp.NewDialer(local, connectTimeout)
 	return grpc.NewClient("passthrough:///"+address.String(),
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
-		grpc.WithReadBufferSize(bufferBytes), grpc.WithWriteBufferSize(bufferBytes),
+		grpc.WithReadBufferSize(bufferBytes), grpc.WithWriteBufferSize(bufferBytes), grpc.WithMaxHeaderListSize(maxHeaderBytes),
 		grpc.WithConnectParams(grpc.ConnectParams{
 			Backoff:           backoff.Config{BaseDelay: connectTimeout, Multiplier: 1.5, MaxDelay: 2 * time.Second},
 			MinConnectTimeout: connectTimeout,
--- a/hickoryd/internal/peer/pool.go
+++ b/hickoryd/internal/peer/pool.go
@@ -22,6 +22,8 @@
 	keepaliveTime    = 10 * time.Second
 	keepaliveTimeout = 2 * time.Second
 	connectTimeout   = time.Second
+	// maxHeaderBytes bounds the header fields of a response.
+	maxHeaderBytes = 16 << 10
 )
 
 // reconnect retries after short pauses, because a daemon that has just started is
@@ -53,7 +55,7 @@
 	}
 	conn, err := grpc.NewClient("passthrough:///"+address.String(),
 		grpc.WithTransportCredentials(p.credentials),
-		grpc.WithContextDialer(p.dial),
+		grpc.WithContextDialer(p.dial), grpc.WithMaxHeaderListSize(maxHeaderBytes),
 		grpc.WithConnectParams(grpc.ConnectParams{Backoff: reconnect, MinConnectTimeout: connectTimeout}),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepaliveTime, Timeout: keepaliveTimeout}))
 	if err != nil {
--- a/hickoryd/internal/service/client.go
+++ b/hickoryd/internal/service/client.go
@@ -20,6 +20,7 @@
 
 const (
 	maxResponseBytes = 16 << 20
+	maxHeadBytes     = 64 << 10
 	dialTimeout      = time.Second
 	// RequestIDHeader carries the router's request id to the server.
 	RequestIDHeader = "X-Request-Id"
@@ -64,6 +65,8 @@
 		Transport: &http.Transport{
 			DialContext:       (&net.Dialer{Timeout: dialTimeout}).DialContext,
 			DisableKeepAlives: true,
+
+			MaxResponseHeaderBytes: maxHeadBytes,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}}
--- a/hickoryd/internal/upstream/connection.go
+++ b/hickoryd/internal/upstream/connection.go
@@ -84,6 +84,7 @@
 		pool    *Pool
 		address netip.AddrPort
 		socket  net.Conn
+		holding *holding
 		limit   *limitedReader // reads from socket
 		reader  *bufio.Reader  // reads from limit
 		// reusableUntil is the time from which the connection has been idle too long
@@ -104,9 +105,10 @@
 	}
 
 	// limitedReader fails with errHeadTooLong once it has read left bytes while isLimited is
-	// set.
+	// set, and with errNoMemory if there is no memory for what it has read until then.
 	limitedReader struct {
 		source    io.Reader
+		holding   *holding
 		isLimited bool
 		left      int
 	}
@@ -140,6 +142,7 @@
 	response, err := c.exchange(r)
 	if err != nil {
 		stop()
+		c.holding.release()
 		c.close()
 		return nil, err
 	}
@@ -156,7 +159,7 @@
 		return Reply{}, err
 	}
 	defer response.Close()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxInternalReadBytes))
+	body, err := response.ReadBody(maxInternalReadBytes)
 	if err != nil {
 		return Reply{}, fmt.Errorf("%w: %w", ErrMayHaveRun, err)
 	}
@@ -167,6 +170,7 @@
 // written and the response read completely, and nothing follows the response.
 // Otherwise it closes the connection.
 func (r *Response) Close() {
+	r.connection.holding.release()
 	isOpen := r.stop()
 	if !isOpen || !r.body.isComplete || r.Response.Close || len(r.connection.notRun) >= maxNotRun || !r.isRequestWritten() || r.connection.reader.Buffered() > 0 {
 		r.connection.close()
@@ -184,7 +188,7 @@
 	if err := socket.SetReadDeadline(time.Now().Add(timeout)); err != nil {
 		return nil // the connection is closed
 	}
-	rest, _ := io.ReadAll(io.LimitReader(r.Body, limit)) // after an error the body is incomplete, and the connection is not reused
+	rest, _ := r.ReadBody(limit) // after an error the body is incomplete, and the connection is not reused
 	if err := socket.SetReadDeadline(time.Time{}); err != nil {
 		r.body.isComplete = false // the connection is closed
 	}
@@ -201,9 +205,10 @@
 }
 
 func newConnection(pool *Pool, address netip.AddrPort, socket net.Conn) *connection {
-	limit := &limitedReader{source: socket}
+	held := &holding{ledger: pool.memory}
+	limit := &limitedReader{source: socket, holding: held}
 	return &connection{
-		pool: pool, address: address, socket: socket,
+		pool: pool, address: address, socket: socket, holding: held,
 		limit: limit, reader: bufio.NewReaderSize(limit, readBufferBytes),
 	}
 }
@@ -346,6 +351,9 @@
 	}
 	n, err := l.source.Read(p[:min(len(p), l.left)])
 	l.left -= n
+	if !l.holding.holdHead(maxHeadBytes - l.left) {
+		return 0, errNoMemory
+	}
 	return n, err
 }
 
--- a/hickoryd/internal/upstream/pool.go
+++ b/hickoryd/internal/upstream/pool.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/hickoryfront/hickoryfront/core/memoryledger"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/tcp"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/timing"
 )
@@ -58,6 +60,7 @@
 		dialer net.Dialer
 		dials  *metrics.Counter
 		reuses *metrics.Counter
+		memory *memoryledger.Ledger // or nil
 
 		mu   sync.Mutex
 		idle map[netip.AddrPort][]*connection
--- a/hickorylab/crowd/host_test.go
+++ b/hickorylab/crowd/host_test.go
@@ -39,6 +39,7 @@
 // environment is a store and plain servers.
 type environment struct {
 	network string
+	store   *metastore.Store
 	client  *http.Client
 	counter int
 }
@@ -52,20 +53,11 @@
 
 func startEnvironment(t *testing.T) *environment {
 	t.Helper()
-	store := metastore.New()
-	e := &environment{network: harness.FreeNetwork(t), client: &http.Client{
+	store := newStore()
+	e := &environment{network: harness.FreeNetwork(t), store: store, client: &http.Client{
 		Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true},
 	}}
 	serve(t, e.address(10, 18500), store)
-	route := func(name, service string) map[string]any {
-		return map[string]any{
-			"name": name, "hostname": "h.example", "path-prefix": "/" + name + "/", "kind": "safe", "service": service, "timeout-ms": 20000, "max-attempts": 1,
-		}
-	}
-	store.Put("op/config", map[string]any{
-		"version": 1, "routes": []any{route("lookup", "shop"), route("long", "long")},
-		"limits": map[string]any{"max-header-bytes": 16 << 10, "max-body-bytes": 4 << 20, "header-timeout-ms": 3000},
-	})
 	server, err := worker.NewGroup(store).Start("shop", "", e.address(20, 19000))
 	if err != nil {
 		t.Fatal(err)
