--- a/hickoryd/internal/quarantine/quarantine.go
+++ b/hickoryd/internal/quarantine/quarantine.go
@@ -1,6 +1,6 @@
 // Package quarantine keeps requests, and parts of prompts, that crash backend servers away from
-// them, on all hosts. Hosts report to each other which requests servers failed on, and write the same to
-// the platform's store: it reaches hosts that can't reach each other, and those that start
+// them, on all hosts. Hosts report to each other which requests servers failed on, and write the
+// same to the platform's store: it reaches hosts that can't reach each other, and those that start
 // later.
 package quarantine
 
--- a/hickoryd/internal/quarantine/requests.go
+++ b/hickoryd/internal/quarantine/requests.go
@@ -63,7 +63,7 @@
 	var lease storeLease
 	for ctx.Err() == nil {
 		pending := q.awaitRequests(ctx)
-		revisions := make(map[uint64]uint64)
+		revisions := make(map[string]uint64)
 		for len(pending) > 0 && ctx.Err() == nil && !q.writeRequests(ctx, pending, revisions, &lease) {
 			_ = timing.Sleep(ctx, retryDelay+rand.N(retryDelay)) // the loop condition checks ctx
 		}
@@ -92,9 +92,9 @@
 }
 
 // writeRequests writes the failures with each of the fingerprints, and the refusals that follow
-// from them, in one transaction. revisions are those of the failures in the store, which are read
-// only if there are some already. It reports whether everything is written.
-func (q *Quarantine) writeRequests(ctx context.Context, fingerprints []uint64, revisions map[uint64]uint64, lease *storeLease) bool {
+// from them, in one transaction. revisions are those of the keys in the store, which are known
+// only after a conflict. It reports whether everything is written.
+func (q *Quarantine) writeRequests(ctx context.Context, fingerprints []uint64, revisions map[string]uint64, lease *storeLease) bool {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	const maxConflicts = 3 // other hosts may write at the same time
@@ -125,7 +125,7 @@
 }
 
 // requestTransaction returns the transaction that writes what is known of the fingerprints at now.
-func (q *Quarantine) requestTransaction(now time.Time, fingerprints []uint64, revisions map[uint64]uint64, lease uint64) platform.Transaction {
+func (q *Quarantine) requestTransaction(now time.Time, fingerprints []uint64, revisions map[string]uint64, lease uint64) platform.Transaction {
 	var transaction platform.Transaction
 	put := func(item platform.Item, err error) {
 		if err != nil {
@@ -144,9 +144,8 @@
 			continue
 		}
 		isWritten[fingerprint] = true
-		transaction.Conditions = append(transaction.Conditions, platform.Condition{
-			Key: platform.RequestFailuresKey(fingerprint), Revision: revisions[fingerprint],
-		})
+		key := platform.RequestFailuresKey(fingerprint)
+		transaction.Conditions = append(transaction.Conditions, platform.Condition{Key: key, Revision: revisions[key]})
 		put(platform.EncodeRequestFailures(platform.RequestFailures{Fingerprint: fingerprint, Failures: failures}))
 		if isRefused {
 			newest := failures[len(failures)-1]
@@ -158,19 +157,19 @@
 }
 
 // mergeRequests adds the failures that the store has, and their revisions.
-func (q *Quarantine) mergeRequests(ctx context.Context, fingerprints []uint64, revisions map[uint64]uint64, items []platform.Item) {
+func (q *Quarantine) mergeRequests(ctx context.Context, fingerprints []uint64, revisions map[string]uint64, items []platform.Item) {
 	if len(items) == 0 {
 		items = q.readRequests(ctx, fingerprints)
 	}
 	clear(revisions) // a key that is not among the items does not exist
 	now := time.Now()
 	for _, item := range items {
+		revisions[item.Key] = item.ModRevision
 		found, err := platform.DecodeRequestFailures(item)
 		if err != nil {
-			q.logger.WithError(err).Warn("can't decode failures with requests; ignoring them")
+			q.logger.WithError(err).Warn("can't decode failures with requests; replacing them")
 			continue
 		}
-		revisions[found.Fingerprint] = item.ModRevision
 		for _, failure := range found.Failures {
 			q.mu.Lock()
 			q.requests.Merge(now, found.Fingerprint, failure)
