--- a/core/crash/crash.go
+++ b/core/crash/crash.go
@@ -7,6 +7,7 @@
 package crash
 
 import (
+	"errors"
 	"slices"
 	"time"
 
@@ -52,6 +53,8 @@
 	// least recently used fingerprint is evicted. It is not safe for concurrent use.
 	Table struct {
 		suspects *lru.Cache[uint64, *suspect]
+		// completions holds when a request with a fingerprint last completed.
+		completions *lru.Cache[uint64, time.Time]
 	}
 
 	// Failure is one failure of a server with a fingerprint in flight.
@@ -117,10 +120,11 @@
 // NewTable returns an empty table of at most limit fingerprints. limit must be above 0.
 func NewTable(limit int) *Table {
 	suspects, err := lru.New[uint64, *suspect](limit)
-	if err != nil {
+	completions, completionsErr := lru.New[uint64, time.Time](limit)
+	if err := errors.Join(err, completionsErr); err != nil {
 		panic(err) // only for a limit below 1
 	}
-	return &Table{suspects: suspects}
+	return &Table{suspects: suspects, completions: completions}
 }
 
 // Check returns how requests with a fingerprint may run at now.
@@ -190,6 +194,13 @@
 	}
 }
 
+// RecordCompletion records that a server has completed a request with a fingerprint: failures
+// before that had another cause. Many callers may send requests that are alike. It doesn't lift a
+// refusal, as the request may have been sent before.
+func (t *Table) RecordCompletion(now time.Time, fingerprint uint64) {
+	t.completions.Add(fingerprint, now)
+}
+
 // Len returns the number of fingerprints in the table.
 func (t *Table) Len() int {
 	return t.suspects.Len()
@@ -198,12 +209,16 @@
 // count counts a failure unless it is counted already.
 func (t *Table) count(now time.Time, fingerprint uint64, f Failure, skew time.Duration) Decision {
 	decision := t.Check(now, fingerprint)
+	completedAt, _ := t.completions.Get(fingerprint)
+	if decision == Refuse || f.At.Before(completedAt) {
+		return decision
+	}
 	s := t.suspectOf(fingerprint)
+	s.failures = slices.DeleteFunc(s.failures, func(counted Failure) bool { return counted.At.Before(completedAt) })
 	isCounted := slices.ContainsFunc(s.failures, func(counted Failure) bool { return f.isSame(counted, skew) })
-	if decision == Refuse || isCounted {
-		return decision
+	if !isCounted {
+		s.add(f)
 	}
-	s.add(f)
 	return t.Check(now, fingerprint)
 }
 
--- a/core/crash/crash_test.go
+++ b/core/crash/crash_test.go
@@ -107,6 +107,32 @@
 	}
 }
 
+// TestCompletionBetweenFailures guards against the refusal of requests that are alike and sound,
+// because servers have failed for other reasons while they ran some of them.
+func TestCompletionBetweenFailures(t *testing.T) {
+	for name, test := range map[string]struct {
+		completed time.Duration // after the first failure
+		want      crash.Decision
+	}{
+		"before both":  {completed: -time.Second, want: crash.Refuse},
+		"between them": {completed: time.Second, want: crash.Isolate},
+	} {
+		t.Run(name, func(t *testing.T) {
+			table := crash.NewTable(100)
+			table.RecordCompletion(start.Add(test.completed), 1)
+			table.Report(start, 1, "decode-1", "a")
+			table.RecordCompletion(start.Add(test.completed), 1)
+			if got := table.Report(start.Add(time.Minute), 1, "decode-2", "b"); got != test.want {
+				t.Errorf("decision %v, want %v", got, test.want)
+			}
+			stored := crash.Failure{Server: "decode-3", Domain: "c", At: start.Add(-500 * time.Millisecond)}
+			if got := table.Merge(start.Add(time.Minute), 1, stored); got != test.want {
+				t.Errorf("with a failure that another host has recorded: %v, want %v", got, test.want)
+			}
+		})
+	}
+}
+
 // TestRefusalOfAnotherHost checks how long a refusal is in force that was decided elsewhere.
 func TestRefusalOfAnotherHost(t *testing.T) {
 	table := crash.NewTable(100)
--- a/hickoryd/internal/edgedispatch/decode.go
+++ b/hickoryd/internal/edgedispatch/decode.go
@@ -114,6 +114,7 @@
 		return err
 	}
 	g.recordResult(server.ID, health.Success)
+	g.quarantine.RecordRequestCompletion(time.Now(), g.request.Fingerprint)
 	return nil
 }
 
--- a/hickoryd/internal/edgedispatch/dispatch.go
+++ b/hickoryd/internal/edgedispatch/dispatch.go
@@ -101,6 +101,8 @@
 		// host, and ReportRequestLoss one of another host.
 		RecordRequestLoss(now time.Time, fingerprint uint64, failure crash.Failure)
 		ReportRequestLoss(now time.Time, fingerprint uint64, failure crash.Failure)
+		// RecordRequestCompletion records that a server completed a request at now.
+		RecordRequestCompletion(now time.Time, fingerprint uint64)
 		// Check returns when the refusal of a request with the given parts ends. It returns
 		// false if the request is not refused at now.
 		Check(now time.Time, service string, parts []string) (time.Time, bool)
--- a/hickoryd/internal/edgedispatch/dispatch_test.go
+++ b/hickoryd/internal/edgedispatch/dispatch_test.go
@@ -88,6 +88,8 @@
 
 func (noQuarantine) ReportRequestLoss(time.Time, uint64, crash.Failure) {}
 
+func (noQuarantine) RecordRequestCompletion(time.Time, uint64) {}
+
 func (noQuarantine) RecordStart(time.Time, string, []string) {}
 
 func (noQuarantine) RecordLoss(context.Context, time.Time, crash.PartLoss) {}
--- a/hickoryd/internal/edgedispatch/plain.go
+++ b/hickoryd/internal/edgedispatch/plain.go
@@ -435,7 +435,9 @@
 		}
 	}
 	a.recordResult(a.server.ID, result)
-	if result != health.Success {
+	if result == health.Success {
+		a.quarantine.RecordRequestCompletion(time.Now(), a.request.Fingerprint)
+	} else {
 		a.logger.WithFields(a.request.logFields()).WithFields(log.Fields{
 			"server": a.server.ID, "tries": a.number, "mayHaveRun": r.mayHaveRun, "result": resultNames[result], "error": fmt.Sprint(r.err),
 		}).Info("attempt failed")
--- a/hickoryd/internal/quarantine/quarantine.go
+++ b/hickoryd/internal/quarantine/quarantine.go
@@ -35,6 +35,8 @@
 	Registry interface {
 		// IsStoreUnreachable reports whether the store does not respond to this host.
 		IsStoreUnreachable() bool
+		// HostCount returns the number of hosts, or 0 if it is not known.
+		HostCount() int
 		// FollowedRefusals returns a number that changes with the refusals in the store, as a
 		// host that reads them has told this one, and a channel that is closed when it
 		// changes. isFollowing is false while this host reads the store itself.
--- a/hickoryd/internal/quarantine/quarantine_test.go
+++ b/hickoryd/internal/quarantine/quarantine_test.go
@@ -72,6 +72,8 @@
 
 func (registry) FollowedRefusals() (uint64, <-chan struct{}, bool) { return 0, nil, false }
 
+func (registry) HostCount() int { return 0 }
+
 func (registry) NotifyRefusals() {}
 
 func (registry) AwaitRole(context.Context, time.Duration) {}
--- a/hickoryd/internal/quarantine/requests.go
+++ b/hickoryd/internal/quarantine/requests.go
@@ -22,9 +22,12 @@
 	// maxRequestsWritten is the number of fingerprints in one transaction, which has up to three
 	// entries for each.
 	maxRequestsWritten = 10
-	// requestWriteDelay is the maximum time for which failures are collected: the requests of a
-	// failed server, and the servers of a failure domain, end within a moment.
-	requestWriteDelay = 300 * time.Millisecond
+	// minWriteDelay is the maximum time for which a host collects failures before it writes them: the
+	// requests of a failed server, and the servers of a failure domain, end within a moment.
+	// delayPerHost spreads the writes of many hosts, up to maxWriteDelay.
+	minWriteDelay = 300 * time.Millisecond
+	delayPerHost  = 5 * time.Millisecond
+	maxWriteDelay = 1500 * time.Millisecond
 )
 
 // IsRefused reports whether requests with a fingerprint are refused at now.
@@ -57,6 +60,13 @@
 	q.requests.Record(now, fingerprint, failure)
 }
 
+// RecordRequestCompletion records that a server completed a request at now.
+func (q *Quarantine) RecordRequestCompletion(now time.Time, fingerprint uint64) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.requests.RecordCompletion(now, fingerprint)
+}
+
 // RunRequestWrites writes the failures of servers with requests to the store until ctx ends. It
 // takes up what other hosts have written of the same requests, and writes the refusals that follow.
 func (q *Quarantine) RunRequestWrites(ctx context.Context) {
@@ -79,7 +89,8 @@
 	case fingerprint := <-q.pendingRequests:
 		pending = append(pending, fingerprint)
 	}
-	_ = timing.Sleep(ctx, rand.N(requestWriteDelay)) // the caller checks ctx
+	delay := min(max(minWriteDelay, time.Duration(q.registry.HostCount())*delayPerHost), maxWriteDelay)
+	_ = timing.Sleep(ctx, rand.N(delay)) // the caller checks ctx
 	for len(pending) < maxRequestsWritten {
 		select {
 		case fingerprint := <-q.pendingRequests:
