Don't take a reset during an upload for the end of a response

What callers saw: a server answered a long upload at once with a 200 that had no length, sent part of its body and reset the connection while the upload was still written. The caller got that part as a complete answer.

Cause: the kernel reports a failed connection once, to whichever of its reads and writes comes first, and its end to every read after that. When the writer of the request's body was told of the reset, the reader of the response was told of an end, which completes a response that has neither a length nor chunks. net/http's transport, which serve, the Consul client and the store's client use, has the same race.

Change: http1.Conn keeps the first error of a write. At the end of a connection it stops a write in progress, waits until that has returned, and reports its failure in place of the end. EPIPE as the first error means that the server had ended its side before, so that the response is whole. All connections on which responses are read in HTTP/1.1 are Conns.

--- a/hickoryd/consul/client.go
+++ b/hickoryd/consul/client.go
@@ -19,6 +19,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/http1"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/idletimeout"
 )
 
@@ -88,7 +89,7 @@
 	for _, class := range []string{"get", "list", "watch", "put", "delete", "lease"} {
 		calls[class] = set.NewCounter(fmt.Sprintf(`hickoryfront_platform_calls_total{class=%q}`, class))
 	}
-	transport := &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: maxHeadBytes}
+	transport := http1.NewTransport(&http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: maxHeadBytes})
 	return &Client{
 		baseURL: "http://" + address.String(),
 		http:    &http.Client{Transport: idletimeout.NewTransport(transport, timeout)},
--- a/hickoryd/engine/client.go
+++ b/hickoryd/engine/client.go
@@ -22,6 +22,7 @@
 
 	"github.com/hickoryfront/hickoryfront/core/backend"
 	"github.com/hickoryfront/hickoryfront/core/tokenstream"
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/http1"
 )
 
 const (
@@ -298,15 +299,15 @@
 	return request, nil
 }
 
-func newTransport(singleUse bool) *http.Transport {
-	return &http.Transport{
+func newTransport(singleUse bool) http.RoundTripper {
+	return http1.NewTransport(&http.Transport{
 		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		MaxIdleConnsPerHost: 8,
 		IdleConnTimeout:     time.Minute,
 		DisableKeepAlives:   singleUse,
 
 		MaxResponseHeaderBytes: maxHeadBytes,
-	}
+	})
 }
 
 // send returns ErrNotSent only if no connection to the engine was ever available.
--- a/hickoryd/internal/edge/wiring.go
+++ b/hickoryd/internal/edge/wiring.go
@@ -18,6 +18,7 @@
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/edgedispatch"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/edgehost"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/edgeorder"
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/http1"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/idletimeout"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/originstore"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/quarantine"
@@ -91,11 +92,11 @@
 }
 
 func newStore(s Settings) *platform.Store {
-	transport := &http.Transport{
+	transport := http1.NewTransport(&http.Transport{
 		DialContext:         tcp.NewDialer(s.Peer.Addr(), s.StoreTimeout).DialContext,
 		MaxIdleConnsPerHost: storeConnections, IdleConnTimeout: 30 * time.Second, DisableCompression: true,
 		ReadBufferSize: 2 << 10, WriteBufferSize: 1 << 10, MaxResponseHeaderBytes: maxStoreHeadBytes,
-	}
+	})
 	return platform.NewStore(&http.Client{Transport: idletimeout.NewTransport(transport, s.StoreTimeout)}, s.Store)
 }
 
--- a/hickoryd/internal/edgedispatch/dispatch_test.go
+++ b/hickoryd/internal/edgedispatch/dispatch_test.go
@@ -153,12 +153,21 @@
 // sendRequest is sendPrompt with an ID.
 func sendRequest(t *testing.T, d *edgedispatch.Dispatcher, id string, r route.Route, timeLeft time.Duration, tokens int) (int, string) {
 	t.Helper()
+	return run(t, d, newRequest(id, r, timeLeft, tokens))
+}
+
+func newRequest(id string, r route.Route, timeLeft time.Duration, tokens int) *edgedispatch.Request {
 	r.Service, r.Timeout, r.LatencyTarget = "s", callerTimeout, 300*time.Millisecond
 	now := time.Now()
-	request := &edgedispatch.Request{
+	return &edgedispatch.Request{
 		Metadata: platform.Request{ID: id, PromptTokens: tokens, MaxOutputTokens: 10, TimeLeft: timeLeft}, Route: &r,
 		Method: http.MethodPost, Target: "/x", Host: "h", Header: http.Header{"Request-Id": {id}}, Arrived: now, Deadline: now.Add(timeLeft),
 	}
+}
+
+// run sends a request and returns what its caller gets, as serve does.
+func run(t *testing.T, d *edgedispatch.Dispatcher, request *edgedispatch.Request) (int, string) {
+	t.Helper()
 	got := &sink{}
 	err := d.Serve(t.Context(), request, got)
 	var failure *edgedispatch.Failure
--- a/hickoryd/internal/edgedispatch/unframed_test.go
+++ b/hickoryd/internal/edgedispatch/unframed_test.go
@@ -1,6 +1,7 @@
 package edgedispatch_test
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -66,6 +67,44 @@
 	}
 }
 
+// TestResetDuringUpload guards against a response without a length that is reset while the request
+// is still written, and that looks complete since only the writer is told of the reset.
+func TestResetDuringUpload(t *testing.T) {
+	const tries = 8
+	plain := route.Route{Kind: route.Unsafe, MaxServers: 1}
+	stream := route.Route{Name: "r", Kind: route.Streaming, IsGeneration: true, MaxServers: 1}
+	for name, tt := range map[string]struct {
+		route route.Route
+		body  string
+		want  int // 0: truncated
+	}{
+		"short response": {plain, "part", http.StatusBadGateway},
+		"long response":  {plain, strings.Repeat("x", 300<<10), 0},
+		"stream":         {stream, "id: 1\n\n", 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var hasCapacity atomic.Bool
+			hasCapacity.Store(true)
+			list := servers{startServer(t, "first", "", unframed(tt.body, true))}
+			if tt.route.IsGeneration {
+				list = servers{startDecodeServer(t, "first", &hasCapacity, unframed(tt.body, true))}
+			}
+			d := newDispatcher(t, list, 100)
+			complete := 0
+			for i := range tries {
+				request := newRequest(fmt.Sprint("r", i), tt.route, callerTimeout, promptTokens)
+				request.Body = make([]byte, 8<<20)
+				if status, _ := run(t, d, request); status == http.StatusOK {
+					complete++
+				}
+			}
+			if complete > 0 {
+				t.Errorf("%d of %d responses that were reset are taken for complete", complete, tries)
+			}
+		})
+	}
+}
+
 // TestServerEndsWithItsResponse guards against a response that looks complete although its server
 // has crashed: the kernel ends the connections of a process in order, so that a response without
 // length and chunks ends as a complete one does.
--- a/hickoryd/internal/service/client.go
+++ b/hickoryd/internal/service/client.go
@@ -16,6 +16,7 @@
 
 	"github.com/hickoryfront/hickoryfront/core/backend"
 	"github.com/hickoryfront/hickoryfront/core/claim"
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/http1"
 )
 
 const (
@@ -62,12 +63,12 @@
 // never written to a connection that the server has already closed.
 func New() *Client {
 	return &Client{http: &http.Client{
-		Transport: &http.Transport{
+		Transport: http1.NewTransport(&http.Transport{
 			DialContext:       (&net.Dialer{Timeout: dialTimeout}).DialContext,
 			DisableKeepAlives: true,
 
 			MaxResponseHeaderBytes: maxHeadBytes,
-		},
+		}),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}}
 }
--- /dev/null
+++ b/hickoryd/internal/service/client_test.go
@@ -0,0 +1,55 @@
+package service_test
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/service"
+)
+
+// serveRaw returns the URL of a server that passes each connection to respond once it has read a
+// request's headers, and then closes the connection.
+func serveRaw(t *testing.T, respond func(*net.TCPConn)) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		for {
+			socket, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			if _, err := http.ReadRequest(bufio.NewReader(socket)); err == nil {
+				respond(socket.(*net.TCPConn))
+			}
+			socket.Close()
+		}
+	}()
+	return "http://" + listener.Addr().String()
+}
+
+// TestResetDuringUpload guards against a reset that is taken for the end of a response without a
+// length. Either the reader of the response or the writer of the request is told of it.
+func TestResetDuringUpload(t *testing.T) {
+	url := serveRaw(t, func(socket *net.TCPConn) {
+		_, _ = io.WriteString(socket, "HTTP/1.1 200 OK\r\n\r\npart")
+		_ = socket.SetLinger(0)
+	})
+	client, call := service.New(), service.Call{Method: http.MethodPost, Body: make([]byte, 8<<20)}
+	complete := 0
+	for range 300 {
+		if _, err := client.DoURL(t.Context(), url, call); !errors.Is(err, service.ErrBroken) {
+			complete++
+		}
+	}
+	if complete > 0 {
+		t.Errorf("%d of 300 responses that were reset are taken for complete", complete)
+	}
+}
--- a/hickoryd/internal/upstream/connection.go
+++ b/hickoryd/internal/upstream/connection.go
@@ -16,6 +16,7 @@
 	"syscall"
 	"time"
 
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/http1"
 	"github.com/hickoryfront/hickoryfront/platform"
 )
 
@@ -83,7 +84,7 @@
 	connection struct {
 		pool    *Pool
 		address netip.AddrPort
-		socket  net.Conn
+		socket  *http1.Conn
 		holding *holding
 		limit   *limitedReader // reads from socket
 		reader  *bufio.Reader  // reads from limit
@@ -204,7 +205,7 @@
 	return r.writer == nil || r.writer.done.Load()
 }
 
-func newConnection(pool *Pool, address netip.AddrPort, socket net.Conn) *connection {
+func newConnection(pool *Pool, address netip.AddrPort, socket *http1.Conn) *connection {
 	held := &holding{ledger: pool.memory}
 	limit := &limitedReader{source: socket, holding: held}
 	return &connection{
@@ -225,7 +226,7 @@
 // isAlive reports whether the server has neither closed the connection nor sent
 // bytes that belong to no request. It tries to read one byte without blocking.
 func (c *connection) isAlive() bool {
-	raw, err := c.socket.(syscall.Conn).SyscallConn()
+	raw, err := c.socket.SyscallConn()
 	if err != nil {
 		return false
 	}
--- a/hickoryd/internal/upstream/pool.go
+++ b/hickoryd/internal/upstream/pool.go
@@ -16,6 +16,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/hickoryfront/hickoryfront/core/memoryledger"
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/http1"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/tcp"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/timing"
 )
@@ -148,7 +149,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return newConnection(p, address, socket), nil
+	return newConnection(p, address, http1.NewConn(socket)), nil
 }
 
 // takeIdle removes the most recently used connection that connect may return from the idle
