Don't pass on a response whose status line is malformed

What callers saw (on other systems; checked here): a server in trouble sent a response with the status 000, and the caller got it as a response.

Cause: net/http takes any three digits for a status, any single digit for the major version and any byte in a reason. serve passed a plain response with the status 000 on. edge took each status below 200 for an interim head and read on, so that the caller got what followed, such as the body of that response, as the response; it passed 600 to 999 on as they came.

Change: http1.Conn checks the heads of responses while they arrive. The status must be 100 to 599 (RFC 9110, section 15) and not 101, which no request asks for; the version HTTP/1.x; the reason must have no control bytes. Otherwise the read fails, as it does for bytes that are no response: the request may have run.

--- a/hickoryd/internal/edgedispatch/unframed_test.go
+++ b/hickoryd/internal/edgedispatch/unframed_test.go
@@ -16,13 +16,19 @@
 // unframed responds without a length and without chunks, so that the response ends with its
 // connection. With isReset the connection is reset at the end.
 func unframed(body string, isReset bool) http.HandlerFunc {
+	return respondRaw("HTTP/1.1 200 OK\r\n", "\r\n"+body, isReset)
+}
+
+// respondRaw responds with a status line and the rest of a head and a body, after the headers
+// that each response has, and ends the connection, with a reset if isReset is set.
+func respondRaw(statusLine, rest string, isReset bool) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		conn, _, err := http.NewResponseController(w).Hijack()
 		if err != nil {
 			panic(err) // only for a server that can't be hijacked
 		}
 		defer conn.Close()
-		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nRequest-Id: "+r.Header.Get("Request-Id")+"\r\nServer-Stamp: stamp\r\n\r\n"+body)
+		_, _ = io.WriteString(conn, statusLine+"Request-Id: "+r.Header.Get("Request-Id")+"\r\nServer-Stamp: stamp\r\n"+rest)
 		if isReset {
 			_ = conn.(*net.TCPConn).SetLinger(0)
 		}
--- a/hickoryd/internal/http1/conn.go
+++ b/hickoryd/internal/http1/conn.go
@@ -18,10 +18,14 @@
 
 // Conn is a client's connection. The kernel reports a failed connection once, to a read or to a
 // write, and its end to all reads after that. A Conn reports the failure to each read, so that it
-// isn't taken for the end of a response.
+// isn't taken for the end of a response. It also checks the heads of responses, and fails a read
+// with ErrMalformed.
 type Conn struct {
 	net.Conn
 
+	mu   sync.Mutex // guards head
+	head headScanner
+
 	// readErr is the error that ends all reads. Only the reader uses it.
 	readErr error
 
@@ -30,7 +34,7 @@
 	writeErr error // of the first write that failed
 }
 
-// NewConn returns a connection over socket.
+// NewConn returns a connection over socket, whose first bytes are the head of a response.
 func NewConn(socket net.Conn) *Conn {
 	return &Conn{Conn: socket}
 }
@@ -44,6 +48,9 @@
 	if err == io.EOF {
 		err = c.endOfReads()
 	}
+	if scanErr := c.scan(p[:n]); scanErr != nil {
+		n, err = 0, scanErr
+	}
 	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 		c.readErr = err
 	}
@@ -61,6 +68,16 @@
 	return n, err
 }
 
+// ExpectHead prepares for the next response on the connection, which must be called for each but
+// the first. Its first bytes are those in arrived, which were read already. The error is
+// ErrMalformed if these are not the head of a response.
+func (c *Conn) ExpectHead(arrived []byte) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.head = headScanner{}
+	return c.head.scan(arrived)
+}
+
 // SyscallConn implements syscall.Conn.
 func (c *Conn) SyscallConn() (syscall.RawConn, error) {
 	socket, ok := c.Conn.(syscall.Conn)
@@ -70,6 +87,12 @@
 	return socket.SyscallConn()
 }
 
+func (c *Conn) scan(arrived []byte) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.head.scan(arrived)
+}
+
 // endOfReads returns io.EOF if the server has ended the connection in order, and ErrReset
 // otherwise. It ends a write in progress, which may be about to return the failure: no response
 // can follow.
--- /dev/null
+++ b/hickoryd/internal/http1/head.go
@@ -0,0 +1,80 @@
+package http1
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"golang.org/x/net/http/httpguts"
+)
+
+const (
+	minStatus = 100
+	maxStatus = 599
+	// versionPrefix begins the version of a response. Its minor version is one more digit.
+	versionPrefix = "HTTP/1."
+)
+
+// ErrMalformed means that the head of a response is not one of HTTP/1.1.
+var ErrMalformed = errors.New("malformed response")
+
+// headScanner checks the heads of one response as they arrive: the interim ones and the final one.
+type headScanner struct {
+	// partial is the start of a line whose end has not arrived.
+	partial []byte
+	// status is 0 until the status line of the current head.
+	status int
+	isDone bool
+}
+
+// scan checks the bytes that have arrived after those before. It ignores what follows the final
+// head.
+func (s *headScanner) scan(arrived []byte) error {
+	for !s.isDone {
+		line, rest, isWhole := bytes.Cut(arrived, []byte("\n"))
+		if !isWhole {
+			s.partial = append(s.partial, line...)
+			return nil
+		}
+		if len(s.partial) > 0 {
+			line = append(s.partial, line...)
+			s.partial = nil
+		}
+		if err := s.scanLine(string(bytes.TrimSuffix(line, []byte("\r")))); err != nil {
+			return err
+		}
+		arrived = rest
+	}
+	return nil
+}
+
+func (s *headScanner) scanLine(line string) error {
+	switch {
+	case s.status == 0:
+		return s.scanStatusLine(line)
+	case line == "":
+		s.isDone = s.status >= http.StatusOK
+		s.status = 0
+	}
+	return nil
+}
+
+// scanStatusLine checks a status line (RFC 9112, section 4). A status other than 100 to 599 is
+// invalid (RFC 9110, section 15), and no request asks for another protocol.
+func (s *headScanner) scanStatusLine(line string) error {
+	version, rest, _ := strings.Cut(line, " ")
+	code, reason, _ := strings.Cut(rest, " ")
+	minor, ok := strings.CutPrefix(version, versionPrefix)
+	if !ok || len(minor) != 1 || minor[0] < '0' || minor[0] > '9' || len(code) != 3 || !httpguts.ValidHeaderFieldValue(reason) {
+		return fmt.Errorf("%w: status line %.40q", ErrMalformed, line)
+	}
+	status, err := strconv.Atoi(code)
+	if err != nil || status < minStatus || status > maxStatus || status == http.StatusSwitchingProtocols {
+		return fmt.Errorf("%w: status %q", ErrMalformed, code)
+	}
+	s.status = status
+	return nil
+}
--- a/hickoryd/internal/service/client_test.go
+++ b/hickoryd/internal/service/client_test.go
@@ -35,6 +35,22 @@
 	return "http://" + listener.Addr().String()
 }
 
+// TestMalformedResponse guards against a response that is none of HTTP/1.1 and that a caller gets
+// all the same.
+func TestMalformedResponse(t *testing.T) {
+	for name, response := range map[string]string{
+		"status 000": "HTTP/1.1 000 \r\nContent-Length: 4\r\n\r\nbody",
+	} {
+		t.Run(name, func(t *testing.T) {
+			url := serveRaw(t, func(socket *net.TCPConn) { _, _ = io.WriteString(socket, response) })
+			got, err := service.New().DoURL(t.Context(), url, service.Call{Method: http.MethodPost})
+			if !errors.Is(err, service.ErrBroken) {
+				t.Errorf("status %d, headers %q, body %q, error %v; want %v", got.Status, got.Headers, got.Body, err, service.ErrBroken)
+			}
+		})
+	}
+}
+
 // TestResetDuringUpload guards against a reset that is taken for the end of a response without a
 // length. Either the reader of the response or the writer of the request is told of it.
 func TestResetDuringUpload(t *testing.T) {
--- a/hickoryd/internal/upstream/connection.go
+++ b/hickoryd/internal/upstream/connection.go
@@ -275,6 +275,10 @@
 // a server may send late on a reused connection, and informational responses.
 func (c *connection) readResponse(r Request) (*http.Response, platform.Response, error) {
 	for range maxReadResponses {
+		buffered, _ := c.reader.Peek(c.reader.Buffered()) // can't fail for buffered bytes
+		if err := c.socket.ExpectHead(buffered); err != nil {
+			return nil, platform.Response{}, err
+		}
 		c.limit.isLimited, c.limit.left = true, maxHeadBytes
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
 		c.limit.isLimited = false
--- a/hickoryd/internal/upstream/pool_test.go
+++ b/hickoryd/internal/upstream/pool_test.go
@@ -134,6 +134,10 @@
 		{name: "bytes that are no HTTP response", script: "what?\r\n\r\n", wantErr: upstream.ErrMayHaveRun},
 		{name: "no response", script: "", wantErr: upstream.ErrMayHaveRun},
 		{name: "only a response to another request", script: "HTTP/1.1 200 OK\r\nRequest-Id: r0\r\nConnection: close\r\n\r\nold", wantErr: upstream.ErrMayHaveRun},
+		{name: "status 000 whose body is a response", script: "HTTP/1.1 000 \r\nContent-Length: 62\r\n\r\n" + complete, wantErr: upstream.ErrMayHaveRun},
+		{name: "status 000 after an interim head", script: "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 000 \r\n\r\n" + complete, wantErr: upstream.ErrMayHaveRun},
+		{name: "status above 599 after a response to another request", script: "HTTP/1.1 200 OK\r\nRequest-Id: r0\r\nContent-Length: 3\r\n\r\nold" + strings.Replace(complete, "200", "600", 1), wantErr: upstream.ErrMayHaveRun},
+		{name: "another protocol", script: "HTTP/1.1 101 Switching Protocols\r\n\r\n" + complete, wantErr: upstream.ErrMayHaveRun},
 		{name: "truncated body", script: "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nContent-Length: 9\r\n\r\nok", want: "ok", isTruncated: true},
 	}
 	for _, tt := range tests {
