Don't pass on a response with a malformed field name

What callers saw (on other systems; checked here): the head of a response held a field whose name had a blank or a control byte, and the caller got the response, with that line or with a body that was not the server's.

Cause: net/http accepts blanks in the name of a field, and then knows the field by that name only. "Content-Length : 4" and "Transfer-Encoding : chunked" were ignored, so that the body went on to the end of the connection or had the sizes of its chunks in it. It accepts them in trailers as well. Control bytes, bytes above 127, empty names and lines without a colon were rejected before; their cases only stand beside.

Change: the scanner of heads checks the name of each field, of interim heads too, and the end of a body is an error if its trailer has a malformed name. A line that continues the one before is still joined to it, as RFC 9112, section 5.2, allows.

Tests that failed before: - edgedispatch TestMalformedResponse, 3 of 4 new cases, each for unsafe and safe requests, streams and resumable streams; a caller got "4\r\nbody\r\n0\r\n\r\n". The control byte held before. - service TestMalformedResponse, 3 of 5 new cases: the field "X Y" passed on, "body and more" for a length of 4, a malformed trailer. The two control bytes held before. - upstream TestDo: a name of an interim head, a name of a trailer. - http1 TestMalformedResponses: 4 of 11 new cases with net/http alone.

--- a/hickoryd/internal/edgedispatch/malformed_test.go
+++ b/hickoryd/internal/edgedispatch/malformed_test.go
@@ -12,13 +12,18 @@
 // TestMalformedResponse guards against a response that is none of HTTP/1.1 and that a caller gets
 // all the same. Its request may have run.
 func TestMalformedResponse(t *testing.T) {
+	const statusLine = "HTTP/1.1 200 OK\r\n"
 	unsafe := route.Route{Kind: route.Unsafe, MaxServers: 2}
 	safe := route.Route{Kind: route.Safe, MaxServers: 2}
 	stream := route.Route{Name: "r", Kind: route.Streaming, IsGeneration: true, MaxServers: 2}
 	resumable := route.Route{Name: "r", Kind: route.Streaming, IsGeneration: true, IsResumable: true, MaxServers: 2}
 	for name, first := range map[string]struct{ statusLine, rest string }{
-		"status 000":       {"HTTP/1.1 000 \r\n", "Content-Length: %d\r\n\r\n%s"},
-		"status above 599": {"HTTP/1.1 700 Odd\r\n", "Content-Length: %d\r\n\r\n%s"},
+		"status 000":                      {"HTTP/1.1 000 \r\n", "Content-Length: %d\r\n\r\n%s"},
+		"status above 599":                {"HTTP/1.1 700 Odd\r\n", "Content-Length: %d\r\n\r\n%s"},
+		"blank in a name":                 {statusLine, "X Y: 1\r\nContent-Length: %d\r\n\r\n%s"},
+		"blank in the name of the length": {statusLine, "Content-Length : %d\r\n\r\n%s"},
+		"blank in the name of the coding": {statusLine, "Transfer-Encoding : chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n"},
+		"control byte in a name":          {statusLine, "X\x01Y: 1\r\nContent-Length: %d\r\n\r\n%s"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/hickoryd/internal/http1/head.go
+++ b/hickoryd/internal/http1/head.go
@@ -18,7 +18,7 @@
 	versionPrefix = "HTTP/1."
 )
 
-// ErrMalformed means that the head of a response is not one of HTTP/1.1.
+// ErrMalformed means that the head or the trailer of a response is not one of HTTP/1.1.
 var ErrMalformed = errors.New("malformed response")
 
 // headScanner checks the heads of one response as they arrive: the interim ones and the final one.
@@ -58,6 +58,19 @@
 	case line == "":
 		s.isDone = s.status >= http.StatusOK
 		s.status = 0
+		return nil
+	case line[0] == ' ' || line[0] == '\t':
+		return nil // continues the line before, to which net/http adds it
+	}
+	return scanField(line)
+}
+
+// scanField checks the name of a field. A blank before the colon must not be forwarded (RFC 9112,
+// section 5.1), and net/http would ignore a length or a coding that the field states.
+func scanField(line string) error {
+	name, _, ok := strings.Cut(line, ":")
+	if !ok || !httpguts.ValidHeaderFieldName(name) {
+		return fmt.Errorf("%w: field line %.40q", ErrMalformed, line)
 	}
 	return nil
 }
@@ -78,3 +91,14 @@
 	s.status = status
 	return nil
 }
+
+// CheckTrailer returns ErrMalformed if the trailer of a response, which net/http has read, has a
+// field with a malformed name.
+func CheckTrailer(trailer http.Header) error {
+	for name, values := range trailer {
+		if len(values) > 0 && !httpguts.ValidHeaderFieldName(name) {
+			return fmt.Errorf("%w: field %.40q in the trailer", ErrMalformed, name)
+		}
+	}
+	return nil
+}
--- a/hickoryd/internal/http1/http1_test.go
+++ b/hickoryd/internal/http1/http1_test.go
@@ -85,6 +85,17 @@
 		"control byte in the reason":       "HTTP/1.1 200 O\x00K" + end,
 		"bare carriage return":             "HTTP/1.1 200 OK\rX: y" + end,
 		"status 000 after an interim head": "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 " + end,
+		"blank in a name":                  "HTTP/1.1 200 OK\r\nX Y: 1" + end,
+		"blank before the colon":           "HTTP/1.1 200 OK\r\nContent-Length : 5\r\n\r\nsound",
+		"blank in the name of the coding":  "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked" + end,
+		"tab in a name":                    "HTTP/1.1 200 OK\r\nX\tY: 1" + end,
+		"control byte in a name":           "HTTP/1.1 200 OK\r\nX\x01Y: 1" + end,
+		"NUL in a name":                    "HTTP/1.1 200 OK\r\nX\x00: 1" + end,
+		"byte above 127 in a name":         "HTTP/1.1 200 OK\r\nX\xe0: 1" + end,
+		"no name":                          "HTTP/1.1 200 OK\r\n: 1" + end,
+		"no colon":                         "HTTP/1.1 200 OK\r\nX" + end,
+		"name of an interim head":          "HTTP/1.1 103 Early Hints\r\nX Y: 1\r\n\r\n" + sound,
+		"blank in a trailer":               "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nsound\r\n0\r\nX Y: 1\r\n\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -112,6 +123,7 @@
 		"only a status":        "HTTP/1.1 200\r\nContent-Length: 5\r\n\r\nsound",
 		"bytes above 127":      "HTTP/1.1 200 \xe0\xa6\x93\r\nContent-Length: 5\r\n\r\nsound",
 		"bare line feeds":      "HTTP/1.1 200 OK\nContent-Length: 5\n\nsound",
+		"continued line":       "HTTP/1.1 200 OK\r\nX: a\r\n b: c\r\nContent-Length: 5\r\n\r\nsound",
 		"interim heads":        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + sound,
 		"HTTP/1.0, no length":  "HTTP/1.0 200 OK\r\n\r\nsound",
 		"no length":            "HTTP/1.1 200 OK\r\n\r\nsound",
--- a/hickoryd/internal/http1/transport.go
+++ b/hickoryd/internal/http1/transport.go
@@ -2,16 +2,25 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
 )
 
-// Transport is an http.RoundTripper that takes no broken response for a complete one. It is safe
-// for concurrent use.
-type Transport struct {
-	base *http.Transport
-}
+type (
+	// Transport is an http.RoundTripper that takes no broken response for a complete one. It is
+	// safe for concurrent use.
+	Transport struct {
+		base *http.Transport
+	}
+
+	// body is the body of a response. It ends as complete only with a sound trailer.
+	body struct {
+		io.ReadCloser
+		response *http.Response
+	}
+)
 
 // NewTransport returns a transport that makes its calls over base, which must not be used by
 // others.
@@ -33,7 +42,23 @@
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
 	trace := &httptrace.ClientTrace{GotConn: expectHead}
-	return t.base.RoundTrip(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
+	response, err := t.base.RoundTrip(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
+	if err != nil {
+		return nil, err
+	}
+	response.Body = &body{ReadCloser: response.Body, response: response}
+	return response, nil
+}
+
+// Read implements io.Reader.
+func (b *body) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF {
+		if trailerErr := CheckTrailer(b.response.Trailer); trailerErr != nil {
+			err = trailerErr
+		}
+	}
+	return n, err
 }
 
 // expectHead prepares a connection that is about to be used for a request.
--- a/hickoryd/internal/service/client_test.go
+++ b/hickoryd/internal/service/client_test.go
@@ -39,7 +39,12 @@
 // all the same.
 func TestMalformedResponse(t *testing.T) {
 	for name, response := range map[string]string{
-		"status 000": "HTTP/1.1 000 \r\nContent-Length: 4\r\n\r\nbody",
+		"status 000":                      "HTTP/1.1 000 \r\nContent-Length: 4\r\n\r\nbody",
+		"blank in a name":                 "HTTP/1.1 200 OK\r\nX Y: 1\r\nContent-Length: 4\r\n\r\nbody",
+		"blank in the name of the length": "HTTP/1.1 200 OK\r\nContent-Length : 4\r\n\r\nbody and more",
+		"control byte in a name":          "HTTP/1.1 200 OK\r\nX\x01Y: 1\r\nContent-Length: 4\r\n\r\nbody",
+		"blank in a trailer":              "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nX Y: 1\r\n\r\n",
+		"control byte in a trailer":       "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nX\x01Y: 1\r\n\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
 			url := serveRaw(t, func(socket *net.TCPConn) { _, _ = io.WriteString(socket, response) })
--- a/hickoryd/internal/upstream/connection.go
+++ b/hickoryd/internal/upstream/connection.go
@@ -117,6 +117,7 @@
 	// trackedBody records whether the body was read to its end.
 	trackedBody struct {
 		io.ReadCloser
+		response   *http.Response
 		isComplete bool
 	}
 
@@ -263,7 +264,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrMayHaveRun, err)
 	}
-	body := &trackedBody{ReadCloser: response.Body}
+	body := &trackedBody{ReadCloser: response.Body, response: response}
 	response.Body = body
 	if response.ContentLength == 0 {
 		body.isComplete = true
@@ -364,10 +365,14 @@
 
 func (b *trackedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	if err == io.EOF {
-		b.isComplete = true
+	if err != io.EOF {
+		return n, err
 	}
-	return n, err
+	if err := http1.CheckTrailer(b.response.Trailer); err != nil {
+		return n, err
+	}
+	b.isComplete = true
+	return n, io.EOF
 }
 
 func (w *bodyWriter) run() {
--- a/hickoryd/internal/upstream/pool_test.go
+++ b/hickoryd/internal/upstream/pool_test.go
@@ -138,6 +138,9 @@
 		{name: "status 000 after an interim head", script: "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 000 \r\n\r\n" + complete, wantErr: upstream.ErrMayHaveRun},
 		{name: "status above 599 after a response to another request", script: "HTTP/1.1 200 OK\r\nRequest-Id: r0\r\nContent-Length: 3\r\n\r\nold" + strings.Replace(complete, "200", "600", 1), wantErr: upstream.ErrMayHaveRun},
 		{name: "another protocol", script: "HTTP/1.1 101 Switching Protocols\r\n\r\n" + complete, wantErr: upstream.ErrMayHaveRun},
+		{name: "blank in a name of an interim head", script: "HTTP/1.1 103 Early Hints\r\nX Y: 1\r\n\r\n" + complete, wantErr: upstream.ErrMayHaveRun},
+		{name: "blank in a name of a trailer", script: "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX Y: 1\r\n\r\n", want: "ok", isTruncated: true},
+		{name: "control byte in a name of a trailer", script: "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX\x01: 1\r\n\r\n", want: "ok", isTruncated: true},
 		{name: "truncated body", script: "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nContent-Length: 9\r\n\r\nok", want: "ok", isTruncated: true},
 	}
 	for _, tt := range tests {
