Don't pass on a response that states the end of its body in two ways

What callers saw: nothing was reported. Found in the search for the cause of the malformed field names: a response in HTTP/1.0 that names chunks reached a caller as "4\r\nbody\r\n0\r\n\r\n", and one with both a length and chunks lost its length without a word.

Cause: net/http removes Transfer-Encoding from a response in HTTP/1.0, which then ends with its connection, and removes the length of a response that has chunks as well.

Change: such a head is malformed (RFC 9112, sections 6.1 and 6.3). The other ways in which lengths disagree were rejected before; their cases now stand in the test of service.

Tests that failed before: "length and chunks" and "chunks of HTTP/1.0" of edgedispatch TestMalformedResponse (unsafe and safe requests) and service TestMalformedResponse, and the first also of http1 TestMalformedResponses. Two lengths, a list, a signed one, another coding and chunks twice held before, as does what TestSoundResponses adds: a length that is stated twice, HTTP/1.0 with a length, an interim head with a length of its own.

--- a/hickoryd/internal/edgedispatch/malformed_test.go
+++ b/hickoryd/internal/edgedispatch/malformed_test.go
@@ -24,6 +24,8 @@
 		"blank in the name of the length": {statusLine, "Content-Length : %d\r\n\r\n%s"},
 		"blank in the name of the coding": {statusLine, "Transfer-Encoding : chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n"},
 		"control byte in a name":          {statusLine, "X\x01Y: 1\r\nContent-Length: %d\r\n\r\n%s"},
+		"length and chunks":               {statusLine, "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n"},
+		"chunks of HTTP/1.0":              {"HTTP/1.0 200 OK\r\n", "Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/hickoryd/internal/http1/head.go
+++ b/hickoryd/internal/http1/head.go
@@ -21,14 +21,25 @@
 // ErrMalformed means that the head or the trailer of a response is not one of HTTP/1.1.
 var ErrMalformed = errors.New("malformed response")
 
-// headScanner checks the heads of one response as they arrive: the interim ones and the final one.
-type headScanner struct {
-	// partial is the start of a line whose end has not arrived.
-	partial []byte
-	// status is 0 until the status line of the current head.
-	status int
-	isDone bool
-}
+type (
+	// headScanner checks the heads of one response as they arrive: the interim ones and the final
+	// one.
+	headScanner struct {
+		// partial is the start of a line whose end has not arrived.
+		partial []byte
+		head    head
+		isDone  bool
+	}
+
+	// head is what the lines of a head have stated until now.
+	head struct {
+		status int // 0 until the status line
+		// isOld is set for HTTP/1.0, which has no transfer codings.
+		isOld     bool
+		hasLength bool
+		hasCoding bool
+	}
+)
 
 // scan checks the bytes that have arrived after those before. It ignores what follows the final
 // head.
@@ -53,31 +64,21 @@
 
 func (s *headScanner) scanLine(line string) error {
 	switch {
-	case s.status == 0:
-		return s.scanStatusLine(line)
+	case s.head.status == 0:
+		return s.head.scanStatus(line)
 	case line == "":
-		s.isDone = s.status >= http.StatusOK
-		s.status = 0
-		return nil
+		ended := s.head
+		s.head, s.isDone = head{}, ended.status >= http.StatusOK
+		return ended.checkFraming()
 	case line[0] == ' ' || line[0] == '\t':
 		return nil // continues the line before, to which net/http adds it
 	}
-	return scanField(line)
-}
-
-// scanField checks the name of a field. A blank before the colon must not be forwarded (RFC 9112,
-// section 5.1), and net/http would ignore a length or a coding that the field states.
-func scanField(line string) error {
-	name, _, ok := strings.Cut(line, ":")
-	if !ok || !httpguts.ValidHeaderFieldName(name) {
-		return fmt.Errorf("%w: field line %.40q", ErrMalformed, line)
-	}
-	return nil
+	return s.head.scanField(line)
 }
 
-// scanStatusLine checks a status line (RFC 9112, section 4). A status other than 100 to 599 is
+// scanStatus checks a status line (RFC 9112, section 4). A status other than 100 to 599 is
 // invalid (RFC 9110, section 15), and no request asks for another protocol.
-func (s *headScanner) scanStatusLine(line string) error {
+func (h *head) scanStatus(line string) error {
 	version, rest, _ := strings.Cut(line, " ")
 	code, reason, _ := strings.Cut(rest, " ")
 	minor, ok := strings.CutPrefix(version, versionPrefix)
@@ -88,7 +89,28 @@
 	if err != nil || status < minStatus || status > maxStatus || status == http.StatusSwitchingProtocols {
 		return fmt.Errorf("%w: status %q", ErrMalformed, code)
 	}
-	s.status = status
+	h.status, h.isOld = status, minor == "0"
+	return nil
+}
+
+// scanField checks the name of a field. A blank before the colon must not be forwarded (RFC 9112,
+// section 5.1), and net/http would ignore a length or a coding that the field states.
+func (h *head) scanField(line string) error {
+	name, _, ok := strings.Cut(line, ":")
+	if !ok || !httpguts.ValidHeaderFieldName(name) {
+		return fmt.Errorf("%w: field line %.40q", ErrMalformed, line)
+	}
+	h.hasLength = h.hasLength || strings.EqualFold(name, "Content-Length")
+	h.hasCoding = h.hasCoding || strings.EqualFold(name, "Transfer-Encoding")
+	return nil
+}
+
+// checkFraming returns an error if a head states the end of the body in two ways, or in one that
+// its version doesn't have (RFC 9112, sections 6.1 and 6.3). net/http ignores one of the statements.
+func (h *head) checkFraming() error {
+	if h.hasCoding && (h.hasLength || h.isOld) {
+		return fmt.Errorf("%w: transfer coding, and a length (%t) or HTTP/1.0 (%t)", ErrMalformed, h.hasLength, h.isOld)
+	}
 	return nil
 }
 
--- a/hickoryd/internal/http1/http1_test.go
+++ b/hickoryd/internal/http1/http1_test.go
@@ -96,6 +96,8 @@
 		"no colon":                         "HTTP/1.1 200 OK\r\nX" + end,
 		"name of an interim head":          "HTTP/1.1 103 Early Hints\r\nX Y: 1\r\n\r\n" + sound,
 		"blank in a trailer":               "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nsound\r\n0\r\nX Y: 1\r\n\r\n",
+		"length and chunks":                "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nsound\r\n0\r\n\r\n",
+		"chunks of HTTP/1.0":               "HTTP/1.0 200 OK\r\nConnection: keep-alive\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -118,16 +120,19 @@
 // TestSoundResponses guards against the rejection of what RFC 9112 allows.
 func TestSoundResponses(t *testing.T) {
 	for name, response := range map[string]string{
-		"length":               sound,
-		"no reason":            "HTTP/1.1 200 \r\nContent-Length: 5\r\n\r\nsound",
-		"only a status":        "HTTP/1.1 200\r\nContent-Length: 5\r\n\r\nsound",
-		"bytes above 127":      "HTTP/1.1 200 \xe0\xa6\x93\r\nContent-Length: 5\r\n\r\nsound",
-		"bare line feeds":      "HTTP/1.1 200 OK\nContent-Length: 5\n\nsound",
-		"continued line":       "HTTP/1.1 200 OK\r\nX: a\r\n b: c\r\nContent-Length: 5\r\n\r\nsound",
-		"interim heads":        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + sound,
-		"HTTP/1.0, no length":  "HTTP/1.0 200 OK\r\n\r\nsound",
-		"no length":            "HTTP/1.1 200 OK\r\n\r\nsound",
-		"chunks and a trailer": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nsound\r\n0\r\nX-Sum: 1\r\n\r\n",
+		"length":              sound,
+		"no reason":           "HTTP/1.1 200 \r\nContent-Length: 5\r\n\r\nsound",
+		"only a status":       "HTTP/1.1 200\r\nContent-Length: 5\r\n\r\nsound",
+		"bytes above 127":     "HTTP/1.1 200 \xe0\xa6\x93\r\nContent-Length: 5\r\n\r\nsound",
+		"bare line feeds":     "HTTP/1.1 200 OK\nContent-Length: 5\n\nsound",
+		"continued line":      "HTTP/1.1 200 OK\r\nX: a\r\n b: c\r\nContent-Length: 5\r\n\r\nsound",
+		"interim heads":       "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + sound,
+		"length stated twice": "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 5\r\n\r\nsound",
+		"HTTP/1.0, length":    "HTTP/1.0 200 OK\r\nContent-Length: 5\r\n\r\nsound",
+		"interim head with a length, then chunks": "HTTP/1.1 103 Early Hints\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nsound\r\n0\r\n\r\n",
+		"HTTP/1.0, no length":                     "HTTP/1.0 200 OK\r\n\r\nsound",
+		"no length":                               "HTTP/1.1 200 OK\r\n\r\nsound",
+		"chunks and a trailer":                    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nsound\r\n0\r\nX-Sum: 1\r\n\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/hickoryd/internal/service/client_test.go
+++ b/hickoryd/internal/service/client_test.go
@@ -45,6 +45,13 @@
 		"control byte in a name":          "HTTP/1.1 200 OK\r\nX\x01Y: 1\r\nContent-Length: 4\r\n\r\nbody",
 		"blank in a trailer":              "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nX Y: 1\r\n\r\n",
 		"control byte in a trailer":       "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nX\x01Y: 1\r\n\r\n",
+		"length and chunks":               "HTTP/1.1 200 OK\r\nContent-Length: 9\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+		"chunks of HTTP/1.0":              "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+		"two lengths":                     "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 9\r\n\r\nbody",
+		"list of lengths":                 "HTTP/1.1 200 OK\r\nContent-Length: 4, 9\r\n\r\nbody",
+		"signed length":                   "HTTP/1.1 200 OK\r\nContent-Length: +4\r\n\r\nbody",
+		"another coding":                  "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nbody",
+		"chunks twice":                    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked, chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
 			url := serveRaw(t, func(socket *net.TCPConn) { _, _ = io.WriteString(socket, response) })
