serve: don't take a crash for the end of a plain response

What callers saw: nothing was reported. Found in the list of all places that read responses: a plain server that crashes in a response without a length ends it as a complete one does, since the kernel ends the connections of a process in order. serve passed the part on. edge has checked such an end since.

Change: after such a response, serve checks that a process still listens at the server's address. Only a refused connection counts, so that a server that is busy isn't taken for ended. A response that ends with its head (HEAD) isn't checked, in edge either.

Test that failed before: service TestServerEndsWithItsResponse, "server crashes": body "part", no error. Its two other cases held before.

--- a/hickoryd/internal/edgedispatch/decode.go
+++ b/hickoryd/internal/edgedispatch/decode.go
@@ -12,6 +12,7 @@
 	"github.com/hickoryfront/hickoryfront/core/eventstream"
 	"github.com/hickoryfront/hickoryfront/core/health"
 	"github.com/hickoryfront/hickoryfront/core/serverlist"
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/http1"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/upstream"
 	"github.com/hickoryfront/hickoryfront/platform"
 )
@@ -167,7 +168,7 @@
 	for {
 		event, err := events.Next()
 		if err != nil {
-			if events.IsComplete(err) && !endsWithConnection(response) {
+			if events.IsComplete(err) && !http1.EndsWithConnection(response.Response) {
 				return g.end(hasNewEvents, response, watch, server)
 			}
 			if migrated := migration.result(ctx); migrated != nil {
--- a/hickoryd/internal/edgedispatch/unframed.go
+++ b/hickoryd/internal/edgedispatch/unframed.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/hickoryfront/hickoryfront/core/serverlist"
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/http1"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/upstream"
 )
 
@@ -17,17 +18,10 @@
 // connection ends, so that the response may lack its end.
 var errServerEnded = errors.New("the server has ended with its response")
 
-// endsWithConnection reports whether only the end of its connection ends a response. A server
-// that stops a run to migrate it, or that crashes, ends such a response in the same way as a
-// complete one.
-func endsWithConnection(response *upstream.Response) bool {
-	return response.ContentLength < 0 && len(response.TransferEncoding) == 0
-}
-
 // checkEndOfConnection returns an error if a response of server has ended with its connection and
 // no process listens at the server's address any more.
 func (d *Dispatcher) checkEndOfConnection(ctx context.Context, server serverlist.Server, response *upstream.Response) error {
-	if !endsWithConnection(response) {
+	if !http1.EndsWithConnection(response.Response) {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, endCheckTimeout)
--- a/hickoryd/internal/http1/conn.go
+++ b/hickoryd/internal/http1/conn.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"os"
 	"sync"
 	"syscall"
@@ -110,3 +111,9 @@
 	}
 	return fmt.Errorf("%w: %w", ErrReset, c.writeErr)
 }
+
+// EndsWithConnection reports whether only the end of its connection ends the body of a response. A
+// server that crashes ends such a body in the same way as a complete one.
+func EndsWithConnection(response *http.Response) bool {
+	return response.ContentLength < 0 && len(response.TransferEncoding) == 0 && response.Request.Method != http.MethodHead
+}
--- a/hickoryd/internal/service/client.go
+++ b/hickoryd/internal/service/client.go
@@ -10,8 +10,10 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
 	"slices"
+	"syscall"
 	"time"
 
 	"github.com/hickoryfront/hickoryfront/core/backend"
@@ -23,6 +25,8 @@
 	maxResponseBytes = 16 << 20
 	maxHeadBytes     = 64 << 10
 	dialTimeout      = time.Second
+	// endCheckTimeout limits the check of a server whose response has ended with its connection.
+	endCheckTimeout = 150 * time.Millisecond
 	// RequestIDHeader carries the router's request id to the server.
 	RequestIDHeader = "X-Request-Id"
 )
@@ -34,6 +38,10 @@
 	// have reached the server.
 	ErrBroken = errors.New("connection broke after the call was sent")
 
+	// errServerEnded means that a server has ended together with a response that only the end of
+	// its connection ends, so that the response may lack its end.
+	errServerEnded = errors.New("the server has ended with its response")
+
 	// unforwardedHeaders are the hop-by-hop headers, which apply to one connection only,
 	// and Content-Length and Date, which apply to one message only.
 	unforwardedHeaders = []string{
@@ -87,7 +95,9 @@
 	}
 	copyHeaders(request.Header, call.Header)
 	request.Header.Set(RequestIDHeader, call.RequestID)
-	response, err := c.http.Do(request)
+	var server net.Addr
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { server = info.Conn.RemoteAddr() }}
+	response, err := c.http.Do(request.WithContext(httptrace.WithClientTrace(ctx, trace)))
 	if err != nil {
 		return claim.Response{}, sendError(err)
 	}
@@ -99,9 +109,24 @@
 	if len(body) > maxResponseBytes {
 		return claim.Response{}, fmt.Errorf("%w: answer is over %d bytes", ErrBroken, maxResponseBytes)
 	}
+	if http1.EndsWithConnection(response) && !response.Uncompressed && !isListening(ctx, server) {
+		return claim.Response{}, fmt.Errorf("%w: %w", ErrBroken, errServerEnded)
+	}
 	return claim.Response{Status: response.StatusCode, Headers: headersOf(response.Header), Body: body}, nil
 }
 
+// isListening reports whether a process listens at the address of a server, or may listen there: a
+// server that doesn't respond to new connections may be busy.
+func isListening(ctx context.Context, server net.Addr) bool {
+	dialer := net.Dialer{Timeout: endCheckTimeout}
+	socket, err := dialer.DialContext(ctx, server.Network(), server.String())
+	if err != nil {
+		return !errors.Is(err, syscall.ECONNREFUSED)
+	}
+	_ = socket.Close() // nothing was sent
+	return true
+}
+
 // copyHeaders copies all headers except unforwardedHeaders.
 func copyHeaders(to, from http.Header) {
 	for name, values := range from {
--- a/hickoryd/internal/service/client_test.go
+++ b/hickoryd/internal/service/client_test.go
@@ -12,8 +12,9 @@
 )
 
 // serveRaw returns the URL of a server that passes each connection to respond once it has read a
-// request's headers, and then closes the connection.
-func serveRaw(t *testing.T, respond func(*net.TCPConn)) string {
+// request's headers, and then closes the connection. A respond that closes the listener ends the
+// server.
+func serveRaw(t *testing.T, respond func(net.Listener, *net.TCPConn)) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -27,7 +28,7 @@
 				return
 			}
 			if _, err := http.ReadRequest(bufio.NewReader(socket)); err == nil {
-				respond(socket.(*net.TCPConn))
+				respond(listener, socket.(*net.TCPConn))
 			}
 			socket.Close()
 		}
@@ -35,6 +36,34 @@
 	return "http://" + listener.Addr().String()
 }
 
+// TestServerEndsWithItsResponse guards against a response without a length whose server has crashed:
+// the kernel ends the connections of a process in order, as for a complete response.
+func TestServerEndsWithItsResponse(t *testing.T) {
+	for name, tt := range map[string]struct {
+		response string
+		isAlive  bool
+		want     error
+	}{
+		"server crashes":                  {"HTTP/1.1 200 OK\r\n\r\npart", false, service.ErrBroken},
+		"server crashes after its length": {"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\npart", false, nil},
+		"server lives":                    {"HTTP/1.1 200 OK\r\n\r\npart", true, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			url := serveRaw(t, func(listener net.Listener, socket *net.TCPConn) {
+				if !tt.isAlive {
+					listener.Close()
+				}
+				_, _ = io.WriteString(socket, tt.response)
+			})
+			got, err := service.New().DoURL(t.Context(), url, service.Call{Method: http.MethodPost})
+			if !errors.Is(err, tt.want) || err == nil && string(got.Body) != "part" {
+				t.Errorf("body %q, error %v; want error %v", got.Body, err, tt.want)
+			}
+		})
+	}
+}
+
 // TestMalformedResponse guards against a response that is none of HTTP/1.1 and that a caller gets
 // all the same.
 func TestMalformedResponse(t *testing.T) {
@@ -54,7 +83,7 @@
 		"chunks twice":                    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked, chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
-			url := serveRaw(t, func(socket *net.TCPConn) { _, _ = io.WriteString(socket, response) })
+			url := serveRaw(t, func(_ net.Listener, socket *net.TCPConn) { _, _ = io.WriteString(socket, response) })
 			got, err := service.New().DoURL(t.Context(), url, service.Call{Method: http.MethodPost})
 			if !errors.Is(err, service.ErrBroken) {
 				t.Errorf("status %d, headers %q, body %q, error %v; want %v", got.Status, got.Headers, got.Body, err, service.ErrBroken)
@@ -66,7 +95,7 @@
 // TestResetDuringUpload guards against a reset that is taken for the end of a response without a
 // length. Either the reader of the response or the writer of the request is told of it.
 func TestResetDuringUpload(t *testing.T) {
-	url := serveRaw(t, func(socket *net.TCPConn) {
+	url := serveRaw(t, func(_ net.Listener, socket *net.TCPConn) {
 		_, _ = io.WriteString(socket, "HTTP/1.1 200 OK\r\n\r\npart")
 		_ = socket.SetLinger(0)
 	})
