Don't take a crash for the end of an error response to a stream

What callers saw: nothing was reported. Found in the list of all places that read responses: a server that crashes in an error response without a length ends it as a complete one does. Streams of events and plain responses are checked for that since; an error response to a stream wasn't, so that a caller got the part of it as the whole.

Change: forwardFailure checks the end as the others do. The request may have run; its caller gets 502.

Tests: TestServerEndsWithItsResponse, "error response to a stream", failed before (status 500, 4 bytes). The same row for an unsafe request held before.

--- a/hickoryd/internal/edgedispatch/decode.go
+++ b/hickoryd/internal/edgedispatch/decode.go
@@ -98,7 +98,7 @@
 // relayResponse relays the response of a server that has taken the request.
 func (g *generation) relayResponse(ctx context.Context, watch *silenceWatch, server serverlist.Server, response *upstream.Response) error {
 	if response.StatusCode >= http.StatusMultipleChoices {
-		return g.forwardFailure(server, response)
+		return g.forwardFailure(ctx, server, response)
 	}
 	if err := checkStream(response); err != nil {
 		g.recordResult(server.ID, health.Broken)
@@ -144,7 +144,7 @@
 
 // forwardFailure sends a server's error response to the caller, unless the request
 // may be retried on another server.
-func (g *generation) forwardFailure(server serverlist.Server, response *upstream.Response) error {
+func (g *generation) forwardFailure(ctx context.Context, server serverlist.Server, response *upstream.Response) error {
 	g.recordResult(server.ID, health.Failure)
 	err := fmt.Errorf("%w: status %d", errInvalid, response.StatusCode)
 	if g.isStarted || g.history.MayReplace() || !response.Metadata.HasStamp {
@@ -155,6 +155,9 @@
 	if !response.IsComplete() {
 		return fmt.Errorf("%w, incomplete body of %d bytes", err, len(body))
 	}
+	if err := g.checkEndOfConnection(ctx, server, response); err != nil {
+		return err
+	}
 	buffered := &plainResponse{response: response.Response, body: body}
 	return buffered.send(g.sink)
 }
--- a/hickoryd/internal/edgedispatch/unframed_test.go
+++ b/hickoryd/internal/edgedispatch/unframed_test.go
@@ -19,6 +19,11 @@
 	return respondRaw("HTTP/1.1 200 OK\r\n", "\r\n"+body, isReset)
 }
 
+// unframedFailure is unframed for an error response.
+func unframedFailure(isReset bool) http.HandlerFunc {
+	return respondRaw("HTTP/1.1 500 Internal Server Error\r\n", "\r\npart", isReset)
+}
+
 // respondRaw responds with a status line and the rest of a head and a body, after the headers
 // that each response has, and ends the connection, with a reset if isReset is set.
 func respondRaw(statusLine, rest string, isReset bool) http.HandlerFunc {
@@ -80,27 +85,29 @@
 	plain := route.Route{Kind: route.Unsafe, MaxServers: 1}
 	stream := route.Route{Name: "r", Kind: route.Streaming, IsGeneration: true, MaxServers: 1}
 	for name, tt := range map[string]struct {
-		route route.Route
-		body  string
-		want  int // 0: truncated
+		route   route.Route
+		respond http.HandlerFunc
+		status  int // of the response
 	}{
-		"short response": {plain, "part", http.StatusBadGateway},
-		"long response":  {plain, strings.Repeat("x", 300<<10), 0},
-		"stream":         {stream, "id: 1\n\n", 0},
+		"short response":             {plain, unframed("part", true), http.StatusOK},
+		"long response":              {plain, unframed(strings.Repeat("x", 300<<10), true), http.StatusOK},
+		"error response":             {plain, unframedFailure(true), http.StatusInternalServerError},
+		"stream":                     {stream, unframed("id: 1\n\n", true), http.StatusOK},
+		"error response to a stream": {stream, unframedFailure(true), http.StatusInternalServerError},
 	} {
 		t.Run(name, func(t *testing.T) {
 			var hasCapacity atomic.Bool
 			hasCapacity.Store(true)
-			list := servers{startServer(t, "first", "", unframed(tt.body, true))}
+			list := servers{startServer(t, "first", "", tt.respond)}
 			if tt.route.IsGeneration {
-				list = servers{startDecodeServer(t, "first", &hasCapacity, unframed(tt.body, true))}
+				list = servers{startDecodeServer(t, "first", &hasCapacity, tt.respond)}
 			}
 			d := newDispatcher(t, list, 100)
 			complete := 0
 			for i := range tries {
 				request := newRequest(fmt.Sprint("r", i), tt.route, callerTimeout, promptTokens)
 				request.Body = make([]byte, 8<<20)
-				if status, _ := run(t, d, request); status == http.StatusOK {
+				if status, _ := run(t, d, request); status == tt.status {
 					complete++
 				}
 			}
@@ -118,18 +125,21 @@
 	long := strings.Repeat("x", 300<<10)
 	resumable := route.Route{Name: "r", Kind: route.Streaming, IsGeneration: true, IsResumable: true, MaxServers: 2}
 	once := route.Route{Name: "r", Kind: route.Streaming, IsGeneration: true, MaxServers: 1}
+	unsafe := route.Route{Kind: route.Unsafe, MaxServers: 1}
 	tests := []struct {
 		name       string
 		route      route.Route
-		body       string // of the server that ends
-		wantStatus int    // 0: truncated
+		respond    http.HandlerFunc // of the server that ends
+		wantStatus int              // 0: truncated
 		wantBody   string
 	}{
-		{"stream that runs once", once, "id: 1\n\n", 0, "id: 1\n\n"},
-		{"resumable stream", resumable, "id: 1\n\n", http.StatusOK, "id: 1\n\nid: 2\n\n"},
-		{"unsafe request", route.Route{Kind: route.Unsafe, MaxServers: 1}, "body", http.StatusBadGateway, ""},
-		{"safe request", route.Route{Kind: route.Safe, MaxServers: 2}, "bo", http.StatusOK, "ok"},
-		{"long response", route.Route{Kind: route.Unsafe, MaxServers: 1}, long, 0, long},
+		{"stream that runs once", once, unframed("id: 1\n\n", false), 0, "id: 1\n\n"},
+		{"resumable stream", resumable, unframed("id: 1\n\n", false), http.StatusOK, "id: 1\n\nid: 2\n\n"},
+		{"error response to a stream", once, unframedFailure(false), http.StatusBadGateway, ""},
+		{"unsafe request", unsafe, unframed("body", false), http.StatusBadGateway, ""},
+		{"error response to an unsafe request", unsafe, unframedFailure(false), http.StatusBadGateway, ""},
+		{"safe request", route.Route{Kind: route.Safe, MaxServers: 2}, unframed("bo", false), http.StatusOK, "ok"},
+		{"long response", unsafe, unframed(long, false), 0, long},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -138,10 +148,9 @@
 			hasCapacity.Store(true)
 			var listener net.Listener
 			var first serverlist.Server
-			respond := unframed(tt.body, false)
 			crash := func(w http.ResponseWriter, r *http.Request) {
 				listener.Close()
-				respond(w, r)
+				tt.respond(w, r)
 			}
 			second := startServer(t, "second", "", ok)
 			if tt.route.IsGeneration {
