Don't take a part of a reply to a Consul write for a lost race

Found in the list of all places that read responses: Consul replies to a write with the bare text "true" or "false". Each text other than "true" counted as false, which means that another write came first, also when a reply without a length broke off and the write had taken effect.

Change: only these two texts are replies. Otherwise the error is ErrUnavailable, after which a write may have taken effect. All other replies are a JSON object or list, of which no part is valid.

TestReplyToWriteThatBreaksOff: "tru", "fals" and "" were false without an error before; "true" and "false" are as they were.

--- a/hickoryd/consul/client.go
+++ b/hickoryd/consul/client.go
@@ -245,7 +245,14 @@
 	if err != nil {
 		return false, err
 	}
-	return strings.TrimSpace(string(reply)) == "true", nil
+	switch text := strings.TrimSpace(string(reply)); text {
+	case "true":
+		return true, nil
+	case "false":
+		return false, nil
+	default: // a part of a reply without a length
+		return false, fmt.Errorf("%w: invalid reply %.40q to the write of %s", ErrUnavailable, text, key)
+	}
 }
 
 // call sends a request and returns the body of a successful response. It counts
--- a/hickoryd/consul/client_test.go
+++ b/hickoryd/consul/client_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -75,3 +77,35 @@
 		})
 	}
 }
+
+// TestReplyToWriteThatBreaksOff guards against a reply without a length of which a part came, and
+// which is taken for a lost race: the write may have taken effect.
+func TestReplyToWriteThatBreaksOff(t *testing.T) {
+	for reply, want := range map[string]struct {
+		isWritten bool
+		err       error
+	}{
+		"true":    {isWritten: true},
+		"false\n": {},
+		"tru":     {err: consul.ErrUnavailable},
+		"fals":    {err: consul.ErrUnavailable},
+		"":        {err: consul.ErrUnavailable},
+	} {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			_, _ = io.ReadAll(r.Body) // an unread body would reset the connection
+			conn, buffered, err := http.NewResponseController(w).Hijack()
+			if err != nil {
+				panic(err) // only for a server that can't be hijacked
+			}
+			defer conn.Close()
+			_, _ = buffered.WriteString("HTTP/1.1 200 OK\r\n\r\n" + reply)
+			_ = buffered.Flush()
+		}))
+		t.Cleanup(server.Close)
+		client := consul.New(netip.MustParseAddrPort(server.Listener.Addr().String()), timeout, metrics.NewSet())
+		isWritten, err := client.CompareAndSwap(t.Context(), "k", []byte("v"), 1)
+		if isWritten != want.isWritten || !errors.Is(err, want.err) {
+			t.Errorf("%q: written %t, error %v; want %t and %v", reply, isWritten, err, want.isWritten, want.err)
+		}
+	}
+}
