--- a/hickoryd/internal/upstream/pool_test.go
+++ b/hickoryd/internal/upstream/pool_test.go
@@ -120,7 +120,10 @@
 }
 
 func TestDo(t *testing.T) {
-	const complete = "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nContent-Length: 2\r\n\r\nok"
+	const (
+		complete = "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nContent-Length: 2\r\n\r\nok"
+		chunked  = "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n"
+	)
 	tests := []struct {
 		name        string
 		script      string
@@ -139,8 +142,15 @@
 		{name: "status above 599 after a response to another request", script: "HTTP/1.1 200 OK\r\nRequest-Id: r0\r\nContent-Length: 3\r\n\r\nold" + strings.Replace(complete, "200", "600", 1), wantErr: upstream.ErrMayHaveRun},
 		{name: "another protocol", script: "HTTP/1.1 101 Switching Protocols\r\n\r\n" + complete, wantErr: upstream.ErrMayHaveRun},
 		{name: "blank in a name of an interim head", script: "HTTP/1.1 103 Early Hints\r\nX Y: 1\r\n\r\n" + complete, wantErr: upstream.ErrMayHaveRun},
-		{name: "blank in a name of a trailer", script: "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX Y: 1\r\n\r\n", want: "ok", isTruncated: true},
-		{name: "control byte in a name of a trailer", script: "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX\x01: 1\r\n\r\n", want: "ok", isTruncated: true},
+		{name: "blank in a name of a trailer", script: chunked + "2\r\nok\r\n0\r\nX Y: 1\r\n\r\n", want: "ok", isTruncated: true},
+		{name: "control byte in a name of a trailer", script: chunked + "2\r\nok\r\n0\r\nX\x01: 1\r\n\r\n", want: "ok", isTruncated: true},
+		{name: "chunks", script: chunked + "2;x=y\r\nok\r\n0\r\nX-Sum: 1\r\n\r\n", want: "ok"},
+		{name: "no last chunk", script: chunked + "2\r\nok\r\n", want: "ok", isTruncated: true},
+		{name: "chunk longer than its size", script: chunked + "2\r\nokay\r\n0\r\n\r\n", want: "ok", isTruncated: true},
+		{name: "malformed size of a chunk", script: chunked + "2\r\nok\r\n-1\r\n", want: "ok", isTruncated: true},
+		{name: "size of a chunk that ends with a bare line feed", script: chunked + "2\nok\r\n0\r\n\r\n", isTruncated: true},
+		{name: "last chunk without an end", script: chunked + "2\r\nok\r\n0\r\n", want: "ok", isTruncated: true},
+		{name: "trailer that breaks off", script: chunked + "2\r\nok\r\n0\r\nX-Sum: 1\r\n", want: "ok", isTruncated: true},
 		{name: "truncated body", script: "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nContent-Length: 9\r\n\r\nok", want: "ok", isTruncated: true},
 	}
 	for _, tt := range tests {
