Wait until a process that accepts a connection can have ended

What callers saw: nothing was reported. Found when servers were ended as real processes, on one core: a caller got the part of a response without a length that had come before the crash as the whole.

Cause: when only the end of its connection ends a response, hosts check that a process still listens at the server's address. Linux closes the sockets of a process that ends one after the other, its newest first and its listener last, and lets other processes run in between. The host that has just been told of the end connects before the listener is closed.

Change: the connection of the check must stay open for 20 ms. The kernel resets it when it closes the listener. A server may reset connections beyond its limit, so one that accepts a second connection lives. edge and serve share the check. A sound response without a length comes 20 ms later than before; a stream without a length ends as much later.

TestHasEnded, "ending" and without the wait: false, want true.

--- a/hickoryd/internal/edgedispatch/unframed.go
+++ b/hickoryd/internal/edgedispatch/unframed.go
@@ -26,7 +26,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, endCheckTimeout)
 	defer cancel()
-	if err := d.pool.Probe(ctx, server.Address); errors.Is(err, upstream.ErrRefused) {
+	if d.pool.HasEnded(ctx, server.Address) {
 		return fmt.Errorf("%w: %w", upstream.ErrMayHaveRun, errServerEnded)
 	}
 	return nil
--- a/hickoryd/internal/service/client.go
+++ b/hickoryd/internal/service/client.go
@@ -13,12 +13,12 @@
 	"net/http/httptrace"
 	"net/url"
 	"slices"
-	"syscall"
 	"time"
 
 	"github.com/hickoryfront/hickoryfront/core/backend"
 	"github.com/hickoryfront/hickoryfront/core/claim"
 	"github.com/hickoryfront/hickoryfront/hickoryd/internal/http1"
+	"github.com/hickoryfront/hickoryfront/hickoryd/internal/tcp"
 )
 
 const (
@@ -109,22 +109,17 @@
 	if len(body) > maxResponseBytes {
 		return claim.Response{}, fmt.Errorf("%w: answer is over %d bytes", ErrBroken, maxResponseBytes)
 	}
-	if http1.EndsWithConnection(response) && !response.Uncompressed && !isListening(ctx, server) {
+	if http1.EndsWithConnection(response) && !response.Uncompressed && hasEnded(ctx, server) {
 		return claim.Response{}, fmt.Errorf("%w: %w", ErrBroken, errServerEnded)
 	}
 	return claim.Response{Status: response.StatusCode, Headers: headersOf(response.Header), Body: body}, nil
 }
 
-// isListening reports whether a process listens at the address of a server, or may listen there: a
-// server that doesn't respond to new connections may be busy.
-func isListening(ctx context.Context, server net.Addr) bool {
-	dialer := net.Dialer{Timeout: endCheckTimeout}
-	socket, err := dialer.DialContext(ctx, server.Network(), server.String())
-	if err != nil {
-		return !errors.Is(err, syscall.ECONNREFUSED)
-	}
-	_ = socket.Close() // nothing was sent
-	return true
+// hasEnded reports whether the process that listened at the address of a server has ended.
+func hasEnded(ctx context.Context, server net.Addr) bool {
+	ctx, cancel := context.WithTimeout(ctx, endCheckTimeout)
+	defer cancel()
+	return tcp.HasEnded(ctx, (&net.Dialer{}).DialContext, server.String())
 }
 
 // copyHeaders copies all headers except unforwardedHeaders.
--- a/hickoryd/internal/tcp/tcp_test.go
+++ b/hickoryd/internal/tcp/tcp_test.go
@@ -51,3 +51,36 @@
 		}
 	}
 }
+
+// TestHasEnded guards against a process that is taken for a living one since it accepts a connection
+// while the kernel closes its sockets, and against a living one that is taken for ended.
+func TestHasEnded(t *testing.T) {
+	for name, tt := range map[string]struct {
+		run  func(listener net.Listener)
+		want bool
+	}{
+		"lives":  {run: func(net.Listener) {}},
+		"ended":  {run: func(listener net.Listener) { listener.Close() }, want: true},
+		"ending": {run: func(listener net.Listener) { time.AfterFunc(5*time.Millisecond, func() { listener.Close() }) }, want: true},
+		"resets further connections": {run: func(listener net.Listener) {
+			go func() {
+				for socket, err := listener.Accept(); err == nil; socket, err = listener.Accept() {
+					_ = socket.(*net.TCPConn).SetLinger(0)
+					socket.Close()
+				}
+			}()
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer listener.Close()
+			tt.run(listener)
+			if got := tcp.HasEnded(t.Context(), (&net.Dialer{}).DialContext, listener.Addr().String()); got != tt.want {
+				t.Errorf("ended %t, want %t", got, tt.want)
+			}
+		})
+	}
+}
--- a/hickoryd/internal/upstream/pool.go
+++ b/hickoryd/internal/upstream/pool.go
@@ -144,8 +144,7 @@
 		}
 		c.close()
 	}
-	p.dials.Inc()
-	socket, err := p.dialer.DialContext(ctx, "tcp4", address.String())
+	socket, err := p.dial(ctx, "tcp4", address.String())
 	if err != nil {
 		return nil, err
 	}
@@ -181,11 +180,20 @@
 	p.idle[c.address] = append(connections, c)
 }
 
+// HasEnded reports whether the process that listened at a server's address has ended.
+func (p *Pool) HasEnded(ctx context.Context, address netip.AddrPort) bool {
+	return tcp.HasEnded(ctx, p.dial, address.String())
+}
+
+func (p *Pool) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	p.dials.Inc()
+	return p.dialer.DialContext(ctx, network, address)
+}
+
 // Probe checks whether a server accepts a new connection. The error is ErrRefused if
 // no process listens at its address.
 func (p *Pool) Probe(ctx context.Context, address netip.AddrPort) error {
-	p.dials.Inc()
-	socket, err := p.dialer.DialContext(ctx, "tcp4", address.String())
+	socket, err := p.dial(ctx, "tcp4", address.String())
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		return fmt.Errorf("%w: %w", ErrRefused, err)
 	}
