--- a/hickoryd/internal/http1/conn.go
+++ b/hickoryd/internal/http1/conn.go
@@ -69,9 +69,9 @@
 	return n, err
 }
 
-// ExpectHead prepares for the next response on the connection, which must be called for each but
-// the first. Its first bytes are those in arrived, which were read already. The error is
-// ErrMalformed if these are not the head of a response.
+// ExpectHead prepares for the next response on the connection. It must be called before each
+// response but the first. arrived are the bytes of the response that were read already. The error is
+// ErrMalformed if they don't belong to a head.
 func (c *Conn) ExpectHead(arrived []byte) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -106,14 +106,15 @@
 	switch {
 	case c.writeErr == nil, errors.Is(c.writeErr, os.ErrDeadlineExceeded):
 		return io.EOF
-	case errors.Is(c.writeErr, syscall.EPIPE): // reset only after the server had ended its side
+	case errors.Is(c.writeErr, syscall.EPIPE): // the server ended its side before it reset the connection
 		return io.EOF
 	}
 	return fmt.Errorf("%w: %w", ErrReset, c.writeErr)
 }
 
 // EndsWithConnection reports whether only the end of its connection ends the body of a response. A
-// server that crashes ends such a body in the same way as a complete one.
+// server that crashes, or that gives up the response in order, ends such a body in the same way as a
+// complete one.
 func EndsWithConnection(response *http.Response) bool {
 	return response.ContentLength < 0 && len(response.TransferEncoding) == 0 && response.Request.Method != http.MethodHead
 }
--- a/hickoryd/internal/service/client.go
+++ b/hickoryd/internal/service/client.go
@@ -109,7 +109,8 @@
 	if len(body) > maxResponseBytes {
 		return claim.Response{}, fmt.Errorf("%w: answer is over %d bytes", ErrBroken, maxResponseBytes)
 	}
-	if http1.EndsWithConnection(response) && !response.Uncompressed && hasEnded(ctx, server) {
+	endsWithConnection := http1.EndsWithConnection(response) && !response.Uncompressed // gzip states its own end
+	if endsWithConnection && hasEnded(ctx, server) {
 		return claim.Response{}, fmt.Errorf("%w: %w", ErrBroken, errServerEnded)
 	}
 	return claim.Response{Status: response.StatusCode, Headers: headersOf(response.Header), Body: body}, nil
