serve: pass on a sound response that comes before the upload ends

What callers saw: nothing was reported.

Change: in http1.Transport a write that fails after bytes of the request were sent reports no error. The connection has failed, so the reader of the response is told at once, and decides whether the response is whole. A request of which nothing was sent still fails in its writer, and goes to another connection as before.

--- a/hickoryd/internal/http1/transport.go
+++ b/hickoryd/internal/http1/transport.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"sync/atomic"
 )
 
 type (
@@ -15,6 +16,16 @@
 		base *http.Transport
 	}
 
+	// requestConn is a connection that reports the failure of a request to the reader of the
+	// response only. net/http would close the connection on a failed write, and lose a response that
+	// the server has sent before the end of the request.
+	requestConn struct {
+		*Conn
+		// isSent is set once bytes of the current request were sent. A request without any may be
+		// sent on another connection, so its failure is reported to the writer.
+		isSent atomic.Bool
+	}
+
 	// body is the body of a response. It ends as complete only with a sound trailer.
 	body struct {
 		io.ReadCloser
@@ -34,7 +45,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return NewConn(socket), nil
+		return &requestConn{Conn: NewConn(socket)}, nil
 	}
 	return &Transport{base: base}
 }
@@ -63,7 +74,20 @@
 
 // expectHead prepares a connection that is about to be used for a request.
 func expectHead(info httptrace.GotConnInfo) {
-	if c, ok := info.Conn.(*Conn); ok {
+	if c, ok := info.Conn.(*requestConn); ok {
+		c.isSent.Store(false)
 		_ = c.ExpectHead(nil) // can't fail without bytes
 	}
 }
+
+// Write implements io.Writer.
+func (c *requestConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	if n > 0 {
+		c.isSent.Store(true)
+	}
+	if err != nil && c.isSent.Load() {
+		return len(p), nil
+	}
+	return n, err
+}
--- a/hickoryd/internal/service/client_test.go
+++ b/hickoryd/internal/service/client_test.go
@@ -92,21 +92,37 @@
 	}
 }
 
-// TestResetDuringUpload guards against a reset that is taken for the end of a response without a
-// length. Either the reader of the response or the writer of the request is told of it.
-func TestResetDuringUpload(t *testing.T) {
-	url := serveRaw(t, func(_ net.Listener, socket *net.TCPConn) {
-		_, _ = io.WriteString(socket, "HTTP/1.1 200 OK\r\n\r\npart")
-		_ = socket.SetLinger(0)
-	})
-	client, call := service.New(), service.Call{Method: http.MethodPost, Body: make([]byte, 8<<20)}
-	complete := 0
-	for range 300 {
-		if _, err := client.DoURL(t.Context(), url, call); !errors.Is(err, service.ErrBroken) {
-			complete++
-		}
-	}
-	if complete > 0 {
-		t.Errorf("%d of 300 responses that were reset are taken for complete", complete)
+// TestEndDuringUpload guards against a reset that is taken for the end of a response without a
+// length, and against an end that is taken for a reset. Either the reader of the response or the
+// writer of the request is told of a reset.
+func TestEndDuringUpload(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\n"
+	reset := func(socket *net.TCPConn) error { return socket.SetLinger(0) }
+	for name, tt := range map[string]struct {
+		response string
+		end      func(*net.TCPConn) error
+		tries    int
+		want     error
+	}{
+		"reset":                {head + "\r\npart", reset, 300, service.ErrBroken},
+		"end":                  {head + "\r\nwhole", (*net.TCPConn).CloseWrite, 50, nil}, // and a reset, as the server doesn't read the request
+		"reset after a length": {head + "Content-Length: 5\r\n\r\nwhole", reset, 300, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			url := serveRaw(t, func(_ net.Listener, socket *net.TCPConn) {
+				_, _ = io.WriteString(socket, tt.response)
+				_ = tt.end(socket)
+			})
+			client, call := service.New(), service.Call{Method: http.MethodPost, Body: make([]byte, 8<<20)}
+			wrong := 0
+			for range tt.tries {
+				if _, err := client.DoURL(t.Context(), url, call); !errors.Is(err, tt.want) {
+					wrong++
+				}
+			}
+			if wrong > 0 {
+				t.Errorf("%d of %d calls have another error than %v", wrong, tt.tries, tt.want)
+			}
+		})
 	}
 }
