--- a/hickoryd/internal/service/client_test.go
+++ b/hickoryd/internal/service/client_test.go
@@ -72,6 +72,7 @@
 		"blank in a name":                 "HTTP/1.1 200 OK\r\nX Y: 1\r\nContent-Length: 4\r\n\r\nbody",
 		"blank in the name of the length": "HTTP/1.1 200 OK\r\nContent-Length : 4\r\n\r\nbody and more",
 		"control byte in a name":          "HTTP/1.1 200 OK\r\nX\x01Y: 1\r\nContent-Length: 4\r\n\r\nbody",
+		"control byte in a value":         "HTTP/1.1 200 OK\r\nX: \x01\r\nContent-Length: 4\r\n\r\nbody",
 		"blank in a trailer":              "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nX Y: 1\r\n\r\n",
 		"control byte in a trailer":       "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nX\x01Y: 1\r\n\r\n",
 		"length and chunks":               "HTTP/1.1 200 OK\r\nContent-Length: 9\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
