--- a/hickoryd/internal/http1/head.go
+++ b/hickoryd/internal/http1/head.go
@@ -34,8 +34,8 @@
 	// head is what the lines of a head have stated until now.
 	head struct {
 		status int // 0 until the status line
-		// isOld is set for HTTP/1.0, which has no transfer codings.
-		isOld     bool
+		// isHTTP10 is set for HTTP/1.0, which has no transfer codings.
+		isHTTP10  bool
 		hasLength bool
 		hasCoding bool
 	}
@@ -89,7 +89,7 @@
 	if err != nil || status < minStatus || status > maxStatus || status == http.StatusSwitchingProtocols {
 		return fmt.Errorf("%w: status %q", ErrMalformed, code)
 	}
-	h.status, h.isOld = status, minor == "0"
+	h.status, h.isHTTP10 = status, minor == "0"
 	return nil
 }
 
@@ -108,8 +108,11 @@
 // checkFraming returns an error if a head states the end of the body in two ways, or in one that
 // its version doesn't have (RFC 9112, sections 6.1 and 6.3). net/http ignores one of the statements.
 func (h *head) checkFraming() error {
-	if h.hasCoding && (h.hasLength || h.isOld) {
-		return fmt.Errorf("%w: transfer coding, and a length (%t) or HTTP/1.0 (%t)", ErrMalformed, h.hasLength, h.isOld)
+	switch {
+	case h.hasCoding && h.hasLength:
+		return fmt.Errorf("%w: both a length and a transfer coding", ErrMalformed)
+	case h.hasCoding && h.isHTTP10:
+		return fmt.Errorf("%w: transfer coding in HTTP/1.0", ErrMalformed)
 	}
 	return nil
 }
