Let the process of TestHasEnded end by its connection, not by a timer

On a busy machine a timer of 5 ms could fire after the 20 ms of the check, and the test would fail though the code is right. The process ends now as soon as the connection of the check is made, and resets connections in the same way; the assertions are the same.

--- a/hickoryd/internal/tcp/tcp_test.go
+++ b/hickoryd/internal/tcp/tcp_test.go
@@ -1,6 +1,7 @@
 package tcp_test
 
 import (
+	"context"
 	"net"
 	"net/netip"
 	"testing"
@@ -55,21 +56,22 @@
 // TestHasEnded guards against a process that is taken for a living one since it accepts a connection
 // while the kernel closes its sockets, and against a living one that is taken for ended.
 func TestHasEnded(t *testing.T) {
+	stay := func(net.Listener) {}
+	end := func(listener net.Listener) { listener.Close() }
+	reset := func(listener net.Listener) {
+		if socket, err := listener.Accept(); err == nil {
+			_ = socket.(*net.TCPConn).SetLinger(0)
+			socket.Close()
+		}
+	}
 	for name, tt := range map[string]struct {
-		run  func(listener net.Listener)
-		want bool
+		before, after func(net.Listener) // what the process does before and after a connection is made
+		want          bool
 	}{
-		"lives":  {run: func(net.Listener) {}},
-		"ended":  {run: func(listener net.Listener) { listener.Close() }, want: true},
-		"ending": {run: func(listener net.Listener) { time.AfterFunc(5*time.Millisecond, func() { listener.Close() }) }, want: true},
-		"resets further connections": {run: func(listener net.Listener) {
-			go func() {
-				for socket, err := listener.Accept(); err == nil; socket, err = listener.Accept() {
-					_ = socket.(*net.TCPConn).SetLinger(0)
-					socket.Close()
-				}
-			}()
-		}},
+		"lives":                      {before: stay, after: stay},
+		"has ended":                  {before: end, after: stay, want: true},
+		"is ending":                  {before: stay, after: end, want: true},
+		"resets further connections": {before: stay, after: reset},
 	} {
 		t.Run(name, func(t *testing.T) {
 			listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -77,8 +79,12 @@
 				t.Fatal(err)
 			}
 			defer listener.Close()
-			tt.run(listener)
-			if got := tcp.HasEnded(t.Context(), (&net.Dialer{}).DialContext, listener.Addr().String()); got != tt.want {
+			dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+				tt.before(listener)
+				defer tt.after(listener)
+				return (&net.Dialer{}).DialContext(ctx, network, address)
+			}
+			if got := tcp.HasEnded(t.Context(), dial, listener.Addr().String()); got != tt.want {
 				t.Errorf("ended %t, want %t", got, tt.want)
 			}
 		})
