--- a/review/lab3/main.go
+++ b/review/lab3/main.go
@@ -25,6 +25,7 @@
 var cases = map[string]func(record, bool) (isBroken bool, err error){
 	"bytes":   caseBytes,
 	"leaving": caseLeaving,
+	"drill":   caseDrill,
 	"alike":   caseAlike,
 }
 
--- a/review/lab3/store.go
+++ b/review/lab3/store.go
@@ -122,6 +122,34 @@
 	}
 }
 
+// Copy returns a copy of the store.
+func (s *store) Copy() *store {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := &store{revision: s.revision, items: map[string]item{}, leases: map[uint64]*lease{}, next: s.next}
+	for key, i := range s.items {
+		c.items[key] = i
+	}
+	c.events = append(c.events, s.events...)
+	for id, l := range s.leases {
+		c.leases[id] = &lease{l.ttl, l.expires}
+	}
+	return c
+}
+
+// Restore replaces the store by an older copy, in the next era.
+func (s *store) Restore(c *store) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.revision, s.items, s.events, s.leases = c.revision, c.items, c.events, c.leases
+	for _, l := range s.leases {
+		l.expires = time.Now().Add(l.ttl)
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 func reset(c net.Conn) {
 	if t, ok := c.(*net.TCPConn); ok {
 		_ = t.SetLinger(0)
@@ -204,6 +232,10 @@
 		after, _ := strconv.ParseUint(query.Get("after"), 10, 64)
 		wait, _ := strconv.Atoi(query.Get("wait-ms"))
 		until := time.After(time.Duration(wait) * time.Millisecond)
+		if after > v.revision {
+			answer(410, map[string]any{})
+			return
+		}
 		for {
 			events := []item{}
 			for _, e := range v.events {
--- a/review/lab3/worker.go
+++ b/review/lab3/worker.go
@@ -14,10 +14,10 @@
 // its own, so that the path of one host can be cut.
 type worker struct {
 	id, service, ip string
-	// zone is salt-lake if empty.
-	zone  string
-	hosts int
-	store *store
+	// zone is salt-lake if empty. stage is that of a model worker, or empty.
+	zone, stage string
+	hosts       int
+	store       *store
 	// header and delay change its answers. handle, if set, may answer in its place and returns
 	// true then.
 	mu      sync.Mutex
@@ -27,17 +27,20 @@
 	servers []*http.Server
 	born    int64
 	ran     func(host int, id string, r *http.Request)
-	// calls, if set, may answer a call of the workers' own interface and returns true then.
-	calls func(w http.ResponseWriter, r *http.Request) bool
 }
 
 const workerPort = 19000
 
 func (wk *worker) entry(state string) map[string]any {
-	return map[string]any{
+	entry := map[string]any{
 		"service": wk.service, "address": fmt.Sprintf("%s:%d", wk.ip, workerPort), "zone": wk.zone, "version": "v1", "slots": 6, "state": state,
 		"cold-remaining-ms": 0, "sequence": 1, "born": wk.born,
 	}
+	if wk.stage != "" {
+		entry["stage"], entry["slots"] = wk.stage, 64
+		entry["models"] = []any{map[string]any{"name": "m", "version": 1, "adapters": []any{}}}
+	}
+	return entry
 }
 
 // start listens for all hosts and registers the worker.
@@ -114,7 +117,7 @@
 	if err != nil {
 		return
 	}
-	if wk.calls != nil && wk.calls(w, r) {
+	if wk.stage != "" && wk.call(w, r) {
 		return
 	}
 	if id == "" {
@@ -128,6 +131,10 @@
 	if handle != nil && handle(host, w, r) {
 		return
 	}
+	if wk.stage != "" {
+		wk.stream(w, r)
+		return
+	}
 	if delay > 0 {
 		select {
 		case <-time.After(delay):
