--- a/review/lab3/drill.go
+++ b/review/lab3/drill.go
@@ -1,14 +1,9 @@
 package main
 
 import (
-	"bufio"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"os"
-	"strconv"
-	"strings"
 	"sync"
 	"time"
 )
@@ -42,11 +37,7 @@
 		}
 		workers = append(workers, w)
 	}
-	document := configuration()
-	document["routes"] = append(document["routes"].([]any), map[string]any{
-		"name": "syllabus-match", "hostname": "shop.example", "path-prefix": "/match/", "kind": "streaming", "service": "lekhak", "timeout-ms": 14000,
-		"target-latency-ms": 900, "priority": 1, "max-attempts": 2, "sticky-sessions": true, "resumable": true, "target-gap-ms": 300,
-	})
+	document := modelConfiguration()
 	d.store.Put("op/config", document)
 	if err := d.startHosts(); err != nil {
 		return false, err
@@ -79,7 +70,7 @@
 		group.Go(func() {
 			first := fmt.Sprintf("first-%02d", i)
 			deadline := time.Now().Add(14 * time.Second)
-			last, isWhole, status, err := d.stream(i%hosts, first, "", 0, time.Until(deadline))
+			last, isWhole, status, err := d.stream(i%hosts, first, "", 0, first, time.Until(deadline))
 			r.note("%s at host %d: status %d, events up to %d, whole %t, %v", first, i%hosts, status, last, isWhole, err)
 			if isWhole || last == 0 {
 				return
@@ -91,7 +82,7 @@
 			mu.Unlock()
 			for n := 1; time.Now().Before(deadline); n++ {
 				id := fmt.Sprintf("again-%02d-%d", i, n)
-				next, isWhole, status, err := d.stream((i+n)%hosts, id, first, last, time.Until(deadline))
+				next, isWhole, status, err := d.stream((i+n)%hosts, id, first, last, first, time.Until(deadline))
 				r.note("%s, which takes up %s after event %d, at host %d: status %d, events up to %d, whole %t, %v", id, first, last, (i+n)%hosts, status, next, isWhole, err)
 				if next > last {
 					mu.Lock()
@@ -120,7 +111,7 @@
 	var fresh sync.WaitGroup
 	for i := range streams {
 		fresh.Go(func() {
-			last, _, status, err := d.stream(i%hosts, fmt.Sprintf("new-%02d", i), "", 0, 3*time.Second)
+			last, _, status, err := d.stream(i%hosts, fmt.Sprintf("new-%02d", i), "", 0, fmt.Sprintf("new-%02d", i), 3*time.Second)
 			r.note("new-%02d at host %d: status %d, events up to %d, %v", i, i%hosts, status, last, err)
 			if last > 0 {
 				mu.Lock()
@@ -137,38 +128,3 @@
 	}
 	return takenUp >= 12 && 2*goOn*streams < begun*takenUp, nil
 }
-
-// stream makes one attempt at a stream, or takes it up after an event.
-func (d *deployment) stream(host int, id, resumes string, after int, timeout time.Duration) (last int, isWhole bool, status int, err error) {
-	last = after
-	socket, err := net.DialTimeout("tcp4", d.hostAddress(host, callPort), time.Second)
-	if err != nil {
-		return last, false, 0, err
-	}
-	defer socket.Close()
-	_ = socket.SetDeadline(time.Now().Add(timeout))
-	body := id[strings.LastIndex(id, "-")+1:]
-	head := fmt.Sprintf("POST /match/a HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: %s\r\nModel: m\r\nToken-Counts: 1000,%d\r\nPrompt-Prefix: 5c1e07a2:200,91bd3f06%s:800\r\nDeadline-Ms: %d\r\nContent-Length: %d\r\n",
-		id, events+10, strconv.FormatUint(uint64(len(id)), 16), timeout.Milliseconds(), len(body))
-	if resumes != "" {
-		head += fmt.Sprintf("Last-Event-Id: %d\r\nResumes: %s\r\n", after, resumes)
-	}
-	if _, err := io.WriteString(socket, head+"\r\n"+body); err != nil {
-		return last, false, 0, err
-	}
-	response, err := http.ReadResponse(bufio.NewReader(socket), nil)
-	if err != nil {
-		return last, false, 0, err
-	}
-	if response.StatusCode != http.StatusOK {
-		text, _ := io.ReadAll(response.Body)
-		return last, false, response.StatusCode, fmt.Errorf("%s", strings.TrimSpace(string(text)))
-	}
-	lines := bufio.NewScanner(response.Body)
-	for lines.Scan() {
-		if text, ok := strings.CutPrefix(lines.Text(), "id: "); ok {
-			last, _ = strconv.Atoi(text)
-		}
-	}
-	return last, lines.Err() == nil && last == events, response.StatusCode, lines.Err()
-}
--- a/review/lab3/main.go
+++ b/review/lab3/main.go
@@ -26,6 +26,7 @@
 	"bytes":   caseBytes,
 	"leaving": caseLeaving,
 	"drill":   caseDrill,
+	"popular": casePopular,
 	"alike":   caseAlike,
 }
 
