--- a/review/lab3/main.go
+++ b/review/lab3/main.go
@@ -27,6 +27,7 @@
 	"leaving": caseLeaving,
 	"drill":   caseDrill,
 	"popular": casePopular,
+	"path":    casePath,
 	"alike":   caseAlike,
 }
 
--- a/review/lab3/popular.go
+++ b/review/lab3/popular.go
@@ -12,11 +12,23 @@
 // they answer some of these streams, and clients take the broken ones up. With TROUBLE=unlike each
 // student sends a syllabus of their own.
 func casePopular(r record, hasTrouble bool) (bool, error) {
+	return popular(r, hasTrouble, false)
+}
+
+// casePath is casePopular with another disruption: host 0 is partitioned from all workers for some
+// seconds, and no worker crashes.
+func casePath(r record, hasTrouble bool) (bool, error) {
+	return popular(r, hasTrouble, true)
+}
+
+func popular(r record, hasTrouble, isPartition bool) (bool, error) {
 	const (
 		hosts    = 4
 		students = 72
 		fresh    = 24
 		crash    = 2 * time.Second // srv_crash, for_s
+		// partition is how long host 0 has no path to workers.
+		partition = 4 * time.Second
 	)
 	isUnlike := os.Getenv("TROUBLE") == "unlike"
 	d, err := newDeployment(hosts)
@@ -80,7 +92,19 @@
 		})
 	}
 	time.Sleep(4 * time.Second)
-	if hasTrouble {
+	switch {
+	case hasTrouble && isPartition:
+		r.say("host 0 is partitioned from all workers")
+		for _, w := range workers {
+			w.cut(0)
+		}
+		time.AfterFunc(partition, func() {
+			for _, w := range workers {
+				_ = w.connect(0)
+			}
+			r.say("the partition ends")
+		})
+	case hasTrouble:
 		r.say("%s of %s and %s of %s crash", decode[0].id, decode[0].zone, decode[1].id, decode[1].zone)
 		decode[0].crash()
 		decode[1].crash()
