--- a/review/lab3/client.go
+++ b/review/lab3/client.go
@@ -46,6 +46,9 @@
 	if method == http.MethodPost {
 		body = strings.Repeat("x", 300)
 	}
+	if strings.HasPrefix(path, "/hold/deadly") {
+		body = "POISON"
+	}
 	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: %s\r\nDeadline-Ms: %d\r\n%s", method, path, o.id, deadline.Milliseconds(), extra)
 	if body != "" {
 		head += fmt.Sprintf("Content-Length: %d\r\n", len(body))
--- a/review/lab3/main.go
+++ b/review/lab3/main.go
@@ -28,6 +28,7 @@
 	"drill":   caseDrill,
 	"popular": casePopular,
 	"path":    casePath,
+	"missed":  caseMissed,
 	"alike":   caseAlike,
 }
 
--- a/review/lab3/worker.go
+++ b/review/lab3/worker.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 )
@@ -25,8 +26,11 @@
 	delay   time.Duration
 	handle  func(host int, w http.ResponseWriter, r *http.Request) bool
 	servers []*http.Server
+	dying   []*dyingListener
 	born    int64
 	ran     func(host int, id string, r *http.Request)
+	// deadly is called when it begins to run a request that crashes it.
+	deadly func(host int, id string)
 }
 
 const workerPort = 19000
@@ -49,7 +53,7 @@
 		wk.zone = zones[0]
 	}
 	wk.born = time.Now().UnixMilli()
-	wk.servers = make([]*http.Server, wk.hosts)
+	wk.servers, wk.dying = make([]*http.Server, wk.hosts), make([]*dyingListener, wk.hosts)
 	for host := range wk.hosts {
 		if err := wk.connect(host); err != nil {
 			return err
@@ -66,8 +70,9 @@
 		return err
 	}
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { wk.serve(host, w, r) })}
-	wk.servers[host] = server
-	go func() { _ = server.Serve(l) }()
+	d := &dyingListener{Listener: l}
+	wk.servers[host], wk.dying[host] = server, d
+	go func() { _ = server.Serve(d) }()
 	return nil
 }
 
@@ -83,6 +88,62 @@
 	}
 }
 
+// crashSlowly ends the worker as the kernel may end a process: its connections are closed first, and
+// the sockets that it listens on after a time. Until then the kernel takes new connections, which
+// nobody reads.
+func (wk *worker) crashSlowly(after time.Duration) {
+	for _, d := range wk.dying {
+		d.die()
+	}
+	time.Sleep(after)
+	wk.crash()
+	for _, d := range wk.dying {
+		d.end()
+	}
+}
+
+// dyingListener tracks its connections, so that they can be closed before it.
+type dyingListener struct {
+	net.Listener
+	mu     sync.Mutex
+	isDead bool
+	conns  []net.Conn
+}
+
+func (d *dyingListener) Accept() (net.Conn, error) {
+	for {
+		c, err := d.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		d.mu.Lock()
+		isDead := d.isDead
+		d.conns = append(d.conns, c)
+		d.mu.Unlock()
+		if !isDead {
+			return c, nil
+		}
+	}
+}
+
+func (d *dyingListener) die() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.isDead = true
+	for _, c := range d.conns {
+		_ = c.Close()
+	}
+	d.conns = nil
+}
+
+func (d *dyingListener) end() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, c := range d.conns {
+		reset(c)
+	}
+}
+
 // rewrite gives a host the address at which it reaches a worker.
 func rewrite(host int) func(key string, value []byte) []byte {
 	return func(key string, value []byte) []byte {
@@ -128,6 +189,10 @@
 	if wk.ran != nil {
 		wk.ran(host, id, r)
 	}
+	if wk.deadly != nil && strings.Contains(string(body), "POISON") {
+		wk.deadly(host, id)
+		return
+	}
 	if handle != nil && handle(host, w, r) {
 		return
 	}
